--- a/waxwingford/metrics/__init__.py
+++ b/waxwingford/metrics/__init__.py
@@ -1,1 +1,5 @@
-"""metrics (being built)."""
+"""Counters and latency histograms, read over HTTP in text form."""
+
+from waxwingford.metrics._metrics import Metrics
+
+__all__ = ('Metrics',)
--- /dev/null
+++ b/waxwingford/timeline/_merge.py
@@ -0,0 +1,137 @@
+"""Merge of the rings of many daemons into one time line in causal order."""
+
+import heapq
+import itertools
+from collections import defaultdict
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+from waxwingford.timeline._events import Event, EventId
+
+#: Smallest step between cause and effect on the drawn axis, in milliseconds.
+_CAUSAL_STEP_MS = 1
+
+
+class Placed(NamedTuple):
+    """An event with its place on the common axis.
+
+    :ivar event: the event.
+    :ivar at_ms: milliseconds since the first event; never before its causes.
+    """
+
+    event: Event
+    at_ms: int
+
+
+def _edges(events: Sequence[Event]) -> dict[EventId, list[EventId]]:
+    """Find direct causes: earlier in the same process, or the parent.
+
+    :param events: of all processes.
+    :returns: causes by event.
+    """
+    known = {event.event_id for event in events}
+    causes: dict[EventId, list[EventId]] = defaultdict(list)
+    ordered = sorted(events, key=_event_id)
+    for before, after in itertools.pairwise(ordered):
+        if before.event_id[:2] == after.event_id[:2]:
+            causes[after.event_id].append(before.event_id)
+    for event in events:
+        if event.parent in known and event.parent != event.event_id:
+            causes[event.event_id].append(event.parent)
+    return causes
+
+
+def _event_id(event: Event) -> EventId:
+    return event.event_id
+
+
+def merge_events(events: Iterable[Event]) -> list[Event]:
+    """Order events so that no event stands before its cause.
+
+    Wall clocks of VMs disagree: by them alone an answer can stand before its
+    question.  Causes go first; wall time only orders what is concurrent.
+
+    :param events: of all processes, doubles allowed (rings read twice).
+    :returns: events in causal order.
+    """
+    event_by_id = {event.event_id: event for event in events}
+    causes = _edges(list(event_by_id.values()))
+    effects: dict[EventId, list[EventId]] = defaultdict(list)
+    waits = {event_id: len(causes[event_id]) for event_id in event_by_id}
+    for event_id, causing in causes.items():
+        for cause in causing:
+            effects[cause].append(event_id)
+    ready = [
+        (event_by_id[event_id].wall_ms, event_id)
+        for event_id, count in waits.items()
+        if not count
+    ]
+    heapq.heapify(ready)
+    merged: list[Event] = []
+    while ready:
+        _, event_id = heapq.heappop(ready)
+        merged.append(event_by_id[event_id])
+        for effect in effects[event_id]:
+            waits[effect] -= 1
+            if not waits[effect]:
+                heapq.heappush(ready, (event_by_id[effect].wall_ms, effect))
+    return merged
+
+
+def place_events(merged: Sequence[Event]) -> list[Placed]:
+    """Give events of a merged time line places on one axis.
+
+    :param merged: in causal order.
+    :returns: events with milliseconds since the first.
+    """
+    if not merged:
+        return []
+    start_ms = min(event.wall_ms for event in merged)
+    at_by_id: dict[EventId, int] = {}
+    last_by_process: dict[tuple[str, str], int] = {}
+    placed = []
+    for event in merged:
+        process = event.event_id[:2]
+        at_ms = max(
+            event.wall_ms - start_ms,
+            last_by_process.get(process, 0),
+            at_by_id.get(event.parent, -_CAUSAL_STEP_MS) + _CAUSAL_STEP_MS,
+        )
+        at_by_id[event.event_id] = at_ms
+        last_by_process[process] = at_ms
+        placed.append(Placed(event, at_ms))
+    return placed
+
+
+def filter_events(
+    events: Iterable[Event], subjects: frozenset[str]
+) -> list[Event]:
+    """Keep events about some subjects, and faults, which concern all.
+
+    :param events: any events.
+    :param subjects: for example ``task:qadri.night/0``; empty keeps all.
+    :returns: events in the same order.
+    """
+    if not subjects:
+        return list(events)
+    return [
+        event
+        for event in events
+        if event.subject in subjects
+        or event.kind.startswith('fault.')
+        or any(subject in event.detail for subject in subjects)
+    ]
+
+
+def render_text(merged: Sequence[Event]) -> str:
+    """Write a time line for people.
+
+    :param merged: in causal order.
+    :returns: one line an event: milliseconds, process, kind, subject, detail.
+    """
+    return ''.join(
+        f'{at_ms:>9} ms  {event.event_id.daemon}#'
+        f'{event.event_id.incarnation}.{event.event_id.sequence:<6} '
+        f'{event.kind:<22} {event.subject}  {event.detail}\n'
+        for event, at_ms in place_events(merged)
+    )
