Add settings checks, signed bundles and the command-line tool

Cause: operators need one document that every member signs off, that takes force by offset order of the log alone, and that no daemon ever goes back from; and settings whose mistakes are named before a daemon starts.

Ruled out: a published whole record as a place to start from. It proves by itself neither that it won its race nor that nothing newer stood before it; a VM that starts there can take the loser (test "A lost racer does not win when the winner's record has aged out"). Instead daemons restate what is in force with the offset that the record covers, and a reader starts only where all entries from that offset on are retained. Also ruled out: JSON patches by path (RFC 6902), longer and order-dependent; MessagePack for records, as maps with other than string keys would have to be refused separately.

Change: settings are strict (no conversion), with all problems reported by file, key, value and expected value, and cross checks; docs/settings.md comes from the model and a test compares it. Bundles: pydantic model, canonical JSON, merge patch, Ed25519 sign-off, pure chain (compare-and-set by offset), reader task with peers and restatements, publisher that resolves a lost acknowledgement by reading, signed operators' requests. Command-line tool with commands that register themselves.

--- /dev/null
+++ b/waxwingford/bundles/tests/chain_steps.py
@@ -0,0 +1,225 @@
+"""Steps for the chain of bundles."""
+
+import copy
+
+import msgspec
+from behave import given, then, when
+
+from waxwingford.bundles import (
+    AlreadyInForce,
+    BundleChain,
+    FromLog,
+    InForce,
+    RejectedBundle,
+    encode_record,
+    sign_digest,
+)
+from waxwingford.bundles.tests.consortium import (
+    STRANGER,
+    TRUST,
+    bodies,
+    first_body,
+    next_body,
+    payload_of,
+    record_of,
+)
+
+REPLACE = msgspec.structs.replace
+
+
+def signatures(record, **changes):
+    return REPLACE(
+        record, signature_by_member={**record.signature_by_member, **changes}
+    )
+
+
+def only(record, *members):
+    return REPLACE(
+        record,
+        signature_by_member={
+            member: record.signature_by_member[member] for member in members
+        },
+    )
+
+
+def changed(before, change):
+    """Sign a successor after a change that its author made on purpose."""
+    body = next_body(before, 99)
+    change(body)
+    return record_of(body)
+
+
+def nested(levels):
+    patch = {}
+    for _ in range(levels):
+        patch = {'teams': patch}
+    return patch
+
+
+def set_share(member, share):
+    return lambda body: body['members'].update({member: {'share': share}})
+
+
+def service_change(**changes):
+    return lambda body: body['services']['report_desk'].update(changes)
+
+
+def many_teams(body):
+    team = body['teams']['qadri/team0']
+    body['teams'] = {f'qadri/team{index}': team for index in range(5500)}
+
+
+def reserve_too_much(body):
+    body['services']['report_desk']['reserved']['processors_milli'] = 32_001
+
+
+def stranger_quota(body):
+    body['teams']['stranger/a'] = body['teams']['qadri/team0']
+
+
+FAULTS = {
+    'unsigned': lambda old, good: only(good),
+    'signed by one member': lambda old, good: only(good, 'qadri'),
+    'signed with a wrong key': lambda old, good: signatures(
+        good, svatbena=sign_digest(STRANGER, good.digest)
+    ),
+    'signed by a stranger too': lambda old, good: signatures(
+        good, stranger=sign_digest(STRANGER, good.digest)
+    ),
+    'of the version before': lambda old, good: record_of(old[0]),
+    'of the same version': lambda old, good: record_of(next_body(old[0], 55)),
+    'of a version too far': lambda old, good: record_of(
+        next_body(next_body(old[1], 60), 61)
+    ),
+    'on a wrong predecessor': lambda old, good: record_of(
+        next_body(next_body(old[0], 55), 60)
+    ),
+    'with a changed body': lambda old, good: REPLACE(
+        good, body=next_body(old[1], 7)
+    ),
+    'with a changed version': lambda old, good: REPLACE(
+        record_of({**good.body, 'version': 4}), version=3
+    ),
+    'with a share above 1': lambda old, good: changed(
+        old[1], set_share('qadri', 1.1)
+    ),
+    'with shares above 1 together': lambda old, good: changed(
+        old[1], set_share('svatbena', 0.5)
+    ),
+    'reserving beyond any server': lambda old, good: changed(
+        old[1], reserve_too_much
+    ),
+    'with a quota of a stranger': lambda old, good: changed(
+        old[1], stranger_quota
+    ),
+    'with an unknown domain': lambda old, good: changed(
+        old[1], service_change(failure_domains=['clifton'])
+    ),
+    'with a member without a key': lambda old, good: changed(
+        old[1], set_share('stranger', 0)
+    ),
+    'with an unknown key': lambda old, good: changed(
+        old[1], service_change(target_p99=9)
+    ),
+    'with a body above 512 KiB': lambda old, good: changed(old[1], many_teams),
+    'with a patch nested too deep': lambda old, good: REPLACE(
+        good, body=None, patch=nested(40)
+    ),
+    'with neither body nor patch': lambda old, good: REPLACE(good, body=None),
+}
+DEEP = '{{"version":3,"body":{0}'.format('{"a":' * 90_000).encode()
+RAW = {
+    'with a record above all size': b'{}'.ljust(600_000),
+    'with a body nested too deep': DEEP,
+    'not JSON': b'\xff\x00',
+}
+
+
+@given('a bundle chain with version 2 in force')
+def chain_with_two(context):
+    context.bodies = bodies(2)
+    context.chain = BundleChain(TRUST)
+    context.verdicts = [
+        context.chain.offer_payload(payload_of(body), FromLog(offset))
+        for offset, body in enumerate(context.bodies)
+    ]
+    context.before = context.chain.current
+    assert all(isinstance(seen, InForce) for seen in context.verdicts)
+
+
+@when('a bundle record is offered that is {fault}')
+def offer_faulty(context, fault):
+    good = record_of(next_body(context.bodies[1], 99))
+    payload = RAW.get(fault)
+    if payload is None:
+        payload = encode_record(
+            FAULTS[fault](context.bodies, copy.deepcopy(good))
+        )
+    context.verdicts.append(context.chain.offer_payload(payload, FromLog(9)))
+
+
+@when('two successors of version 2 are offered at offsets 7 and 8')
+def offer_racers(context):
+    context.racers = [next_body(context.bodies[1], ms) for ms in (50, 60)]
+    context.verdicts = [
+        context.chain.offer_payload(
+            payload_of(body, context.bodies[1]), FromLog(offset)
+        )
+        for offset, body in enumerate(context.racers, 7)
+    ]
+
+
+@when('the record of version 2 is offered again')
+def offer_again(context):
+    context.verdicts.append(
+        context.chain.offer_payload(payload_of(context.bodies[1]), FromLog(5))
+    )
+
+
+@then('the bundle is rejected with "{reason}"')
+def rejected_with(context, reason):
+    verdict = context.verdicts[-1]
+    assert isinstance(verdict, RejectedBundle), verdict
+    assert reason in verdict.reason, verdict.reason
+
+
+@then('version 2 stays in force unchanged')
+def still_two(context):
+    assert context.chain.current == context.before
+    # A good successor is still taken after the bad one.
+    good = payload_of(next_body(context.bodies[1], 99), context.bodies[1])
+    verdict = context.chain.offer_payload(good, FromLog(10))
+    assert isinstance(verdict, InForce), verdict
+
+
+@then('version 3 of the first racer is in force')
+def first_racer(context):
+    service = context.chain.current.bundle.services['report_desk']
+    assert (context.chain.version, service.target_p99_ms) == (3, 50)
+
+
+@then('the bundle is already in force')
+def already(context):
+    assert context.verdicts[-1] == AlreadyInForce(2), context.verdicts
+
+
+@given('a bundle of 680 teams')
+def large_bundle(context):
+    context.body = first_body(680)
+    context.chain = BundleChain(TRUST)
+    context.chain.offer_payload(payload_of(context.body), FromLog(0))
+
+
+@when('one quota is changed')
+def change_quota(context):
+    after = next_body(context.body, 120)
+    after['teams']['qadri/team7']['memory_mb'] += 1
+    context.payload = payload_of(after, context.body)
+    context.whole = record_of(after)
+
+
+@then('the record takes less than 1000 bytes and gives the same digest')
+def small_record(context):
+    verdict = context.chain.offer_payload(context.payload, FromLog(1))
+    assert len(context.payload) < 1000, len(context.payload)
+    assert verdict.in_force.digest == context.whole.digest
--- /dev/null
+++ b/waxwingford/bundles/tests/consortium.py
@@ -0,0 +1,119 @@
+"""Members with fixed keys, and bundles that they sign, for tests."""
+
+import copy
+
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
+
+from waxwingford.bundles import (
+    Body,
+    BundleRecord,
+    canonical_bytes,
+    digest_of,
+    encode_record,
+    make_patch,
+    public_text,
+    sign_digest,
+)
+
+KEY_BY_MEMBER = {
+    member: Ed25519PrivateKey.from_private_bytes(bytes([index]) * 32)
+    for index, member in enumerate(('qadri', 'svatbena'), 1)
+}
+STRANGER = Ed25519PrivateKey.from_private_bytes(b'x' * 32)
+TRUST = {member: public_text(key) for member, key in KEY_BY_MEMBER.items()}
+AMOUNTS = {'processors_milli': 8000, 'memory_mb': 16_000, 'accelerators': 0}
+
+
+def first_body(teams: int = 2) -> Body:
+    """Make the body of a first version.
+
+    :param teams: teams with quotas.
+    :returns: body.
+    """
+    return {
+        'version': 1,
+        'predecessor': '',
+        'members': {'qadri': {'share': 0.7}, 'svatbena': {'share': 0.3}},
+        'failure_domains': {
+            'gulberg': {'region': 'lahore', 'daemons': ['qadri-1', 'qadri-2']}
+        },
+        'largest_server': {**AMOUNTS, 'processors_milli': 32_000},
+        'services': {
+            'report_desk': {
+                'member': 'qadri',
+                'target_p99_ms': 120,
+                'tail_weight': 0.8,
+                'eviction_weight': 0.2,
+                'reserved': dict(AMOUNTS),
+                'concurrency_by_member': {'qadri': 192},
+            }
+        },
+        'teams': {
+            f'qadri/team{index}': {**AMOUNTS, 'may_borrow': True}
+            for index in range(teams)
+        },
+    }
+
+
+def next_body(before: Body, target_ms: int) -> Body:
+    """Make a successor that changes one figure.
+
+    :param before: body of the version before.
+    :param target_ms: new target of the service, milliseconds.
+    :returns: body.
+    """
+    body = copy.deepcopy(before)
+    body['version'] += 1
+    body['predecessor'] = digest_of(canonical_bytes(before))
+    body['services']['report_desk']['target_p99_ms'] = target_ms
+    return body
+
+
+def record_of(
+    body: Body, before: Body | None = None, as_of: int | None = None
+) -> BundleRecord:
+    """Sign a body by every member.
+
+    :param body: what to sign.
+    :param before: send a patch against this.
+    :param as_of: make it a restatement.
+    :returns: record.
+    """
+    digest = digest_of(canonical_bytes(body))
+    return BundleRecord(
+        version=body['version'],
+        predecessor=body['predecessor'],
+        digest=digest,
+        signature_by_member={
+            member: sign_digest(key, digest)
+            for member, key in KEY_BY_MEMBER.items()
+        },
+        body=None if before else body,
+        patch=make_patch(before, body) if before else None,
+        as_of=as_of,
+    )
+
+
+def payload_of(
+    body: Body, before: Body | None = None, as_of: int | None = None
+) -> bytes:
+    """Sign a body and serialize the record.
+
+    :param body: what to sign.
+    :param before: send a patch against this.
+    :param as_of: make it a restatement.
+    :returns: payload.
+    """
+    return encode_record(record_of(body, before, as_of))
+
+
+def bodies(count: int) -> list[Body]:
+    """Make a chain of bodies.
+
+    :param count: how many versions.
+    :returns: bodies; version N is at index N - 1.
+    """
+    chain = [first_body()]
+    for target_ms in range(101, 100 + count):
+        chain.append(next_body(chain[-1], target_ms))
+    return chain
--- /dev/null
+++ b/waxwingford/bundles/tests/reader_steps.py
@@ -0,0 +1,296 @@
+"""Steps for the bundle reader and for publishing."""
+
+import asyncio
+import random
+
+from behave import fixture, given, then, use_fixture, when
+
+from waxwingford.bundles import (
+    CONFIG_STREAM,
+    Bundle,
+    BundleReader,
+    NotReady,
+    PeerBundle,
+    PeerSilent,
+    Published,
+    PublishRefused,
+    ReaderSetup,
+    canonical_bytes,
+    decode_record,
+    digest_of,
+    publish,
+)
+from waxwingford.bundles.tests.consortium import (
+    TRUST,
+    bodies,
+    next_body,
+    payload_of,
+    record_of,
+)
+from waxwingford.kernel import ManualClock
+from waxwingford.metrics import Metrics
+from waxwingford_standins.platform_log import FakeLog, LogCore, Outage
+
+DOMAIN = frozenset(('gulberg-1', 'gulberg-2'))
+
+
+class FakePeers:
+    """Peers that answer as the scenario says."""
+
+    def __init__(self):
+        self.answer_by_id = {name: PeerSilent('down') for name in DOMAIN}
+
+    async def fetch(self, after_version):
+        return dict(self.answer_by_id)
+
+
+class SmallReads(FakeLog):
+    """Log that gives few entries at once, so that a start takes many reads."""
+
+    async def read(self, stream, from_offset, limit, wait_ms=0):
+        """Read at most three entries."""
+        return await super().read(stream, from_offset, min(limit, 3), wait_ms)
+
+
+class Rig:
+    """A log, peers, and readers that write down what takes force."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        self.core = LogCore()
+        self.log = SmallReads(self.core, self.clock)
+        self.peers = FakePeers()
+        self.bodies = bodies(80)
+        self.readers = []
+        self.versions = []
+        self.notes = []
+
+    def append(self, payload):
+        self.clock.advance(10)
+        self.core.append(CONFIG_STREAM, payload, self.clock.monotonic_ms())
+
+    def head(self):
+        return self.core.read(CONFIG_STREAM, 0, 0, 0).next_offset
+
+    def fill(self, first, last):
+        for version in range(first, last + 1):
+            body = self.bodies[version - 1]
+            before = self.bodies[version - 2] if version > 1 else None
+            self.append(payload_of(body, before))
+
+    def start(self):
+        told = []
+        self.versions.append(told)
+        self.readers.append(
+            BundleReader(
+                ReaderSetup(
+                    log=self.log,
+                    peers=self.peers,
+                    clock=self.clock,
+                    key_by_member=TRUST,
+                    domain_daemons=DOMAIN,
+                    on_in_force=lambda seen: told.append(seen.version),
+                    note=lambda kind, *_: self.notes.append(kind),
+                    counters=Metrics(),
+                    rng=random.Random(1),
+                )
+            )
+        )
+
+    def step(self, count=30):
+        for reader in self.readers:
+            for _ in range(count):
+                asyncio.run(reader.step())
+
+
+@fixture
+def bundle_rig(context):
+    context.rig = Rig()
+    yield context.rig
+
+
+@given('the log holds bundle versions 1 to {last:d}')
+def log_holds(context, last):
+    use_fixture(bundle_rig, context)
+    context.rig.fill(1, last)
+    context.last = last
+
+
+@given('the log is away for bundle readers')
+def log_away(context):
+    context.rig.core.faults.outage = Outage.refuse
+
+
+@given('the log is back and holds bundle versions up to {last:d}')
+@when('the log is back and holds bundle versions up to {last:d}')
+def log_back(context, last):
+    context.rig.core.faults.outage = Outage.none
+    context.rig.fill(context.last + 1, last)
+
+
+@given('bundle peer "{name}" has bundle version {version:d}')
+@when('bundle peer "{name}" has bundle version {version:d}')
+def peer_has(context, name, version):
+    payload = payload_of(context.rig.bodies[version - 1])
+    context.rig.peers.answer_by_id[name] = PeerBundle((payload,))
+
+
+@given('bundle peer "{name}" is silent')
+def peer_silent(context, name):
+    context.rig.peers.answer_by_id[name] = PeerSilent('down')
+
+
+@when('bundle peer "{name}" is there without a bundle')
+def peer_empty(context, name):
+    context.rig.peers.answer_by_id[name] = PeerBundle(())
+
+
+@given('the log restates version {version:d} and keeps nothing older')
+def restate_and_drop(context, version):
+    head = context.rig.head()
+    body = context.rig.bodies[version - 1]
+    context.rig.append(payload_of(body, as_of=head))
+    context.rig.core.truncate(CONFIG_STREAM, head)
+
+
+@given('version {version:d} is restated as it should be')
+@when('version {version:d} is restated as it should be')
+@given('version {version:d} is restated as if it were in force')
+def restate(context, version):
+    body = context.rig.bodies[version - 1]
+    context.rig.append(payload_of(body, as_of=context.rig.head()))
+
+
+@given('the log keeps nothing of that')
+def keep_nothing(context):
+    context.rig.core.truncate(CONFIG_STREAM, context.rig.head())
+
+
+@given('version 1 is appended again')
+@when('version 1 is appended again')
+def append_first(context):
+    context.rig.append(payload_of(context.rig.bodies[0]))
+
+
+@given('a racer of version {version:d} comes late, whole')
+def late_racer(context, version):
+    body = next_body(context.rig.bodies[version - 2], 77)
+    context.rig.append(payload_of(body))
+
+
+@given('a lost racer of version 3 is restated as if it were in force')
+def forged_statement(context):
+    body = next_body(context.rig.bodies[1], 77)
+    context.rig.append(payload_of(body, as_of=context.rig.head()))
+
+
+@given('a bundle reader that read them')
+@when('a bundle reader starts and reads')
+@when('a second bundle reader starts and reads')
+def reader_starts(context):
+    context.rig.start()
+    context.rig.step()
+
+
+@when('the bundle reader reads again')
+def reader_reads(context):
+    context.rig.step()
+
+
+@when('an hour passes with the bundle reader reading')
+def hour_passes(context):
+    for _ in range(120):
+        context.rig.clock.advance(30_000)
+        context.rig.step(1)
+
+
+@when('the log keeps only restatements')
+def keep_restatements(context):
+    context.rig.core.truncate(CONFIG_STREAM, context.last)
+
+
+@given('the log loses every acknowledgement')
+def lose_acknowledgements(context):
+    context.rig.core.faults.lost_share = 1
+
+
+@then('its bundles in force were "{versions}"')
+def were_in_force(context, versions):
+    told = ', '.join(map(str, context.rig.versions[-1]))
+    assert told == versions, (told, context.rig.readers[-1].readiness())
+
+
+@then('the bundles in force of both end with version {version:d}')
+def both_end(context, version):
+    ends = [told[-1:] for told in context.rig.versions]
+    assert ends == [[version], [version]], ends
+
+
+@then('the bundle reader noted "{kind}"')
+def was_noted(context, kind):
+    assert kind in context.rig.notes, context.rig.notes
+
+
+@then('its digest is that of version {version:d}')
+def digest_is(context, version):
+    body = context.rig.bodies[version - 1]
+    expected = digest_of(canonical_bytes(body))
+    assert context.rig.readers[-1].current.digest == expected
+
+
+@then('the bundle reader is not ready because "{reason}"')
+def not_ready(context, reason):
+    reader = context.rig.readers[-1]
+    match reader.readiness():
+        case NotReady(why):
+            assert reason in why, why
+        case ready:
+            raise AssertionError(ready)
+    assert not reader.whole_record()
+
+
+def publish_body(rig, log, body):
+    bundle = Bundle.model_validate_json(canonical_bytes(body))
+    whole = bundle.model_dump(mode='json')
+    signed = record_of(whole)
+    return asyncio.run(publish(log, TRUST, bundle, signed.signature_by_member))
+
+
+@when('version 4 is published, and then published again')
+def publish_twice(context):
+    rig = context.rig
+    body = next_body(rig.bodies[2], 44)
+    context.outcomes = [publish_body(rig, rig.log, body) for _ in range(2)]
+
+
+@then('both times it is in force and the log holds it once')
+def held_once(context):
+    assert all(isinstance(seen, Published) for seen in context.outcomes), (
+        context.outcomes
+    )
+    entries = context.rig.core.read(CONFIG_STREAM, 0, 99, 0).entries
+    held = [decode_record(entry.payload).version for entry in entries]
+    assert held == [1, 2, 3, 4], held
+
+
+class RacedLog(FakeLog):
+    """Log in which another operator's append always comes first."""
+
+    async def append(self, stream, payload):
+        """Let the racer in first."""
+        await super().append(stream, self.racer)
+        return await super().append(stream, payload)
+
+
+@when('a racer wins between reading and appending of version 4')
+def lose_race(context):
+    rig = context.rig
+    log = RacedLog(rig.core, rig.clock)
+    log.racer = payload_of(next_body(rig.bodies[2], 66), rig.bodies[2])
+    context.outcome = publish_body(rig, log, next_body(rig.bodies[2], 44))
+
+
+@then('publishing is refused with "{reason}"')
+def publishing_refused(context, reason):
+    assert isinstance(context.outcome, PublishRefused), context.outcome
+    assert reason in context.outcome.reason, context.outcome.reason
--- /dev/null
+++ b/waxwingford/commands/keys.py
@@ -0,0 +1,60 @@
+"""Commands ``keys make`` and ``keys sign``."""
+
+import base64
+import pathlib
+import sys
+from argparse import ArgumentParser, Namespace
+
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
+
+from waxwingford.bundles import public_text
+from waxwingford.commands._command import Command, ExitCode, commands
+from waxwingford.commands._keys import private_pem, read_key, write_private
+from waxwingford.commands._output import complain
+
+#: Keeps such a signature from passing as that of a bundle or a request.
+_DOMAIN = b'waxwingford statement v1\x00'
+
+
+def _add_make(parser: ArgumentParser) -> None:
+    parser.add_argument('--member', required=True, help='whose key')
+    parser.add_argument('--directory', required=True, help='where to put it')
+
+
+def _make(args: Namespace) -> ExitCode:
+    directory = pathlib.Path(args.directory)
+    directory.mkdir(parents=True, exist_ok=True)
+    key = Ed25519PrivateKey.generate()
+    path = directory / f'{args.member}.pem'
+    if not write_private(path, private_pem(key)):
+        complain(f'{path}: is there already; a key is never overwritten')
+        return ExitCode.findings
+    (directory / f'{args.member}.pub').write_text(f'{public_text(key)}\n')
+    print('[trust.public_key_by_member]')
+    print(f'{args.member} = "{public_text(key)}"')
+    return ExitCode.ok
+
+
+def _add_sign(parser: ArgumentParser) -> None:
+    parser.add_argument('--key', required=True, help='private key file')
+    parser.add_argument('file', metavar='FILE', help='statement; - for stdin')
+
+
+def _sign(args: Namespace) -> ExitCode:
+    key = read_key(args.key)
+    if isinstance(key, str):
+        complain(key)
+        return ExitCode.usage
+    statement = (
+        sys.stdin.buffer.read()
+        if args.file == '-'
+        else pathlib.Path(args.file).read_bytes()
+    )
+    print(base64.b64encode(key.sign(_DOMAIN + statement)).decode())
+    return ExitCode.ok
+
+
+commands.register('keys make')(Command("make a member's key", _add_make, _make))
+commands.register('keys sign')(
+    Command("sign a statement with a member's key", _add_sign, _sign)
+)
--- a/waxwingford/settings/__init__.py
+++ b/waxwingford/settings/__init__.py
@@ -1,25 +1,52 @@
 """Settings files of daemons: model, checked loading, clear errors."""
 
+from waxwingford.settings._load import (
+    Loaded,
+    SettingsInvalid,
+    load_settings,
+    load_toml,
+)
 from waxwingford.settings._model import (
     Identity,
+    IpNumber,
     Leases,
     Limits,
     Listen,
     Logging,
+    Millis,
+    Name,
     PeerAddress,
     Platform,
+    PublicKey,
+    ServiceUrl,
     Settings,
+    Tls,
     Trust,
 )
+from waxwingford.settings._problems import Problem, problems_of
+from waxwingford.settings._table import settings_page
 
 __all__ = (
     'Identity',
+    'IpNumber',
     'Leases',
     'Limits',
     'Listen',
+    'Loaded',
     'Logging',
+    'Millis',
+    'Name',
     'PeerAddress',
     'Platform',
+    'Problem',
+    'PublicKey',
+    'ServiceUrl',
     'Settings',
+    'SettingsInvalid',
+    'Tls',
     'Trust',
+    'load_settings',
+    'load_toml',
+    'problems_of',
+    'settings_page',
 )
--- a/waxwingford/settings/_model.py
+++ b/waxwingford/settings/_model.py
@@ -4,11 +4,47 @@
 here.
 """
 
+import base64
+import binascii
+import ipaddress
 from typing import Annotated
+from urllib.parse import urlsplit
+
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field
+
+_KEY_BYTES = 32
+
+
+def _ip_number(host: str) -> str:
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        raise ValueError('an IP number, not a name') from None
+    return host
+
+
+def _service_url(url: str) -> str:
+    parts = urlsplit(url)
+    if parts.scheme not in {'http', 'https'} or not parts.hostname:
+        raise ValueError('http://ADDRESS:PORT or https://ADDRESS:PORT')
+    _ip_number(parts.hostname)
+    return url
+
+
+def _public_key(text: str) -> str:
+    try:
+        raw = base64.b64decode(text, validate=True)
+    except (binascii.Error, ValueError):
+        raise ValueError('base64 of an Ed25519 public key') from None
+    if len(raw) != _KEY_BYTES:
+        raise ValueError(f'base64 of {_KEY_BYTES} bytes, got {len(raw)}')
+    return text
 
-from pydantic import BaseModel, ConfigDict, Field
 
 Port = Annotated[int, Field(ge=0, le=65535)]
+IpNumber = Annotated[str, AfterValidator(_ip_number)]
+ServiceUrl = Annotated[str, AfterValidator(_service_url)]
+PublicKey = Annotated[str, AfterValidator(_public_key)]
 Name = Annotated[str, Field(pattern='^[a-z][a-z0-9_-]*$', max_length=64)]
 Millis = Annotated[int, Field(ge=1, le=86_400_000)]
 
@@ -22,7 +58,7 @@
 
     daemon_id: Name
     failure_domain: Name
-    host: str
+    host: IpNumber
     rpc_port: Port
     http_port: Port
 
@@ -38,7 +74,7 @@
 class Listen(_Strict):
     """Where it listens, by IP number."""
 
-    host: str = '127.0.0.1'
+    host: IpNumber = '127.0.0.1'
     http_port: Port
     rpc_port: Port
 
@@ -46,15 +82,15 @@
 class Platform(_Strict):
     """Addresses of the platform's services."""
 
-    log_url: str
-    directory_url: str
+    log_url: ServiceUrl
+    directory_url: ServiceUrl
     log_timeout_ms: Millis = 2000
 
 
 class Trust(_Strict):
     """Public keys of the members, Ed25519, base64, by member name."""
 
-    public_key_by_member: dict[str, str]
+    public_key_by_member: Annotated[dict[Name, PublicKey], Field(min_length=1)]
 
 
 class Leases(_Strict):
@@ -79,6 +115,14 @@
     key_memory_ms: Millis = 120_000
 
 
+class Tls(_Strict):
+    """Files of this daemon's certificate; relative to the settings file."""
+
+    certificate_file: str
+    key_file: str
+    authority_file: str
+
+
 class Logging(_Strict):
     """Form of the log lines."""
 
@@ -99,3 +143,4 @@
     leases: Leases = Leases()
     limits: Limits = Limits()
     logging: Logging = Logging()
+    tls: Tls | None = None
