--- a/waxwingford/ports/_servers.py
+++ b/waxwingford/ports/_servers.py
@@ -145,6 +145,11 @@
     :ivar renew: attempts whose task leases are renewed.
     :ivar task_lease_ms: what they are renewed to.
     :ivar commands: carried out in order, each once.
+    :ivar stamp_ms: ``stamp_ms`` of the last answer of this server, given back.
+    :ivar good_for_ms: the server denies the request if its own clock is past
+        ``stamp_ms + good_for_ms``; 0 for no limit.  A request that is held up
+        on the way, or by a sender that was frozen, cannot then start or renew
+        an attempt that was meanwhile given up for lost.
     """
 
     holder: str
@@ -153,6 +158,8 @@
     renew: tuple[TaskKey, ...] = ()
     task_lease_ms: int = 0
     commands: tuple[ServerCommand, ...] = ()
+    stamp_ms: int = 0
+    good_for_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -166,6 +173,8 @@
     :ivar tasks: every attempt that it knows, running or ended.
     :ivar refused: commands that it did not carry out, with the reason.
     :ivar usage: samples since the last exchange.
+    :ivar stamp_ms: the server's own monotonic clock when it answered; 0 if it
+        gives none.
     """
 
     epoch: int
@@ -174,6 +183,7 @@
     tasks: tuple[TaskReport, ...]
     refused: tuple[tuple[TaskKey, str], ...] = ()
     usage: tuple[UsageSample, ...] = ()
+    stamp_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/waxwingford_standins/audit.py
@@ -0,0 +1,199 @@
+"""Audit of a run: what callers and the log say against what servers ran."""
+
+import collections
+import itertools
+from collections.abc import Iterable, Iterator, Sequence
+from typing import NamedTuple
+
+from waxwingford_standins.backend_server import ServerAudit
+from waxwingford_standins.load import NOT_RUN, Call, CallOutcome
+from waxwingford_standins.server_tasks import AttemptRun
+
+#: A leaving server gets nothing new after this time, in milliseconds.
+_LEAVING_GRACE_MS = 5000
+_STILL_RUNNING = float('inf')
+_RUNNING = 'running'
+
+
+class Finding(NamedTuple):
+    """Something that must never happen, and did.
+
+    :ivar check: name of the broken check.
+    :ivar detail: ids and figures.
+    """
+
+    check: str
+    detail: str
+
+
+class FinishedTasks(NamedTuple):
+    """What a stream says of one finished job.
+
+    :ivar job_id: which job.
+    :ivar done: tasks done.
+    :ivar failed: tasks given up.
+    :ivar cancelled: tasks cancelled.
+    """
+
+    job_id: str
+    done: int
+    failed: int
+    cancelled: int
+
+
+def audit_calls(
+    calls: Iterable[Call], servers: Sequence[ServerAudit]
+) -> list[Finding]:
+    """Check requests.
+
+    :param calls: ended calls, as their callers saw them.
+    :param servers: what the servers ran.
+    :returns: findings, none if all is well.
+    """
+    runs_by_key: collections.Counter[str] = collections.Counter()
+    runs_by_token: collections.Counter[str] = collections.Counter()
+    for server in servers:
+        runs_by_key.update(server.runs_by_key)
+        runs_by_token.update(server.runs_by_token)
+    doubled = [
+        Finding('key_ran_twice', f'{key} ran {count} times')
+        for key, count in runs_by_key.items()
+        if count > 1
+    ]
+    judged = (_audit_call(call, runs_by_token[call.token]) for call in calls)
+    return [*doubled, *itertools.chain.from_iterable(judged)]
+
+
+def audit_attempts(servers: Sequence[ServerAudit]) -> list[Finding]:
+    """Check batch attempts.
+
+    :param servers: what the servers ran.
+    :returns: findings, none if all is well.
+    """
+    runs_by_task: dict[str, list[AttemptRun]] = collections.defaultdict(list)
+    for run in itertools.chain.from_iterable(
+        server.attempts for server in servers
+    ):
+        runs_by_task[run.task_id].append(run)
+    return list(
+        itertools.chain.from_iterable(
+            _audit_task(task_id, sorted(runs, key=_by_start))
+            for task_id, runs in runs_by_task.items()
+        )
+    )
+
+
+def audit_leaving(servers: Iterable[ServerAudit]) -> list[Finding]:
+    """Check that leaving servers got nothing new.
+
+    :param servers: what the servers ran.
+    :returns: findings, none if all is well.
+    """
+    return [
+        Finding(
+            'work_on_leaving_server',
+            f'{server.server_id} got work '
+            f'{server.newest_work_after_leaving_ms} ms after it began to leave',
+        )
+        for server in servers
+        if server.newest_work_after_leaving_ms > _LEAVING_GRACE_MS
+    ]
+
+
+def audit_jobs(
+    answered_for: Iterable[str],
+    in_log: frozenset[str],
+    finished: Iterable[FinishedTasks],
+    servers: Sequence[ServerAudit],
+) -> list[Finding]:
+    """Check jobs.
+
+    :param answered_for: ids of jobs whose submission was accepted.
+    :param in_log: ids of jobs accepted in the streams.
+    :param finished: finished jobs of the streams.
+    :param servers: what the servers ran.
+    :returns: findings, none if all is well.
+    """
+    lost = [
+        Finding('job_lost', f'{job_id} was accepted but is not in the log')
+        for job_id in answered_for
+        if job_id not in in_log
+    ]
+    done_by_job = collections.Counter(
+        run.task_id.rpartition('/')[0]
+        for server in servers
+        for run in server.attempts
+        if run.phase == 'done'
+    )
+    invented = [
+        Finding(
+            'done_without_run',
+            f'{job.job_id}: {job.done} done in the log, '
+            f'{done_by_job[job.job_id]} on servers',
+        )
+        for job in finished
+        if done_by_job[job.job_id] < job.done
+    ]
+    return [*lost, *invented]
+
+
+def _audit_call(call: Call, runs: int) -> Iterator[Finding]:
+    seen = ', '.join(call.outcomes)
+    if CallOutcome.foreign in call.outcomes:
+        yield Finding('foreign_answer', f'{call.token}: {seen}')
+    if runs and NOT_RUN.issuperset(call.outcomes):
+        yield Finding(
+            'false_refusal', f'{call.token}: {seen}, yet it ran {runs} times'
+        )
+    if call.outcome is CallOutcome.answered and not runs:
+        yield Finding('answer_without_run', f'{call.token}: {seen}')
+
+
+def _audit_task(task_id: str, runs: list[AttemptRun]) -> Iterator[Finding]:
+    """Check all attempts of one task.
+
+    :param task_id: which task.
+    :param runs: its attempts in order of their starts.
+    :yields: findings.
+    """
+    yield from _doubled(task_id, runs)
+    reference = ''
+    for before, after in itertools.pairwise(runs):
+        if after.started_ms < (before.ended_ms or _STILL_RUNNING):
+            yield Finding(
+                'task_in_two_places', f'{_place(before)} and {_place(after)}'
+            )
+        if before.phase == 'checkpointed':
+            reference = before.detail
+        if after.resume_from != reference:
+            yield Finding(
+                'resumed_from_elsewhere',
+                f'{_place(after)} went on from {after.resume_from!r}, '
+                f'expected {reference!r}',
+            )
+
+
+def _doubled(task_id: str, runs: list[AttemptRun]) -> Iterator[Finding]:
+    starts = collections.Counter(run.attempt for run in runs)
+    yield from (
+        Finding(
+            'attempt_started_twice', f'{task_id} attempt {attempt}: {count}'
+        )
+        for attempt, count in starts.items()
+        if count > 1
+    )
+    done = sum(run.phase == 'done' for run in runs)
+    if done > 1:
+        yield Finding('task_done_twice', f'{task_id}: {done}')
+
+
+def _place(run: AttemptRun) -> str:
+    ended = run.ended_ms or _RUNNING
+    return (
+        f'{run.task_id} attempt {run.attempt} on {run.server_id} '
+        f'({run.started_ms} to {ended} ms, {run.phase})'
+    )
+
+
+def _by_start(run: AttemptRun) -> tuple[int, int]:
+    return run.started_ms, run.attempt
--- /dev/null
+++ b/waxwingford_standins/backend_host.py
@@ -0,0 +1,261 @@
+"""Serves one stand-in backend server over HTTP and carries out its faults."""
+
+import asyncio
+import contextlib
+import dataclasses
+import random
+
+import msgspec
+from aiohttp import web
+
+from waxwingford.adapters import (
+    DEADLINE_HEADER,
+    NOT_RUN_HEADER,
+    REQUEST_ID_HEADER,
+    decode_control_request,
+    encode_control_reply,
+)
+from waxwingford.kernel import Clock
+from waxwingford.ports import ServiceCall
+from waxwingford_standins.backend_server import BackendServerCore
+from waxwingford_standins.server_service import CallRefused, CallStarted
+from waxwingford_standins.serving import start_site
+
+_MS_IN_S = 1000
+_MOST_BODY_BYTES = 8_388_608
+_JSON = 'application/json'
+_BUSY = 503
+_HALF = 2
+
+
+class ServerFault(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of ``POST /fault``; fields left out stay as they are.
+
+    :ivar server_id: which server; empty for all that match.
+    :ivar failure_domain: which failure domain; empty for all.
+    :ivar frozen: whether it gives no answers.
+    :ivar fails_starts: whether each start fails at once.
+    :ivar leave: begin to leave.
+    :ivar die: lose everything.
+    :ivar down_ms: after dying, stay away for so long, in milliseconds.
+    :ivar usage_lag_ms: age at which usage is reported, in milliseconds.
+    :ivar lost_control_share: share of control answers lost after the effect.
+    :ivar cut_share: share of service answers broken off half way.
+    :ivar foreign_share: share of service answers with another request's id.
+    """
+
+    server_id: str = ''
+    failure_domain: str = ''
+    frozen: bool | None = None
+    fails_starts: bool | None = None
+    leave: bool = False
+    die: bool = False
+    down_ms: int = 0
+    usage_lag_ms: int | None = None
+    lost_control_share: float | None = None
+    cut_share: float | None = None
+    foreign_share: float | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class _AnswerFaults:
+    lost_control_share: float = 0
+    cut_share: float = 0
+    foreign_share: float = 0
+
+
+class ServerHost:
+    """One backend server on its own port.
+
+    :ivar core: decisions of the server.
+    :ivar down: whether it is dead at present.
+    """
+
+    def __init__(self, core: BackendServerCore, clock: Clock) -> None:
+        """Prepare; nothing listens yet.
+
+        :param core: decisions of the server.
+        :param clock: source of time.
+        """
+        self.core = core
+        self.down = False
+        self._clock = clock
+        self._faults = _AnswerFaults()
+        self._random = random.Random(core.vm.port)
+        self._thawed = asyncio.Event()
+        self._thawed.set()
+        self._runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        """Listen."""
+        app = web.Application(client_max_size=_MOST_BODY_BYTES)
+        app.add_routes(
+            (
+                web.post('/control', self.control),
+                web.post('/services/{service}/{path:.*}', self.serve),
+            )
+        )
+        self._runner = await start_site(
+            app, self.core.vm.host, self.core.vm.port
+        )
+        self.down = False
+
+    async def stop(self) -> None:
+        """Break all connections off and stop listening."""
+        self.down = True
+        self._thawed.set()
+        if self._runner is not None:
+            for protocol in self._connections():
+                if protocol.transport is not None:
+                    protocol.transport.abort()
+            await self._runner.cleanup()
+            self._runner = None
+
+    async def control(self, request: web.Request) -> web.StreamResponse:
+        """Carry out one control exchange.
+
+        :param request: body is a control request.
+        :returns: granted or denied, as JSON.
+        """
+        body = await request.read()
+        await self._thawed.wait()
+        try:
+            exchange = decode_control_request(body)
+        except msgspec.DecodeError as error:
+            return web.Response(status=400, text=str(error))
+        reply = self.core.control(exchange, self._clock.monotonic_ms())
+        if self._random.random() < self._faults.lost_control_share:
+            _abort(request)
+        return web.Response(
+            body=encode_control_reply(reply), content_type=_JSON
+        )
+
+    async def serve(self, request: web.Request) -> web.StreamResponse:
+        """Run one service request.
+
+        :param request: path names service and path.
+        :returns: the service's answer, or 503 if it was not run.
+        """
+        call = await _call(request)
+        if not self._takes_connection(request):
+            return _not_run(call, 'too many connections')
+        await self._thawed.wait()
+        outcome = self.core.begin_call(call, self._clock.monotonic_ms())
+        match outcome:
+            case CallRefused(reason):
+                return _not_run(call, reason)
+            case CallStarted(number, takes_ms):
+                await asyncio.sleep(takes_ms / _MS_IN_S)
+                self.core.end_call(number, self._clock.monotonic_ms())
+        await self._thawed.wait()
+        return await self._answer(request, call)
+
+    async def apply(self, fault: ServerFault) -> None:
+        """Set switches and carry out one-time faults.
+
+        :param fault: what to do.
+        """
+        now_ms = self._clock.monotonic_ms()
+        if fault.frozen is not None:
+            self._freeze(frozen=fault.frozen)
+        if fault.fails_starts is not None:
+            self.core.attempts.fails_starts = fault.fails_starts
+        if fault.usage_lag_ms is not None:
+            self.core.usage = self.core.usage._replace(
+                lag_ms=fault.usage_lag_ms
+            )
+        if fault.leave:
+            self.core.leave(now_ms)
+        self._set_shares(fault)
+        if fault.die:
+            await self._die(fault.down_ms)
+
+    def _set_shares(self, fault: ServerFault) -> None:
+        for field in dataclasses.fields(_AnswerFaults):
+            share = getattr(fault, field.name)
+            if share is not None:
+                setattr(self._faults, field.name, share)
+
+    def _freeze(self, *, frozen: bool) -> None:
+        if frozen:
+            self._thawed.clear()
+        else:
+            self._thawed.set()
+
+    async def _die(self, down_ms: int) -> None:
+        await self.stop()
+        self.core.die(self._clock.monotonic_ms())
+        await asyncio.sleep(down_ms / _MS_IN_S)
+        await self.start()
+
+    def _connections(self) -> list:
+        if self._runner is None or self._runner.server is None:
+            return []
+        return list(self._runner.server.connections)
+
+    def _takes_connection(self, request: web.Request) -> bool:
+        """Tell whether a request came over one of the allowed connections.
+
+        :param request: the request.
+        :returns: false if its connection is above the server's number.
+        """
+        allowed = self._connections()[: self.core.vm.connections]
+        return request.protocol in allowed
+
+    async def _answer(
+        self, request: web.Request, call: ServiceCall
+    ) -> web.StreamResponse:
+        body = self.core.answer(call)
+        request_id = call.request_id
+        if self._random.random() < self._faults.foreign_share:
+            request_id = f'{request_id}-other'
+        headers = {REQUEST_ID_HEADER: request_id, 'Content-Type': _JSON}
+        if self._random.random() < self._faults.cut_share:
+            return await _answer_half(request, headers, body)
+        return web.Response(body=body, headers=headers)
+
+
+async def _call(request: web.Request) -> ServiceCall:
+    body = await request.read()
+    return ServiceCall(
+        request.headers.get(REQUEST_ID_HEADER, ''),
+        request.match_info['service'],
+        request.match_info['path'],
+        body,
+        int(request.headers.get(DEADLINE_HEADER, 0)),
+    )
+
+
+def _not_run(call: ServiceCall, reason: str) -> web.Response:
+    return web.Response(
+        status=_BUSY,
+        text=reason,
+        headers={NOT_RUN_HEADER: '1', REQUEST_ID_HEADER: call.request_id},
+    )
+
+
+async def _answer_half(
+    request: web.Request, headers: dict[str, str], body: bytes
+) -> web.StreamResponse:
+    """Break an answer off half way.
+
+    :param request: to answer.
+    :param headers: of the whole answer.
+    :param body: of the whole answer.
+    :returns: answer whose connection is gone.
+    """
+    response = web.StreamResponse(headers=headers)
+    response.content_length = len(body)
+    await response.prepare(request)
+    await response.write(body[: len(body) // _HALF])
+    if request.transport is not None:
+        # Let the half go out before the connection is closed.
+        request.transport.close()
+    with contextlib.suppress(ConnectionError):
+        await response.write_eof()
+    return response
+
+
+def _abort(request: web.Request) -> None:
+    if request.transport is not None:
+        request.transport.abort()
--- /dev/null
+++ b/waxwingford_standins/configs.py
@@ -0,0 +1,177 @@
+"""Configuration files of one local run: daemons, stand-ins, keys."""
+
+import json
+import pathlib
+from collections.abc import Iterable, Iterator, Mapping
+from typing import Any, NamedTuple
+
+from cryptography.hazmat.primitives.asymmetric.ed25519 import (
+    Ed25519PrivateKey,
+)
+
+from waxwingford.adapters import encode_json
+from waxwingford.bundles import public_text
+from waxwingford.settings import (
+    Identity,
+    Leases,
+    Limits,
+    Listen,
+    PeerAddress,
+    Platform,
+    Settings,
+    Trust,
+)
+from waxwingford_standins.backend_main import BackendConfig, HostedServer
+from waxwingford_standins.deployment import Deployment
+from waxwingford_standins.layout import HOST, DaemonPlace, Layout
+from waxwingford_standins.relay_main import RelayConfig
+from waxwingford_standins.server_service import ServiceModel
+
+#: Shorter than in production, so that a run of seconds sees takeovers.
+LOCAL_LEASES = Leases(
+    control_ms=3000, renew_every_ms=500, task_ms=6000, margin_ms=300
+)
+_DRAIN_MS = 4000
+
+
+class RunFiles(NamedTuple):
+    """Files that the processes of a run read.
+
+    :ivar backends: configuration of the backend servers' process.
+    :ivar relay: configuration of the relay.
+    :ivar settings_by_daemon: settings file of each daemon.
+    """
+
+    backends: pathlib.Path
+    relay: pathlib.Path
+    settings_by_daemon: dict[str, pathlib.Path]
+
+
+def make_keys(members: Iterable[str]) -> dict[str, Ed25519PrivateKey]:
+    """Make a key for each member; a local run has nothing to protect.
+
+    :param members: their names.
+    :returns: private keys by member.
+    """
+    return {member: Ed25519PrivateKey.generate() for member in members}
+
+
+def write_files(
+    directory: pathlib.Path,
+    deployment: Deployment,
+    layout: Layout,
+    keys: Mapping[str, Ed25519PrivateKey],
+) -> RunFiles:
+    """Write all configuration files.
+
+    :param directory: where to; made if it is missing.
+    :param deployment: what runs.
+    :param layout: where it runs.
+    :param keys: private keys by member; only public halves are written.
+    :returns: the files.
+    """
+    directory.mkdir(parents=True, exist_ok=True)
+    backends = directory / 'backends.json'
+    backends.write_bytes(encode_json(_backend_config(deployment, layout)))
+    relay = directory / 'relay.json'
+    relay.write_bytes(
+        encode_json(RelayConfig(layout.relay_admin_port, list(layout.links)))
+    )
+    trust = Trust(
+        public_key_by_member={
+            member: public_text(key) for member, key in keys.items()
+        }
+    )
+    settings_by_daemon = {}
+    for daemon in layout.daemons:
+        path = directory / f'{daemon.daemon_id}.toml'
+        settings = _settings(deployment, layout, daemon, trust)
+        path.write_text(toml_text(settings.model_dump(exclude_none=True)))
+        settings_by_daemon[daemon.daemon_id] = path
+    return RunFiles(backends, relay, settings_by_daemon)
+
+
+def toml_text(document: Mapping[str, Any]) -> str:
+    """Write a document of tables, lists of tables and scalars as TOML.
+
+    :param document: nested at most two tables deep.
+    :returns: text.
+    """
+    return '\n'.join(_toml_lines(document, ''))
+
+
+def _toml_lines(document: Mapping[str, Any], prefix: str) -> Iterator[str]:
+    scalars = {
+        key: entry
+        for key, entry in document.items()
+        if not isinstance(entry, dict | tuple | list)
+    }
+    yield from (
+        f'{key} = {json.dumps(entry)}' for key, entry in scalars.items()
+    )
+    for key, entry in document.items():
+        if isinstance(entry, dict):
+            yield f'\n[{prefix}{key}]'
+            yield from _toml_lines(entry, f'{prefix}{key}.')
+        elif isinstance(entry, tuple | list):
+            for table in entry:
+                yield f'\n[[{prefix}{key}]]'
+                yield from _toml_lines(table, f'{prefix}{key}.')
+
+
+def _backend_config(deployment: Deployment, layout: Layout) -> BackendConfig:
+    service = deployment.service
+    model = ServiceModel(
+        service.name,
+        service.median_ms,
+        service.sigma,
+        service.slowdown_by_kind,
+        service.answer_bytes,
+    )
+    return BackendConfig(
+        layout.backend_admin_port,
+        {
+            domain.name: _platform_url(layout, domain.name)
+            for domain in deployment.failure_domains
+        },
+        [
+            HostedServer(vm, model, deployment.seed + index)
+            for index, vm in enumerate(layout.vms)
+        ],
+    )
+
+
+def _settings(
+    deployment: Deployment, layout: Layout, daemon: DaemonPlace, trust: Trust
+) -> Settings:
+    domain = daemon.failure_domain
+    platform_url = _platform_url(layout, domain)
+    peers = tuple(
+        PeerAddress(
+            daemon_id=peer.daemon_id,
+            failure_domain=peer.failure_domain,
+            host=HOST,
+            rpc_port=layout.port_from(domain, peer.rpc_port),
+            http_port=layout.port_from(domain, peer.http_port),
+        )
+        for peer in layout.daemons
+    )
+    return Settings(
+        identity=Identity(
+            daemon_id=daemon.daemon_id,
+            failure_domain=domain,
+            region=deployment.region,
+        ),
+        listen=Listen(
+            host=HOST, http_port=daemon.http_port, rpc_port=daemon.rpc_port
+        ),
+        platform=Platform(log_url=platform_url, directory_url=platform_url),
+        trust=trust,
+        peers=peers,
+        leases=LOCAL_LEASES,
+        limits=Limits(drain_ms=_DRAIN_MS, key_memory_ms=20_000),
+    )
+
+
+def _platform_url(layout: Layout, domain: str) -> str:
+    return f'http://{HOST}:{layout.port_from(domain, layout.platform_port)}'
--- /dev/null
+++ b/waxwingford_standins/latencies.py
@@ -0,0 +1,59 @@
+"""Latencies of a run by caller and outcome."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from hdrh.histogram import HdrHistogram
+
+from waxwingford_standins.load import Call
+
+_US_IN_MS = 1000
+_MOST_US = 120_000_000
+_DIGITS = 3
+_PERCENTILES = (50, 99, 99.9)
+
+
+class LatencyRow(NamedTuple):
+    """Latencies of one kind of caller and outcome, in milliseconds.
+
+    :ivar caller: name of the plan.
+    :ivar outcome: how the calls ended.
+    :ivar count: how many.
+    :ivar p50_ms: median.
+    :ivar p99_ms: 99th percentile.
+    :ivar p999_ms: 99.9th percentile.
+    """
+
+    caller: str
+    outcome: str
+    count: int
+    p50_ms: float
+    p99_ms: float
+    p999_ms: float
+
+
+def latency_rows(calls: Iterable[Call]) -> list[LatencyRow]:
+    """Sum up latencies by caller and outcome.
+
+    :param calls: ended calls.
+    :returns: rows in order of caller and outcome.
+    """
+    histograms: dict[tuple[str, str], HdrHistogram] = {}
+    for call in calls:
+        histogram = histograms.setdefault(
+            (call.caller, call.outcome.value),
+            HdrHistogram(1, _MOST_US, _DIGITS),
+        )
+        histogram.record_value(max(int(call.latency_ms * _US_IN_MS), 1))
+    return [
+        LatencyRow(
+            caller,
+            outcome,
+            histogram.get_total_count(),
+            *(
+                histogram.get_value_at_percentile(percentile) / _US_IN_MS
+                for percentile in _PERCENTILES
+            ),
+        )
+        for (caller, outcome), histogram in sorted(histograms.items())
+    ]
--- /dev/null
+++ b/waxwingford_standins/layout.py
@@ -0,0 +1,163 @@
+"""Ports and addresses of one local run, chosen at its start."""
+
+import itertools
+import random
+import socket
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from waxwingford.ports import Vm, VmState
+from waxwingford_standins.deployment import Deployment, DomainPlan
+from waxwingford_standins.relay_main import Link
+
+HOST = '127.0.0.1'
+PLATFORM = 'platform'
+#: Below the range from which the system takes ports of outgoing connections:
+#: a port chosen there could be taken before its process listens on it.
+_FIRST_PORT = 12_000
+_LAST_PORT = 31_000
+
+
+class DaemonPlace(NamedTuple):
+    """Where one daemon runs.
+
+    :ivar daemon_id: its name.
+    :ivar failure_domain: its failure domain.
+    :ivar http_port: for callers and operators.
+    :ivar rpc_port: for peers.
+    """
+
+    daemon_id: str
+    failure_domain: str
+    http_port: int
+    rpc_port: int
+
+    @property
+    def url(self) -> str:
+        """Base URL for callers.
+
+        :returns: the URL.
+        """
+        return f'http://{HOST}:{self.http_port}'
+
+
+class Layout(NamedTuple):
+    """All addresses of a run.
+
+    :ivar platform_port: of the platform's log and list.
+    :ivar backend_admin_port: of the backend servers' administration.
+    :ivar relay_admin_port: of the relay's administration.
+    :ivar vms: all backend servers.
+    :ivar daemons: all daemons.
+    :ivar links: what the relay relays.
+    """
+
+    platform_port: int
+    backend_admin_port: int
+    relay_admin_port: int
+    vms: tuple[Vm, ...]
+    daemons: tuple[DaemonPlace, ...]
+    links: tuple[Link, ...]
+
+    def port_from(self, domain: str, target_port: int) -> int:
+        """Find the port by which a failure domain reaches another port.
+
+        :param domain: failure domain of the connecting side.
+        :param target_port: port of the listening side.
+        :returns: the relay's port, or the port itself within one domain.
+        """
+        relayed = (
+            link.listen_port
+            for link in self.links
+            if link.source == domain and link.target_port == target_port
+        )
+        return next(relayed, target_port)
+
+
+def free_ports() -> Iterator[int]:
+    """Give ports of this machine on which nothing listens.
+
+    :yields: TCP ports, each once.
+    """
+    span = _LAST_PORT - _FIRST_PORT
+    start = random.SystemRandom().randrange(span)
+    for step in range(span):
+        port = _FIRST_PORT + (start + step) % span
+        if _is_free(port):
+            yield port
+
+
+def lay_out(deployment: Deployment) -> Layout:
+    """Choose all ports of a run.
+
+    :param deployment: what to start.
+    :returns: the addresses.
+    """
+    ports = free_ports()
+    platform_port, backend_port, relay_port = itertools.islice(ports, 3)
+    vms = tuple(
+        itertools.chain.from_iterable(
+            _servers(deployment, domain, ports)
+            for domain in deployment.failure_domains
+        )
+    )
+    daemons = tuple(
+        DaemonPlace(daemon_id, domain.name, next(ports), next(ports))
+        for domain in deployment.failure_domains
+        for daemon_id in domain.daemons
+    )
+    links = tuple(_links(deployment, daemons, platform_port, ports))
+    return Layout(platform_port, backend_port, relay_port, vms, daemons, links)
+
+
+def _servers(
+    deployment: Deployment, domain: DomainPlan, ports: Iterator[int]
+) -> Iterator[Vm]:
+    servers = deployment.servers
+    for rack, size in enumerate(domain.racks, 1):
+        for number in range(1, size + 1):
+            yield Vm(
+                f'{domain.name}-r{rack}-s{number}',
+                domain.name,
+                f'{domain.name}-r{rack}',
+                HOST,
+                next(ports),
+                VmState.live,
+                servers.resources(),
+                servers.slots,
+                servers.connections,
+                deployment.service.name,
+            )
+
+
+def _links(
+    deployment: Deployment,
+    daemons: tuple[DaemonPlace, ...],
+    platform_port: int,
+    ports: Iterator[int],
+) -> Iterator[Link]:
+    delay_ms = deployment.network.between_domains_ms
+    for domain in deployment.failure_domains:
+        yield Link(next(ports), platform_port, domain.name, PLATFORM, delay_ms)
+        elsewhere = (
+            daemon for daemon in daemons if daemon.failure_domain != domain.name
+        )
+        for daemon in elsewhere:
+            for target_port in (daemon.rpc_port, daemon.http_port):
+                yield Link(
+                    next(ports),
+                    target_port,
+                    domain.name,
+                    daemon.failure_domain,
+                    delay_ms,
+                )
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            return False
+    return True
--- /dev/null
+++ b/waxwingford_standins/load.py
@@ -0,0 +1,278 @@
+"""Open-loop callers: they call at their rate, whatever the answers do.
+
+A caller retries refused and unknown requests with the same key, honours
+Retry-After and checks that each answer belongs to its own request.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import enum
+import itertools
+import random
+from typing import NamedTuple
+
+import aiohttp
+import msgspec
+
+from waxwingford_standins.deployment import CallerPlan, Deployment
+from waxwingford_standins.layout import Layout
+from waxwingford_standins.server_service import ServiceEcho
+
+_MS_IN_S = 1000
+_SLACK_S = 2
+_DEFAULT_RETRY_S = 0.2
+_MOST_RETRY_S = 5
+_OK = 200
+
+
+class CallOutcome(enum.StrEnum):
+    """How one attempt or a whole call ended, as the caller sees it."""
+
+    answered = 'answered'
+    refused = 'refused'
+    unknown = 'unknown'
+    rejected = 'rejected'
+    foreign = 'foreign'
+    broken_off = 'broken_off'
+    unreachable = 'unreachable'
+
+
+#: Outcomes that say that the attempt was certainly not run.
+NOT_RUN = frozenset((CallOutcome.refused, CallOutcome.unreachable))
+_FINAL = frozenset(
+    (CallOutcome.answered, CallOutcome.rejected, CallOutcome.foreign)
+)
+
+
+class Attempted(NamedTuple):
+    """One attempt of a call.
+
+    :ivar outcome: how it ended.
+    :ivar retry_s: when to come back, in seconds.
+    :ivar reason: what the daemon gave as the reason.
+    :ivar entry: daemon that it went to.
+    """
+
+    outcome: CallOutcome
+    retry_s: float = _DEFAULT_RETRY_S
+    reason: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """One caller's request, all attempts together.
+
+    :ivar caller: name of the plan.
+    :ivar token: unique; also the idempotency key if not idempotent.
+    :ivar idempotent: whether it may run more than once.
+    :ivar outcomes: of its attempts, in order.
+    :ivar latency_ms: from the first attempt to the end, in milliseconds.
+    :ivar entry: daemon that the last attempt went to.
+    :ivar started_s: monotonic time of the first attempt, in seconds.
+    """
+
+    caller: str
+    token: str
+    idempotent: bool
+    outcomes: tuple[CallOutcome, ...]
+    latency_ms: float
+    entry: str = ''
+    started_s: float = 0
+
+    @property
+    def outcome(self) -> CallOutcome:
+        """How the call ended.
+
+        :returns: outcome of the last attempt.
+        """
+        return self.outcomes[-1]
+
+
+class _Explanation(msgspec.Struct):
+    reason: str
+
+
+class Callers:
+    """All callers of a deployment.
+
+    :ivar calls: ended calls.
+    :ivar reasons: attempts that were not answered, by outcome and reason.
+    """
+
+    def __init__(
+        self, deployment: Deployment, layout: Layout, label: str = 'call'
+    ) -> None:
+        """Prepare.
+
+        :param deployment: rates, deadlines, latency to clients.
+        :param layout: addresses of the daemons.
+        :param label: start of every token, unique in a run.
+        """
+        self.calls: list[Call] = []
+        self.reasons: collections.Counter[str] = collections.Counter()
+        self._deployment = deployment
+        self._daemons = layout.daemons
+        self._label = label
+        self._random = random.Random(deployment.seed)
+        self._numbers = itertools.count(1)
+        self._running: set[asyncio.Task[None]] = set()
+
+    async def run(self, seconds: float) -> None:
+        """Call for some time, then wait for the calls that are out.
+
+        :param seconds: how long new calls begin.
+        """
+        connector = aiohttp.TCPConnector(limit=0)
+        async with aiohttp.ClientSession(connector=connector) as client:
+            await asyncio.gather(
+                *(
+                    self._arrivals(client, plan, seconds)
+                    for plan in self._deployment.callers
+                )
+            )
+            if self._running:
+                await asyncio.wait(self._running)
+
+    def outcome_counts(self) -> collections.Counter[str]:
+        """Count calls by how they ended.
+
+        :returns: counts.
+        """
+        return collections.Counter(call.outcome.value for call in self.calls)
+
+    async def _arrivals(
+        self, client: aiohttp.ClientSession, plan: CallerPlan, seconds: float
+    ) -> None:
+        if not plan.requests_per_s:
+            return
+        loop = asyncio.get_running_loop()
+        next_s = loop.time()
+        until_s = next_s + seconds
+        while next_s < until_s:
+            next_s += self._random.expovariate(plan.requests_per_s)
+            await asyncio.sleep(max(next_s - loop.time(), 0))
+            task = asyncio.ensure_future(self._call(client, plan))
+            self._running.add(task)
+            task.add_done_callback(self._running.discard)
+
+    async def _call(
+        self, client: aiohttp.ClientSession, plan: CallerPlan
+    ) -> None:
+        token = f'{self._label}-{plan.name}-{next(self._numbers)}'
+        loop = asyncio.get_running_loop()
+        start_s = loop.time()
+        outcomes: list[CallOutcome] = []
+        for attempt in range(1, plan.attempts + 1):
+            age_ms = int((loop.time() - start_s) * _MS_IN_S)
+            headers = _headers(plan, token, attempt, age_ms)
+            attempted = await self._attempt(client, plan, token, headers)
+            outcomes.append(attempted.outcome)
+            if attempted.outcome is not CallOutcome.answered:
+                self.reasons[f'{attempted.outcome}: {attempted.reason}'] += 1
+            if attempted.outcome in _FINAL or attempt == plan.attempts:
+                break
+            await asyncio.sleep(min(attempted.retry_s, _MOST_RETRY_S))
+        latency_ms = (loop.time() - start_s) * _MS_IN_S
+        self.calls.append(
+            Call(
+                plan.name,
+                token,
+                plan.idempotent,
+                tuple(outcomes),
+                latency_ms,
+                attempted.entry,
+                start_s,
+            )
+        )
+
+    async def _attempt(
+        self,
+        client: aiohttp.ClientSession,
+        plan: CallerPlan,
+        token: str,
+        headers: dict[str, str],
+    ) -> Attempted:
+        service = self._deployment.service.name
+        daemon = self._random.choice(self._daemons)
+        client_s = self._deployment.network.client_ms / _MS_IN_S
+        await asyncio.sleep(client_s)
+        try:
+            async with client.post(
+                f'{daemon.url}/v1/services/{service}/{plan.path}',
+                data=_body(plan, token),
+                headers=headers,
+                timeout=aiohttp.ClientTimeout(
+                    total=plan.deadline_ms / _MS_IN_S + _SLACK_S
+                ),
+            ) as answer:
+                attempted = _judge(answer, await answer.read(), token)
+        except aiohttp.ClientConnectorError:
+            attempted = Attempted(CallOutcome.unreachable)
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            attempted = Attempted(
+                CallOutcome.broken_off, reason=type(error).__name__
+            )
+        await asyncio.sleep(client_s)
+        return attempted._replace(entry=daemon.daemon_id)
+
+
+def _headers(
+    plan: CallerPlan, token: str, attempt: int, age_ms: int
+) -> dict[str, str]:
+    headers = {
+        'Content-Type': 'application/json',
+        'Waxwingford-Member': plan.member,
+        'Waxwingford-Deadline-Ms': str(plan.deadline_ms),
+        'Waxwingford-Urgency': plan.urgency,
+        'Waxwingford-Idempotent': 'true' if plan.idempotent else 'false',
+        'Waxwingford-Attempt': str(attempt),
+        'Waxwingford-Age-Ms': str(age_ms),
+    }
+    if not plan.idempotent:
+        headers['Idempotency-Key'] = token
+    return headers
+
+
+def _body(plan: CallerPlan, token: str) -> bytes:
+    key = '' if plan.idempotent else token
+    return msgspec.json.encode(ServiceEcho(token=token, key=key))
+
+
+def _judge(
+    answer: aiohttp.ClientResponse, body: bytes, token: str
+) -> Attempted:
+    """Tag an answer; an answered one must carry the request's own token.
+
+    :param answer: status and headers.
+    :param body: whole body.
+    :param token: of the request.
+    :returns: tagged outcome.
+    """
+    tag = answer.headers.get('Waxwingford-Outcome', '')
+    if tag == CallOutcome.answered:
+        return Attempted(_answered(answer.status, body, token))
+    retry_ms = answer.headers.get('Waxwingford-Retry-After-Ms', '')
+    retry_s = (
+        int(retry_ms) / _MS_IN_S if retry_ms.isdigit() else _DEFAULT_RETRY_S
+    )
+    outcome = CallOutcome.unknown
+    if tag in {CallOutcome.refused, CallOutcome.rejected}:
+        outcome = CallOutcome(tag)
+    return Attempted(outcome, retry_s, _reason(answer.status, body))
+
+
+def _reason(status: int, body: bytes) -> str:
+    try:
+        return msgspec.json.decode(body, type=_Explanation).reason
+    except msgspec.DecodeError:
+        return f'status {status}'
+
+
+def _answered(status: int, body: bytes, token: str) -> CallOutcome:
+    try:
+        echo = msgspec.json.decode(body, type=ServiceEcho)
+    except msgspec.DecodeError:
+        return CallOutcome.foreign
+    own = status == _OK and echo.token == token
+    return CallOutcome.answered if own else CallOutcome.foreign
--- /dev/null
+++ b/waxwingford_standins/local_run.py
@@ -0,0 +1,240 @@
+"""One deployment on this machine: stand-ins, bundle and daemons."""
+
+import asyncio
+import dataclasses
+import pathlib
+from collections.abc import Awaitable, Callable
+
+from waxwingford.adapters import HttpLog
+from waxwingford.bundles import (
+    Bundle,
+    BundleInvalid,
+    Published,
+    body_of,
+    canonical_bytes,
+    digest_of,
+    load_bundle,
+    public_text,
+    publish,
+    sign_digest,
+)
+from waxwingford_standins.configs import RunFiles, make_keys, write_files
+from waxwingford_standins.deployment import Deployment
+from waxwingford_standins.layout import lay_out
+from waxwingford_standins.processes import ProcessGroup
+from waxwingford_standins.switches import Switches
+
+_POLL_S = 0.1
+_STAND_INS_S = 10
+_READY_S = 30
+_LOG_TIMEOUT_MS = 2000
+_OK = 200
+_PACKAGE = 'waxwingford_standins'
+_DAEMON_MODULE = 'waxwingford.daemon.main'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Started:
+    """All processes run, all daemons are ready."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartFailed:
+    """Something did not come up; what runs is still to be stopped.
+
+    :ivar reason: for people.
+    """
+
+    reason: str
+
+
+class LocalRun:
+    """Processes of a deployment and their switches.
+
+    :ivar deployment: what runs.
+    :ivar layout: where.
+    :ivar key_by_member: private keys of the members.
+    :ivar processes: everything that was started.
+    :ivar files: configuration files.
+    :ivar switches: faults and audits of the stand-ins.
+    """
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        bundle: Bundle,
+        directory: pathlib.Path,
+        say: Callable[[str], None],
+    ) -> None:
+        """Choose ports and write files; nothing runs yet.
+
+        :param deployment: what to start.
+        :param bundle: first configuration bundle.
+        :param directory: for files and logs.
+        :param say: takes progress lines.
+        """
+        self.deployment = deployment
+        self.layout = lay_out(deployment)
+        self.key_by_member = make_keys(bundle.members)
+        self.processes = ProcessGroup(directory / 'logs')
+        self.files: RunFiles = write_files(
+            directory / 'config', deployment, self.layout, self.key_by_member
+        )
+        self._bundle = bundle
+        self._say = say
+        self.switches = Switches(self.layout)
+
+    async def start(self) -> Started | StartFailed:
+        """Start everything and wait until all daemons are ready.
+
+        :returns: tagged outcome.
+        """
+        steps: tuple[Callable[[], Awaitable[str]], ...] = (
+            self.start_stand_ins,
+            self.publish_bundle,
+            self.start_daemons,
+        )
+        for step in steps:
+            reason = await step()
+            if reason:
+                return StartFailed(reason)
+        return Started()
+
+    async def start_stand_ins(self) -> str:
+        """Start platform, relay and backend servers.
+
+        :returns: reason of a failure, else empty.
+        """
+        layout = self.layout
+        await self.processes.start(
+            'platform',
+            f'{_PACKAGE}.platform_main',
+            '--port',
+            str(layout.platform_port),
+            '--seed',
+            str(self.deployment.seed),
+        )
+        await self.processes.start(
+            'relay',
+            f'{_PACKAGE}.relay_main',
+            '--config',
+            str(self.files.relay),
+        )
+        await self.processes.start(
+            'backends',
+            f'{_PACKAGE}.backend_main',
+            '--config',
+            str(self.files.backends),
+        )
+        self._say(f'stand-ins of {len(layout.vms)} backend servers started')
+        return await self._poll(self._all_vms_listed, _STAND_INS_S)
+
+    async def publish_bundle(self) -> str:
+        """Sign the bundle as every member and publish it.
+
+        :returns: reason of a failure, else empty.
+        """
+        digest = digest_of(canonical_bytes(body_of(self._bundle)))
+        signatures = {
+            member: sign_digest(key, digest)
+            for member, key in self.key_by_member.items()
+        }
+        trusted = {
+            member: public_text(key)
+            for member, key in self.key_by_member.items()
+        }
+        log = HttpLog(self.switches.platform_url, _LOG_TIMEOUT_MS)
+        try:
+            outcome = await publish(log, trusted, self._bundle, signatures)
+        finally:
+            await log.close()
+        if isinstance(outcome, Published):
+            self._say(f'bundle version {outcome.version} published')
+            return ''
+        return f'bundle was not published: {outcome}'
+
+    async def start_daemons(self) -> str:
+        """Start all daemons and wait until each is ready.
+
+        :returns: reason of a failure, else empty.
+        """
+        for daemon in self.layout.daemons:
+            await self.start_daemon(daemon.daemon_id)
+        self._say(f'{len(self.layout.daemons)} daemons started')
+        return await self.wait_ready()
+
+    async def wait_ready(self) -> str:
+        """Wait until every daemon is ready, with a cap.
+
+        :returns: what the first daemon that is not ready says, else empty.
+        """
+        return await self._poll(self.unready, _READY_S)
+
+    async def start_daemon(self, daemon_id: str) -> None:
+        """Start one daemon, for the first time or again.
+
+        :param daemon_id: which.
+        """
+        settings = self.files.settings_by_daemon[daemon_id]
+        await self.processes.start(
+            daemon_id, _DAEMON_MODULE, '--settings', str(settings)
+        )
+
+    async def stop(self) -> list[str]:
+        """Stop everything that was started.
+
+        :returns: names of processes that had to be killed.
+        """
+        killed = await self.processes.stop_all()
+        await self.switches.close()
+        return killed
+
+    async def unready(self) -> str:
+        """Ask every daemon whether it is ready.
+
+        :returns: what the first daemon that is not ready says, else empty.
+        """
+        for daemon in self.layout.daemons:
+            status, text = await self.switches.get(f'{daemon.url}/readyz')
+            if status != _OK:
+                return f'{daemon.daemon_id} is not ready: {text.strip()}'
+        return ''
+
+    async def _all_vms_listed(self) -> str:
+        _, text = await self.switches.get(
+            f'{self.switches.platform_url}/v1/vms'
+        )
+        missing = sum(f'"{vm.server_id}"' not in text for vm in self.layout.vms)
+        return f'{missing} backend servers are not listed' if missing else ''
+
+    async def _poll(
+        self, missing: Callable[[], Awaitable[str]], cap_s: float
+    ) -> str:
+        """Poll a condition.
+
+        :param missing: gives what is missing, empty once nothing is.
+        :param cap_s: give up after this time, in seconds.
+        :returns: what is missing at the end.
+        """
+        loop = asyncio.get_running_loop()
+        until = loop.time() + cap_s
+        while True:
+            reason = await missing()
+            ended = self.processes.ended()
+            if ended:
+                return f'{", ".join(ended)} (see its file in logs/)'
+            if not reason or loop.time() > until:
+                return reason
+            await asyncio.sleep(_POLL_S)
+
+
+def open_bundle(path: pathlib.Path) -> Bundle | str:
+    """Read a bundle's source.
+
+    :param path: ``bundle.toml``.
+    :returns: the bundle, or what is wrong with it.
+    """
+    loaded = load_bundle(path)
+    if isinstance(loaded, BundleInvalid):
+        return '\n'.join(str(problem) for problem in loaded.problems)
+    return loaded.bundle
--- /dev/null
+++ b/waxwingford_standins/platform_list.py
@@ -0,0 +1,85 @@
+"""Core of the lagging list of VMs: pure, time is passed in."""
+
+import collections
+import dataclasses
+from typing import NamedTuple
+
+from waxwingford.ports import Vm, VmList, VmListUnavailable
+
+
+class _Change(NamedTuple):
+    at_ms: int
+    server_id: str
+    vm: Vm | None
+
+
+@dataclasses.dataclass(slots=True)
+class ListFaults:
+    """Switches of the list.
+
+    :ivar outage: whether reads get no list.
+    :ivar lag_ms: age of what reads show, in milliseconds.
+    """
+
+    outage: bool = False
+    lag_ms: int = 1000
+
+
+class VmListCore:
+    """VMs that register by heartbeats and show up after the lag.
+
+    :ivar faults: switches, changed in place.
+    """
+
+    def __init__(self, expire_ms: int = 5000) -> None:
+        """Start empty.
+
+        :param expire_ms: a VM without heartbeats for so long is gone.
+        """
+        self.faults = ListFaults()
+        self._expire_ms = expire_ms
+        self._last_by_id: dict[str, tuple[int, Vm]] = {}
+        self._changes: collections.deque[_Change] = collections.deque()
+        self._shown_by_id: dict[str, Vm] = {}
+
+    def heartbeat(self, vm: Vm, now_ms: int) -> None:
+        """Register a VM or say that it is still there.
+
+        :param vm: its present description.
+        :param now_ms: monotonic time.
+        """
+        known = self._last_by_id.get(vm.server_id)
+        self._last_by_id[vm.server_id] = (now_ms, vm)
+        if known is None or known[1] != vm:
+            self._changes.append(_Change(now_ms, vm.server_id, vm))
+
+    def read(self, now_ms: int) -> VmList | VmListUnavailable:
+        """Show the list as it was one lag ago.
+
+        :param now_ms: monotonic time.
+        :returns: tagged outcome.
+        """
+        if self.faults.outage:
+            return VmListUnavailable('list is out of service')
+        self._expire(now_ms)
+        shown_until = now_ms - self.faults.lag_ms
+        while self._changes and self._changes[0].at_ms <= shown_until:
+            self._show(self._changes.popleft())
+        return VmList(tuple(self._shown_by_id.values()))
+
+    def _expire(self, now_ms: int) -> None:
+        oldest_ms = now_ms - self._expire_ms
+        gone = [
+            server_id
+            for server_id, (seen_ms, _) in self._last_by_id.items()
+            if seen_ms < oldest_ms
+        ]
+        for server_id in gone:
+            self._last_by_id.pop(server_id)
+            self._changes.append(_Change(now_ms, server_id, None))
+
+    def _show(self, change: _Change) -> None:
+        if change.vm is None:
+            self._shown_by_id.pop(change.server_id, None)
+        else:
+            self._shown_by_id[change.server_id] = change.vm
--- /dev/null
+++ b/waxwingford_standins/platform_main.py
@@ -0,0 +1,279 @@
+"""Process that stands in for the platform: log and list of VMs over HTTP.
+
+Routes: ``POST /v1/log/append``, ``GET /v1/log/read``, ``GET /v1/vms``,
+``POST /v1/vms/heartbeats``, ``POST /fault``, ``GET /audit``.
+"""
+
+import argparse
+import asyncio
+import contextlib
+import math
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+from waxwingford.adapters import (
+    NOT_RUN_HEADER,
+    RETRY_AFTER_MS_HEADER,
+    AppendReply,
+    encode_json,
+    encode_log_read,
+)
+from waxwingford.kernel import Clock, SystemClock
+from waxwingford.ports import (
+    Appended,
+    AppendRefused,
+    AppendUnknown,
+    LogRead,
+    LogUnavailable,
+    Vm,
+    VmList,
+    VmListUnavailable,
+)
+from waxwingford_standins.platform_list import VmListCore
+from waxwingford_standins.platform_log import (
+    OUT_OF_SERVICE,
+    RATE_CAP,
+    TOO_LARGE,
+    LogCore,
+    LogLimits,
+    Outage,
+)
+from waxwingford_standins.platform_messages import (
+    PlatformCounts,
+    PlatformFault,
+)
+from waxwingford_standins.serving import run_process, start_site
+
+_MS_IN_S = 1000
+_HANG_CHECK_S = 0.05
+_MOST_WAIT_MS = 30_000
+_MOST_BODY_BYTES = 2_097_152
+_CREATED = 201
+_UNAVAILABLE = 503
+_STATUS_BY_REASON = {RATE_CAP: 429, TOO_LARGE: 413, OUT_OF_SERVICE: 503}
+
+
+class PlatformService:
+    """HTTP handlers over the two cores.
+
+    :ivar counts: for the audit.
+    """
+
+    def __init__(self, log: LogCore, vms: VmListCore, clock: Clock) -> None:
+        """Bind the cores to a clock.
+
+        :param log: the log.
+        :param vms: the list.
+        :param clock: source of time.
+        """
+        self.counts = PlatformCounts()
+        self._log = log
+        self._vms = vms
+        self._clock = clock
+        self._grown = asyncio.Event()
+
+    def application(self) -> web.Application:
+        """Lay out the routes.
+
+        :returns: the application.
+        """
+        app = web.Application(client_max_size=_MOST_BODY_BYTES)
+        app.add_routes(
+            (
+                web.post('/v1/log/append', self.append),
+                web.get('/v1/log/read', self.read),
+                web.get('/v1/vms', self.list_vms),
+                web.post('/v1/vms/heartbeats', self.heartbeats),
+                web.post('/fault', self.set_fault),
+                web.get('/audit', self.audit),
+            )
+        )
+        return app
+
+    async def append(self, request: web.Request) -> web.StreamResponse:
+        """Append the body to a stream.
+
+        A call that hangs takes effect when the outage ends, even if its
+        client has given up by then.
+
+        :param request: query ``stream``.
+        :returns: 201 with the offset, or a refusal.
+        """
+        payload = await request.read()
+        await self._delay()
+        stream = request.query['stream']
+        match self._log.append(stream, payload, self._clock.monotonic_ms()):
+            case Appended(offset):
+                self._count_append(payload)
+                return _json(AppendReply(offset), status=_CREATED)
+            case AppendRefused(reason, retry_after_ms):
+                self.counts.refused += 1
+                return _refused(reason, retry_after_ms)
+            case AppendUnknown():
+                self._count_append(payload)
+                return _break_off(request)
+
+    async def read(self, request: web.Request) -> web.StreamResponse:
+        """Read a stream, holding the call while there is nothing new.
+
+        :param request: query ``stream``, ``from``, ``limit``, ``wait_ms``.
+        :returns: msgpack.
+        """
+        await self._delay()
+        held_ms = min(int(request.query.get('wait_ms', 0)), _MOST_WAIT_MS)
+        until_ms = self._clock.monotonic_ms() + held_ms
+        while True:
+            grown = self._grown
+            now_ms = self._clock.monotonic_ms()
+            outcome = self._log.read(
+                request.query['stream'],
+                int(request.query['from']),
+                int(request.query['limit']),
+                now_ms,
+            )
+            if isinstance(outcome, LogUnavailable):
+                return web.Response(status=_UNAVAILABLE, text=outcome.reason)
+            if outcome.entries or now_ms >= until_ms:
+                return self._read_answer(outcome)
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(
+                    grown.wait(), (until_ms - now_ms) / _MS_IN_S
+                )
+
+    async def list_vms(self, _: web.Request) -> web.StreamResponse:
+        """Show the list.
+
+        :returns: JSON.
+        """
+        match self._vms.read(self._clock.monotonic_ms()):
+            case VmListUnavailable(reason):
+                return web.Response(status=_UNAVAILABLE, text=reason)
+            case VmList() as shown:
+                return _json(shown)
+
+    async def heartbeats(self, request: web.Request) -> web.StreamResponse:
+        """Take the heartbeats of VMs.
+
+        :param request: body is a JSON array of VMs.
+        :returns: empty.
+        """
+        vms = msgspec.json.decode(await request.read(), type=list[Vm])
+        for vm in vms:
+            self._vms.heartbeat(vm, self._clock.monotonic_ms())
+        return web.Response()
+
+    async def set_fault(self, request: web.Request) -> web.StreamResponse:
+        """Set switches.
+
+        :param request: body is a :class:`PlatformFault`.
+        :returns: empty.
+        """
+        try:
+            fault = msgspec.json.decode(
+                await request.read(), type=PlatformFault
+            )
+        except msgspec.DecodeError as error:
+            return web.Response(status=400, text=str(error))
+        _set_known(self._log.faults, 'outage', fault.outage)
+        _set_known(self._log.faults, 'slow_ms', fault.slow_ms)
+        _set_known(self._log.faults, 'lost_share', fault.lost_share)
+        _set_known(self._vms.faults, 'outage', fault.list_outage)
+        _set_known(self._vms.faults, 'lag_ms', fault.list_lag_ms)
+        self._wake_readers()
+        return web.Response()
+
+    async def audit(self, _: web.Request) -> web.StreamResponse:
+        """Show the counts.
+
+        :returns: JSON.
+        """
+        return _json(self.counts)
+
+    async def _delay(self) -> None:
+        while self._log.faults.outage is Outage.hang:
+            await asyncio.sleep(_HANG_CHECK_S)
+        if self._log.faults.slow_ms:
+            await asyncio.sleep(self._log.faults.slow_ms / _MS_IN_S)
+
+    def _count_append(self, payload: bytes) -> None:
+        self.counts.appends += 1
+        self.counts.appended_bytes += len(payload)
+        self._wake_readers()
+
+    def _wake_readers(self) -> None:
+        self._grown.set()
+        self._grown = asyncio.Event()
+
+    def _read_answer(self, entries: LogRead) -> web.Response:
+        body = encode_log_read(entries)
+        self.counts.reads += 1
+        self.counts.read_bytes += len(body)
+        return web.Response(body=body, content_type='application/msgpack')
+
+
+def _set_known(faults: object, name: str, setting: Any) -> None:
+    if setting is not None:
+        setattr(faults, name, setting)
+
+
+def _json(content: Any, status: int = 200) -> web.Response:
+    return web.Response(
+        body=encode_json(content),
+        status=status,
+        content_type='application/json',
+    )
+
+
+def _refused(reason: str, retry_after_ms: int) -> web.Response:
+    return web.Response(
+        status=_STATUS_BY_REASON[reason],
+        text=reason,
+        headers={
+            NOT_RUN_HEADER: '1',
+            RETRY_AFTER_MS_HEADER: str(retry_after_ms),
+            'Retry-After': str(math.ceil(retry_after_ms / _MS_IN_S)),
+        },
+    )
+
+
+def _break_off(request: web.Request) -> web.Response:
+    """Lose the answer: break the connection off.
+
+    :param request: whose connection.
+    :returns: an answer that can't be delivered any more.
+    """
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response()
+
+
+def main() -> None:
+    """Run the process."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--host', default='127.0.0.1')
+    parser.add_argument('--port', type=int, required=True)
+    parser.add_argument('--seed', type=int, default=0)
+    parser.add_argument('--appends-per-second', type=int, default=400)
+    parser.add_argument('--retain-entries', type=int, default=1_000_000)
+    parser.add_argument('--retain-ms', type=int, default=86_400_000)
+    options = parser.parse_args()
+    limits = LogLimits(
+        options.appends_per_second, options.retain_entries, options.retain_ms
+    )
+    service = PlatformService(
+        LogCore(limits, options.seed), VmListCore(), SystemClock()
+    )
+
+    async def _open(stack: contextlib.AsyncExitStack) -> None:
+        runner = await start_site(
+            service.application(), options.host, options.port
+        )
+        stack.push_async_callback(runner.cleanup)
+
+    run_process(_open)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/waxwingford_standins/relay_main.py
@@ -0,0 +1,193 @@
+"""Process that stands in for the network between failure domains.
+
+Each link relays TCP connections with a delay.  ``POST /fault`` cuts failure
+domains off: bytes are then held back, as in a partition, and go on when it
+heals.
+"""
+
+import argparse
+import asyncio
+import contextlib
+import functools
+import pathlib
+
+import msgspec
+from aiohttp import web
+
+from waxwingford_standins.serving import run_process, start_site
+
+_MS_IN_S = 1000
+_CHUNK_BYTES = 65_536
+_HOST = '127.0.0.1'
+_CLOSE_S = 1
+_CONNECT_S = 2
+
+
+class Link(msgspec.Struct, frozen=True):
+    """One relayed address.
+
+    :ivar listen_port: where the source connects to.
+    :ivar target_port: where the destination listens.
+    :ivar source: failure domain of the connecting side.
+    :ivar destination: failure domain of the listening side, or ``platform``.
+    :ivar delay_ms: one-way latency, in milliseconds.
+    """
+
+    listen_port: int
+    target_port: int
+    source: str
+    destination: str
+    delay_ms: float = 0
+
+
+class RelayConfig(msgspec.Struct):
+    """Configuration file of the process, in JSON.
+
+    :ivar admin_port: TCP port for faults.
+    :ivar links: what to relay.
+    """
+
+    admin_port: int
+    links: list[Link]
+
+
+class RelayFault(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of ``POST /fault``.
+
+    :ivar isolated: failure domains cut off from everything outside them.
+    """
+
+    isolated: list[str]
+
+
+class Relay:
+    """All links and the present partition."""
+
+    def __init__(self) -> None:
+        """Start without a partition."""
+        self._isolated: frozenset[str] = frozenset()
+        self._changed = asyncio.Event()
+        self._connections: set[asyncio.Task[None]] = set()
+
+    def admin(self) -> web.Application:
+        """Lay out the administration's routes.
+
+        :returns: the application.
+        """
+        app = web.Application()
+        app.add_routes((web.post('/fault', self.set_fault),))
+        return app
+
+    async def set_fault(self, request: web.Request) -> web.StreamResponse:
+        """Cut failure domains off, or heal.
+
+        :param request: body is a :class:`RelayFault`.
+        :returns: empty.
+        """
+        try:
+            fault = msgspec.json.decode(await request.read(), type=RelayFault)
+        except msgspec.DecodeError as error:
+            return web.Response(status=400, text=str(error))
+        self._isolated = frozenset(fault.isolated)
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return web.Response()
+
+    async def open(self, link: Link) -> asyncio.Server:
+        """Listen for a link.
+
+        :param link: what to relay.
+        :returns: the listening socket's server.
+        """
+        return await asyncio.start_server(
+            functools.partial(self._accept, link), _HOST, link.listen_port
+        )
+
+    def _accept(
+        self,
+        link: Link,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        task = asyncio.ensure_future(self._relay(link, reader, writer))
+        self._connections.add(task)
+        task.add_done_callback(self._connections.discard)
+
+    async def _relay(
+        self,
+        link: Link,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        with contextlib.closing(writer):
+            await self._passable(link)
+            try:
+                async with asyncio.timeout(_CONNECT_S):
+                    there = await asyncio.open_connection(
+                        _HOST, link.target_port
+                    )
+            except (OSError, TimeoutError):
+                return
+            with contextlib.closing(there[1]):
+                await self._both_ways(link, (reader, writer), there)
+
+    async def _both_ways(self, link: Link, near: tuple, far: tuple) -> None:
+        """Relay until either side ends.
+
+        :param link: for its delay and its ends.
+        :param near: reader and writer of the source.
+        :param far: reader and writer of the destination.
+        """
+        pumps = [
+            asyncio.ensure_future(self._pump(link, near[0], far[1])),
+            asyncio.ensure_future(self._pump(link, far[0], near[1])),
+        ]
+        try:
+            await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for pump in pumps:
+                pump.cancel()
+            await asyncio.wait(pumps, timeout=_CLOSE_S)
+
+    async def _pump(
+        self,
+        link: Link,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        with contextlib.suppress(ConnectionError):
+            while chunk := await reader.read(_CHUNK_BYTES):
+                await asyncio.sleep(link.delay_ms / _MS_IN_S)
+                await self._passable(link)
+                writer.write(chunk)
+                await writer.drain()
+
+    async def _passable(self, link: Link) -> None:
+        while self._is_cut(link):
+            await self._changed.wait()
+
+    def _is_cut(self, link: Link) -> bool:
+        from_inside = link.source in self._isolated
+        return from_inside != (link.destination in self._isolated)
+
+
+def main() -> None:
+    """Run the process."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--config', type=pathlib.Path, required=True)
+    options = parser.parse_args()
+    config = msgspec.json.decode(options.config.read_bytes(), type=RelayConfig)
+
+    async def _open(stack: contextlib.AsyncExitStack) -> None:
+        relay = Relay()
+        for link in config.links:
+            server = await relay.open(link)
+            stack.callback(server.close)
+        runner = await start_site(relay.admin(), _HOST, config.admin_port)
+        stack.push_async_callback(runner.cleanup)
+
+    run_process(_open)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/waxwingford_standins/report.py
@@ -0,0 +1,220 @@
+"""Report of a run, as text and JSON."""
+
+import collections
+import itertools
+from collections.abc import Iterable, Iterator, Sequence
+
+import msgspec
+
+from waxwingford_standins.audit import (
+    Finding,
+    FinishedTasks,
+    audit_attempts,
+    audit_calls,
+    audit_jobs,
+    audit_leaving,
+)
+from waxwingford_standins.backend_server import ServerAudit
+from waxwingford_standins.latencies import LatencyRow, latency_rows
+from waxwingford_standins.load import Callers
+from waxwingford_standins.night import (
+    ACCEPTED_STATUSES,
+    DomainLedger,
+    Submitted,
+)
+
+_MOST_FINDINGS = 20
+_MOST_REASONS = 12
+
+
+class BatchReport(msgspec.Struct):
+    """Batch work of a run.
+
+    :ivar submitted: jobs submitted.
+    :ivar accepted: jobs accepted in the log.
+    :ivar finished: jobs of which no task is open.
+    :ivar unfinished: ids of accepted jobs with open tasks.
+    :ivar tasks_done: tasks done, by the log.
+    :ivar tasks_failed: tasks given up, by the log.
+    :ivar tasks_cancelled: tasks cancelled, by the log.
+    :ivar attempts_by_phase: attempts on servers by how they ended;
+        ``checkpointed`` are evictions.
+    :ivar told_impossible: answers to jobs that can never run.
+    """
+
+    submitted: int
+    accepted: int
+    finished: int
+    unfinished: list[str]
+    tasks_done: int
+    tasks_failed: int
+    tasks_cancelled: int
+    attempts_by_phase: dict[str, int]
+    told_impossible: list[str]
+
+
+class RunReport(msgspec.Struct):
+    """Everything that is known of a run.
+
+    :ivar deployment: its name.
+    :ivar seconds: length of the load.
+    :ivar latencies: of requests, by caller and outcome.
+    :ivar attempts_by_outcome: attempts of requests by outcome.
+    :ivar reasons: attempts that were not answered, by outcome and reason.
+    :ivar server_refusals: requests that servers refused for lack of a slot.
+    :ivar batch: batch work.
+    :ivar findings: what must never happen, and did.
+    :ivar platform: what the platform counted.
+    """
+
+    deployment: str
+    seconds: float
+    latencies: list[LatencyRow]
+    attempts_by_outcome: dict[str, int]
+    reasons: dict[str, int]
+    server_refusals: int
+    batch: BatchReport
+    findings: list[Finding]
+    platform: dict[str, int]
+
+
+def make_report(
+    deployment: str,
+    seconds: float,
+    callers: Callers,
+    servers: Sequence[ServerAudit],
+    submitted: Sequence[Submitted],
+    ledgers: Sequence[DomainLedger],
+    platform: dict[str, int],
+) -> RunReport:
+    """Put a report together and audit the run.
+
+    :param deployment: its name.
+    :param seconds: length of the load.
+    :param callers: their ended calls.
+    :param servers: what the servers ran.
+    :param submitted: jobs submitted.
+    :param ledgers: streams of all failure domains.
+    :param platform: what the platform counted.
+    :returns: the report.
+    """
+    in_log = frozenset().union(*(ledger.accepted for ledger in ledgers))
+    finished = list(_finished(ledgers))
+    answered_for = (
+        job.job_id for job in submitted if job.status in ACCEPTED_STATUSES
+    )
+    findings = [
+        *audit_calls(callers.calls, servers),
+        *audit_attempts(servers),
+        *audit_leaving(servers),
+        *audit_jobs(answered_for, in_log, finished, servers),
+    ]
+    outcomes = itertools.chain.from_iterable(
+        call.outcomes for call in callers.calls
+    )
+    return RunReport(
+        deployment,
+        seconds,
+        latency_rows(callers.calls),
+        dict(collections.Counter(outcome.value for outcome in outcomes)),
+        dict(callers.reasons.most_common(_MOST_REASONS)),
+        sum(server.refused for server in servers),
+        _batch(submitted, in_log, finished, ledgers, servers),
+        findings,
+        platform,
+    )
+
+
+def report_text(report: RunReport) -> str:
+    """Write a report for people.
+
+    :param report: the report.
+    :returns: text.
+    """
+    return '\n'.join((*_lines(report), ''))
+
+
+def _finished(ledgers: Iterable[DomainLedger]) -> Iterator[FinishedTasks]:
+    for ledger in ledgers:
+        for job in ledger.state.finished.kept_by_id.values():
+            yield FinishedTasks(job.job_id, job.done, job.failed, job.cancelled)
+
+
+def _batch(
+    submitted: Sequence[Submitted],
+    in_log: frozenset[str],
+    finished: Sequence[FinishedTasks],
+    ledgers: Iterable[DomainLedger],
+    servers: Iterable[ServerAudit],
+) -> BatchReport:
+    phases = collections.Counter(
+        run.phase for server in servers for run in server.attempts
+    )
+    unfinished = itertools.chain.from_iterable(
+        ledger.state.jobs_by_id for ledger in ledgers
+    )
+    return BatchReport(
+        len(submitted),
+        len(in_log),
+        len(finished),
+        sorted(unfinished),
+        sum(job.done for job in finished),
+        sum(job.failed for job in finished),
+        sum(job.cancelled for job in finished),
+        dict(phases),
+        [
+            f'{job.job_id}: {job.status} {job.reply.strip()}'
+            for job in submitted
+            if job.plan.never_fits
+        ],
+    )
+
+
+def _lines(report: RunReport) -> Iterator[str]:
+    yield f'deployment {report.deployment}, load of {report.seconds:.0f} s'
+    yield from _request_lines(report)
+    yield from _batch_lines(report.batch)
+    yield f'platform: {_counts(report.platform)}'
+    yield f'audit: {len(report.findings)} findings'
+    yield from (
+        f'  {finding.check}: {finding.detail}'
+        for finding in report.findings[:_MOST_FINDINGS]
+    )
+
+
+def _request_lines(report: RunReport) -> Iterator[str]:
+    yield 'requests, from first attempt to last answer, network included (ms)'
+    titles = ('count', 'p50', 'p99', 'p99.9')
+    columns = ''.join(f'{title:>9}' for title in titles)
+    yield f'{"caller":<16}{"outcome":<12}{columns}'
+    yield from (
+        f'{row.caller:<16}{row.outcome:<12}{row.count:>9}'
+        f'{row.p50_ms:>9.1f}{row.p99_ms:>9.1f}{row.p999_ms:>9.1f}'
+        for row in report.latencies
+    )
+    yield f'attempts by outcome: {_counts(report.attempts_by_outcome)}'
+    yield from (
+        f'  {count:>6} {reason}' for reason, count in report.reasons.items()
+    )
+    yield f'refused by servers for lack of a slot: {report.server_refusals}'
+
+
+def _batch_lines(batch: BatchReport) -> Iterator[str]:
+    yield (
+        f'jobs: {batch.submitted} submitted, {batch.accepted} accepted, '
+        f'{batch.finished} finished, {len(batch.unfinished)} unfinished'
+    )
+    yield (
+        f'tasks of finished jobs: {batch.tasks_done} done, '
+        f'{batch.tasks_failed} failed, {batch.tasks_cancelled} cancelled'
+    )
+    yield f'attempts by end: {_counts(batch.attempts_by_phase)}'
+    evictions = batch.attempts_by_phase.get('checkpointed', 0)
+    yield f'evictions (checkpointed attempts): {evictions}'
+    yield from (f'impossible job: {line}' for line in batch.told_impossible)
+
+
+def _counts(count_by_name: dict[str, int]) -> str:
+    return ', '.join(
+        f'{name} {count}' for name, count in sorted(count_by_name.items())
+    )
--- /dev/null
+++ b/waxwingford_standins/tests/faults_steps.py
@@ -0,0 +1,195 @@
+"""Steps for a deployment of real processes under faults."""
+
+import asyncio
+import pathlib
+import signal
+import sys
+import tempfile
+
+from behave import given, then, when
+
+from waxwingford_standins.deployment import load_deployment
+from waxwingford_standins.load import CallOutcome
+from waxwingford_standins.local_run import LocalRun, Started, open_bundle
+from waxwingford_standins.trial import Trial
+
+SMALL = pathlib.Path(__file__).parent / 'small'
+LOAD_S = 5
+#: Longer than the control lease of a local run.
+FROZEN_S = 3.6
+MOST = 0.5
+CUT_OFF = 'gulberg'
+CUT_S = 3
+#: Time in which a daemon may find out that a peer is cut off.
+NOTICE_S = 1
+#: One deployment serves all scenarios: its start is most of their cost.
+shared = {}
+
+
+def say(line):
+    """Print a progress line, which behave shows for failed steps."""
+    sys.stdout.write(f'{line}\n')
+
+
+def stop_deployment():
+    """Stop every process of the shared deployment."""
+    runner, local_run = shared.pop('runner'), shared.pop('local_run')
+    with shared.pop('directory'):
+        runner.run(local_run.stop())
+        runner.close()
+
+
+@given('the small deployment runs')
+def small_deployment_runs(context):
+    if not shared:
+        directory = tempfile.TemporaryDirectory()
+        shared.update(
+            runner=asyncio.Runner(),
+            directory=directory,
+            local_run=LocalRun(
+                load_deployment(SMALL / 'deployment.toml'),
+                open_bundle(SMALL / 'bundle.toml'),
+                pathlib.Path(directory.name),
+                say,
+            ),
+            findings=set(),
+        )
+        context.add_cleanup(stop_deployment, layer='feature')
+        started = shared['runner'].run(shared['local_run'].start())
+        assert isinstance(started, Started), started
+    reason = shared['runner'].run(shared['local_run'].wait_ready())
+    assert not reason, reason
+
+
+async def kill_daemon(local_run):
+    """Kill a daemon without warning and start it again."""
+    await asyncio.sleep(1)
+    local_run.processes.send('small-1', signal.SIGKILL)
+    await asyncio.sleep(1)
+    await local_run.start_daemon('small-1')
+
+
+async def freeze_daemon(local_run):
+    """Stop a daemon for longer than its leases last."""
+    await asyncio.sleep(1)
+    local_run.processes.send('small-2', signal.SIGSTOP)
+    await asyncio.sleep(FROZEN_S)
+    local_run.processes.send('small-2', signal.SIGCONT)
+
+
+async def hang_log(local_run):
+    """Let the log hang, then lose a part of its acknowledgements."""
+    await asyncio.sleep(1)
+    await local_run.switches.platform_fault(outage='hang')
+    await asyncio.sleep(2)
+    await local_run.switches.platform_fault(outage='none', lost_share=0.3)
+    await asyncio.sleep(2)
+    await local_run.switches.platform_fault(lost_share=0.0)
+
+
+async def cut_domain_off(local_run):
+    """Cut a failure domain off from the other and from the platform."""
+    await asyncio.sleep(1)
+    await local_run.switches.isolate(CUT_OFF)
+    shared['cut_s'] = asyncio.get_running_loop().time()
+    await asyncio.sleep(CUT_S)
+    await local_run.switches.isolate()
+
+
+async def kill_server(local_run):
+    """Let a server die; all lose a part of their control answers."""
+    await asyncio.sleep(1)
+    await local_run.switches.server_fault(lost_control_share=0.2)
+    await local_run.switches.server_fault(
+        server_id='gulberg-r1-s1', die=True, down_ms=1000
+    )
+    await asyncio.sleep(3)
+    await local_run.switches.server_fault(lost_control_share=0.0)
+
+
+async def stop_daemon(local_run):
+    """Stop a daemon as planned."""
+    await asyncio.sleep(1)
+    local_run.processes.send('small-3', signal.SIGTERM)
+
+
+FAULT_BY_NAME = {
+    'a daemon is killed and started again': kill_daemon,
+    'a daemon is frozen past its leases': freeze_daemon,
+    'the log hangs and then loses answers': hang_log,
+    'a failure domain is cut off': cut_domain_off,
+    'a backend server dies and answers are lost': kill_server,
+    'a daemon is asked to stop': stop_daemon,
+}
+
+
+@when('it is loaded while {fault}')
+def load_while(context, fault):
+    local_run = shared['local_run']
+    context.trial = Trial(local_run)
+
+    async def _load():
+        await asyncio.gather(
+            context.trial.load(LOAD_S), FAULT_BY_NAME[fault](local_run)
+        )
+        return await context.trial.report(LOAD_S)
+
+    context.report = shared['runner'].run(_load())
+    say(context.report)
+
+
+@then('the audit finds nothing')
+def audit_clean(context):
+    new = set(context.report.findings) - shared['findings']
+    shared['findings'] |= new
+    assert not new, new
+    assert context.trial.callers.calls
+
+
+@then('every accepted job ended')
+def jobs_ended(context):
+    batch = context.report.batch
+    assert batch.accepted and not batch.unfinished, batch
+
+
+@then('most calls were answered')
+def mostly_answered(context):
+    outcomes = [call.outcome for call in context.trial.callers.calls]
+    answered = outcomes.count(CallOutcome.answered)
+    assert answered > MOST * len(outcomes), context.report.reasons
+
+
+@then('callers of the failure domain were answered during the cut')
+def answered_in_cut(context):
+    inside = {
+        daemon.daemon_id
+        for daemon in shared['local_run'].layout.daemons
+        if daemon.failure_domain == CUT_OFF
+    }
+    since_s = shared['cut_s'] + NOTICE_S
+    outcomes = [
+        call.outcome
+        for call in context.trial.callers.calls
+        if call.entry in inside
+        and call.idempotent
+        and since_s < call.started_s < shared['cut_s'] + CUT_S
+    ]
+    answered = outcomes.count(CallOutcome.answered)
+    assert answered > MOST * len(outcomes), context.report.reasons
+
+
+@then('no call was broken off')
+def none_broken_off(context):
+    seen = {
+        outcome
+        for call in context.trial.callers.calls
+        for outcome in call.outcomes
+    }
+    assert CallOutcome.broken_off not in seen, context.report.reasons
+
+
+@then('the daemon ended by itself with code {code:d}')
+def ended_with(context, code):
+    process = shared['local_run'].processes.process_by_name['small-3']
+    shared['runner'].run(asyncio.wait_for(process.wait(), 15))
+    assert process.returncode == code, process.returncode
--- /dev/null
+++ b/waxwingford_standins/tests/platform_steps.py
@@ -0,0 +1,151 @@
+"""Steps for the stand-in platform's cores."""
+
+from behave import given, then, when
+
+from waxwingford.kernel import ManualClock
+from waxwingford.ports import (
+    Appended,
+    AppendRefused,
+    AppendUnknown,
+    LogRead,
+    LogUnavailable,
+    Resources,
+    Vm,
+    VmState,
+)
+from waxwingford_standins.platform_list import VmListCore
+from waxwingford_standins.platform_log import LogCore, LogLimits, Outage
+
+STREAM = 'domain/d'
+
+
+def use_log(context, limits=None):
+    """Start a log at time zero."""
+    context.clock = ManualClock()
+    context.log = LogCore(limits or LogLimits())
+
+
+@given('a stand-in log')
+def stand_in_log(context):
+    use_log(context)
+
+
+@given('a stand-in log that loses {percent:d} percent of acknowledgements')
+def log_that_loses(context, percent):
+    use_log(context)
+    context.log.faults.lost_share = percent / 100
+
+
+@given('a stand-in log that keeps {count:d} entries')
+def log_that_keeps(context, count):
+    use_log(context, LogLimits(retain_entries=count))
+
+
+@given('a stand-in log that keeps entries for {age_ms:d} ms')
+def log_that_keeps_for(context, age_ms):
+    use_log(context, LogLimits(retain_ms=age_ms))
+
+
+@given('a stand-in log that takes {count:d} appends a second')
+def log_that_takes(context, count):
+    use_log(context, LogLimits(appends_per_second=count))
+
+
+@given('a stand-in list with a lag of {lag_ms:d} ms')
+def stand_in_list(context, lag_ms):
+    context.clock = ManualClock()
+    context.vms = VmListCore()
+    context.vms.faults.lag_ms = lag_ms
+
+
+@when('"{payload}" is appended to the stand-in log')
+def append_one(context, payload):
+    context.appended = context.log.append(
+        STREAM, payload.encode(), context.clock.monotonic_ms()
+    )
+
+
+@when('"{payloads}" are appended to the stand-in log')
+def append_many(context, payloads):
+    for payload in payloads.split(', '):
+        append_one(context, payload)
+
+
+@when('the stand-in log goes out of service')
+def log_goes(context):
+    context.log.faults.outage = Outage.refuse
+
+
+@when('the stand-in log comes back')
+def log_returns(context):
+    context.log.faults.outage = Outage.none
+
+
+@when('{step_ms:d} ms pass at the platform')
+def platform_time(context, step_ms):
+    context.clock.advance(step_ms)
+
+
+@when('VM "{server_id}" is "{state}" on the platform')
+def vm_is(context, server_id, state):
+    size = Resources(1, 1)
+    vm = Vm(server_id, 'd', 'r', 'h', 1, VmState(state), size, 1, 1, 'desk')
+    context.vms.heartbeat(vm, context.clock.monotonic_ms())
+
+
+@then('the append is unknown')
+def append_unknown(context):
+    assert isinstance(context.appended, AppendUnknown), context.appended
+
+
+@then('the append is refused')
+def append_refused(context):
+    assert isinstance(context.appended, AppendRefused), context.appended
+    assert context.appended.retry_after_ms > 0, context.appended
+    assert not isinstance(context.appended, Appended)
+
+
+def read_all(context):
+    """Read from the start of the stream."""
+    return context.log.read(STREAM, 0, 10, context.clock.monotonic_ms())
+
+
+@then("the stand-in log can't be read")
+def cannot_read(context):
+    assert isinstance(read_all(context), LogUnavailable)
+
+
+@then('the stand-in log holds "" from offset {offset:d}')
+def holds_nothing(context, offset):
+    block = read_all(context)
+    assert isinstance(block, LogRead), block
+    assert (block.entries, block.oldest_offset) == ((), offset), block
+
+
+@then('the stand-in log holds "{payloads}" from offset {offset:d}')
+def holds(context, payloads, offset):
+    block = read_all(context)
+    found = ', '.join(entry.payload.decode() for entry in block.entries)
+    assert (found, block.oldest_offset) == (payloads, offset), block
+    assert block.entries[0].offset == offset, block
+
+
+@then('its head is {offset:d}')
+def head_is(context, offset):
+    assert read_all(context).next_offset == offset
+
+
+def shown(context):
+    """Read the list as text."""
+    listed = context.vms.read(context.clock.monotonic_ms()).vms
+    return ', '.join(f'{vm.server_id} {vm.state}' for vm in listed)
+
+
+@then('the stand-in list shows ""')
+def shows_nothing(context):
+    assert not shown(context), shown(context)
+
+
+@then('the stand-in list shows "{vms}"')
+def shows(context, vms):
+    assert shown(context) == vms, shown(context)
--- /dev/null
+++ b/waxwingford_standins/trial.py
@@ -0,0 +1,115 @@
+"""One loaded run of a deployment: callers, a night's batch, the audit."""
+
+import asyncio
+import pathlib
+import secrets
+
+import msgspec
+
+from waxwingford.timeline import Event, merge_events, render_picture
+from waxwingford_standins.backend_server import ServerAudit
+from waxwingford_standins.load import Callers
+from waxwingford_standins.local_run import LocalRun
+from waxwingford_standins.night import DomainLedger, Night, read_ledger
+from waxwingford_standins.report import RunReport, make_report, report_text
+
+_POLL_S = 0.5
+_FINISH_S = 15
+_LABEL_BYTES = 3
+_servers_decoder = msgspec.json.Decoder(list[ServerAudit])
+_counts_decoder = msgspec.json.Decoder(dict[str, int])
+_events_decoder = msgspec.json.Decoder(list[Event])
+
+
+class Trial:
+    """Callers and a night's batch of a running deployment.
+
+    :ivar callers: with their ended calls.
+    :ivar night: with the submitted jobs.
+    """
+
+    def __init__(self, local_run: LocalRun) -> None:
+        """Prepare.
+
+        :param local_run: ready daemons.
+        """
+        label = secrets.token_hex(_LABEL_BYTES)
+        self.callers = Callers(local_run.deployment, local_run.layout, label)
+        self.night = Night(local_run, label)
+        self._run = local_run
+
+    async def load(self, seconds: float) -> None:
+        """Call, and submit and cancel jobs.
+
+        :param seconds: how long new calls begin.
+        """
+        await asyncio.gather(self.callers.run(seconds), self.night.run())
+
+    async def report(self, seconds: float) -> RunReport:
+        """Wait for the end of the batch, with a cap, and audit the run.
+
+        :param seconds: length of the load, for the report.
+        :returns: the report.
+        """
+        ledgers = await _finish(self._run)
+        switches = self._run.switches
+        return make_report(
+            self._run.deployment.name,
+            seconds,
+            self.callers,
+            _servers_decoder.decode(await switches.server_audit()),
+            self.night.submitted,
+            ledgers,
+            _counts_decoder.decode(await switches.platform_audit()),
+        )
+
+
+async def write_results(
+    local_run: LocalRun, report: RunReport, directory: pathlib.Path
+) -> str:
+    """Write report and time line while the daemons still run.
+
+    :param local_run: whose time line.
+    :param report: to write.
+    :param directory: where to.
+    :returns: text of the report.
+    """
+    text = report_text(report)
+    (directory / 'report.txt').write_text(text)
+    (directory / 'report.json').write_bytes(
+        msgspec.json.format(msgspec.json.encode(report))
+    )
+    picture = directory / 'timeline.svg'
+    merged = merge_events(await _events(local_run))
+    await asyncio.to_thread(render_picture, merged, str(picture))
+    return text
+
+
+async def _finish(local_run: LocalRun) -> list[DomainLedger]:
+    """Wait until the streams show no open job, with a cap.
+
+    :param local_run: where the log is.
+    :returns: streams of all failure domains.
+    """
+    loop = asyncio.get_running_loop()
+    until_s = loop.time() + _FINISH_S
+    while True:
+        ledgers = [
+            await read_ledger(local_run, domain.name)
+            for domain in local_run.deployment.failure_domains
+        ]
+        is_open = any(ledger.state.jobs_by_id for ledger in ledgers)
+        if not is_open or loop.time() > until_s:
+            return ledgers
+        await asyncio.sleep(_POLL_S)
+
+
+async def _events(local_run: LocalRun) -> list[Event]:
+    events: list[Event] = []
+    for daemon in local_run.layout.daemons:
+        status, text = await local_run.switches.get(
+            f'{daemon.url}/v1/timeline?since=0'
+        )
+        if status:
+            events.extend(_events_decoder.decode(text))
+    return events
