--- a/waxwingford/batch/__init__.py
+++ b/waxwingford/batch/__init__.py
@@ -1,1 +1,85 @@
-"""batch (being built)."""
+"""Batch work: jobs, attempts, and the task that drives them."""
+
+from waxwingford.batch._controller import DomainController
+from waxwingford.batch._effects import (
+    Append,
+    Control,
+    Drained,
+    Effect,
+    JobAcceptedOutcome,
+    JobCancelledOutcome,
+    JobRefused,
+    JobRejected,
+    JobUnknown,
+    Note,
+    ReplySubmission,
+    SubmissionOutcome,
+    WriteSnapshot,
+)
+from waxwingford.batch._executor import is_too_late
+from waxwingford.batch._first_fit import FirstFit
+from waxwingford.batch._messages import (
+    AliveDaemons,
+    AppendResult,
+    BundleSettings,
+    CancelJob,
+    ControlResult,
+    Drain,
+    EvictTask,
+    LogAway,
+    LogBack,
+    LogEntries,
+    Message,
+    ReadGroup,
+    SnapshotWritten,
+    SubmitJob,
+    Tick,
+    VmListRead,
+)
+from waxwingford.batch._reader import read_group
+from waxwingford.batch._settings import BatchSettings
+from waxwingford.batch._shell import BatchTask
+from waxwingford.batch._status import ServerStatus, TaskCounts
+from waxwingford.batch._views import JobView, TaskView
+
+__all__ = (
+    'AliveDaemons',
+    'Append',
+    'AppendResult',
+    'BatchSettings',
+    'BatchTask',
+    'BundleSettings',
+    'CancelJob',
+    'Control',
+    'ControlResult',
+    'DomainController',
+    'Drain',
+    'Drained',
+    'Effect',
+    'EvictTask',
+    'FirstFit',
+    'JobAcceptedOutcome',
+    'JobCancelledOutcome',
+    'JobRefused',
+    'JobRejected',
+    'JobUnknown',
+    'JobView',
+    'LogAway',
+    'LogBack',
+    'LogEntries',
+    'Message',
+    'Note',
+    'ReadGroup',
+    'ReplySubmission',
+    'ServerStatus',
+    'SnapshotWritten',
+    'SubmissionOutcome',
+    'SubmitJob',
+    'TaskCounts',
+    'TaskView',
+    'Tick',
+    'VmListRead',
+    'WriteSnapshot',
+    'is_too_late',
+    'read_group',
+)
--- /dev/null
+++ b/waxwingford/batch/_exchanges.py
@@ -0,0 +1,152 @@
+"""Decides the exchanges with backend servers that are due."""
+
+import itertools
+
+from waxwingford.batch._effects import Control, Effect
+from waxwingford.batch._fleet import LOWEST_RANK, Fleet
+from waxwingford.batch._plan import PlanInput, plan_exchange
+from waxwingford.batch._server import ServerControl, note_server
+from waxwingford.batch._settings import BatchSettings
+from waxwingford.ports import ControlRequest, Resources
+from waxwingford.records import DomainState, Record
+
+_NOTHING = Resources(0, 0, 0)
+
+
+class Exchanges:
+    """Acquires, renews and gives up control leases."""
+
+    def __init__(self, settings: BatchSettings, fleet: Fleet) -> None:
+        """Bind the servers.
+
+        :param settings: of the controller.
+        :param fleet: servers.
+        """
+        self._settings = settings
+        self._fleet = fleet
+        self._exchange = itertools.count(1)
+
+    def advance(
+        self,
+        state: DomainState,
+        head_read_ms: int,
+        now_ms: int,
+        busy: frozenset[str],
+    ) -> tuple[list[Effect], dict[object, Record]]:
+        """Decide the exchanges that are due.
+
+        :param state: fold of the domain's stream.
+        :param head_read_ms: monotonic start of the last read to the head.
+        :param now_ms: monotonic time.
+        :param busy: servers with claims in flight to the log, which are not
+            given up just now.
+        :returns: effects, and records to offer to the appender by key.
+        """
+        effects: list[Effect] = []
+        record_by_key: dict[object, Record] = {}
+        for server in self._fleet.take_due(now_ms):
+            if server.in_flight is not None:
+                server.is_dirty = True
+            else:
+                given = self._plan_input(server, state, head_read_ms, now_ms)
+                effects.extend(
+                    self._exchange_with(server, given, busy, record_by_key),
+                )
+        return effects, record_by_key
+
+    def _plan_input(
+        self,
+        server: ServerControl,
+        state: DomainState,
+        head_read_ms: int,
+        now_ms: int,
+    ) -> PlanInput:
+        reserved = self._fleet.reserved_by_service.get(
+            server.vm.service, _NOTHING
+        )
+        return PlanInput(state, self._settings, head_read_ms, now_ms, reserved)
+
+    def _exchange_with(
+        self,
+        server: ServerControl,
+        given: PlanInput,
+        busy: frozenset[str],
+        record_by_key: dict[object, Record],
+    ) -> list[Effect]:
+        now_ms = given.now_ms
+        effects: list[Effect] = []
+        if server.lease.note_time(now_ms):
+            effects.append(note_server('lease.lost', server, 'ran out'))
+        if server.lease.may_command(now_ms):
+            control = self._plan_held(server, given, busy, record_by_key)
+        elif self._may_ask(server, now_ms):
+            control = self._ask(server, now_ms)
+        else:
+            if not server.lease.is_held(now_ms):
+                self._fleet.mark_try(server, now_ms + 1)
+            return effects
+        server.in_flight = control
+        server.in_flight_offset = given.state.next_offset
+        return [*effects, control]
+
+    def _may_ask(self, server: ServerControl, now_ms: int) -> bool:
+        if server.lease.is_held(now_ms):
+            return True
+        if self._fleet.draining or not server.listed:
+            return False
+        is_turn = now_ms >= server.preference.next_try_ms()
+        may_try = server.preference.rank <= LOWEST_RANK
+        return is_turn and may_try and self._fleet.knows_alive
+
+    def _ask(self, server: ServerControl, now_ms: int) -> Control:
+        # No command goes with it: one that arrived late under an epoch that
+        # this daemon does not know yet could not be told from a new one.
+        server.lease.note_asked()
+        lease_ms = self._settings.control_lease_ms
+        request = ControlRequest(self._settings.writer, 0, lease_ms)
+        return self._control(server, request, now_ms + lease_ms)
+
+    def _plan_held(
+        self,
+        server: ServerControl,
+        given: PlanInput,
+        busy: frozenset[str],
+        record_by_key: dict[object, Record],
+    ) -> Control:
+        plan = plan_exchange(server, given)
+        record_by_key.update(plan.record_by_key)
+        gives_up = self._gives_up(server, given.now_ms, busy)
+        if gives_up:
+            server.lease.note_handing_over()
+        request = ControlRequest(
+            self._settings.writer,
+            server.lease.epoch,
+            0 if gives_up else self._settings.control_lease_ms,
+            tuple(plan.renew),
+            self._settings.task_lease_ms,
+            tuple(plan.commands),
+            *server.lease.good_for(plan.valid_until_ms),
+        )
+        return self._control(server, request, plan.valid_until_ms)
+
+    def _gives_up(
+        self, server: ServerControl, now_ms: int, busy: frozenset[str]
+    ) -> bool:
+        if self._fleet.draining:
+            return True
+        return (
+            server.vm.server_id not in busy
+            and server.preference.should_hand_over(now_ms)
+        )
+
+    def _control(
+        self, server: ServerControl, request: ControlRequest, until_ms: int
+    ) -> Control:
+        return Control(
+            server.vm.server_id,
+            server.vm.host,
+            server.vm.port,
+            request,
+            next(self._exchange),
+            until_ms,
+        )
--- /dev/null
+++ b/waxwingford/batch/_executor.py
@@ -0,0 +1,130 @@
+"""Carries out the controller's effects through the ports."""
+
+from collections.abc import Callable
+
+from waxwingford.batch._effects import Append, Control
+from waxwingford.batch._messages import (
+    AppendResult,
+    ControlResult,
+    Message,
+    SnapshotWritten,
+)
+from waxwingford.batch._settings import BatchSettings
+from waxwingford.batch._snapshots import write_snapshot
+from waxwingford.kernel import Clock, Invariant, require
+from waxwingford.ports import (
+    BackendServerPort,
+    ControlOutcome,
+    ControlUnknown,
+    LogPort,
+)
+from waxwingford.records import DomainState, encode_group
+
+_TOO_LATE = 'the lease ended before the request was sent'
+
+
+def is_too_late(effect: Control, now_ms: int) -> bool:
+    """Check an exchange at the last moment before it is sent.
+
+    :param effect: the exchange.
+    :param now_ms: monotonic time.
+    :returns: whether its time is over.
+    """
+    return now_ms >= effect.valid_until_ms
+
+
+class EffectExecutor:
+    """Sends what was decided, and hands the outcomes back as messages."""
+
+    def __init__(
+        self,
+        settings: BatchSettings,
+        log: LogPort,
+        servers: BackendServerPort,
+        clock: Clock,
+        handle: Callable[[Message], None],
+    ) -> None:
+        """Bind the ports.
+
+        :param settings: figures.
+        :param log: the log.
+        :param servers: control of backend servers.
+        :param clock: source of time.
+        :param handle: takes the outcomes.
+        """
+        self._settings = settings
+        self._log = log
+        self._servers = servers
+        self._clock = clock
+        self._handle = handle
+        self._generation = 0
+
+    def begin(self, generation: int) -> None:
+        """Pass over the outcomes of an earlier controller from now on.
+
+        :param generation: number of the controller.
+        """
+        self._generation = generation
+
+    async def control(self, effect: Control) -> None:
+        """Carry out an exchange, unless its time is over.
+
+        The process may have been frozen since the exchange was decided; the
+        lease is checked again at the last moment.  An exchange that is too
+        late is certainly not sent, and its outcome says so.
+
+        :param effect: the exchange.
+        """
+        generation = self._generation
+        sent_ms = self._clock.monotonic_ms()
+        if is_too_late(effect, sent_ms):
+            outcome: ControlOutcome = ControlUnknown(_TOO_LATE, not_sent=True)
+        else:
+            outcome = await self._send(effect, sent_ms)
+        result = ControlResult(
+            effect.server_id, effect.exchange, sent_ms, effect.request, outcome
+        )
+        self._hand_back(generation, result)
+
+    async def append(self, effect: Append) -> None:
+        """Append a group to the domain's stream.
+
+        :param effect: the group.
+        """
+        generation = self._generation
+        outcome = await self._log.append(
+            f'domain/{self._settings.failure_domain}',
+            encode_group(effect.group),
+        )
+        self._hand_back(
+            generation, AppendResult(effect.group.sequence, outcome)
+        )
+
+    async def snapshot(self, state: DomainState) -> None:
+        """Write a snapshot and report it once it stands.
+
+        :param state: the state now.
+        """
+        generation = self._generation
+        covers_offset = state.next_offset
+        stream = f'snapshots/{self._settings.failure_domain}'
+        problem = await write_snapshot(self._log, stream, state)
+        if not problem:
+            self._hand_back(generation, SnapshotWritten(covers_offset))
+
+    async def _send(self, effect: Control, sent_ms: int) -> ControlOutcome:
+        require(
+            sent_ms < effect.valid_until_ms,
+            Invariant.lease_before_effect,
+            f'{effect.server_id} at {sent_ms} of {effect.valid_until_ms}',
+        )
+        return await self._servers.control(
+            effect.host,
+            effect.port,
+            effect.request,
+            self._settings.control_timeout_ms,
+        )
+
+    def _hand_back(self, generation: int, message: Message) -> None:
+        if generation == self._generation:
+            self._handle(message)
--- /dev/null
+++ b/waxwingford/batch/_fleet.py
@@ -0,0 +1,204 @@
+"""The backend servers of a failure domain, and which of them are due."""
+
+import heapq
+from collections.abc import Iterable, Iterator, Mapping
+from typing import NamedTuple
+
+from waxwingford.batch._server import ServerControl
+from waxwingford.batch._settings import BatchSettings
+from waxwingford.kernel import Invariant, require
+from waxwingford.ownership import (
+    ControlLease,
+    Preference,
+    rank_of,
+    shared_out,
+)
+from waxwingford.ports import Resources, Vm
+
+#: Daemons of a lower rank leave a server alone.
+LOWEST_RANK = 2
+
+
+class _Due(NamedTuple):
+    due_ms: int
+    server_id: str
+
+
+class Fleet:
+    """Backend servers, this daemon's rank for each, and when each is due.
+
+    :ivar server_by_id: every server ever listed that still matters.
+    :ivar alive: daemons that seem alive, this one among them.
+    :ivar knows_alive: whether anything was heard of the other daemons; until
+        then no lease is acquired, lest a daemon that starts takes them all.
+    :ivar draining: gives up what it holds.
+    :ivar reserved_by_service: set aside on each VM for its service.
+    """
+
+    def __init__(self, settings: BatchSettings) -> None:
+        """Start without servers.
+
+        :param settings: of the controller.
+        """
+        self.server_by_id: dict[str, ServerControl] = {}
+        self.alive = frozenset((settings.daemon_id,))
+        self.knows_alive = False
+        self.draining = False
+        self.reserved_by_service: Mapping[str, Resources] = {}
+        self._settings = settings
+        self._due: list[_Due] = []
+        self._rank_by_server: dict[str, int] = {}
+
+    def update_list(self, vms: Iterable[Vm], now_ms: int) -> None:
+        """Take the platform's list, a hint.
+
+        :param vms: of this failure domain.
+        :param now_ms: monotonic time.
+        """
+        listed = {vm.server_id: vm for vm in vms}
+        if listed.keys() - self.server_by_id.keys():
+            self._rank_servers(listed.keys() | self.server_by_id.keys())
+        for vm in listed.values():
+            self._list(vm, now_ms)
+        for server_id in self.server_by_id.keys() - listed.keys():
+            self._unlist(server_id, now_ms)
+
+    def _list(self, vm: Vm, now_ms: int) -> None:
+        server = self.server_by_id.get(vm.server_id)
+        if server is None:
+            self._add(vm, now_ms)
+        elif server.vm != vm or not server.listed:
+            server.vm = vm
+            server.listed = True
+            server.view = None
+            self.mark_due(vm.server_id, now_ms)
+
+    def _unlist(self, server_id: str, now_ms: int) -> None:
+        server = self.server_by_id[server_id]
+        server.listed = False
+        if not server.lease.is_held(now_ms) and server.in_flight is None:
+            self.server_by_id.pop(server_id)
+
+    def update_alive(self, daemon_ids: Iterable[str], now_ms: int) -> None:
+        """Take the daemons that seem alive and rank the servers anew.
+
+        :param daemon_ids: their names.
+        :param now_ms: monotonic time.
+        """
+        alive = frozenset(daemon_ids) | {self._settings.daemon_id}
+        if alive == self.alive and self.knows_alive:
+            return
+        self.alive = alive
+        self.knows_alive = True
+        self._rank_servers(self.server_by_id)
+        for server_id, server in self.server_by_id.items():
+            server.preference.update(self.rank(server_id), now_ms)
+            if not server.lease.is_held(now_ms):
+                self.mark_try(server, now_ms)
+
+    def rank(self, subject: str) -> int:
+        """Rank this daemon for a subject.
+
+        :param subject: a server or task.
+        :returns: 0 for the first choice.
+        """
+        rank = self._rank_by_server.get(subject)
+        if rank is not None:
+            return rank
+        return rank_of(self._settings.daemon_id, self.alive, subject)
+
+    def held(self, now_ms: int) -> dict[str, ServerControl]:
+        """List the servers that this daemon may rely on now.
+
+        :param now_ms: monotonic time.
+        :returns: servers by id.
+        """
+        return {
+            server_id: server
+            for server_id, server in self.server_by_id.items()
+            if server.lease.is_held(now_ms)
+        }
+
+    def mark_due(self, server_id: str, due_ms: int) -> None:
+        """Let the next exchange with a server come no later than given.
+
+        :param server_id: which server.
+        :param due_ms: monotonic time.
+        """
+        server = self.server_by_id.get(server_id)
+        if server is not None and (due_ms < server.due_ms or not server.due_ms):
+            self.push_due(server, due_ms)
+
+    def touch(self, server_id: str) -> None:
+        """Note that a server's claims or condition changed.
+
+        :param server_id: which server; one that is not known is passed over.
+        """
+        server = self.server_by_id.get(server_id)
+        if server is not None:
+            server.view = None
+
+    def _rank_servers(self, server_ids: Iterable[str]) -> None:
+        orders = shared_out(self.alive, server_ids)
+        self._rank_by_server = {
+            server_id: order.index(self._settings.daemon_id)
+            for server_id, order in orders.items()
+        }
+
+    def _add(self, vm: Vm, now_ms: int) -> None:
+        settings = self._settings
+        server = ServerControl(
+            vm,
+            ControlLease(settings.control_lease_ms, settings.margin_ms),
+            Preference(settings.times, self.rank(vm.server_id), now_ms),
+        )
+        self.server_by_id[vm.server_id] = server
+        self.mark_try(server, now_ms)
+
+    def take_due(self, now_ms: int) -> Iterator[ServerControl]:
+        """Take the servers whose exchange is due.
+
+        :param now_ms: monotonic time.
+        :returns: servers; one is not due again until it is marked so.
+        """
+        while self._due and self._due[0].due_ms <= now_ms:
+            due = heapq.heappop(self._due)
+            server = self.server_by_id.get(due.server_id)
+            if server is not None and server.due_ms == due.due_ms:
+                server.due_ms = 0
+                yield server
+
+    def push_due(self, server: ServerControl, due_ms: int) -> None:
+        """Set when the next exchange with a server is due.
+
+        :param server: which server.
+        :param due_ms: monotonic time.
+        """
+        server.due_ms = max(1, due_ms)
+        heapq.heappush(self._due, _Due(server.due_ms, server.vm.server_id))
+
+    def mark_try(self, server: ServerControl, now_ms: int) -> None:
+        """Let this daemon try for a lease when it is its turn.
+
+        :param server: which server.
+        :param now_ms: monotonic time.
+        """
+        tries = server.preference.rank <= LOWEST_RANK and self.knows_alive
+        if tries and not self.draining:
+            next_try_ms = max(now_ms, server.preference.next_try_ms())
+            self.push_due(server, next_try_ms)
+
+    def require_held(self, server_id: str, now_ms: int) -> None:
+        """Check that a server may be claimed on.
+
+        :param server_id: which server.
+        :param now_ms: monotonic time.
+        :raises BrokenInvariant: if its lease is not held, or it leaves.
+        """
+        server = self.server_by_id[server_id]
+        require(
+            server.lease.may_command(now_ms),
+            Invariant.lease_before_effect,
+            f'claim on {server_id}',
+        )
+        require(not server.leaving, Invariant.leaving_server, server_id)
--- /dev/null
+++ b/waxwingford/batch/_messages.py
@@ -0,0 +1,203 @@
+"""Typed messages that the batch controller handles."""
+
+import dataclasses
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from waxwingford.placement import PolicyWeights
+from waxwingford.ports import (
+    AppendOutcome,
+    ControlOutcome,
+    ControlRequest,
+    Resources,
+    VmList,
+    VmListUnavailable,
+)
+from waxwingford.records import JobSpec, RecordGroup
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tick:
+    """Time has passed."""
+
+
+class ReadGroup(NamedTuple):
+    """One entry of the domain's stream.
+
+    :ivar offset: of the entry.
+    :ivar group: its records, or nothing if it could not be decoded.
+    """
+
+    offset: int
+    group: RecordGroup | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LogEntries:
+    """The log answered a read.
+
+    :ivar entries: entries in offset order, maybe none.
+    :ivar read_started_ms: monotonic time before the read was sent.
+    :ivar next_offset: head of the stream in the answer.
+    :ivar oldest_offset: first offset retained in the answer.
+    """
+
+    entries: tuple[ReadGroup, ...]
+    read_started_ms: int
+    next_offset: int
+    oldest_offset: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LogAway:
+    """The log gave no answer to a read.
+
+    :ivar reason: for people.
+    """
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LogBack:
+    """The log answers again, though nothing was read yet."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AppendResult:
+    """Outcome of an append.
+
+    :ivar sequence: of the group.
+    :ivar outcome: from the port.
+    """
+
+    sequence: int
+    outcome: AppendOutcome
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ControlResult:
+    """Outcome of a control exchange.
+
+    :ivar server_id: with whom.
+    :ivar exchange: number of the exchange, as in the effect.
+    :ivar sent_ms: monotonic time before the request was sent.
+    :ivar request: what was sent.
+    :ivar outcome: from the port.
+    """
+
+    server_id: str
+    exchange: int
+    sent_ms: int
+    request: ControlRequest
+    outcome: ControlOutcome
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class VmListRead:
+    """The platform's list was read.
+
+    :ivar outcome: from the port.
+    """
+
+    outcome: VmList | VmListUnavailable
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AliveDaemons:
+    """Daemons of the failure domain that seem alive, a hint.
+
+    :ivar daemon_ids: their names, with or without this daemon's.
+    """
+
+    daemon_ids: frozenset[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BundleSettings:
+    """What the bundle in force says of batch work.
+
+    :ivar quota_by_team: most that a team's claimed tasks may use, by
+        ``<member>/<team>``; a team without one has no limit of its own.
+    :ivar weights_by_service: how the bundle steers the policy.
+    :ivar reserved_by_service: set aside on each VM for its service.
+    :ivar policy: name of the colocation policy.
+    :ivar quota_by_member: the same as for teams, by member.
+    """
+
+    quota_by_team: Mapping[str, Resources]
+    weights_by_service: Mapping[str, PolicyWeights]
+    reserved_by_service: Mapping[str, Resources]
+    policy: str = 'first_fit'
+    quota_by_member: Mapping[str, Resources] = dataclasses.field(
+        default_factory=dict,
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SubmitJob:
+    """A member submits a job.
+
+    :ivar submission_id: names the reply.
+    :ivar job: the job.
+    """
+
+    submission_id: int
+    job: JobSpec
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelJob:
+    """A member gives a job up.
+
+    :ivar submission_id: names the reply.
+    :ivar job_id: which job.
+    :ivar member: who asks.
+    """
+
+    submission_id: int
+    job_id: str
+    member: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EvictTask:
+    """Checkpoint a running task, so that it resumes elsewhere.
+
+    :ivar task_id: which task; passed over if it does not run here.
+    """
+
+    task_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Drain:
+    """The daemon is to stop: take nothing new, give the leases up."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SnapshotWritten:
+    """All chunks of a snapshot stand in the snapshots' stream.
+
+    :ivar covers_offset: first offset that it does not cover.
+    """
+
+    covers_offset: int
+
+
+Message = (
+    Tick
+    | LogEntries
+    | LogAway
+    | LogBack
+    | AppendResult
+    | ControlResult
+    | VmListRead
+    | AliveDaemons
+    | BundleSettings
+    | SubmitJob
+    | CancelJob
+    | EvictTask
+    | Drain
+    | SnapshotWritten
+)
--- /dev/null
+++ b/waxwingford/batch/_outcomes.py
@@ -0,0 +1,145 @@
+"""What the outcome of a control exchange changes."""
+
+from waxwingford.batch._effects import Control, Effect
+from waxwingford.batch._fleet import Fleet
+from waxwingford.batch._messages import ControlResult
+from waxwingford.batch._server import (
+    ServerControl,
+    note_server,
+    started_keys,
+)
+from waxwingford.batch._settings import BatchSettings
+from waxwingford.ports import (
+    ControlDenied,
+    ControlGranted,
+    ControlUnknown,
+)
+from waxwingford.records import AttemptEnded
+
+#: An exchange without an answer is tried again after this, in milliseconds.
+_RETRY_MS = 250
+
+
+class OutcomeTaker:
+    """Takes outcomes of exchanges into the servers' states."""
+
+    def __init__(self, settings: BatchSettings, fleet: Fleet) -> None:
+        """Bind the servers.
+
+        :param settings: of the controller.
+        :param fleet: servers.
+        """
+        self._settings = settings
+        self._fleet = fleet
+
+    def note_result(self, result: ControlResult, now_ms: int) -> list[Effect]:
+        """Take the outcome of an exchange.
+
+        An outcome of an earlier exchange, late or doubled, is passed over: it
+        tells of a state of the server that is past.
+
+        :param result: the outcome.
+        :param now_ms: monotonic time.
+        :returns: effects.
+        """
+        server = self._fleet.server_by_id.get(result.server_id)
+        if server is None or server.in_flight is None:
+            return []
+        if server.in_flight.exchange != result.exchange:
+            return []
+        control = server.in_flight
+        server.in_flight = None
+        match result.outcome:
+            case ControlGranted() as answer:
+                return self._take_grant(server, result, answer, now_ms)
+            case ControlDenied() as denial:
+                return self._take_denial(server, denial, now_ms)
+            case ControlUnknown() as unknown:
+                return self._take_unknown(server, control, unknown, now_ms)
+
+    def _take_grant(
+        self,
+        server: ServerControl,
+        result: ControlResult,
+        answer: ControlGranted,
+        now_ms: int,
+    ) -> list[Effect]:
+        lease = server.lease
+        was_held = lease.is_held(now_ms)
+        handed_over = result.request.lease_ms == 0
+        changed = lease.note_granted(result.sent_ms, now_ms, answer)
+        server.take_grant(answer, changed)
+        _give_up_refused(server, answer)
+        _note_missing(server, result)
+        if handed_over:
+            server.preference.note_tried(now_ms)
+            self._fleet.mark_try(server, now_ms)
+            return [
+                note_server('lease.given_up', server, f'epoch {answer.epoch}')
+            ]
+        next_ms = result.sent_ms + self._settings.renew_every_ms
+        # An acquisition is followed at once by an exchange that renews the
+        # task leases, whose last renewal was another holder's.
+        at_once = changed or server.is_dirty or lease.needs_new_epoch
+        server.is_dirty = False
+        self._fleet.push_due(
+            server, now_ms if at_once else max(now_ms, next_ms)
+        )
+        if was_held:
+            return []
+        server.preference.note_granted(now_ms)
+        return [note_server('lease.acquired', server, f'epoch {answer.epoch}')]
+
+    def _take_denial(
+        self, server: ServerControl, denial: ControlDenied, now_ms: int
+    ) -> list[Effect]:
+        was_held = server.lease.is_held(now_ms)
+        server.lease.note_denied()
+        server.unreachable_since_ms = None
+        if denial.holder != self._settings.writer:
+            server.preference.note_tried(now_ms)
+        self._fleet.mark_try(server, now_ms + 1)
+        if not was_held:
+            return []
+        return [note_server('lease.lost', server, f'to {denial.holder}')]
+
+    def _take_unknown(
+        self,
+        server: ServerControl,
+        control: Control,
+        unknown: ControlUnknown,
+        now_ms: int,
+    ) -> list[Effect]:
+        starts = started_keys(control.request)
+        if unknown.not_sent:
+            server.started.difference_update(starts)
+        elif starts:
+            server.lease.needs_new_epoch = True
+        if server.unreachable_since_ms is None:
+            server.unreachable_since_ms = now_ms
+        if server.lease.is_held(now_ms):
+            self._fleet.push_due(server, now_ms + _RETRY_MS)
+        else:
+            server.preference.note_tried(now_ms)
+            self._fleet.mark_try(server, now_ms)
+        return [note_server('control.unknown', server, unknown.reason)]
+
+
+def _note_missing(server: ServerControl, result: ControlResult) -> None:
+    # A start that the server took without naming the attempt: it may still
+    # come up.  Only a new epoch tells.
+    refused = {key for key, _ in result.outcome.refused}
+    known = refused | server.report_by_key.keys()
+    if any(key not in known for key in started_keys(result.request)):
+        server.lease.needs_new_epoch = True
+
+
+def _give_up_refused(server: ServerControl, answer: ControlGranted) -> None:
+    for key, reason in answer.refused:
+        if key in server.started and key not in server.report_by_key:
+            server.given_up_by_key[key] = AttemptEnded(
+                key,
+                server.vm.server_id,
+                'absent' if answer.leaving else 'failed',
+                f'refused: {reason}',
+            )
--- /dev/null
+++ b/waxwingford/batch/_placer.py
@@ -0,0 +1,263 @@
+"""Rounds of placement with the policy that the bundle names."""
+
+from collections.abc import Iterable, Mapping
+
+from waxwingford.batch._checked import CheckedPlacements
+from waxwingford.batch._effects import Note
+from waxwingford.batch._fleet import Fleet
+from waxwingford.batch._messages import BundleSettings
+from waxwingford.batch._placing import (
+    build_claims,
+    quarantined_servers,
+    require_capacity,
+    runs_unclaimed,
+    view_pending,
+    view_server,
+)
+from waxwingford.batch._queue import PendingQueue
+from waxwingford.batch._quotas import Quotas
+from waxwingford.batch._server import ServerControl
+from waxwingford.batch._settings import BatchSettings
+from waxwingford.placement import (
+    ColocationPolicy,
+    Evict,
+    ServerView,
+    Stop,
+    Throttle,
+    policies,
+)
+from waxwingford.ports import Resources, TaskKey, UsageSample
+from waxwingford.records import (
+    DomainState,
+    TasksClaimed,
+    TaskState,
+)
+
+#: Pending tasks shown to the policy in one round.
+_ROUND_TASKS = 128
+_NOTHING = Resources(0, 0, 0)
+_EMPTY_BUNDLE = BundleSettings({}, {}, {})
+
+
+class Placer:
+    """Chooses what to claim where, and how to react to interference.
+
+    :ivar bundle: settings in force.
+    """
+
+    def __init__(self, settings: BatchSettings, fleet: Fleet) -> None:
+        """Start with nothing pending.
+
+        :param settings: of the controller.
+        :param fleet: servers.
+        """
+        self.bundle = _EMPTY_BUNDLE
+        self._settings = settings
+        self._fleet = fleet
+        self._queue = PendingQueue()
+        self._policy: ColocationPolicy | None = None
+        self._quarantined: frozenset[str] = frozenset()
+
+    def use_bundle(self, bundle: BundleSettings, seed: int) -> None:
+        """Put a bundle in force.
+
+        :param bundle: its settings.
+        :param seed: for the policy's random numbers.
+        :raises UnknownPlugin: if no policy has the name.
+        """
+        factory = policies.get(bundle.policy)
+        same = (bundle.policy, bundle.weights_by_service) == (
+            self.bundle.policy,
+            self.bundle.weights_by_service,
+        )
+        # A policy that is kept keeps what it learned.
+        if self._policy is None or not same:
+            self._policy = factory(bundle.weights_by_service, seed)
+        self.bundle = bundle
+        self._fleet.reserved_by_service = bundle.reserved_by_service
+        for server in self._fleet.server_by_id.values():
+            server.view = None
+
+    def add(self, task: TaskState, now_ms: int) -> None:
+        """Enter a task that became pending.
+
+        :param task: the task.
+        :param now_ms: monotonic time.
+        """
+        rank = self._fleet.rank(task.task_id)
+        self._queue.add(task, now_ms + rank * self._settings.steal_ms)
+
+    def round(
+        self, state: DomainState, now_ms: int, wall_ms: int
+    ) -> tuple[list[TasksClaimed], list[Note]]:
+        """Choose what to claim now.
+
+        :param state: fold of the domain's stream.
+        :param now_ms: monotonic time.
+        :param wall_ms: wall time.
+        :returns: claims, checked against capacity, and notes.
+        """
+        quotas = Quotas(state, self.bundle)
+        tasks = self._queue.take(_ROUND_TASKS, now_ms, quotas.has_room)
+        if not tasks or self._policy is None:
+            return [], self._put_back(tasks)
+        held = self._placeable(state, now_ms)
+        views = self.views(state, held, wall_ms)
+        servers = len(self._fleet.server_by_id)
+        pending = [view_pending(task, servers, wall_ms) for task in tasks]
+        checked = CheckedPlacements(views, quotas, held, now_ms)
+        checked.take_all(self._policy.place(pending, views, now_ms), tasks)
+        self._put_back(checked.left)
+        claims = build_claims(checked.placed, held, self._settings)
+        for claim in claims:
+            self._fleet.require_held(claim.server_id, now_ms)
+        reserved = self.bundle.reserved_by_service
+        require_capacity(claims, state, held, reserved)
+        return claims, checked.notes
+
+    def observe(
+        self,
+        server_id: str,
+        samples: tuple[UsageSample, ...],
+        state: DomainState,
+        now_ms: int,
+    ) -> None:
+        """Show samples to the policy.
+
+        :param server_id: where they were taken.
+        :param samples: the samples.
+        :param state: fold of the domain's stream.
+        :param now_ms: monotonic time.
+        """
+        if self._policy is None:
+            return
+        for sample in samples:
+            tasks = (state.task(key.task_id) for key in sample.running)
+            kind_by_task_id = {
+                task.task_id: task.job.spec.kind for task in tasks if task
+            }
+            self._policy.observe(server_id, sample, now_ms, kind_by_task_id)
+
+    def react(
+        self, state: DomainState, now_ms: int, wall_ms: int
+    ) -> list[Note]:
+        """Let the policy relieve services.
+
+        :param state: fold of the domain's stream.
+        :param now_ms: monotonic time.
+        :param wall_ms: wall time.
+        :returns: notes on what was decided.
+        """
+        if self._policy is None:
+            return []
+        held = self._fleet.held(now_ms)
+        views = self.views(state, held, wall_ms)
+        reactions = self._policy.react(views, now_ms)
+        return [
+            note
+            for reaction in reactions
+            for note in self._take_reaction(state, held, reaction, now_ms)
+        ]
+
+    def views(
+        self,
+        state: DomainState,
+        held: Mapping[str, ServerControl],
+        wall_ms: int,
+    ) -> list[ServerView]:
+        """View servers, from the cache where nothing changed.
+
+        :param state: fold of the domain's stream.
+        :param held: servers by id.
+        :param wall_ms: wall time.
+        :returns: views in order of ids.
+        """
+        quarantined = quarantined_servers(state, held)
+        for server_id in quarantined ^ self._quarantined:
+            self._fleet.touch(server_id)
+        self._quarantined = quarantined
+        return [
+            self._view(server_id, held[server_id], state, wall_ms)
+            for server_id in sorted(held)
+        ]
+
+    def predicted_ms(
+        self, server: ServerControl, state: DomainState, wall_ms: int
+    ) -> float:
+        """Ask the policy for a service's latency.
+
+        :param server: a held server.
+        :param state: fold of the domain's stream.
+        :param wall_ms: wall time.
+        :returns: milliseconds, 0 without a policy.
+        """
+        if self._policy is None:
+            return 0
+        view = self._view(server.vm.server_id, server, state, wall_ms)
+        return self._policy.predicted_ms(view)
+
+    def _view(
+        self,
+        server_id: str,
+        server: ServerControl,
+        state: DomainState,
+        wall_ms: int,
+    ) -> ServerView:
+        if server.view is None:
+            reserved = self.bundle.reserved_by_service.get(
+                server.vm.service, _NOTHING
+            )
+            is_quarantined = server_id in self._quarantined
+            server.view = view_server(
+                server, state, reserved, is_quarantined, wall_ms
+            )
+        return server.view
+
+    def _placeable(
+        self, state: DomainState, now_ms: int
+    ) -> dict[str, ServerControl]:
+        return {
+            server_id: server
+            for server_id, server in self._fleet.held(now_ms).items()
+            if server.lease.may_command(now_ms)
+            and not server.leaving
+            and not runs_unclaimed(server, state)
+        }
+
+    def _put_back(self, tasks: Iterable[TaskState]) -> list[Note]:
+        for task in tasks:
+            self._queue.put_back(task)
+        return []
+
+    def _take_reaction(
+        self,
+        state: DomainState,
+        held: Mapping[str, ServerControl],
+        reaction: Throttle | Evict | Stop,
+        now_ms: int,
+    ) -> list[Note]:
+        server = self._server_of(state, held, reaction.key)
+        if server is None:
+            return []
+        match reaction:
+            case Throttle(key=key, percent=percent):
+                server.percent_by_key[key] = percent
+            case Evict(key=key):
+                server.evicting.add(key)
+            case Stop(key=key):
+                server.stopping.add(key)
+        self._fleet.mark_due(server.vm.server_id, now_ms)
+        kind = f'policy.{type(reaction).__name__.lower()}'
+        detail = f'attempt {key.attempt} at {server.vm.server_id}'
+        return [Note(kind, f'task:{key.task_id}', detail)]
+
+    def _server_of(
+        self,
+        state: DomainState,
+        held: Mapping[str, ServerControl],
+        key: TaskKey,
+    ) -> ServerControl | None:
+        task = state.task(key.task_id)
+        if task is None or task.attempt != key.attempt:
+            return None
+        return held.get(task.server_id)
--- /dev/null
+++ b/waxwingford/batch/_placing.py
@@ -0,0 +1,235 @@
+"""From pending tasks to claims: quotas, quarantine, capacity."""
+
+import itertools
+import operator
+from collections.abc import Iterable, Mapping
+
+from waxwingford.batch._server import ServerControl
+from waxwingford.batch._settings import BatchSettings
+from waxwingford.kernel import Invariant, require
+from waxwingford.placement import (
+    PendingTask,
+    Placement,
+    RunningTask,
+    ServerView,
+)
+from waxwingford.ports import Resources, TaskPhase
+from waxwingford.records import (
+    Claim,
+    DomainState,
+    TasksClaimed,
+    TaskState,
+    add_resources,
+    fits_resources,
+    subtract_resources,
+)
+
+#: Failures at a server since it last got one done that put it in quarantine.
+QUARANTINE_FAILURES = 5
+#: Share of the held servers in quarantine at most, so that a job that fails
+#: everywhere does not close the failure domain.
+QUARANTINE_SHARE = 0.25
+#: A server in quarantine gets one task in so long, in milliseconds.
+PROBATION_MS = 60_000
+_NOTHING = Resources(0, 0, 0)
+
+
+def slack_ms(task: TaskState, wall_ms: int) -> int | None:
+    """Count the time that a task has beyond what it still needs.
+
+    :param task: the task.
+    :param wall_ms: wall time.
+    :returns: milliseconds, negative if it will be late; None if it has no
+        deadline.
+    """
+    spec = task.job.spec
+    if not spec.finish_by_wall_ms:
+        return None
+    left_ms = max(0, spec.run_ms - task.ran_ms)
+    return spec.finish_by_wall_ms - wall_ms - left_ms
+
+
+def view_pending(task: TaskState, servers: int, wall_ms: int) -> PendingTask:
+    """Show a pending task to a policy.
+
+    :param task: the task.
+    :param servers: servers of the failure domain; a task that failed on as
+        many may be tried on the same ones again.
+    :param wall_ms: wall time.
+    :returns: the view.
+    """
+    spec = task.job.spec
+    return PendingTask(
+        task.next_key,
+        spec.member,
+        spec.team,
+        spec.kind,
+        spec.resources,
+        max(0, spec.run_ms - task.ran_ms),
+        spec.priority,
+        0,
+        slack_ms(task, wall_ms),
+        task.checkpoint,
+        task.failed_on if len(task.failed_on) < servers else (),
+        task.checkpoint_server,
+    )
+
+
+def view_server(
+    server: ServerControl,
+    state: DomainState,
+    reserved: Resources,
+    is_quarantined: bool,
+    wall_ms: int,
+) -> ServerView:
+    """Show a held server to a policy.
+
+    :param server: the server.
+    :param state: fold of the domain's stream.
+    :param reserved: set aside for the service there.
+    :param is_quarantined: whether it gets only probation work.
+    :param wall_ms: wall time.
+    :returns: the view; every claim that is not proved over counts.
+    """
+    attempts = state.index.attempts_by_server.get(server.vm.server_id, {})
+    return ServerView(
+        server.vm.server_id,
+        server.vm.rack,
+        server.vm.service,
+        server.vm.resources,
+        reserved,
+        tuple(
+            _view_running(server, task, wall_ms) for task in attempts.values()
+        ),
+        server.leaving,
+        is_quarantined,
+        server.busy_share,
+    )
+
+
+def _view_running(
+    server: ServerControl, task: TaskState, wall_ms: int
+) -> RunningTask:
+    spec = task.job.spec
+    report = server.report_by_key.get(task.key)
+    return RunningTask(
+        task.key,
+        spec.member,
+        spec.team,
+        spec.kind,
+        spec.resources,
+        report.ran_ms if report else 0,
+        report.throttled if report else False,
+        slack_ms(task, wall_ms),
+    )
+
+
+def quarantined_servers(
+    state: DomainState, held: Mapping[str, ServerControl]
+) -> frozenset[str]:
+    """Choose the servers that fail what they start, the worst first.
+
+    :param state: fold of the domain's stream.
+    :param held: held servers by id.
+    :returns: ids, at most a share of the held ones.
+    """
+    failing = sorted(
+        (count, server_id)
+        for server_id, count in state.failing_by_server.items()
+        if count >= QUARANTINE_FAILURES and server_id in held
+    )
+    most = int(len(held) * QUARANTINE_SHARE)
+    return frozenset(
+        server_id for _, server_id in failing[max(0, len(failing) - most) :]
+    )
+
+
+def room_for_claims(view: ServerView) -> Resources:
+    """Count what may still be claimed on a server.
+
+    :param view: the server; its attempts are all that are not proved over.
+    :returns: the room, by component; negative if less than nothing is left.
+    """
+    room = subtract_resources(view.total, view.reserved)
+    for task in view.running:
+        room = subtract_resources(room, task.resources)
+    return room
+
+
+def runs_unclaimed(server: ServerControl, state: DomainState) -> bool:
+    """Tell whether something runs there whose size is not known.
+
+    :param server: a held server.
+    :param state: fold of the domain's stream.
+    :returns: true if a running attempt has no claim there.
+    """
+    return any(
+        report.phase == TaskPhase.running
+        and state.claimed(report.key, server.vm.server_id) is None
+        for report in server.report_by_key.values()
+    )
+
+
+def build_claims(
+    placements: Iterable[tuple[Placement, TaskState]],
+    server_by_id: Mapping[str, ServerControl],
+    settings: BatchSettings,
+) -> list[TasksClaimed]:
+    """Group placements into one record for each server.
+
+    :param placements: decisions that were checked, with their tasks.
+    :param server_by_id: held servers.
+    :param settings: of the controller.
+    :returns: claims under the present epochs.
+    """
+    in_order = sorted(placements, key=_server_of)
+    return [
+        TasksClaimed(
+            settings.writer,
+            server_id,
+            server_by_id[server_id].lease.boot_id,
+            server_by_id[server_id].lease.epoch,
+            tuple(
+                Claim(placement.key, task.checkpoint)
+                for placement, task in group
+            ),
+        )
+        for server_id, group in itertools.groupby(in_order, key=_server_of)
+    ]
+
+
+def require_capacity(
+    claims: Iterable[TasksClaimed],
+    state: DomainState,
+    server_by_id: Mapping[str, ServerControl],
+    reserved_by_service: Mapping[str, Resources],
+) -> None:
+    """Check claims against everything not proved over, from the fold itself.
+
+    :param claims: about to be appended.
+    :param state: fold of the domain's stream.
+    :param server_by_id: held servers.
+    :param reserved_by_service: set aside on each VM for its service.
+    :raises BrokenInvariant: if a VM would be over-committed.
+    """
+    for record in claims:
+        vm = server_by_id[record.server_id].vm
+        attempts = state.index.attempts_by_server.get(record.server_id, {})
+        tasks = [state.task(claim.key.task_id) for claim in record.claims]
+        committed = reserved_by_service.get(vm.service, _NOTHING)
+        for task in itertools.chain(attempts.values(), tasks):
+            committed = add_resources(
+                committed, task.resources if task else _NOTHING
+            )
+        require(
+            fits_resources(committed, vm.resources),
+            Invariant.capacity,
+            f'{committed} at {record.server_id} of {vm.resources}',
+        )
+
+
+_first_of = operator.itemgetter(0)
+
+
+def _server_of(placed: tuple[Placement, TaskState]) -> str:
+    return _first_of(placed).server_id
--- /dev/null
+++ b/waxwingford/batch/_queries.py
@@ -0,0 +1,139 @@
+"""What the batch task answers from its controller without changing it."""
+
+from waxwingford.batch._controller import DomainController
+from waxwingford.batch._messages import BundleSettings, VmListRead
+from waxwingford.batch._status import (
+    ServerStatus,
+    TaskCounts,
+    server_status,
+    task_counts,
+)
+from waxwingford.batch._views import (
+    JobView,
+    find_job,
+    list_jobs,
+    why_waits,
+)
+from waxwingford.kernel import Clock
+from waxwingford.routing import HeldServer
+
+
+class BatchQueries:
+    """Read-only side of the batch task."""
+
+    def __init__(self, clock: Clock) -> None:
+        """Start without a controller.
+
+        :param clock: source of time.
+        """
+        self._clock = clock
+        self._controller: DomainController | None = None
+        self._bundle: BundleSettings | None = None
+        self._list_read: VmListRead | None = None
+        self._load_problem = 'snapshot not looked for yet'
+
+    def jobs(self, member: str) -> list[JobView]:
+        """List a member's jobs.
+
+        :param member: whose.
+        :returns: views without single tasks; finished jobs last.
+        """
+        if self._controller is None:
+            return []
+        return list_jobs(self._controller.state, member)
+
+    def job(self, job_id: str, member: str) -> JobView | None:
+        """Show one job with its tasks and why they wait.
+
+        :param job_id: which job.
+        :param member: who asks.
+        :returns: the view; nothing if the member has no such job.
+        """
+        controller = self._controller
+        if controller is None:
+            return None
+        return find_job(controller.state, job_id, member, self.why)
+
+    def why(self, task_id: str) -> str:
+        """Say why a task waits.
+
+        :param task_id: which task.
+        :returns: for people; empty if it does not wait.
+        """
+        controller = self._controller
+        task = controller.state.task(task_id) if controller else None
+        if controller is None or task is None:
+            return ''
+        return why_waits(
+            task,
+            controller.state,
+            controller.fleet,
+            controller.placer.bundle,
+            controller.stream.log_away,
+        )
+
+    def held_servers(self) -> tuple[HeldServer, ...]:
+        """List the servers whose control lease is held now.
+
+        :returns: what routing needs of them.
+        """
+        controller = self._controller
+        if controller is None:
+            return ()
+        now_ms = self._clock.monotonic_ms()
+        wall_ms = self._clock.wall_ms()
+        return tuple(
+            HeldServer(
+                server_id,
+                server.vm.rack,
+                server.vm.service,
+                server.vm.host,
+                server.vm.port,
+                server.vm.slots,
+                server.vm.connections,
+                controller.placer.predicted_ms(
+                    server, controller.state, wall_ms
+                ),
+                server.leaving,
+                server.lease.until_ms,
+                server.lease.boot_id,
+            )
+            for server_id, server in controller.fleet.held(now_ms).items()
+        )
+
+    def readiness(self) -> list[str]:
+        """Say what is missing before this daemon can do its batch work.
+
+        :returns: for people; empty when it is ready.
+        """
+        controller = self._controller
+        if controller is None:
+            return [self._load_problem]
+        checks = (
+            (bool(controller.stream.gap), controller.stream.gap),
+            (
+                controller.stream.head_read_ms is None,
+                'log not read to its head yet',
+            ),
+            (self._bundle is None, 'no bundle is in force'),
+            (self._list_read is None, 'list of VMs not read yet'),
+        )
+        return [missing for is_missing, missing in checks if is_missing]
+
+    def server_status(self) -> list[ServerStatus]:
+        """Describe the held servers, for the daemon's status.
+
+        :returns: one line for each.
+        """
+        if self._controller is None:
+            return []
+        return server_status(self._controller, self._clock.monotonic_ms())
+
+    def task_counts(self) -> TaskCounts:
+        """Count the tasks of the failure domain.
+
+        :returns: pending and claimed ones.
+        """
+        if self._controller is None:
+            return TaskCounts(0, 0)
+        return task_counts(self._controller)
--- /dev/null
+++ b/waxwingford/batch/_server.py
@@ -0,0 +1,149 @@
+"""What this daemon knows of one backend server, and what it does there."""
+
+import dataclasses
+
+from waxwingford.batch._effects import Control, Note
+from waxwingford.ownership import ControlLease, Preference
+from waxwingford.placement import ServerView
+from waxwingford.ports import (
+    ControlGranted,
+    ControlRequest,
+    StartTask,
+    TaskKey,
+    TaskPhase,
+    TaskReport,
+    Vm,
+    VmState,
+)
+from waxwingford.records import AttemptEnded
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class ServerControl:
+    """One backend server of the failure domain.
+
+    :ivar vm: as last listed.
+    :ivar lease: the control lease.
+    :ivar preference: whether this daemon wants the lease.
+    :ivar report_by_key: attempts that the server named in its last answer.
+    :ivar report_offset: records before this offset were applied when the
+        exchange of that answer was decided.
+    :ivar unclaimed_since_ms: by attempt that runs without a known claim, when
+        it was first reported so.
+    :ivar started: attempts whose start was sent under the present epoch.
+    :ivar given_up_by_key: ends of claims of the present epoch that were not
+        and will not be started.
+    :ivar evicting: attempts to checkpoint.
+    :ivar stopping: attempts to stop without a checkpoint.
+    :ivar percent_by_key: throttles to command.
+    :ivar commanded_ms: when a stop or checkpoint was last commanded.
+    :ivar in_flight: exchange that has no outcome yet.
+    :ivar in_flight_offset: next offset of the state when it was decided.
+    :ivar is_dirty: commands came up while an exchange was in flight.
+    :ivar due_ms: when the next exchange is due.
+    :ivar listed: whether the platform's list names it.
+    :ivar says_leaving: the server's own word.
+    :ivar unreachable_since_ms: first exchange without an answer since the last
+        answer; None while it answers.
+    :ivar probation_ms: when quarantine allows the next task.
+    :ivar busy_share: busy service slots in its last usage sample, 0 to 1.
+    :ivar view: cached view for policies; None after a change.
+    """
+
+    vm: Vm
+    lease: ControlLease
+    preference: Preference
+    report_by_key: dict[TaskKey, TaskReport] = dataclasses.field(
+        default_factory=dict,
+    )
+    report_offset: int = -1
+    unclaimed_since_ms: dict[TaskKey, int] = dataclasses.field(
+        default_factory=dict,
+    )
+    started: set[TaskKey] = dataclasses.field(default_factory=set)
+    given_up_by_key: dict[TaskKey, AttemptEnded] = dataclasses.field(
+        default_factory=dict,
+    )
+    evicting: set[TaskKey] = dataclasses.field(default_factory=set)
+    stopping: set[TaskKey] = dataclasses.field(default_factory=set)
+    percent_by_key: dict[TaskKey, int] = dataclasses.field(
+        default_factory=dict,
+    )
+    commanded_ms: dict[TaskKey, int] = dataclasses.field(default_factory=dict)
+    in_flight: Control | None = None
+    in_flight_offset: int = 0
+    is_dirty: bool = False
+    due_ms: int = 0
+    listed: bool = True
+    says_leaving: bool = False
+    unreachable_since_ms: int | None = None
+    probation_ms: int = 0
+    busy_share: float = 0
+    view: ServerView | None = None
+
+    @property
+    def leaving(self) -> bool:
+        """Tell whether it leaves, by the list or by its own word.
+
+        :returns: true if it must get no new work.
+        """
+        return self.says_leaving or self.vm.state == VmState.leaving
+
+    def take_grant(self, answer: ControlGranted, epoch_changed: bool) -> None:
+        """Take what the server said.
+
+        :param answer: its answer.
+        :param epoch_changed: whether epoch or boot differ from before.
+        """
+        self.report_by_key = {report.key: report for report in answer.tasks}
+        self.report_offset = self.in_flight_offset
+        self.says_leaving = answer.leaving
+        self.unreachable_since_ms = None
+        self.view = None
+        if epoch_changed:
+            self.started.clear()
+            self.given_up_by_key.clear()
+            self.commanded_ms.clear()
+        self._forget_absent()
+        if answer.usage:
+            self.busy_share = answer.usage[-1].service_load
+
+    def _forget_absent(self) -> None:
+        for kept in (self.unclaimed_since_ms, self.commanded_ms):
+            for key in kept.keys() - self.report_by_key.keys():
+                kept.pop(key)
+        self.evicting &= self.report_by_key.keys()
+        self.stopping &= self.report_by_key.keys()
+
+    def is_running(self, key: TaskKey) -> bool:
+        """Tell whether the server named an attempt as running.
+
+        :param key: which attempt.
+        :returns: true if it ran at the last answer.
+        """
+        report = self.report_by_key.get(key)
+        return report is not None and report.phase == TaskPhase.running
+
+
+def started_keys(request: ControlRequest) -> list[TaskKey]:
+    """List the attempts that a request starts.
+
+    :param request: of an exchange.
+    :returns: keys of its start commands.
+    """
+    return [
+        command.key
+        for command in request.commands
+        if isinstance(command, StartTask)
+    ]
+
+
+def note_server(kind: str, server: ServerControl, detail: str) -> Note:
+    """Write an event about a server.
+
+    :param kind: what happened.
+    :param server: which server.
+    :param detail: for people.
+    :returns: the effect.
+    """
+    return Note(kind, f'server:{server.vm.server_id}', detail)
--- /dev/null
+++ b/waxwingford/batch/_shell.py
@@ -0,0 +1,258 @@
+"""The task that owns the batch controller and carries out its effects."""
+
+import asyncio
+from collections.abc import Iterable
+
+from waxwingford.batch._controller import DomainController
+from waxwingford.batch._effects import (
+    Append,
+    Control,
+    Drained,
+    Effect,
+    JobRefused,
+    Note,
+    ReplySubmission,
+    SubmissionOutcome,
+    WriteSnapshot,
+)
+from waxwingford.batch._executor import EffectExecutor
+from waxwingford.batch._messages import (
+    AliveDaemons,
+    BundleSettings,
+    CancelJob,
+    Drain,
+    EvictTask,
+    Message,
+    SubmitJob,
+    Tick,
+    VmListRead,
+)
+from waxwingford.batch._queries import BatchQueries
+from waxwingford.batch._reader import StreamReader
+from waxwingford.batch._replies import Replies, Reply
+from waxwingford.batch._settings import BatchSettings
+from waxwingford.batch._snapshots import load_newest
+from waxwingford.kernel import Clock
+from waxwingford.ports import (
+    BackendServerPort,
+    DirectoryPort,
+    LogPort,
+    LogUnavailable,
+)
+from waxwingford.records import DomainState, JobSpec
+from waxwingford.timeline import TimeLine
+
+_MS_IN_S = 1000
+_TICK_MS = 50
+_LIST_EVERY_MS = 1000
+_LOAD_RETRY_MS = 1000
+_NOT_READY_RETRY_MS = 1000
+
+
+class BatchTask(BatchQueries):
+    """Owns the controller of one daemon; everything it does is by messages.
+
+    Messages are handled one at a time on the event loop, without a wait in
+    between, so that the state needs no lock.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: BatchSettings,
+        log: LogPort,
+        servers: BackendServerPort,
+        directory: DirectoryPort,
+        clock: Clock,
+        time_line: TimeLine,
+    ) -> None:
+        """Bind the ports; nothing runs yet.
+
+        :param settings: figures.
+        :param log: the platform's log.
+        :param servers: control of backend servers.
+        :param directory: the platform's list.
+        :param clock: source of time.
+        :param time_line: where events go.
+        """
+        super().__init__(clock)
+        self._settings = settings
+        self._log = log
+        self._directory = directory
+        self._time_line = time_line
+        self._executor = EffectExecutor(
+            settings, log, servers, clock, self._handle
+        )
+        self._replies = Replies()
+        self._generation = 0
+        self._alive: AliveDaemons | None = None
+        self._drained = asyncio.Event()
+        self._group: asyncio.TaskGroup | None = None
+
+    async def run(self) -> None:
+        """Load the state, then follow the stream until cancelled.
+
+        A daemon that fell behind what the log retains starts anew from a
+        newer snapshot, under a new incarnation: the leases that it held are
+        acquired anew too.
+
+        :raises ExceptionGroup: with a broken invariant or programming error
+            of any of its parts, which all stop then.
+        """
+        async with asyncio.TaskGroup() as group:
+            self._group = group
+            group.create_task(self._follow_list())
+            group.create_task(self._tick())
+            while True:
+                self._begin(await self._load_state())
+                await self._follow_stream()
+
+    async def submit(self, job: JobSpec) -> SubmissionOutcome:
+        """Submit a job.
+
+        :param job: the job; it is stamped with this daemon's wall time.
+        :returns: accepted, refused, unknown or rejected.
+        """
+        reply = self._replies.open()
+        return await self._ask(reply, SubmitJob(reply.submission_id, job))
+
+    async def cancel(self, job_id: str, member: str) -> SubmissionOutcome:
+        """Give a job up.
+
+        :param job_id: which job.
+        :param member: who asks; must own the job.
+        :returns: cancelled, refused, unknown or rejected.
+        """
+        reply = self._replies.open()
+        message = CancelJob(reply.submission_id, job_id, member)
+        return await self._ask(reply, message)
+
+    def evict(self, task_id: str) -> bool:
+        """Checkpoint a task that runs on a server held here.
+
+        :param task_id: which task.
+        :returns: whether it does, and so was asked.
+        """
+        controller = self._controller
+        task = controller.state.task(task_id) if controller else None
+        if controller is None or task is None:
+            return False
+        held = controller.fleet.held(self._clock.monotonic_ms())
+        self._handle(EvictTask(task_id))
+        return task.server_id in held
+
+    # The name is the daemon's word for it.
+    def set_alive(  # noqa: WPS615
+        self, daemon_ids: Iterable[str]
+    ) -> None:
+        """Take the daemons of the failure domain that seem alive.
+
+        :param daemon_ids: their names.
+        """
+        self._alive = AliveDaemons(frozenset(daemon_ids))
+        self._handle(self._alive)
+
+    # The name is the daemon's word for it.
+    def set_bundle(  # noqa: WPS615
+        self, bundle: BundleSettings
+    ) -> None:
+        """Put the settings of a bundle in force.
+
+        :param bundle: the settings.
+        :raises UnknownPlugin: if no policy has the name.
+        """
+        self._bundle = bundle
+        self._handle(bundle)
+
+    async def drain(self, bounded_ms: int) -> bool:
+        """Take nothing new, and give the leases up so that peers adopt.
+
+        :param bounded_ms: give up waiting after this time, in milliseconds.
+        :returns: whether everything was handed over in time.
+        """
+        self._handle(Drain())
+        try:
+            await asyncio.wait_for(self._drained.wait(), bounded_ms / _MS_IN_S)
+        except TimeoutError:
+            return False
+        return True
+
+    async def _ask(
+        self, reply: Reply, message: SubmitJob | CancelJob
+    ) -> SubmissionOutcome:
+        if self._controller is None:
+            refusal = JobRefused(self._load_problem, _NOT_READY_RETRY_MS)
+            self._replies.take(reply.submission_id, refusal)
+        self._handle(message)
+        return await self._replies.wait(reply)
+
+    async def _load_state(self) -> DomainState:
+        stream = f'snapshots/{self._settings.failure_domain}'
+        while True:
+            outcome = await load_newest(self._log, stream)
+            if not isinstance(outcome, LogUnavailable):
+                return outcome or DomainState()
+            self._load_problem = f'snapshot not read: {outcome.reason}'
+            await asyncio.sleep(_LOAD_RETRY_MS / _MS_IN_S)
+
+    def _begin(self, state: DomainState) -> None:
+        self._generation += 1
+        name = f'{self._settings.incarnation}.{self._generation}'
+        settings = self._settings._replace(incarnation=name)
+        now_ms = self._clock.monotonic_ms()
+        self._replies.give_up('this daemon starts anew', _NOT_READY_RETRY_MS)
+        self._executor.begin(self._generation)
+        self._controller = DomainController(settings, state, now_ms)
+        self._time_line.note(
+            'batch.loaded', 'stream', f'from offset {state.next_offset}'
+        )
+        for message in (self._bundle, self._alive, self._list_read):
+            if message is not None:
+                self._handle(message)
+
+    async def _follow_stream(self) -> None:
+        controller = self._controller
+        reader = StreamReader(self._settings, self._log, self._clock)
+        while controller is not None and not controller.stream.gap:
+            message = await reader.read(controller.state.next_offset)
+            self._handle(message)
+            await reader.pause(message)
+        await asyncio.sleep(_LOAD_RETRY_MS / _MS_IN_S)
+
+    async def _follow_list(self) -> None:
+        while True:
+            message = VmListRead(await self._directory.read())
+            self._list_read = message
+            self._handle(message)
+            await asyncio.sleep(_LIST_EVERY_MS / _MS_IN_S)
+
+    async def _tick(self) -> None:
+        while True:
+            self._handle(Tick())
+            await asyncio.sleep(_TICK_MS / _MS_IN_S)
+
+    def _handle(self, message: Message) -> None:
+        if self._controller is None:
+            return
+        effects = self._controller.handle(
+            message, self._clock.monotonic_ms(), self._clock.wall_ms()
+        )
+        for effect in effects:
+            self._carry_out(effect)
+
+    def _carry_out(self, effect: Effect) -> None:
+        match effect:
+            case ReplySubmission(submission_id=submission_id, outcome=outcome):
+                self._replies.take(submission_id, outcome)
+            case Note(kind=kind, subject=subject, detail=detail):
+                self._time_line.note(kind, subject, detail)
+            case Control():
+                self._group.create_task(self._executor.control(effect))
+            case Append():
+                self._group.create_task(self._executor.append(effect))
+            case WriteSnapshot():
+                self._group.create_task(
+                    self._executor.snapshot(self._controller.state)
+                )
+            case Drained():
+                self._drained.set()
--- /dev/null
+++ b/waxwingford/batch/_snapshots.py
@@ -0,0 +1,79 @@
+"""Reading and writing snapshots through the log's port."""
+
+import sys
+
+from waxwingford.ports import Appended, LogPort, LogRead, LogUnavailable
+from waxwingford.records import (
+    DomainState,
+    SnapshotAssembler,
+    snapshot_chunks,
+)
+
+#: Beyond every offset: reads the head of a stream and nothing else.
+_BEYOND = sys.maxsize
+#: Entries in the first window that is read back from the head.
+_FIRST_WINDOW = 8
+_WINDOW_GROWTH = 4
+_READ_ENTRIES = 32
+
+
+async def load_newest(
+    log: LogPort, stream: str
+) -> DomainState | LogUnavailable | None:
+    """Find the newest complete snapshot, reading back from the head.
+
+    :param log: the log.
+    :param stream: the snapshots' stream.
+    :returns: its state; nothing if there is none; or that the log is away.
+    """
+    head = await log.read(stream, _BEYOND, 1)
+    if isinstance(head, LogUnavailable):
+        return head
+    assembler = SnapshotAssembler()
+    end = head.next_offset
+    window = _FIRST_WINDOW
+    while end > head.oldest_offset and assembler.newest is None:
+        start = max(head.oldest_offset, end - window)
+        window *= _WINDOW_GROWTH
+        lost = await _read_window(log, stream, (start, end), assembler)
+        if lost is not None:
+            return lost
+        end = start
+    return assembler.newest
+
+
+async def _read_window(
+    log: LogPort,
+    stream: str,
+    window: tuple[int, int],
+    assembler: SnapshotAssembler,
+) -> LogUnavailable | None:
+    offset, end = window
+    while offset < end:
+        limit = min(_READ_ENTRIES, end - offset)
+        outcome = await log.read(stream, offset, limit)
+        match outcome:
+            case LogUnavailable():
+                return outcome
+            case LogRead(entries=()):
+                return None
+            case LogRead(entries=entries):
+                for entry in entries:
+                    assembler.add(entry.payload)
+                offset = entries[-1].offset + 1
+    return None
+
+
+async def write_snapshot(log: LogPort, stream: str, state: DomainState) -> str:
+    """Write a snapshot of a state.
+
+    :param log: the log.
+    :param stream: the snapshots' stream.
+    :param state: the state; it may go on while the chunks are appended.
+    :returns: why it is not written; empty if all chunks stand.
+    """
+    for chunk in snapshot_chunks(state, state.next_offset):
+        outcome = await log.append(stream, chunk)
+        if not isinstance(outcome, Appended):
+            return outcome.reason
+    return ''
--- /dev/null
+++ b/waxwingford/batch/_submissions.py
@@ -0,0 +1,152 @@
+"""Submissions and cancellations: which go to the log, what is answered."""
+
+import dataclasses
+
+import msgspec
+
+from waxwingford.batch._effects import (
+    JobAcceptedOutcome,
+    JobCancelledOutcome,
+    JobRefused,
+    JobRejected,
+    SubmissionOutcome,
+)
+from waxwingford.batch._fleet import Fleet
+from waxwingford.batch._views import never_fits
+from waxwingford.kernel import Invariant, require
+from waxwingford.records import (
+    DomainState,
+    JobAccepted,
+    JobCancelled,
+    JobSpec,
+    Valid,
+    Verdict,
+    refuse_job,
+)
+
+#: When members may come back after a refusal, in milliseconds.
+RETRY_AFTER_MS = 2000
+#: Longest payload of a job; keeps a group below the log's 1 MiB.
+PAYLOAD_CHARACTERS = 16_384
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ToAppend:
+    """Goes to the log.
+
+    :ivar record: what to append.
+    """
+
+    record: JobAccepted | JobCancelled
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ToAnswer:
+    """Is answered at once.
+
+    :ivar outcome: the answer.
+    """
+
+    outcome: SubmissionOutcome
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Admission:
+    """What decides on a submission.
+
+    :ivar state: fold of the domain's stream.
+    :ivar fleet: servers of the failure domain.
+    :ivar refusal: why nothing can be appended now; empty if it can.
+    """
+
+    state: DomainState
+    fleet: Fleet
+    refusal: str
+
+
+def submission(
+    admission: Admission, spec: JobSpec, wall_ms: int
+) -> ToAppend | ToAnswer:
+    """Check a submission.
+
+    :param admission: what decides.
+    :param spec: the job.
+    :param wall_ms: wall time, which the job is stamped with.
+    :returns: the record to append, or the answer.
+    """
+    reason = _refuse_spec(spec) or never_fits(spec, admission.fleet)
+    if reason:
+        return ToAnswer(JobRejected(reason))
+    state = admission.state
+    if spec.job_id in state.jobs_by_id or spec.job_id in state.finished:
+        return ToAnswer(_answer_duplicate(state, spec))
+    if admission.refusal:
+        return ToAnswer(JobRefused(admission.refusal, RETRY_AFTER_MS))
+    stamped = msgspec.structs.replace(spec, submitted_wall_ms=wall_ms)
+    return ToAppend(JobAccepted(stamped))
+
+
+def cancellation(
+    admission: Admission, job_id: str, member: str
+) -> ToAppend | ToAnswer:
+    """Check a cancellation.
+
+    :param admission: what decides.
+    :param job_id: which job.
+    :param member: who asks.
+    :returns: the record to append, or the answer.
+    """
+    job = admission.state.jobs_by_id.get(job_id)
+    # A job of another member is answered like one that does not exist, lest
+    # members learn of each other's jobs.
+    if job is None or job.spec.member != member:
+        return ToAnswer(JobRejected(f'no open job {job_id!r} of yours'))
+    if job.cancelled:
+        return ToAnswer(JobCancelledOutcome(job_id))
+    if admission.refusal:
+        return ToAnswer(JobRefused(admission.refusal, RETRY_AFTER_MS))
+    require(
+        job.spec.member == member,
+        Invariant.member_isolation,
+        f'{member} cancels {job_id}',
+    )
+    return ToAppend(JobCancelled(job_id, member))
+
+
+def reply_to(verdict: Verdict, state: DomainState) -> SubmissionOutcome:
+    """Answer a submission or cancellation that was read back.
+
+    :param verdict: of its record.
+    :param state: fold of the domain's stream.
+    :returns: the answer.
+    """
+    reason = '' if isinstance(verdict, Valid) else verdict.reason
+    match verdict.record:
+        case JobAccepted(job=spec) if not reason:
+            return JobAcceptedOutcome(spec.job_id)
+        case JobAccepted(job=spec) if reason == 'duplicate':
+            return _answer_duplicate(state, spec)
+        case JobCancelled(job_id=job_id) if reason in _CANCELLED:
+            return JobCancelledOutcome(job_id)
+    return JobRejected(reason)
+
+
+_CANCELLED = frozenset(('', 'already cancelled'))
+
+
+def _refuse_spec(spec: JobSpec) -> str:
+    if len(spec.payload) > PAYLOAD_CHARACTERS:
+        return f'payload must have at most {PAYLOAD_CHARACTERS} characters'
+    return refuse_job(spec)
+
+
+def _answer_duplicate(state: DomainState, spec: JobSpec) -> SubmissionOutcome:
+    job = state.jobs_by_id.get(spec.job_id)
+    if job is None:
+        return JobAcceptedOutcome(spec.job_id)
+    same = msgspec.structs.replace(
+        spec, submitted_wall_ms=job.spec.submitted_wall_ms
+    )
+    if same == job.spec:
+        return JobAcceptedOutcome(spec.job_id)
+    return JobRejected(f'job {spec.job_id!r} exists with other content')
--- /dev/null
+++ b/waxwingford/colocation/_learned.py
@@ -0,0 +1,160 @@
+"""The learned colocation policy."""
+
+import math
+from collections import defaultdict
+from collections.abc import Mapping
+
+from waxwingford.colocation._ladder import Ladder
+from waxwingford.colocation._limits import DEFAULT_WEIGHTS, Limits, limits_of
+from waxwingford.colocation._mechanisms import ALL, Mechanisms
+from waxwingford.colocation._model import InterferenceModel, Setting
+from waxwingford.colocation._samples import SampleBook, window_start_ms
+from waxwingford.colocation._scoring import Scorer
+from waxwingford.colocation._state import Foresight, Outlook, ServerState
+from waxwingford.placement import (
+    PendingTask,
+    Placement,
+    PolicyWeights,
+    Reaction,
+    ServerView,
+    policies,
+)
+from waxwingford.ports import UsageSample
+
+#: One unit of the model (four cores) at full speed, in milli times percent.
+_UNIT_PERCENT_MILLI = 400_000
+#: Share of its target at which a service is expected before any sample.
+_EXPECTED_SHARE = 0.75
+
+
+@policies.register('learned')
+class LearnedPolicy:
+    """Places and reacts by a learned model of interference."""
+
+    def __init__(
+        self,
+        weights_by_service: Mapping[str, PolicyWeights],
+        seed: int,
+        mechanisms: Mechanisms = ALL,
+    ) -> None:
+        """Set up.
+
+        :param weights_by_service: from the bundle.
+        :param seed: of the policy's random numbers.
+        :param mechanisms: parts to use; the benchmark switches some off.
+        """
+        self._limits_by_service = {
+            service: limits_of(weights)
+            for service, weights in weights_by_service.items()
+        }
+        self._mechanisms = mechanisms
+        self._model = InterferenceModel(
+            {
+                service: weights.target_p99_ms * _EXPECTED_SHARE
+                for service, weights in weights_by_service.items()
+            },
+            mechanisms,
+        )
+        self._samples = SampleBook()
+        self._ladder = Ladder(mechanisms)
+        self._state_by_server: dict[str, ServerState] = defaultdict(ServerState)
+        self._running_by_server: dict[str, dict[str, float]] = {}
+
+    def observe(
+        self,
+        server_id: str,
+        sample: UsageSample,
+        received_ms: int,
+        kind_by_task_id: dict[str, str],
+    ) -> None:
+        """Learn from one lagged sample.
+
+        :param server_id: where it was taken.
+        :param sample: the sample.
+        :param received_ms: when it arrived.
+        :param kind_by_task_id: batch kind of the tasks in it.
+        """
+        state = self._state_by_server[server_id]
+        state.window_ms = window_start_ms(sample, received_ms)
+        if not self._mechanisms.attribution:
+            self._learn_against_present(server_id, sample)
+            return
+        observation = self._samples.add(server_id, sample, kind_by_task_id)
+        if observation is not None:
+            self._model.learn(*observation)
+
+    def place(
+        self,
+        pending: list[PendingTask],
+        servers: list[ServerView],
+        now_ms: int,
+    ) -> list[Placement]:
+        """Choose servers where the tail stays within its limit.
+
+        :param pending: tasks, most deserving first.
+        :param servers: the servers that this daemon holds.
+        :param now_ms: monotonic time.
+        :returns: decisions for some of the pending tasks.
+        """
+        foresight = Foresight(self._model)
+        outlooks = [self._outlook(foresight, server) for server in servers]
+        scorer = Scorer(foresight, outlooks, now_ms, self._mechanisms)
+        placements = map(scorer.place, pending)
+        return [placement for placement in placements if placement is not None]
+
+    def react(self, servers: list[ServerView], now_ms: int) -> list[Reaction]:
+        """Relieve services that near their targets.
+
+        :param servers: the servers that this daemon holds.
+        :param now_ms: monotonic time.
+        :returns: decisions about running attempts.
+        """
+        foresight = Foresight(self._model)
+        reactions: list[Reaction] = []
+        for server in servers:
+            self._state_by_server[server.server_id].see(server)
+            outlook = self._outlook(foresight, server)
+            reactions += self._ladder.react(outlook, now_ms)
+            if not self._mechanisms.attribution:
+                self._remember_present(server)
+        return reactions
+
+    def predicted_ms(self, server: ServerView) -> float:
+        """Predict the service's 99th percentile for routing.
+
+        :param server: its view.
+        :returns: expected latency, in milliseconds.
+        """
+        return math.exp(self._outlook(Foresight(self._model), server).tail)
+
+    def _outlook(self, foresight: Foresight, server: ServerView) -> Outlook:
+        state = self._state_by_server[server.server_id]
+        return foresight.outlook(server, state, self._limits(server.service))
+
+    def _limits(self, service: str) -> Limits:
+        limits = self._limits_by_service.get(service)
+        if limits is None:
+            limits = limits_of(DEFAULT_WEIGHTS)
+            self._limits_by_service[service] = limits
+        return limits
+
+    def _learn_against_present(
+        self,
+        server_id: str,
+        sample: UsageSample,
+    ) -> None:
+        if sample.service_p99_ms <= 0:
+            return
+        units = self._running_by_server.get(server_id, {})
+        setting = Setting(server_id, sample.service, sample.service_load, units)
+        self._model.learn(setting, sample.service_p99_ms, 1)
+
+    def _remember_present(self, server: ServerView) -> None:
+        state = self._state_by_server[server.server_id]
+        units: dict[str, float] = {}
+        for task in server.running:
+            more = state.percent(task) * task.resources.processors_milli
+            units[task.kind] = (
+                units.get(task.kind, 0) + more / _UNIT_PERCENT_MILLI
+            )
+        self._running_by_server[server.server_id] = units
--- /dev/null
+++ b/waxwingford/colocation/_state.py
@@ -0,0 +1,193 @@
+"""What the learned policy remembers of each server, and what it foresees."""
+
+import dataclasses
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from waxwingford.colocation._limits import Limits
+from waxwingford.colocation._model import InterferenceModel, Term, units_of
+from waxwingford.placement import RunningTask, ServerView
+from waxwingford.ports import TaskKey
+
+#: Weight of the newest reading of busy slots, which come in whole slots.
+_LOAD_STEP = 0.2
+#: Percent of a throttled task whose throttle an earlier holder chose.
+_ADOPTED_PERCENT = 50
+_FULL_PERCENT = 100
+#: Steps of load between which an effect is taken to be the same.
+_LOAD_STEPS = 20
+
+
+@dataclasses.dataclass(slots=True)
+class ServerState:
+    """Memory of one server.
+
+    :ivar load: smoothed share of busy slots; None before the first view.
+    :ivar acted_ms: monotonic time of the last reaction; None before.
+    :ivar window_ms: start of the newest sample's window; None before.
+    :ivar closed_until_ms: no placements before this monotonic time.
+    :ivar evicted_ms_by_key: when evictions were ordered that are not over.
+    :ivar changed_ms_by_key: when a task's throttle was changed last.
+    :ivar percent_by_key: throttles ordered.
+    """
+
+    load: float | None = None
+    acted_ms: int | None = None
+    window_ms: int | None = None
+    closed_until_ms: int = 0
+    evicted_ms_by_key: dict[TaskKey, int] = dataclasses.field(
+        default_factory=dict,
+    )
+    changed_ms_by_key: dict[TaskKey, int] = dataclasses.field(
+        default_factory=dict,
+    )
+    percent_by_key: dict[TaskKey, int] = dataclasses.field(
+        default_factory=dict,
+    )
+
+    def see(self, server: ServerView) -> None:
+        """Take the present load in and forget attempts that are over.
+
+        :param server: its view.
+        """
+        if self.load is None:
+            self.load = server.busy_share
+        self.load += _LOAD_STEP * (server.busy_share - self.load)
+        if not self.changed_ms_by_key and not self.evicted_ms_by_key:
+            return
+        present = {task.key for task in server.running}
+        _keep(self.evicted_ms_by_key, present)
+        _keep(self.changed_ms_by_key, present)
+        _keep(self.percent_by_key, present)
+
+    def percent(self, task: RunningTask) -> int:
+        """Tell a task's throttle.
+
+        :param task: the task.
+        :returns: percent of its processors that it may use.
+        """
+        if not task.throttled:
+            return self.percent_by_key.get(task.key, _FULL_PERCENT)
+        return self.percent_by_key.get(task.key, _ADOPTED_PERCENT)
+
+
+def _keep(by_key: dict[TaskKey, int], present: set[TaskKey]) -> None:
+    """Drop what is remembered of attempts that are over.
+
+    :param by_key: memory; changed in place.
+    :param present: attempts on the server.
+    """
+    for key in by_key.keys() - present:
+        by_key.pop(key)
+
+
+class Pressure(NamedTuple):
+    """What a task does to the service beside it now.
+
+    :ivar task: the task.
+    :ivar percent: its throttle.
+    :ivar full: what it adds to the tail's logarithm without a throttle.
+    """
+
+    task: RunningTask
+    percent: int
+    full: float
+
+    @property
+    def now(self) -> float:
+        """Compute what it adds under its throttle.
+
+        :returns: part of the tail's logarithm.
+        """
+        return self.full * self.percent / _FULL_PERCENT
+
+
+class Outlook(NamedTuple):
+    """What the model foresees for a server.
+
+    :ivar server: its view.
+    :ivar state: its memory.
+    :ivar limits: thresholds of its service.
+    :ivar base: the service alone.
+    :ivar pressures: each task beside it, those being evicted included.
+    """
+
+    server: ServerView
+    state: ServerState
+    limits: Limits
+    base: Term
+    pressures: tuple[Pressure, ...]
+
+    @property
+    def tail(self) -> float:
+        """Compute the tail once ordered evictions are over.
+
+        :returns: logarithm of the 99th percentile in milliseconds.
+        """
+        leaving = self.state.evicted_ms_by_key
+        return self.base.mean + sum(
+            pressure.now
+            for pressure in self.pressures
+            if pressure.task.key not in leaving
+        )
+
+
+class Foresight:
+    """Predictions of one pass; effects are looked up once for each pair."""
+
+    def __init__(self, model: InterferenceModel) -> None:
+        """Set up.
+
+        :param model: what was learned.
+        """
+        self._model = model
+        self._effect_by_pair: dict[tuple[str, str, int], Term] = {}
+
+    def effect(self, service: str, kind: str, load: float) -> Term:
+        """Look an effect up, at a load rounded to a step.
+
+        :param service: which service.
+        :param kind: batch kind.
+        :param load: share of busy slots, 0 to 1.
+        :returns: effect of one unit.
+        """
+        steps = round(load * _LOAD_STEPS)
+        pair = (service, kind, steps)
+        effect = self._effect_by_pair.get(pair)
+        if effect is None:
+            effect = self._model.effect(service, kind, steps / _LOAD_STEPS)
+            self._effect_by_pair[pair] = effect
+        return effect
+
+    def outlook(
+        self,
+        server: ServerView,
+        state: ServerState,
+        limits: Limits,
+    ) -> Outlook:
+        """Predict a server as it is.
+
+        :param server: its view.
+        :param state: its memory.
+        :param limits: thresholds of its service.
+        :returns: prediction.
+        """
+        load = server.busy_share if state.load is None else state.load
+        return Outlook(
+            server,
+            state,
+            limits,
+            self._model.base(server.server_id, server.service, load),
+            tuple(self._pressures(server, state, load)),
+        )
+
+    def _pressures(
+        self,
+        server: ServerView,
+        state: ServerState,
+        load: float,
+    ) -> Iterable[Pressure]:
+        for task in server.running:
+            effect = self.effect(server.service, task.kind, load)
+            full = max(effect.mean, 0) * units_of(task.resources)
+            yield Pressure(task, state.percent(task), full)
--- a/waxwingford/ownership/__init__.py
+++ b/waxwingford/ownership/__init__.py
@@ -1,1 +1,15 @@
-"""ownership (being built)."""
+"""Which daemon commands which backend server, and for how long."""
+
+from waxwingford.ownership._lease import ControlLease, LeaseState
+from waxwingford.ownership._preference import OwnershipTimes, Preference
+from waxwingford.ownership._ranking import rank_of, ranked, shared_out
+
+__all__ = (
+    'ControlLease',
+    'LeaseState',
+    'OwnershipTimes',
+    'Preference',
+    'rank_of',
+    'ranked',
+    'shared_out',
+)
--- /dev/null
+++ b/waxwingford/ownership/_preference.py
@@ -0,0 +1,96 @@
+"""When a daemon tries for a server's control lease, and when it gives it up."""
+
+from typing import NamedTuple
+
+
+class OwnershipTimes(NamedTuple):
+    """Delays of ownership, all in milliseconds.
+
+    :ivar retry_ms: the first choice tries again after so long.
+    :ivar hand_over_ms: a holder that is no longer the first choice keeps the
+        lease so long, lest views that flap move it to and fro.
+    :ivar fallback_ms: each lower rank waits so long more before it tries.
+    :ivar fallback_hold_ms: one that got the lease as a fallback keeps it so
+        long, since the first choice may not reach the server at all.
+    """
+
+    retry_ms: int = 2000
+    hand_over_ms: int = 10_000
+    fallback_ms: int = 12_000
+    fallback_hold_ms: int = 300_000
+
+
+class Preference:
+    """This daemon's wish for one server, by its rank.
+
+    :ivar rank: 0 for the first choice.
+    """
+
+    def __init__(self, times: OwnershipTimes, rank: int, now_ms: int) -> None:
+        """Start with a rank.
+
+        :param times: delays.
+        :param rank: rank among the daemons that seem alive.
+        :param now_ms: monotonic time.
+        """
+        self.rank = rank
+        self._times = times
+        self._rank_since_ms = now_ms
+        self._next_try_ms = now_ms + rank * times.fallback_ms
+        self._granted_as_fallback = False
+
+    def update(self, rank: int, now_ms: int) -> None:
+        """Take a new rank.
+
+        :param rank: rank among the daemons that seem alive.
+        :param now_ms: monotonic time.
+        """
+        if rank == self.rank:
+            return
+        if not (rank and self.rank):
+            self._rank_since_ms = now_ms
+        self.rank = rank
+        self._next_try_ms = now_ms + rank * self._times.fallback_ms
+        self._granted_as_fallback = self._granted_as_fallback and rank > 0
+
+    def next_try_ms(self) -> int:
+        """Tell when to try for the lease.
+
+        :returns: monotonic time, in milliseconds.
+        """
+        return self._next_try_ms
+
+    def note_tried(self, now_ms: int) -> None:
+        """Note a try that did not give the lease, or a lease given up.
+
+        :param now_ms: monotonic time.
+        """
+        delay_ms = (
+            self.rank * self._times.fallback_ms
+            if self.rank
+            else self._times.retry_ms
+        )
+        self._next_try_ms = now_ms + delay_ms
+
+    def note_granted(self, now_ms: int) -> None:
+        """Note that the lease was acquired.
+
+        :param now_ms: monotonic time.
+        """
+        self._granted_as_fallback = self.rank > 0
+        self._rank_since_ms = now_ms
+
+    def should_hand_over(self, now_ms: int) -> bool:
+        """Tell whether the holder should give the lease up.
+
+        :param now_ms: monotonic time.
+        :returns: whether it is long enough not the first choice.
+        """
+        if self.rank == 0:
+            return False
+        keep_ms = (
+            self._times.fallback_hold_ms
+            if self._granted_as_fallback
+            else self._times.hand_over_ms
+        )
+        return now_ms - self._rank_since_ms >= keep_ms
--- a/waxwingford/placement/__init__.py
+++ b/waxwingford/placement/__init__.py
@@ -1,6 +1,28 @@
 """Placement of batch tasks: views, policies' registry, quotas, quarantine."""
 
+from waxwingford.placement._fit import (
+    NOTHING,
+    NeverFits,
+    add,
+    fits,
+    free_on,
+    largest,
+    never_fits,
+    smallest,
+    subtract,
+    total_of,
+)
+from waxwingford.placement._quarantine import (
+    FailureVerdict,
+    Quarantine,
+    QuarantineLimits,
+    ServerQuarantined,
+    TaskStopped,
+    TryElsewhere,
+)
+from waxwingford.placement._quotas import QuotaBook, TeamName
 from waxwingford.placement._registry import PolicyFactory, policies
+from waxwingford.placement._sizes import SizeBook
 from waxwingford.placement._views import (
     ColocationPolicy,
     Evict,
@@ -15,16 +37,35 @@
 )
 
 __all__ = (
+    'NOTHING',
     'ColocationPolicy',
     'Evict',
+    'FailureVerdict',
+    'NeverFits',
     'PendingTask',
     'Placement',
     'PolicyFactory',
     'PolicyWeights',
+    'Quarantine',
+    'QuarantineLimits',
+    'QuotaBook',
     'Reaction',
     'RunningTask',
+    'ServerQuarantined',
     'ServerView',
+    'SizeBook',
     'Stop',
+    'TaskStopped',
+    'TeamName',
     'Throttle',
+    'TryElsewhere',
+    'add',
+    'fits',
+    'free_on',
+    'largest',
+    'never_fits',
     'policies',
+    'smallest',
+    'subtract',
+    'total_of',
 )
--- /dev/null
+++ b/waxwingford/placement/_quotas.py
@@ -0,0 +1,213 @@
+"""Order of pending tasks: fair share by member and team, with borrowing.
+
+Members are rivals, so a member's priorities and deadlines order only its own
+tasks; between members and teams only the share used against the quota counts.
+A team without pending tasks leaves its quota to the others (borrowing): the
+order never withholds a task, it only says who is next.
+"""
+
+import heapq
+import itertools
+from collections.abc import Mapping
+
+from waxwingford.placement._fit import NOTHING, subtract
+from waxwingford.placement._pending import (
+    Known,
+    TeamName,
+    Turn,
+    Waiting,
+    as_of,
+    drop_stale,
+    rank_ms,
+)
+from waxwingford.placement._shares import Shares
+from waxwingford.placement._views import PendingTask
+from waxwingford.ports import Resources, TaskKey
+
+#: Heap entries for each team before the stale ones are dropped.
+_STALE_FACTOR = 8
+
+
+class QuotaBook:
+    """Pending tasks and used shares; every change costs O(log n)."""
+
+    def __init__(
+        self,
+        capacity: Resources,
+        share_by_member: Mapping[str, float] | None = None,
+        share_by_team: Mapping[TeamName, float] | None = None,
+    ) -> None:
+        """Start with nothing pending.
+
+        :param capacity: all that batch work may use, for shares.
+        :param share_by_member: quota of members, relative and above 0; 1 if
+            missing.
+        :param share_by_team: quota of teams within their member, relative and
+            above 0; 1 if missing.
+        """
+        self._shares = Shares(capacity, share_by_member, share_by_team)
+        self._sequence = itertools.count()
+        self._known_by_key: dict[TaskKey, Known] = {}
+        self._waiting_by_team: dict[TeamName, list[Waiting]] = {}
+        self._teams_by_member: dict[str, set[TeamName]] = {}
+        self._turns_by_member: dict[str, list[Turn]] = {}
+
+    def __len__(self) -> int:
+        """Count pending tasks.
+
+        :returns: the count.
+        """
+        return len(self._known_by_key)
+
+    def add(self, task: PendingTask, now_ms: int) -> None:
+        """Take a pending task in; adding it again changes nothing.
+
+        :param task: the task.
+        :param now_ms: monotonic time, in milliseconds.
+        """
+        if task.key in self._known_by_key:
+            return
+        sequence = next(self._sequence)
+        step = self._shares.dominant(task.resources)
+        self._known_by_key[task.key] = Known(task, now_ms, sequence, step)
+        waiting = Waiting(rank_ms(task, now_ms), sequence, task.key)
+        self._push(TeamName(task.member, task.team), waiting)
+
+    def remove(self, key: TaskKey) -> None:
+        """Forget a task that was placed, cancelled or moved elsewhere.
+
+        Its heap entry goes when it comes up, so that a wave of cancellations
+        costs O(1) for each task.
+
+        :param key: which one.
+        """
+        self._known_by_key.pop(key, None)
+
+    def charge(self, name: TeamName, given: Resources) -> None:
+        """Count what a task that starts is given.
+
+        :param name: its team.
+        :param given: its size.
+        """
+        self._shares.charge(name, given)
+        if self._waiting_by_team.get(name):
+            self._queue_turn(name)
+
+    def release(self, name: TeamName, given: Resources) -> None:
+        """Give back what a task that ended was given.
+
+        :param name: its team.
+        :param given: its size.
+        """
+        self.charge(name, subtract(NOTHING, given))
+
+    def member_share(self, member: str) -> float:
+        """Tell a member's dominant share against its quota, for metrics.
+
+        :param member: the member.
+        :returns: largest share over the dimensions, divided by the quota.
+        """
+        return self._shares.of_member(member)
+
+    def order(self, limit: int, now_ms: int) -> list[PendingTask]:
+        """List the most deserving tasks, each as if those before it ran.
+
+        The book is the same afterwards; the cost is O(limit * log n).
+
+        :param limit: tasks at most.
+        :param now_ms: monotonic time, in milliseconds.
+        :returns: tasks with waiting time and slack as of now.
+        """
+        extra: dict[str | TeamName, float] = {}
+        picked: list[Waiting] = []
+        while len(picked) < limit:
+            waiting = self._pop_next(extra)
+            if waiting is None:
+                break
+            picked.append(waiting)
+        known = [self._known_by_key[waiting.key] for waiting in picked]
+        for waiting, entry in zip(picked, known, strict=True):
+            self._push(TeamName(entry.task.member, entry.task.team), waiting)
+        for name in extra:
+            if isinstance(name, TeamName):
+                self._queue_turn(name)
+        return [as_of(entry, now_ms) for entry in known]
+
+    def heap_entries(self) -> int:
+        """Count heap entries, stale ones included, for memory figures.
+
+        :returns: the count.
+        """
+        heaps = itertools.chain(
+            self._waiting_by_team.values(),
+            self._turns_by_member.values(),
+        )
+        return sum(map(len, heaps))
+
+    def _push(self, name: TeamName, waiting: Waiting) -> None:
+        heap = self._waiting_by_team.setdefault(name, [])
+        self._teams_by_member.setdefault(name.member, set()).add(name)
+        heapq.heappush(heap, waiting)
+        if len(heap) == 1:
+            self._queue_turn(name)
+
+    def _queue_turn(self, name: TeamName) -> None:
+        turns = self._turns_by_member.setdefault(name.member, [])
+        heapq.heappush(turns, Turn(self._shares.of_team(name), name))
+        teams = self._teams_by_member[name.member]
+        if len(turns) > _STALE_FACTOR * (len(teams) + 1):
+            self._rebuild_turns(name.member, teams)
+
+    def _rebuild_turns(self, member: str, teams: set[TeamName]) -> None:
+        # Turns of shares long past never come up; without this the heap
+        # would grow with every start and end for as long as a daemon lives.
+        turns = [
+            Turn(self._shares.of_team(name), name)
+            for name in teams
+            if self._waiting_by_team[name]
+        ]
+        heapq.heapify(turns)
+        self._turns_by_member[member] = turns
+
+    def _pop_next(
+        self,
+        extra: dict[str | TeamName, float],
+    ) -> Waiting | None:
+        members = sorted(
+            self._turns_by_member,
+            key=lambda name: self._shares.of_member(name) + extra.get(name, 0),
+        )
+        for member in members:
+            waiting = self._pop_of(member, extra)
+            if waiting is not None:
+                return waiting
+        return None
+
+    def _pop_of(
+        self,
+        member: str,
+        extra: dict[str | TeamName, float],
+    ) -> Waiting | None:
+        turns = self._turns_by_member[member]
+        while turns:
+            name = turns[0].name
+            heap = self._waiting_by_team[name]
+            drop_stale(heap, self._known_by_key)
+            present = self._shares.of_team(name) + extra.get(name, 0)
+            if heap and turns[0].share == present:
+                return self._pop_first(name, extra)
+            heapq.heappop(turns)
+        return None
+
+    def _pop_first(
+        self,
+        name: TeamName,
+        extra: dict[str | TeamName, float],
+    ) -> Waiting:
+        waiting = heapq.heappop(self._waiting_by_team[name])
+        step = self._known_by_key[waiting.key].step
+        for holder, part in self._shares.steps(name, step):
+            extra[holder] = extra.get(holder, 0) + part
+        share = self._shares.of_team(name) + extra[name]
+        heapq.heapreplace(self._turns_by_member[name.member], Turn(share, name))
+        return waiting
--- /dev/null
+++ b/waxwingford/placement/tests/placement_steps.py
@@ -0,0 +1,277 @@
+"""Steps for quotas, sizes and quarantine."""
+
+from behave import fixture, given, then, use_fixture, when
+
+from waxwingford.placement import (
+    PendingTask,
+    Quarantine,
+    QuotaBook,
+    SizeBook,
+    TeamName,
+    never_fits,
+)
+from waxwingford.ports import Resources, TaskKey
+
+SIZE = Resources(1000, 1000, 0)
+OFFERS = (Resources(8000, 2000, 0), Resources(4000, 8000, 1))
+BIG_OFFER = Resources(32000, 125000, 4)
+MS_IN_S = 1000
+
+
+@fixture
+def quota_book(context):
+    """A book over 100 cores."""
+    context.book = QuotaBook(Resources(100_000, 100_000, 0))
+    context.tasks = []
+    yield context.book
+
+
+def _pend(context, member, team, now_ms=0, **details):
+    if 'book' not in context:
+        use_fixture(quota_book, context)
+    key = TaskKey(f'{member}.{team}/{len(context.tasks)}', 1)
+    task = PendingTask(key, member, team, 'kind', SIZE, 1000, **details)
+    context.tasks.append(task)
+    context.book.add(task, now_ms)
+
+
+@given(
+    'a quota book with {count:d} pending tasks of team "{team}" of "{member}"'
+)
+@given(
+    'a quota book with {count:d} pending task of team "{team}" of "{member}"'
+)
+@given(
+    '{count:d} pending task of team "{team}" of "{member}" in the quota book'
+)
+@given(
+    '{count:d} pending tasks of team "{team}" of "{member}" in the quota book'
+)
+def pend_tasks(context, count, team, member):
+    for _ in range(count):
+        _pend(context, member, team)
+
+
+@given(
+    'a task of priority {priority:d} was added to the quota book at {at:d} s'
+)
+def pend_priority(context, priority, at):
+    _pend(context, 'qadri', 'desk', at * MS_IN_S, priority=priority)
+
+
+@given(
+    'a task with {slack:d} s of slack was added to the quota book at {at:d} s'
+)
+def pend_slack(context, slack, at):
+    _pend(context, 'qadri', 'desk', at * MS_IN_S, slack_ms=slack * MS_IN_S)
+
+
+@given('team "{team}" of "{member}" is charged with {count:d} tasks')
+def charge(context, team, member, count):
+    for _ in range(count):
+        context.book.charge(TeamName(member, team), SIZE)
+
+
+@when('team "{team}" of "{member}" is released of {count:d} tasks')
+def release(context, team, member, count):
+    for _ in range(count):
+        context.book.release(TeamName(member, team), SIZE)
+
+
+@when('the quota book orders {limit:d} tasks')
+def order(context, limit):
+    context.ordered = context.book.order(limit, now_ms=500 * MS_IN_S)
+
+
+@when('all its tasks are removed and added again')
+def add_again(context):
+    for task in context.tasks:
+        context.book.remove(task.key)
+        context.book.add(task, 0)
+
+
+@when(
+    'the quota book orders {limit:d} tasks {times:d} times with charges between'
+)
+def order_often(context, limit, times):
+    name = TeamName('qadri', 'archive')
+    for _ in range(times):
+        context.book.order(limit, 0)
+        context.book.charge(name, SIZE)
+
+
+@then('the ordered teams are "{teams}"')
+def check_teams(context, teams):
+    found = [f'{task.member}/{task.team}' for task in context.ordered]
+    assert found == teams.split(', '), found
+
+
+@then('the ordered priorities are "{priorities}"')
+def check_priorities(context, priorities):
+    found = [str(task.priority) for task in context.ordered]
+    assert found == priorities.split(', '), found
+
+
+@then('{count:d} tasks are ordered')
+def check_count(context, count):
+    assert len(context.ordered) == count, context.ordered
+
+
+@then('the quota book holds fewer than {bound:d} heap entries')
+def check_entries(context, bound):
+    found = context.book.heap_entries()
+    assert found < bound, found
+
+
+@given(
+    'tasks of "{member}" kind "{kind}" that used {memory:d} MB and {milli:d} processors milli'
+)
+def use_sizes(context, member, kind, memory, milli):
+    context.sizes = SizeBook()
+    context.sizes.observe_use(member, kind, Resources(milli, memory, 0))
+
+
+@then(
+    'a task of "{member}" kind "{kind}" that declares {memory:d} MB is given {given_mb:d} MB'
+)
+def check_given(context, member, kind, memory, given_mb, offer=BIG_OFFER):
+    declared = Resources(1000, memory, 0)
+    found = context.sizes.given(member, kind, declared, offer)
+    assert found == Resources(1000, given_mb, 0), found
+
+
+@then(
+    'with offers up to {offer_mb:d} MB a task of "{member}" kind "{kind}"'
+    ' that declares {memory:d} MB is given {given_mb:d} MB',
+)
+def check_capped(context, offer_mb, member, kind, memory, given_mb):
+    offer = Resources(32000, offer_mb, 0)
+    check_given(context, member, kind, memory, given_mb, offer)
+
+
+@given(
+    '{count:d} task of "{member}" kind "{kind}" ran {factor:d} times as long as declared'
+)
+@given(
+    '{count:d} tasks of "{member}" kind "{kind}" ran {factor:d} times as long as declared'
+)
+def run_times(context, count, member, kind, factor):
+    if 'sizes' not in context:
+        context.sizes = SizeBook()
+    for _ in range(count):
+        context.sizes.observe_run(member, kind, 1000, 1000 * factor)
+
+
+@then(
+    'a run time of {declared:d} s is corrected to between {low:d} s and {high:d} s'
+)
+def check_run(context, declared, low, high):
+    found = context.sizes.run_ms('qadri', 'rebuild', declared * MS_IN_S)
+    assert low * MS_IN_S <= found <= high * MS_IN_S, found
+
+
+@then(
+    'a size of {milli:d} processors milli, {memory:d} MB, {devices:d} accelerators'
+    ' never fits for "{dimension}" of at most {most:d}',
+)
+def check_never(context, milli, memory, devices, dimension, most):
+    found = never_fits(Resources(milli, memory, devices), OFFERS)
+    assert (found.dimension, found.largest) == (dimension, most), found
+
+
+@then(
+    'a size of {milli:d} processors milli, {memory:d} MB, {devices:d} accelerators fits some server'
+)
+def check_fits(context, milli, memory, devices):
+    assert never_fits(Resources(milli, memory, devices), OFFERS) is None
+
+
+@fixture
+def quarantine(context):
+    """Default limits over 100 servers."""
+    context.quarantine = Quarantine()
+    context.failed_tasks = set()
+    context.failed_servers = set()
+    yield context.quarantine
+
+
+def _fail(context, task, server, now_ms=0, server_count=100):
+    if 'quarantine' not in context:
+        use_fixture(quarantine, context)
+    context.failed_tasks.add(task)
+    context.failed_servers.add(server)
+    context.quarantine.failed(task, server, now_ms, server_count)
+
+
+@given('a job "{job}" that ended well on "{server}"')
+def job_ended_well(context, job, server):
+    use_fixture(quarantine, context)
+    context.quarantine.succeeded(f'{job}/99', server)
+
+
+@when('task "{task}" fails on "{server}"')
+def fail_once(context, task, server):
+    _fail(context, task, server)
+
+
+@when('task "{task}" fails on "{server}" at {at:d} s')
+def fail_at(context, task, server, at):
+    _fail(context, task, server, at * MS_IN_S)
+
+
+@when(
+    'tasks {low:d} to {high:d} of job "{job}" fail on each of "{servers}" of {count:d} servers'
+)
+def fail_each_of(context, low, high, job, servers, count):
+    for server in servers.split(', '):
+        for index in range(low, high + 1):
+            _fail(context, f'{job}/{index}', server, 0, count)
+
+
+@when('tasks {low:d} to {high:d} of job "{job}" fail on each of "{servers}"')
+def fail_each(context, low, high, job, servers):
+    fail_each_of(context, low, high, job, servers, 100)
+
+
+@when('task "{task}" ends well on "{server}"')
+def end_well(context, task, server):
+    context.quarantine.succeeded(task, server)
+
+
+def _quarantined(context):
+    book = context.quarantine
+    return {
+        name for name in context.failed_servers if book.is_quarantined(name)
+    }
+
+
+@then('server "{server}" is in quarantine')
+def check_quarantined(context, server):
+    assert _quarantined(context) == {server}, _quarantined(context)
+
+
+@then('no server is in quarantine')
+def check_none_quarantined(context):
+    assert not _quarantined(context), _quarantined(context)
+
+
+@then('{count:d} servers are in quarantine')
+def check_quarantined_count(context, count):
+    assert len(_quarantined(context)) == count, _quarantined(context)
+
+
+@then('tasks "{tasks}" are stopped')
+def check_stopped(context, tasks):
+    found = set(filter(context.quarantine.is_stopped, context.failed_tasks))
+    assert found == set(tasks.split(', ')), found
+
+
+@then('no task is stopped')
+def check_none_stopped(context):
+    assert not any(map(context.quarantine.is_stopped, context.failed_tasks))
+
+
+@then('server "{server}" may be probed at {late:d} s but not at {early:d} s')
+def check_probe(context, server, late, early):
+    assert context.quarantine.may_probe(server, late * MS_IN_S)
+    assert not context.quarantine.may_probe(server, early * MS_IN_S)
--- a/waxwingford/records/_messages.py
+++ b/waxwingford/records/_messages.py
@@ -101,6 +101,8 @@
         (see AttemptSuspected).
     :ivar detail: result, checkpoint reference or reason.
     :ivar ran_ms: run time of the attempt, in milliseconds.
+    :ivar suspected_offset: for ``lapsed``, offset of the AttemptSuspected that
+        it rests on.
     """
 
     key: TaskKey
@@ -108,6 +110,7 @@
     how: str
     detail: str = ''
     ran_ms: int = 0
+    suspected_offset: int = -1
 
 
 class AttemptSuspected(
@@ -147,6 +150,17 @@
     statement: str
 
 
+class SnapshotTaken(
+    msgspec.Struct, frozen=True, array_like=True, tag='snapshot'
+):
+    """A complete snapshot stands in the snapshots' stream.
+
+    :ivar covers_offset: first offset that it does not cover.
+    """
+
+    covers_offset: int
+
+
 Record = (
     JobAccepted
     | JobCancelled
@@ -155,6 +169,7 @@
     | AttemptSuspected
     | AttemptAlive
     | ServerLost
+    | SnapshotTaken
 )
 
 
--- /dev/null
+++ b/waxwingford/records/tests/fold_steps.py
@@ -0,0 +1,246 @@
+"""Steps for the fold of a failure domain's stream and its snapshots."""
+
+import msgspec
+from behave import given, then, when
+
+from waxwingford.ports import Resources, TaskKey
+from waxwingford.records import (
+    AttemptAlive,
+    AttemptEnded,
+    AttemptSuspected,
+    Claim,
+    DomainState,
+    Invalid,
+    JobAccepted,
+    JobCancelled,
+    JobSpec,
+    RecordGroup,
+    SnapshotAssembler,
+    TaskStage,
+    TasksClaimed,
+    snapshot_chunks,
+)
+
+
+def spec(job_id, count, lost_after_ms=0, payload=''):
+    member = job_id.partition('.')[0]
+    return JobSpec(
+        job_id,
+        member,
+        'archive',
+        'archive_rebuild',
+        count,
+        Resources(1000, 1000),
+        1000,
+        lost_after_ms=lost_after_ms,
+        payload=payload,
+    )
+
+
+def record_of(text):
+    match text.split():
+        case ['accept', job_id, count]:
+            return JobAccepted(spec(job_id, int(count)))
+        case ['accept-losable', job_id, count]:
+            return JobAccepted(spec(job_id, int(count), 1000))
+        case ['claim', task_id, attempt, server_id, *resume]:
+            claim = Claim(TaskKey(task_id, int(attempt)), ''.join(resume))
+            return TasksClaimed('a#1', server_id, 'boot', 1, (claim,))
+        case ['end', task_id, attempt, server_id, how, *detail]:
+            key = TaskKey(task_id, int(attempt))
+            return AttemptEnded(key, server_id, how, ''.join(detail))
+        case ['lapse', task_id, attempt, server_id, offset]:
+            key = TaskKey(task_id, int(attempt))
+            return AttemptEnded(
+                key, server_id, 'lapsed', suspected_offset=int(offset)
+            )
+        case ['suspect', task_id, attempt]:
+            return AttemptSuspected((TaskKey(task_id, int(attempt)),), 'b#1')
+        case ['alive', task_id, attempt]:
+            return AttemptAlive((TaskKey(task_id, int(attempt)),), 'a#1')
+        case ['cancel', job_id, member]:
+            return JobCancelled(job_id, member)
+    raise ValueError(text)
+
+
+def fold(context, writer, *records):
+    state = context.domain_state
+    context.group = RecordGroup(writer, state.next_offset, records)
+    context.verdicts = state.apply(state.next_offset, context.group)
+    return context.verdicts
+
+
+@when('these records are folded')
+def fold_records(context):
+    if 'domain_state' not in context:
+        context.domain_state = DomainState()
+    for row in context.table:
+        verdict = fold(context, row['writer'], record_of(row['record']))[0]
+        found = verdict.reason if isinstance(verdict, Invalid) else 'valid'
+        assert found.startswith(row['verdict']), (row['record'], found)
+
+
+@when('the last group is folded again')
+def fold_again(context):
+    state = context.domain_state
+    context.verdicts = state.apply(state.next_offset, context.group)
+
+
+@then('its verdicts are "{reason}"')
+def verdicts_are(context, reason):
+    assert [verdict.reason for verdict in context.verdicts] == [reason]
+
+
+@then('offset {offset:d} is not applied twice')
+def offset_not_twice(context, offset):
+    assert context.domain_state.apply(offset, context.group) == []
+
+
+@then('task "{task_id}" is "{stage}" as attempt {attempt:d} at "{server_id}"')
+def task_is(context, task_id, stage, attempt, server_id):
+    task = context.domain_state.task(task_id)
+    found = (task.stage.name, task.attempt, task.server_id)
+    assert found == (stage, attempt, server_id), found
+
+
+@then(
+    'job "{job_id}" is finished with {done:d} done, {failed:d} failed, '
+    '{cancelled:d} cancelled'
+)
+def job_finished(context, job_id, done, failed, cancelled):
+    job = context.domain_state.finished.kept_by_id[job_id]
+    assert (job.done, job.failed, job.cancelled) == (done, failed, cancelled)
+    assert not context.domain_state.index.attempts_by_server
+    assert not context.domain_state.index.used_by_team
+
+
+@when('{count:d} more jobs finish')
+def jobs_finish(context, count):
+    for number in range(count):
+        name = f'qadri.more{number}'
+        records = (f'accept {name} 1', f'cancel {name} qadri')
+        fold(context, 'a', *map(record_of, records))
+
+
+@given('a state with jobs in every stage')
+def state_with_jobs(context):
+    context.domain_state = DomainState()
+    lines = (
+        'accept qadri.a 3',
+        'accept svatbena.b 2',
+        'accept-losable qadri.c 2',
+        'claim qadri.a/0 1 s1',
+        'claim qadri.c/0 1 s2',
+        'suspect qadri.c/0 1',
+        'end qadri.a/0 1 s1 checkpointed c1',
+        'claim qadri.a/1 1 s1',
+        'end qadri.a/1 1 s1 failed x',
+        'claim qadri.a/2 1 s1',
+        'end qadri.a/2 1 s1 done',
+        'cancel svatbena.b svatbena',
+    )
+    for line in lines:
+        fold(context, 'a', record_of(line))
+    assert len(TaskStage) == 5
+
+
+def assembled(chunks):
+    assembler = SnapshotAssembler()
+    for chunk in chunks:
+        assembler.add(chunk)
+    return assembler.newest
+
+
+@when('it is written as a snapshot and restored')
+def write_and_restore(context):
+    state = context.domain_state
+    context.restored = assembled(snapshot_chunks(state, state.next_offset))
+
+
+@then('both states go on alike')
+def go_on_alike(context):
+    lines = (
+        'claim qadri.a/0 2 s1 c1',
+        'lapse qadri.c/0 1 s2 5',
+        'accept svatbena.b 2',
+        'end qadri.c/0 1 s2 done',
+        'claim qadri.a/1 2 s2',
+    )
+    offset = context.domain_state.next_offset
+    for line in lines:
+        group = RecordGroup('a', offset, (record_of(line),))
+        one, other = (
+            state.apply(offset, group)
+            for state in (context.domain_state, context.restored)
+        )
+        assert one == other, (line, one, other)
+        offset += 1
+    pending = [
+        list(state.index.pending_by_id)
+        for state in (context.domain_state, context.restored)
+    ]
+    assert sorted(pending[0]) == sorted(pending[1]), pending
+
+
+@then('the snapshot of the restored state has the same bytes')
+def same_bytes(context):
+    offset = context.restored.next_offset
+    one, other = (
+        snapshot_chunks(state, offset)
+        for state in (context.domain_state, context.restored)
+    )
+    assert one == other
+
+
+@when('the chunks of two large snapshots come mixed, the newer one torn')
+def mixed_chunks(context):
+    state = context.domain_state
+    filler = ''.join(f'{number * number:x}' for number in range(20_000))
+    for number in range(12):
+        big = spec(f'qadri.big{number}', 1, payload=f'{number}{filler}')
+        fold(context, 'a', JobAccepted(big))
+    context.offsets = [state.next_offset]
+    older = snapshot_chunks(state, state.next_offset)
+    fold(context, 'a', record_of('accept qadri.last 1'))
+    context.offsets.append(state.next_offset)
+    newer = snapshot_chunks(state, state.next_offset)
+    assert len(older) > 1
+    assert max(map(len, older)) < 256 * 1024
+    context.missing = newer.pop()
+    context.assembler = SnapshotAssembler()
+    for pair in zip(newer, older, strict=False):
+        for chunk in pair:
+            context.assembler.add(chunk)
+    context.assembler.add(older[-1])
+    context.assembler.add(b'no chunk')
+
+
+@when('the missing chunk comes corrupt')
+def corrupt_chunk(context):
+    fields = msgspec.msgpack.decode(context.missing)
+    fields[-1] = bytes(byte ^ 1 for byte in fields[-1])
+    context.assembler.add(msgspec.msgpack.encode(fields))
+
+
+@when('the missing chunk comes whole')
+def whole_chunk(context):
+    state = context.domain_state
+    for chunk in snapshot_chunks(state, state.next_offset):
+        context.assembler.add(chunk)
+
+
+@then('the assembler gives the {which} one')
+def assembler_gives(context, which):
+    found = context.assembler.newest.next_offset
+    assert found == context.offsets[which == 'newer'], found
+
+
+@then('a snapshot that claims one offset more is refused')
+def refuses_more(context):
+    state = context.domain_state
+    refused = False
+    try:
+        snapshot_chunks(state, state.next_offset + 1)
+    except ValueError:
+        refused = True
+    assert refused
