--- /dev/null
+++ b/waxwingford/routing/_desk.py
@@ -0,0 +1,248 @@
+"""Request desk: takes a request and returns its one final outcome."""
+
+import asyncio
+import dataclasses
+import random
+from collections.abc import Mapping
+
+from waxwingford.kernel import Invariant, require
+from waxwingford.routing._admission import Admission, Admitted, Shed
+from waxwingford.routing._evidence import NeverSent, refuse, turn_away
+from waxwingford.routing._key_gate import KeyGate
+from waxwingford.routing._key_messages import MayRun
+from waxwingford.routing._limits import DeskLimits, ServiceLimits
+from waxwingford.routing._messages import (
+    Answered,
+    HeldServer,
+    Outcome,
+    PeerView,
+    RecallAnswer,
+    Rejected,
+    Request,
+    Unknown,
+)
+from waxwingford.routing._router import DeskPorts, Router
+
+_MS_IN_S = 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Drained:
+    """No request is in progress and none will be taken."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DrainTimedOut:
+    """Requests are still in progress after the bound.
+
+    :ivar in_progress: how many.
+    """
+
+    in_progress: int
+
+
+class RequestDesk:
+    """Owner of all requests in progress in one daemon."""
+
+    def __init__(
+        self,
+        *,
+        daemon_id: str,
+        failure_domain: str,
+        ports: DeskPorts,
+        rng: random.Random,
+        limits: DeskLimits,
+    ) -> None:
+        """Start without servers, peers and limits of services.
+
+        :param daemon_id: this daemon.
+        :param failure_domain: its failure domain.
+        :param ports: what it speaks to.
+        :param rng: seeded source of chance.
+        :param limits: bounds.
+        """
+        self._ports = ports
+        self._admission = Admission(limits.in_progress, rng)
+        self._gate = KeyGate(daemon_id, limits, ports.peers, ports.clock)
+        self._router = Router(failure_domain, ports, rng, limits)
+        self._router.calls.on_late = self._gate.ended_late
+        self._in_progress: set[asyncio.Task[Outcome]] = set()
+        self._draining = False
+
+    def set_servers(self, servers: tuple[HeldServer, ...]) -> None:
+        """Replace the set of held servers.
+
+        :param servers: all servers held now.
+        """
+        self._router.table.set_servers(servers, self._now_ms())
+        slots_by_service: dict[str, int] = {}
+        for server in servers:
+            slots = slots_by_service.get(server.service, 0) + server.slots
+            slots_by_service[server.service] = slots
+        for service, slots in slots_by_service.items():
+            self._admission.set_slots(service, slots)
+
+    def set_peers(self, peers: tuple[PeerView, ...]) -> None:
+        """Replace what is known of peers.
+
+        :param peers: all other daemons of the region, also silent ones: a
+            retry may only run once each of them was asked.
+        """
+        self._router.peer_table.set_peers(peers)
+
+    def set_limits(self, limits: Mapping[str, ServiceLimits]) -> None:
+        """Take in the limits of a bundle.
+
+        :param limits: limits by service.
+        """
+        self._admission.set_limits(limits)
+        self._router.use_limits(limits)
+
+    async def handle(self, request: Request) -> Outcome:
+        """Serve, forward or give up a request.
+
+        A caller that goes away does not cancel what was begun: the slot and
+        the key stay counted until the call has truly ended.
+
+        :param request: the request.
+        :returns: the one final outcome.
+        """
+        if self._draining:
+            retry_after_ms = self._admission.retry_after_ms(request.service)
+            return turn_away(request, 'daemon is stopping', retry_after_ms)
+        if request.attempt > 1 and not request.idempotent and not request.key:
+            return Rejected('a retry that is not idempotent needs a key')
+        task = asyncio.ensure_future(self._handle(request))
+        self._in_progress.add(task)
+        task.add_done_callback(self._in_progress.discard)
+        return await asyncio.shield(task)
+
+    def answer_recall(
+        self, member: str, key: str, body_digest: bytes, asker: str
+    ) -> RecallAnswer:
+        """Say what is known of a key, and remember the question.
+
+        :param member: owner of the key.
+        :param key: idempotency key.
+        :param body_digest: digest of service, path and body.
+        :param asker: daemon that asks.
+        :returns: what is known here.
+        """
+        return self._gate.answer(member, key, body_digest, asker)
+
+    def spare_by_service(self) -> dict[str, int]:
+        """Count free slots, for heartbeats.
+
+        :returns: count by service; all 0 while the daemon stops.
+        """
+        table = self._router.table
+        table.wake(self._now_ms())
+        return {
+            service: 0 if self._draining else group.spare
+            for service, group in table.group_by_service.items()
+        }
+
+    def expected_ms_by_service(self) -> dict[str, float]:
+        """Expect latencies here, for heartbeats.
+
+        :returns: milliseconds by service; 0 without a measurement.
+        """
+        return {
+            service: group.latency_ms
+            for service, group in self._router.table.group_by_service.items()
+        }
+
+    async def drain(self, bounded_ms: int) -> Drained | DrainTimedOut:
+        """Take no more requests and wait for those in progress.
+
+        :param bounded_ms: longest wait, in milliseconds.
+        :returns: whether all ended.
+        """
+        self._draining = True
+        self._ports.time_line.note(
+            'desk.draining', 'desk', f'{len(self._in_progress)} in progress'
+        )
+        if self._in_progress:
+            await asyncio.wait(
+                tuple(self._in_progress), timeout=bounded_ms / _MS_IN_S
+            )
+        if self._in_progress:
+            return DrainTimedOut(len(self._in_progress))
+        left = self._admission.in_progress()
+        require(
+            left == 0,
+            Invariant.graceful_stop,
+            f'{left} requests left after the drain',
+        )
+        return Drained()
+
+    async def _handle(self, request: Request) -> Outcome:
+        began_ms = self._now_ms()
+        if request.idempotent or not request.key:
+            outcome = await self._admit(request, began_ms)
+        else:
+            outcome = await self._handle_keyed(request, began_ms)
+        self._note(request, outcome, began_ms)
+        return outcome
+
+    async def _handle_keyed(self, request: Request, began_ms: int) -> Outcome:
+        daemon_ids = self._router.peer_table.daemon_ids()
+        decision = await self._gate.enter(request, daemon_ids)
+        if not isinstance(decision, MayRun):
+            return decision
+        # Stands if a fault in the daemon ends the attempt: it may have run.
+        outcome: Outcome = Unknown('fault in the daemon', 0)
+        try:
+            outcome = await self._admit(request, began_ms)
+        finally:
+            self._gate.finish(request, outcome)
+        return outcome
+
+    async def _admit(self, request: Request, began_ms: int) -> Outcome:
+        decision = self._admission.enter(
+            request.service, request.member, request.urgency, began_ms
+        )
+        match decision:
+            case Shed(reason=reason, retry_after_ms=retry_after_ms):
+                return refuse(NeverSent(reason), retry_after_ms)
+            case Admitted():
+                return await self._route(request, decision, began_ms)
+
+    async def _route(
+        self, request: Request, admitted: Admitted, began_ms: int
+    ) -> Outcome:
+        outcome: Outcome | None = None
+        try:
+            outcome = await self._router.route(
+                request,
+                began_ms + request.deadline_ms,
+                self._admission.retry_after_ms(request.service),
+            )
+        finally:
+            self._leave(admitted, outcome, began_ms)
+        return outcome
+
+    def _leave(
+        self, admitted: Admitted, outcome: Outcome | None, began_ms: int
+    ) -> None:
+        now_ms = self._now_ms()
+        loaded = isinstance(outcome, Answered | Unknown)
+        latency_ms = float(now_ms - began_ms) if loaded else None
+        self._admission.leave(admitted, latency_ms, now_ms)
+
+    def _note(self, request: Request, outcome: Outcome, began_ms: int) -> None:
+        service = request.service
+        kind = type(outcome).__name__.lower()
+        metrics = self._ports.metrics
+        metrics.count('requests_total', service=service, outcome=kind)
+        elapsed_ms = self._now_ms() - began_ms
+        metrics.latency('request', elapsed_ms, service=service)
+        if isinstance(outcome, Unknown):
+            self._ports.time_line.note(
+                'request.unknown',
+                f'request:{request.request_id}',
+                outcome.reason,
+            )
+
+    def _now_ms(self) -> int:
+        return self._ports.clock.monotonic_ms()
--- /dev/null
+++ b/waxwingford/routing/_keys.py
@@ -0,0 +1,262 @@
+"""Memory of idempotency keys in one daemon: bounded, expiring, per member."""
+
+import collections
+import dataclasses
+import enum
+
+from waxwingford.kernel import Invariant, require
+from waxwingford.routing._kept_answers import KeptAnswers
+from waxwingford.routing._key_messages import (
+    Asker,
+    KeyDecision,
+    KeyId,
+    KeyInProgress,
+    KeyMemoryFull,
+    KeyOfOtherBody,
+    KeyRan,
+    MayRun,
+    MustRecall,
+)
+from waxwingford.routing._limits import DeskLimits
+from waxwingford.routing._messages import (
+    Answered,
+    Outcome,
+    RecallState,
+    Refused,
+    Rejected,
+    Unknown,
+)
+
+
+class _KeyState(enum.Enum):
+    recalled = 'another daemon or a refused retry asked about it; not run here'
+    recalling = 'a retry here asks the other daemons'
+    running = 'it may be running'
+    answered = 'it ran and its answer came'
+    unknown = 'it may have run'
+
+
+@dataclasses.dataclass(slots=True)
+class _KeyRecord:
+    digest: bytes
+    state: _KeyState
+    expires_ms: int = 0
+    was_recalled: bool = False
+    yielded: bool = False
+    asker: str = ''
+
+
+class KeyMemory:
+    """Keys of non-idempotent requests that this daemon has to do with."""
+
+    def __init__(self, limits: DeskLimits) -> None:
+        """Start empty.
+
+        :param limits: bounds of keys, bytes and time.
+        """
+        self._limits = limits
+        self._record_by_id: dict[KeyId, _KeyRecord] = {}
+        self._count_by_member: collections.Counter[str] = collections.Counter()
+        self._expiries: collections.deque[tuple[int, KeyId]] = (
+            collections.deque()
+        )
+        self._answers = KeptAnswers(limits.answer_bytes)
+
+    def begin(
+        self, key_id: KeyId, digest: bytes, first: bool, now_ms: int
+    ) -> KeyDecision:
+        """Register an attempt, before anything else is done about it.
+
+        :param key_id: member and key.
+        :param digest: digest of path and body.
+        :param first: whether it counts as the first attempt.
+        :param now_ms: monotonic time, in milliseconds.
+        :returns: what may be done.
+        """
+        self._expire(now_ms)
+        record = self._record_by_id.get(key_id)
+        if record is None:
+            return self._register(key_id, digest, first)
+        if record.digest not in {b'', digest}:
+            return KeyOfOtherBody()
+        match record.state:
+            case _KeyState.recalled:
+                record.digest = digest
+                record.yielded = False
+                record.state = _KeyState.recalling
+                return MustRecall()
+            case _KeyState.recalling | _KeyState.running:
+                return KeyInProgress()
+            case _:
+                return KeyRan(self._answers.get(key_id))
+
+    def begin_forwarded(
+        self, key_id: KeyId, digest: bytes, entry_daemon: str, now_ms: int
+    ) -> KeyDecision:
+        """Register an attempt that another daemon's registration covers.
+
+        :param key_id: member and key.
+        :param digest: digest of path and body.
+        :param entry_daemon: daemon that registered it first.
+        :param now_ms: monotonic time, in milliseconds.
+        :returns: what may be done.
+        """
+        decision = self.begin(key_id, digest, True, now_ms)
+        if not isinstance(decision, MustRecall):
+            return decision
+        record = self._record_by_id[key_id]
+        if record.asker == entry_daemon:
+            # The question came from the retry that is forwarded now.
+            record.state = _KeyState.running
+            return MayRun()
+        self.give_up_recall(key_id, now_ms)
+        return KeyInProgress()
+
+    def won(self, key_id: KeyId) -> bool:
+        """Let a retry run after all daemons said that no attempt did.
+
+        :param key_id: member and key.
+        :returns: false if another daemon's concurrent retry goes first.
+        """
+        record = self._record_by_id[key_id]
+        require(
+            record.state is _KeyState.recalling,
+            Invariant.at_most_once,
+            f'{key_id.member}/{key_id.key}: to run from {record.state.name}',
+        )
+        if record.yielded:
+            return False
+        record.state = _KeyState.running
+        return True
+
+    def asked(
+        self, key_id: KeyId, digest: bytes, asker: Asker, now_ms: int
+    ) -> tuple[RecallState, Answered | None]:
+        """Answer another daemon's question and remember the key.
+
+        The key is kept even if it was never seen: a delayed first attempt
+        that arrives later must not run beside the retry elsewhere.
+
+        :param key_id: member and key.
+        :param digest: digest of path and body there.
+        :param asker: who asks, and whether it goes first when both have a
+            retry in progress.
+        :param now_ms: monotonic time, in milliseconds.
+        :returns: what is known, and the answer if it is kept.
+        """
+        self._expire(now_ms)
+        record = self._record_by_id.get(key_id)
+        if record is None:
+            return self._remember_question(key_id, asker, now_ms), None
+        if record.digest not in {b'', digest}:
+            return RecallState.other_body, None
+        match record.state:
+            case _KeyState.recalled:
+                record.asker = asker.daemon_id
+                self._expire_later(key_id, record, now_ms)
+                return RecallState.never_seen, None
+            case _KeyState.recalling if asker.goes_first:
+                record.yielded = True
+                return RecallState.never_seen, None
+            case _KeyState.recalling | _KeyState.running:
+                return RecallState.running, None
+            case _KeyState.answered:
+                return RecallState.answered, self._answers.get(key_id)
+            case _:
+                return RecallState.unknown, None
+
+    def finish(self, key_id: KeyId, outcome: Outcome, now_ms: int) -> None:
+        """Record how an attempt that was begun here ended.
+
+        :param key_id: member and key.
+        :param outcome: its outcome; refused and rejected ones did not run.
+        :param now_ms: monotonic time, in milliseconds.
+        """
+        record = self._record_by_id[key_id]
+        match outcome:
+            case Refused() | Rejected():
+                self._not_run(key_id, record, now_ms)
+                return
+            case Answered():
+                record.state = _KeyState.answered
+                self._answers.keep(key_id, outcome)
+            case Unknown():
+                record.state = _KeyState.unknown
+        self._expire_later(key_id, record, now_ms)
+
+    def finish_late(self, key_id: KeyId, outcome: Outcome, now_ms: int) -> None:
+        """Record an end that came after the attempt was given up.
+
+        :param key_id: member and key.
+        :param outcome: how it ended.
+        :param now_ms: monotonic time, in milliseconds.
+        """
+        record = self._record_by_id.get(key_id)
+        if record is not None and record.state is _KeyState.unknown:
+            self.finish(key_id, outcome, now_ms)
+
+    def give_up_recall(self, key_id: KeyId, now_ms: int) -> None:
+        """End a retry that was not let run.
+
+        :param key_id: member and key.
+        :param now_ms: monotonic time, in milliseconds.
+        """
+        self._not_run(key_id, self._record_by_id[key_id], now_ms)
+
+    def _register(
+        self, key_id: KeyId, digest: bytes, first: bool
+    ) -> KeyDecision:
+        if self._is_full(key_id.member):
+            return KeyMemoryFull()
+        state = _KeyState.running if first else _KeyState.recalling
+        self._add(key_id, _KeyRecord(digest, state, was_recalled=not first))
+        return MayRun() if first else MustRecall()
+
+    def _remember_question(
+        self, key_id: KeyId, asker: Asker, now_ms: int
+    ) -> RecallState:
+        if self._is_full(key_id.member):
+            # Without a record a delayed first attempt could still run here.
+            return RecallState.unknown
+        record = _KeyRecord(b'', _KeyState.recalled, was_recalled=True)
+        record.asker = asker.daemon_id
+        self._add(key_id, record)
+        self._expire_later(key_id, record, now_ms)
+        return RecallState.never_seen
+
+    def _is_full(self, member: str) -> bool:
+        return self._count_by_member[member] >= self._limits.keys_by_member
+
+    def _add(self, key_id: KeyId, record: _KeyRecord) -> None:
+        self._record_by_id[key_id] = record
+        self._count_by_member[key_id.member] += 1
+
+    def _not_run(self, key_id: KeyId, record: _KeyRecord, now_ms: int) -> None:
+        if record.was_recalled:
+            record.state = _KeyState.recalled
+            record.digest = b''
+            self._expire_later(key_id, record, now_ms)
+        else:
+            self._remove(key_id)
+
+    def _expire_later(
+        self, key_id: KeyId, record: _KeyRecord, now_ms: int
+    ) -> None:
+        record.expires_ms = now_ms + self._limits.key_memory_ms
+        self._expiries.append((record.expires_ms, key_id))
+
+    def _expire(self, now_ms: int) -> None:
+        while self._expiries and self._expiries[0][0] <= now_ms:
+            expires_ms, key_id = self._expiries.popleft()
+            record = self._record_by_id.get(key_id)
+            in_progress = record and record.state in {
+                _KeyState.recalling,
+                _KeyState.running,
+            }
+            if record and not in_progress and record.expires_ms <= expires_ms:
+                self._remove(key_id)
+
+    def _remove(self, key_id: KeyId) -> None:
+        self._record_by_id.pop(key_id)
+        self._count_by_member[key_id.member] -= 1
+        self._answers.drop(key_id)
--- a/waxwingford/routing/_messages.py
+++ b/waxwingford/routing/_messages.py
@@ -28,6 +28,8 @@
     :ivar attempt: the caller's attempt number; 0 if it gave none.
     :ivar deadline_ms: time left when it arrived here, in milliseconds.
     :ivar hops: times it was forwarded between daemons.
+    :ivar age_ms: how long ago the caller says that it sent the first attempt,
+        in milliseconds; -1 if it did not say.
     """
 
     request_id: str
@@ -41,6 +43,7 @@
     attempt: int
     deadline_ms: int
     hops: int = 0
+    age_ms: int = -1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -154,6 +157,7 @@
     answered = 'answered'
     not_run = 'not_run'
     unknown = 'unknown'
+    other_body = 'other_body'
     unreachable = 'unreachable'
 
 
--- /dev/null
+++ b/waxwingford/routing/_slots.py
@@ -0,0 +1,276 @@
+"""Slots of held backend servers: who has room, and which one to take."""
+
+import dataclasses
+import heapq
+import random
+from collections.abc import Iterable
+
+from waxwingford.kernel import Invariant, require
+from waxwingford.routing._call_ledger import CallLedger
+from waxwingford.routing._messages import HeldServer
+from waxwingford.routing._server_state import ServerState
+from waxwingford.routing._service_group import ServiceGroup, best_of
+
+#: Draws of candidates beyond one for each open server.
+SPARE_DRAWS = 8
+_NONE_TRIED: frozenset[str] = frozenset()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Slot:
+    """One slot of a server, taken for one call.
+
+    :ivar call_id: of this table, unique.
+    :ivar held: the server as it was when the slot was taken.
+    :ivar taken_ms: monotonic time, in milliseconds.
+    """
+
+    call_id: int
+    held: HeldServer
+    taken_ms: int
+
+
+class SlotTable:
+    """Counts of calls in flight, kept only at the holder of each server.
+
+    :ivar state_by_server: read only, for tests and reports.
+    :ivar group_by_service: read only, for heartbeats and reports.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        """Start without servers.
+
+        :param rng: seeded source of chance.
+        """
+        self.state_by_server: dict[str, ServerState] = {}
+        self.group_by_service: dict[str, ServiceGroup] = {}
+        self._rng = rng
+        self._ledger = CallLedger()
+        self._wake_ups: list[tuple[int, str]] = []
+
+    def set_servers(self, servers: Iterable[HeldServer], now_ms: int) -> None:
+        """Replace the set of held servers.
+
+        :param servers: all servers held now.
+        :param now_ms: monotonic time, in milliseconds.
+        """
+        by_id = {server.server_id: server for server in servers}
+        for lost in self.state_by_server.keys() - by_id.keys():
+            self.drop(lost)
+        for server in by_id.values():
+            self.hold(server, now_ms)
+
+    def hold(self, server: HeldServer, now_ms: int) -> None:
+        """Add or renew one server.
+
+        :param server: the server with its lease.
+        :param now_ms: monotonic time, in milliseconds.
+        """
+        state = self.state_by_server.get(server.server_id)
+        if state is None or _starts_anew(state, server):
+            state = self._begin(server, state, now_ms)
+        state.held = server
+        self._refresh(state, now_ms)
+
+    def drop(self, server_id: str) -> None:
+        """Forget a server that is no longer held, once its calls ended.
+
+        :param server_id: which server.
+        """
+        state = self.state_by_server[server_id]
+        if not state.gone:
+            state.gone = True
+            self.group_by_service[state.held.service].leave(state)
+        if not state.in_flight:
+            self.state_by_server.pop(server_id)
+
+    def choose(
+        self,
+        service: str,
+        now_ms: int,
+        tried: frozenset[str] = _NONE_TRIED,
+    ) -> str | None:
+        """Choose a server by the better of two random candidates.
+
+        A candidate whose lease lapsed is taken out of the open set, so that
+        the loop is paid for by what put it there.
+
+        :param service: which service.
+        :param now_ms: monotonic time, in milliseconds.
+        :param tried: servers that the request already went to.
+        :returns: server id; nothing if no held server has room.
+        """
+        self.wake(now_ms)
+        group = self.group_by_service.get(service)
+        if group is None:
+            return None
+        for _ in range(SPARE_DRAWS + group.open_count()):
+            names = group.choose_two(self._rng)
+            best = best_of(self._choosable(names, tried, now_ms))
+            if best:
+                return best.held.server_id
+            if not names:
+                break
+        return None
+
+    def take(self, server_id: str, now_ms: int) -> Slot | None:
+        """Take a slot at the moment of dispatch.
+
+        A daemon may have been frozen between choice and dispatch: the lease
+        can have lapsed, and the new holder counts the slots.
+
+        :param server_id: the chosen server.
+        :param now_ms: monotonic time read just now, in milliseconds.
+        :returns: the slot; nothing if the server may no longer be used.
+        """
+        state = self.state_by_server.get(server_id)
+        if state is None or not state.choosable(now_ms):
+            return None
+        held = state.held
+        require(
+            held.lease_until_ms > now_ms,
+            Invariant.lease_before_effect,
+            f'{server_id}: lease ended {now_ms - held.lease_until_ms} ms ago',
+        )
+        require(not held.leaving, Invariant.leaving_server, server_id)
+        state.in_flight += 1
+        require(
+            state.in_flight <= state.most_in_flight(),
+            Invariant.capacity,
+            f'{server_id}: {state.in_flight} calls for {held.slots} slots',
+        )
+        self._refresh(state, now_ms)
+        return Slot(self._ledger.begin(server_id), held, now_ms)
+
+    def answered(self, slot: Slot, now_ms: int) -> float:
+        """Give a slot back after a whole answer.
+
+        :param slot: the slot.
+        :param now_ms: monotonic time, in milliseconds.
+        :returns: latency of the call, in milliseconds.
+        """
+        latency_ms = float(now_ms - slot.taken_ms)
+        self.release(slot, now_ms)
+        state = self.state_by_server.get(slot.held.server_id)
+        if state is None or state.gone:
+            return latency_ms
+        group = self.group_by_service[state.held.service]
+        if group.measured(state, latency_ms):
+            self.went_badly(slot, now_ms)
+        else:
+            state.bad_in_a_row = 0
+            state.ejections = 0
+        return latency_ms
+
+    def went_badly(self, slot: Slot, now_ms: int) -> bool:
+        """Count a call that was not run, unknown or slow.
+
+        :param slot: slot of the call, given back or not.
+        :param now_ms: monotonic time, in milliseconds.
+        :returns: whether the server was ejected by this.
+        """
+        state = self.state_by_server.get(slot.held.server_id)
+        if state is None or state.gone or state.ejected_until_ms:
+            return False
+        state.bad_in_a_row += 1
+        group = self.group_by_service[state.held.service]
+        if not group.eject_if_bad(state, now_ms):
+            return False
+        self._wake_at(state.ejected_until_ms, state)
+        self._refresh(state, now_ms)
+        return True
+
+    def abandon(self, slot: Slot, until_ms: int) -> None:
+        """Keep a slot of a call without an answer until the server is done.
+
+        Given back at once, the slot would be given out again while the server
+        still runs the old call; one would notice more calls than slots there.
+
+        :param slot: the slot.
+        :param until_ms: monotonic time at which the server has ended the call
+            for certain, in milliseconds.
+        """
+        self._ledger.abandon(slot.call_id, until_ms)
+
+    def release(self, slot: Slot, now_ms: int) -> None:
+        """Give a slot back; a second time does nothing.
+
+        :param slot: the slot.
+        :param now_ms: monotonic time, in milliseconds.
+        """
+        self._end_call(slot.call_id, now_ms)
+
+    def wake(self, now_ms: int) -> None:
+        """Do what has become due: abandoned calls, ejections, slow starts.
+
+        :param now_ms: monotonic time, in milliseconds.
+        """
+        for call_id in self._ledger.due(now_ms):
+            self._end_call(call_id, now_ms)
+        while self._wake_ups and self._wake_ups[0][0] <= now_ms:
+            _, server_id = heapq.heappop(self._wake_ups)
+            state = self.state_by_server.get(server_id)
+            if state is not None and not state.gone:
+                group = self.group_by_service[state.held.service]
+                group.end_ejection(state, now_ms)
+                self._refresh(state, now_ms)
+
+    def _begin(
+        self, server: HeldServer, old: ServerState | None, now_ms: int
+    ) -> ServerState:
+        state = ServerState(server, slow_start_from_ms=now_ms)
+        if old is not None:
+            # Calls of the earlier holding may still run: they keep counting.
+            state.in_flight = old.in_flight
+            if not old.gone:
+                self.group_by_service[old.held.service].leave(old)
+        self.state_by_server[server.server_id] = state
+        group = self.group_by_service.setdefault(server.service, ServiceGroup())
+        group.servers += 1
+        return state
+
+    def _choosable(
+        self, names: tuple[str, ...], tried: frozenset[str], now_ms: int
+    ) -> list[ServerState]:
+        found = []
+        for name in names:
+            state = self.state_by_server[name]
+            if not state.choosable(now_ms):
+                # Its lease lapsed since it was put here; a renewal brings it
+                # back.
+                self._refresh(state, now_ms)
+            elif name not in tried:
+                found.append(state)
+        return found
+
+    def _refresh(self, state: ServerState, now_ms: int) -> None:
+        self.group_by_service[state.held.service].refresh(state, now_ms)
+        if state.in_slow_start(now_ms) and state.wake_ms <= now_ms:
+            state.wake_ms = state.next_step_ms(now_ms)
+            self._wake_at(state.wake_ms, state)
+
+    def _wake_at(self, at_ms: int, state: ServerState) -> None:
+        heapq.heappush(self._wake_ups, (at_ms, state.held.server_id))
+
+    def _end_call(self, call_id: int, now_ms: int) -> None:
+        server_id = self._ledger.end(call_id)
+        if server_id is None:
+            return
+        state = self.state_by_server[server_id]
+        state.in_flight -= 1
+        require(
+            state.in_flight >= 0,
+            Invariant.capacity,
+            f'{server_id}: a slot was given back twice',
+        )
+        if not state.gone:
+            self._refresh(state, now_ms)
+        elif not state.in_flight:
+            self.state_by_server.pop(server_id)
+
+
+def _starts_anew(state: ServerState, server: HeldServer) -> bool:
+    return state.gone or (state.held.boot_id, state.held.service) != (
+        server.boot_id,
+        server.service,
+    )
--- /dev/null
+++ b/waxwingford/routing/tests/random_requests_steps.py
@@ -0,0 +1,199 @@
+"""Steps for random runs of the request path."""
+
+import collections
+
+from behave import then, when
+from hypothesis import HealthCheck, given, settings, strategies
+
+from waxwingford.routing import DeskLimits, Urgency
+from waxwingford.routing.tests.callers import Callers
+from waxwingford.routing.tests.fakes import FakeServer
+from waxwingford.routing.tests.region import Region
+
+_DAEMONS = ('a', 'b', 'c')
+_SERVERS = tuple(f'server-{number}' for number in range(4))
+_LIMITS = DeskLimits(key_memory_ms=20_000, delivery_ms=2000, keys_by_member=12)
+_LEASE_MS = 3000
+_TICK_MS = 250
+
+_daemon = strategies.sampled_from(_DAEMONS)
+_server = strategies.sampled_from(_SERVERS)
+_key = strategies.sampled_from(('k1', 'k2', 'k3', 'k4'))
+_delay_ms = strategies.sampled_from((0, 0, 1, 5, 40, 300, 1900))
+_urgency = strategies.sampled_from(list(Urgency))
+_FAULTS = (
+    'frozen',
+    'refuses',
+    'loses_answers',
+    'foreign',
+    'leaving',
+    'late_ms',
+)
+_fault = strategies.sampled_from(_FAULTS)
+_STEP = strategies.one_of(
+    strategies.tuples(
+        strategies.just('keyed'),
+        _key,
+        _daemon,
+        _delay_ms,
+        strategies.booleans(),
+    ),
+    strategies.tuples(
+        strategies.just('keyed'),
+        _key,
+        _daemon,
+        _delay_ms,
+        strategies.booleans(),
+    ),
+    strategies.tuples(
+        strategies.just('burst'), _daemon, strategies.integers(1, 12), _urgency
+    ),
+    strategies.tuples(strategies.just('fault'), _server, _fault),
+    strategies.tuples(strategies.just('mend'), _server),
+    strategies.tuples(strategies.just('kill'), _daemon),
+    strategies.tuples(strategies.just('start'), _daemon),
+    strategies.tuples(strategies.just('freeze'), _daemon),
+    strategies.tuples(strategies.just('cut'), _daemon, _daemon),
+    strategies.tuples(strategies.just('heal')),
+    strategies.tuples(strategies.just('hand_over'), _server, _daemon),
+    strategies.tuples(
+        strategies.just('pass'), strategies.sampled_from((1, 3, 50, 900, 6000))
+    ),
+)
+
+
+class RandomRun:
+    """One run: applies steps, then checks the accounts."""
+
+    def __init__(self):
+        servers = [FakeServer(name, slots=2) for name in _SERVERS]
+        self.region = Region(
+            {'a': servers[:2], 'b': servers[2:], 'c': []}, limits=_LIMITS
+        )
+        self.callers = Callers(self.region)
+        # Servers whose calls were always counted by one process.
+        self.one_holder = set(_SERVERS)
+        self.step_counts = collections.Counter()
+
+    def apply(self, step):
+        name, *rest = step
+        self.step_counts[name] += 1
+        if name == 'heal':
+            self.region.cuts.clear()
+        else:
+            getattr(self, f'_{name}')(*rest)
+
+    def finish(self):
+        """Mend everything, wait, and check."""
+        self.region.cuts.clear()
+        for daemon_id in _DAEMONS:
+            self._start(daemon_id)
+        for server in _SERVERS:
+            self._mend(server)
+        self._pass(2 * _LIMITS.key_memory_ms)
+        self.callers.check_all()
+        self._check_slots()
+        self._check_not_stuck()
+
+    def _keyed(self, key, daemon_id, delay_ms, says_age):
+        self.callers.keyed(key, daemon_id, delay_ms, says_age)
+
+    def _burst(self, daemon_id, count, urgency):
+        self.callers.burst(daemon_id, count, urgency)
+
+    def _fault(self, server_id, fault):
+        level = 300 if fault == 'late_ms' else True
+        setattr(self.region.server_by_id[server_id], fault, level)
+
+    def _mend(self, server_id):
+        server = self.region.server_by_id[server_id]
+        for fault in _FAULTS:
+            setattr(server, fault, 0)
+
+    def _kill(self, daemon_id):
+        if self.region.desk_by_id[daemon_id] is not None:
+            self.region.kill(daemon_id)
+            self._changed_holder(daemon_id)
+
+    def _start(self, daemon_id):
+        if self.region.desk_by_id[daemon_id] is None:
+            self.region.start(daemon_id)
+
+    def _freeze(self, daemon_id):
+        self.region.clock_by_id[daemon_id].advance(2 * _LEASE_MS)
+
+    def _cut(self, one, other):
+        self.region.cuts.add((one, other))
+
+    def _hand_over(self, server_id, daemon_id):
+        server = self.region.server_by_id[server_id]
+        for servers in self.region.servers_by_daemon.values():
+            if server in servers:
+                servers.remove(server)
+        self.region.servers_by_daemon[daemon_id].append(server)
+        self.one_holder.discard(server_id)
+
+    def _pass(self, duration_ms):
+        while duration_ms > 0:
+            self.region.refresh(_LEASE_MS)
+            self.region.pass_ms(min(duration_ms, _TICK_MS))
+            duration_ms -= _TICK_MS
+
+    def _changed_holder(self, daemon_id):
+        servers = self.region.servers_by_daemon[daemon_id]
+        self.one_holder -= {server.server_id for server in servers}
+
+    def _check_slots(self):
+        for server in self.region.server_by_id.values():
+            assert server.peak <= server.slots, server
+            assert not server.in_flight, server
+            if server.server_id in self.one_holder:
+                assert not server.overflows, server
+
+    def _check_not_stuck(self):
+        spare = [
+            sum(desk.spare_by_service().values())
+            for desk in self.region.desk_by_id.values()
+        ]
+        assert sum(spare) == 2 * len(_SERVERS), spare
+        for daemon_id in _DAEMONS:
+            outcome = self.region.call(
+                daemon_id, idempotent=False, key=f'last-{daemon_id}'
+            )
+            assert type(outcome).__name__ == 'Answered', outcome
+
+
+def run_steps(steps):
+    run = RandomRun()
+    try:
+        for step in steps:
+            run.apply(step)
+        run.finish()
+    finally:
+        run.region.close()
+    return run
+
+
+@when('{count:d} random runs of the request path are made')
+def random_runs(context, count):
+    context.step_counts = collections.Counter()
+    context.outcome_counts = collections.Counter()
+
+    @settings(
+        max_examples=count,
+        suppress_health_check=list(HealthCheck),
+    )
+    @given(strategies.lists(_STEP, min_size=5, max_size=60))
+    def _one_run(steps):
+        run = run_steps(steps)
+        context.step_counts.update(run.step_counts)
+        context.outcome_counts.update(run.callers.outcome_counts())
+
+    _one_run()
+
+
+@then('the accounts of the fake servers hold in all of them')
+def accounts_hold(context):
+    # A run that never gets to an outcome would prove nothing about it.
+    expected = {'Answered', 'Refused', 'Unknown'}
+    assert expected <= context.outcome_counts.keys(), context.outcome_counts
--- /dev/null
+++ b/waxwingford/routing/tests/virtual_loop.py
@@ -0,0 +1,83 @@
+"""Event loop with virtual time: sleeping costs nothing and is exact."""
+
+import asyncio
+import selectors
+
+_MS_IN_S = 1000
+_RESOLUTION_S = 1e-6
+
+
+class _TimeSelector(selectors.SelectSelector):
+    """Moves time on where a real selector would wait."""
+
+    def __init__(self):
+        super().__init__()
+        self.now_s: float = 0
+
+    def select(self, timeout=None):
+        if timeout is None:
+            raise RuntimeError('deadlock: nothing is scheduled')
+        self.now_s += max(0, timeout)
+        return []
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Event loop whose clock moves only when all tasks wait."""
+
+    def __init__(self):
+        """Start at time 0."""
+        self.selector = _TimeSelector()
+        super().__init__(self.selector)
+        self._clock_resolution = _RESOLUTION_S
+
+    def time(self):
+        """Read virtual time.
+
+        :returns: seconds.
+        """
+        return self.selector.now_s
+
+
+class LoopClock:
+    """Clock of a virtual loop; may stand ahead, as after a freeze."""
+
+    def __init__(self, loop, start_ms=1_000_000):
+        """Follow a loop.
+
+        :param loop: the virtual loop.
+        :param start_ms: reading at its time 0, in milliseconds.
+        """
+        self._loop = loop
+        self._start_ms = start_ms
+
+    def monotonic_ms(self) -> int:
+        """Read virtual time.
+
+        :returns: milliseconds.
+        """
+        return self._start_ms + round(self._loop.time() * _MS_IN_S)
+
+    def wall_ms(self) -> int:
+        """Read virtual time.
+
+        :returns: milliseconds.
+        """
+        return self.monotonic_ms()
+
+    def advance(self, step_ms: int) -> None:
+        """Jump, as a process does that was frozen.
+
+        :param step_ms: milliseconds.
+        """
+        self._start_ms += step_ms
+
+
+def end_loop(loop: VirtualLoop) -> None:
+    """Cancel what still runs and close the loop.
+
+    :param loop: the loop.
+    """
+    for task in asyncio.all_tasks(loop):
+        task.cancel()
+    loop.run_until_complete(asyncio.sleep(0))
+    loop.close()
