Assemble the daemon: peers, heartbeats, life cycle, admin routes

Cause: the parts stand alone; a request has to pass from a caller through one or two daemons to a backend server, and a job through the log. Change: grpclib service between daemons with generated code, bounded heartbeat targets (13 at 18 failure domains of 8 daemons, against 143 in a full mesh), readiness that says what is missing, drain in the order requests then leases.

--- a/waxwingford/daemon/_admin.py
+++ b/waxwingford/daemon/_admin.py
@@ -22,16 +22,6 @@
     digest: str
 
 
-class ServerStatus(TypedDict):
-    """A held backend server; ``lease_left_ms`` in milliseconds."""
-
-    server_id: str
-    epoch: int
-    lease_left_ms: int
-    running: int
-    leaving: bool
-
-
 class JobsStatus(TypedDict):
     """Counts of tasks in the failure domain."""
 
@@ -57,7 +47,7 @@
     ready: bool
     missing: list[str]
     bundle: BundleStatus
-    servers: list[ServerStatus]
+    servers: list[dict[str, Any]]
     jobs: JobsStatus
     peers: list[PeerStatus]
 
--- /dev/null
+++ b/waxwingford/daemon/_bundle_terms.py
@@ -0,0 +1,72 @@
+"""What a bundle means for each part of the daemon."""
+
+from collections.abc import Mapping
+
+from waxwingford.batch import BundleSettings
+from waxwingford.bundles import Bundle, ServerSize
+from waxwingford.placement import PolicyWeights
+from waxwingford.ports import Resources
+from waxwingford.routing import ServiceLimits
+
+
+def batch_terms(bundle: Bundle) -> BundleSettings:
+    """Extract what governs batch work.
+
+    :param bundle: in force.
+    :returns: quotas, weights, reserves and the policy's name.
+    """
+    return BundleSettings(
+        quota_by_team={
+            name: _resources(quota) for name, quota in bundle.teams.items()
+        },
+        weights_by_service={
+            name: PolicyWeights(
+                target_p99_ms=service.target_p99_ms,
+                tail_weight=service.tail_weight,
+                eviction_weight=service.eviction_weight,
+            )
+            for name, service in bundle.services.items()
+        },
+        reserved_by_service={
+            name: _resources(service.reserved)
+            for name, service in bundle.services.items()
+        },
+        policy=bundle.policy,
+    )
+
+
+def service_limits(bundle: Bundle) -> Mapping[str, ServiceLimits]:
+    """Extract what governs requests.
+
+    :param bundle: in force.
+    :returns: limits by service.
+    """
+    weight_by_member = {
+        name: terms.share for name, terms in bundle.members.items()
+    }
+    return {
+        name: ServiceLimits(
+            target_ms=service.target_p99_ms,
+            most_by_member=service.concurrency_by_member,
+            weight_by_member=weight_by_member,
+            retry_share=service.retry_budget_share,
+            may_spill=bundle.switches.request_spill,
+        )
+        for name, service in bundle.services.items()
+    }
+
+
+def members_by_service(bundle: Bundle) -> dict[str, frozenset[str]]:
+    """Find who may use which service.
+
+    :param bundle: in force.
+    :returns: the service's member, and those that have a limit for it.
+    """
+    return {
+        name: frozenset((service.member, *service.concurrency_by_member))
+        for name, service in bundle.services.items()
+    }
+
+
+def _resources(size: ServerSize) -> Resources:
+    return Resources(size.processors_milli, size.memory_mb, size.accelerators)
--- a/waxwingford/peers/__init__.py
+++ b/waxwingford/peers/__init__.py
@@ -1,1 +1,25 @@
-"""peers (being built)."""
+"""Messages between daemons: heartbeats, forwarding, recall, bundles."""
+
+from waxwingford.peers._links import PeerLink, PeerLinks
+from waxwingford.peers._membership import (
+    BEAT_EVERY_MS,
+    MOST_REMOTE_TARGETS,
+    SILENT_AFTER_MS,
+    Membership,
+    PeerBeat,
+    beat_targets,
+)
+from waxwingford.peers._service import ForwardedDesk, PeerService
+
+__all__ = (
+    'BEAT_EVERY_MS',
+    'MOST_REMOTE_TARGETS',
+    'SILENT_AFTER_MS',
+    'ForwardedDesk',
+    'Membership',
+    'PeerBeat',
+    'PeerLink',
+    'PeerLinks',
+    'PeerService',
+    'beat_targets',
+)
--- /dev/null
+++ b/waxwingford/peers/_convert.py
@@ -0,0 +1,172 @@
+"""Conversion between messages of the program and of the wire."""
+
+from waxwingford.peers import peers_pb2 as wire
+from waxwingford.peers._membership import PeerBeat
+from waxwingford.routing import (
+    Answered,
+    Outcome,
+    RecallAnswer,
+    RecallState,
+    Refused,
+    Rejected,
+    Request,
+    Unknown,
+    Urgency,
+)
+
+
+def beat_to_wire(beat: PeerBeat) -> wire.Beat:
+    """Convert a heartbeat.
+
+    :param beat: of the program.
+    :returns: of the wire.
+    """
+    return wire.Beat(**beat._asdict())
+
+
+def beat_from_wire(beat: wire.Beat) -> PeerBeat:
+    """Convert a heartbeat.
+
+    :param beat: of the wire.
+    :returns: of the program.
+    """
+    return PeerBeat(
+        daemon_id=beat.daemon_id,
+        incarnation=beat.incarnation,
+        failure_domain=beat.failure_domain,
+        bundle_version=beat.bundle_version,
+        spare_by_service=dict(beat.spare_by_service),
+        expected_ms_by_service=dict(beat.expected_ms_by_service),
+        draining=beat.draining,
+    )
+
+
+def request_to_wire(request: Request) -> wire.ForwardRequest:
+    """Convert a request; the next daemon sees one hop more.
+
+    :param request: of the program.
+    :returns: of the wire.
+    """
+    return wire.ForwardRequest(
+        request_id=request.request_id,
+        member=request.member,
+        service=request.service,
+        path=request.path,
+        body=request.body,
+        urgency=request.urgency.value,
+        idempotent=request.idempotent,
+        key=request.key,
+        attempt=request.attempt,
+        deadline_ms=request.deadline_ms,
+        hops=request.hops + 1,
+    )
+
+
+def request_from_wire(request: wire.ForwardRequest) -> Request:
+    """Convert a forwarded request.
+
+    :param request: of the wire.
+    :returns: of the program.
+    """
+    return Request(
+        request_id=request.request_id,
+        member=request.member,
+        service=request.service,
+        path=request.path,
+        body=request.body,
+        urgency=Urgency(request.urgency),
+        idempotent=request.idempotent,
+        key=request.key,
+        attempt=request.attempt,
+        deadline_ms=request.deadline_ms,
+        hops=request.hops,
+    )
+
+
+def outcome_to_wire(request_id: str, outcome: Outcome) -> wire.ForwardReply:
+    """Convert an outcome.
+
+    :param request_id: the request that it belongs to.
+    :param outcome: of the program.
+    :returns: of the wire.
+    """
+    match outcome:
+        case Answered():
+            return wire.ForwardReply(
+                request_id=request_id, answered=_answered_to_wire(outcome)
+            )
+        case Refused(reason, retry_after_ms):
+            refused = wire.NotAnswered(
+                reason=reason, retry_after_ms=retry_after_ms
+            )
+            return wire.ForwardReply(request_id=request_id, refused=refused)
+        case Unknown(reason, retry_after_ms):
+            unknown = wire.NotAnswered(
+                reason=reason, retry_after_ms=retry_after_ms
+            )
+            return wire.ForwardReply(request_id=request_id, unknown=unknown)
+        case Rejected(reason, status):
+            rejected = wire.NotAnswered(reason=reason, status=status)
+            return wire.ForwardReply(request_id=request_id, rejected=rejected)
+
+
+def outcome_from_wire(reply: wire.ForwardReply) -> Outcome:
+    """Convert a reply; an empty one says nothing about what ran.
+
+    :param reply: of the wire.
+    :returns: of the program.
+    """
+    match reply.WhichOneof('outcome'):
+        case 'answered':
+            return _answered_from_wire(reply.answered)
+        case 'refused':
+            return Refused(reply.refused.reason, reply.refused.retry_after_ms)
+        case 'rejected':
+            return Rejected(reply.rejected.reason, reply.rejected.status)
+        case _:
+            return Unknown(
+                reply.unknown.reason or 'empty reply of a peer',
+                reply.unknown.retry_after_ms,
+            )
+
+
+def recall_to_wire(answer: RecallAnswer) -> wire.RecallReply:
+    """Convert what is known of a key.
+
+    :param answer: of the program.
+    :returns: of the wire.
+    """
+    answered = answer.outcome and _answered_to_wire(answer.outcome)
+    return wire.RecallReply(
+        state=answer.state.value, up_ms=answer.up_ms, answered=answered
+    )
+
+
+def recall_from_wire(reply: wire.RecallReply) -> RecallAnswer:
+    """Convert what a peer knows of a key.
+
+    :param reply: of the wire.
+    :returns: of the program.
+    """
+    outcome = None
+    if reply.HasField('answered'):
+        outcome = _answered_from_wire(reply.answered)
+    return RecallAnswer(RecallState(reply.state), reply.up_ms, outcome)
+
+
+def _answered_to_wire(answered: Answered) -> wire.Answered:
+    return wire.Answered(
+        status=answered.status,
+        content_type=answered.content_type,
+        body=answered.body,
+        server_id=answered.server_id,
+    )
+
+
+def _answered_from_wire(answered: wire.Answered) -> Answered:
+    return Answered(
+        answered.status,
+        answered.content_type,
+        answered.body,
+        answered.server_id,
+    )
