--- a/waxwingford/colocation/_ladder.py
+++ b/waxwingford/colocation/_ladder.py
@@ -5,10 +5,11 @@
 slow window would evict one task for each sample of the lag.
 """
 
+import math
 from collections.abc import Callable, Iterator
 
 from waxwingford.colocation._mechanisms import Mechanisms
-from waxwingford.colocation._state import Outlook, Pressure
+from waxwingford.colocation._state import Foresight, Outlook, Pressure
 from waxwingford.placement import Evict, Reaction, Stop, Throttle
 from waxwingford.ports import TaskKey
 
@@ -17,6 +18,9 @@
 _FULL_PERCENT = 100
 #: Longest wait for a sample that shows a reaction.
 _COOL_DOWN_CAP_MS = 90_000
+#: A tail that rose by so much since the last reaction is news: the load, which
+#: is seen without a lag, has risen.
+_RISEN = 0.05
 #: A task's throttle is not lifted or tightened again before this.
 _TASK_COOL_DOWN_MS = 20_000
 #: No placements on a server for so long after a reaction.
@@ -39,11 +43,18 @@
         :param mechanisms: parts to use.
         """
         self._mechanisms = mechanisms
+        self._tail_after = math.inf
 
-    def react(self, outlook: Outlook, now_ms: int) -> list[Reaction]:
+    def react(
+        self,
+        outlook: Outlook,
+        foresight: Foresight,
+        now_ms: int,
+    ) -> list[Reaction]:
         """Choose the reactions for a server and remember them.
 
         :param outlook: what is foreseen for it.
+        :param foresight: predictions of this pass.
         :param now_ms: monotonic time, in milliseconds.
         :returns: decisions, often none.
         """
@@ -51,12 +62,13 @@
             return []
         if self._is_cooling(outlook, now_ms):
             return []
-        reactions = list(self._relieve(outlook, now_ms))
+        reactions = list(self._relieve(outlook, foresight, now_ms))
         if reactions:
             outlook.state.acted_ms = now_ms
+            outlook.state.left_tail = self._tail_after
             outlook.state.closed_until_ms = now_ms + _CLOSED_MS
             return reactions
-        return list(self._lift(outlook, now_ms))
+        return list(self._lift(outlook, foresight, now_ms))
 
     def _is_cooling(self, outlook: Outlook, now_ms: int) -> bool:
         state = outlook.state
@@ -64,27 +76,46 @@
             return False
         if now_ms - state.acted_ms >= _COOL_DOWN_CAP_MS:
             return False
+        if outlook.tail > state.left_tail + _RISEN:
+            return False
         return state.window_ms is None or state.window_ms < state.acted_ms
 
-    def _relieve(self, outlook: Outlook, now_ms: int) -> Iterator[Reaction]:
+    def _relieve(
+        self,
+        outlook: Outlook,
+        foresight: Foresight,
+        now_ms: int,
+    ) -> Iterator[Reaction]:
         tail = outlook.tail
         limits = outlook.limits
         if tail <= limits.throttle:
             return
-        if self._mechanisms.throttle_first:
-            for pressure, percent in self._throttles(outlook, now_ms):
-                if tail <= limits.throttle:
-                    return
-                tail -= pressure.full * (pressure.percent - percent) / 100
-                yield _throttle(outlook, pressure.task.key, percent, now_ms)
+        change: float = 0
+        steps = self._throttles(outlook, now_ms)
+        for pressure, percent in steps:
+            if tail <= limits.throttle:
+                break
+            change -= pressure.full * (pressure.percent - percent) / 100
+            tail = foresight.tail_after(outlook, change)
+            yield _throttle(outlook, pressure.task.key, percent, now_ms)
         if tail > limits.evict:
-            yield from self._evict(outlook, now_ms)
+            yield from self._stop_overdue(outlook, now_ms)
+            for pressure in self._victims(outlook):
+                if tail <= limits.throttle:
+                    break
+                change -= pressure.now
+                tail = foresight.tail_after(outlook, change)
+                outlook.state.evicted_ms_by_key[pressure.task.key] = now_ms
+                yield Evict(pressure.task.key)
+        self._tail_after = tail
 
     def _throttles(
         self,
         outlook: Outlook,
         now_ms: int,
     ) -> list[tuple[Pressure, int]]:
+        if not self._mechanisms.throttle_first:
+            return []
         steps = [
             (pressure, _next_lower(pressure.percent))
             for pressure in self._by_relief(outlook)
@@ -98,22 +129,25 @@
             >= _LEAST_RELIEF
         ]
 
-    def _evict(self, outlook: Outlook, now_ms: int) -> Iterator[Reaction]:
-        state = outlook.state
-        for key, ordered_ms in state.evicted_ms_by_key.items():
-            overdue = now_ms - ordered_ms >= _EVICTION_CAP_MS
-            if overdue and outlook.tail > outlook.limits.stop:
+    def _stop_overdue(self, outlook: Outlook, now_ms: int) -> Iterator[Stop]:
+        if outlook.tail <= outlook.limits.stop:
+            return
+        for key, ordered_ms in outlook.state.evicted_ms_by_key.items():
+            if now_ms - ordered_ms >= _EVICTION_CAP_MS:
                 yield Stop(key)
-                return
-        victims = [
-            pressure
+
+    def _victims(self, outlook: Outlook) -> list[Pressure]:
+        # Throttled by this very pass: what is left to relieve is less.
+        by_key = outlook.state.percent_by_key
+        current = (
+            pressure._replace(
+                percent=by_key.get(pressure.task.key, pressure.percent),
+            )
             for pressure in self._by_relief(outlook)
-            if pressure.now >= _LEAST_RELIEF
+        )
+        return [
+            pressure for pressure in current if pressure.now >= _LEAST_RELIEF
         ]
-        if victims:
-            key = victims[0].task.key
-            state.evicted_ms_by_key[key] = now_ms
-            yield Evict(key)
 
     def _by_relief(self, outlook: Outlook) -> list[Pressure]:
         worth = _relief_for_work if self._mechanisms.victim_choice else _size
@@ -126,18 +160,22 @@
             key=lambda pressure: (-worth(pressure), pressure.task.key),
         )
 
-    def _lift(self, outlook: Outlook, now_ms: int) -> Iterator[Reaction]:
+    def _lift(
+        self,
+        outlook: Outlook,
+        foresight: Foresight,
+        now_ms: int,
+    ) -> Iterator[Reaction]:
         limit = outlook.limits.throttle
         if self._mechanisms.cool_down:
             limit = outlook.limits.lift
-        tail = outlook.tail
         for pressure in reversed(self._by_relief(outlook)):
             if pressure.percent >= _FULL_PERCENT:
                 continue
             percent = _next_higher(pressure.percent)
             more = pressure.full * (percent - pressure.percent) / 100
             settled = self._is_settled(outlook, pressure, now_ms)
-            if settled and tail + more <= limit:
+            if settled and foresight.tail_after(outlook, more) <= limit:
                 yield _throttle(outlook, pressure.task.key, percent, now_ms)
                 return
 
--- a/waxwingford/colocation/_learned.py
+++ b/waxwingford/colocation/_learned.py
@@ -11,6 +11,7 @@
 from waxwingford.colocation._samples import SampleBook, window_start_ms
 from waxwingford.colocation._scoring import Scorer
 from waxwingford.colocation._state import Foresight, Outlook, ServerState
+from waxwingford.colocation._uses import UseBook
 from waxwingford.placement import (
     PendingTask,
     Placement,
@@ -23,6 +24,8 @@
 
 #: One unit of the model (four cores) at full speed, in milli times percent.
 _UNIT_PERCENT_MILLI = 400_000
+#: A task younger than this may have started within the window.
+_SETTLED_MS = 60_000
 #: Share of its target at which a service is expected before any sample.
 _EXPECTED_SHARE = 0.75
 
@@ -56,6 +59,7 @@
             mechanisms,
         )
         self._samples = SampleBook()
+        self._uses = UseBook()
         self._ladder = Ladder(mechanisms)
         self._state_by_server: dict[str, ServerState] = defaultdict(ServerState)
         self._running_by_server: dict[str, dict[str, float]] = {}
@@ -79,6 +83,7 @@
         if not self._mechanisms.attribution:
             self._learn_against_present(server_id, sample)
             return
+        self._measure_uses(state, sample)
         observation = self._samples.add(server_id, sample, kind_by_task_id)
         if observation is not None:
             self._model.learn(*observation)
@@ -96,7 +101,7 @@
         :param now_ms: monotonic time.
         :returns: decisions for some of the pending tasks.
         """
-        foresight = Foresight(self._model)
+        foresight = Foresight(self._model, self._uses)
         outlooks = [self._outlook(foresight, server) for server in servers]
         scorer = Scorer(foresight, outlooks, now_ms, self._mechanisms)
         placements = map(scorer.place, pending)
@@ -109,12 +114,12 @@
         :param now_ms: monotonic time.
         :returns: decisions about running attempts.
         """
-        foresight = Foresight(self._model)
+        foresight = Foresight(self._model, self._uses)
         reactions: list[Reaction] = []
         for server in servers:
             self._state_by_server[server.server_id].see(server)
             outlook = self._outlook(foresight, server)
-            reactions += self._ladder.react(outlook, now_ms)
+            reactions += self._ladder.react(outlook, foresight, now_ms)
             if not self._mechanisms.attribution:
                 self._remember_present(server)
         return reactions
@@ -125,7 +130,9 @@
         :param server: its view.
         :returns: expected latency, in milliseconds.
         """
-        return math.exp(self._outlook(Foresight(self._model), server).tail)
+        return math.exp(
+            self._outlook(Foresight(self._model, self._uses), server).tail
+        )
 
     def _outlook(self, foresight: Foresight, server: ServerView) -> Outlook:
         state = self._state_by_server[server.server_id]
@@ -138,6 +145,17 @@
             self._limits_by_service[service] = limits
         return limits
 
+    def _measure_uses(self, state: ServerState, sample: UsageSample) -> None:
+        for key in sample.running:
+            task = state.running_by_id.get(key.task_id)
+            used = sample.used_by_task_id.get(key.task_id)
+            if task is None or used is None or task.key != key:
+                continue
+            changed_ms = state.changed_ms_by_key.get(key)
+            if changed_ms is None and task.ran_ms > _SETTLED_MS:
+                percent = state.percent(task)
+                self._uses.measure(task.kind, used, task.resources, percent)
+
     def _learn_against_present(
         self,
         server_id: str,
--- a/waxwingford/colocation/_model.py
+++ b/waxwingford/colocation/_model.py
@@ -21,6 +21,8 @@
 _Level = tuple[str, ...]
 #: Centres of the bands of load; a load between two belongs to both in part.
 _BAND_CENTRES = (0.25, 0.5, 0.7, 0.9)
+#: What queueing is expected to add to the logarithm in each band.
+_QUEUEING_BY_BAND = {'0': 0, '1': 0.03, '2': 0.12, '3': 0.5}
 #: Noise of the logarithm of one measured percentile: (0.15) squared.
 _SAMPLE_VARIANCE = 0.0225
 #: One unit of batch use: four cores.
@@ -242,7 +244,13 @@
             (self._at(('server', server_id), _SERVER), 1),
         ]
         return levels + [
-            (self._at(('service', service, band), _SERVICE_BAND), share)
+            (
+                self._at(
+                    ('service', service, band),
+                    _SERVICE_BAND._replace(mean=_QUEUEING_BY_BAND[band]),
+                ),
+                share,
+            )
             for band, share in self._bands(load)
         ]
 
--- a/waxwingford/colocation/_scoring.py
+++ b/waxwingford/colocation/_scoring.py
@@ -4,7 +4,6 @@
 from typing import NamedTuple
 
 from waxwingford.colocation._mechanisms import Mechanisms
-from waxwingford.colocation._model import units_of
 from waxwingford.colocation._room import Room
 from waxwingford.colocation._state import Foresight, Outlook
 from waxwingford.placement import PendingTask, Placement
@@ -29,12 +28,12 @@
     """A server on which a task may go.
 
     :ivar score: smaller is better.
-    :ivar tail: predicted tail with the task.
+    :ivar change: what this pass adds to the tail, with the task.
     :ivar server_id: which server.
     """
 
     score: float
-    tail: float
+    change: float
     server_id: str
 
 
@@ -63,8 +62,9 @@
             if outlook.state.closed_until_ms <= now_ms
         ]
         self._room = Room([outlook.server for outlook in outlooks])
-        self._tail_by_id = {
-            outlook.server.server_id: outlook.tail for outlook in outlooks
+        #: What placements of this pass add to the tail's logarithm.
+        self._change_by_id = {
+            outlook.server.server_id: 0.0 for outlook in outlooks
         }
         self._trials = max(1, int(_EXPLORED_SHARE * len(outlooks)))
 
@@ -82,7 +82,7 @@
         if not candidates:
             return None
         best = min(candidates)
-        self._tail_by_id[best.server_id] = best.tail
+        self._change_by_id[best.server_id] = best.change
         self._room.take(task, best.server_id)
         return Placement(task.key, best.server_id)
 
@@ -94,19 +94,23 @@
         server = outlook.server
         if not self._room.admits(task, server):
             return None
-        load = outlook.state.load or server.busy_share
-        effect = self._foresight.effect(server.service, task.kind, load)
-        units = units_of(task.resources)
+        effect = self._foresight.effect(
+            server.service,
+            task.kind,
+            outlook.load,
+        )
+        units = self._foresight.uses.units(task.kind, task.resources)
         deviation = math.sqrt(effect.variance)
-        tail = self._tail_by_id[server.server_id]
-        tail += max(effect.mean, 0) * units
+        change = self._change_by_id[server.server_id]
+        change += max(effect.mean, 0) * units
+        tail = self._foresight.tail_after(outlook, change)
         risk = _CAUTION * deviation * units
         if self._may_try(deviation, outlook.limits.place - tail):
             risk = 0
         if tail + risk > outlook.limits.place + _allowance(task):
             return None
         score = tail + risk + self._extras(task, outlook)
-        return _Candidate(score, tail, server.server_id)
+        return _Candidate(score, change, server.server_id)
 
     def _may_try(self, deviation: float, slack: float) -> bool:
         if not self._mechanisms.exploration:
--- a/waxwingford/colocation/_state.py
+++ b/waxwingford/colocation/_state.py
@@ -1,16 +1,18 @@
 """What the learned policy remembers of each server, and what it foresees."""
 
 import dataclasses
+import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
 from waxwingford.colocation._limits import Limits
-from waxwingford.colocation._model import InterferenceModel, Term, units_of
+from waxwingford.colocation._model import InterferenceModel, Term
+from waxwingford.colocation._uses import UseBook
 from waxwingford.placement import RunningTask, ServerView
 from waxwingford.ports import TaskKey
 
-#: Weight of the newest reading of busy slots, which come in whole slots.
-_LOAD_STEP = 0.2
+#: Weight of the newest reading of busy slots.
+_LOAD_STEP = 0.4
 #: Percent of a throttled task whose throttle an earlier holder chose.
 _ADOPTED_PERCENT = 50
 _FULL_PERCENT = 100
@@ -23,8 +25,10 @@
     """Memory of one server.
 
     :ivar load: smoothed share of busy slots; None before the first view.
+    :ivar running_by_id: tasks in the last view.
     :ivar acted_ms: monotonic time of the last reaction; None before.
     :ivar window_ms: start of the newest sample's window; None before.
+    :ivar left_tail: tail predicted for after the last reaction.
     :ivar closed_until_ms: no placements before this monotonic time.
     :ivar evicted_ms_by_key: when evictions were ordered that are not over.
     :ivar changed_ms_by_key: when a task's throttle was changed last.
@@ -32,8 +36,12 @@
     """
 
     load: float | None = None
+    running_by_id: dict[str, RunningTask] = dataclasses.field(
+        default_factory=dict,
+    )
     acted_ms: int | None = None
     window_ms: int | None = None
+    left_tail: float = math.inf
     closed_until_ms: int = 0
     evicted_ms_by_key: dict[TaskKey, int] = dataclasses.field(
         default_factory=dict,
@@ -53,6 +61,7 @@
         if self.load is None:
             self.load = server.busy_share
         self.load += _LOAD_STEP * (server.busy_share - self.load)
+        self.running_by_id = {task.key.task_id: task for task in server.running}
         if not self.changed_ms_by_key and not self.evicted_ms_by_key:
             return
         present = {task.key for task in server.running}
@@ -108,6 +117,7 @@
     :ivar server: its view.
     :ivar state: its memory.
     :ivar limits: thresholds of its service.
+    :ivar load: share of busy slots that the prediction is for, 0 to 1.
     :ivar base: the service alone.
     :ivar pressures: each task beside it, those being evicted included.
     """
@@ -115,6 +125,7 @@
     server: ServerView
     state: ServerState
     limits: Limits
+    load: float
     base: Term
     pressures: tuple[Pressure, ...]
 
@@ -135,12 +146,14 @@
 class Foresight:
     """Predictions of one pass; effects are looked up once for each pair."""
 
-    def __init__(self, model: InterferenceModel) -> None:
+    def __init__(self, model: InterferenceModel, uses: UseBook) -> None:
         """Set up.
 
         :param model: what was learned.
+        :param uses: what tasks really use.
         """
         self._model = model
+        self.uses = uses
         self._effect_by_pair: dict[tuple[str, str, int], Term] = {}
 
     def effect(self, service: str, kind: str, load: float) -> Term:
@@ -177,10 +190,43 @@
             server,
             state,
             limits,
+            load,
             self._model.base(server.server_id, server.service, load),
             tuple(self._pressures(server, state, load)),
         )
 
+    def tail_after(self, outlook: Outlook, change: float) -> float:
+        """Predict the tail after work was added or taken away.
+
+        A service that runs slower also keeps its slots busy for longer.
+        Without counting that in, a server near saturation looks as if it had
+        room, is filled, and saturates: seen as latencies of many times the
+        target while the prediction was within it.
+
+        :param outlook: the server as it is.
+        :param change: what the work adds to the logarithm by itself.
+        :returns: logarithm of the 99th percentile in milliseconds.
+        """
+        load = min(outlook.load * math.exp(change), 1)
+        queueing = self._base(outlook.server, load) - self._base(
+            outlook.server,
+            outlook.load,
+        )
+        return outlook.tail + change + queueing
+
+    def _base(self, server: ServerView, load: float) -> float:
+        steps = round(load * _LOAD_STEPS)
+        key = (server.server_id, '', steps)
+        base = self._effect_by_pair.get(key)
+        if base is None:
+            base = self._model.base(
+                server.server_id,
+                server.service,
+                steps / _LOAD_STEPS,
+            )
+            self._effect_by_pair[key] = base
+        return base.mean
+
     def _pressures(
         self,
         server: ServerView,
@@ -189,5 +235,6 @@
     ) -> Iterable[Pressure]:
         for task in server.running:
             effect = self.effect(server.service, task.kind, load)
-            full = max(effect.mean, 0) * units_of(task.resources)
+            units = self.uses.units(task.kind, task.resources)
+            full = max(effect.mean, 0) * units
             yield Pressure(task, state.percent(task), full)
--- a/waxwingford/colocation/tests/colocation_policies_steps.py
+++ b/waxwingford/colocation/tests/colocation_policies_steps.py
@@ -4,7 +4,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-import waxwingford.colocation  # noqa: F401 registers the policies
+from waxwingford.kernel import load_plugins
 from waxwingford.placement import (
     Evict,
     PendingTask,
@@ -19,6 +19,8 @@
 )
 from waxwingford.ports import Resources, TaskKey, UsageSample
 
+load_plugins(['waxwingford.colocation'])
+
 KINDS = ('rebuild', 'comparison', 'sync')
 WEIGHTS = {'desk': PolicyWeights(100, 0.8, 0.2)}
 TOTAL = Resources(16_000, 64_000, 2)
