--- a/waxwingford/batch/_controller.py
+++ b/waxwingford/batch/_controller.py
@@ -149,7 +149,7 @@
                 message.server_id, message.outcome.usage, self.state, now_ms
             )
         record = suspicion(server, self.state, self.settings, now_ms)
-        if record is not None and not server.lease.is_held(now_ms):
+        if record is not None and not server.lease.is_valid(now_ms):
             key = ('suspect', message.server_id)
             self.stream.appender.offer(key, record)
         return effects
@@ -228,7 +228,7 @@
 
     def _note_drained(self, now_ms: int) -> list[Effect]:
         waits = any(
-            server.lease.is_held(now_ms) or server.in_flight is not None
+            server.lease.is_valid(now_ms) or server.in_flight is not None
             for server in self.fleet.server_by_id.values()
         )
         stream = self.stream
--- a/waxwingford/batch/_exchanges.py
+++ b/waxwingford/batch/_exchanges.py
@@ -82,7 +82,7 @@
         elif self._may_ask(server, now_ms):
             control = self._ask(server, now_ms)
         else:
-            if not server.lease.is_held(now_ms):
+            if not server.lease.is_valid(now_ms):
                 self._fleet.mark_try(server, now_ms + 1)
             return effects
         server.in_flight = control
@@ -90,13 +90,13 @@
         return [*effects, control]
 
     def _may_ask(self, server: ServerControl, now_ms: int) -> bool:
-        if server.lease.is_held(now_ms):
+        if server.lease.is_valid(now_ms):
             return True
-        if self._fleet.draining or not server.listed:
+        if not (self._fleet.may_acquire and server.listed):
             return False
         is_turn = now_ms >= server.preference.next_try_ms()
         may_try = server.preference.rank <= LOWEST_RANK
-        return is_turn and may_try and self._fleet.knows_alive
+        return is_turn and may_try
 
     def _ask(self, server: ServerControl, now_ms: int) -> Control:
         # No command goes with it: one that arrived late under an epoch that
--- a/waxwingford/batch/_fleet.py
+++ b/waxwingford/batch/_fleet.py
@@ -6,7 +6,6 @@
 
 from waxwingford.batch._server import ServerControl
 from waxwingford.batch._settings import BatchSettings
-from waxwingford.kernel import Invariant, require
 from waxwingford.ownership import (
     ControlLease,
     Preference,
@@ -31,6 +30,8 @@
     :ivar alive: daemons that seem alive, this one among them.
     :ivar knows_alive: whether anything was heard of the other daemons; until
         then no lease is acquired, lest a daemon that starts takes them all.
+    :ivar is_ready: whether the stream was read to its head; a daemon that does
+        not know the claims could only let the tasks of a server lapse.
     :ivar draining: gives up what it holds.
     :ivar reserved_by_service: set aside on each VM for its service.
     """
@@ -43,6 +44,7 @@
         self.server_by_id: dict[str, ServerControl] = {}
         self.alive = frozenset((settings.daemon_id,))
         self.knows_alive = False
+        self.is_ready = False
         self.draining = False
         self.reserved_by_service: Mapping[str, Resources] = {}
         self._settings = settings
@@ -76,7 +78,7 @@
     def _unlist(self, server_id: str, now_ms: int) -> None:
         server = self.server_by_id[server_id]
         server.listed = False
-        if not server.lease.is_held(now_ms) and server.in_flight is None:
+        if not server.lease.is_valid(now_ms) and server.in_flight is None:
             self.server_by_id.pop(server_id)
 
     def update_alive(self, daemon_ids: Iterable[str], now_ms: int) -> None:
@@ -93,9 +95,28 @@
         self._rank_servers(self.server_by_id)
         for server_id, server in self.server_by_id.items():
             server.preference.update(self.rank(server_id), now_ms)
-            if not server.lease.is_held(now_ms):
+            if not server.lease.is_valid(now_ms):
                 self.mark_try(server, now_ms)
 
+    @property
+    def may_acquire(self) -> bool:
+        """Tell whether leases may be acquired at all.
+
+        :returns: whether this daemon knows enough and goes on.
+        """
+        return self.knows_alive and self.is_ready and not self.draining
+
+    def note_ready(self, now_ms: int) -> None:
+        """Note that the stream was read to its head.
+
+        :param now_ms: monotonic time.
+        """
+        if self.is_ready:
+            return
+        self.is_ready = True
+        for server in self.server_by_id.values():
+            self.mark_try(server, now_ms)
+
     def rank(self, subject: str) -> int:
         """Rank this daemon for a subject.
 
@@ -116,7 +137,7 @@
         return {
             server_id: server
             for server_id, server in self.server_by_id.items()
-            if server.lease.is_held(now_ms)
+            if server.lease.is_valid(now_ms)
         }
 
     def mark_due(self, server_id: str, due_ms: int) -> None:
@@ -183,22 +204,7 @@
         :param server: which server.
         :param now_ms: monotonic time.
         """
-        tries = server.preference.rank <= LOWEST_RANK and self.knows_alive
-        if tries and not self.draining:
+        tries = server.preference.rank <= LOWEST_RANK and self.may_acquire
+        if tries:
             next_try_ms = max(now_ms, server.preference.next_try_ms())
             self.push_due(server, next_try_ms)
-
-    def require_held(self, server_id: str, now_ms: int) -> None:
-        """Check that a server may be claimed on.
-
-        :param server_id: which server.
-        :param now_ms: monotonic time.
-        :raises BrokenInvariant: if its lease is not held, or it leaves.
-        """
-        server = self.server_by_id[server_id]
-        require(
-            server.lease.may_command(now_ms),
-            Invariant.lease_before_effect,
-            f'claim on {server_id}',
-        )
-        require(not server.leaving, Invariant.leaving_server, server_id)
--- a/waxwingford/batch/_outcomes.py
+++ b/waxwingford/batch/_outcomes.py
@@ -65,7 +65,7 @@
         now_ms: int,
     ) -> list[Effect]:
         lease = server.lease
-        was_held = lease.is_held(now_ms)
+        was_held = lease.is_valid(now_ms)
         handed_over = result.request.lease_ms == 0
         changed = lease.note_granted(result.sent_ms, now_ms, answer)
         server.take_grant(answer, changed)
@@ -93,7 +93,7 @@
     def _take_denial(
         self, server: ServerControl, denial: ControlDenied, now_ms: int
     ) -> list[Effect]:
-        was_held = server.lease.is_held(now_ms)
+        was_held = server.lease.is_valid(now_ms)
         server.lease.note_denied()
         server.unreachable_since_ms = None
         if denial.holder != self._settings.writer:
@@ -117,7 +117,7 @@
             server.lease.needs_new_epoch = True
         if server.unreachable_since_ms is None:
             server.unreachable_since_ms = now_ms
-        if server.lease.is_held(now_ms):
+        if server.lease.is_valid(now_ms):
             self._fleet.push_due(server, now_ms + _RETRY_MS)
         else:
             server.preference.note_tried(now_ms)
--- a/waxwingford/batch/_placer.py
+++ b/waxwingford/batch/_placer.py
@@ -10,6 +10,7 @@
     build_claims,
     quarantined_servers,
     require_capacity,
+    require_held,
     runs_unclaimed,
     view_pending,
     view_server,
@@ -110,7 +111,7 @@
         self._put_back(checked.left)
         claims = build_claims(checked.placed, held, self._settings)
         for claim in claims:
-            self._fleet.require_held(claim.server_id, now_ms)
+            require_held(held[claim.server_id], now_ms)
         reserved = self.bundle.reserved_by_service
         require_capacity(claims, state, held, reserved)
         return claims, checked.notes
--- a/waxwingford/batch/_placing.py
+++ b/waxwingford/batch/_placing.py
@@ -198,6 +198,21 @@
     ]
 
 
+def require_held(server: ServerControl, now_ms: int) -> None:
+    """Check that a server may be claimed on.
+
+    :param server: which server.
+    :param now_ms: monotonic time.
+    :raises BrokenInvariant: if its lease is not held, or it leaves.
+    """
+    require(
+        server.lease.may_command(now_ms),
+        Invariant.lease_before_effect,
+        f'claim on {server.vm.server_id}',
+    )
+    require(not server.leaving, Invariant.leaving_server, server.vm.server_id)
+
+
 def require_capacity(
     claims: Iterable[TasksClaimed],
     state: DomainState,
--- a/waxwingford/batch/_plan.py
+++ b/waxwingford/batch/_plan.py
@@ -5,7 +5,6 @@
 epoch can never appear there: that is the proof that it is over.
 """
 
-
 from waxwingford.batch._plan_types import Plan, PlanInput, is_over
 from waxwingford.batch._server import ServerControl
 from waxwingford.kernel import Invariant, require
--- a/waxwingford/batch/_stream.py
+++ b/waxwingford/batch/_stream.py
@@ -100,6 +100,7 @@
         if self.state.next_offset >= message.next_offset:
             before_ms = self.head_read_ms or 0
             self.head_read_ms = max(before_ms, message.read_started_ms)
+            self._fleet.note_ready(now_ms)
         return effects
 
     def take_away(self, reason: str) -> list[Effect]:
--- a/waxwingford/ownership/_lease.py
+++ b/waxwingford/ownership/_lease.py
@@ -75,7 +75,7 @@
         self._margin_ms = margin_ms
         _machine.add_model(self)
 
-    def is_held(self, now_ms: int) -> bool:
+    def is_valid(self, now_ms: int) -> bool:
         """Tell whether this daemon may still rely on the lease.
 
         :param now_ms: monotonic time, in milliseconds.
@@ -89,7 +89,7 @@
         :param now_ms: monotonic time, in milliseconds.
         :returns: true while it is held and needs no new epoch.
         """
-        return self.is_held(now_ms) and not self.needs_new_epoch
+        return self.is_valid(now_ms) and not self.needs_new_epoch
 
     def note_asked(self) -> None:
         """Note that a new epoch is asked for."""
--- /dev/null
+++ b/waxwingford/ownership/tests/lease_steps.py
@@ -0,0 +1,156 @@
+"""Steps for control leases, ranks and preferences."""
+
+import collections
+
+from behave import given, then, when
+
+from waxwingford.ownership import (
+    ControlLease,
+    OwnershipTimes,
+    Preference,
+    shared_out,
+)
+from waxwingford.ports import ControlGranted
+
+
+@given('a control lease of {lease_ms:d} ms with a margin of {margin_ms:d} ms')
+def control_lease(context, lease_ms, margin_ms):
+    context.lease = ControlLease(lease_ms, margin_ms)
+
+
+@when(
+    'it is asked for and granted with epoch {epoch:d}, sent at {sent_ms:d}, '
+    'read at {now_ms:d}'
+)
+def asked_and_granted(context, epoch, sent_ms, now_ms):
+    context.lease.note_asked()
+    granted(context, epoch, sent_ms, now_ms)
+
+
+@when(
+    'it is granted with epoch {epoch:d}, sent at {sent_ms:d}, '
+    'read at {now_ms:d}'
+)
+def granted(context, epoch, sent_ms, now_ms):
+    answer = ControlGranted(epoch, 'boot', False, (), stamp_ms=77)
+    context.lease.note_granted(sent_ms, now_ms, answer)
+
+
+@when('the holder looks again at {now_ms:d}')
+def looks_again(context, now_ms):
+    assert context.lease.note_time(now_ms)
+
+
+@when('a start of it stays without an answer')
+def start_unknown(context):
+    context.lease.needs_new_epoch = True
+
+
+@when('it is handed over')
+def handed_over(context):
+    context.lease.note_handing_over()
+
+
+@when('it is denied')
+def denied(context):
+    context.lease.note_denied()
+
+
+@then('it is held at {now_ms:d}')
+def is_held_at(context, now_ms):
+    assert context.lease.is_valid(now_ms)
+
+
+@then('it is not held at {now_ms:d}')
+def is_not_held(context, now_ms):
+    assert not context.lease.is_valid(now_ms)
+
+
+@then('it may command at {now_ms:d}')
+def may_command(context, now_ms):
+    assert context.lease.may_command(now_ms)
+
+
+@then('it may not command at {now_ms:d}')
+def may_not_command(context, now_ms):
+    assert not context.lease.may_command(now_ms)
+
+
+@then('its state is "{state}"')
+def state_is(context, state):
+    assert context.lease.state == state, context.lease.state
+
+
+@then('a request until {until:d} is good for {good:d} ms after stamp {stamp:d}')
+def good_for(context, until, good, stamp):
+    assert context.lease.good_for(until) == (stamp, good)
+
+
+@when('{servers:d} servers are ranked for {daemons:d} daemons')
+def rank_servers(context, servers, daemons):
+    context.servers = [f's{number}' for number in range(servers)]
+    context.daemons = [f'gulberg-{number}' for number in range(daemons)]
+    context.orders = shared_out(context.daemons, context.servers)
+
+
+@then('each daemon is first for {share:d} servers')
+def fair_share(context, share):
+    firsts = collections.Counter(order[0] for order in context.orders.values())
+    assert set(firsts.values()) == {share}, firsts
+    assert len(firsts) == len(context.daemons)
+
+
+@then('the order of the hints does not matter')
+def order_of_hints(context):
+    again = shared_out(reversed(context.daemons), reversed(context.servers))
+    assert again == context.orders
+
+
+@given('a holder that was the first choice')
+def first_choice(context):
+    context.preference = Preference(OwnershipTimes(), 0, 0)
+    context.now_ms = 1000
+
+
+@when('it is second for {span_ms:d} ms and then first again')
+def second_then_first(context, span_ms):
+    second_for(context, span_ms)
+    context.keeps = not context.preference.should_hand_over(context.now_ms)
+    context.preference.update(0, context.now_ms)
+
+
+@when('it is second for {span_ms:d} ms')
+def second_for(context, span_ms):
+    context.preference.update(1, context.now_ms)
+    context.now_ms += span_ms
+
+
+@then('it keeps the lease')
+def keeps(context):
+    assert context.keeps
+    assert not context.preference.should_hand_over(context.now_ms)
+
+
+@then('it hands the lease over')
+def hands_over(context):
+    assert context.preference.should_hand_over(context.now_ms)
+
+
+@given('a daemon that is third choice from time 0')
+def third_choice(context):
+    context.preference = Preference(OwnershipTimes(), 2, 0)
+
+
+@then('it tries at {now_ms:d}')
+def tries_at(context, now_ms):
+    assert context.preference.next_try_ms() == now_ms
+
+
+@when('it gets the lease at {now_ms:d}')
+def gets_lease(context, now_ms):
+    context.preference.note_granted(now_ms)
+
+
+@then('it keeps the lease at {now_ms:d}')
+def keeps_at(context, now_ms):
+    assert not context.preference.should_hand_over(now_ms)
--- a/waxwingford/records/tests/fold_steps.py
+++ b/waxwingford/records/tests/fold_steps.py
@@ -16,8 +16,8 @@
     JobSpec,
     RecordGroup,
     SnapshotAssembler,
-    TaskStage,
     TasksClaimed,
+    TaskStage,
     snapshot_chunks,
 )
 
@@ -37,30 +37,42 @@
     )
 
 
+def end(task_id, attempt, server_id, how, *detail):
+    key = TaskKey(task_id, int(attempt))
+    return AttemptEnded(key, server_id, how, ''.join(detail))
+
+
+def lapse(task_id, attempt, server_id, offset):
+    key = TaskKey(task_id, int(attempt))
+    return AttemptEnded(key, server_id, 'lapsed', suspected_offset=int(offset))
+
+
+def claim(task_id, attempt, server_id, *resume):
+    one = Claim(TaskKey(task_id, int(attempt)), ''.join(resume))
+    return TasksClaimed('a#1', server_id, 'boot', 1, (one,))
+
+
+def keys(task_id, attempt):
+    return (TaskKey(task_id, int(attempt)),)
+
+
+MAKERS = {
+    'accept': lambda job_id, count: JobAccepted(spec(job_id, int(count))),
+    'accept-losable': lambda job_id, count: JobAccepted(
+        spec(job_id, int(count), 1000)
+    ),
+    'claim': claim,
+    'end': end,
+    'lapse': lapse,
+    'suspect': lambda *key: AttemptSuspected(keys(*key), 'b#1'),
+    'alive': lambda *key: AttemptAlive(keys(*key), 'a#1'),
+    'cancel': JobCancelled,
+}
+
+
 def record_of(text):
-    match text.split():
-        case ['accept', job_id, count]:
-            return JobAccepted(spec(job_id, int(count)))
-        case ['accept-losable', job_id, count]:
-            return JobAccepted(spec(job_id, int(count), 1000))
-        case ['claim', task_id, attempt, server_id, *resume]:
-            claim = Claim(TaskKey(task_id, int(attempt)), ''.join(resume))
-            return TasksClaimed('a#1', server_id, 'boot', 1, (claim,))
-        case ['end', task_id, attempt, server_id, how, *detail]:
-            key = TaskKey(task_id, int(attempt))
-            return AttemptEnded(key, server_id, how, ''.join(detail))
-        case ['lapse', task_id, attempt, server_id, offset]:
-            key = TaskKey(task_id, int(attempt))
-            return AttemptEnded(
-                key, server_id, 'lapsed', suspected_offset=int(offset)
-            )
-        case ['suspect', task_id, attempt]:
-            return AttemptSuspected((TaskKey(task_id, int(attempt)),), 'b#1')
-        case ['alive', task_id, attempt]:
-            return AttemptAlive((TaskKey(task_id, int(attempt)),), 'a#1')
-        case ['cancel', job_id, member]:
-            return JobCancelled(job_id, member)
-    raise ValueError(text)
+    kind, *words = text.split()
+    return MAKERS[kind](*words)
 
 
 def fold(context, writer, *records):
