--- a/waxwingford/daemon/_daemon.py
+++ b/waxwingford/daemon/_daemon.py
@@ -4,30 +4,19 @@
 import signal
 from collections.abc import Coroutine
 
-from aiohttp import web
 from grpclib.server import Server
 from logbook import Logger
 
-from waxwingford.bundles import Verified
-from waxwingford.daemon._admin import Admin
+from waxwingford.daemon._application import entry_limits, make_application
 from waxwingford.daemon._heartbeats import HeartbeatTask
 from waxwingford.daemon._parts import Parts, own_address
-from waxwingford.daemon._status import make_status
-from waxwingford.entry import (
-    EntryLimits,
-    HttpSite,
-    JobEntry,
-    ServiceEntry,
-    job_routes,
-    service_routes,
-)
+from waxwingford.entry import HttpSite
 from waxwingford.kernel import Invariant, on_broken
 from waxwingford.peers import PeerService, beat_targets
-from waxwingford.settings import Settings
 
 _MS_IN_S = 1000
 #: Held servers are handed to the request desk this often, in milliseconds.
-_FEED_EVERY_MS = 100
+_FEED_EVERY_MS = 500
 #: Requests are still taken for this time after the daemon says that it is
 #: not ready, so that the balancer can notice, in milliseconds.
 _NOTICE_MS = 1500
@@ -52,7 +41,8 @@
         self._exit_code = EXIT_STOPPED
         self._tasks: list[asyncio.Task[None]] = []
         self._site = HttpSite(
-            self._application(), _entry_limits(parts.settings)
+            make_application(parts, self.ask_stop),
+            entry_limits(parts.settings),
         )
         self._rpc = Server(
             [PeerService(parts.desk, parts.exchange, parts.bundle_payloads)]
@@ -159,57 +149,6 @@
             on_round=parts.spread_membership,
         )
 
-    def _application(self) -> web.Application:
-        parts = self._parts
-        limits = _entry_limits(parts.settings)
-        app = web.Application(client_max_size=limits.body_bytes)
-        app.add_routes(
-            Admin(
-                life=parts.life,
-                metrics=parts.metrics,
-                time_line=parts.time_line,
-                status=lambda: make_status(parts),
-                drain=self.ask_stop,
-                member_of=self._member_of,
-            ).routes()
-        )
-        app.add_routes(
-            service_routes(
-                ServiceEntry(
-                    daemon_id=parts.settings.identity.daemon_id,
-                    incarnation=parts.incarnation,
-                    desk=parts.desk,
-                    clock=parts.clock,
-                    members_by_service=parts.members_by_service,
-                    not_ready=self._not_ready,
-                    limits=limits,
-                )
-            )
-        )
-        app.add_routes(
-            job_routes(
-                JobEntry(
-                    desk=parts.batch,
-                    verify=parts.verify,
-                    clock=parts.clock,
-                    limits=limits,
-                )
-            )
-        )
-        return app
-
-    def _not_ready(self) -> str:
-        # A draining daemon still takes requests while the balancer notices.
-        if self._parts.reader.current is None:
-            return 'no bundle is in force here'
-        return ''
-
-    def _member_of(self, request: web.Request, body: bytes) -> str | None:
-        check = self._parts.verify(
-            request.headers, request.method, request.path_qs, body
-        )
-        return check.member if isinstance(check, Verified) else None
-
     def _catch_signals(self) -> None:
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
@@ -241,12 +180,3 @@
 
     def _subject(self) -> str:
         return f'daemon:{self._parts.settings.identity.daemon_id}'
-
-
-def _entry_limits(settings: Settings) -> EntryLimits:
-    return EntryLimits(
-        body_bytes=settings.limits.body_bytes,
-        header_bytes=settings.limits.header_bytes,
-        connections=settings.limits.connections,
-        default_deadline_ms=settings.limits.default_deadline_ms,
-    )
--- a/waxwingford/daemon/_parts.py
+++ b/waxwingford/daemon/_parts.py
@@ -203,6 +203,7 @@
         limits=DeskLimits(
             in_progress=settings.limits.connections,
             key_memory_ms=settings.limits.key_memory_ms,
+            delivery_ms=settings.limits.delivery_ms,
         ),
     )
     reader = BundleReader(
--- a/waxwingford/settings/_model.py
+++ b/waxwingford/settings/_model.py
@@ -113,6 +113,7 @@
     drain_ms: Millis = 20_000
     default_deadline_ms: Millis = 10_000
     key_memory_ms: Millis = 120_000
+    delivery_ms: Annotated[int, Field(ge=0, le=60_000)] = 5000
 
 
 class Tls(_Strict):
