--- a/waxwingford/daemon/_daemon.py
+++ b/waxwingford/daemon/_daemon.py
@@ -13,6 +13,7 @@
 from waxwingford.entry import HttpSite
 from waxwingford.kernel import Invariant, on_broken
 from waxwingford.peers import PeerService, beat_targets
+from waxwingford.settings import Alpn, server_context
 
 _MS_IN_S = 1000
 #: Held servers are handed to the request desk this often, in milliseconds.
@@ -45,7 +46,14 @@
             entry_limits(parts.settings),
         )
         self._rpc = Server(
-            [PeerService(parts.desk, parts.exchange, parts.bundle_payloads)]
+            [
+                PeerService(
+                    parts.desk,
+                    parts.exchange,
+                    parts.bundle_payloads,
+                    parts.time_line,
+                )
+            ]
         )
 
     async def run(self) -> int:
@@ -72,8 +80,16 @@
         parts = self._parts
         listen = parts.settings.listen
         parts.time_line.note('daemon.started', self._subject())
-        await self._rpc.start(listen.host, listen.rpc_port)
-        await self._site.start(listen.host, listen.http_port)
+        await self._rpc.start(
+            listen.host,
+            listen.rpc_port,
+            ssl=server_context(parts.settings, Alpn.rpc),
+        )
+        await self._site.start(
+            listen.host,
+            listen.http_port,
+            server_context(parts.settings, Alpn.http),
+        )
         self._spawn(parts.reader.run())
         self._spawn(parts.batch.run())
         self._spawn(self._heartbeats().run())
--- a/waxwingford/daemon/_parts.py
+++ b/waxwingford/daemon/_parts.py
@@ -26,7 +26,7 @@
 from waxwingford.metrics import Metrics
 from waxwingford.peers import Membership, PeerBeat, PeerLinks
 from waxwingford.routing import DeskLimits, DeskPorts, RequestDesk
-from waxwingford.settings import PeerAddress, Settings
+from waxwingford.settings import Alpn, PeerAddress, Settings, client_context
 from waxwingford.timeline import TimeLine
 
 #: Modules whose plug-ins register themselves at import.
@@ -186,7 +186,13 @@
         settings.platform.directory_url,
         settings.platform.log_timeout_ms,
     )
-    links = PeerLinks(identity.daemon_id, settings.peers, clock)
+    links = PeerLinks(
+        identity.daemon_id,
+        settings.peers,
+        clock,
+        time_line,
+        client_context(settings, Alpn.rpc),
+    )
     batch = BatchTask(
         settings=_batch_settings(settings, incarnation),
         log=platform.log,
--- a/waxwingford/peers/_convert.py
+++ b/waxwingford/peers/_convert.py
@@ -13,6 +13,7 @@
     Unknown,
     Urgency,
 )
+from waxwingford.timeline import EventId
 
 
 def beat_to_wire(beat: PeerBeat) -> wire.Beat:
@@ -130,6 +131,26 @@
             )
 
 
+def event_to_wire(event_id: EventId) -> wire.EventRef:
+    """Convert a reference to an event.
+
+    :param event_id: of the program.
+    :returns: of the wire.
+    """
+    return wire.EventRef(**event_id._asdict())
+
+
+def event_from_wire(event: wire.EventRef) -> EventId | None:
+    """Convert a reference to an event.
+
+    :param event: of the wire.
+    :returns: of the program, None where nothing was sent.
+    """
+    if not event.daemon:
+        return None
+    return EventId(event.daemon, event.incarnation, event.sequence)
+
+
 def recall_to_wire(answer: RecallAnswer) -> wire.RecallReply:
     """Convert what is known of a key.
 
--- a/waxwingford/peers/_links.py
+++ b/waxwingford/peers/_links.py
@@ -22,6 +22,7 @@
     Unknown,
 )
 from waxwingford.settings import PeerAddress
+from waxwingford.timeline import TimeLine
 
 _MS_IN_S = 1000
 #: Time to open a connection to a peer, in milliseconds.
@@ -44,14 +45,19 @@
     """Connection to one peer daemon."""
 
     def __init__(
-        self, address: PeerAddress, tls: ssl.SSLContext | None = None
+        self,
+        address: PeerAddress,
+        time_line: TimeLine,
+        tls: ssl.SSLContext | None = None,
     ) -> None:
         """Prepare a channel; it connects at the first call.
 
         :param address: where the peer listens.
+        :param time_line: where forwards are noted.
         :param tls: client context, None for plain TCP.
         """
         self.address = address
+        self._time_line = time_line
         self._channel = Channel(address.host, address.rpc_port, ssl=tls)
         self._stub = PeersStub(self._channel)
 
@@ -90,15 +96,27 @@
             return Refused(
                 f'no connection to {self.address.daemon_id}', _COME_BACK_MS
             )
+        message = _convert.request_to_wire(request)
+        subject = f'request:{request.request_id}'
+        sent = self._time_line.note(
+            'forward.sent', subject, self.address.daemon_id
+        )
+        message.cause.CopyFrom(_convert.event_to_wire(sent))
         try:
             reply = await self._stub.Forward(
-                _convert.request_to_wire(request),
-                timeout=timeout_ms / _MS_IN_S,
+                message, timeout=timeout_ms / _MS_IN_S
             )
         except _LOST as error:
+            self._time_line.note('forward.lost', subject, repr(error))
             return self._lost(error)
         if reply.request_id != request.request_id:
             return Unknown('a peer answered another request', _COME_BACK_MS)
+        self._time_line.note(
+            'forward.answered',
+            subject,
+            reply.WhichOneof('outcome') or 'empty',
+            _convert.event_from_wire(reply.cause),
+        )
         return _convert.outcome_from_wire(reply)
 
     async def recall(self, question: wire.RecallRequest) -> RecallAnswer:
@@ -152,6 +170,7 @@
         own_id: str,
         addresses: Iterable[PeerAddress],
         clock: Clock,
+        time_line: TimeLine,
         tls: ssl.SSLContext | None = None,
     ) -> None:
         """Prepare links to all configured peers.
@@ -159,12 +178,13 @@
         :param own_id: id of this daemon, which gets no link.
         :param addresses: configured daemons.
         :param clock: measures round trips.
+        :param time_line: where forwards are noted.
         :param tls: client context, None for plain TCP.
         """
         self._own_id = own_id
         self._clock = clock
         self.link_by_id = {
-            address.daemon_id: PeerLink(address, tls)
+            address.daemon_id: PeerLink(address, time_line, tls)
             for address in addresses
             if address.daemon_id != own_id
         }
--- a/waxwingford/peers/_service.py
+++ b/waxwingford/peers/_service.py
@@ -10,6 +10,7 @@
 from waxwingford.peers._membership import PeerBeat
 from waxwingford.peers.peers_grpc import PeersBase
 from waxwingford.routing import Outcome, RecallAnswer, Request
+from waxwingford.timeline import TimeLine
 
 
 class ForwardedDesk(Protocol):
@@ -45,6 +46,7 @@
         desk: ForwardedDesk,
         exchange: Callable[[PeerBeat], PeerBeat],
         bundle_payloads: Callable[[int], tuple[int, tuple[bytes, ...]]],
+        time_line: TimeLine,
     ) -> None:
         """Wire the service.
 
@@ -52,10 +54,12 @@
         :param exchange: takes a peer's heartbeat and gives the own one.
         :param bundle_payloads: version in force and its records, those newer
             than the given version only.
+        :param time_line: where forwards are noted.
         """
         self._desk = desk
         self._exchange = exchange
         self._bundle_payloads = bundle_payloads
+        self._time_line = time_line
 
     async def Exchange(self, stream: Stream[wire.Beat, wire.Beat]) -> None:
         """Exchange heartbeats.
@@ -79,10 +83,16 @@
         if message is None:
             return
         request = _convert.request_from_wire(message)
-        outcome = await self._desk.handle(request)
-        await stream.send_message(
-            _convert.outcome_to_wire(request.request_id, outcome)
+        taken = self._time_line.note(
+            'forward.taken',
+            f'request:{request.request_id}',
+            message.cause.daemon,
+            _convert.event_from_wire(message.cause),
         )
+        outcome = await self._desk.handle(request)
+        reply = _convert.outcome_to_wire(request.request_id, outcome)
+        reply.cause.CopyFrom(_convert.event_to_wire(taken))
+        await stream.send_message(reply)
 
     async def Recall(
         self, stream: Stream[wire.RecallRequest, wire.RecallReply]
