--- a/waxwingford/daemon/_admin.py
+++ b/waxwingford/daemon/_admin.py
@@ -62,6 +62,7 @@
         metrics: Metrics,
         time_line: TimeLine,
         status: Callable[[], Status],
+        refresh: Callable[[], None],
         drain: Callable[[], None],
         member_of: Callable[[web.Request, bytes], str | None],
     ) -> None:
@@ -71,6 +72,7 @@
         :param metrics: what ``/metrics`` writes.
         :param time_line: what ``/v1/timeline`` writes.
         :param status: makes the status.
+        :param refresh: sets gauges before they are written.
         :param drain: starts a planned stop.
         :param member_of: member that signed an operator's request, or None.
         """
@@ -78,6 +80,7 @@
         self._metrics = metrics
         self._time_line = time_line
         self._status = status
+        self._refresh = refresh
         self._drain = drain
         self._member_of = member_of
 
@@ -108,6 +111,7 @@
         return web.Response(text='ready\n')
 
     async def _metrics_text(self, request: web.Request) -> web.Response:
+        self._refresh()
         return web.Response(text=self._metrics.render())
 
     async def _status_json(self, request: web.Request) -> web.Response:
--- a/waxwingford/daemon/_application.py
+++ b/waxwingford/daemon/_application.py
@@ -7,7 +7,7 @@
 from waxwingford.bundles import Verified
 from waxwingford.daemon._admin import Admin
 from waxwingford.daemon._parts import Parts
-from waxwingford.daemon._status import make_status
+from waxwingford.daemon._status import make_status, refresh_gauges
 from waxwingford.entry import (
     EntryLimits,
     JobEntry,
@@ -56,6 +56,7 @@
         metrics=parts.metrics,
         time_line=parts.time_line,
         status=lambda: make_status(parts),
+        refresh=lambda: refresh_gauges(parts),
         drain=ask_stop,
         member_of=lambda request, body: _member_of(parts, request, body),
     )
--- a/waxwingford/daemon/_status.py
+++ b/waxwingford/daemon/_status.py
@@ -42,3 +42,22 @@
             for view in parts.membership.peer_views(now_ms)
         ],
     )
+
+
+def refresh_gauges(parts: Parts) -> None:
+    """Set the gauges that describe the daemon now.
+
+    :param parts: its parts.
+    """
+    now_ms = parts.clock.monotonic_ms()
+    pending, running = parts.batch.task_counts()
+    views = parts.membership.peer_views(now_ms)
+    gauges = {
+        'ready': not parts.life.missing(),
+        'tasks_pending': pending,
+        'tasks_running': running,
+        'servers_held': len(parts.batch.server_status()),
+        'peers_alive': sum(view.alive for view in views),
+    }
+    for name, level in gauges.items():
+        parts.metrics.gauge(name, float(level))
