--- a/waxwingford/adapters/_wire.py
+++ b/waxwingford/adapters/_wire.py
@@ -51,6 +51,8 @@
     commands: tuple[tuple[str, msgspec.Raw], ...]
     stamp_ms: int = 0
     good_for_ms: int = 0
+    known: int = 0
+    renew_except: tuple[TaskKey, ...] | None = None
 
 
 class _WireReply(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -93,6 +95,8 @@
             tuple(_tagged(command) for command in request.commands),
             request.stamp_ms,
             request.good_for_ms,
+            request.known,
+            request.renew_except,
         )
     )
 
@@ -114,6 +118,8 @@
         tuple(_untagged(tag, raw) for tag, raw in wire.commands),
         wire.stamp_ms,
         wire.good_for_ms,
+        wire.known,
+        wire.renew_except,
     )
 
 
--- a/waxwingford/batch/_controller.py
+++ b/waxwingford/batch/_controller.py
@@ -1,5 +1,7 @@
 """The batch controller: messages in, effects out, no input or output."""
 
+from collections.abc import Iterable, Mapping
+
 import xxhash
 
 from waxwingford.batch._effects import (
@@ -14,6 +16,7 @@
     AliveDaemons,
     AppendResult,
     BundleSettings,
+    BusyShares,
     CancelJob,
     ControlResult,
     Drain,
@@ -21,6 +24,7 @@
     LogAway,
     LogEntries,
     Message,
+    ServersReleased,
     SnapshotWritten,
     SubmitJob,
     VmListRead,
@@ -77,6 +81,7 @@
         self._next_react_ms = now_ms
         self._snapshot_asked_ms = now_ms - settings.snapshot_ms
         self._is_drained = False
+        self._routed: frozenset[str] = frozenset()
 
     @property
     def state(self) -> DomainState:
@@ -131,6 +136,10 @@
                 self.placer.use_bundle(message, xxhash.xxh32_intdigest(name))
             case EvictTask(task_id=task_id):
                 self._evict(task_id, now_ms)
+            case BusyShares(share_by_server=share_by_server):
+                self._take_busy(share_by_server)
+            case ServersReleased(server_ids=server_ids):
+                self._take_released(server_ids, now_ms)
             case Drain():
                 self._drain(now_ms)
             case SnapshotWritten(covers_offset=covers_offset):
@@ -183,6 +192,21 @@
             server.evicting.add(task.key)
             self.fleet.mark_due(task.server_id, now_ms)
 
+    def _take_busy(self, share_by_server: Mapping[str, float]) -> None:
+        for server_id in self._routed | share_by_server.keys():
+            server = self.fleet.server_by_id.get(server_id)
+            if server is not None:
+                server.routed_share = share_by_server.get(server_id)
+                server.view = None
+        self._routed = frozenset(share_by_server)
+
+    def _take_released(self, server_ids: Iterable[str], now_ms: int) -> None:
+        for server_id in server_ids:
+            server = self.fleet.server_by_id.get(server_id)
+            if server is not None and not server.lease.is_valid(now_ms):
+                server.preference.note_free(now_ms)
+                self.fleet.mark_try(server, now_ms)
+
     def _drain(self, now_ms: int) -> None:
         self.fleet.draining = True
         for server_id in self.fleet.held(now_ms):
--- a/waxwingford/batch/_exchanges.py
+++ b/waxwingford/batch/_exchanges.py
@@ -11,6 +11,9 @@
 from waxwingford.records import DomainState, Record
 
 _NOTHING = Resources(0, 0, 0)
+#: Every so many answers one names all attempts, with their present run times;
+#: the others only those that changed.
+_WHOLE_EVERY = 6
 
 
 class Exchanges:
@@ -64,7 +67,14 @@
         reserved = self._fleet.reserved_by_service.get(
             server.vm.service, _NOTHING
         )
-        return PlanInput(state, self._settings, head_read_ms, now_ms, reserved)
+        return PlanInput(
+            state,
+            self._settings,
+            self._fleet.pace,
+            head_read_ms,
+            now_ms,
+            reserved,
+        )
 
     def _exchange_with(
         self,
@@ -102,7 +112,7 @@
         # No command goes with it: one that arrived late under an epoch that
         # this daemon does not know yet could not be told from a new one.
         server.lease.note_asked()
-        lease_ms = self._settings.control_lease_ms
+        lease_ms = self._fleet.pace.control_lease_ms
         request = ControlRequest(self._settings.writer, 0, lease_ms)
         return self._control(server, request, now_ms + lease_ms)
 
@@ -118,14 +128,21 @@
         gives_up = self._gives_up(server, given.now_ms, busy)
         if gives_up:
             server.lease.note_handing_over()
+        known = server.known
+        if server.whole_answers_ago >= _WHOLE_EVERY:
+            known = 0
+        stamp_ms, good_for_ms = server.lease.good_for(plan.valid_until_ms)
         request = ControlRequest(
             self._settings.writer,
             server.lease.epoch,
-            0 if gives_up else self._settings.control_lease_ms,
-            tuple(plan.renew),
-            self._settings.task_lease_ms,
+            0 if gives_up else given.pace.control_lease_ms,
+            () if known else tuple(plan.renew),
+            given.pace.task_lease_ms,
             tuple(plan.commands),
-            *server.lease.good_for(plan.valid_until_ms),
+            stamp_ms,
+            good_for_ms,
+            known,
+            server.not_in(plan.renew) if known else None,
         )
         return self._control(server, request, plan.valid_until_ms)
 
--- a/waxwingford/batch/_fleet.py
+++ b/waxwingford/batch/_fleet.py
@@ -32,6 +32,9 @@
         then no lease is acquired, lest a daemon that starts takes them all.
     :ivar is_ready: whether the stream was read to its head; a daemon that does
         not know the claims could only let the tasks of a server lapse.
+    :ivar room_changed: whether a server may have more room than before.
+    :ivar pace: interval of exchanges and leases, by what was held lately.
+    :ivar released: servers given up, until somebody takes the names.
     :ivar draining: gives up what it holds.
     :ivar reserved_by_service: set aside on each VM for its service.
     """
@@ -45,6 +48,9 @@
         self.alive = frozenset((settings.daemon_id,))
         self.knows_alive = False
         self.is_ready = False
+        self.room_changed = False
+        self.released: list[str] = []
+        self.pace = settings.pace(0)
         self.draining = False
         self.reserved_by_service: Mapping[str, Resources] = {}
         self._settings = settings
@@ -134,11 +140,13 @@
         :param now_ms: monotonic time.
         :returns: servers by id.
         """
-        return {
+        held = {
             server_id: server
             for server_id, server in self.server_by_id.items()
             if server.lease.is_valid(now_ms)
         }
+        self.pace = self._settings.pace(len(held))
+        return held
 
     def mark_due(self, server_id: str, due_ms: int) -> None:
         """Let the next exchange with a server come no later than given.
@@ -158,6 +166,7 @@
         server = self.server_by_id.get(server_id)
         if server is not None:
             server.view = None
+            self.room_changed = True
 
     def _rank_servers(self, server_ids: Iterable[str]) -> None:
         orders = shared_out(self.alive, server_ids)
@@ -170,7 +179,7 @@
         settings = self._settings
         server = ServerControl(
             vm,
-            ControlLease(settings.control_lease_ms, settings.margin_ms),
+            ControlLease(settings.margin_ms),
             Preference(settings.times, self.rank(vm.server_id), now_ms),
         )
         self.server_by_id[vm.server_id] = server
--- a/waxwingford/batch/_messages.py
+++ b/waxwingford/batch/_messages.py
@@ -175,6 +175,28 @@
     """The daemon is to stop: take nothing new, give the leases up."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class BusyShares:
+    """How busy the services on held servers are at present.
+
+    :ivar share_by_server: mean share of busy slots over about the last
+        second, 0 to 1, as the holder's own routing sees it; a server that is
+        left out is judged by its last usage sample.
+    """
+
+    share_by_server: Mapping[str, float]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServersReleased:
+    """A peer gave control leases up, a hint.
+
+    :ivar server_ids: servers without a holder, as far as is known.
+    """
+
+    server_ids: tuple[str, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SnapshotWritten:
     """All chunks of a snapshot stand in the snapshots' stream.
@@ -200,4 +222,6 @@
     | EvictTask
     | Drain
     | SnapshotWritten
+    | BusyShares
+    | ServersReleased
 )
--- a/waxwingford/batch/_outcomes.py
+++ b/waxwingford/batch/_outcomes.py
@@ -1,6 +1,6 @@
 """What the outcome of a control exchange changes."""
 
-from waxwingford.batch._effects import Control, Effect
+from waxwingford.batch._effects import Control, Effect, Note
 from waxwingford.batch._fleet import Fleet
 from waxwingford.batch._messages import ControlResult
 from waxwingford.batch._server import (
@@ -67,17 +67,20 @@
         lease = server.lease
         was_held = lease.is_valid(now_ms)
         handed_over = result.request.lease_ms == 0
-        changed = lease.note_granted(result.sent_ms, now_ms, answer)
-        server.take_grant(answer, changed)
+        changed = lease.note_granted(
+            result.sent_ms, now_ms, result.request.lease_ms, answer
+        )
+        server.take_grant(result.request, answer, changed)
         _give_up_refused(server, answer)
         _note_missing(server, result)
+        effects = _notes_started(server, result)
         if handed_over:
             server.preference.note_tried(now_ms)
             self._fleet.mark_try(server, now_ms)
-            return [
-                note_server('lease.given_up', server, f'epoch {answer.epoch}')
-            ]
-        next_ms = result.sent_ms + self._settings.renew_every_ms
+            self._fleet.released.append(server.vm.server_id)
+            detail = f'epoch {answer.epoch}'
+            return [*effects, note_server('lease.given_up', server, detail)]
+        next_ms = result.sent_ms + self._fleet.pace.renew_every_ms
         # An acquisition is followed at once by an exchange that renews the
         # task leases, whose last renewal was another holder's.
         at_once = changed or server.is_dirty or lease.needs_new_epoch
@@ -86,9 +89,11 @@
             server, now_ms if at_once else max(now_ms, next_ms)
         )
         if was_held:
-            return []
+            return effects
         server.preference.note_granted(now_ms)
-        return [note_server('lease.acquired', server, f'epoch {answer.epoch}')]
+        self._fleet.room_changed = True
+        detail = f'epoch {answer.epoch}'
+        return [*effects, note_server('lease.acquired', server, detail)]
 
     def _take_denial(
         self, server: ServerControl, denial: ControlDenied, now_ms: int
@@ -125,6 +130,20 @@
         return [note_server('control.unknown', server, unknown.reason)]
 
 
+def _notes_started(
+    server: ServerControl, result: ControlResult
+) -> list[Effect]:
+    return [
+        Note(
+            'task.started',
+            f'task:{key.task_id}',
+            f'attempt {key.attempt} {server.vm.server_id}',
+        )
+        for key in started_keys(result.request)
+        if key in server.report_by_key
+    ]
+
+
 def _note_missing(server: ServerControl, result: ControlResult) -> None:
     # A start that the server took without naming the attempt: it may still
     # come up.  Only a new epoch tells.
--- a/waxwingford/batch/_placer.py
+++ b/waxwingford/batch/_placer.py
@@ -36,6 +36,8 @@
 
 #: Pending tasks shown to the policy in one round.
 _ROUND_TASKS = 128
+#: A round that placed nothing is followed by one without a change after this.
+_FRUITLESS_ROUND_MS = 5000
 _NOTHING = Resources(0, 0, 0)
 _EMPTY_BUNDLE = BundleSettings({}, {}, {})
 
@@ -58,6 +60,7 @@
         self._queue = PendingQueue()
         self._policy: ColocationPolicy | None = None
         self._quarantined: frozenset[str] = frozenset()
+        self._next_round_ms = 0
 
     def use_bundle(self, bundle: BundleSettings, seed: int) -> None:
         """Put a bundle in force.
@@ -75,6 +78,7 @@
         if self._policy is None or not same:
             self._policy = factory(bundle.weights_by_service, seed)
         self.bundle = bundle
+        self._fleet.room_changed = True
         self._fleet.reserved_by_service = bundle.reserved_by_service
         for server in self._fleet.server_by_id.values():
             server.view = None
@@ -98,6 +102,10 @@
         :param wall_ms: wall time.
         :returns: claims, checked against capacity, and notes.
         """
+        # Without a change, what found no place before finds none now; rounds
+        # over a long queue would cost most of the daemon's processor time.
+        if not self._may_place_more(now_ms):
+            return [], []
         quotas = Quotas(state, self.bundle)
         tasks = self._queue.take(_ROUND_TASKS, now_ms, quotas.has_room)
         if not tasks or self._policy is None:
@@ -109,6 +117,8 @@
         checked = CheckedPlacements(views, quotas, held, now_ms)
         checked.take_all(self._policy.place(pending, views, now_ms), tasks)
         self._put_back(checked.left)
+        if checked.placed:
+            self._next_round_ms = now_ms
         claims = build_claims(checked.placed, held, self._settings)
         for claim in claims:
             require_held(held[claim.server_id], now_ms)
@@ -194,8 +204,10 @@
         """
         if self._policy is None:
             return 0
-        view = self._view(server.vm.server_id, server, state, wall_ms)
-        return self._policy.predicted_ms(view)
+        if server.predicted_ms is None:
+            view = self._view(server.vm.server_id, server, state, wall_ms)
+            server.predicted_ms = self._policy.predicted_ms(view)
+        return server.predicted_ms
 
     def _view(
         self,
@@ -225,6 +237,14 @@
             and not runs_unclaimed(server, state)
         }
 
+    def _may_place_more(self, now_ms: int) -> bool:
+        has_new = self._queue.has_due(now_ms) or self._fleet.room_changed
+        if not has_new and now_ms < self._next_round_ms:
+            return False
+        self._fleet.room_changed = False
+        self._next_round_ms = now_ms + _FRUITLESS_ROUND_MS
+        return True
+
     def _put_back(self, tasks: Iterable[TaskState]) -> list[Note]:
         for task in tasks:
             self._queue.put_back(task)
--- a/waxwingford/batch/_plan.py
+++ b/waxwingford/batch/_plan.py
@@ -214,7 +214,7 @@
         task.resources,
         task.job.spec.payload,
         task.checkpoint,
-        given.settings.task_lease_ms,
+        given.pace.task_lease_ms,
     )
 
 
--- a/waxwingford/batch/_plan_types.py
+++ b/waxwingford/batch/_plan_types.py
@@ -3,7 +3,7 @@
 import dataclasses
 from typing import NamedTuple
 
-from waxwingford.batch._settings import BatchSettings
+from waxwingford.batch._settings import BatchSettings, Pace
 from waxwingford.ports import Resources, ServerCommand, TaskKey
 from waxwingford.records import DomainState, Record
 
@@ -15,6 +15,7 @@
 
     :ivar state: fold of the domain's stream.
     :ivar settings: of the controller.
+    :ivar pace: lengths of leases now.
     :ivar head_read_ms: monotonic start of the last read to the head.
     :ivar now_ms: monotonic time.
     :ivar reserved: set aside for the service there.
@@ -22,6 +23,7 @@
 
     state: DomainState
     settings: BatchSettings
+    pace: Pace
     head_read_ms: int
     now_ms: int
     reserved: Resources
--- a/waxwingford/batch/_queries.py
+++ b/waxwingford/batch/_queries.py
@@ -32,6 +32,9 @@
         self._list_read: VmListRead | None = None
         self._load_problem = 'snapshot not looked for yet'
 
+    def _lack(self, problem: str) -> None:
+        self._load_problem = problem
+
     def jobs(self, member: str) -> list[JobView]:
         """List a member's jobs.
 
@@ -137,3 +140,14 @@
         if self._controller is None:
             return TaskCounts(0, 0)
         return task_counts(self._controller)
+
+    def take_released(self) -> tuple[str, ...]:
+        """Take the names of servers given up since the last call.
+
+        :returns: for an immediate heartbeat to the peers.
+        """
+        if self._controller is None:
+            return ()
+        released = tuple(self._controller.fleet.released)
+        self._controller.fleet.released.clear()
+        return released
--- a/waxwingford/batch/_queue.py
+++ b/waxwingford/batch/_queue.py
@@ -57,6 +57,14 @@
         later = _Later(due_ms, next(self._order), task, task.attempt)
         heapq.heappush(self._later, later)
 
+    def has_due(self, now_ms: int) -> bool:
+        """Tell whether a task has come in, or its turn here has come.
+
+        :param now_ms: monotonic time.
+        :returns: whether ``take`` would bring one in.
+        """
+        return bool(self._later) and self._later[0].due_ms <= now_ms
+
     def take(
         self,
         limit: int,
--- a/waxwingford/batch/_server.py
+++ b/waxwingford/batch/_server.py
@@ -1,6 +1,7 @@
 """What this daemon knows of one backend server, and what it does there."""
 
 import dataclasses
+from collections.abc import Iterable
 
 from waxwingford.batch._effects import Control, Note
 from waxwingford.ownership import ControlLease, Preference
@@ -8,6 +9,7 @@
 from waxwingford.ports import (
     ControlGranted,
     ControlRequest,
+    ForgetTask,
     StartTask,
     TaskKey,
     TaskPhase,
@@ -26,6 +28,8 @@
     :ivar lease: the control lease.
     :ivar preference: whether this daemon wants the lease.
     :ivar report_by_key: attempts that the server named in its last answer.
+    :ivar known: version of that answer, 0 if the server does not count.
+    :ivar whole_answers_ago: answers since one that named every attempt.
     :ivar report_offset: records before this offset were applied when the
         exchange of that answer was decided.
     :ivar unclaimed_since_ms: by attempt that runs without a known claim, when
@@ -46,7 +50,11 @@
     :ivar unreachable_since_ms: first exchange without an answer since the last
         answer; None while it answers.
     :ivar probation_ms: when quarantine allows the next task.
-    :ivar busy_share: busy service slots in its last usage sample, 0 to 1.
+    :ivar routed_share: busy service slots at present, 0 to 1, as this daemon's
+        routing sees them; None if it routes nothing there.
+    :ivar sampled_share: the same in the last usage sample, which is older.
+    :ivar predicted_ms: cached prediction of its service's latency; None after
+        a usage sample.
     :ivar view: cached view for policies; None after a change.
     """
 
@@ -56,6 +64,8 @@
     report_by_key: dict[TaskKey, TaskReport] = dataclasses.field(
         default_factory=dict,
     )
+    known: int = 0
+    whole_answers_ago: int = 0
     report_offset: int = -1
     unclaimed_since_ms: dict[TaskKey, int] = dataclasses.field(
         default_factory=dict,
@@ -78,8 +88,10 @@
     says_leaving: bool = False
     unreachable_since_ms: int | None = None
     probation_ms: int = 0
-    busy_share: float = 0
+    routed_share: float | None = None
+    sampled_share: float = 0
     view: ServerView | None = None
+    predicted_ms: float | None = None
 
     @property
     def leaving(self) -> bool:
@@ -89,13 +101,38 @@
         """
         return self.says_leaving or self.vm.state == VmState.leaving
 
-    def take_grant(self, answer: ControlGranted, epoch_changed: bool) -> None:
+    @property
+    def busy_share(self) -> float:
+        """Tell how busy the service there is.
+
+        :returns: share of busy slots, the newest that is known.
+        """
+        if self.routed_share is None:
+            return self.sampled_share
+        return self.routed_share
+
+    def take_grant(
+        self,
+        request: ControlRequest,
+        answer: ControlGranted,
+        epoch_changed: bool,
+    ) -> None:
         """Take what the server said.
 
+        :param request: what it answers.
         :param answer: its answer.
         :param epoch_changed: whether epoch or boot differ from before.
         """
-        self.report_by_key = {report.key: report for report in answer.tasks}
+        if answer.is_delta:
+            self._drop_forgotten(request)
+        else:
+            self.report_by_key.clear()
+            self.whole_answers_ago = 0
+        self.report_by_key.update(
+            (report.key, report) for report in answer.tasks
+        )
+        self.known = answer.version
+        self.whole_answers_ago += 1
         self.report_offset = self.in_flight_offset
         self.says_leaving = answer.leaving
         self.unreachable_since_ms = None
@@ -106,7 +143,15 @@
             self.commanded_ms.clear()
         self._forget_absent()
         if answer.usage:
-            self.busy_share = answer.usage[-1].service_load
+            self.predicted_ms = None
+            self.sampled_share = answer.usage[-1].service_load
+
+    def _drop_forgotten(self, request: ControlRequest) -> None:
+        # A forget that the server refused was carried out before, and its
+        # answer was lost.
+        for command in request.commands:
+            if isinstance(command, ForgetTask):
+                self.report_by_key.pop(command.key, None)
 
     def _forget_absent(self) -> None:
         for kept in (self.unclaimed_since_ms, self.commanded_ms):
@@ -115,6 +160,19 @@
         self.evicting &= self.report_by_key.keys()
         self.stopping &= self.report_by_key.keys()
 
+    def not_in(self, renew: Iterable[TaskKey]) -> tuple[TaskKey, ...]:
+        """List running attempts that are not to be renewed.
+
+        :param renew: those that are.
+        :returns: the other ones that the server named.
+        """
+        renewed = set(renew)
+        return tuple(
+            key
+            for key in self.report_by_key
+            if key not in renewed and self.is_running(key)
+        )
+
     def is_running(self, key: TaskKey) -> bool:
         """Tell whether the server named an attempt as running.
 
--- a/waxwingford/batch/_settings.py
+++ b/waxwingford/batch/_settings.py
@@ -4,6 +4,24 @@
 
 from waxwingford.ownership import OwnershipTimes
 
+#: A control lease lasts for so many intervals of renewal.
+_CONTROL_INTERVALS = 3
+#: A task lease outlives a control lease, so that a successor can renew it.
+_TASK_LEASES = 2
+
+
+class Pace(NamedTuple):
+    """Interval of exchanges and lengths of leases, in milliseconds.
+
+    :ivar renew_every_ms: interval of exchanges with a held server.
+    :ivar control_lease_ms: control lease asked for.
+    :ivar task_lease_ms: task leases asked for.
+    """
+
+    renew_every_ms: int
+    control_lease_ms: int
+    task_lease_ms: int
+
 
 class BatchSettings(NamedTuple):
     """Who the controller is and how long things take.
@@ -11,11 +29,14 @@
     :ivar daemon_id: this daemon.
     :ivar incarnation: random at each start of the process.
     :ivar failure_domain: whose stream it reads.
-    :ivar control_lease_ms: control lease asked for.
-    :ivar renew_every_ms: interval of exchanges with a held server.
-    :ivar task_lease_ms: task lease asked for.
+    :ivar control_lease_ms: shortest control lease asked for.
+    :ivar renew_every_ms: shortest interval of exchanges with a held server.
+    :ivar task_lease_ms: shortest task lease asked for.
     :ivar margin_ms: for the rate of clocks; also the longest time that a
         control request may take to arrive after its sender gave it up.
+    :ivar exchange_every_ms: shortest mean time between two exchanges; with
+        many servers each is renewed less often, under longer leases.
+    :ivar longest_renew_ms: longest interval of exchanges with a held server.
     :ivar control_timeout_ms: an exchange is given up after so long.
     :ivar outbox_records: records that may wait for the log at most.
     :ivar append_every_ms: shortest time between two appends.
@@ -33,6 +54,8 @@
     renew_every_ms: int = 2000
     task_lease_ms: int = 20_000
     margin_ms: int = 500
+    exchange_every_ms: int = 100
+    longest_renew_ms: int = 10_000
     control_timeout_ms: int = 1500
     outbox_records: int = 20_000
     append_every_ms: int = 500
@@ -49,3 +72,27 @@
         :returns: ``<daemon>#<incarnation>``.
         """
         return f'{self.daemon_id}#{self.incarnation}'
+
+    @property
+    def longest_task_lease_ms(self) -> int:
+        """Bound every daemon's task leases, however many servers it holds.
+
+        :returns: milliseconds.
+        """
+        return self._pace_at(self.longest_renew_ms).task_lease_ms
+
+    def pace(self, held: int) -> Pace:
+        """Spread exchanges over the servers that are held.
+
+        :param held: servers held.
+        :returns: interval and leases.
+        """
+        spread_ms = min(held * self.exchange_every_ms, self.longest_renew_ms)
+        return self._pace_at(max(self.renew_every_ms, spread_ms))
+
+    def _pace_at(self, renew_every_ms: int) -> Pace:
+        control_ms = max(
+            self.control_lease_ms, _CONTROL_INTERVALS * renew_every_ms
+        )
+        task_ms = max(self.task_lease_ms, _TASK_LEASES * control_ms)
+        return Pace(renew_every_ms, control_ms, task_ms)
--- a/waxwingford/batch/_shell.py
+++ b/waxwingford/batch/_shell.py
@@ -1,7 +1,6 @@
 """The task that owns the batch controller and carries out its effects."""
 
 import asyncio
-from collections.abc import Iterable
 
 from waxwingford.batch._controller import DomainController
 from waxwingford.batch._effects import (
@@ -16,9 +15,8 @@
     WriteSnapshot,
 )
 from waxwingford.batch._executor import EffectExecutor
+from waxwingford.batch._hints import BatchHints
 from waxwingford.batch._messages import (
-    AliveDaemons,
-    BundleSettings,
     CancelJob,
     Drain,
     EvictTask,
@@ -27,17 +25,15 @@
     Tick,
     VmListRead,
 )
-from waxwingford.batch._queries import BatchQueries
 from waxwingford.batch._reader import StreamReader
 from waxwingford.batch._replies import Replies, Reply
 from waxwingford.batch._settings import BatchSettings
-from waxwingford.batch._snapshots import load_newest
+from waxwingford.batch._snapshots import load_state
 from waxwingford.kernel import Clock
 from waxwingford.ports import (
     BackendServerPort,
     DirectoryPort,
     LogPort,
-    LogUnavailable,
 )
 from waxwingford.records import DomainState, JobSpec
 from waxwingford.timeline import TimeLine
@@ -45,11 +41,11 @@
 _MS_IN_S = 1000
 _TICK_MS = 50
 _LIST_EVERY_MS = 1000
-_LOAD_RETRY_MS = 1000
+_GAP_RETRY_MS = 1000
 _NOT_READY_RETRY_MS = 1000
 
 
-class BatchTask(BatchQueries):
+class BatchTask(BatchHints):
     """Owns the controller of one daemon; everything it does is by messages.
 
     Messages are handled one at a time on the event loop, without a wait in
@@ -85,7 +81,6 @@
         )
         self._replies = Replies()
         self._generation = 0
-        self._alive: AliveDaemons | None = None
         self._drained = asyncio.Event()
         self._group: asyncio.TaskGroup | None = None
 
@@ -99,12 +94,13 @@
         :raises ExceptionGroup: with a broken invariant or programming error
             of any of its parts, which all stop then.
         """
+        stream = f'snapshots/{self._settings.failure_domain}'
         async with asyncio.TaskGroup() as group:
             self._group = group
             group.create_task(self._follow_list())
             group.create_task(self._tick())
             while True:
-                self._begin(await self._load_state())
+                self._begin(await load_state(self._log, stream, self._lack))
                 await self._follow_stream()
 
     async def submit(self, job: JobSpec) -> SubmissionOutcome:
@@ -141,29 +137,6 @@
         self._handle(EvictTask(task_id))
         return task.server_id in held
 
-    # The name is the daemon's word for it.
-    def set_alive(  # noqa: WPS615
-        self, daemon_ids: Iterable[str]
-    ) -> None:
-        """Take the daemons of the failure domain that seem alive.
-
-        :param daemon_ids: their names.
-        """
-        self._alive = AliveDaemons(frozenset(daemon_ids))
-        self._handle(self._alive)
-
-    # The name is the daemon's word for it.
-    def set_bundle(  # noqa: WPS615
-        self, bundle: BundleSettings
-    ) -> None:
-        """Put the settings of a bundle in force.
-
-        :param bundle: the settings.
-        :raises UnknownPlugin: if no policy has the name.
-        """
-        self._bundle = bundle
-        self._handle(bundle)
-
     async def drain(self, bounded_ms: int) -> bool:
         """Take nothing new, and give the leases up so that peers adopt.
 
@@ -186,15 +159,6 @@
         self._handle(message)
         return await self._replies.wait(reply)
 
-    async def _load_state(self) -> DomainState:
-        stream = f'snapshots/{self._settings.failure_domain}'
-        while True:
-            outcome = await load_newest(self._log, stream)
-            if not isinstance(outcome, LogUnavailable):
-                return outcome or DomainState()
-            self._load_problem = f'snapshot not read: {outcome.reason}'
-            await asyncio.sleep(_LOAD_RETRY_MS / _MS_IN_S)
-
     def _begin(self, state: DomainState) -> None:
         self._generation += 1
         name = f'{self._settings.incarnation}.{self._generation}'
@@ -217,7 +181,7 @@
             message = await reader.read(controller.state.next_offset)
             self._handle(message)
             await reader.pause(message)
-        await asyncio.sleep(_LOAD_RETRY_MS / _MS_IN_S)
+        await asyncio.sleep(_GAP_RETRY_MS / _MS_IN_S)
 
     async def _follow_list(self) -> None:
         while True:
--- a/waxwingford/batch/_stream.py
+++ b/waxwingford/batch/_stream.py
@@ -144,16 +144,21 @@
         verdicts = self.state.apply(entry.offset, entry.group)
         if not verdicts:
             return []
+        effects: list[Effect] = []
+        is_own = entry.group.writer == self._settings.writer
         for verdict in verdicts:
             if isinstance(verdict, Valid):
                 self._note_valid(verdict, now_ms)
+                if is_own:
+                    effects.extend(task_notes(verdict))
         waiting = self.appender.note_seen(entry.group)
         if self.appender.is_idle:
             self.claiming = frozenset()
-        return [
+        effects.extend(
             ReplySubmission(submission_id, reply_to(verdict, self.state))
             for submission_id, verdict in zip(waiting, verdicts, strict=False)
-        ]
+        )
+        return effects
 
     def _note_valid(self, verdict: Valid, now_ms: int) -> None:
         match verdict.record:
@@ -198,3 +203,22 @@
         for record in self._waits.take_lapsed(self.state, head_read_ms):
             if self._fleet.rank(record.server_id) <= _LAPSE_RANK:
                 self.appender.offer(record.key, record)
+
+
+def task_notes(verdict: Valid) -> list[Note]:
+    """Write events of tasks for the time line of the daemon that did it.
+
+    :param verdict: a record that took effect.
+    :returns: one event for each attempt.
+    """
+    match verdict.record:
+        case TasksClaimed(server_id=server_id):
+            kind, detail = 'task.claimed', server_id
+        case AttemptEnded(server_id=server_id, how=how):
+            kind, detail = 'task.ended', f'{server_id} {how}'
+        case _:
+            return []
+    return [
+        Note(kind, f'task:{key.task_id}', f'attempt {key.attempt} {detail}')
+        for key in verdict.keys
+    ]
--- a/waxwingford/batch/_suspicion.py
+++ b/waxwingford/batch/_suspicion.py
@@ -75,7 +75,7 @@
         due_ms = (
             now_ms
             + task.job.spec.lost_after_ms
-            + settings.task_lease_ms
+            + settings.longest_task_lease_ms
             + settings.control_timeout_ms
             + settings.margin_ms
         )
@@ -98,7 +98,7 @@
             over.append(heapq.heappop(self._waits))
         standing = [wait for wait in over if _stands(state, wait)]
         for wait in standing:
-            again_ms = head_read_ms + self._settings.task_lease_ms
+            again_ms = head_read_ms + self._settings.longest_task_lease_ms
             heapq.heappush(self._waits, wait._replace(due_ms=again_ms))
         return [
             AttemptEnded(
--- a/waxwingford/ownership/_lease.py
+++ b/waxwingford/ownership/_lease.py
@@ -59,13 +59,11 @@
     # Answers carry a stamp of the server's clock; requests give it back with
     # the time for which they are good, so no two clocks are compared.
 
-    def __init__(self, lease_ms: int, margin_ms: int) -> None:
+    def __init__(self, margin_ms: int) -> None:
         """Start without the lease.
 
-        :param lease_ms: length asked for, in milliseconds.
         :param margin_ms: taken off for the rate of clocks, in milliseconds.
         """
-        self.lease_ms = lease_ms
         self.epoch = 0
         self.boot_id = ''
         self.until_ms = 0
@@ -108,12 +106,17 @@
         return self._stamp_ms, max(1, until_ms - self._stamp_received_ms)
 
     def note_granted(
-        self, sent_ms: int, now_ms: int, answer: ControlGranted
+        self,
+        sent_ms: int,
+        now_ms: int,
+        lease_ms: int,
+        answer: ControlGranted,
     ) -> bool:
         """Take the server's grant.
 
         :param sent_ms: monotonic time before the request was sent.
         :param now_ms: monotonic time after the answer was read.
+        :param lease_ms: length that the request asked for.
         :param answer: the grant.
         :returns: whether the epoch or the boot is another one than before.
         """
@@ -122,7 +125,7 @@
         self.boot_id = answer.boot_id
         self._stamp_ms = answer.stamp_ms
         self._stamp_received_ms = now_ms
-        self.until_ms = sent_ms + self.lease_ms - self._margin_ms
+        self.until_ms = sent_ms + lease_ms - self._margin_ms
         if changed:
             self.needs_new_epoch = False
         if self.state == LeaseState.handing_over:
--- a/waxwingford/ownership/_preference.py
+++ b/waxwingford/ownership/_preference.py
@@ -12,12 +12,15 @@
     :ivar fallback_ms: each lower rank waits so long more before it tries.
     :ivar fallback_hold_ms: one that got the lease as a fallback keeps it so
         long, since the first choice may not reach the server at all.
+    :ivar free_step_ms: each lower rank waits so long more for a lease that its
+        holder said it gave up; the first choice may be that holder.
     """
 
     retry_ms: int = 2000
     hand_over_ms: int = 10_000
     fallback_ms: int = 12_000
     fallback_hold_ms: int = 300_000
+    free_step_ms: int = 300
 
 
 class Preference:
@@ -60,6 +63,14 @@
         """
         return self._next_try_ms
 
+    def note_free(self, now_ms: int) -> None:
+        """Note that the holder gave the lease up just now.
+
+        :param now_ms: monotonic time.
+        """
+        soon_ms = now_ms + self.rank * self._times.free_step_ms
+        self._next_try_ms = min(self._next_try_ms, soon_ms)
+
     def note_tried(self, now_ms: int) -> None:
         """Note a try that did not give the lease, or a lease given up.
 
--- a/waxwingford/ownership/tests/lease.feature
+++ b/waxwingford/ownership/tests/lease.feature
@@ -66,3 +66,8 @@
     Then it tries at 24000
     When it gets the lease at 24000
     Then it keeps the lease at 300000
+
+  Scenario: A lease that its holder gave up is tried for at once
+    Given a daemon that is third choice from time 0
+    When it hears at 1000 that the lease is free
+    Then it tries at 1600
--- a/waxwingford/ownership/tests/lease_steps.py
+++ b/waxwingford/ownership/tests/lease_steps.py
@@ -15,7 +15,8 @@
 
 @given('a control lease of {lease_ms:d} ms with a margin of {margin_ms:d} ms')
 def control_lease(context, lease_ms, margin_ms):
-    context.lease = ControlLease(lease_ms, margin_ms)
+    context.lease = ControlLease(margin_ms)
+    context.lease_ms = lease_ms
 
 
 @when(
@@ -33,7 +34,7 @@
 )
 def granted(context, epoch, sent_ms, now_ms):
     answer = ControlGranted(epoch, 'boot', False, (), stamp_ms=77)
-    context.lease.note_granted(sent_ms, now_ms, answer)
+    context.lease.note_granted(sent_ms, now_ms, context.lease_ms, answer)
 
 
 @when('the holder looks again at {now_ms:d}')
@@ -154,3 +155,8 @@
 @then('it keeps the lease at {now_ms:d}')
 def keeps_at(context, now_ms):
     assert not context.preference.should_hand_over(now_ms)
+
+
+@when('it hears at {now_ms:d} that the lease is free')
+def hears_free(context, now_ms):
+    context.preference.note_free(now_ms)
--- a/waxwingford/ports/_servers.py
+++ b/waxwingford/ports/_servers.py
@@ -150,6 +150,11 @@
         ``stamp_ms + good_for_ms``; 0 for no limit.  A request that is held up
         on the way, or by a sender that was frozen, cannot then start or renew
         an attempt that was meanwhile given up for lost.
+    :ivar known: ``version`` of the last answer that the holder read under this
+        epoch; 0 asks for every attempt.
+    :ivar renew_except: if not None, in place of ``renew``: every running
+        attempt that the answer ``known`` or one before it named is renewed,
+        except these.
     """
 
     holder: str
@@ -160,6 +165,8 @@
     commands: tuple[ServerCommand, ...] = ()
     stamp_ms: int = 0
     good_for_ms: int = 0
+    known: int = 0
+    renew_except: tuple[TaskKey, ...] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -175,6 +182,10 @@
     :ivar usage: samples since the last exchange.
     :ivar stamp_ms: the server's own monotonic clock when it answered; 0 if it
         gives none.
+    :ivar version: counts changes of attempts in this boot; 0 if the server
+        does not count.
+    :ivar is_delta: ``tasks`` names only attempts that changed after the
+        request's ``known``; those forgotten since are left out as well.
     """
 
     epoch: int
@@ -184,6 +195,8 @@
     refused: tuple[tuple[TaskKey, str], ...] = ()
     usage: tuple[UsageSample, ...] = ()
     stamp_ms: int = 0
+    version: int = 0
+    is_delta: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/waxwingford_standins/backend_server.py
+++ b/waxwingford_standins/backend_server.py
@@ -20,6 +20,7 @@
     VmState,
 )
 from waxwingford_standins.server_attempts import AttemptTable
+from waxwingford_standins.server_changes import ChangeCounter
 from waxwingford_standins.server_service import (
     CallRefused,
     CallStarted,
@@ -105,6 +106,7 @@
         self._samples: collections.deque[tuple[int, UsageSample]] = (
             collections.deque(maxlen=_MOST_SAMPLES)
         )
+        self._changes = ChangeCounter()
         self._window_from_ms = -1
         self._leaving_since_ms = -1
         self._after_leaving_ms = -1
@@ -124,7 +126,11 @@
             return ControlDenied(
                 self._lease.holder, self._lease.epoch, remaining_ms
             )
-        self.attempts.renew(request.renew, request.task_lease_ms, now_ms)
+        renew = request.renew
+        if request.renew_except is not None:
+            named = set(self._changes.named(request.known))
+            renew = tuple(named.difference(request.renew_except))
+        self.attempts.renew(renew, request.task_lease_ms, now_ms)
         outcomes = [
             (command.key, self._carry_out(command, now_ms))
             for command in request.commands
@@ -132,14 +138,20 @@
         if not request.lease_ms:
             self._lease.holder = ''
             self._lease.until_ms = now_ms
+        reports = self.attempts.reports()
+        self._changes.note(reports)
+        if request.known:
+            reports = self._changes.changed(reports, request.known)
         return ControlGranted(
             self._lease.epoch,
             self.boot_id,
             self.vm.state is VmState.leaving,
-            self.attempts.reports(),
+            reports,
             tuple((key, reason) for key, reason in outcomes if reason),
             self._take_samples(now_ms),
             now_ms,
+            self._changes.version,
+            is_delta=bool(request.known),
         )
 
     def advance(self, now_ms: int) -> None:
@@ -207,6 +219,7 @@
         self.advance(now_ms)
         self.attempts.drop_all(now_ms, self.boot_id)
         self._samples.clear()
+        self._changes = ChangeCounter()
         self._service.drop_all()
         self._lease = _Lease(epoch=self._lease.epoch)
         self._boots += 1
