Load local deployments and test real processes under faults

Unit tests can't show what a killed or frozen process leaves behind. A small deployment (four daemons, two failure domains, eight backend servers) is now loaded by callers and batch jobs while something fails, and an audit compares what callers saw and what the log says with what the backend servers ran.

Load: open-loop callers that retry with the same key, age and attempt number, honour the time to come back and check that each answer carries their own token; jobs that are submitted, cancelled, evicted, misjudged in size, and one that can never run. Audit: no key ran twice, no refusal was false, no answer without a run or for another request, no attempt started twice or in two places, no task done twice, evicted work went on from its checkpoint, no job lost, nothing done that no server ran, nothing new on a server 3 s after it began to leave. Each check has a scenario that breaks it.

Ruled out: killing a daemon under load alone.

Not caught by a mutation of its own: the log outage, the cut-off domain, the dead backend server and the frozen daemon; they pass, and are shown only to reach their situation (callers answered, attempts ended with their server).

--- a/waxwingford_standins/audit.py
+++ b/waxwingford_standins/audit.py
@@ -10,7 +10,7 @@
 from waxwingford_standins.server_tasks import AttemptRun
 
 #: A leaving server gets nothing new after this time, in milliseconds.
-_LEAVING_GRACE_MS = 5000
+_LEAVING_GRACE_MS = 3000
 _STILL_RUNNING = float('inf')
 _RUNNING = 'running'
 
--- a/waxwingford_standins/configs.py
+++ b/waxwingford_standins/configs.py
@@ -169,7 +169,7 @@
         trust=trust,
         peers=peers,
         leases=LOCAL_LEASES,
-        limits=Limits(drain_ms=_DRAIN_MS, key_memory_ms=20_000),
+        limits=Limits(drain_ms=_DRAIN_MS, key_memory_ms=20_000, delivery_ms=0),
     )
 
 
--- a/waxwingford_standins/launcher.py
+++ b/waxwingford_standins/launcher.py
@@ -26,7 +26,7 @@
 def main() -> None:
     """Run the launcher."""
     options = _arguments()
-    source = _DEPLOYMENTS / options.deployment
+    source = options.deployments / options.deployment
     deployment = load_deployment(source / 'deployment.toml')
     if isinstance(deployment, tuple):
         sys.exit('\n'.join(str(problem) for problem in deployment))
@@ -90,7 +90,13 @@
 def _arguments() -> argparse.Namespace:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument(
-        '--deployment', choices=('qadri', 'svatbena'), default='qadri'
+        '--deployment', default='qadri', help='for example qadri or svatbena'
+    )
+    parser.add_argument(
+        '--deployments',
+        type=pathlib.Path,
+        default=_DEPLOYMENTS,
+        help='directory with a subdirectory for each deployment',
     )
     parser.add_argument(
         '--seconds',
--- a/waxwingford_standins/load.py
+++ b/waxwingford_standins/load.py
@@ -20,7 +20,7 @@
 from waxwingford_standins.server_service import ServiceEcho
 
 _MS_IN_S = 1000
-_SLACK_S = 2
+_SLACK_S = 1
 _DEFAULT_RETRY_S = 0.2
 _MOST_RETRY_S = 5
 _OK = 200
@@ -57,6 +57,7 @@
     outcome: CallOutcome
     retry_s: float = _DEFAULT_RETRY_S
     reason: str = ''
+    entry: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -116,7 +117,6 @@
         self._label = label
         self._random = random.Random(deployment.seed)
         self._numbers = itertools.count(1)
-        self._running: set[asyncio.Task[None]] = set()
 
     async def run(self, seconds: float) -> None:
         """Call for some time, then wait for the calls that are out.
@@ -124,25 +124,19 @@
         :param seconds: how long new calls begin.
         """
         connector = aiohttp.TCPConnector(limit=0)
-        async with aiohttp.ClientSession(connector=connector) as client:
-            await asyncio.gather(
-                *(
-                    self._arrivals(client, plan, seconds)
-                    for plan in self._deployment.callers
-                )
-            )
-            if self._running:
-                await asyncio.wait(self._running)
-
-    def outcome_counts(self) -> collections.Counter[str]:
-        """Count calls by how they ended.
-
-        :returns: counts.
-        """
-        return collections.Counter(call.outcome.value for call in self.calls)
+        async with (
+            aiohttp.ClientSession(connector=connector) as client,
+            asyncio.TaskGroup() as group,
+        ):
+            for plan in self._deployment.callers:
+                group.create_task(self._arrivals(group, client, plan, seconds))
 
     async def _arrivals(
-        self, client: aiohttp.ClientSession, plan: CallerPlan, seconds: float
+        self,
+        group: asyncio.TaskGroup,
+        client: aiohttp.ClientSession,
+        plan: CallerPlan,
+        seconds: float,
     ) -> None:
         if not plan.requests_per_s:
             return
@@ -152,9 +146,7 @@
         while next_s < until_s:
             next_s += self._random.expovariate(plan.requests_per_s)
             await asyncio.sleep(max(next_s - loop.time(), 0))
-            task = asyncio.ensure_future(self._call(client, plan))
-            self._running.add(task)
-            task.add_done_callback(self._running.discard)
+            group.create_task(self._call(client, plan))
 
     async def _call(
         self, client: aiohttp.ClientSession, plan: CallerPlan
--- a/waxwingford_standins/night.py
+++ b/waxwingford_standins/night.py
@@ -6,29 +6,20 @@
 import time
 from typing import NamedTuple
 
-import aiohttp
 import msgspec
-from cryptography.hazmat.primitives.asymmetric.ed25519 import (
-    Ed25519PrivateKey,
-)
 
 from waxwingford.adapters import HttpLog, encode_json
-from waxwingford.bundles import sign_request
 from waxwingford.ports import LogUnavailable, Resources
 from waxwingford.records import DomainState, decode_group
 from waxwingford_standins.deployment import JobPlan
-from waxwingford_standins.layout import HOST, DaemonPlace
+from waxwingford_standins.layout import HOST
 from waxwingford_standins.local_run import LocalRun
+from waxwingford_standins.operator import ACCEPTED_STATUSES, Operator
 from waxwingford_standins.server_tasks import Work
 
 _MS_IN_S = 1000
-_RETRY_S = 0.3
-_HTTP_S = 5
-_TRIES = 20
 _READ_LIMIT = 500
 _LOG_TIMEOUT_MS = 2000
-_FINAL_STATUSES = frozenset((200, 201, 202, 400, 409, 413, 422))
-ACCEPTED_STATUSES = frozenset((200, 201, 202))
 
 
 class Submitted(NamedTuple):
@@ -38,12 +29,14 @@
     :ivar plan: where it came from.
     :ivar status: HTTP status of the last answer; 0 without one.
     :ivar reply: text of that answer.
+    :ivar failure_domain: where it was submitted.
     """
 
     job_id: str
     plan: JobPlan
     status: int
     reply: str
+    failure_domain: str
 
 
 class JobFields(msgspec.Struct):
@@ -89,6 +82,7 @@
         """
         self.submitted: list[Submitted] = []
         self._run = local_run
+        self._operator = Operator(local_run)
         self._label = label
         self._random = random.Random(local_run.deployment.seed)
 
@@ -107,60 +101,36 @@
         job_id = f'{plan.member}.{plan.name}-{number}-{self._label}'
         daemon = self._random.choice(self._run.layout.daemons)
         body = encode_json(_fields(plan, job_id))
-        status, reply = await self._post(plan, daemon, '/v1/jobs', body)
-        self.submitted.append(Submitted(job_id, plan, status, reply))
+        status, reply = await self._operator.post_until_final(
+            plan.member, daemon, '/v1/jobs', body
+        )
+        domain = daemon.failure_domain
+        self.submitted.append(Submitted(job_id, plan, status, reply, domain))
         if plan.cancel_after_ms and status in ACCEPTED_STATUSES:
             await asyncio.sleep(plan.cancel_after_ms / _MS_IN_S)
-            await self._post(plan, daemon, f'/v1/jobs/{job_id}/cancel', b'')
-
-    async def _post(
-        self, plan: JobPlan, daemon: DaemonPlace, path: str, body: bytes
-    ) -> tuple[int, str]:
-        """Send a signed request until it has a final answer.
+            await self._operator.post_until_final(
+                plan.member, daemon, f'/v1/jobs/{job_id}/cancel'
+            )
 
-        Always to one failure domain, whose stream makes a repeated submission
-        harmless; another daemon of it stands in for one that is away.
+    async def evict_all(self) -> int:
+        """Ask for the eviction of every task of every job that was taken.
 
-        :param plan: whose member signs.
-        :param daemon: first choice.
-        :param path: of the request.
-        :param body: of the request.
-        :returns: status and text of the last answer.
+        :returns: how many tasks will be evicted, as the daemons say.
         """
-        key = self._run.key_by_member[plan.member]
-        nearby = [
-            place
-            for place in self._run.layout.daemons
-            if place.failure_domain == daemon.failure_domain
-        ]
-        status, reply = 0, ''
-        for attempt in range(_TRIES):
-            place = nearby[attempt % len(nearby)] if attempt else daemon
-            status, reply = await self._send(key, plan, place, path, body)
-            if status in _FINAL_STATUSES:
-                break
-            await asyncio.sleep(_RETRY_S)
-        return status, reply
-
-    async def _send(
-        self,
-        key: Ed25519PrivateKey,
-        plan: JobPlan,
-        place: DaemonPlace,
-        path: str,
-        body: bytes,
-    ) -> tuple[int, str]:
-        headers = sign_request(key, plan.member, 'POST', path, body, _wall_ms())
-        try:
-            async with self._run.switches.client.post(
-                f'{place.url}{path}',
-                data=body,
-                headers=headers,
-                timeout=aiohttp.ClientTimeout(total=_HTTP_S),
-            ) as answer:
-                return answer.status, await answer.text()
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            return 0, f'{type(error).__name__}: {error}'
+        asked = await asyncio.gather(
+            *(
+                self._operator.post(
+                    job.plan.member,
+                    daemon,
+                    f'/v1/jobs/{job.job_id}/tasks/{index}/evict',
+                )
+                for job in self.submitted
+                for daemon in self._run.layout.daemons
+                if daemon.failure_domain == job.failure_domain
+                for index in range(job.plan.tasks)
+            )
+        )
+        return sum(status in ACCEPTED_STATUSES for status, _ in asked)
 
 
 async def read_ledger(local_run: LocalRun, domain: str) -> DomainLedger:
--- /dev/null
+++ b/waxwingford_standins/operator.py
@@ -0,0 +1,87 @@
+"""Operators' signed requests to the daemons of a local run."""
+
+import asyncio
+import time
+
+import aiohttp
+
+from waxwingford.bundles import sign_request
+from waxwingford_standins.layout import DaemonPlace
+from waxwingford_standins.local_run import LocalRun
+
+_MS_IN_S = 1000
+_RETRY_S = 0.3
+_HTTP_S = 5
+_TRIES = 20
+ACCEPTED_STATUSES = frozenset((200, 201, 202))
+_FINAL_STATUSES = ACCEPTED_STATUSES | {400, 409, 413, 422}
+
+
+class Operator:
+    """Signs as any member; a local run has all their keys."""
+
+    def __init__(self, local_run: LocalRun) -> None:
+        """Prepare.
+
+        :param local_run: where the daemons are.
+        """
+        self._run = local_run
+
+    async def post_until_final(
+        self, member: str, daemon: DaemonPlace, path: str, body: bytes = b''
+    ) -> tuple[int, str]:
+        """Send a signed request until it has a final answer.
+
+        Always to one failure domain, whose stream makes a repeated submission
+        harmless; another daemon of it stands in for one that is away.
+
+        :param member: who signs.
+        :param daemon: first choice.
+        :param path: of the request.
+        :param body: of the request.
+        :returns: status and text of the last answer.
+        """
+        others = [
+            place
+            for place in self._run.layout.daemons
+            if place.failure_domain == daemon.failure_domain and place != daemon
+        ]
+        nearby = [daemon, *others]
+        status, reply = 0, ''
+        for attempt in range(_TRIES):
+            place = nearby[attempt % len(nearby)]
+            status, reply = await self.post(member, place, path, body)
+            if status in _FINAL_STATUSES:
+                break
+            await asyncio.sleep(_RETRY_S)
+        return status, reply
+
+    async def post(
+        self, member: str, daemon: DaemonPlace, path: str, body: bytes = b''
+    ) -> tuple[int, str]:
+        """Send a signed request once.
+
+        :param member: who signs.
+        :param daemon: where to.
+        :param path: of the request.
+        :param body: of the request.
+        :returns: status, 0 without an answer, and text.
+        """
+        headers = sign_request(
+            self._run.key_by_member[member],
+            member,
+            'POST',
+            path,
+            body,
+            int(time.time() * _MS_IN_S),
+        )
+        try:
+            async with self._run.switches.client.post(
+                f'{daemon.url}{path}',
+                data=body,
+                headers=headers,
+                timeout=aiohttp.ClientTimeout(total=_HTTP_S),
+            ) as answer:
+                return answer.status, await answer.text()
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return 0, f'{type(error).__name__}: {error}'
--- a/waxwingford_standins/report.py
+++ b/waxwingford_standins/report.py
@@ -17,11 +17,8 @@
 from waxwingford_standins.backend_server import ServerAudit
 from waxwingford_standins.latencies import LatencyRow, latency_rows
 from waxwingford_standins.load import Callers
-from waxwingford_standins.night import (
-    ACCEPTED_STATUSES,
-    DomainLedger,
-    Submitted,
-)
+from waxwingford_standins.night import DomainLedger, Submitted
+from waxwingford_standins.operator import ACCEPTED_STATUSES
 
 _MOST_FINDINGS = 20
 _MOST_REASONS = 12
--- a/waxwingford_standins/tests/faults.feature
+++ b/waxwingford_standins/tests/faults.feature
@@ -3,8 +3,27 @@
   something fails. The audit compares what callers saw and what the log says
   with what the backend servers ran.
 
+  # Symptom: evicted work starts afresh, or goes on in two places.
+  # Sequence: operators evict everything that runs while a part of the control
+  # answers is lost: the holder can't know which checkpoints were taken.
+  Scenario: Everything is evicted in a wave
+    Given the small deployment runs
+    When it is loaded while all tasks are evicted and answers are lost
+    Then the audit finds nothing
+    And every accepted job ended
+    And some tasks went on from their checkpoints
+
+  # Symptom: work on a VM that is about to go is cut off or lost.
+  # Sequence: a backend server says that it is leaving; work goes on coming.
+  Scenario: A backend server leaves
+    Given the small deployment runs
+    When it is loaded while a backend server leaves
+    Then the audit finds nothing
+    And every accepted job ended
+
   # Symptom: a task or a reservation runs twice, or a job is forgotten.
-  # Sequence: the process dies with claims, calls and leases in its memory.
+  # Sequence: the process dies with claims, calls and leases in its memory;
+  # servers run its requests only afterwards, callers have come back elsewhere.
   # Cause to rule out: something that must last stood only in that memory.
   Scenario: A daemon is killed
     Given the small deployment runs
@@ -48,6 +67,7 @@
     Given the small deployment runs
     When it is loaded while a backend server dies and answers are lost
     Then the audit finds nothing
+    And some attempts ended with their server
     And every accepted job ended
 
   # Symptom: a caller's answer ends in the middle, or never comes.
--- a/waxwingford_standins/tests/faults_steps.py
+++ b/waxwingford_standins/tests/faults_steps.py
@@ -11,10 +11,10 @@
 from waxwingford_standins.deployment import load_deployment
 from waxwingford_standins.load import CallOutcome
 from waxwingford_standins.local_run import LocalRun, Started, open_bundle
-from waxwingford_standins.trial import Trial
+from waxwingford_standins.trial import Trial, read_servers
 
 SMALL = pathlib.Path(__file__).parent / 'small'
-LOAD_S = 5
+LOAD_S = 4
 #: Longer than the control lease of a local run.
 FROZEN_S = 3.6
 MOST = 0.5
@@ -33,10 +33,11 @@
 
 def stop_deployment():
     """Stop every process of the shared deployment."""
-    runner, local_run = shared.pop('runner'), shared.pop('local_run')
-    with shared.pop('directory'):
+    runner, local_run = shared['runner'], shared['local_run']
+    with shared['directory']:
         runner.run(local_run.stop())
         runner.close()
+    shared.clear()
 
 
 @given('the small deployment runs')
@@ -62,10 +63,13 @@
 
 
 async def kill_daemon(local_run):
-    """Kill a daemon without warning and start it again."""
-    await asyncio.sleep(1)
+    """Kill a daemon while servers hold its requests, and start it again."""
+    await asyncio.sleep(2)
+    await local_run.switches.server_fault(failure_domain=CUT_OFF, frozen=True)
+    await asyncio.sleep(0.5)
     local_run.processes.send('small-1', signal.SIGKILL)
-    await asyncio.sleep(1)
+    await asyncio.sleep(0.7)
+    await local_run.switches.server_fault(failure_domain=CUT_OFF, frozen=False)
     await local_run.start_daemon('small-1')
 
 
@@ -84,7 +88,7 @@
     await asyncio.sleep(2)
     await local_run.switches.platform_fault(outage='none', lost_share=0.3)
     await asyncio.sleep(2)
-    await local_run.switches.platform_fault(lost_share=0.0)
+    await local_run.switches.platform_fault(lost_share=0)
 
 
 async def cut_domain_off(local_run):
@@ -96,15 +100,40 @@
     await local_run.switches.isolate()
 
 
+async def busy_server(local_run):
+    """Wait for the first batch work and name a server that runs some."""
+    while True:
+        for server in await read_servers(local_run):
+            if any(run.phase == 'running' for run in server.attempts):
+                return server.server_id
+        await asyncio.sleep(0.1)
+
+
 async def kill_server(local_run):
-    """Let a server die; all lose a part of their control answers."""
-    await asyncio.sleep(1)
+    """Let a busy server die; all lose a part of their control answers."""
     await local_run.switches.server_fault(lost_control_share=0.2)
+    server_id = await busy_server(local_run)
     await local_run.switches.server_fault(
-        server_id='gulberg-r1-s1', die=True, down_ms=1000
+        server_id=server_id, die=True, down_ms=1000
     )
     await asyncio.sleep(3)
-    await local_run.switches.server_fault(lost_control_share=0.0)
+    await local_run.switches.server_fault(lost_control_share=0)
+
+
+async def evict_tasks(local_run):
+    """Evict everything while a part of the control answers is lost."""
+    await local_run.switches.server_fault(lost_control_share=0.2)
+    await asyncio.sleep(1)
+    shared['evicted'] = await shared['trial'].night.evict_all()
+    await asyncio.sleep(1.2)
+    shared['evicted'] += await shared['trial'].night.evict_all()
+    await local_run.switches.server_fault(lost_control_share=0)
+
+
+async def leave_server(local_run):
+    """Let a busy server leave."""
+    server_id = await busy_server(local_run)
+    await local_run.switches.server_fault(server_id=server_id, leave=True)
 
 
 async def stop_daemon(local_run):
@@ -119,6 +148,8 @@
     'the log hangs and then loses answers': hang_log,
     'a failure domain is cut off': cut_domain_off,
     'a backend server dies and answers are lost': kill_server,
+    'all tasks are evicted and answers are lost': evict_tasks,
+    'a backend server leaves': leave_server,
     'a daemon is asked to stop': stop_daemon,
 }
 
@@ -127,6 +158,7 @@
 def load_while(context, fault):
     local_run = shared['local_run']
     context.trial = Trial(local_run)
+    shared['trial'] = context.trial
 
     async def _load():
         await asyncio.gather(
@@ -152,6 +184,20 @@
     assert batch.accepted and not batch.unfinished, batch
 
 
+@then('some tasks went on from their checkpoints')
+def went_on(context):
+    phases = context.report.batch.attempts_by_phase
+    assert shared['evicted'], phases
+    assert phases.get('checkpointed'), phases
+
+
+@then('some attempts ended with their server')
+def ended_with_server(context):
+    servers = shared['runner'].run(read_servers(shared['local_run']))
+    details = {run.detail for server in servers for run in server.attempts}
+    assert 'server died' in details, details
+
+
 @then('most calls were answered')
 def mostly_answered(context):
     outcomes = [call.outcome for call in context.trial.callers.calls]
--- a/waxwingford_standins/trial.py
+++ b/waxwingford_standins/trial.py
@@ -13,7 +13,7 @@
 from waxwingford_standins.night import DomainLedger, Night, read_ledger
 from waxwingford_standins.report import RunReport, make_report, report_text
 
-_POLL_S = 0.5
+_POLL_S = 0.2
 _FINISH_S = 15
 _LABEL_BYTES = 3
 _servers_decoder = msgspec.json.Decoder(list[ServerAudit])
@@ -57,13 +57,22 @@
             self._run.deployment.name,
             seconds,
             self.callers,
-            _servers_decoder.decode(await switches.server_audit()),
+            await read_servers(self._run),
             self.night.submitted,
             ledgers,
             _counts_decoder.decode(await switches.platform_audit()),
         )
 
 
+async def read_servers(local_run: LocalRun) -> list[ServerAudit]:
+    """Ask all backend servers what ran.
+
+    :param local_run: where they are.
+    :returns: one audit for each.
+    """
+    return _servers_decoder.decode(await local_run.switches.server_audit())
+
+
 async def write_results(
     local_run: LocalRun, report: RunReport, directory: pathlib.Path
 ) -> str:
