--- a/waxwingford/entry/_answers.py
+++ b/waxwingford/entry/_answers.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 import socket
+import struct
 from http import HTTPStatus
 
 import msgspec
@@ -16,6 +17,8 @@
 _RETRY_AFTER_HEADER = 'Retry-After'
 _MS_IN_S = 1000
 _JSON = 'application/json'
+#: ``struct linger``: on, 0 seconds.
+_NO_LINGER = struct.pack('ii', 1, 0)
 
 
 class Explanation(msgspec.Struct):
@@ -111,13 +114,21 @@
             await response.prepare(request)
             await response.write_eof()
     except TimeoutError:
-        transport.abort()
+        _reset(transport)
     except ConnectionError:
         # The caller has gone; nobody is left to tell.
         return response
     return response
 
 
+def _reset(transport: asyncio.Transport) -> None:
+    raw = transport.get_extra_info('socket')
+    if raw is not None:
+        # Without lingering the close sends a reset instead of an orderly end.
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+    transport.abort()
+
+
 def _bound_unread_time(transport: asyncio.Transport, limit_ms: int) -> None:
     """Let the system reset a connection whose peer takes nothing.
 
--- a/waxwingford/routing/_admission.py
+++ b/waxwingford/routing/_admission.py
@@ -9,14 +9,12 @@
 from waxwingford.routing._messages import Urgency
 from waxwingford.routing._shares import MemberShares
 
-#: Share of a limit that each urgency may use; the least urgent sheds first.
-SHARE_BY_URGENCY: Mapping[Urgency, float] = {
-    Urgency.background: 0.7,
-    Urgency.normal: 0.9,
-    Urgency.urgent: 1.0,
+#: Share of the capacity that stays free for more urgent requests.
+KEPT_BY_URGENCY: Mapping[Urgency, float] = {
+    Urgency.background: 0.15,
+    Urgency.normal: 0.05,
+    Urgency.urgent: 0,
 }
-#: The adaptive limit never falls below this share of the slots held.
-LEAST_SLOT_SHARE = 0.25
 #: Weight of the newest decision in the share of shed requests.
 SHED_WEIGHT = 0.05
 LEAST_RETRY_AFTER_MS = 50
@@ -52,9 +50,8 @@
 
 @dataclasses.dataclass(slots=True)
 class _ServiceAdmission:
-    limit: AdaptiveLimit
-    shares: MemberShares
     limits: ServiceLimits
+    shares: MemberShares
     in_use: int = 0
     shed_share: float = 0
 
@@ -68,10 +65,10 @@
         :param most_in_progress: over all services.
         :param rng: seeded source of chance, for jitter.
         """
-        self._most = most_in_progress
+        self._limit = AdaptiveLimit(most_in_progress)
         self._rng = rng
         self._in_use = 0
-        self._shares = MemberShares({})
+        self._shares = MemberShares(keeps_for_idle=True)
         self._by_service: dict[str, _ServiceAdmission] = {}
 
     def set_limits(
@@ -85,34 +82,40 @@
         for service, limits in limits_by_service.items():
             group = self._group(service)
             group.limits = limits
-            group.limit.target_ms = limits.target_ms
-            group.limit.most = float(limits.most_in_progress)
-            group.limit.limit = min(group.limit.limit, group.limit.most)
             group.shares.set_weights(limits.weight_by_member)
             weight_by_member.update(limits.weight_by_member)
         self._shares.set_weights(weight_by_member)
 
-    def set_slots(self, service: str, slots: int) -> None:
-        """Keep the adaptive limit above a part of the slots held.
+    def waited(self, wait_ms: int, now_ms: int) -> None:
+        """Take in how long a request waited for the processor.
 
-        :param service: which service.
-        :param slots: slots of the servers held for it.
+        :param wait_ms: milliseconds.
+        :param now_ms: monotonic time, in milliseconds.
         """
-        self._group(service).limit.least = LEAST_SLOT_SHARE * slots
+        self._limit.waited(wait_ms, self._in_use, now_ms)
 
     def enter(
-        self, service: str, member: str, urgency: Urgency, now_ms: int
+        self,
+        service: str,
+        member: str,
+        urgency: Urgency,
+        spare: int,
+        now_ms: int,
     ) -> Admitted | Shed:
         """Admit a request or shed it, at once.
 
         :param service: which service.
         :param member: whose request.
         :param urgency: how urgent.
+        :param spare: free slots that the request could go to, here and, if it
+            may be forwarded, at peers.
         :param now_ms: monotonic time, in milliseconds.
         :returns: the decision.
         """
         group = self._group(service)
-        reason = self._reason_to_shed(group, member, urgency, now_ms)
+        reason = self._daemon_reason(
+            member, urgency, now_ms
+        ) or _service_reason(group, member, urgency, spare, now_ms)
         group.shed_share += SHED_WEIGHT * (bool(reason) - group.shed_share)
         if reason:
             return Shed(reason, self.retry_after_ms(service))
@@ -122,19 +125,12 @@
         group.shares.enter(member)
         return Admitted(service, member)
 
-    def leave(
-        self, admitted: Admitted, latency_ms: float | None, now_ms: int
-    ) -> None:
+    def leave(self, admitted: Admitted) -> None:
         """End a request.
 
         :param admitted: as it was let in.
-        :param latency_ms: of a whole answer, in milliseconds; nothing if
-            there was none and the load is not to blame.
-        :param now_ms: monotonic time, in milliseconds.
         """
         group = self._group(admitted.service)
-        if latency_ms is not None:
-            group.limit.measured(latency_ms, group.in_use, now_ms)
         self._in_use -= 1
         group.in_use -= 1
         self._shares.leave(admitted.member)
@@ -150,7 +146,7 @@
         :returns: milliseconds.
         """
         group = self._group(service)
-        base_ms = group.limit.target_ms * (1 + SHED_FACTOR * group.shed_share)
+        base_ms = group.limits.target_ms * (1 + SHED_FACTOR * group.shed_share)
         jitter = _JITTER_FROM + self._rng.random()
         wanted_ms = int(base_ms * jitter)
         return max(LEAST_RETRY_AFTER_MS, min(LONGEST_RETRY_AFTER_MS, wanted_ms))
@@ -162,34 +158,41 @@
         """
         return self._in_use
 
-    def _reason_to_shed(
-        self,
-        group: _ServiceAdmission,
-        member: str,
-        urgency: Urgency,
-        now_ms: int,
-    ) -> str:
-        share = SHARE_BY_URGENCY[urgency]
-        if group.in_use >= share * group.limit.limit:
-            return 'service is at its limit'
-        most = group.limits.most_by_member.get(member, group.in_use + 1)
-        if group.shares.in_use(member) >= most:
-            return "member's limit of the service is reached"
-        room = self._shares.room(member, share * self._most, now_ms)
-        if self._shares.in_use(member) + 1 > room:
-            return "member's share is used up"
-        room = group.shares.room(member, share * group.limit.limit, now_ms)
-        if group.shares.in_use(member) + 1 > room:
-            return "member's share of the service is used up"
-        if self._in_use >= self._most:
+    def _daemon_reason(self, member: str, urgency: Urgency, now_ms: int) -> str:
+        limit = (1 - KEPT_BY_URGENCY[urgency]) * self._limit.limit
+        if self._in_use >= limit:
             return 'daemon is at its limit'
+        room = self._shares.room(member, limit, now_ms)
+        if self._shares.in_use(member) + 1 > room:
+            return "member's share of the daemon is used up"
         return ''
 
     def _group(self, service: str) -> _ServiceAdmission:
         group = self._by_service.get(service)
         if group is None:
-            limits = ServiceLimits()
-            limit = AdaptiveLimit(limits.target_ms, limits.most_in_progress)
-            group = _ServiceAdmission(limit, MemberShares({}), limits)
+            shares = MemberShares(keeps_for_idle=False)
+            group = _ServiceAdmission(ServiceLimits(), shares)
             self._by_service[service] = group
         return group
+
+
+def _service_reason(
+    group: _ServiceAdmission,
+    member: str,
+    urgency: Urgency,
+    spare: int,
+    now_ms: int,
+) -> str:
+    if group.in_use >= group.limits.most_in_progress:
+        return 'service is at its limit'
+    in_use = group.shares.in_use(member)
+    most = group.limits.most_by_member.get(member, in_use + 1)
+    if in_use >= most:
+        return "member's limit of the service is reached"
+    capacity = group.in_use + spare
+    if spare <= int(KEPT_BY_URGENCY[urgency] * capacity) and spare:
+        return 'what is free is kept for more urgent requests'
+    room = group.shares.room(member, capacity, now_ms)
+    if spare and in_use + 1 > room:
+        return "member's share of the service is used up"
+    return ''
--- a/waxwingford/routing/_calls.py
+++ b/waxwingford/routing/_calls.py
@@ -4,7 +4,7 @@
 import dataclasses
 from collections.abc import Callable
 
-from waxwingford.kernel import Clock
+from waxwingford.kernel import Clock, Invariant, require
 from waxwingford.ports import (
     BackendServerPort,
     ServiceAnswer,
@@ -156,6 +156,11 @@
         server_id = slot.held.server_id
         match outcome:
             case ServiceAnswer(status=status, content_type=kind, body=body):
+                require(
+                    outcome.request_id == call.request_id,
+                    Invariant.whole_answer,
+                    f'{outcome.request_id} answers {call.request_id}',
+                )
                 latency_ms = self._table.answered(slot, now_ms)
                 self._metrics.latency(
                     'server_call', latency_ms, service=call.service
--- a/waxwingford/routing/_desk.py
+++ b/waxwingford/routing/_desk.py
@@ -12,7 +12,6 @@
 from waxwingford.routing._key_messages import MayRun
 from waxwingford.routing._limits import DeskLimits, ServiceLimits
 from waxwingford.routing._messages import (
-    Answered,
     HeldServer,
     Outcome,
     PeerView,
@@ -72,15 +71,13 @@
     def set_servers(self, servers: tuple[HeldServer, ...]) -> None:
         """Replace the set of held servers.
 
+        Called at least once a second: the desk also notices by it when the
+        process was frozen.
+
         :param servers: all servers held now.
         """
+        self._gate.alive()
         self._router.table.set_servers(servers, self._now_ms())
-        slots_by_service: dict[str, int] = {}
-        for server in servers:
-            slots = slots_by_service.get(server.service, 0) + server.slots
-            slots_by_service[server.service] = slots
-        for service, slots in slots_by_service.items():
-            self._admission.set_slots(service, slots)
 
     def set_peers(self, peers: tuple[PeerView, ...]) -> None:
         """Replace what is known of peers.
@@ -112,7 +109,7 @@
             return turn_away(request, 'daemon is stopping', retry_after_ms)
         if request.attempt > 1 and not request.idempotent and not request.key:
             return Rejected('a retry that is not idempotent needs a key')
-        task = asyncio.ensure_future(self._handle(request))
+        task = asyncio.ensure_future(self._handle(request, self._now_ms()))
         self._in_progress.add(task)
         task.add_done_callback(self._in_progress.discard)
         return await asyncio.shield(task)
@@ -176,8 +173,9 @@
         )
         return Drained()
 
-    async def _handle(self, request: Request) -> Outcome:
-        began_ms = self._now_ms()
+    async def _handle(self, request: Request, began_ms: int) -> Outcome:
+        now_ms = self._now_ms()
+        self._admission.waited(now_ms - began_ms, now_ms)
         if request.idempotent or not request.key:
             outcome = await self._admit(request, began_ms)
         else:
@@ -200,7 +198,11 @@
 
     async def _admit(self, request: Request, began_ms: int) -> Outcome:
         decision = self._admission.enter(
-            request.service, request.member, request.urgency, began_ms
+            request.service,
+            request.member,
+            request.urgency,
+            self._router.spare(request),
+            began_ms,
         )
         match decision:
             case Shed(reason=reason, retry_after_ms=retry_after_ms):
@@ -211,24 +213,14 @@
     async def _route(
         self, request: Request, admitted: Admitted, began_ms: int
     ) -> Outcome:
-        outcome: Outcome | None = None
         try:
-            outcome = await self._router.route(
+            return await self._router.route(
                 request,
                 began_ms + request.deadline_ms,
                 self._admission.retry_after_ms(request.service),
             )
         finally:
-            self._leave(admitted, outcome, began_ms)
-        return outcome
-
-    def _leave(
-        self, admitted: Admitted, outcome: Outcome | None, began_ms: int
-    ) -> None:
-        now_ms = self._now_ms()
-        loaded = isinstance(outcome, Answered | Unknown)
-        latency_ms = float(now_ms - began_ms) if loaded else None
-        self._admission.leave(admitted, latency_ms, now_ms)
+            self._admission.leave(admitted)
 
     def _note(self, request: Request, outcome: Outcome, began_ms: int) -> None:
         service = request.service
--- a/waxwingford/routing/_key_gate.py
+++ b/waxwingford/routing/_key_gate.py
@@ -15,6 +15,7 @@
     KeyMemoryFull,
     KeyOfOtherBody,
     KeyRan,
+    KeySuperseded,
     MayRun,
     MustRecall,
 )
@@ -38,6 +39,7 @@
     decide_recall,
     first_attempt_age_ms,
 )
+from waxwingford.routing._stalls import STALL_MS, StallWatch
 
 _MS_IN_S = 1000
 _SEPARATOR = b'\x00'
@@ -91,9 +93,16 @@
         self._peers = peers
         self._clock = clock
         self._started_ms = clock.monotonic_ms()
+        self._stalls = StallWatch(
+            self._started_ms, limits.delivery_ms + STALL_MS
+        )
         self._keys = KeyMemory(limits)
         self._recalls = 0
 
+    def alive(self) -> None:
+        """Take in a sign of life of the process."""
+        self._stalls.alive(self._clock.monotonic_ms())
+
     async def enter(
         self, request: Request, daemon_ids: frozenset[str]
     ) -> MayRun | Outcome:
@@ -103,20 +112,22 @@
         :param daemon_ids: all other daemons that must be asked.
         :returns: permission to run, or the outcome.
         """
+        self.alive()
+        waited_ms = self._stalls.waited_ms(self._clock.monotonic_ms())
         first = self._counts_as_first(request)
         decision = self._begin(request, first)
         match decision:
             case MayRun():
                 return decision
             case MustRecall():
-                return await self._recall(request, daemon_ids)
+                return await self._recall(request, daemon_ids, waited_ms)
             case KeyRan(outcome=Answered() as outcome):
                 return outcome
             case KeyRan():
                 return Unknown('an attempt ran or may have', FULL_RETRY_MS)
-            case KeyInProgress():
+            case KeyInProgress() | KeySuperseded():
                 return Unknown(
-                    'an attempt is in progress', IN_PROGRESS_RETRY_MS
+                    'another attempt is in progress', IN_PROGRESS_RETRY_MS
                 )
             case KeyOfOtherBody():
                 return OTHER_BODY
@@ -160,6 +171,7 @@
         :param asker: daemon that asks.
         :returns: what is known here.
         """
+        self.alive()
         now_ms = self._now_ms()
         state, outcome = self._keys.asked(
             KeyId(member, key),
@@ -170,9 +182,11 @@
         return RecallAnswer(state, self._up_ms(), outcome)
 
     def _counts_as_first(self, request: Request) -> bool:
-        # A younger daemon has lost the questions that its predecessor was
-        # asked: a delayed first attempt could run beside a retry elsewhere.
-        old_enough = self._up_ms() >= self._limits.key_memory_ms
+        # A daemon that started while the first attempt was under way has lost
+        # the questions that its predecessor was asked: the attempt could run
+        # beside a retry elsewhere.  A later start is no danger, the questions
+        # came to this process then.
+        old_enough = self._up_ms() >= self._limits.delivery_ms
         return request.attempt == 1 and old_enough
 
     def _begin(self, request: Request, first: bool) -> KeyDecision:
@@ -186,14 +200,16 @@
         return self._keys.begin(key_id, digest, first, now_ms)
 
     async def _recall(
-        self, request: Request, daemon_ids: frozenset[str]
+        self, request: Request, daemon_ids: frozenset[str], waited_ms: int
     ) -> MayRun | Outcome:
         key_id = _key_id(request)
         decision: MayRun | Answered | Unknown | Rejected = Unknown(
             'too many retries are being looked up', UNREACHABLE_RETRY_MS
         )
         try:
-            decision = await self._ask_and_decide(request, daemon_ids)
+            decision = await self._ask_and_decide(
+                request, daemon_ids, waited_ms
+            )
         finally:
             # Also after a cancellation: the key must not stay in progress.
             match decision:
@@ -209,11 +225,13 @@
         return decision
 
     async def _ask_and_decide(
-        self, request: Request, daemon_ids: frozenset[str]
+        self, request: Request, daemon_ids: frozenset[str], waited_ms: int
     ) -> MayRun | Answered | Unknown | Rejected:
         limits = self._limits
         age_ms = first_attempt_age_ms(
-            request, limits.key_memory_ms, limits.delivery_ms
+            request,
+            limits.key_memory_ms,
+            limits.delivery_ms + waited_ms,
         )
         if age_ms > limits.key_memory_ms:
             return Unknown(
@@ -247,10 +265,12 @@
             self._recalls -= 1
 
     def _now_ms(self) -> int:
-        return self._clock.monotonic_ms()
+        # Keys do not age during a stall: a request that waited for its end
+        # must still meet the records that stood when it came.
+        return self._stalls.running_ms(self._clock.monotonic_ms())
 
     def _up_ms(self) -> int:
-        return self._now_ms() - self._started_ms
+        return self._clock.monotonic_ms() - self._started_ms
 
 
 def _key_id(request: Request) -> KeyId:
--- a/waxwingford/routing/_key_messages.py
+++ b/waxwingford/routing/_key_messages.py
@@ -38,6 +38,11 @@
     """All other daemons must be asked before the request may run."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeySuperseded:
+    """A later attempt was taken elsewhere; this one must not run any more."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeyInProgress:
     """Another attempt is in progress here."""
@@ -64,5 +69,10 @@
 
 
 KeyDecision = (
-    MayRun | MustRecall | KeyInProgress | KeyRan | KeyOfOtherBody
+    MayRun
+    | MustRecall
+    | KeySuperseded
+    | KeyInProgress
+    | KeyRan
+    | KeyOfOtherBody
 ) | KeyMemoryFull
--- a/waxwingford/routing/_keys.py
+++ b/waxwingford/routing/_keys.py
@@ -14,6 +14,7 @@
     KeyMemoryFull,
     KeyOfOtherBody,
     KeyRan,
+    KeySuperseded,
     MayRun,
     MustRecall,
 )
@@ -80,6 +81,9 @@
         if record.digest not in {b'', digest}:
             return KeyOfOtherBody()
         match record.state:
+            case _KeyState.recalled if first:
+                # Its caller may have been told that the retry was not run.
+                return KeySuperseded()
             case _KeyState.recalled:
                 record.digest = digest
                 record.yielded = False
@@ -102,15 +106,15 @@
         :returns: what may be done.
         """
         decision = self.begin(key_id, digest, True, now_ms)
-        if not isinstance(decision, MustRecall):
+        if not isinstance(decision, KeySuperseded):
             return decision
         record = self._record_by_id[key_id]
-        if record.asker == entry_daemon:
-            # The question came from the retry that is forwarded now.
-            record.state = _KeyState.running
-            return MayRun()
-        self.give_up_recall(key_id, now_ms)
-        return KeyInProgress()
+        if record.asker != entry_daemon:
+            return decision
+        # The question came from the retry that is forwarded now.
+        record.digest = digest
+        record.state = _KeyState.running
+        return MayRun()
 
     def won(self, key_id: KeyId) -> bool:
         """Let a retry run after all daemons said that no attempt did.
--- a/waxwingford/routing/_limits.py
+++ b/waxwingford/routing/_limits.py
@@ -37,7 +37,9 @@
     :ivar keys_by_member: keys remembered at most for one member.
     :ivar answer_bytes: bytes of answers kept for replay at most.
     :ivar delivery_ms: longest time that a first attempt may be under way
-        between caller and daemon, in milliseconds.
+        between caller and daemon, in milliseconds; 0 where nothing between
+        them takes a request and passes it on later: what comes over a
+        connection that this process accepted was sent after its start.
     :ivar recall_timeout_ms: time for asking all daemons, in milliseconds.
     :ivar least_left_ms: a request with less time left is not sent.
     :ivar overrun_ms: time by which a server may overrun a deadline before
--- a/waxwingford/routing/_recall.py
+++ b/waxwingford/routing/_recall.py
@@ -24,18 +24,22 @@
 
 
 def first_attempt_age_ms(
-    request: Request, key_memory_ms: int, delivery_ms: int
+    request: Request, key_memory_ms: int, under_way_ms: int
 ) -> int:
     """Bound how long ago the first attempt can have been sent.
 
     :param request: the attempt at hand.
     :param key_memory_ms: how long keys are remembered, in milliseconds.
-    :param delivery_ms: longest time under way, in milliseconds.
+    :param under_way_ms: longest time since the caller sent this attempt, in
+        milliseconds.
     :returns: milliseconds.
     """
     if request.age_ms >= 0:
-        return request.age_ms + delivery_ms
-    return delivery_ms if request.attempt == 1 else key_memory_ms
+        return request.age_ms + under_way_ms
+    if request.attempt == 1:
+        return under_way_ms
+    # Retries without an age are to be sent within half of the memory's time.
+    return max(key_memory_ms, key_memory_ms // 2 + under_way_ms)
 
 
 def decide_recall(
--- a/waxwingford/routing/_router.py
+++ b/waxwingford/routing/_router.py
@@ -112,6 +112,20 @@
         for service, budget in self._budget_by_service.items():
             budget.share = self._service_limits(service).retry_share
 
+    def spare(self, request: Request) -> int:
+        """Count free slots that a request could go to.
+
+        :param request: the request.
+        :returns: the count, peers included if it may be forwarded.
+        """
+        service = request.service
+        self.table.wake(self._ports.clock.monotonic_ms())
+        group = self.table.group_by_service.get(service)
+        own = group.spare if group else 0
+        if request.hops or not self._service_limits(service).may_spill:
+            return own
+        return own + self.peer_table.spare(service)
+
     async def route(
         self, request: Request, deadline_ms: int, retry_after_ms: int
     ) -> Outcome:
--- a/waxwingford/routing/_shares.py
+++ b/waxwingford/routing/_shares.py
@@ -6,8 +6,10 @@
 
 #: A member's peak of use falls by half in this time, in milliseconds.
 HALF_LIFE_MS = 10_000
-#: Part of an idle member's share that stays free for its return.
+#: Part of a share that stays free beyond what its member used lately.
 KEPT_SHARE = 0.1
+#: A member whose peak has fallen below this is idle.
+IDLE_PEAK = 0.05
 
 
 @dataclasses.dataclass(slots=True)
@@ -30,21 +32,22 @@
     """Weighted shares; what a member leaves unused others may borrow.
 
     What is borrowed cannot be taken back before it ends, so a part of each
-    idle share stays free, and a member that lately used more keeps more.
+    share stays free, and a member that lately used more keeps more.
     """
 
-    def __init__(self, weight_by_member: Mapping[str, float]) -> None:
-        """Set the weights.
+    def __init__(self, *, keeps_for_idle: bool) -> None:
+        """Start without members.
 
-        :param weight_by_member: positive weights; unknown members have 1.
+        :param keeps_for_idle: whether a part also stays free for members that
+            used nothing lately.
         """
+        self._keeps_for_idle = keeps_for_idle
         self._use_by_member: dict[str, _MemberUse] = {}
-        self.set_weights(weight_by_member)
 
     def set_weights(self, weight_by_member: Mapping[str, float]) -> None:
         """Change the weights; what is in use stays counted.
 
-        :param weight_by_member: positive weights.
+        :param weight_by_member: positive weights; unknown members have 1.
         """
         for member, use in self._use_by_member.items():
             use.weight = weight_by_member.get(member, 1.0)
@@ -92,6 +95,10 @@
         """
         self._use_by_member[member].in_use -= 1
 
-    def _kept(self, use: _MemberUse, share: float, now_ms: int) -> float:
-        wanted = use.peak_now(now_ms) + KEPT_SHARE * share
-        return max(float(use.in_use), min(share, wanted))
+    def _kept(self, use: _MemberUse, share: float, now_ms: int) -> int:
+        peak = use.peak_now(now_ms)
+        if peak < IDLE_PEAK and not self._keeps_for_idle:
+            return 0
+        wanted = peak + KEPT_SHARE * share
+        # Whole requests only: half a slot kept free is one that nobody can use.
+        return max(use.in_use, int(min(share, wanted)))
--- a/waxwingford/routing/_spill.py
+++ b/waxwingford/routing/_spill.py
@@ -1,5 +1,6 @@
 """Spill-over: which peer gets a request that finds no room here."""
 
+import collections
 import random
 from collections.abc import Iterable
 from typing import NamedTuple
@@ -30,6 +31,7 @@
         self._rng = rng
         self._peer_by_id: dict[str, PeerView] = {}
         self._spare: dict[tuple[str, str], int] = {}
+        self._spare_by_service: collections.Counter[str] = collections.Counter()
         self._by_service: dict[str, _Candidates] = {}
 
     def set_peers(self, peers: Iterable[PeerView]) -> None:
@@ -39,6 +41,7 @@
         """
         self._peer_by_id = {peer.daemon_id: peer for peer in peers}
         self._spare = {}
+        self._spare_by_service.clear()
         self._by_service = {}
         for peer in self._peer_by_id.values():
             self._add(peer)
@@ -77,10 +80,12 @@
         :param daemon_id: which peer.
         :param service: which service.
         """
-        spare = self._spare.get((daemon_id, service), 0) - 1
-        self._spare[daemon_id, service] = spare
-        if spare <= 0:
+        spare = self._spare.get((daemon_id, service), 0)
+        if spare <= 1:
             self.refused(daemon_id, service)
+        else:
+            self._spare[daemon_id, service] = spare - 1
+            self._spare_by_service[service] -= 1
 
     def refused(self, daemon_id: str, service: str) -> None:
         """Leave a peer out for a service until it is heard of again.
@@ -88,10 +93,20 @@
         :param daemon_id: which peer.
         :param service: which service.
         """
+        spare = self._spare.pop((daemon_id, service), 0)
+        self._spare_by_service[service] -= spare
         candidates = self._by_service.get(service)
         for group in candidates or ():
             group.discard(daemon_id)
 
+    def spare(self, service: str) -> int:
+        """Count free slots of all peers, as last heard of.
+
+        :param service: which service.
+        :returns: the count.
+        """
+        return self._spare_by_service[service]
+
     def _add(self, peer: PeerView) -> None:
         if not peer.alive:
             return
@@ -99,6 +114,7 @@
             if spare <= 0:
                 continue
             self._spare[peer.daemon_id, service] = spare
+            self._spare_by_service[service] += spare
             candidates = self._by_service.setdefault(
                 service, _Candidates(IndexedSet(), IndexedSet())
             )
--- a/waxwingford/routing/tests/fakes.py
+++ b/waxwingford/routing/tests/fakes.py
@@ -30,6 +30,7 @@
     frozen: bool = False
     foreign: bool = False
     faulty: bool = False
+    drops: bool = False
     overrun_ms: float = 0
     late_ms: float = 0
     leaving: bool = False
@@ -52,6 +53,9 @@
         running = asyncio.get_running_loop().create_task(
             self._run(call), context=contextvars.Context()
         )
+        if self.drops:
+            await sleep_ms(_DELAY_MS)
+            return ServiceUnknown('connection reset')
         return await asyncio.shield(running)
 
     async def _run(self, call):
