Take load only where a server can be found; give tasks of dropped VMs back

Three causes, each found by a measurement:

Refusals at the start (poll of /metrics: 100 of 100 in the first 2 s). Slow start let servers that were all new open one slot at a time, and daemons were ready before they held a server or had heard of one. Ruled out: the adaptive limit (free slots decide now). Change: slow start only beside warm servers; readiness names 'servers' until one is held or a peer has room.

Cause: only servers that a daemon asks were suspected. Change: servers that only claims know are suspected too; a submission without lost_after_ms gets 30 minutes. The new scenario says 'never came' without it.

Batch saw a service's load only in lagged samples. Change: the request desk tells the mean of busy slots over about a second (daemon/_feed.py).

--- a/waxwingford/batch/_suspicion.py
+++ b/waxwingford/batch/_suspicion.py
@@ -42,7 +42,20 @@
     since_ms = server.unreachable_since_ms
     if since_ms is None or now_ms - since_ms < settings.control_lease_ms:
         return None
-    attempts = state.index.attempts_by_server.get(server.vm.server_id, {})
+    return suspect_at(server.vm.server_id, state, settings)
+
+
+def suspect_at(
+    server_id: str, state: DomainState, settings: BatchSettings
+) -> AttemptSuspected | None:
+    """Suspect the attempts of a server whose jobs declare a time.
+
+    :param server_id: where they are claimed.
+    :param state: fold of the domain's stream.
+    :param settings: of the controller.
+    :returns: the record, if there is anything to suspect.
+    """
+    attempts = state.index.attempts_by_server.get(server_id, {})
     keys = [
         task.key
         for task in attempts.values()
--- a/waxwingford/batch/tests/protections.feature
+++ b/waxwingford/batch/tests/protections.feature
@@ -60,6 +60,15 @@
     When the task runs and the others suspect it
     Then after 120 seconds the first attempt still runs
 
+  Scenario: A VM that the list drops for ever gives its tasks back
+    # Symptom: tasks stay claimed for ever although their job declared a time.
+    # A VM dies, the platform's list drops it, all daemons forget the server.
+    # Cause: only servers that a daemon asks were ever suspected.
+    Given a job that gives up when out of contact, on a server that only its holder reaches
+    When the task runs and its VM is lost and never listed again
+    And the others declare the attempt lapsed and start the next one
+    Then the task runs in one place
+
   Scenario: A job that declares nothing waits for contact
     Given a job that waits for contact, on a server that only its holder reaches
     When the task runs and the holder dies
--- a/waxwingford/batch/tests/protections_steps.py
+++ b/waxwingford/batch/tests/protections_steps.py
@@ -156,6 +156,16 @@
     context.domain.network.cut.add(link)
 
 
+@when('the task runs and its VM is lost and never listed again')
+def vm_lost(context):
+    run_until(context, lambda: places(context) == [('s0', 1)], 60_000, 100)
+    domain = context.domain
+    domain.server_by_id['s0'].die(domain.now_ms)
+    for daemon_id in domain.daemon_by_id:
+        domain.network.cut.add(frozenset((daemon_id, 's0')))
+    domain.unlisted.add('s0')
+
+
 @when('the others declare the attempt lapsed and start the next one')
 def next_attempt(context):
     context.domain.server_by_id['s1'].rejoin(context.domain.now_ms)
--- a/waxwingford/commands/jobs.py
+++ b/waxwingford/commands/jobs.py
@@ -39,7 +39,7 @@
     ('run-ms', 60_000),
     ('priority', 0),
     ('finish-by-wall-ms', 0),
-    ('lost-after-ms', 0),
+    ('lost-after-ms', 1_800_000),
 )
 
 
--- a/waxwingford/daemon/_daemon.py
+++ b/waxwingford/daemon/_daemon.py
@@ -8,6 +8,7 @@
 from logbook import Logger
 
 from waxwingford.daemon._application import entry_limits, make_application
+from waxwingford.daemon._feed import feed_routing
 from waxwingford.daemon._heartbeats import BeatHooks, HeartbeatTask
 from waxwingford.daemon._parts import Parts, own_address
 from waxwingford.entry import HttpSite
@@ -16,8 +17,6 @@
 from waxwingford.settings import Alpn, server_context
 
 _MS_IN_S = 1000
-#: Held servers are handed to the request desk this often, in milliseconds.
-_FEED_EVERY_MS = 500
 #: Requests are still taken for this time after the daemon says that it is
 #: not ready, so that the balancer can notice, in milliseconds.
 _NOTICE_MS = 1500
@@ -94,19 +93,10 @@
         self._spawn(parts.reader.run())
         self._spawn(parts.batch.run())
         self._spawn(self._heartbeats.run())
-        self._spawn(self._feed_servers())
+        self._spawn(feed_routing(parts))
         parts.life.serve()
         _log.info('started')
 
-    async def _feed_servers(self) -> None:
-        known = None
-        while True:
-            servers = self._parts.batch.held_servers()
-            if servers != known:
-                self._parts.desk.set_servers(servers)
-                known = servers
-            await asyncio.sleep(_FEED_EVERY_MS / _MS_IN_S)
-
     async def _drain(self) -> None:
         """Stop without cutting anything off.
 
--- a/waxwingford/daemon/_parts.py
+++ b/waxwingford/daemon/_parts.py
@@ -241,16 +241,17 @@
             rng=random.Random(incarnation),
         )
     )
+    membership = Membership(own_address(settings), settings.peers)
     return Parts(
         settings=settings,
         incarnation=incarnation,
         clock=clock,
-        life=_life(batch, reader),
+        life=_life(batch, reader, membership, clock),
         metrics=metrics,
         time_line=time_line,
         platform=platform,
         links=links,
-        membership=Membership(own_address(settings), settings.peers),
+        membership=membership,
         batch=batch,
         desk=desk,
         reader=reader,
@@ -280,13 +281,44 @@
     desk.set_limits(service_limits(in_force.bundle))
 
 
-def _life(batch: BatchTask, reader: BundleReader) -> Life:
+def _life(
+    batch: BatchTask,
+    reader: BundleReader,
+    membership: Membership,
+    clock: SystemClock,
+) -> Life:
     life = Life()
     life.require_part('batch', lambda: '; '.join(batch.readiness()))
     life.require_part('bundle', lambda: _bundle_missing(reader))
+    life.require_part(
+        'servers', lambda: _servers_missing(batch, membership, clock)
+    )
     return life
 
 
+def _servers_missing(
+    batch: BatchTask, membership: Membership, clock: SystemClock
+) -> str:
+    """Say whether a request would find a backend server.
+
+    A daemon that has just started holds no server and has heard of no peer
+    with room.  Were it ready then, the balancer would send it requests of
+    which it refuses each; callers would see refusals at every start.
+
+    :param batch: knows what is held here.
+    :param membership: knows who has room.
+    :param clock: monotonic time.
+    :returns: what is missing, empty if nothing is.
+    """
+    views = membership.peer_views(clock.monotonic_ms())
+    peers_have_room = any(
+        view.alive and any(view.spare_by_service.values()) for view in views
+    )
+    if peers_have_room or batch.server_status():
+        return ''
+    return 'none is held here, and no peer has room'
+
+
 def _bundle_missing(reader: BundleReader) -> str:
     match reader.readiness():
         case NotReady(reason=reason):
--- a/waxwingford/entry/_submissions.py
+++ b/waxwingford/entry/_submissions.py
@@ -16,6 +16,12 @@
 _MOST_WALL_MS = 253_402_300_800_000
 _MOST_AMOUNT = 2_147_483_647
 
+#: A job that says nothing gives a server out of contact up after 30 minutes.
+#: VMs die every day and most never come back under their name; without a
+#: default the tasks of each would stay claimed for ever.  A shorter time would
+#: let running tasks lapse in an outage of the log that is no longer than that.
+DEFAULT_LOST_AFTER_MS = 1_800_000
+
 Name = Annotated[
     str,
     msgspec.Meta(pattern='^[a-z0-9][a-z0-9._-]*$', max_length=_MOST_NAME),
@@ -52,7 +58,7 @@
     :ivar priority: 0 to 100.
     :ivar finish_by_wall_ms: wall time, milliseconds since the epoch; 0 for
         none.
-    :ivar lost_after_ms: in milliseconds; 0 for never.
+    :ivar lost_after_ms: in milliseconds; 0 for never; 30 minutes by default.
     :ivar payload: opaque work description.
     :ivar submitted_wall_ms: wall time; 0 for the time of arrival.
     """
@@ -66,7 +72,7 @@
     run_ms: Annotated[int, msgspec.Meta(ge=1, le=_MOST_MS)]
     priority: Annotated[int, msgspec.Meta(ge=0, le=_MOST_PRIORITY)] = 0
     finish_by_wall_ms: WallMs = 0
-    lost_after_ms: Millis = 0
+    lost_after_ms: Millis = DEFAULT_LOST_AFTER_MS
     payload: Annotated[str, msgspec.Meta(max_length=_MOST_PAYLOAD)] = ''
     submitted_wall_ms: WallMs = 0
 
--- a/waxwingford/records/_fold.py
+++ b/waxwingford/records/_fold.py
@@ -6,6 +6,7 @@
 
 import collections
 
+from waxwingford.kernel import Invariant, require
 from waxwingford.ports import TaskKey
 from waxwingford.records._index import (
     FinishedJobs,
@@ -189,6 +190,17 @@
     def _take(
         self, task: TaskState, offset: int, record: TasksClaimed, claim: Claim
     ) -> None:
+        require(
+            task.stage == TaskStage.pending
+            and claim.key.attempt == task.attempt + 1,
+            Invariant.single_run,
+            f'{claim.key} claimed while {task.key} is {task.stage.name}',
+        )
+        require(
+            claim.resume_from == task.checkpoint,
+            Invariant.resume_once,
+            f'{claim.key} from {claim.resume_from}, not {task.checkpoint}',
+        )
         self.index.remove(task)
         task.stage = TaskStage.claimed
         task.attempt = claim.key.attempt
--- a/waxwingford/routing/_desk.py
+++ b/waxwingford/routing/_desk.py
@@ -139,6 +139,17 @@
             for service, group in table.group_by_service.items()
         }
 
+    def busy_share_by_server(self) -> dict[str, float]:
+        """Tell how busy the service on each held server is now.
+
+        :returns: calls in flight as a share of slots, by server.
+        """
+        return {
+            server_id: state.in_flight / max(1, state.held.slots)
+            for server_id, state in self._router.table.state_by_server.items()
+            if not state.gone
+        }
+
     def expected_ms_by_service(self) -> dict[str, float]:
         """Expect latencies here, for heartbeats.
 
--- a/waxwingford/routing/_slots.py
+++ b/waxwingford/routing/_slots.py
@@ -8,7 +8,7 @@
 from waxwingford.kernel import Invariant, require
 from waxwingford.routing._call_ledger import CallLedger
 from waxwingford.routing._messages import HeldServer
-from waxwingford.routing._server_state import ServerState
+from waxwingford.routing._server_state import SLOW_START_MS, ServerState
 from waxwingford.routing._service_group import ServiceGroup, best_of
 
 #: Draws of candidates beyond one for each open server.
@@ -47,6 +47,7 @@
         self._rng = rng
         self._ledger = CallLedger()
         self._wake_ups: list[tuple[int, str]] = []
+        self._warm_services: frozenset[str] = frozenset()
 
     def set_servers(self, servers: Iterable[HeldServer], now_ms: int) -> None:
         """Replace the set of held servers.
@@ -55,6 +56,11 @@
         :param now_ms: monotonic time, in milliseconds.
         """
         by_id = {server.server_id: server for server in servers}
+        self._warm_services = frozenset(
+            service
+            for service, group in self.group_by_service.items()
+            if group.servers
+        )
         for lost in self.state_by_server.keys() - by_id.keys():
             self.drop(lost)
         for server in by_id.values():
@@ -218,7 +224,11 @@
     def _begin(
         self, server: HeldServer, old: ServerState | None, now_ms: int
     ) -> ServerState:
-        state = ServerState(server, slow_start_from_ms=now_ms)
+        # Slow start spares a new server while others can take the load.  Where
+        # all are new, as after the start of a daemon, it would only refuse.
+        is_beside_warm = server.service in self._warm_services
+        start_ms = now_ms if is_beside_warm else now_ms - SLOW_START_MS
+        state = ServerState(server, slow_start_from_ms=start_ms)
         if old is not None:
             # Calls of the earlier holding may still run: they keep counting.
             state.in_flight = old.in_flight
