Feed the request desk also when nothing changed

Cause: the desk takes each feed as a sign of life; a feed only on change came every renewal, up to 10 s apart, and each gap of 2 s counted as a stall, so that retries seemed older than they were (more unknowns; safe, but untrue). Change: the feed calls each 500 ms.

--- a/waxwingford/daemon/_feed.py
+++ b/waxwingford/daemon/_feed.py
@@ -18,17 +18,15 @@
 
     The desk may work with a copy that is half a second old: it checks each
     lease at dispatch.  Batch needs the present load, not that of the last usage
-    sample, or it would react to a shift of load as late as samples lag.
+    sample, or it would react to a shift of load as late as samples lag.  The
+    desk takes each call as a sign of life of the process: a gap of two seconds
+    counts as a stall, so it must come also when nothing changed.
 
     :param parts: of the daemon.
     """
-    known = None
     busy_by_server: dict[str, float] = {}
     while True:
-        servers = parts.batch.held_servers()
-        if servers != known:
-            parts.desk.set_servers(servers)
-            known = servers
+        parts.desk.set_servers(parts.batch.held_servers())
         busy_by_server = mean_busy(
             busy_by_server, parts.desk.busy_share_by_server()
         )
--- a/waxwingford_bench/capacity.py
+++ b/waxwingford_bench/capacity.py
@@ -245,7 +245,8 @@
         _, text = await local_run.switches.get(f'{url}/v1/status')
         status = json.loads(text)
         held = len(status['servers'])
-        enough = held * size.daemons >= size.servers / 2
+        fewer = size.servers < size.daemons
+        enough = fewer or held * size.daemons >= size.servers / 2
         if enough and status['jobs']['running'] >= wanted:
             return held
         await asyncio.sleep(_POLL_S)
