Run real daemons with certificates and show that strangers stay out

Cause: TLS between daemons was tested over memory only. Nothing showed that real daemons which are given `[tls]` serve callers, hear each other and refuse the others, nor that the command-line tool reaches them. Change: `LocalRun` takes `RunOptions`: lease settings, `tls`, and daemons whose certificates another authority makes. `LocalRun.publish` publishes any bundle. The relay can cut single pairs (`Switches.cut_log_off`): peers stay reachable without the log. Not shown: a heartbeat's daemon id is not compared with the certificate's name, so a daemon of the same authority can speak under another's name.

--- a/waxwingford_standins/configs.py
+++ b/waxwingford_standins/configs.py
@@ -19,12 +19,14 @@
     PeerAddress,
     Platform,
     Settings,
+    Tls,
     Trust,
 )
 from waxwingford_standins.backend_main import BackendConfig, HostedServer
 from waxwingford_standins.deployment import Deployment
 from waxwingford_standins.layout import HOST, DaemonPlace, Layout
 from waxwingford_standins.relay_main import RelayConfig
+from waxwingford_standins.run_certificates import make_certificates
 from waxwingford_standins.server_service import ServiceModel
 
 #: Shorter than in production, so that a run of seconds sees takeovers.
@@ -34,17 +36,40 @@
 _DRAIN_MS = 4000
 
 
+class RunOptions(NamedTuple):
+    """What may differ between runs of the same deployment.
+
+    :ivar leases: lengths of the leases, for all daemons.
+    :ivar tls: whether daemons have certificates and speak only TLS.
+    :ivar strangers: daemons with certificates of another authority.
+    """
+
+    leases: Leases = LOCAL_LEASES
+    tls: bool = False
+    strangers: frozenset[str] = frozenset()
+
+    @property
+    def scheme(self) -> str:
+        """Scheme of the daemons' URLs.
+
+        :returns: ``http`` or ``https``.
+        """
+        return 'https' if self.tls else 'http'
+
+
 class RunFiles(NamedTuple):
     """Files that the processes of a run read.
 
     :ivar backends: configuration of the backend servers' process.
     :ivar relay: configuration of the relay.
     :ivar settings_by_daemon: settings file of each daemon.
+    :ivar authorities: certificates of all authorities; none without TLS.
     """
 
     backends: pathlib.Path
     relay: pathlib.Path
     settings_by_daemon: dict[str, pathlib.Path]
+    authorities: tuple[pathlib.Path, ...] = ()
 
 
 def make_keys(members: Iterable[str]) -> dict[str, Ed25519PrivateKey]:
@@ -61,6 +86,7 @@
     deployment: Deployment,
     layout: Layout,
     keys: Mapping[str, Ed25519PrivateKey],
+    options: RunOptions,
 ) -> RunFiles:
     """Write all configuration files.
 
@@ -68,6 +94,7 @@
     :param deployment: what runs.
     :param layout: where it runs.
     :param keys: private keys by member; only public halves are written.
+    :param options: of the run.
     :returns: the files.
     """
     directory.mkdir(parents=True, exist_ok=True)
@@ -82,13 +109,25 @@
             member: public_text(key) for member, key in keys.items()
         }
     )
+    tls_by_daemon = _certificates(directory, layout, options)
     settings_by_daemon = {}
     for daemon in layout.daemons:
         path = directory / f'{daemon.daemon_id}.toml'
-        settings = _settings(deployment, layout, daemon, trust)
+        settings = _settings(deployment, layout, daemon, trust).model_copy(
+            update={
+                'leases': options.leases,
+                'tls': tls_by_daemon.get(daemon.daemon_id),
+            }
+        )
         path.write_text(toml_text(settings.model_dump(exclude_none=True)))
         settings_by_daemon[daemon.daemon_id] = path
-    return RunFiles(backends, relay, settings_by_daemon)
+    authorities = {tls.authority_file for tls in tls_by_daemon.values()}
+    return RunFiles(
+        backends,
+        relay,
+        settings_by_daemon,
+        tuple(map(pathlib.Path, sorted(authorities))),
+    )
 
 
 def toml_text(document: Mapping[str, Any]) -> str:
@@ -119,6 +158,20 @@
                 yield from _toml_lines(table, f'{prefix}{key}.')
 
 
+def _certificates(
+    directory: pathlib.Path, layout: Layout, options: RunOptions
+) -> dict[str, Tls]:
+    if not options.tls:
+        return {}
+    daemon_ids = {daemon.daemon_id for daemon in layout.daemons}
+    return {
+        **make_certificates(directory / 'tls', daemon_ids - options.strangers),
+        **make_certificates(
+            directory / 'other-tls', daemon_ids & options.strangers
+        ),
+    }
+
+
 def _backend_config(deployment: Deployment, layout: Layout) -> BackendConfig:
     service = deployment.service
     model = ServiceModel(
@@ -168,7 +221,6 @@
         platform=Platform(log_url=platform_url, directory_url=platform_url),
         trust=trust,
         peers=peers,
-        leases=LOCAL_LEASES,
         limits=Limits(drain_ms=_DRAIN_MS, key_memory_ms=20_000, delivery_ms=0),
     )
 
--- a/waxwingford_standins/layout.py
+++ b/waxwingford_standins/layout.py
@@ -25,12 +25,14 @@
     :ivar failure_domain: its failure domain.
     :ivar http_port: for callers and operators.
     :ivar rpc_port: for peers.
+    :ivar scheme: ``http``, or ``https`` for daemons with certificates.
     """
 
     daemon_id: str
     failure_domain: str
     http_port: int
     rpc_port: int
+    scheme: str = 'http'
 
     @property
     def url(self) -> str:
@@ -38,7 +40,7 @@
 
         :returns: the URL.
         """
-        return f'http://{HOST}:{self.http_port}'
+        return f'{self.scheme}://{HOST}:{self.http_port}'
 
 
 class Layout(NamedTuple):
@@ -87,10 +89,11 @@
             yield port
 
 
-def lay_out(deployment: Deployment) -> Layout:
+def lay_out(deployment: Deployment, scheme: str = 'http') -> Layout:
     """Choose all ports of a run.
 
     :param deployment: what to start.
+    :param scheme: of the daemons' URLs.
     :returns: the addresses.
     """
     ports = free_ports()
@@ -102,7 +105,7 @@
         )
     )
     daemons = tuple(
-        DaemonPlace(daemon_id, domain.name, next(ports), next(ports))
+        DaemonPlace(daemon_id, domain.name, next(ports), next(ports), scheme)
         for domain in deployment.failure_domains
         for daemon_id in domain.daemons
     )
--- a/waxwingford_standins/load.py
+++ b/waxwingford_standins/load.py
@@ -10,6 +10,7 @@
 import enum
 import itertools
 import random
+import ssl
 from typing import NamedTuple
 
 import aiohttp
@@ -102,19 +103,25 @@
     """
 
     def __init__(
-        self, deployment: Deployment, layout: Layout, label: str = 'call'
+        self,
+        deployment: Deployment,
+        layout: Layout,
+        label: str = 'call',
+        tls: ssl.SSLContext | bool = True,
     ) -> None:
         """Prepare.
 
         :param deployment: rates, deadlines, latency to clients.
         :param layout: addresses of the daemons.
         :param label: start of every token, unique in a run.
+        :param tls: how certificates are checked.
         """
         self.calls: list[Call] = []
         self.reasons: collections.Counter[str] = collections.Counter()
         self._deployment = deployment
         self._daemons = layout.daemons
         self._label = label
+        self._tls = tls
         self._random = random.Random(deployment.seed)
         self._numbers = itertools.count(1)
 
@@ -123,7 +130,7 @@
 
         :param seconds: how long new calls begin.
         """
-        connector = aiohttp.TCPConnector(limit=0)
+        connector = aiohttp.TCPConnector(limit=0, ssl=self._tls)
         async with (
             aiohttp.ClientSession(connector=connector) as client,
             asyncio.TaskGroup() as group,
--- a/waxwingford_standins/local_run.py
+++ b/waxwingford_standins/local_run.py
@@ -10,6 +10,7 @@
     Bundle,
     BundleInvalid,
     Published,
+    PublishOutcome,
     body_of,
     canonical_bytes,
     digest_of,
@@ -18,12 +19,18 @@
     publish,
     sign_digest,
 )
-from waxwingford_standins.configs import RunFiles, make_keys, write_files
+from waxwingford_standins.configs import (
+    RunFiles,
+    RunOptions,
+    make_keys,
+    write_files,
+)
 from waxwingford_standins.deployment import Deployment
 from waxwingford_standins.layout import lay_out
 from waxwingford_standins.processes import ProcessGroup
 from waxwingford_standins.switches import Switches
 
+_USUAL_OPTIONS = RunOptions()
 _POLL_S = 0.1
 _STAND_INS_S = 10
 _READY_S = 30
@@ -65,6 +72,7 @@
         bundle: Bundle,
         directory: pathlib.Path,
         say: Callable[[str], None],
+        options: RunOptions = _USUAL_OPTIONS,
     ) -> None:
         """Choose ports and write files; nothing runs yet.
 
@@ -72,17 +80,22 @@
         :param bundle: first configuration bundle.
         :param directory: for files and logs.
         :param say: takes progress lines.
+        :param options: leases and TLS.
         """
         self.deployment = deployment
-        self.layout = lay_out(deployment)
+        self.layout = lay_out(deployment, options.scheme)
         self.key_by_member = make_keys(bundle.members)
         self.processes = ProcessGroup(directory / 'logs')
         self.files: RunFiles = write_files(
-            directory / 'config', deployment, self.layout, self.key_by_member
+            directory / 'config',
+            deployment,
+            self.layout,
+            self.key_by_member,
+            options,
         )
         self._bundle = bundle
         self._say = say
-        self.switches = Switches(self.layout)
+        self.switches = Switches(self.layout, self.files.authorities)
 
     async def start(self) -> Started | StartFailed:
         """Start everything and wait until all daemons are ready.
@@ -130,11 +143,23 @@
         return await self._poll(self._all_vms_listed, _STAND_INS_S)
 
     async def publish_bundle(self) -> str:
-        """Sign the bundle as every member and publish it.
+        """Publish the first bundle.
 
         :returns: reason of a failure, else empty.
         """
-        digest = digest_of(canonical_bytes(body_of(self._bundle)))
+        outcome = await self.publish(self._bundle)
+        if isinstance(outcome, Published):
+            self._say(f'bundle version {outcome.version} published')
+            return ''
+        return f'bundle was not published: {outcome}'
+
+    async def publish(self, bundle: Bundle) -> PublishOutcome:
+        """Sign a bundle as every member and publish it.
+
+        :param bundle: with its version and predecessor.
+        :returns: tagged outcome.
+        """
+        digest = digest_of(canonical_bytes(body_of(bundle)))
         signatures = {
             member: sign_digest(key, digest)
             for member, key in self.key_by_member.items()
@@ -145,13 +170,9 @@
         }
         log = HttpLog(self.switches.platform_url, _LOG_TIMEOUT_MS)
         try:
-            outcome = await publish(log, trusted, self._bundle, signatures)
+            return await publish(log, trusted, bundle, signatures)
         finally:
             await log.close()
-        if isinstance(outcome, Published):
-            self._say(f'bundle version {outcome.version} published')
-            return ''
-        return f'bundle was not published: {outcome}'
 
     async def start_daemons(self) -> str:
         """Start all daemons and wait until each is ready.
--- a/waxwingford_standins/processes.py
+++ b/waxwingford_standins/processes.py
@@ -59,6 +59,14 @@
             if process.returncode is not None
         ]
 
+    def output(self, name: str) -> str:
+        """Read what a process wrote so far.
+
+        :param name: which.
+        :returns: text.
+        """
+        return (self._logs / f'{name}.log').read_text()
+
     def send(self, name: str, number: signal.Signals) -> None:
         """Send a signal to one process.
 
--- a/waxwingford_standins/relay_main.py
+++ b/waxwingford_standins/relay_main.py
@@ -55,9 +55,11 @@
     """Body of ``POST /fault``.
 
     :ivar isolated: failure domains cut off from everything outside them.
+    :ivar cut: pairs of source and destination, cut one by one.
     """
 
     isolated: list[str]
+    cut: list[tuple[str, str]] = []
 
 
 class Relay:
@@ -66,6 +68,7 @@
     def __init__(self) -> None:
         """Start without a partition."""
         self._isolated: frozenset[str] = frozenset()
+        self._cut: frozenset[tuple[str, str]] = frozenset()
         self._changed = asyncio.Event()
         self._connections: set[asyncio.Task[None]] = set()
 
@@ -89,6 +92,7 @@
         except msgspec.DecodeError as error:
             return web.Response(status=400, text=str(error))
         self._isolated = frozenset(fault.isolated)
+        self._cut = frozenset(fault.cut)
         self._changed.set()
         self._changed = asyncio.Event()
         return web.Response()
@@ -167,6 +171,8 @@
             await self._changed.wait()
 
     def _is_cut(self, link: Link) -> bool:
+        if (link.source, link.destination) in self._cut:
+            return True
         from_inside = link.source in self._isolated
         return from_inside != (link.destination in self._isolated)
 
--- a/waxwingford_standins/switches.py
+++ b/waxwingford_standins/switches.py
@@ -1,11 +1,14 @@
 """Faults and audits of the stand-ins of one local run, over HTTP."""
 
+import pathlib
+from collections.abc import Iterable
 from typing import Any
 
 import aiohttp
 
 from waxwingford.adapters import encode_json
-from waxwingford_standins.layout import HOST, Layout
+from waxwingford_standins.layout import HOST, PLATFORM, Layout
+from waxwingford_standins.run_certificates import trusting
 
 _HTTP_S = 5
 _OK = 200
@@ -15,16 +18,21 @@
     """Speaks to the administration ports of the stand-ins.
 
     :ivar platform_url: base URL of the platform, past the relay.
+    :ivar tls: how callers of the daemons check certificates.
     """
 
-    def __init__(self, layout: Layout) -> None:
+    def __init__(
+        self, layout: Layout, authorities: Iterable[pathlib.Path] = ()
+    ) -> None:
         """Prepare; nothing is sent yet.
 
         :param layout: addresses.
+        :param authorities: of the daemons' certificates; none without TLS.
         """
         self.platform_url = f'http://{HOST}:{layout.platform_port}'
         self._backends_url = f'http://{HOST}:{layout.backend_admin_port}'
         self._relay_url = f'http://{HOST}:{layout.relay_admin_port}'
+        self.tls = trusting(authorities)
         self._client: aiohttp.ClientSession | None = None
 
     @property
@@ -35,7 +43,8 @@
         """
         if self._client is None:
             self._client = aiohttp.ClientSession(
-                timeout=aiohttp.ClientTimeout(total=_HTTP_S)
+                connector=aiohttp.TCPConnector(ssl=self.tls),
+                timeout=aiohttp.ClientTimeout(total=_HTTP_S),
             )
         return self._client
 
@@ -68,6 +77,16 @@
             f'{self._relay_url}/fault', {'isolated': list(domains)}
         )
 
+    async def cut_log_off(self, *domains: str) -> None:
+        """Cut the platform off for failure domains that still reach peers.
+
+        :param domains: their names; none heals.
+        """
+        pairs = [(domain, PLATFORM) for domain in domains]
+        await self._post(
+            f'{self._relay_url}/fault', {'isolated': [], 'cut': pairs}
+        )
+
     async def server_audit(self) -> bytes:
         """Ask the backend servers what ran.
 
--- a/waxwingford_standins/trial.py
+++ b/waxwingford_standins/trial.py
@@ -34,7 +34,12 @@
         :param local_run: ready daemons.
         """
         label = secrets.token_hex(_LABEL_BYTES)
-        self.callers = Callers(local_run.deployment, local_run.layout, label)
+        self.callers = Callers(
+            local_run.deployment,
+            local_run.layout,
+            label,
+            local_run.switches.tls,
+        )
         self.night = Night(local_run, label)
         self._run = local_run
 
