Split the daemon's parts from their assembly and readiness

Change: _parts.py (what they are and answer), _assembly.py (made from settings), _readiness.py (what is missing). Behaviour is the same.

--- /dev/null
+++ b/waxwingford/daemon/_assembly.py
@@ -0,0 +1,138 @@
+"""Makes the parts of a daemon from its settings and wires them."""
+
+import random
+import secrets
+
+from waxwingford.adapters import open_platform
+from waxwingford.batch import BatchSettings, BatchTask
+from waxwingford.bundles import (
+    BundleInForce,
+    BundleReader,
+    NonceCache,
+    ReaderSetup,
+)
+from waxwingford.daemon._bundle_terms import batch_terms, service_limits
+from waxwingford.daemon._parts import Parts, own_address
+from waxwingford.daemon._readiness import make_life
+from waxwingford.kernel import SystemClock, load_plugins
+from waxwingford.metrics import Metrics
+from waxwingford.peers import Membership, PeerLinks
+from waxwingford.routing import DeskLimits, DeskPorts, RequestDesk
+from waxwingford.settings import Alpn, Settings, client_context
+from waxwingford.timeline import TimeLine
+
+#: Modules whose plug-ins register themselves at import.
+PLUGINS = (
+    'waxwingford.adapters',
+    'waxwingford.batch',
+    'waxwingford.colocation',
+)
+_INCARNATION_BYTES = 4
+#: Signed operators' requests that are remembered against replay.
+_NONCES = 20_000
+
+
+def make_parts(settings: Settings) -> Parts:
+    """Make and wire all parts; nothing runs yet.
+
+    :param settings: checked settings.
+    :returns: the parts.
+    """
+    load_plugins(PLUGINS)
+    incarnation = secrets.token_hex(_INCARNATION_BYTES)
+    clock = SystemClock()
+    identity = settings.identity
+    time_line = TimeLine(
+        identity.daemon_id,
+        incarnation,
+        clock,
+        settings.limits.time_line_events,
+    )
+    metrics = Metrics()
+    platform = open_platform(
+        settings.platform.log_url,
+        settings.platform.directory_url,
+        settings.platform.log_timeout_ms,
+    )
+    links = PeerLinks(
+        identity.daemon_id,
+        settings.peers,
+        clock,
+        time_line,
+        client_context(settings, Alpn.rpc),
+    )
+    batch = BatchTask(
+        settings=_batch_settings(settings, incarnation),
+        log=platform.log,
+        servers=platform.servers,
+        directory=platform.directory,
+        clock=clock,
+        time_line=time_line,
+    )
+    desk = RequestDesk(
+        daemon_id=identity.daemon_id,
+        failure_domain=identity.failure_domain,
+        ports=DeskPorts(platform.servers, links, clock, time_line, metrics),
+        rng=random.Random(incarnation),
+        limits=DeskLimits(
+            in_progress=settings.limits.connections,
+            key_memory_ms=settings.limits.key_memory_ms,
+            delivery_ms=settings.limits.delivery_ms,
+        ),
+    )
+    reader = BundleReader(
+        ReaderSetup(
+            log=platform.log,
+            peers=links,
+            clock=clock,
+            key_by_member=settings.trust.public_key_by_member,
+            domain_daemons=frozenset(
+                peer.daemon_id
+                for peer in settings.peers
+                if peer.failure_domain == identity.failure_domain
+                and peer.daemon_id != identity.daemon_id
+            ),
+            on_in_force=lambda in_force: _put_in_force(in_force, batch, desk),
+            note=time_line.note,
+            counters=metrics,
+            rng=random.Random(incarnation),
+        )
+    )
+    membership = Membership(own_address(settings), settings.peers)
+    return Parts(
+        settings=settings,
+        incarnation=incarnation,
+        clock=clock,
+        life=make_life(batch, reader, membership, clock),
+        metrics=metrics,
+        time_line=time_line,
+        platform=platform,
+        links=links,
+        membership=membership,
+        batch=batch,
+        desk=desk,
+        reader=reader,
+        nonces=NonceCache(_NONCES),
+    )
+
+
+def _batch_settings(settings: Settings, incarnation: str) -> BatchSettings:
+    return BatchSettings(
+        daemon_id=settings.identity.daemon_id,
+        incarnation=incarnation,
+        failure_domain=settings.identity.failure_domain,
+        control_lease_ms=settings.leases.control_ms,
+        renew_every_ms=settings.leases.renew_every_ms,
+        task_lease_ms=settings.leases.task_ms,
+        margin_ms=settings.leases.margin_ms,
+        exchange_every_ms=settings.leases.exchange_every_ms,
+        longest_renew_ms=settings.leases.longest_renew_ms,
+        outbox_records=settings.limits.outbox_records,
+    )
+
+
+def _put_in_force(
+    in_force: BundleInForce, batch: BatchTask, desk: RequestDesk
+) -> None:
+    batch.set_bundle(batch_terms(in_force.bundle))
+    desk.set_limits(service_limits(in_force.bundle))
--- a/waxwingford/daemon/main.py
+++ b/waxwingford/daemon/main.py
@@ -4,9 +4,9 @@
 import asyncio
 import sys
 
+from waxwingford.daemon._assembly import make_parts
 from waxwingford.daemon._daemon import Daemon
 from waxwingford.daemon._logging import log_handler
-from waxwingford.daemon._parts import make_parts
 from waxwingford.settings import Settings, SettingsInvalid, load_settings
 
 EXIT_BAD_SETTINGS = 2
