--- /dev/null
+++ b/waxwingford_bench/colocation/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmark of colocation policies in virtual time."""
--- /dev/null
+++ b/waxwingford_bench/colocation/main.py
@@ -0,0 +1,55 @@
+"""Sub-command ``colocation``: policies under faults, in virtual time."""
+
+import argparse
+import pathlib
+import sys
+
+from waxwingford_bench.colocation._matrix import (
+    REPORTING_SEEDS,
+    plan,
+    run_all,
+)
+from waxwingford_bench.colocation._plots import draw
+from waxwingford_bench.colocation._report import group, write_report
+
+
+def main(argv: list[str]) -> int:
+    """Run the benchmark and write its report.
+
+    :param argv: arguments after the name of the sub-command.
+    :returns: exit code.
+    """
+    options = _parser().parse_args(argv)
+    output = pathlib.Path(options.output)
+    output.mkdir(parents=True, exist_ok=True)
+    seeds = options.seeds[:2] if options.quick else options.seeds
+    runs = plan(seeds, options.quick, options.ablations)
+    cells = group(run_all(runs, options.processes))
+    sys.stdout.write(write_report(cells, seeds, output))
+    sys.stdout.writelines(f'{path}\n' for path in draw(cells, output))
+    return 0
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser('waxwingford-bench colocation')
+    parser.add_argument(
+        '--seeds',
+        type=int,
+        nargs='+',
+        default=list(REPORTING_SEEDS),
+        help='reporting seeds, apart from those that constants were tuned with',
+    )
+    parser.add_argument(
+        '--quick',
+        action='store_true',
+        help='one scenario, two seeds, no ablations',
+    )
+    parser.add_argument(
+        '--no-ablations',
+        dest='ablations',
+        action='store_false',
+        help='do not switch mechanisms off one by one',
+    )
+    parser.add_argument('--processes', type=int, default=4)
+    parser.add_argument('--output', default='bench-output')
+    return parser
