Test two faults at once: a daemon dies while the log is away

Cause: the tests with real processes played one fault at a time. Change: a scenario in faults.feature: the log hangs, a daemon is killed, its leases run out, it starts again without the log, the log comes back; callers and batch go on all the time. The audit finds nothing, all jobs end. Mechanism turned off, on a scratch copy: an ended attempt is forgotten at the server before its end stands in the log. Then `behave faults.feature -n "killed while the log is away"` says `ASSERT FAILED: {Finding(check='task_done_twice', detail='qadri.comparison-1-65e8cb/1: 2'), ...}`. With the mechanism: 9 scenarios of faults.feature pass, 1 min 34 s, with other work on the machine.

--- a/waxwingford_standins/tests/faults.feature
+++ b/waxwingford_standins/tests/faults.feature
@@ -51,6 +51,16 @@
     And every accepted job ended
     And most calls were answered
 
+  # Symptom: claimed work is started by two, or what was accepted is gone.
+  # Sequence: the log hangs with appends in flight, their writer dies, another
+  # takes its servers over without reading what the log will still take in.
+  # Cause to rule out: a takeover that trusts a state older than the outage.
+  Scenario: A daemon is killed while the log is away
+    Given the small deployment runs
+    When it is loaded while a daemon is killed while the log is away
+    Then the audit finds nothing
+    And every accepted job ended
+
   # Symptom: callers of a failure domain that is cut off get no answers, or its
   # tasks run again elsewhere. Cause to rule out: serving that depends on what
   # is outside.
--- a/waxwingford_standins/tests/faults_steps.py
+++ b/waxwingford_standins/tests/faults_steps.py
@@ -92,6 +92,19 @@
     await local_run.switches.platform_fault(lost_share=0)
 
 
+async def kill_without_log(local_run):
+    """Kill a daemon while the log hangs, and start it before that ends."""
+    await asyncio.sleep(1)
+    await local_run.switches.platform_fault(outage='hang')
+    await asyncio.sleep(1)
+    local_run.processes.send('small-1', signal.SIGKILL)
+    # Longer than the leases last: another takes over without the log.
+    await asyncio.sleep(FROZEN_S)
+    await local_run.start_daemon('small-1')
+    await asyncio.sleep(1)
+    await local_run.switches.platform_fault(outage='none')
+
+
 async def cut_domain_off(local_run):
     """Cut a failure domain off from the other and from the platform."""
     await asyncio.sleep(1)
@@ -147,6 +160,7 @@
     'a daemon is killed and started again': kill_daemon,
     'a daemon is frozen past its leases': freeze_daemon,
     'the log hangs and then loses answers': hang_log,
+    'a daemon is killed while the log is away': kill_without_log,
     'a failure domain is cut off': cut_domain_off,
     'a backend server dies and answers are lost': kill_server,
     'all tasks are evicted and answers are lost': evict_tasks,
