--- a/waxwingford/ownership/_preference.py
+++ b/waxwingford/ownership/_preference.py
@@ -19,8 +19,9 @@
         long, since the first choice may not reach the server at all.
     :ivar free_step_ms: each lower rank waits so long more for a lease that its
         holder said it gave up; the first choice may be that holder.
-    :ivar retry_spread: share of ``retry_ms`` over which tries are spread, 0 to
-        1, half of it earlier and half later.
+    :ivar retry_spread: share of the delay over which repeated tries are spread,
+        half of it earlier and half later; up to 0.6 a lower rank still tries
+        later than a higher one.
     """
 
     retry_ms: int = 2000
@@ -88,25 +89,28 @@
         delay_ms = (
             self.rank * self._times.fallback_ms
             if self.rank
-            else self._retry_ms(now_ms)
+            else self._times.retry_ms
         )
-        self._next_try_ms = now_ms + delay_ms
+        self._next_try_ms = now_ms + self._spread_ms(delay_ms, now_ms)
 
-    def _retry_ms(self, now_ms: int) -> int:
-        """Choose when to try again.
+    def _spread_ms(self, delay_ms: int, now_ms: int) -> int:
+        """Take a random part off a delay, or add it.
 
-        A daemon that starts asks for all its servers in one moment, and would
-        ask those that deny it in step until their leases run out.  The time of
-        each denial differs by the way it took; its hash stands for a random
-        number, so that the decision stays a function of what came in.
+        A daemon that starts asks for all its servers in one moment; with a
+        fixed delay it would ask those that deny it in step for ever, as would
+        all daemons of a lower rank: one would notice a spike of exchanges in
+        every such delay.  The time of each denial differs by the way it took;
+        its hash stands for a random number, so that the decision stays a
+        function of what came in.
 
+        :param delay_ms: mean delay.
         :param now_ms: monotonic time of the denial.
         :returns: milliseconds from then.
         """
         stamp = now_ms.to_bytes(_STAMP_BYTES, 'big', signed=True)
         fraction = xxhash.xxh32_intdigest(stamp) / (1 << _HASH_BITS)
-        spread = self._times.retry_spread
-        return round(self._times.retry_ms * (1 + spread * (fraction - 1 / 2)))
+        share = self._times.retry_spread * (fraction - 1 / 2)
+        return round(delay_ms * (1 + share))
 
     def note_asked(self) -> None:
         """Note that the lease is asked for.
