--- a/waxwingford/batch/_shell.py
+++ b/waxwingford/batch/_shell.py
@@ -43,7 +43,7 @@
 from waxwingford.timeline import TimeLine
 
 _MS_IN_S = 1000
-_TICK_MS = 100
+_TICK_MS = 50
 _LIST_EVERY_MS = 1000
 _GAP_RETRY_MS = 1000
 _NOT_READY_RETRY_MS = 1000
--- a/waxwingford/daemon/_heartbeats.py
+++ b/waxwingford/daemon/_heartbeats.py
@@ -17,7 +17,7 @@
 _MS_IN_S = 1000
 _JITTER = 0.2
 #: Servers that were given up are looked for this often, in milliseconds.
-_RELEASED_EVERY_MS = 250
+_RELEASED_EVERY_MS = 100
 
 
 class BeatHooks(NamedTuple):
