Let the batch controller place by the quota, size and quarantine books

Cause: order of pending tasks, quotas and quarantine stood twice; the controller used its own round-robin by team and counted failures by server only, though the placement books decide better.

Change: PendingQueue keeps only what is this daemon's own (whose turn has come, what found no place) and takes the order from QuotaBook; hard limits remain for teams that may not borrow (may_borrow was passed over before). Member shares, team quotas and the limits of quarantine come from the bundle; a bundle's `switches.quarantine` turns it off. Books are fed by each record that takes effect and by usage samples; sizes are corrected upwards in what is placed, and Invariant.capacity still checks claims against declared sizes from the fold. What all daemons must decide alike (a task that failed on too many servers is over) stays in the fold. `why` names log away, quota, share, failed servers, quarantine, room. Quarantine.forget_job drops a suspect job's failures, which would have spoken against good servers after the job was over.

The new forget_job rule has a scenario in placement.feature, which fails without it.

Added before taking it in: the removed scenario asked for the worst servers under the cap, the new book kept the first ones; Quarantine now lets the best one out for a worse one, with a scenario of its own.

--- /dev/null
+++ b/waxwingford/batch/_books.py
@@ -0,0 +1,254 @@
+"""What the stream and usage samples tell the placement books."""
+
+from collections.abc import Iterable, Mapping
+from typing import TypeVar
+
+from waxwingford.batch._fleet import Fleet
+from waxwingford.batch._messages import BundleSettings
+from waxwingford.placement import (
+    NOTHING,
+    Quarantine,
+    QuarantineLimits,
+    QuotaBook,
+    SizeBook,
+    TeamName,
+    fits,
+    largest,
+    subtract,
+    total_of,
+)
+from waxwingford.ports import Resources, TaskKey, UsageSample
+from waxwingford.records import (
+    AttemptEnded,
+    DomainState,
+    JobCancelled,
+    JobSpec,
+    TaskStage,
+    TaskState,
+    Valid,
+)
+
+#: Weight of a quota or share of 0: such a team gets only what is idle.
+_LEAST_WEIGHT = 0.001
+#: A change of capacity below this does not change the weights of quotas.
+_CAPACITY_CHANGE = 0.1
+_NO_LIMITS = QuarantineLimits()
+_Name = TypeVar('_Name')
+
+
+class Books:
+    """Shares, sizes and failures, kept up with each record that is read.
+
+    The fold decides alone what every daemon must decide alike: which claim
+    wins, and that a task which failed on too many servers is over.  The books
+    steer only what this daemon proposes; daemons that differ in them for a
+    moment differ in taste, never in state.  So a verdict of the quarantine
+    book on a task is not used: the fold's limit ends it, for all at once.
+
+    :ivar quotas: order of pending tasks.
+    :ivar sizes: corrections of declarations.
+    :ivar quarantine: failures.
+    """
+
+    def __init__(self, fleet: Fleet, quotas: QuotaBook) -> None:
+        """Start with nothing known.
+
+        :param fleet: servers.
+        :param quotas: order of pending tasks.
+        """
+        self.quotas = quotas
+        self.sizes = SizeBook()
+        self.quarantine = Quarantine()
+        self._fleet = fleet
+        self._offers: frozenset[Resources] = frozenset()
+        self._offer = NOTHING
+        self._capacity = NOTHING
+        self._weighed_capacity = NOTHING
+        self._running_by_id: dict[str, TaskState] = {}
+        self._peak_by_key: dict[TaskKey, Resources] = {}
+
+    def start(self, state: DomainState, now_ms: int) -> None:
+        """Take what a snapshot's state says; costs O(state), once.
+
+        :param state: fold of the domain's stream.
+        :param now_ms: monotonic time.
+        """
+        for attempts in state.index.attempts_by_server.values():
+            for task_id in attempts:
+                self._sync(task_id, state)
+        # Failures of tasks that are over are not in a snapshot: a daemon that
+        # starts knows a bad server by the tasks that still wait.
+        for task in state.index.pending_by_id.values():
+            for server_id in task.failed_on:
+                self._note_failed(task.task_id, server_id, now_ms)
+
+    def use_bundle(self, bundle: BundleSettings) -> None:
+        """Put quotas and limits in force.
+
+        :param bundle: settings.
+        """
+        self.quarantine.limits = bundle.quarantine or _NO_LIMITS
+        self._measure_fleet()
+        self._weigh(bundle)
+
+    def note_list(self, bundle: BundleSettings) -> None:
+        """Take that the list of servers was read.
+
+        :param bundle: settings in force.
+        """
+        self.quarantine.keep_servers(self._fleet.server_by_id)
+        self._measure_fleet()
+        # Shares compare dimensions, so a server more or less hardly matters;
+        # weighing anew costs as much as all pending tasks.
+        is_near = all(
+            abs(now - then) <= _CAPACITY_CHANGE * then
+            for now, then in zip(
+                self._capacity, self._weighed_capacity, strict=True
+            )
+        )
+        if not is_near:
+            self._weigh(bundle)
+
+    def note(self, verdict: Valid, state: DomainState, now_ms: int) -> None:
+        """Take a record that took effect.
+
+        :param verdict: the record and the attempts that it changed.
+        :param state: fold after it.
+        :param now_ms: monotonic time.
+        """
+        tasks = [self._sync(key.task_id, state) for key in verdict.keys]
+        match verdict.record:
+            case AttemptEnded() as record:
+                self._note_end(record, tasks[0], now_ms)
+            case JobCancelled(job_id=job_id) if job_id not in state.jobs_by_id:
+                self.quarantine.forget_job(job_id)
+        for task in tasks:
+            if task is not None and task.stage > TaskStage.claimed:
+                self._forget(task)
+
+    def observe(self, samples: Iterable[UsageSample]) -> None:
+        """Take measured sizes of running tasks.
+
+        :param samples: of one server.
+        """
+        for sample in samples:
+            for key in sample.running:
+                used = sample.used_by_task_id.get(key.task_id)
+                if used is not None and key.task_id in self._running_by_id:
+                    before = self._peak_by_key.get(key, NOTHING)
+                    self._peak_by_key[key] = largest(before, used)
+
+    def given(self, spec: JobSpec) -> Resources:
+        """Compute what is set aside for a task of a job.
+
+        A correction that no server offers in one piece is left out: the task
+        would wait for ever.
+
+        :param spec: the job.
+        :returns: the declared size, or more.
+        """
+        size = self.sizes.given(
+            spec.member, spec.kind, spec.resources, self._offer
+        )
+        if size == spec.resources or any(
+            fits(size, offer) for offer in self._offers
+        ):
+            return size
+        return spec.resources
+
+    def run_left_ms(self, task: TaskState) -> int:
+        """Estimate what a task still has to run.
+
+        :param task: the task.
+        :returns: corrected run time less what it ran, in milliseconds.
+        """
+        spec = task.job.spec
+        run_ms = self.sizes.run_ms(spec.member, spec.kind, spec.run_ms)
+        return max(0, run_ms - task.ran_ms)
+
+    def _sync(self, task_id: str, state: DomainState) -> TaskState | None:
+        # By state, not by record, so that nothing is counted twice.  What is
+        # charged is the declared size, which is the same for all daemons.
+        running = self._running_by_id.get(task_id)
+        task = running or state.task(task_id)
+        if task is None:
+            return None
+        spec = task.job.spec
+        team = TeamName(spec.member, spec.team)
+        is_claimed = task.stage == TaskStage.claimed
+        if is_claimed and running is None:
+            self._running_by_id[task_id] = task
+            self.quotas.charge(team, spec.resources)
+        elif running is not None and not is_claimed:
+            self._running_by_id.pop(task_id)
+            self.quotas.release(team, spec.resources)
+        return task
+
+    def _note_end(
+        self, record: AttemptEnded, task: TaskState | None, now_ms: int
+    ) -> None:
+        task_id = record.key.task_id
+        peak = self._peak_by_key.pop(record.key, None)
+        if task is None:
+            return
+        spec = task.job.spec
+        if peak is not None:
+            self.sizes.observe_use(spec.member, spec.kind, peak)
+        if record.how == 'failed':
+            self._note_failed(task_id, record.server_id, now_ms)
+        elif record.how == 'done':
+            self.sizes.observe_run(
+                spec.member, spec.kind, spec.run_ms, task.ran_ms
+            )
+            self.quarantine.succeeded(task_id, record.server_id)
+
+    def _note_failed(self, task_id: str, server_id: str, now_ms: int) -> None:
+        count = len(self._fleet.server_by_id)
+        self.quarantine.failed(task_id, server_id, now_ms, count)
+
+    def _forget(self, task: TaskState) -> None:
+        self.quarantine.forget_task(task.task_id)
+        if task.job.open_count == 0:
+            self.quarantine.forget_job(task.job.spec.job_id)
+
+    def _measure_fleet(self) -> None:
+        reserved_by_service = self._fleet.reserved_by_service
+        rooms = [
+            subtract(
+                server.vm.resources,
+                reserved_by_service.get(server.vm.service, NOTHING),
+            )
+            for server in self._fleet.server_by_id.values()
+        ]
+        self._offers = frozenset(rooms)
+        self._offer = NOTHING
+        for offer in self._offers:
+            self._offer = largest(self._offer, offer)
+        self._capacity = total_of(rooms)
+
+    def _weigh(self, bundle: BundleSettings) -> None:
+        self._weighed_capacity = self._capacity
+        quota_by_team = {
+            TeamName(*name.split('/', 1)): max(
+                amount / max(whole, 1)
+                for amount, whole in zip(quota, self._capacity, strict=True)
+            )
+            for name, quota in bundle.quota_by_team.items()
+        }
+        self.quotas.reweigh(
+            self._capacity,
+            _weights(bundle.share_by_member),
+            _weights(quota_by_team),
+        )
+
+
+def _weights(share_by_name: Mapping[_Name, float]) -> dict[_Name, float]:
+    # The mean weighs 1, as does a name without a share.
+    total = sum(share_by_name.values())
+    if not total:
+        return {}
+    mean = total / len(share_by_name)
+    return {
+        name: max(share / mean, _LEAST_WEIGHT)
+        for name, share in share_by_name.items()
+    }
--- a/waxwingford/batch/_checked.py
+++ b/waxwingford/batch/_checked.py
@@ -1,13 +1,13 @@
 """Checks a policy's placements before they become claims."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 
 from waxwingford.batch._effects import Note
-from waxwingford.batch._placing import PROBATION_MS, room_for_claims
-from waxwingford.batch._quotas import Quotas
-from waxwingford.batch._server import ServerControl
-from waxwingford.placement import Placement, ServerView
-from waxwingford.ports import Resources
+from waxwingford.batch._placing import room_for_claims
+from waxwingford.batch._queue import Offer
+from waxwingford.batch._quotas import Limits
+from waxwingford.placement import Placement, Quarantine, ServerView
+from waxwingford.ports import Resources, TaskKey
 from waxwingford.records import (
     TaskState,
     fits_resources,
@@ -22,75 +22,77 @@
     VM nor stop the daemon, so it is left out and noted.
 
     :ivar placed: placements with their tasks.
-    :ivar left: tasks that found no place.
+    :ivar left: attempts that found no place.
     :ivar notes: on placements that were left out.
     """
 
     def __init__(
         self,
         views: list[ServerView],
-        quotas: Quotas,
-        held: Mapping[str, ServerControl],
+        limits: Limits,
+        quarantine: Quarantine,
         now_ms: int,
     ) -> None:
         """Start a round.
 
         :param views: servers as the policy sees them.
-        :param quotas: of teams and members.
-        :param held: servers by id.
+        :param limits: hard limits of teams.
+        :param quarantine: says when a server in quarantine may get a task.
         :param now_ms: monotonic time.
         """
-        self.left: list[TaskState] = []
+        self.left: list[TaskKey] = []
         self.placed: list[tuple[Placement, TaskState]] = []
         self.notes: list[Note] = []
         self._view_by_id = {view.server_id: view for view in views}
         self._room_by_id: dict[str, Resources] = {}
-        self._quotas = quotas
-        self._held = held
+        self._limits = limits
+        self._quarantine = quarantine
         self._now_ms = now_ms
 
     def take_all(
-        self, placements: Iterable[Placement], tasks: Iterable[TaskState]
+        self, placements: Iterable[Placement], offers: Iterable[Offer]
     ) -> None:
         """Check the policy's decisions.
 
         :param placements: decisions.
-        :param tasks: that were shown to the policy.
+        :param offers: tasks that were shown to the policy.
         """
-        task_by_key = {task.next_key: task for task in tasks}
+        offer_by_key = {offer.view.key: offer for offer in offers}
         for placement in placements:
-            task = task_by_key.get(placement.key)
+            offer = offer_by_key.get(placement.key)
             view = self._view_by_id.get(placement.server_id)
-            if task is not None and view is not None:
-                if self._take(placement, task, view):
-                    task_by_key.pop(placement.key)
-        self.left = list(task_by_key.values())
+            if offer is not None and view is not None:
+                if self._take(placement, offer, view):
+                    offer_by_key.pop(placement.key)
+        self.left = list(offer_by_key)
 
     def _take(
-        self, placement: Placement, task: TaskState, view: ServerView
+        self, placement: Placement, offer: Offer, view: ServerView
     ) -> bool:
         room = self._room_by_id.get(view.server_id)
         if room is None:
             room = room_for_claims(view)
-        if not fits_resources(task.resources, room):
+        if not fits_resources(offer.view.resources, room):
             subject = f'task:{placement.key.task_id}'
             self.notes.append(Note('policy.no_room', subject, view.server_id))
             return False
-        if not self._may_place(task, view):
+        if not self._may_place(offer.task, view):
             return False
-        self._quotas.note_claimed(task)
-        room = subtract_resources(room, task.resources)
+        self._limits.note_claimed(offer.task)
+        room = subtract_resources(room, offer.view.resources)
         self._room_by_id[view.server_id] = room
-        self.placed.append((placement, task))
+        self.placed.append((placement, offer.task))
         return True
 
     def _may_place(self, task: TaskState, view: ServerView) -> bool:
-        if not self._quotas.has_room(task):
+        if not self._limits.has_room(task):
             return False
         if not view.quarantined:
             return True
-        server = self._held[view.server_id]
-        if view.running or self._now_ms < server.probation_ms:
+        server_id = view.server_id
+        if view.running or not self._quarantine.may_probe(
+            server_id, self._now_ms
+        ):
             return False
-        server.probation_ms = self._now_ms + PROBATION_MS
+        self._quarantine.note_probe(server_id, self._now_ms)
         return True
--- a/waxwingford/batch/_controller.py
+++ b/waxwingford/batch/_controller.py
@@ -29,6 +29,7 @@
     SubmitJob,
     VmListRead,
 )
+from waxwingford.batch._missing import MissingServers
 from waxwingford.batch._outcomes import OutcomeTaker
 from waxwingford.batch._placer import Placer
 from waxwingford.batch._settings import BatchSettings
@@ -77,6 +78,7 @@
         )
         self._exchanges = Exchanges(settings, self.fleet)
         self._outcomes = OutcomeTaker(settings, self.fleet)
+        self._missing = MissingServers(settings)
         self._hint_by_ms = now_ms + _HINT_MS
         self._next_react_ms = now_ms
         self._snapshot_asked_ms = now_ms - settings.snapshot_ms
@@ -129,6 +131,8 @@
                 domain = self.settings.failure_domain
                 own = [vm for vm in vms if vm.failure_domain == domain]
                 self.fleet.update_list(own, now_ms)
+                self._suspect_missing(now_ms)
+                self.placer.books.note_list(self.placer.bundle)
             case AliveDaemons(daemon_ids=daemon_ids):
                 self.fleet.update_alive(daemon_ids, now_ms)
             case BundleSettings():
@@ -163,6 +167,12 @@
             self.stream.appender.offer(key, record)
         return effects
 
+    def _suspect_missing(self, now_ms: int) -> None:
+        known = self.fleet.server_by_id
+        for missing in self._missing.suspicions(self.state, known, now_ms):
+            key = ('suspect', missing.server_id)
+            self.stream.appender.offer(key, missing.record)
+
     def _take_submission(
         self, message: SubmitJob | CancelJob, now_ms: int, wall_ms: int
     ) -> list[Effect]:
@@ -195,8 +205,9 @@
     def _take_busy(self, share_by_server: Mapping[str, float]) -> None:
         for server_id in self._routed | share_by_server.keys():
             server = self.fleet.server_by_id.get(server_id)
-            if server is not None:
-                server.routed_share = share_by_server.get(server_id)
+            share = share_by_server.get(server_id)
+            if server is not None and server.routed_share != share:
+                server.routed_share = share
                 server.view = None
         self._routed = frozenset(share_by_server)
 
--- a/waxwingford/batch/_messages.py
+++ b/waxwingford/batch/_messages.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from waxwingford.placement import PolicyWeights
+from waxwingford.placement import PolicyWeights, QuarantineLimits
 from waxwingford.ports import (
     AppendOutcome,
     ControlOutcome,
@@ -117,21 +117,26 @@
 class BundleSettings:
     """What the bundle in force says of batch work.
 
-    :ivar quota_by_team: most that a team's claimed tasks may use, by
-        ``<member>/<team>``; a team without one has no limit of its own.
+    :ivar quota_by_team: quota by ``<member>/<team>``: weight of the team
+        within its member, and the most that its claimed tasks may use unless
+        it may borrow; a team without one weighs as much as the mean.
     :ivar weights_by_service: how the bundle steers the policy.
     :ivar reserved_by_service: set aside on each VM for its service.
     :ivar policy: name of the colocation policy.
-    :ivar quota_by_member: the same as for teams, by member.
+    :ivar borrowing_teams: teams that may use what others leave idle.
+    :ivar share_by_member: shares of members, relative.
+    :ivar quarantine: when a server is given up; None to give up none.
     """
 
     quota_by_team: Mapping[str, Resources]
     weights_by_service: Mapping[str, PolicyWeights]
     reserved_by_service: Mapping[str, Resources]
     policy: str = 'first_fit'
-    quota_by_member: Mapping[str, Resources] = dataclasses.field(
+    borrowing_teams: frozenset[str] = frozenset()
+    share_by_member: Mapping[str, float] = dataclasses.field(
         default_factory=dict,
     )
+    quarantine: QuarantineLimits | None = QuarantineLimits()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/waxwingford/batch/_placer.py
+++ b/waxwingford/batch/_placer.py
@@ -1,33 +1,32 @@
 """Rounds of placement with the policy that the bundle names."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 
+from waxwingford.batch._books import Books
 from waxwingford.batch._checked import CheckedPlacements
 from waxwingford.batch._effects import Note
 from waxwingford.batch._fleet import Fleet
 from waxwingford.batch._messages import BundleSettings
 from waxwingford.batch._placing import (
     build_claims,
-    quarantined_servers,
     require_capacity,
     require_held,
     runs_unclaimed,
     view_pending,
     view_server,
 )
-from waxwingford.batch._queue import PendingQueue
-from waxwingford.batch._quotas import Quotas
+from waxwingford.batch._queue import PendingQueue, ViewTask
+from waxwingford.batch._quotas import Limits
+from waxwingford.batch._reactions import take_reaction
 from waxwingford.batch._server import ServerControl
 from waxwingford.batch._settings import BatchSettings
 from waxwingford.placement import (
     ColocationPolicy,
-    Evict,
+    PendingTask,
     ServerView,
-    Stop,
-    Throttle,
     policies,
 )
-from waxwingford.ports import Resources, TaskKey, UsageSample
+from waxwingford.ports import Resources, UsageSample
 from waxwingford.records import (
     DomainState,
     TasksClaimed,
@@ -46,6 +45,8 @@
     """Chooses what to claim where, and how to react to interference.
 
     :ivar bundle: settings in force.
+    :ivar books: shares, sizes and failures.
+    :ivar queue: pending tasks.
     """
 
     def __init__(self, settings: BatchSettings, fleet: Fleet) -> None:
@@ -57,7 +58,8 @@
         self.bundle = _EMPTY_BUNDLE
         self._settings = settings
         self._fleet = fleet
-        self._queue = PendingQueue()
+        self.queue = PendingQueue()
+        self.books = Books(fleet, self.queue.book)
         self._policy: ColocationPolicy | None = None
         self._quarantined: frozenset[str] = frozenset()
         self._next_round_ms = 0
@@ -80,6 +82,7 @@
         self.bundle = bundle
         self._fleet.room_changed = True
         self._fleet.reserved_by_service = bundle.reserved_by_service
+        self.books.use_bundle(bundle)
         for server in self._fleet.server_by_id.values():
             server.view = None
 
@@ -90,7 +93,8 @@
         :param now_ms: monotonic time.
         """
         rank = self._fleet.rank(task.task_id)
-        self._queue.add(task, now_ms + rank * self._settings.steal_ms)
+        due_ms = now_ms + rank * self._settings.steal_ms
+        self.queue.add(task, now_ms, due_ms)
 
     def round(
         self, state: DomainState, now_ms: int, wall_ms: int
@@ -106,17 +110,20 @@
         # over a long queue would cost most of the daemon's processor time.
         if not self._may_place_more(now_ms):
             return [], []
-        quotas = Quotas(state, self.bundle)
-        tasks = self._queue.take(_ROUND_TASKS, now_ms, quotas.has_room)
-        if not tasks or self._policy is None:
-            return [], self._put_back(tasks)
+        limits = Limits(state, self.bundle)
+        view = self._view_pending(wall_ms)
+        offers = self.queue.take(_ROUND_TASKS, now_ms, limits, view)
+        if not offers or self._policy is None:
+            return [], []
         held = self._placeable(state, now_ms)
         views = self.views(state, held, wall_ms)
-        servers = len(self._fleet.server_by_id)
-        pending = [view_pending(task, servers, wall_ms) for task in tasks]
-        checked = CheckedPlacements(views, quotas, held, now_ms)
-        checked.take_all(self._policy.place(pending, views, now_ms), tasks)
-        self._put_back(checked.left)
+        pending = [offer.view for offer in offers]
+        quarantine = self.books.quarantine
+        checked = CheckedPlacements(views, limits, quarantine, now_ms)
+        checked.take_all(self._policy.place(pending, views, now_ms), offers)
+        self.queue.put_back(checked.left, now_ms, view)
+        for placement, _ in checked.placed:
+            self.queue.drop(placement.key, now_ms, view)
         if checked.placed:
             self._next_round_ms = now_ms
         claims = build_claims(checked.placed, held, self._settings)
@@ -133,13 +140,14 @@
         state: DomainState,
         now_ms: int,
     ) -> None:
-        """Show samples to the policy.
+        """Show samples to the policy and the sizes.
 
         :param server_id: where they were taken.
         :param samples: the samples.
         :param state: fold of the domain's stream.
         :param now_ms: monotonic time.
         """
+        self.books.observe(samples)
         if self._policy is None:
             return
         for sample in samples:
@@ -167,7 +175,9 @@
         return [
             note
             for reaction in reactions
-            for note in self._take_reaction(state, held, reaction, now_ms)
+            for note in take_reaction(
+                self._fleet, state, held, reaction, now_ms
+            )
         ]
 
     def views(
@@ -183,7 +193,7 @@
         :param wall_ms: wall time.
         :returns: views in order of ids.
         """
-        quarantined = quarantined_servers(state, held)
+        quarantined = self.in_quarantine()
         for server_id in quarantined ^ self._quarantined:
             self._fleet.touch(server_id)
         self._quarantined = quarantined
@@ -192,6 +202,15 @@
             for server_id in sorted(held)
         ]
 
+    def in_quarantine(self) -> frozenset[str]:
+        """List the servers that get at most probation tasks.
+
+        :returns: their names; none where the bundle switches it off.
+        """
+        if self.bundle.quarantine is None:
+            return frozenset()
+        return self.books.quarantine.quarantined
+
     def predicted_ms(
         self, server: ServerControl, state: DomainState, wall_ms: int
     ) -> float:
@@ -222,7 +241,7 @@
             )
             is_quarantined = server_id in self._quarantined
             server.view = view_server(
-                server, state, reserved, is_quarantined, wall_ms
+                server, state, self.books, reserved, is_quarantined, wall_ms
             )
         return server.view
 
@@ -235,50 +254,27 @@
             if server.lease.may_command(now_ms)
             and not server.leaving
             and not runs_unclaimed(server, state)
+            and self._may_use(server_id, now_ms)
         }
 
+    def _may_use(self, server_id: str, now_ms: int) -> bool:
+        return (
+            server_id not in self.in_quarantine()
+            or self.books.quarantine.may_probe(server_id, now_ms)
+        )
+
+    def _view_pending(self, wall_ms: int) -> ViewTask:
+        servers = len(self._fleet.server_by_id)
+
+        def _view(task: TaskState, waiting_ms: int) -> PendingTask:
+            return view_pending(task, self.books, servers, waiting_ms, wall_ms)
+
+        return _view
+
     def _may_place_more(self, now_ms: int) -> bool:
-        has_new = self._queue.has_due(now_ms) or self._fleet.room_changed
+        has_new = self.queue.has_due(now_ms) or self._fleet.room_changed
         if not has_new and now_ms < self._next_round_ms:
             return False
         self._fleet.room_changed = False
         self._next_round_ms = now_ms + _FRUITLESS_ROUND_MS
         return True
-
-    def _put_back(self, tasks: Iterable[TaskState]) -> list[Note]:
-        for task in tasks:
-            self._queue.put_back(task)
-        return []
-
-    def _take_reaction(
-        self,
-        state: DomainState,
-        held: Mapping[str, ServerControl],
-        reaction: Throttle | Evict | Stop,
-        now_ms: int,
-    ) -> list[Note]:
-        server = self._server_of(state, held, reaction.key)
-        if server is None:
-            return []
-        match reaction:
-            case Throttle(key=key, percent=percent):
-                server.percent_by_key[key] = percent
-            case Evict(key=key):
-                server.evicting.add(key)
-            case Stop(key=key):
-                server.stopping.add(key)
-        self._fleet.mark_due(server.vm.server_id, now_ms)
-        kind = f'policy.{type(reaction).__name__.lower()}'
-        detail = f'attempt {key.attempt} at {server.vm.server_id}'
-        return [Note(kind, f'task:{key.task_id}', detail)]
-
-    def _server_of(
-        self,
-        state: DomainState,
-        held: Mapping[str, ServerControl],
-        key: TaskKey,
-    ) -> ServerControl | None:
-        task = state.task(key.task_id)
-        if task is None or task.attempt != key.attempt:
-            return None
-        return held.get(task.server_id)
--- a/waxwingford/batch/_placing.py
+++ b/waxwingford/batch/_placing.py
@@ -1,9 +1,10 @@
-"""From pending tasks to claims: quotas, quarantine, capacity."""
+"""From pending tasks to claims: views, capacity."""
 
 import itertools
 import operator
 from collections.abc import Iterable, Mapping
 
+from waxwingford.batch._books import Books
 from waxwingford.batch._server import ServerControl
 from waxwingford.batch._settings import BatchSettings
 from waxwingford.kernel import Invariant, require
@@ -24,20 +25,14 @@
     subtract_resources,
 )
 
-#: Failures at a server since it last got one done that put it in quarantine.
-QUARANTINE_FAILURES = 5
-#: Share of the held servers in quarantine at most, so that a job that fails
-#: everywhere does not close the failure domain.
-QUARANTINE_SHARE = 0.25
-#: A server in quarantine gets one task in so long, in milliseconds.
-PROBATION_MS = 60_000
 _NOTHING = Resources(0, 0, 0)
 
 
-def slack_ms(task: TaskState, wall_ms: int) -> int | None:
+def slack_ms(task: TaskState, books: Books, wall_ms: int) -> int | None:
     """Count the time that a task has beyond what it still needs.
 
     :param task: the task.
+    :param books: correct its run time.
     :param wall_ms: wall time.
     :returns: milliseconds, negative if it will be late; None if it has no
         deadline.
@@ -45,16 +40,19 @@
     spec = task.job.spec
     if not spec.finish_by_wall_ms:
         return None
-    left_ms = max(0, spec.run_ms - task.ran_ms)
-    return spec.finish_by_wall_ms - wall_ms - left_ms
+    return spec.finish_by_wall_ms - wall_ms - books.run_left_ms(task)
 
 
-def view_pending(task: TaskState, servers: int, wall_ms: int) -> PendingTask:
+def view_pending(
+    task: TaskState, books: Books, servers: int, waiting_ms: int, wall_ms: int
+) -> PendingTask:
     """Show a pending task to a policy.
 
     :param task: the task.
+    :param books: correct its size and run time.
     :param servers: servers of the failure domain; a task that failed on as
         many may be tried on the same ones again.
+    :param waiting_ms: how long it waits.
     :param wall_ms: wall time.
     :returns: the view.
     """
@@ -64,11 +62,11 @@
         spec.member,
         spec.team,
         spec.kind,
-        spec.resources,
-        max(0, spec.run_ms - task.ran_ms),
+        books.given(spec),
+        books.run_left_ms(task),
         spec.priority,
-        0,
-        slack_ms(task, wall_ms),
+        waiting_ms,
+        slack_ms(task, books, wall_ms),
         task.checkpoint,
         task.failed_on if len(task.failed_on) < servers else (),
         task.checkpoint_server,
@@ -78,6 +76,7 @@
 def view_server(
     server: ServerControl,
     state: DomainState,
+    books: Books,
     reserved: Resources,
     is_quarantined: bool,
     wall_ms: int,
@@ -86,6 +85,7 @@
 
     :param server: the server.
     :param state: fold of the domain's stream.
+    :param books: correct sizes.
     :param reserved: set aside for the service there.
     :param is_quarantined: whether it gets only probation work.
     :param wall_ms: wall time.
@@ -99,7 +99,8 @@
         server.vm.resources,
         reserved,
         tuple(
-            _view_running(server, task, wall_ms) for task in attempts.values()
+            _view_running(server, task, books, wall_ms)
+            for task in attempts.values()
         ),
         server.leaving,
         is_quarantined,
@@ -108,7 +109,7 @@
 
 
 def _view_running(
-    server: ServerControl, task: TaskState, wall_ms: int
+    server: ServerControl, task: TaskState, books: Books, wall_ms: int
 ) -> RunningTask:
     spec = task.job.spec
     report = server.report_by_key.get(task.key)
@@ -117,30 +118,10 @@
         spec.member,
         spec.team,
         spec.kind,
-        spec.resources,
+        books.given(spec),
         report.ran_ms if report else 0,
         report.throttled if report else False,
-        slack_ms(task, wall_ms),
-    )
-
-
-def quarantined_servers(
-    state: DomainState, held: Mapping[str, ServerControl]
-) -> frozenset[str]:
-    """Choose the servers that fail what they start, the worst first.
-
-    :param state: fold of the domain's stream.
-    :param held: held servers by id.
-    :returns: ids, at most a share of the held ones.
-    """
-    failing = sorted(
-        (count, server_id)
-        for server_id, count in state.failing_by_server.items()
-        if count >= QUARANTINE_FAILURES and server_id in held
-    )
-    most = int(len(held) * QUARANTINE_SHARE)
-    return frozenset(
-        server_id for _, server_id in failing[max(0, len(failing) - most) :]
+        slack_ms(task, books, wall_ms),
     )
 
 
--- a/waxwingford/batch/_queries.py
+++ b/waxwingford/batch/_queries.py
@@ -12,8 +12,8 @@
     JobView,
     find_job,
     list_jobs,
-    why_waits,
 )
+from waxwingford.batch._waits import why_waits
 from waxwingford.kernel import Clock
 from waxwingford.routing import HeldServer
 
@@ -71,7 +71,7 @@
             task,
             controller.state,
             controller.fleet,
-            controller.placer.bundle,
+            controller.placer,
             controller.stream.log_away,
         )
 
--- /dev/null
+++ b/waxwingford/batch/_reactions.py
@@ -0,0 +1,54 @@
+"""What a policy decides about running attempts, noted at their servers."""
+
+from collections.abc import Mapping
+
+from waxwingford.batch._effects import Note
+from waxwingford.batch._fleet import Fleet
+from waxwingford.batch._server import ServerControl
+from waxwingford.placement import Evict, Stop, Throttle
+from waxwingford.ports import TaskKey
+from waxwingford.records import DomainState
+
+
+def take_reaction(
+    fleet: Fleet,
+    state: DomainState,
+    held: Mapping[str, ServerControl],
+    reaction: Throttle | Evict | Stop,
+    now_ms: int,
+) -> list[Note]:
+    """Let the next exchange carry a reaction.
+
+    :param fleet: servers.
+    :param state: fold of the domain's stream.
+    :param held: held servers by id.
+    :param reaction: the policy's decision.
+    :param now_ms: monotonic time.
+    :returns: a note; nothing if the attempt is over or not held here.
+    """
+    key = reaction.key
+    server = _server_of(state, held, key)
+    if server is None:
+        return []
+    match reaction:
+        case Throttle(percent=percent):
+            server.percent_by_key[key] = percent
+        case Evict():
+            server.evicting.add(key)
+        case Stop():
+            server.stopping.add(key)
+    fleet.mark_due(server.vm.server_id, now_ms)
+    kind = f'policy.{type(reaction).__name__.lower()}'
+    detail = f'attempt {key.attempt} at {server.vm.server_id}'
+    return [Note(kind, f'task:{key.task_id}', detail)]
+
+
+def _server_of(
+    state: DomainState,
+    held: Mapping[str, ServerControl],
+    key: TaskKey,
+) -> ServerControl | None:
+    task = state.task(key.task_id)
+    if task is None or task.attempt != key.attempt:
+        return None
+    return held.get(task.server_id)
--- a/waxwingford/batch/_server.py
+++ b/waxwingford/batch/_server.py
@@ -49,7 +49,6 @@
     :ivar says_leaving: the server's own word.
     :ivar unreachable_since_ms: first exchange without an answer since the last
         answer; None while it answers.
-    :ivar probation_ms: when quarantine allows the next task.
     :ivar routed_share: busy service slots at present, 0 to 1, as this daemon's
         routing sees them; None if it routes nothing there.
     :ivar sampled_share: the same in the last usage sample, which is older.
@@ -87,7 +86,6 @@
     listed: bool = True
     says_leaving: bool = False
     unreachable_since_ms: int | None = None
-    probation_ms: int = 0
     routed_share: float | None = None
     sampled_share: float = 0
     view: ServerView | None = None
--- a/waxwingford/batch/_views.py
+++ b/waxwingford/batch/_views.py
@@ -4,8 +4,6 @@
 from typing import NamedTuple
 
 from waxwingford.batch._fleet import Fleet
-from waxwingford.batch._messages import BundleSettings
-from waxwingford.batch._quotas import Quotas
 from waxwingford.ports import Resources
 from waxwingford.records import (
     DomainState,
@@ -13,7 +11,6 @@
     JobSpec,
     JobState,
     TaskStage,
-    TaskState,
     fits_resources,
     subtract_resources,
 )
@@ -177,32 +174,3 @@
     ]
     reason = ', '.join(too_large) or 'no single server has all of it'
     return f'larger than any server: {reason}'
-
-
-def why_waits(
-    task: TaskState,
-    state: DomainState,
-    fleet: Fleet,
-    bundle: BundleSettings,
-    log_away: str,
-) -> str:
-    """Say why a task waits.
-
-    :param task: the task.
-    :param state: fold of the domain's stream.
-    :param fleet: all servers.
-    :param bundle: settings in force.
-    :param log_away: why the log is away; empty if it is not.
-    :returns: for people; empty if the task is not pending.
-    """
-    if task.stage != TaskStage.pending:
-        return ''
-    failed_on = ', '.join(task.failed_on)
-    reasons = (
-        never_fits(task.job.spec, fleet),
-        f'the log is away: {log_away}' if log_away else '',
-        Quotas(state, bundle).reason(task),
-        f'failed on {failed_on}: {task.detail}' if failed_on else '',
-    )
-    first = next((reason for reason in reasons if reason), '')
-    return first or 'no room: waits for a server with enough left'
--- /dev/null
+++ b/waxwingford/batch/_waits.py
@@ -0,0 +1,84 @@
+"""Why a task waits, for its member."""
+
+from waxwingford.batch._fleet import Fleet
+from waxwingford.batch._placer import Placer
+from waxwingford.batch._quotas import Limits
+from waxwingford.batch._views import never_fits
+from waxwingford.placement import TeamName
+from waxwingford.records import DomainState, TaskStage, TaskState
+
+#: Servers named in one reason.
+_SERVERS_SHOWN = 8
+
+
+def why_waits(
+    task: TaskState,
+    state: DomainState,
+    fleet: Fleet,
+    placer: Placer,
+    log_away: str,
+) -> str:
+    """Say why a task waits; the first cause that alone would hold it back.
+
+    :param task: the task.
+    :param state: fold of the domain's stream.
+    :param fleet: all servers.
+    :param placer: bundle, books and queue.
+    :param log_away: why the log is away; empty if it is not.
+    :returns: for people; empty if the task is not pending.
+    """
+    if task.stage != TaskStage.pending:
+        return ''
+    reasons = (
+        never_fits(task.job.spec, fleet),
+        f'the log is away: {log_away}' if log_away else '',
+        Limits(state, placer.bundle).reason(task),
+        _turn_reason(task, placer),
+        _server_reason(task, placer),
+    )
+    first = next((reason for reason in reasons if reason), '')
+    return first or _room_reason(task, placer)
+
+
+def _turn_reason(task: TaskState, placer: Placer) -> str:
+    offers = placer.queue.offers(task.next_key)
+    if offers is None or offers:
+        return ''
+    spec = task.job.spec
+    shares = placer.books.quotas.shares
+    member_share = shares.of_member(spec.member)
+    team_share = shares.of_team(TeamName(spec.member, spec.team))
+    return (
+        f'share: others are before it; member {spec.member} uses '
+        f'{member_share:.3f} and team {spec.team} {team_share:.3f} of the '
+        'capacity for each unit of their shares'
+    )
+
+
+def _server_reason(task: TaskState, placer: Placer) -> str:
+    out = placer.in_quarantine()
+    failed = [name for name in task.failed_on if name not in out]
+    failed_on = f'failed on {_names(failed)}: {task.detail}' if failed else ''
+    set_aside = f'quarantine of {_names(sorted(out))}' if out else ''
+    causes = [cause for cause in (failed_on, set_aside) if cause]
+    if not causes:
+        return ''
+    return f'no room on the other servers; {"; ".join(causes)}'
+
+
+def _room_reason(task: TaskState, placer: Placer) -> str:
+    spec = task.job.spec
+    given = placer.books.given(spec)
+    size = f'{tuple(given)}'
+    if given != spec.resources:
+        size = f'{size}, measured; {tuple(spec.resources)} was declared'
+    reason = f'no room: waits for a server with enough left ({size})'
+    if placer.queue.offers(task.next_key) is None:
+        return f'{reason}; another daemon is first to offer it'
+    return reason
+
+
+def _names(servers: list[str]) -> str:
+    rest = len(servers) - _SERVERS_SHOWN
+    more = f' and {rest} more' if rest > 0 else ''
+    return f'{", ".join(servers[:_SERVERS_SHOWN])}{more}'
--- a/waxwingford/daemon/_bundle_terms.py
+++ b/waxwingford/daemon/_bundle_terms.py
@@ -4,7 +4,7 @@
 
 from waxwingford.batch import BundleSettings
 from waxwingford.bundles import Bundle, ServerSize
-from waxwingford.placement import PolicyWeights
+from waxwingford.placement import PolicyWeights, QuarantineLimits
 from waxwingford.ports import Resources
 from waxwingford.routing import ServiceLimits
 
@@ -32,6 +32,13 @@
             for name, service in bundle.services.items()
         },
         policy=bundle.policy,
+        borrowing_teams=frozenset(
+            name for name, quota in bundle.teams.items() if quota.may_borrow
+        ),
+        share_by_member={
+            name: terms.share for name, terms in bundle.members.items()
+        },
+        quarantine=_quarantine_limits(bundle),
     )
 
 
@@ -68,5 +75,17 @@
     }
 
 
+def _quarantine_limits(bundle: Bundle) -> QuarantineLimits | None:
+    # ``attempts`` is left to the fold's own limit: daemons take a bundle at
+    # different times, and must agree at each offset on which task is over.
+    if not bundle.switches.quarantine:
+        return None
+    return QuarantineLimits(
+        tasks_per_server=bundle.batch.failures_before_quarantine,
+        capped_share=bundle.batch.quarantine_share,
+        probation_ms=bundle.batch.probation_ms,
+    )
+
+
 def _resources(size: ServerSize) -> Resources:
     return Resources(size.processors_milli, size.memory_mb, size.accelerators)
--- a/waxwingford/placement/_quarantine.py
+++ b/waxwingford/placement/_quarantine.py
@@ -257,7 +257,20 @@
         if not self._has_witnesses(server_id):
             return False
         allowed = max(1, int(self.limits.capped_share * server_count))
-        return len(self._probation_by_server) < allowed
+        if len(self._probation_by_server) < allowed:
+            return True
+        # First come, first kept would leave the worst servers at work when a
+        # whole rack begins to fail: the best one in quarantine makes room.
+        failed_by_server = {
+            one: len(self._tasks_by_server[one])
+            for one in self._probation_by_server
+        }
+        best_id = min(failed_by_server, key=failed_by_server.__getitem__)
+        failed = len(self._tasks_by_server[server_id])
+        if failed_by_server[best_id] >= failed:
+            return False
+        self._probation_by_server.pop(best_id)
+        return True
 
     def _has_witnesses(self, server_id: str) -> bool:
         # Without leaving suspect jobs out, one bad job of many tasks, whose
--- a/waxwingford/placement/_quotas.py
+++ b/waxwingford/placement/_quotas.py
@@ -156,8 +156,13 @@
         extra: dict[str | TeamName, float] = {}
         closed: set[TeamName] = set()
         picked: list[Waiting] = []
+        members = [
+            (self.shares.of_member(member), member)
+            for member in self._turns_by_member
+        ]
+        heapq.heapify(members)
         while len(picked) < limit:
-            waiting = self._pop_next(extra, may_take, closed)
+            waiting = self._pop_next(members, extra, may_take, closed)
             if waiting is None:
                 break
             picked.append(waiting)
@@ -207,18 +212,21 @@
 
     def _pop_next(
         self,
+        members: list[tuple[float, str]],
         extra: dict[str | TeamName, float],
         may_take: Callable[[PendingTask], bool] | None,
         closed: set[TeamName],
     ) -> Waiting | None:
-        members = sorted(
-            self._turns_by_member,
-            key=lambda name: self.shares.of_member(name) + extra.get(name, 0),
-        )
-        for member in members:
+        # One member's share changes with each task listed, so a heap of them
+        # saves sorting all members for every task.
+        while members:
+            member = members[0][1]
             waiting = self._pop_of(member, extra, may_take, closed)
             if waiting is not None:
+                share = self.shares.of_member(member) + extra[member]
+                heapq.heapreplace(members, (share, member))
                 return waiting
+            heapq.heappop(members)
         return None
 
     def _pop_of(
--- a/waxwingford/placement/tests/placement.feature
+++ b/waxwingford/placement/tests/placement.feature
@@ -115,6 +115,16 @@
     When tasks 0 to 2 of job "m.good" fail on each of "a, b, c, d" of 20 servers
     Then 2 servers are in quarantine
 
+  # Symptom: the servers that fail most stay at work.
+  # Sequence: two servers begin to fail and fill the quarantine; two others
+  # then fail more tasks than they did.
+  # Cause: first come, first kept under the cap.
+  Scenario: Under the cap the worst servers are set aside
+    Given a job "m.good" that ended well on "w9"
+    When tasks 0 to 2 of job "m.good" fail on each of "a, b" of 20 servers
+    And tasks 0 to 4 of job "m.good" fail on each of "c, d" of 20 servers
+    Then servers "c, d" are in quarantine
+
   Scenario: Probation opens later after each failure and ends after successes
     Given a job "m.good" that ended well on "w9"
     When tasks 0 to 2 of job "m.good" fail on each of "bad"
@@ -124,3 +134,12 @@
     When task "m.good/8" ends well on "bad"
     And task "m.good/9" ends well on "bad"
     Then no server is in quarantine
+
+  # Symptom: a good server is quarantined at the first failure of a good job.
+  # Sequence: a bad job fails everywhere and is over; its failures stay.
+  # Cause: nothing tells any more that the job was bad.
+  Scenario: Failures of a bad job that is over speak against no server
+    When tasks 0 to 2 of job "m.bad" fail on each of "w1, w2, w3"
+    And job "m.bad" is over for the quarantine
+    And task "m.good/0" fails on "w1"
+    Then no server is in quarantine
--- a/waxwingford/placement/tests/placement_steps.py
+++ b/waxwingford/placement/tests/placement_steps.py
@@ -251,6 +251,11 @@
     assert _quarantined(context) == {server}, _quarantined(context)
 
 
+@then('servers "{servers}" are in quarantine')
+def check_these_quarantined(context, servers):
+    assert _quarantined(context) == set(servers.split(', '))
+
+
 @then('no server is in quarantine')
 def check_none_quarantined(context):
     assert not _quarantined(context), _quarantined(context)
@@ -276,3 +281,8 @@
 def check_probe(context, server, late, early):
     assert context.quarantine.may_probe(server, late * MS_IN_S)
     assert not context.quarantine.may_probe(server, early * MS_IN_S)
+
+
+@when('job "{job_id}" is over for the quarantine')
+def job_is_over(context, job_id):
+    context.quarantine.forget_job(job_id)
