Keep the arithmetic of resource vectors in one place

Cause: add, subtract and fits stood twice, in records and in placement. Change: waxwingford.ports has them beside Resources; both use them. Behaviour is the same. Measured: records, placement, colocation, ownership, peers and four features of batch pass.

--- a/waxwingford/batch/_checked.py
+++ b/waxwingford/batch/_checked.py
@@ -7,12 +7,13 @@
 from waxwingford.batch._queue import Offer
 from waxwingford.batch._quotas import Limits
 from waxwingford.placement import Placement, Quarantine, ServerView
-from waxwingford.ports import Resources, TaskKey
-from waxwingford.records import (
-    TaskState,
+from waxwingford.ports import (
+    Resources,
+    TaskKey,
     fits_resources,
     subtract_resources,
 )
+from waxwingford.records import TaskState
 
 
 class CheckedPlacements:
--- a/waxwingford/batch/_first_fit.py
+++ b/waxwingford/batch/_first_fit.py
@@ -10,8 +10,9 @@
     ServerView,
     policies,
 )
-from waxwingford.ports import Resources, UsageSample
-from waxwingford.records import (
+from waxwingford.ports import (
+    Resources,
+    UsageSample,
     fits_resources,
     subtract_resources,
 )
--- a/waxwingford/batch/_placing.py
+++ b/waxwingford/batch/_placing.py
@@ -14,16 +14,14 @@
     RunningTask,
     ServerView,
 )
-from waxwingford.ports import Resources, TaskPhase
-from waxwingford.records import (
-    Claim,
-    DomainState,
-    TasksClaimed,
-    TaskState,
+from waxwingford.ports import (
+    Resources,
+    TaskPhase,
     add_resources,
     fits_resources,
     subtract_resources,
 )
+from waxwingford.records import Claim, DomainState, TasksClaimed, TaskState
 
 _NOTHING = Resources(0, 0, 0)
 
--- a/waxwingford/batch/_plan.py
+++ b/waxwingford/batch/_plan.py
@@ -17,6 +17,9 @@
     TaskPhase,
     TaskReport,
     ThrottleTask,
+    add_resources,
+    fits_resources,
+    subtract_resources,
 )
 from waxwingford.records import (
     NOT_SUSPECTED,
@@ -24,9 +27,6 @@
     AttemptEnded,
     DomainState,
     TaskState,
-    add_resources,
-    fits_resources,
-    subtract_resources,
 )
 
 #: A stop or checkpoint that shows no effect is commanded again after this.
--- a/waxwingford/batch/_quotas.py
+++ b/waxwingford/batch/_quotas.py
@@ -10,14 +10,8 @@
 from collections.abc import Mapping
 
 from waxwingford.batch._messages import BundleSettings
-from waxwingford.ports import Resources
-from waxwingford.records import (
-    DomainState,
-    TaskState,
-    add_resources,
-    fits_resources,
-    team_key,
-)
+from waxwingford.ports import Resources, add_resources, fits_resources
+from waxwingford.records import DomainState, TaskState, team_key
 
 _NOTHING = Resources(0, 0, 0)
 
--- a/waxwingford/batch/_views.py
+++ b/waxwingford/batch/_views.py
@@ -4,15 +4,13 @@
 from typing import NamedTuple
 
 from waxwingford.batch._fleet import Fleet
-from waxwingford.ports import Resources
+from waxwingford.ports import Resources, fits_resources, subtract_resources
 from waxwingford.records import (
     DomainState,
     FinishedJob,
     JobSpec,
     JobState,
     TaskStage,
-    fits_resources,
-    subtract_resources,
 )
 
 _NOTHING = Resources(0, 0, 0)
--- a/waxwingford/placement/_fit.py
+++ b/waxwingford/placement/_fit.py
@@ -5,6 +5,9 @@
 
 from waxwingford.placement._views import ServerView
 from waxwingford.ports import Resources
+from waxwingford.ports import add_resources as add
+from waxwingford.ports import fits_resources as fits
+from waxwingford.ports import subtract_resources as subtract
 
 NOTHING = Resources(0, 0, 0)
 
@@ -23,34 +26,6 @@
     largest: int
 
 
-def add(left: Resources, right: Resources) -> Resources:
-    """Add two vectors.
-
-    :param left: one.
-    :param right: the other.
-    :returns: their sum.
-    """
-    return Resources(
-        left.processors_milli + right.processors_milli,
-        left.memory_mb + right.memory_mb,
-        left.accelerators + right.accelerators,
-    )
-
-
-def subtract(left: Resources, right: Resources) -> Resources:
-    """Subtract; a dimension may become negative.
-
-    :param left: from which.
-    :param right: how much.
-    :returns: the difference.
-    """
-    return Resources(
-        left.processors_milli - right.processors_milli,
-        left.memory_mb - right.memory_mb,
-        left.accelerators - right.accelerators,
-    )
-
-
 def largest(left: Resources, right: Resources) -> Resources:
     """Take the larger value in each dimension.
 
@@ -71,20 +46,6 @@
     return Resources(*map(min, left, right))
 
 
-def fits(need: Resources, free: Resources) -> bool:
-    """Tell whether every dimension fits.
-
-    :param need: size of the task.
-    :param free: what is left on the server.
-    :returns: whether the task may be placed.
-    """
-    return (
-        need.processors_milli <= free.processors_milli
-        and need.memory_mb <= free.memory_mb
-        and need.accelerators <= free.accelerators
-    )
-
-
 def total_of(sizes: Iterable[Resources]) -> Resources:
     """Add up many vectors.
 
--- a/waxwingford/ports/__init__.py
+++ b/waxwingford/ports/__init__.py
@@ -42,6 +42,11 @@
     ThrottleTask,
     UsageSample,
 )
+from waxwingford.ports._vectors import (
+    add_resources,
+    fits_resources,
+    subtract_resources,
+)
 
 __all__ = (
     'AppendOutcome',
@@ -80,4 +85,7 @@
     'VmList',
     'VmListUnavailable',
     'VmState',
+    'add_resources',
+    'fits_resources',
+    'subtract_resources',
 )
--- a/waxwingford/records/__init__.py
+++ b/waxwingford/records/__init__.py
@@ -1,11 +1,6 @@
 """Records of a failure domain's stream and the state that they fold into."""
 
 from waxwingford.records._fold import DomainState
-from waxwingford.records._index import (
-    add_resources,
-    fits_resources,
-    subtract_resources,
-)
 from waxwingford.records._messages import (
     AttemptAlive,
     AttemptEnded,
@@ -61,13 +56,10 @@
     'TasksClaimed',
     'Valid',
     'Verdict',
-    'add_resources',
     'decode_group',
     'encode_group',
-    'fits_resources',
     'refuse_job',
     'restore',
     'snapshot_chunks',
-    'subtract_resources',
     'team_key',
 )
--- a/waxwingford/records/_index.py
+++ b/waxwingford/records/_index.py
@@ -5,7 +5,7 @@
 
 import xxhash
 
-from waxwingford.ports import Resources
+from waxwingford.ports import Resources, add_resources, subtract_resources
 from waxwingford.records._messages import JobSpec, RecordGroup
 from waxwingford.records._state import (
     FinishedJob,
@@ -29,38 +29,6 @@
 _NOTHING = Resources(0, 0, 0)
 
 
-def add_resources(one: Resources, other: Resources) -> Resources:
-    """Add two vectors.
-
-    :param one: a vector.
-    :param other: a vector.
-    :returns: the sum, by component.
-    """
-    return Resources(one[0] + other[0], one[1] + other[1], one[2] + other[2])
-
-
-def subtract_resources(one: Resources, other: Resources) -> Resources:
-    """Subtract a vector from another.
-
-    :param one: a vector.
-    :param other: what to take away.
-    :returns: the difference, by component.
-    """
-    return Resources(one[0] - other[0], one[1] - other[1], one[2] - other[2])
-
-
-def fits_resources(needed: Resources, room: Resources) -> bool:
-    """Compare two vectors.
-
-    :param needed: what is asked for.
-    :param room: what there is.
-    :returns: whether no component asks for more than there is.
-    """
-    return (
-        needed[0] <= room[0] and needed[1] <= room[1] and needed[2] <= room[2]
-    )
-
-
 def job_hash(job_id: str) -> int:
     """Hash a job id for the memory of finished jobs.
 
--- a/waxwingford_bench/virtual_oracle.py
+++ b/waxwingford_bench/virtual_oracle.py
@@ -16,6 +16,8 @@
     TaskKey,
     TaskPhase,
     TaskReport,
+    add_resources,
+    fits_resources,
 )
 from waxwingford.records import (
     AttemptEnded,
@@ -23,8 +25,6 @@
     JobSpec,
     Valid,
     Verdict,
-    add_resources,
-    fits_resources,
 )
 
 
