--- a/waxwingford/batch/_snapshots.py
+++ b/waxwingford/batch/_snapshots.py
@@ -1,8 +1,6 @@
 """Reading and writing snapshots through the log's port."""
 
-import asyncio
 import sys
-from collections.abc import Callable
 
 from waxwingford.ports import Appended, LogPort, LogRead, LogUnavailable
 from waxwingford.records import (
@@ -17,7 +15,6 @@
 _FIRST_WINDOW = 8
 _WINDOW_GROWTH = 4
 _READ_ENTRIES = 32
-_RETRY_S = 1
 
 
 async def load_newest(
@@ -45,24 +42,6 @@
     return assembler.newest
 
 
-async def load_state(
-    log: LogPort, stream: str, note_problem: Callable[[str], None]
-) -> DomainState:
-    """Find the state to start from, trying until the log answers.
-
-    :param log: the log.
-    :param stream: the snapshots' stream.
-    :param note_problem: hears why it takes longer.
-    :returns: state of the newest snapshot, or an empty one.
-    """
-    while True:
-        outcome = await load_newest(log, stream)
-        if not isinstance(outcome, LogUnavailable):
-            return outcome or DomainState()
-        note_problem(f'snapshot not read: {outcome.reason}')
-        await asyncio.sleep(_RETRY_S)
-
-
 async def _read_window(
     log: LogPort,
     stream: str,
--- a/waxwingford_bench/bundles_rollout.py
+++ b/waxwingford_bench/bundles_rollout.py
@@ -9,48 +9,31 @@
 
 import argparse
 import asyncio
-import copy
 import itertools
-import random
 import statistics
 import sys
 import time
-from typing import NamedTuple
 
 import msgspec
-from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 
 from waxwingford.bundles import (
     CONFIG_STREAM,
     RESTATE_CHANGES,
     Body,
-    Bundle,
     BundleChain,
-    BundleInForce,
-    BundleReader,
     FromLog,
-    PeerBundle,
-    PeerBundleAnswer,
-    PeerSilent,
-    ReaderSetup,
     body_of,
     canonical_bytes,
-    digest_of,
-    encode_record,
-    make_record,
-    public_text,
-    sign_digest,
 )
-from waxwingford.kernel import SystemClock
-from waxwingford.metrics import Metrics
-from waxwingford.ports import AppendOutcome, LogUnavailable, ReadOutcome
-from waxwingford_standins.platform_log import FakeLog, LogCore
+from waxwingford_bench.bundles_fleet import Fleet
+from waxwingford_bench.bundles_rows import Cost, Figures, StartCost
+from waxwingford_bench.bundles_versions import (
+    TRUST,
+    make_first,
+    make_next,
+    make_payload,
+)
 
-_KEYS = {
-    member: Ed25519PrivateKey.from_private_bytes(bytes([index]) * 32)
-    for index, member in enumerate(('qadri', 'svatbena'), 1)
-}
-_TRUST = {member: public_text(key) for member, key in _KEYS.items()}
 _MS_IN_S = 1000
 _CHANGES_A_DAY = 6900
 _DAY_MS = 86_400_000
@@ -58,273 +41,6 @@
 _READERS = (8, 144)
 #: Just after a restatement, and just before the next is due.
 _STREAM_CHANGES = (322, 382)
-_DOMAIN_DAEMONS = 8
-
-
-class Figures(NamedTuple):
-    """One measurement.
-
-    :ivar name: what was measured.
-    :ivar readers: readers in the process.
-    :ivar teams: teams in the bundle.
-    :ivar changes: changes that were made.
-    :ivar p50_ms: median over readers and changes, in milliseconds.
-    :ivar max_ms: largest, in milliseconds.
-    """
-
-    name: str
-    readers: int
-    teams: int
-    changes: int
-    p50_ms: float
-    max_ms: float
-
-
-class Cost(NamedTuple):
-    """Cost of a change in one daemon.
-
-    :ivar name: what was measured.
-    :ivar teams: teams in the bundle.
-    :ivar body_bytes: canonical body.
-    :ivar record_bytes: record of a change.
-    :ivar whole_bytes: whole record, as restated.
-    :ivar processor_ms: processor time of taking one change in, milliseconds.
-    :ivar share_of_core: at 6,900 changes a day.
-    """
-
-    name: str
-    teams: int
-    body_bytes: int
-    record_bytes: int
-    whole_bytes: int
-    processor_ms: float
-    share_of_core: float
-
-
-class StartCost(NamedTuple):
-    """Cost of a start with an empty memory.
-
-    :ivar name: what was measured.
-    :ivar teams: teams in the bundle.
-    :ivar changes: changes in the stream.
-    :ivar read_bytes: payloads read until the bundle was in force.
-    :ivar processor_ms: processor time until then, in milliseconds.
-    """
-
-    name: str
-    teams: int
-    changes: int
-    read_bytes: int
-    processor_ms: float
-
-
-class HeldLog(FakeLog):
-    """In-process log that holds reads until something is appended.
-
-    :ivar away: whether the log is out of service, for this port only.
-    :ivar read_bytes: payloads read.
-    """
-
-    def __init__(self, core: LogCore, grown: asyncio.Condition) -> None:
-        """Bind a port to the shared core.
-
-        :param core: the log.
-        :param grown: notified by every append.
-        """
-        super().__init__(core, SystemClock())
-        self.away = False
-        self.read_bytes = 0
-        self._grown = grown
-
-    async def append(self, stream: str, payload: bytes) -> AppendOutcome:
-        """Append and wake held reads.
-
-        :param stream: its name.
-        :param payload: one entry.
-        :returns: tagged outcome.
-        """
-        outcome = await super().append(stream, payload)
-        async with self._grown:
-            self._grown.notify_all()
-        return outcome
-
-    async def read(
-        self, stream: str, from_offset: int, limit: int, wait_ms: int = 0
-    ) -> ReadOutcome:
-        """Read, or wait until there is something to read.
-
-        :param stream: its name.
-        :param from_offset: first offset wanted.
-        :param limit: entries at most.
-        :param wait_ms: longest wait, in milliseconds.
-        :returns: tagged outcome.
-        """
-        if self.away:
-            return LogUnavailable('away')
-        outcome = await super().read(stream, from_offset, limit)
-        entries = getattr(outcome, 'entries', ())
-        self.read_bytes += sum(len(entry.payload) for entry in entries)
-        if wait_ms and not entries:
-            try:
-                async with asyncio.timeout(wait_ms / _MS_IN_S), self._grown:
-                    await self._grown.wait()
-            except TimeoutError:
-                return outcome
-            return await self.read(stream, from_offset, limit)
-        return outcome
-
-
-class Fleet:
-    """Readers that share a log and are each other's peers."""
-
-    def __init__(self, count: int) -> None:
-        """Start readers without running them.
-
-        :param count: how many.
-        """
-        self.core = LogCore()
-        grown = asyncio.Condition()
-        self.logs = [HeldLog(self.core, grown) for _ in range(count)]
-        self.at_by_version: dict[int, list[float]] = {}
-        self.readers = [
-            BundleReader(
-                ReaderSetup(
-                    log=log,
-                    peers=PeersOf(self, own),
-                    clock=SystemClock(),
-                    key_by_member=_TRUST,
-                    domain_daemons=frozenset(),
-                    on_in_force=self._hear,
-                    note=_note_nothing,
-                    counters=Metrics(),
-                    rng=random.Random(own),
-                )
-            )
-            for own, log in enumerate(self.logs)
-        ]
-
-    async def until(self, version: int) -> list[float]:
-        """Wait until a version is in force in all readers.
-
-        :param version: which.
-        :returns: monotonic seconds at which it took force, by reader.
-        """
-        times = self.at_by_version.setdefault(version, [])
-        while len(times) < len(self.readers):
-            await asyncio.sleep(0.001)
-        return times
-
-    def _hear(self, in_force: BundleInForce) -> None:
-        times = self.at_by_version.setdefault(in_force.version, [])
-        times.append(time.perf_counter())
-
-
-class PeersOf:
-    """Peers of one reader: the other daemons of its failure domain, and one.
-
-    As daemons do, a reader asks its own failure domain and a few others.
-    """
-
-    def __init__(self, fleet: Fleet, own: int) -> None:
-        """Choose the peers.
-
-        :param fleet: all readers.
-        :param own: index of the asking reader.
-        """
-        self._fleet = fleet
-        first = own - own % _DOMAIN_DAEMONS
-        beside = set(range(first, first + _DOMAIN_DAEMONS))
-        self._own = own
-        self._step = _DOMAIN_DAEMONS
-        self._beside = beside
-
-    async def fetch(self, after_version: int) -> dict[str, PeerBundleAnswer]:
-        """Ask them.
-
-        :param after_version: version known.
-        :returns: answer by daemon id.
-        """
-        count = len(self._fleet.readers)
-        far = {
-            (self._own + self._step * 2**power) % count for power in range(6)
-        }
-        chosen = (self._beside | far) - {self._own}
-        return {
-            f'd{peer}': _answer(self._fleet.readers, peer, after_version)
-            for peer in sorted(chosen)
-        }
-
-
-def _answer(
-    readers: list[BundleReader], peer: int, after_version: int
-) -> PeerBundleAnswer:
-    if peer >= len(readers):
-        return PeerSilent('absent')
-    current = readers[peer].current
-    if current is None or current.version <= after_version:
-        return PeerBundle(())
-    return PeerBundle((readers[peer].whole_record(),))
-
-
-def _note_nothing(kind: str, subject: str, detail: str = '') -> None:
-    """Drop an event.
-
-    :param kind: what happened.
-    :param subject: what it is about.
-    :param detail: for people.
-    """
-
-
-def make_first(teams: int) -> Bundle:
-    """Make a first version.
-
-    :param teams: teams with quotas.
-    :returns: bundle.
-    """
-    size = {'processors_milli': 8000, 'memory_mb': 16_000}
-    return Bundle.model_validate_json(
-        msgspec.json.encode(
-            {
-                'version': 1,
-                'predecessor': '',
-                'members': {'qadri': {'share': 1.0}},
-                'failure_domains': {
-                    f'domain{index}': {'region': 'lahore', 'daemons': []}
-                    for index in range(18)
-                },
-                'largest_server': size,
-                'services': {},
-                'teams': {f'qadri/team{index}': size for index in range(teams)},
-            }
-        )
-    )
-
-
-def make_next(before: Bundle) -> Bundle:
-    """Make a successor that changes one quota.
-
-    :param before: version before.
-    :returns: bundle.
-    """
-    body = copy.deepcopy(body_of(before))
-    body['predecessor'] = digest_of(canonical_bytes(body_of(before)))
-    body['version'] += 1
-    body['teams']['qadri/team1']['memory_mb'] += 1
-    return Bundle.model_validate_json(msgspec.json.encode(body))
-
-
-def make_payload(bundle: Bundle, before: Body) -> bytes:
-    """Sign a bundle and write its record.
-
-    :param bundle: what to publish.
-    :param before: body that it succeeds, empty for none.
-    :returns: payload.
-    """
-    digest = digest_of(canonical_bytes(body_of(bundle)))
-    signatures = {
-        member: sign_digest(key, digest) for member, key in _KEYS.items()
-    }
-    return encode_record(make_record(bundle, signatures, before))
 
 
 async def measure_rollout(count: int, teams: int, changes: int) -> Figures:
@@ -392,7 +108,7 @@
     :returns: figures.
     """
     bundle = make_first(teams)
-    chain = BundleChain(_TRUST)
+    chain = BundleChain(TRUST)
     chain.offer_payload(make_payload(bundle, {}), FromLog(0))
     payloads = []
     for _ in range(changes):
@@ -424,7 +140,7 @@
     """
     fleet = Fleet(1)
     bundle = make_first(teams)
-    chain = BundleChain(_TRUST)
+    chain = BundleChain(TRUST)
     before: Body = {}
     offsets = itertools.count()
     for _ in range(changes):
--- a/waxwingford_bench/capacity.py
+++ b/waxwingford_bench/capacity.py
@@ -11,68 +11,28 @@
 import asyncio
 import itertools
 import json
-import os
 import pathlib
-import re
 import statistics
-import subprocess  # noqa: S404
 import sys
 import tempfile
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from waxwingford_standins.deployment import (
-    Deployment,
-    DomainPlan,
-    JobPlan,
-    NetworkPlan,
-    ServerPlan,
-    ServicePlan,
+from waxwingford_bench.capacity_sizes import (
+    SIZES_BY_ROLE,
+    Size,
+    make_deployment,
 )
+from waxwingford_bench.process_cost import read_process
 from waxwingford_standins.local_run import LocalRun, StartFailed, open_bundle
 from waxwingford_standins.night import Night
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 _BUNDLE = _ROOT / 'deployments' / 'qadri' / 'bundle.toml'
-_DOMAIN = 'gulberg'
-_MS_IN_S = 1000
 _KIB = 1024
 _SETTLE_S = 8
 _POLL_S = 0.25
 _RUNNING_CAP_S = 60
-_TICKS_IN_S = os.sysconf('SC_CLK_TCK')
-_LONG_RUN_MS = 3_600_000
-_RACK = 24
-_SOCKET = re.compile(
-    r'(\S+:\d+)\s+(\S+:\d+).*?pid=(\d+),'
-    r'.*?bytes_sent:(\d+)(?:.*?bytes_received:(\d+))?'
-)
-
-
-class Size(NamedTuple):
-    """One size to measure.
-
-    :ivar daemons: daemons of the failure domain.
-    :ivar servers: backend servers of the failure domain.
-    :ivar tasks: batch tasks running on each server.
-    """
-
-    daemons: int
-    servers: int
-    tasks: int
-
-
-class Reading(NamedTuple):
-    """What the operating system says of a process.
-
-    :ivar processor_ms: processor time since its start, in milliseconds.
-    :ivar resident_mb: resident memory, in mebibytes.
-    :ivar bytes_by_socket: bytes sent and received, by open TCP socket.
-    """
-
-    processor_ms: float
-    resident_mb: float
-    bytes_by_socket: dict[str, int]
 
 
 class Row(NamedTuple):
@@ -92,31 +52,6 @@
     resident_mb: float
 
 
-#: Sizes by role: only one number changes within a role.
-SIZES_BY_ROLE: dict[str, tuple[Size, ...]] = {
-    'heartbeats, by daemons': (
-        Size(2, 1, 0),
-        Size(4, 1, 0),
-        Size(8, 1, 0),
-    ),
-    'holder, by servers without tasks': (
-        Size(1, 8, 0),
-        Size(1, 24, 0),
-        Size(1, 72, 0),
-    ),
-    'holder, by servers with 4 tasks each': (
-        Size(1, 8, 4),
-        Size(1, 24, 4),
-        Size(1, 72, 4),
-    ),
-    'holder of 24 servers, by tasks on each': (
-        Size(1, 24, 2),
-        Size(1, 24, 8),
-        Size(1, 24, 16),
-    ),
-}
-
-
 def main(argv: Sequence[str] | None = None) -> None:
     """Measure all roles and print rows and slopes.
 
@@ -196,7 +131,7 @@
         if isinstance(bundle, str):
             sys.exit(bundle)
         local_run = LocalRun(
-            _deployment(size), bundle, pathlib.Path(directory), _say
+            make_deployment(size), bundle, pathlib.Path(directory), _say
         )
         try:
             return await _measured(local_run, size, seconds)
@@ -253,80 +188,6 @@
     sys.exit(f'not settled: {text}')
 
 
-def read_process(process_id: int) -> Reading:
-    """Read a process's cost so far.
-
-    :param process_id: which process.
-    :returns: processor time, memory and bytes on open TCP sockets.
-    """
-    stat = pathlib.Path(f'/proc/{process_id}/stat').read_text()
-    fields = stat.rpartition(') ')[2].split()
-    ticks = int(fields[11]) + int(fields[12])
-    pages = pathlib.Path(f'/proc/{process_id}/statm').read_text().split()[1]
-    resident = int(pages) * os.sysconf('SC_PAGE_SIZE') / _KIB**2
-    listing = subprocess.run(  # noqa: S603
-        ('ss', '-tinpOH'), capture_output=True, text=True, check=True
-    ).stdout
-    return Reading(
-        ticks * _MS_IN_S / _TICKS_IN_S, resident, _sockets(listing, process_id)
-    )
-
-
-def _sockets(listing: str, process_id: int) -> dict[str, int]:
-    matches = map(_SOCKET.search, listing.splitlines())
-    return {
-        f'{match[1]} {match[2]}': int(match[4]) + int(match[5] or 0)
-        for match in matches
-        if match and int(match[3]) == process_id
-    }
-
-
-def _deployment(size: Size) -> Deployment:
-    racks = tuple(
-        min(_RACK, size.servers - start)
-        for start in range(0, size.servers, _RACK)
-    )
-    jobs = (
-        JobPlan(
-            name='steady',
-            member='qadri',
-            team='deposits',
-            kind='checkout_comparison',
-            tasks=size.tasks * size.servers,
-            processors_milli=100,
-            memory_mb=100,
-            run_ms=_LONG_RUN_MS,
-        ),
-    )
-    return Deployment(
-        name='capacity',
-        region='lahore',
-        seed=1,
-        failure_domains=(
-            DomainPlan(
-                name=_DOMAIN,
-                daemons=tuple(f'cap-{index}' for index in range(size.daemons)),
-                racks=racks,
-            ),
-        ),
-        servers=ServerPlan(
-            processors_milli=32_000,
-            memory_mb=128_000,
-            slots=8,
-            connections=64,
-        ),
-        service=ServicePlan(
-            name='report_desk',
-            median_ms=60,
-            sigma=0.4,
-            slowdown_by_kind={'checkout_comparison': 0},
-        ),
-        network=NetworkPlan(between_domains_ms=1, client_ms=1),
-        callers=(),
-        jobs=jobs if size.tasks else (),
-    )
-
-
 def _say(line: str) -> None:
     sys.stderr.write(f'{line}\n')
 
--- a/waxwingford_standins/backend_server.py
+++ b/waxwingford_standins/backend_server.py
@@ -21,6 +21,7 @@
 )
 from waxwingford_standins.server_attempts import AttemptTable
 from waxwingford_standins.server_changes import ChangeCounter
+from waxwingford_standins.server_lease import ServerLease
 from waxwingford_standins.server_service import (
     CallRefused,
     CallStarted,
@@ -65,13 +66,6 @@
     newest_work_after_leaving_ms: int
 
 
-@dataclasses.dataclass(slots=True)
-class _Lease:
-    holder: str = ''
-    epoch: int = 0
-    until_ms: int = 0
-
-
 class BackendServerCore:
     """One backend server.
 
@@ -100,7 +94,7 @@
         self._boots = 1
         self._first_epoch = first_epoch
         self.boot_id = self._next_boot_id()
-        self._lease = _Lease(epoch=first_epoch)
+        self._lease = ServerLease(epoch=first_epoch)
         self.attempts = AttemptTable(vm.server_id, vm.resources)
         self._service = ServiceState(model, vm.slots, seed)
         self._samples: collections.deque[tuple[int, UsageSample]] = (
@@ -121,7 +115,7 @@
         :returns: tagged outcome.
         """
         self.advance(now_ms)
-        if not self._grant(request, now_ms):
+        if not self._lease.grant(request, now_ms):
             remaining_ms = max(self._lease.until_ms - now_ms, 0)
             return ControlDenied(
                 self._lease.holder, self._lease.epoch, remaining_ms
@@ -136,8 +130,7 @@
             for command in request.commands
         ]
         if not request.lease_ms:
-            self._lease.holder = ''
-            self._lease.until_ms = now_ms
+            self._lease.release(now_ms)
         reports = self.attempts.reports()
         self._changes.note(reports)
         if request.known:
@@ -221,7 +214,7 @@
         self._samples.clear()
         self._changes = ChangeCounter()
         self._service.drop_all()
-        self._lease = _Lease(epoch=self._lease.epoch)
+        self._lease = ServerLease(epoch=self._lease.epoch)
         self._boots += 1
         self.boot_id = self._next_boot_id()
 
@@ -242,23 +235,6 @@
             self._after_leaving_ms,
         )
 
-    def _grant(self, request: ControlRequest, now_ms: int) -> bool:
-        lease = self._lease
-        stale_ms = request.stamp_ms + request.good_for_ms
-        if request.good_for_ms and now_ms > stale_ms:
-            return False
-        free = not lease.holder or now_ms >= lease.until_ms
-        mine = lease.holder == request.holder
-        if request.epoch:
-            granted = mine and request.epoch == lease.epoch
-        else:
-            granted = free or mine
-            lease.epoch += granted
-        if granted:
-            lease.holder = request.holder
-            lease.until_ms = now_ms + request.lease_ms
-        return granted
-
     def _carry_out(self, command: ServerCommand, now_ms: int) -> str:
         if not isinstance(command, StartTask):
             return self.attempts.carry_out(command, now_ms, self.boot_id)
