Split the messages of services from the control of backend servers

Change: ports/_services.py has the service messages; public names are the same. Measured: adapters and batch/task features pass.

--- a/waxwingford/ports/__init__.py
+++ b/waxwingford/ports/__init__.py
@@ -29,11 +29,6 @@
     ControlUnknown,
     ForgetTask,
     ServerCommand,
-    ServiceAnswer,
-    ServiceCall,
-    ServiceNotRun,
-    ServiceOutcome,
-    ServiceUnknown,
     StartTask,
     StopTask,
     TaskKey,
@@ -42,6 +37,13 @@
     ThrottleTask,
     UsageSample,
 )
+from waxwingford.ports._services import (
+    ServiceAnswer,
+    ServiceCall,
+    ServiceNotRun,
+    ServiceOutcome,
+    ServiceUnknown,
+)
 from waxwingford.ports._vectors import (
     add_resources,
     fits_resources,
