Let a TLS scenario wait until the daemons are ready again

The scenario before it sends a heartbeat under the second daemon's name that tells of no room, so the first daemon (which holds no server) is not ready until the real heartbeat comes: up to 1.2 s since each pair has one exchange. Ruled out: a lasting loss of heartbeats (it is ready again within the poll's cap), the split of modules. Change: the step first polls until both are ready, then asserts the same exit codes as before.

--- a/waxwingford_standins/tests/tls_steps.py
+++ b/waxwingford_standins/tests/tls_steps.py
@@ -76,6 +76,11 @@
             await asyncio.sleep(0.1)
 
 
+async def good_are_ready():
+    statuses = [await status_of(daemon_id) for daemon_id in GOOD]
+    return all(status.get('ready') for status in statuses)
+
+
 async def one_holds():
     statuses = [await status_of(daemon_id) for daemon_id in GOOD]
     ready = all(status.get('ready') for status in statuses)
@@ -276,6 +281,9 @@
     who = ('--member', 'qadri', '--key', str(key))
     what = ('--team', 'deposits', '--kind', 'checkout_comparison')
     submit = ('jobs', 'submit', 'night', *what, *who, *fleet)
+    # The heartbeat that was sent under the second daemon's name told of no
+    # room; the first one is ready again once the real one is heard.
+    now(poll(good_are_ready))
     assert run_command(('status', *fleet)) == ExitCode.ok
     assert run_command(submit) == ExitCode.ok
     assert run_command(('jobs', 'list', *who, *fleet)) == ExitCode.ok
