--- a/waxwingford/adapters/tests/outcomes_steps.py
+++ b/waxwingford/adapters/tests/outcomes_steps.py
@@ -165,7 +165,7 @@
 
 def send_request(context, deadline_ms=2000, path='p'):
     """Send a service request and keep its outcome."""
-    call = ServiceCall(REQUEST_ID, 'desk', path, b'{}', deadline_ms)
+    call = ServiceCall(REQUEST_ID, 'dispatcher', path, b'{}', deadline_ms)
     sending = context.servers.serve(HOST, context.port, call)
     context.outcome = run_capped(context, sending)
 
--- a/waxwingford/batch/_controller.py
+++ b/waxwingford/batch/_controller.py
@@ -132,7 +132,7 @@
                 own = [vm for vm in vms if vm.failure_domain == domain]
                 self.fleet.update_list(own, now_ms)
                 self._suspect_missing(now_ms)
-                self.placer.books.note_list(self.placer.bundle)
+                self.placer.trackers.note_list(self.placer.bundle)
             case AliveDaemons(daemon_ids=daemon_ids):
                 self.fleet.update_alive(daemon_ids, now_ms)
             case BundleSettings():
--- a/waxwingford/batch/_placer.py
+++ b/waxwingford/batch/_placer.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Mapping
 
-from waxwingford.batch._books import Books
 from waxwingford.batch._checked import CheckedPlacements
 from waxwingford.batch._effects import Note
 from waxwingford.batch._fleet import Fleet
@@ -20,6 +19,7 @@
 from waxwingford.batch._reactions import take_reaction
 from waxwingford.batch._server import ServerControl
 from waxwingford.batch._settings import BatchSettings
+from waxwingford.batch._trackers import Trackers
 from waxwingford.placement import (
     ColocationPolicy,
     PendingTask,
@@ -49,7 +49,7 @@
     """Chooses what to claim where, and how to react to interference.
 
     :ivar bundle: settings in force.
-    :ivar books: shares, sizes and failures.
+    :ivar trackers: shares, sizes and failures.
     :ivar queue: pending tasks.
     """
 
@@ -63,7 +63,7 @@
         self._settings = settings
         self._fleet = fleet
         self.queue = PendingQueue()
-        self.books = Books(fleet, self.queue.book)
+        self.trackers = Trackers(fleet, self.queue.tracker)
         self._policy: ColocationPolicy | None = None
         self._quarantined: frozenset[str] = frozenset()
         self._next_round_ms = 0
@@ -86,7 +86,7 @@
         self.bundle = bundle
         self._fleet.room_changed = True
         self._fleet.reserved_by_service = bundle.reserved_by_service
-        self.books.use_bundle(bundle)
+        self.trackers.use_bundle(bundle)
         for server in self._fleet.server_by_id.values():
             server.view = None
 
@@ -130,7 +130,7 @@
         held = self._placeable(state, now_ms)
         views = self.views(state, held, wall_ms)
         pending = [offer.view for offer in offers]
-        quarantine = self.books.quarantine
+        quarantine = self.trackers.quarantine
         checked = CheckedPlacements(views, limits, quarantine, now_ms)
         checked.take_all(self._policy.place(pending, views, now_ms), offers)
         self.queue.put_back(checked.left, now_ms, view)
@@ -159,7 +159,7 @@
         :param state: fold of the domain's stream.
         :param now_ms: monotonic time.
         """
-        self.books.observe(samples)
+        self.trackers.observe(samples)
         if self._policy is None:
             return
         for sample in samples:
@@ -221,7 +221,7 @@
         """
         if self.bundle.quarantine is None:
             return frozenset()
-        return self.books.quarantine.quarantined
+        return self.trackers.quarantine.quarantined
 
     def predicted_ms(
         self, server: ServerControl, state: DomainState, wall_ms: int
@@ -253,7 +253,7 @@
             )
             is_quarantined = server_id in self._quarantined
             server.view = view_server(
-                server, state, self.books, reserved, is_quarantined, wall_ms
+                server, state, self.trackers, reserved, is_quarantined, wall_ms
             )
         return server.view
 
@@ -272,14 +272,16 @@
     def _may_use(self, server_id: str, now_ms: int) -> bool:
         return (
             server_id not in self.in_quarantine()
-            or self.books.quarantine.may_probe(server_id, now_ms)
+            or self.trackers.quarantine.may_probe(server_id, now_ms)
         )
 
     def _view_pending(self, wall_ms: int) -> ViewTask:
         servers = len(self._fleet.server_by_id)
 
         def _view(task: TaskState, waiting_ms: int) -> PendingTask:
-            return view_pending(task, self.books, servers, waiting_ms, wall_ms)
+            return view_pending(
+                task, self.trackers, servers, waiting_ms, wall_ms
+            )
 
         return _view
 
--- a/waxwingford/batch/_placing.py
+++ b/waxwingford/batch/_placing.py
@@ -4,9 +4,9 @@
 import operator
 from collections.abc import Iterable, Mapping
 
-from waxwingford.batch._books import Books
 from waxwingford.batch._server import ServerControl
 from waxwingford.batch._settings import BatchSettings
+from waxwingford.batch._trackers import Trackers
 from waxwingford.kernel import Invariant, require
 from waxwingford.placement import (
     PendingTask,
@@ -26,11 +26,11 @@
 _NOTHING = Resources(0, 0, 0)
 
 
-def slack_ms(task: TaskState, books: Books, wall_ms: int) -> int | None:
+def slack_ms(task: TaskState, trackers: Trackers, wall_ms: int) -> int | None:
     """Count the time that a task has beyond what it still needs.
 
     :param task: the task.
-    :param books: correct its run time.
+    :param trackers: correct its run time.
     :param wall_ms: wall time.
     :returns: milliseconds, negative if it will be late; None if it has no
         deadline.
@@ -38,16 +38,20 @@
     spec = task.job.spec
     if not spec.finish_by_wall_ms:
         return None
-    return spec.finish_by_wall_ms - wall_ms - books.run_left_ms(task)
+    return spec.finish_by_wall_ms - wall_ms - trackers.run_left_ms(task)
 
 
 def view_pending(
-    task: TaskState, books: Books, servers: int, waiting_ms: int, wall_ms: int
+    task: TaskState,
+    trackers: Trackers,
+    servers: int,
+    waiting_ms: int,
+    wall_ms: int,
 ) -> PendingTask:
     """Show a pending task to a policy.
 
     :param task: the task.
-    :param books: correct its size and run time.
+    :param trackers: correct its size and run time.
     :param servers: servers of the failure domain; a task that failed on as
         many may be tried on the same ones again.
     :param waiting_ms: how long it waits.
@@ -60,11 +64,11 @@
         spec.member,
         spec.team,
         spec.kind,
-        books.given(spec),
-        books.run_left_ms(task),
+        trackers.given(spec),
+        trackers.run_left_ms(task),
         spec.priority,
         waiting_ms,
-        slack_ms(task, books, wall_ms),
+        slack_ms(task, trackers, wall_ms),
         task.checkpoint,
         task.failed_on if len(task.failed_on) < servers else (),
         task.checkpoint_server,
@@ -74,7 +78,7 @@
 def view_server(
     server: ServerControl,
     state: DomainState,
-    books: Books,
+    trackers: Trackers,
     reserved: Resources,
     is_quarantined: bool,
     wall_ms: int,
@@ -83,7 +87,7 @@
 
     :param server: the server.
     :param state: fold of the domain's stream.
-    :param books: correct sizes.
+    :param trackers: correct sizes.
     :param reserved: set aside for the service there.
     :param is_quarantined: whether it gets only probation work.
     :param wall_ms: wall time.
@@ -97,7 +101,7 @@
         server.vm.resources,
         reserved,
         tuple(
-            _view_running(server, task, books, wall_ms)
+            _view_running(server, task, trackers, wall_ms)
             for task in attempts.values()
         ),
         server.leaving,
@@ -107,7 +111,7 @@
 
 
 def _view_running(
-    server: ServerControl, task: TaskState, books: Books, wall_ms: int
+    server: ServerControl, task: TaskState, trackers: Trackers, wall_ms: int
 ) -> RunningTask:
     spec = task.job.spec
     report = server.report_by_key.get(task.key)
@@ -116,10 +120,10 @@
         spec.member,
         spec.team,
         spec.kind,
-        books.given(spec),
+        trackers.given(spec),
         report.ran_ms if report else 0,
         report.throttled if report else False,
-        slack_ms(task, books, wall_ms),
+        slack_ms(task, trackers, wall_ms),
     )
 
 
--- a/waxwingford/batch/_queue.py
+++ b/waxwingford/batch/_queue.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 from waxwingford.batch._quotas import Limits
-from waxwingford.placement import PendingTask, QuotaBook, TeamName
+from waxwingford.placement import PendingTask, QuotaTracker, TeamName
 from waxwingford.ports import Resources, TaskKey
 from waxwingford.records import TaskStage, TaskState
 
@@ -47,7 +47,7 @@
     :ivar task: the task.
     :ivar since_ms: monotonic time since which it waits.
     :ivar offers: rounds in which it found no place.
-    :ivar is_aside: out of the book until its team has nothing else.
+    :ivar is_aside: out of the tracker until its team has nothing else.
     """
 
     task: TaskState
@@ -57,21 +57,21 @@
 
 
 class PendingQueue:
-    """Pending tasks in the quota book; a task of another daemon's comes later.
+    """Pending tasks in the quota tracker; a task of another daemon's comes later.
 
-    The book says who deserves most; here is only what is this daemon's own:
+    The tracker says who deserves most; here is only what is this daemon's own:
     whose turn has come, and which tasks found no place.
 
-    :ivar book: order by shares, ageing and slack.
+    :ivar tracker: order by shares, ageing and slack.
     """
 
     def __init__(self) -> None:
         """Start empty."""
-        self.book = QuotaBook(Resources(1, 1, 1))
+        self.tracker = QuotaTracker(Resources(1, 1, 1))
         self._later: list[_Later] = []
         self._order = itertools.count()
         self._entry_by_key: dict[TaskKey, _Entry] = {}
-        self._in_book: collections.Counter[TeamName] = collections.Counter()
+        self._in_tracker: collections.Counter[TeamName] = collections.Counter()
         self._aside_by_team: dict[TeamName, list[TaskKey]] = {}
 
     def add(self, task: TaskState, now_ms: int, due_ms: int) -> None:
@@ -107,7 +107,7 @@
     ) -> list[Offer]:
         """List the most deserving tasks that are still pending.
 
-        They stay in the book until they are dropped or put back.
+        They stay in the tracker until they are dropped or put back.
 
         :param limit: tasks at most.
         :param now_ms: monotonic time.
@@ -118,7 +118,7 @@
         self._bring_in(now_ms, view)
         while True:
             counted = _Counted(limits.copy(), self._entry_by_key)
-            ordered = self.book.order(limit, now_ms, counted.take)
+            ordered = self.tracker.order(limit, now_ms, counted.take)
             over = [one.key for one in ordered if not self._is_open(one.key)]
             if not over:
                 break
@@ -140,7 +140,7 @@
         """
         entry = self._entry_by_key.pop(key, None)
         if entry is not None and not entry.is_aside:
-            self._leave_book(key, entry, now_ms, view)
+            self._leave_tracker(key, entry, now_ms, view)
 
     def put_back(
         self, keys: Iterable[TaskKey], now_ms: int, view: ViewTask
@@ -160,7 +160,7 @@
                 entry.is_aside = True
                 team = _team_of(entry.task)
                 self._aside_by_team.setdefault(team, []).append(key)
-                self._leave_book(key, entry, now_ms, view)
+                self._leave_tracker(key, entry, now_ms, view)
 
     def _bring_in(self, now_ms: int, view: ViewTask) -> None:
         while self.has_due(now_ms):
@@ -171,25 +171,27 @@
             if is_open and key not in self._entry_by_key:
                 entry = _Entry(task, later.since_ms)
                 self._entry_by_key[key] = entry
-                self._enter_book(entry, now_ms, view)
+                self._enter_tracker(entry, now_ms, view)
 
-    def _enter_book(self, entry: _Entry, now_ms: int, view: ViewTask) -> None:
-        self.book.add(view(entry.task, now_ms - entry.since_ms), now_ms)
-        self._in_book[_team_of(entry.task)] += 1
+    def _enter_tracker(
+        self, entry: _Entry, now_ms: int, view: ViewTask
+    ) -> None:
+        self.tracker.add(view(entry.task, now_ms - entry.since_ms), now_ms)
+        self._in_tracker[_team_of(entry.task)] += 1
 
-    def _leave_book(
+    def _leave_tracker(
         self, key: TaskKey, entry: _Entry, now_ms: int, view: ViewTask
     ) -> None:
-        self.book.remove(key)
+        self.tracker.remove(key)
         team = _team_of(entry.task)
-        self._in_book[team] -= 1
-        if self._in_book[team]:
+        self._in_tracker[team] -= 1
+        if self._in_tracker[team]:
             return
-        self._in_book.pop(team)
+        self._in_tracker.pop(team)
         for aside in self._aside_by_team.pop(team, ()):
             if self._is_open(aside):
                 self._entry_by_key[aside].is_aside = False
-                self._enter_book(self._entry_by_key[aside], now_ms, view)
+                self._enter_tracker(self._entry_by_key[aside], now_ms, view)
             else:
                 self._entry_by_key.pop(aside, None)
 
--- a/waxwingford/batch/_quotas.py
+++ b/waxwingford/batch/_quotas.py
@@ -3,7 +3,7 @@
 A limit bounds what one daemon claims, counting everything that it has read.
 Daemons that claim at the same time may together exceed one by what they claim
 within one interval of appends; capacity of servers is not under this bound.
-Who is next, and what is borrowed, is the quota book's.
+Who is next, and what is borrowed, is the quota tracker's.
 """
 
 import copy
--- a/waxwingford/batch/_stream.py
+++ b/waxwingford/batch/_stream.py
@@ -161,7 +161,7 @@
         return effects
 
     def _note_valid(self, verdict: Valid, now_ms: int) -> None:
-        self._placer.books.note(verdict, self.state, now_ms)
+        self._placer.trackers.note(verdict, self.state, now_ms)
         match verdict.record:
             case TasksClaimed(server_id=server_id, holder=holder):
                 self._fleet.touch(server_id)
@@ -194,7 +194,7 @@
             for task in attempts.values():
                 if task.suspected_offset != NOT_SUSPECTED:
                     self._waits.add(task, now_ms)
-        self._placer.books.start(self.state, now_ms)
+        self._placer.trackers.start(self.state, now_ms)
         self._add_pending(now_ms)
 
     def _add_pending(self, now_ms: int) -> None:
--- a/waxwingford/batch/_trackers.py
+++ b/waxwingford/batch/_trackers.py
@@ -1,4 +1,4 @@
-"""What the stream and usage samples tell the placement books."""
+"""What the stream and usage samples tell the placement trackers."""
 
 from collections.abc import Iterable, Mapping
 from typing import TypeVar
@@ -9,8 +9,8 @@
     NOTHING,
     Quarantine,
     QuarantineLimits,
-    QuotaBook,
-    SizeBook,
+    QuotaTracker,
+    SizeTracker,
     TeamName,
     fits,
     largest,
@@ -36,28 +36,28 @@
 _Name = TypeVar('_Name')
 
 
-class Books:
+class Trackers:
     """Shares, sizes and failures, kept up with each record that is read.
 
     The fold decides alone what every daemon must decide alike: which claim
-    wins, and that a task which failed on too many servers is over.  The books
+    wins, and that a task which failed on too many servers is over.  The trackers
     steer only what this daemon proposes; daemons that differ in them for a
     moment differ in taste, never in state.  So a verdict of the quarantine
-    book on a task is not used: the fold's limit ends it, for all at once.
+    tracker on a task is not used: the fold's limit ends it, for all at once.
 
     :ivar quotas: order of pending tasks.
     :ivar sizes: corrections of declarations.
     :ivar quarantine: failures.
     """
 
-    def __init__(self, fleet: Fleet, quotas: QuotaBook) -> None:
+    def __init__(self, fleet: Fleet, quotas: QuotaTracker) -> None:
         """Start with nothing known.
 
         :param fleet: servers.
         :param quotas: order of pending tasks.
         """
         self.quotas = quotas
-        self.sizes = SizeBook()
+        self.sizes = SizeTracker()
         self.quarantine = Quarantine()
         self._fleet = fleet
         self._offers: frozenset[Resources] = frozenset()
--- a/waxwingford/batch/_waits.py
+++ b/waxwingford/batch/_waits.py
@@ -23,7 +23,7 @@
     :param task: the task.
     :param state: fold of the domain's stream.
     :param fleet: all servers.
-    :param placer: bundle, books and queue.
+    :param placer: bundle, trackers and queue.
     :param log_away: why the log is away; empty if it is not.
     :returns: for people; empty if the task is not pending.
     """
@@ -45,7 +45,7 @@
     if offers is None or offers:
         return ''
     spec = task.job.spec
-    shares = placer.books.quotas.shares
+    shares = placer.trackers.quotas.shares
     member_share = shares.of_member(spec.member)
     team_share = shares.of_team(TeamName(spec.member, spec.team))
     return (
@@ -68,7 +68,7 @@
 
 def _room_reason(task: TaskState, placer: Placer) -> str:
     spec = task.job.spec
-    given = placer.books.given(spec)
+    given = placer.trackers.given(spec)
     size = f'{tuple(given)}'
     if given != spec.resources:
         size = f'{size}, measured; {tuple(spec.resources)} was declared'
--- a/waxwingford/batch/tests/placing_steps.py
+++ b/waxwingford/batch/tests/placing_steps.py
@@ -63,7 +63,7 @@
 def vm_of(number):
     return Vm(
         f's{number}', 'gulberg', 'r', '127.0.0.1', number, VmState.live,
-        Resources(4000, 4000), 8, 64, 'desk',
+        Resources(4000, 4000), 8, 64, 'dispatcher',
     )  # fmt: skip
 
 
--- a/waxwingford/batch/tests/task_steps.py
+++ b/waxwingford/batch/tests/task_steps.py
@@ -15,7 +15,7 @@
 
 CAP_S = 60
 DOMAIN = 'gulberg'
-BUNDLE = BundleSettings({}, {}, {'desk': Resources(8000, 8000)})
+BUNDLE = BundleSettings({}, {}, {'dispatcher': Resources(8000, 8000)})
 
 
 class FakeServers:
@@ -53,7 +53,7 @@
     size = Resources(32_000, 64_000, 1)
     return Vm(
         f's{number}', DOMAIN, 'r', '127.0.0.1', number, VmState.live, size,
-        8, 64, 'desk',
+        8, 64, 'dispatcher',
     )  # fmt: skip
 
 
--- a/waxwingford/batch/tests/trackers_steps.py
+++ b/waxwingford/batch/tests/trackers_steps.py
@@ -76,38 +76,43 @@
     settle(context)
 
 
-@when('jobs of 40 tasks of team "archive" and 4 tasks of team "desk" are read')
+@when(
+    'jobs of 40 tasks of team "archive" and 4 tasks of team "dispatcher" are read'
+)
 def flood(context):
-    jobs = (job_of('archive', 'archive', 40), job_of('desk', 'desk', 4))
+    jobs = (
+        job_of('archive', 'archive', 40),
+        job_of('dispatcher', 'dispatcher', 4),
+    )
     read_records(context, *map(JobAccepted, jobs))
     settle(context)
 
 
-@when('a job of {count:d} tasks of team "{team}" is read by the books')
+@when('a job of {count:d} tasks of team "{team}" is read by the trackers')
 def team_job(context, count, team):
     accept(context, team, team, count)
     settle(context)
 
 
 @when(
-    'a job of {count:d} tasks "{name}" of priority {priority:d} is read by the books'
+    'a job of {count:d} tasks "{name}" of priority {priority:d} is read by the trackers'
 )
 @when(
-    'a job of {count:d} task "{name}" of priority {priority:d} is read by the books'
+    'a job of {count:d} task "{name}" of priority {priority:d} is read by the trackers'
 )
 def priority_job(context, count, name, priority):
     accept(context, name, 'archive', count, priority=priority)
     settle(context)
 
 
-@when('a job of 1 task "{name}" with 5 s of slack is read by the books')
+@when('a job of 1 task "{name}" with 5 s of slack is read by the trackers')
 def slack_job(context, name):
     accept(context, name, 'archive', 1, finish_by_wall_ms=6000)
     settle(context)
 
 
-@when('{span_ms:d} ms pass in the books')
-def books_wait(context, span_ms):
+@when('{span_ms:d} ms pass in the trackers')
+def trackers_wait(context, span_ms):
     settle(context, span_ms)
 
 
@@ -123,7 +128,7 @@
 def measured(context):
     task = claimed(context)[0]
     used = {task.task_id: Resources(1000, 2 * TASK.memory_mb)}
-    sample = UsageSample(0, 1000, 'desk', 0, 0, (task.key,), used)
+    sample = UsageSample(0, 1000, 'dispatcher', 0, 0, (task.key,), used)
     controller = context.controller
     controller.placer.observe(
         task.server_id, (sample,), controller.state, context.now_ms
@@ -187,13 +192,13 @@
     assert reason in why, why
 
 
-@then('server "{server_id}" is in quarantine for the books and no other')
+@then('server "{server_id}" is in quarantine for the trackers and no other')
 def one_in_quarantine(context, server_id):
     found = context.controller.placer.in_quarantine()
     assert found == {server_id}, found
 
 
-@then('no server is in quarantine for the books')
+@then('no server is in quarantine for the trackers')
 def none_in_quarantine(context):
     assert not context.controller.placer.in_quarantine()
 
--- a/waxwingford/colocation/_escalation.py
+++ b/waxwingford/colocation/_escalation.py
@@ -57,7 +57,7 @@
         self.tail = self._foresight.tail_after(self.outlook, self._change)
 
 
-class Ladder:
+class Escalation:
     """Chooses reactions for one server at a time."""
 
     def __init__(self, mechanisms: Mechanisms) -> None:
--- a/waxwingford/colocation/_learned.py
+++ b/waxwingford/colocation/_learned.py
@@ -5,14 +5,14 @@
 from collections import defaultdict
 from collections.abc import Mapping
 
-from waxwingford.colocation._ladder import Ladder
+from waxwingford.colocation._escalation import Escalation
 from waxwingford.colocation._limits import DEFAULT_WEIGHTS, Limits, limits_of
 from waxwingford.colocation._mechanisms import ALL, Mechanisms
 from waxwingford.colocation._model import InterferenceModel
-from waxwingford.colocation._samples import SampleBook
+from waxwingford.colocation._samples import SampleTracker
 from waxwingford.colocation._scoring import Scorer
 from waxwingford.colocation._state import Foresight, Outlook, ServerState
-from waxwingford.colocation._uses import UseBook
+from waxwingford.colocation._uses import UseTracker
 from waxwingford.placement import (
     PendingTask,
     Placement,
@@ -57,9 +57,9 @@
             mechanisms,
         )
         self._random = random.Random(seed)
-        self._samples = SampleBook()
-        self._uses = UseBook()
-        self._ladder = Ladder(mechanisms)
+        self._samples = SampleTracker()
+        self._uses = UseTracker()
+        self._escalation = Escalation(mechanisms)
         self._present: Foresight | None = None
         self._state_by_server: dict[str, ServerState] = defaultdict(ServerState)
 
@@ -123,7 +123,7 @@
             state = self._state_by_server[server.server_id]
             state.see_load(server.busy_share)
             outlook = self._outlook(server)
-            chosen = self._ladder.react(outlook, self._foresight(), now_ms)
+            chosen = self._escalation.react(outlook, self._foresight(), now_ms)
             if chosen:
                 state.outlook = None
                 reactions += chosen
--- a/waxwingford/colocation/_samples.py
+++ b/waxwingford/colocation/_samples.py
@@ -64,7 +64,7 @@
     return units
 
 
-class SampleBook:
+class SampleTracker:
     """Holds the newest sample of each server until the next one comes."""
 
     def __init__(self) -> None:
--- a/waxwingford/colocation/_state.py
+++ b/waxwingford/colocation/_state.py
@@ -7,7 +7,7 @@
 
 from waxwingford.colocation._limits import Limits
 from waxwingford.colocation._model import InterferenceModel, Term
-from waxwingford.colocation._uses import UseBook
+from waxwingford.colocation._uses import UseTracker
 from waxwingford.placement import RunningTask, ServerView
 from waxwingford.ports import TaskKey
 
@@ -151,7 +151,7 @@
 class Foresight:
     """Predictions of one pass; effects are looked up once for each pair."""
 
-    def __init__(self, model: InterferenceModel, uses: UseBook) -> None:
+    def __init__(self, model: InterferenceModel, uses: UseTracker) -> None:
         """Set up.
 
         :param model: what was learned.
--- a/waxwingford/colocation/_uses.py
+++ b/waxwingford/colocation/_uses.py
@@ -9,7 +9,7 @@
 _LEAST_SHARE = 0.1
 
 
-class UseBook:
+class UseTracker:
     """Share of the given processors that is used, by kind.
 
     The model learns the damage by what was measured; a prediction for what was
--- a/waxwingford/colocation/tests/colocation_policies_steps.py
+++ b/waxwingford/colocation/tests/colocation_policies_steps.py
@@ -22,7 +22,7 @@
 load_plugins(['waxwingford.colocation'])
 
 KINDS = ('rebuild', 'comparison', 'sync')
-WEIGHTS = {'desk': PolicyWeights(100, 0.8, 0.2)}
+WEIGHTS = {'dispatcher': PolicyWeights(100, 0.8, 0.2)}
 TOTAL = Resources(16_000, 64_000, 2)
 SIZES = st.builds(
     Resources,
@@ -65,7 +65,7 @@
     return ServerView(
         f'w{number}',
         f'r{number % 2}',
-        'desk',
+        'dispatcher',
         TOTAL,
         reserved,
         tuple(running),
--- a/waxwingford/colocation/tests/learned_steps.py
+++ b/waxwingford/colocation/tests/learned_steps.py
@@ -33,7 +33,7 @@
 def learned_policy(context):
     """Policy with a target of 100 ms, its clock and its reactions."""
     context.policy = policies.get('learned')(
-        {'desk': PolicyWeights(100, 0.5, 0.5)}, 5
+        {'dispatcher': PolicyWeights(100, 0.5, 0.5)}, 5
     )
     context.now_ms = 0
     context.acted_ms = 0
@@ -60,7 +60,13 @@
 
 def _view(running=()):
     return ServerView(
-        'w0', 'r0', 'desk', TOTAL, Resources(0, 0), running, busy_share=LOAD
+        'w0',
+        'r0',
+        'dispatcher',
+        TOTAL,
+        Resources(0, 0),
+        running,
+        busy_share=LOAD,
     )
 
 
@@ -78,7 +84,7 @@
     used = {key.task_id: _used(context, key, age_ms) for key in keys}
     context.policy.observe(
         server,
-        UsageSample(age_ms, WINDOW_MS, 'desk', LOAD, p99_ms, keys, used),
+        UsageSample(age_ms, WINDOW_MS, 'dispatcher', LOAD, p99_ms, keys, used),
         context.now_ms,
         KINDS,
     )
--- a/waxwingford/daemon/_application.py
+++ b/waxwingford/daemon/_application.py
@@ -66,7 +66,7 @@
     return ServiceEntry(
         daemon_id=parts.settings.identity.daemon_id,
         incarnation=parts.incarnation,
-        desk=parts.desk,
+        dispatcher=parts.dispatcher,
         clock=parts.clock,
         members_by_service=parts.members_by_service,
         not_ready=lambda: _not_ready(parts),
--- a/waxwingford/daemon/_assembly.py
+++ b/waxwingford/daemon/_assembly.py
@@ -17,7 +17,7 @@
 from waxwingford.kernel import SystemClock, load_plugins
 from waxwingford.metrics import Metrics
 from waxwingford.peers import Membership, PeerLinks
-from waxwingford.routing import DeskLimits, DeskPorts, RequestDesk
+from waxwingford.routing import DispatchLimits, DispatchPorts, RequestDispatcher
 from waxwingford.settings import Alpn, Settings, client_context
 from waxwingford.timeline import TimeLine
 
@@ -69,12 +69,12 @@
         clock=clock,
         time_line=time_line,
     )
-    desk = RequestDesk(
+    dispatcher = RequestDispatcher(
         daemon_id=identity.daemon_id,
         failure_domain=identity.failure_domain,
-        ports=DeskPorts(platform.servers, links, clock, time_line, metrics),
+        ports=DispatchPorts(platform.servers, links, clock, time_line, metrics),
         rng=random.Random(incarnation),
-        limits=DeskLimits(
+        limits=DispatchLimits(
             in_progress=settings.limits.connections,
             key_memory_ms=settings.limits.key_memory_ms,
             delivery_ms=settings.limits.delivery_ms,
@@ -92,7 +92,9 @@
                 if peer.failure_domain == identity.failure_domain
                 and peer.daemon_id != identity.daemon_id
             ),
-            on_in_force=lambda in_force: _put_in_force(in_force, batch, desk),
+            on_in_force=lambda in_force: _put_in_force(
+                in_force, batch, dispatcher
+            ),
             note=time_line.note,
             counters=metrics,
             rng=random.Random(incarnation),
@@ -110,7 +112,7 @@
         links=links,
         membership=membership,
         batch=batch,
-        desk=desk,
+        dispatcher=dispatcher,
         reader=reader,
         nonces=NonceCache(_NONCES),
     )
@@ -132,7 +134,7 @@
 
 
 def _put_in_force(
-    in_force: BundleInForce, batch: BatchTask, desk: RequestDesk
+    in_force: BundleInForce, batch: BatchTask, dispatcher: RequestDispatcher
 ) -> None:
     batch.set_bundle(batch_terms(in_force.bundle))
-    desk.set_limits(service_limits(in_force.bundle))
+    dispatcher.set_limits(service_limits(in_force.bundle))
--- a/waxwingford/daemon/_daemon.py
+++ b/waxwingford/daemon/_daemon.py
@@ -48,7 +48,7 @@
         self._rpc = Server(
             [
                 PeerService(
-                    parts.desk,
+                    parts.dispatcher,
                     parts.exchange,
                     parts.bundle_payloads,
                     parts.time_line,
@@ -120,7 +120,7 @@
     async def _drain_steps(self, bounded_ms: int) -> None:
         parts = self._parts
         await asyncio.sleep(_NOTICE_MS / _MS_IN_S)
-        drained = await parts.desk.drain(bounded_ms)
+        drained = await parts.dispatcher.drain(bounded_ms)
         handed_over = await parts.batch.drain(bounded_ms)
         await self._heartbeats.tell_released()
         _log.info(
--- a/waxwingford/daemon/_feed.py
+++ b/waxwingford/daemon/_feed.py
@@ -14,21 +14,21 @@
 
 
 async def feed_routing(parts: Parts) -> None:
-    """Hand held servers to the request desk, and busy shares back, for ever.
+    """Hand held servers to the request dispatcher, and busy shares back, for ever.
 
-    The desk may work with a copy that is half a second old: it checks each
+    The dispatcher may work with a copy that is half a second old: it checks each
     lease at dispatch.  Batch needs the present load, not that of the last usage
     sample, or it would react to a shift of load as late as samples lag.  The
-    desk takes each call as a sign of life of the process: a gap of two seconds
+    dispatcher takes each call as a sign of life of the process: a gap of two seconds
     counts as a stall, so it must come also when nothing changed.
 
     :param parts: of the daemon.
     """
     busy_by_server: dict[str, float] = {}
     while True:
-        parts.desk.set_servers(parts.batch.held_servers())
+        parts.dispatcher.set_servers(parts.batch.held_servers())
         busy_by_server = mean_busy(
-            busy_by_server, parts.desk.busy_share_by_server()
+            busy_by_server, parts.dispatcher.busy_share_by_server()
         )
         parts.batch.set_busy_shares(
             {
--- a/waxwingford/daemon/_parts.py
+++ b/waxwingford/daemon/_parts.py
@@ -18,7 +18,7 @@
 from waxwingford.kernel import SystemClock
 from waxwingford.metrics import Metrics
 from waxwingford.peers import Membership, PeerBeat, PeerLinks
-from waxwingford.routing import RequestDesk
+from waxwingford.routing import RequestDispatcher
 from waxwingford.settings import PeerAddress, Settings
 from waxwingford.timeline import TimeLine
 
@@ -37,7 +37,7 @@
     :ivar links: calls to peers.
     :ivar membership: who was heard of.
     :ivar batch: batch task.
-    :ivar desk: request desk.
+    :ivar dispatcher: request dispatcher.
     :ivar reader: bundle reader.
     :ivar nonces: signed requests taken before.
     """
@@ -52,7 +52,7 @@
     links: PeerLinks
     membership: Membership
     batch: BatchTask
-    desk: RequestDesk
+    dispatcher: RequestDispatcher
     reader: BundleReader
     nonces: NonceCache
 
@@ -67,8 +67,8 @@
             incarnation=self.incarnation,
             failure_domain=self.settings.identity.failure_domain,
             bundle_version=current.version if current else 0,
-            spare_by_service=self.desk.spare_by_service(),
-            expected_ms_by_service=self.desk.expected_ms_by_service(),
+            spare_by_service=self.dispatcher.spare_by_service(),
+            expected_ms_by_service=self.dispatcher.expected_ms_by_service(),
             draining=self.life.state == 'draining',
         )
 
@@ -95,7 +95,7 @@
     def spread_membership(self) -> None:
         """Hand views of peers to the parts that need them."""
         now_ms = self.clock.monotonic_ms()
-        self.desk.set_peers(self.membership.peer_views(now_ms))
+        self.dispatcher.set_peers(self.membership.peer_views(now_ms))
         self.batch.set_alive(self.membership.alive_in_domain(now_ms))
 
     def bundle_payloads(
--- a/waxwingford/entry/__init__.py
+++ b/waxwingford/entry/__init__.py
@@ -1,16 +1,16 @@
 """HTTP entry of a daemon: services for callers, jobs for operators."""
 
-from waxwingford.entry._job_desk import JobDesk, OperatorCheck
+from waxwingford.entry._job_service import JobService, OperatorCheck
 from waxwingford.entry._jobs import JobEntry, job_routes
 from waxwingford.entry._limits import EntryLimits
-from waxwingford.entry._services import Desk, ServiceEntry, service_routes
+from waxwingford.entry._services import Dispatcher, ServiceEntry, service_routes
 from waxwingford.entry._site import HttpSite
 
 __all__ = (
-    'Desk',
+    'Dispatcher',
     'EntryLimits',
     'HttpSite',
-    'JobDesk',
+    'JobService',
     'JobEntry',
     'OperatorCheck',
     'ServiceEntry',
--- a/waxwingford/entry/_headers.py
+++ b/waxwingford/entry/_headers.py
@@ -60,7 +60,7 @@
         body: bytes,
         waited_ms: int,
     ) -> Request:
-        """Build the request that the desk takes.
+        """Build the request that the dispatcher takes.
 
         :param request_id: unique.
         :param service: service name.
--- a/waxwingford/entry/_job_service.py
+++ b/waxwingford/entry/_job_service.py
@@ -1,4 +1,4 @@
-"""What the routes of jobs need: a desk of jobs, and a check of operators."""
+"""What the routes of jobs need: a dispatcher of jobs, and a check of operators."""
 
 from collections.abc import Callable, Mapping
 from typing import Protocol
@@ -13,7 +13,7 @@
 ]
 
 
-class JobDesk(Protocol):
+class JobService(Protocol):
     """Takes jobs of members; ids of other members' jobs are unknown to it."""
 
     async def submit(self, job: JobSpec) -> SubmissionOutcome:
--- a/waxwingford/entry/_jobs.py
+++ b/waxwingford/entry/_jobs.py
@@ -18,7 +18,7 @@
 from waxwingford.bundles import Unverified
 from waxwingford.entry._answers import Explanation, explain, write_whole
 from waxwingford.entry._bodies import BodyFault, BodyReader, NoBodyRoom
-from waxwingford.entry._job_desk import JobDesk, OperatorCheck
+from waxwingford.entry._job_service import JobService, OperatorCheck
 from waxwingford.entry._limits import EntryLimits
 from waxwingford.entry._submissions import SubmissionFault, read_submission
 from waxwingford.kernel import Clock
@@ -30,13 +30,13 @@
 class JobEntry(NamedTuple):
     """What the routes of jobs need.
 
-    :ivar desk: takes the jobs.
+    :ivar dispatcher: takes the jobs.
     :ivar verify: checks who signed a request.
     :ivar clock: wall time.
     :ivar limits: bounds.
     """
 
-    desk: JobDesk
+    dispatcher: JobService
     verify: OperatorCheck
     clock: Clock
     limits: EntryLimits = EntryLimits()
@@ -92,27 +92,27 @@
         job = read_submission(signed.body, signed.member, wall_ms)
         if isinstance(job, SubmissionFault):
             return _rejected(job.reason, HTTPStatus.UNPROCESSABLE_ENTITY)
-        return _answer(await self._entry.desk.submit(job))
+        return _answer(await self._entry.dispatcher.submit(job))
 
     async def list_all(self, signed: _Signed) -> web.Response:
-        return _json(self._entry.desk.jobs(signed.member))
+        return _json(self._entry.dispatcher.jobs(signed.member))
 
     async def show(self, signed: _Signed) -> web.Response:
-        job = self._entry.desk.job(signed.job_id, signed.member)
+        job = self._entry.dispatcher.job(signed.job_id, signed.member)
         return _no_job(signed) if job is None else _json(job)
 
     async def cancel(self, signed: _Signed) -> web.Response:
-        if self._entry.desk.job(signed.job_id, signed.member) is None:
+        if self._entry.dispatcher.job(signed.job_id, signed.member) is None:
             return _no_job(signed)
         return _answer(
-            await self._entry.desk.cancel(signed.job_id, signed.member)
+            await self._entry.dispatcher.cancel(signed.job_id, signed.member)
         )
 
     async def evict(self, signed: _Signed) -> web.Response:
-        if self._entry.desk.job(signed.job_id, signed.member) is None:
+        if self._entry.dispatcher.job(signed.job_id, signed.member) is None:
             return _no_job(signed)
         index = int(signed.request.match_info['index'])
-        if not self._entry.desk.evict(f'{signed.job_id}/{index}'):
+        if not self._entry.dispatcher.evict(f'{signed.job_id}/{index}'):
             return _rejected(
                 'the task does not run on a backend server held here; '
                 'GET /v1/status of each daemon shows who holds which',
--- a/waxwingford/entry/_services.py
+++ b/waxwingford/entry/_services.py
@@ -22,8 +22,8 @@
 BUSY_RETRY_MS = 1000
 
 
-class Desk(Protocol):
-    """Serves requests; ``routing.RequestDesk`` fits."""
+class Dispatcher(Protocol):
+    """Serves requests; ``routing.RequestDispatcher`` fits."""
 
     async def handle(self, request: Request) -> Outcome:
         """Serve, forward or give up a request.
@@ -39,7 +39,7 @@
 
     :ivar daemon_id: this daemon, first part of request ids.
     :ivar incarnation: of this process, second part of request ids.
-    :ivar desk: serves the requests.
+    :ivar dispatcher: serves the requests.
     :ivar clock: monotonic time.
     :ivar members_by_service: who may use which service, by the bundle in
         force; empty without a bundle.
@@ -49,7 +49,7 @@
 
     daemon_id: str
     incarnation: str
-    desk: Desk
+    dispatcher: Dispatcher
     clock: Clock
     members_by_service: Callable[[], Mapping[str, Collection[str]]]
     not_ready: Callable[[], str]
@@ -125,7 +125,7 @@
             if isinstance(body, BodyFault):
                 return Rejected(body.reason, body.status)
             waited_ms = self._entry.clock.monotonic_ms() - began_ms
-            return await self._entry.desk.handle(
+            return await self._entry.dispatcher.handle(
                 headers.request(
                     bare.request_id, bare.service, bare.path, body, waited_ms
                 )
--- a/waxwingford/entry/tests/entry.feature
+++ b/waxwingford/entry/tests/entry.feature
@@ -6,10 +6,10 @@
     Given an entry on loopback with small bounds
 
   # Symptom: a caller cannot tell a refusal from an unknown outcome.
-  # Sequence: the desk gives up; the status says only that it failed.
+  # Sequence: the dispatcher gives up; the status says only that it failed.
   # Cause: outcomes were folded into one status.
   Scenario Outline: Each outcome has its status and headers
-    When the desk's outcome is <outcome> and a request comes
+    When the dispatcher's outcome is <outcome> and a request comes
     Then the status is <status> and the outcome header is "<tag>"
     And the caller is told to come back after <retry>
 
@@ -27,7 +27,7 @@
     When a request comes with the header "<name>" as "<text>"
     Then the status is 400 and the outcome header is "rejected"
     And the reason names "<name>"
-    And the desk got nothing
+    And the dispatcher got nothing
 
     Examples:
       | name                    | text      |
@@ -44,7 +44,7 @@
   Scenario: A service of another member is as if it did not exist
     When a request of member "qadri" comes for service "gifts"
     Then the status is 404 and the outcome header is "rejected"
-    And the desk got nothing
+    And the dispatcher got nothing
 
   # Symptom: the daemon is killed for its memory under load.
   # Sequence: callers send bodies without end.
@@ -52,7 +52,7 @@
   Scenario Outline: A body that is too large is rejected
     When a body of 3000 bytes comes <way>
     Then the status is 413 and the outcome header is "rejected"
-    And the desk got nothing
+    And the dispatcher got nothing
 
     Examples:
       | way           |
@@ -62,7 +62,7 @@
   Scenario: A body that is announced as too large is not waited for
     When a caller sends 10 of 3000 bytes and waits
     Then the answer begins with "HTTP/1.1 413"
-    And the desk got nothing
+    And the dispatcher got nothing
 
   # Symptom: as above, with bodies that are each within the bound.
   # Sequence: many callers send large bodies slowly.
@@ -79,15 +79,15 @@
   Scenario: A body that does not arrive ends its request
     When a caller sends 10 of 100 bytes and waits
     Then the answer begins with "HTTP/1.1 408"
-    And the desk got nothing
+    And the dispatcher got nothing
 
   # Symptom: half a reservation runs.
   # Sequence: the caller's connection breaks in the middle of the body.
   # Cause: the end of the connection was taken for the end of the body.
-  Scenario: A body that was cut off never reaches the desk
+  Scenario: A body that was cut off never reaches the dispatcher
     When a caller sends 10 of 100 bytes and closes the connection
     Then the entry has no connection left
-    And the desk got nothing
+    And the dispatcher got nothing
 
   # Symptom: an agent sees a report that ends in the middle; or connections
   # and answers of callers that have gone pile up in the daemon.
@@ -120,7 +120,7 @@
     When "svatbena" asks for <what> of job "qadri.night"
     Then the answer is the same as for job "qadri.nothing"
     And the status is 404 and the outcome header is "rejected"
-    And the job desk was asked for no change
+    And the job dispatcher was asked for no change
 
     Examples:
       | what         |
@@ -137,6 +137,6 @@
     Then the status is 422 and the outcome header is "rejected"
     When "svatbena" submits a job of "svatbena" under the id "qadri.night"
     Then the status is 422 and the outcome header is "rejected"
-    And the job desk was asked for no change
+    And the job dispatcher was asked for no change
     When "qadri" submits a job of "qadri"
     Then the status is 202 and the outcome header is "accepted"
--- a/waxwingford/entry/tests/entry_steps.py
+++ b/waxwingford/entry/tests/entry_steps.py
@@ -9,7 +9,7 @@
 from waxwingford.entry.tests.entry_support import OUTCOMES, EntryOnLoopback
 
 _MEMBER = {'Waxwingford-Member': 'qadri'}
-_PATH = '/v1/services/desk/checkin'
+_PATH = '/v1/services/dispatcher/checkin'
 _JOB_CALLS = {
     'the state': ('GET', ''),
     'cancellation': ('POST', '/cancel'),
@@ -49,9 +49,9 @@
     return send_part(context, head, bytes(10))
 
 
-@when("the desk's outcome is {outcome} and a request comes")
+@when("the dispatcher's outcome is {outcome} and a request comes")
 def outcome_and_request(context, outcome):
-    context.entry.desk.outcome = OUTCOMES[outcome]
+    context.entry.dispatcher.outcome = OUTCOMES[outcome]
     ask(context, 'POST', _PATH, headers=_MEMBER, data=b'flat 7')
 
 
@@ -85,9 +85,11 @@
     assert name in json.loads(context.body)['reason'], context.body
 
 
-@then('the desk got nothing')
-def desk_got_nothing(context):
-    assert not context.entry.desk.requests, context.entry.desk.requests
+@then('the dispatcher got nothing')
+def dispatcher_got_nothing(context):
+    assert not context.entry.dispatcher.requests, (
+        context.entry.dispatcher.requests
+    )
 
 
 @when('a request of member "{member}" comes for service "{service}"')
@@ -156,10 +158,10 @@
 @when('a caller asks for {size:d} bytes and does not read them')
 def asks_and_does_not_read(context, size):
     context.size = size
-    head = f'POST /v1/services/desk/{size} HTTP/1.1\r\nHost: x'
+    head = f'POST /v1/services/dispatcher/{size} HTTP/1.1\r\nHost: x'
     context.connection = send_part(context, head, b'')
     context.connection[1].transport.pause_reading()
-    context.entry.wait_until(lambda: context.entry.desk.requests)
+    context.entry.wait_until(lambda: context.entry.dispatcher.requests)
 
 
 @then('the caller finds its connection reset before the whole answer')
@@ -224,7 +226,7 @@
     assert first == second, context.job_answers
 
 
-@then('the job desk was asked for no change')
+@then('the job dispatcher was asked for no change')
 def no_job_change(context):
     assert not context.entry.jobs.changes, context.entry.jobs.changes
 
--- a/waxwingford/entry/tests/entry_support.py
+++ b/waxwingford/entry/tests/entry_support.py
@@ -1,4 +1,4 @@
-"""An entry on loopback with a fake desk and a fake job desk."""
+"""An entry on loopback with a fake dispatcher and a fake job dispatcher."""
 
 import asyncio
 from collections.abc import Mapping
@@ -43,7 +43,7 @@
     body: bytes
 
 
-class FakeDesk:
+class FakeDispatcher:
     """Keeps what it got; answers as many bytes as the path says."""
 
     def __init__(self):
@@ -93,14 +93,14 @@
 
     def __init__(self):
         self.loop = asyncio.new_event_loop()
-        self.desk = FakeDesk()
+        self.dispatcher = FakeDispatcher()
         self.jobs = FakeJobs()
         clock = SystemClock()
-        members = {'desk': {'qadri'}, 'gifts': {'svatbena'}}
+        members = {'dispatcher': {'qadri'}, 'gifts': {'svatbena'}}
         entry = ServiceEntry(
             daemon_id='gulberg-1',
             incarnation='1',
-            desk=self.desk,
+            dispatcher=self.dispatcher,
             clock=clock,
             members_by_service=lambda: members,
             not_ready=str,
--- a/waxwingford/peers/__init__.py
+++ b/waxwingford/peers/__init__.py
@@ -10,14 +10,14 @@
     PeerBeat,
     beat_targets,
 )
-from waxwingford.peers._service import ForwardedDesk, PeerService
+from waxwingford.peers._service import ForwardedDispatcher, PeerService
 
 __all__ = (
     'BEAT_EVERY_MS',
     'MOST_REMOTE_TARGETS',
     'SILENT_AFTER_MS',
     'BeatTargets',
-    'ForwardedDesk',
+    'ForwardedDispatcher',
     'Membership',
     'PeerBeat',
     'PeerLink',
--- a/waxwingford/peers/_service.py
+++ b/waxwingford/peers/_service.py
@@ -13,7 +13,7 @@
 from waxwingford.timeline import TimeLine
 
 
-class ForwardedDesk(Protocol):
+class ForwardedDispatcher(Protocol):
     """What answers for requests that peers hand over."""
 
     async def handle(self, request: Request) -> Outcome:
@@ -43,20 +43,20 @@
 
     def __init__(
         self,
-        desk: ForwardedDesk,
+        dispatcher: ForwardedDispatcher,
         exchange: Callable[[PeerBeat], PeerBeat],
         bundle_payloads: Callable[[int], tuple[int, tuple[bytes, ...]]],
         time_line: TimeLine,
     ) -> None:
         """Wire the service.
 
-        :param desk: serves forwarded requests.
+        :param dispatcher: serves forwarded requests.
         :param exchange: takes a peer's heartbeat and gives the own one.
         :param bundle_payloads: version in force and its records, those newer
             than the given version only.
         :param time_line: where forwards are noted.
         """
-        self._desk = desk
+        self._dispatcher = dispatcher
         self._exchange = exchange
         self._bundle_payloads = bundle_payloads
         self._time_line = time_line
@@ -89,7 +89,7 @@
             message.cause.daemon,
             _convert.event_from_wire(message.cause),
         )
-        outcome = await self._desk.handle(request)
+        outcome = await self._dispatcher.handle(request)
         reply = _convert.outcome_to_wire(request.request_id, outcome)
         reply.cause.CopyFrom(_convert.event_to_wire(taken))
         await stream.send_message(reply)
@@ -104,7 +104,7 @@
         question = await stream.recv_message()
         if question is None:
             return
-        answer = self._desk.answer_recall(
+        answer = self._dispatcher.answer_recall(
             question.member,
             question.key,
             question.body_digest,
--- a/waxwingford/peers/tests/peers_steps.py
+++ b/waxwingford/peers/tests/peers_steps.py
@@ -32,7 +32,7 @@
 TIMEOUT_MS = 300
 
 
-class Desk:
+class Dispatcher:
     """Answers forwarded requests in the way that the scenario asks for."""
 
     def __init__(self, behaviour, server_box):
@@ -107,7 +107,10 @@
     if behaviour == 'answers for another request':
         kind = ForeignService
     service = kind(
-        Desk(behaviour, box), lambda own: own, lambda _: (0, ()), line('b')
+        Dispatcher(behaviour, box),
+        lambda own: own,
+        lambda _: (0, ()),
+        line('b'),
     )
     server = Server([service], loop=context.loop)
     box.append(server)
--- a/waxwingford/placement/__init__.py
+++ b/waxwingford/placement/__init__.py
@@ -20,9 +20,9 @@
     total_of,
 )
 from waxwingford.placement._quarantine import Quarantine
-from waxwingford.placement._quotas import QuotaBook, TeamName
+from waxwingford.placement._quotas import QuotaTracker, TeamName
 from waxwingford.placement._registry import PolicyFactory, policies
-from waxwingford.placement._sizes import SizeBook
+from waxwingford.placement._sizes import SizeTracker
 from waxwingford.placement._views import (
     ColocationPolicy,
     Evict,
@@ -48,12 +48,12 @@
     'PolicyWeights',
     'Quarantine',
     'QuarantineLimits',
-    'QuotaBook',
+    'QuotaTracker',
     'Reaction',
     'RunningTask',
     'ServerQuarantined',
     'ServerView',
-    'SizeBook',
+    'SizeTracker',
     'Stop',
     'TaskStopped',
     'TeamName',
--- a/waxwingford/placement/_pending.py
+++ b/waxwingford/placement/_pending.py
@@ -1,4 +1,4 @@
-"""Pending tasks as the quota book keeps them: ranks and heap entries."""
+"""Pending tasks as the quota tracker keeps them: ranks and heap entries."""
 
 import heapq
 from collections.abc import Mapping
--- a/waxwingford/placement/_quotas.py
+++ b/waxwingford/placement/_quotas.py
@@ -30,7 +30,7 @@
 _STALE_FACTOR = 8
 
 
-class QuotaBook:
+class QuotaTracker:
     """Pending tasks and used shares; every change costs O(log n).
 
     :ivar shares: what members and teams use, to read.
@@ -73,8 +73,8 @@
         """Put other quotas in force; costs O(n), as all shares change.
 
         :param capacity: all that batch work may use.
-        :param share_by_member: as for a new book.
-        :param share_by_team: as for a new book.
+        :param share_by_member: as for a new tracker.
+        :param share_by_team: as for a new tracker.
         """
         used = self.shares.used_by_team()
         self.shares = Shares(capacity, share_by_member, share_by_team)
@@ -145,7 +145,7 @@
     ) -> list[PendingTask]:
         """List the most deserving tasks, each as if those before it ran.
 
-        The book is the same afterwards; the cost is O(limit * log n).
+        The tracker is the same afterwards; the cost is O(limit * log n).
 
         :param limit: tasks at most.
         :param now_ms: monotonic time, in milliseconds.
--- a/waxwingford/placement/_sizes.py
+++ b/waxwingford/placement/_sizes.py
@@ -88,7 +88,7 @@
     return ordered[min(len(ordered) - 1, math.ceil(share * len(ordered)) - 1)]
 
 
-class SizeBook:
+class SizeTracker:
     """Corrects declarations by (member, kind).
 
     What a task is given, and so what is committed on a VM, is never below the
--- a/waxwingford/placement/tests/placement.feature
+++ b/waxwingford/placement/tests/placement.feature
@@ -1,67 +1,67 @@
-Feature: Books that decide who is next, how large, and whom to give up
+Feature: Trackers that decide who is next, how large, and whom to give up
 
   # Symptom: a team's one task waits while another team starts hundreds.
   # Sequence: one team submits a wave; the other submits one task after it.
   # Cause: first come, first served over all teams.
   Scenario: A wave of one team does not starve another
-    Given a quota book with 100 pending tasks of team "archive" of "qadri"
-    And 1 pending task of team "desk" of "qadri" in the quota book
-    And 1 pending task of team "desk" of "svatbena" in the quota book
-    When the quota book orders 3 tasks
-    Then the ordered teams are "qadri/archive, svatbena/desk, qadri/desk"
+    Given a quota tracker with 100 pending tasks of team "archive" of "qadri"
+    And 1 pending task of team "dispatcher" of "qadri" in the quota tracker
+    And 1 pending task of team "dispatcher" of "svatbena" in the quota tracker
+    When the quota tracker orders 3 tasks
+    Then the ordered teams are "qadri/archive, svatbena/dispatcher, qadri/dispatcher"
 
   Scenario: A team may borrow what others leave unused
-    Given a quota book with 100 pending tasks of team "archive" of "qadri"
-    When the quota book orders 50 tasks
+    Given a quota tracker with 100 pending tasks of team "archive" of "qadri"
+    When the quota tracker orders 50 tasks
     Then 50 tasks are ordered
 
   Scenario: What a member runs counts against it until it ends
-    Given a quota book with 2 pending tasks of team "archive" of "qadri"
-    And 2 pending tasks of team "desk" of "svatbena" in the quota book
+    Given a quota tracker with 2 pending tasks of team "archive" of "qadri"
+    And 2 pending tasks of team "dispatcher" of "svatbena" in the quota tracker
     And team "archive" of "qadri" is charged with 2 tasks
-    When the quota book orders 2 tasks
-    Then the ordered teams are "svatbena/desk, svatbena/desk"
+    When the quota tracker orders 2 tasks
+    Then the ordered teams are "svatbena/dispatcher, svatbena/dispatcher"
     When team "archive" of "qadri" is released of 2 tasks
-    And the quota book orders 2 tasks
-    Then the ordered teams are "qadri/archive, svatbena/desk"
+    And the quota tracker orders 2 tasks
+    Then the ordered teams are "qadri/archive, svatbena/dispatcher"
 
   Scenario: What a team runs counts against it within its member
-    Given a quota book with 3 pending tasks of team "archive" of "qadri"
-    And 3 pending tasks of team "desk" of "qadri" in the quota book
-    And team "desk" of "qadri" is charged with 2 tasks
-    When the quota book orders 3 tasks
+    Given a quota tracker with 3 pending tasks of team "archive" of "qadri"
+    And 3 pending tasks of team "dispatcher" of "qadri" in the quota tracker
+    And team "dispatcher" of "qadri" is charged with 2 tasks
+    When the quota tracker orders 3 tasks
     Then the ordered teams are "qadri/archive, qadri/archive, qadri/archive"
 
   # Symptom: a task of low priority never starts.
   # Sequence: urgent tasks of its own team keep coming, one for each start.
   # Cause: priority without ageing.
   Scenario: Waiting overcomes priority within a team
-    Given a task of priority 0 was added to the quota book at 0 s
-    And a task of priority 50 was added to the quota book at 200 s
-    And a task of priority 50 was added to the quota book at 400 s
-    When the quota book orders 3 tasks
+    Given a task of priority 0 was added to the quota tracker at 0 s
+    And a task of priority 50 was added to the quota tracker at 200 s
+    And a task of priority 50 was added to the quota tracker at 400 s
+    When the quota tracker orders 3 tasks
     Then the ordered priorities are "50, 0, 50"
 
   # Symptom: the nightly reconciliation misses its deadline behind later work.
   # Cause: slack is not looked at.
   Scenario: A task that runs out of slack goes first in its team
-    Given a task of priority 90 was added to the quota book at 0 s
-    And a task with 10 s of slack was added to the quota book at 1 s
-    When the quota book orders 1 tasks
+    Given a task of priority 90 was added to the quota tracker at 0 s
+    And a task with 10 s of slack was added to the quota tracker at 1 s
+    When the quota tracker orders 1 tasks
     Then the ordered priorities are "0"
 
   Scenario: A task that is removed and added again is listed once
-    Given a quota book with 1 pending task of team "archive" of "qadri"
+    Given a quota tracker with 1 pending task of team "archive" of "qadri"
     When all its tasks are removed and added again
-    And the quota book orders 5 tasks
+    And the quota tracker orders 5 tasks
     Then 1 tasks are ordered
 
   # Symptom: a daemon's memory grows with every start and end of a task.
   # Cause: heap entries of past shares lie below the top and never come up.
-  Scenario: Ordering and charging for long keeps the book small
-    Given a quota book with 20 pending tasks of team "archive" of "qadri"
-    When the quota book orders 10 tasks 200 times with charges between
-    Then the quota book holds fewer than 100 heap entries
+  Scenario: Ordering and charging for long keeps the tracker small
+    Given a quota tracker with 20 pending tasks of team "archive" of "qadri"
+    When the quota tracker orders 10 tasks 200 times with charges between
+    Then the quota tracker holds fewer than 100 heap entries
 
   # Symptom: a VM runs out of memory although it was never over-committed.
   # Sequence: a job declares 2 GB for each task; its tasks use 6 GB.
--- a/waxwingford/placement/tests/placement_steps.py
+++ b/waxwingford/placement/tests/placement_steps.py
@@ -5,8 +5,8 @@
 from waxwingford.placement import (
     PendingTask,
     Quarantine,
-    QuotaBook,
-    SizeBook,
+    QuotaTracker,
+    SizeTracker,
     TeamName,
     never_fits,
 )
@@ -19,33 +19,33 @@
 
 
 @fixture
-def quota_book(context):
-    """A book over 100 cores."""
-    context.book = QuotaBook(Resources(100_000, 100_000, 0))
+def quota_tracker(context):
+    """A tracker over 100 cores."""
+    context.tracker = QuotaTracker(Resources(100_000, 100_000, 0))
     context.tasks = []
-    yield context.book
+    yield context.tracker
 
 
 def _pend(context, member, team, now_ms=0, **details):
-    if 'book' not in context:
-        use_fixture(quota_book, context)
+    if 'tracker' not in context:
+        use_fixture(quota_tracker, context)
     key = TaskKey(f'{member}.{team}/{len(context.tasks)}', 1)
     task = PendingTask(key, member, team, 'kind', SIZE, 1000, **details)
     context.tasks.append(task)
-    context.book.add(task, now_ms)
+    context.tracker.add(task, now_ms)
 
 
 @given(
-    'a quota book with {count:d} pending tasks of team "{team}" of "{member}"'
+    'a quota tracker with {count:d} pending tasks of team "{team}" of "{member}"'
 )
 @given(
-    'a quota book with {count:d} pending task of team "{team}" of "{member}"'
+    'a quota tracker with {count:d} pending task of team "{team}" of "{member}"'
 )
 @given(
-    '{count:d} pending task of team "{team}" of "{member}" in the quota book'
+    '{count:d} pending task of team "{team}" of "{member}" in the quota tracker'
 )
 @given(
-    '{count:d} pending tasks of team "{team}" of "{member}" in the quota book'
+    '{count:d} pending tasks of team "{team}" of "{member}" in the quota tracker'
 )
 def pend_tasks(context, count, team, member):
     for _ in range(count):
@@ -53,52 +53,54 @@
 
 
 @given(
-    'a task of priority {priority:d} was added to the quota book at {at:d} s'
+    'a task of priority {priority:d} was added to the quota tracker at {at:d} s'
 )
 def pend_priority(context, priority, at):
-    _pend(context, 'qadri', 'desk', at * MS_IN_S, priority=priority)
+    _pend(context, 'qadri', 'dispatcher', at * MS_IN_S, priority=priority)
 
 
 @given(
-    'a task with {slack:d} s of slack was added to the quota book at {at:d} s'
+    'a task with {slack:d} s of slack was added to the quota tracker at {at:d} s'
 )
 def pend_slack(context, slack, at):
-    _pend(context, 'qadri', 'desk', at * MS_IN_S, slack_ms=slack * MS_IN_S)
+    _pend(
+        context, 'qadri', 'dispatcher', at * MS_IN_S, slack_ms=slack * MS_IN_S
+    )
 
 
 @given('team "{team}" of "{member}" is charged with {count:d} tasks')
 def charge(context, team, member, count):
     for _ in range(count):
-        context.book.charge(TeamName(member, team), SIZE)
+        context.tracker.charge(TeamName(member, team), SIZE)
 
 
 @when('team "{team}" of "{member}" is released of {count:d} tasks')
 def release(context, team, member, count):
     for _ in range(count):
-        context.book.release(TeamName(member, team), SIZE)
+        context.tracker.release(TeamName(member, team), SIZE)
 
 
-@when('the quota book orders {limit:d} tasks')
+@when('the quota tracker orders {limit:d} tasks')
 def order(context, limit):
-    context.ordered = context.book.order(limit, now_ms=500 * MS_IN_S)
+    context.ordered = context.tracker.order(limit, now_ms=500 * MS_IN_S)
 
 
 @when('all its tasks are removed and added again')
 def add_again(context):
     for task in context.tasks:
-        context.book.remove(task.key)
-        context.book.add(task, 0)
+        context.tracker.remove(task.key)
+        context.tracker.add(task, 0)
 
 
 @when(
-    'the quota book orders {limit:d} tasks {times:d} times with charges between'
+    'the quota tracker orders {limit:d} tasks {times:d} times with charges between'
 )
 def order_often(context, limit, times):
     name = TeamName('qadri', 'archive')
     for _ in range(times):
-        context.book.order(limit, 0)
-        context.book.charge(name, SIZE)
-        context.book.release(name, SIZE)
+        context.tracker.order(limit, 0)
+        context.tracker.charge(name, SIZE)
+        context.tracker.release(name, SIZE)
 
 
 @then('the ordered teams are "{teams}"')
@@ -118,9 +120,9 @@
     assert len(context.ordered) == count, context.ordered
 
 
-@then('the quota book holds fewer than {bound:d} heap entries')
+@then('the quota tracker holds fewer than {bound:d} heap entries')
 def check_entries(context, bound):
-    found = context.book.heap_entries()
+    found = context.tracker.heap_entries()
     assert found < bound, found
 
 
@@ -128,7 +130,7 @@
     'tasks of "{member}" kind "{kind}" that used {memory:d} MB and {milli:d} processors milli'
 )
 def use_sizes(context, member, kind, memory, milli):
-    context.sizes = SizeBook()
+    context.sizes = SizeTracker()
     context.sizes.observe_use(member, kind, Resources(milli, memory, 0))
 
 
@@ -158,7 +160,7 @@
 )
 def run_times(context, count, member, kind, factor):
     if 'sizes' not in context:
-        context.sizes = SizeBook()
+        context.sizes = SizeTracker()
     for _ in range(count):
         context.sizes.observe_run(member, kind, 1000, 1000 * factor)
 
@@ -240,9 +242,9 @@
 
 
 def _quarantined(context):
-    book = context.quarantine
+    tracker = context.quarantine
     return {
-        name for name in context.failed_servers if book.is_quarantined(name)
+        name for name in context.failed_servers if tracker.is_quarantined(name)
     }
 
 
--- a/waxwingford/routing/__init__.py
+++ b/waxwingford/routing/__init__.py
@@ -1,7 +1,11 @@
 """Request path decisions: candidates, limits, retries, at most once."""
 
 from waxwingford.routing._admission import Admission, Admitted, Shed
-from waxwingford.routing._desk import Drained, DrainTimedOut, RequestDesk
+from waxwingford.routing._dispatcher import (
+    Drained,
+    DrainTimedOut,
+    RequestDispatcher,
+)
 from waxwingford.routing._evidence import (
     NeverSent,
     NotRunEvidence,
@@ -10,7 +14,7 @@
     turn_away,
 )
 from waxwingford.routing._keys import KeyMemory
-from waxwingford.routing._limits import DeskLimits, ServiceLimits
+from waxwingford.routing._limits import DispatchLimits, ServiceLimits
 from waxwingford.routing._messages import (
     Answered,
     HeldServer,
@@ -26,7 +30,7 @@
 )
 from waxwingford.routing._ports import PeerForwarder, RequestMetrics
 from waxwingford.routing._retry_budget import RetryBudget
-from waxwingford.routing._router import DeskPorts
+from waxwingford.routing._router import DispatchPorts
 from waxwingford.routing._slots import Slot, SlotTable
 from waxwingford.routing._spill import PeerTable
 
@@ -34,8 +38,8 @@
     'Admission',
     'Admitted',
     'Answered',
-    'DeskLimits',
-    'DeskPorts',
+    'DispatchLimits',
+    'DispatchPorts',
     'DrainTimedOut',
     'Drained',
     'HeldServer',
@@ -51,7 +55,7 @@
     'Refused',
     'Rejected',
     'Request',
-    'RequestDesk',
+    'RequestDispatcher',
     'RequestMetrics',
     'RetryBudget',
     'ServerSaidNotRun',
--- a/waxwingford/routing/_call_tracker.py
+++ b/waxwingford/routing/_call_tracker.py
@@ -1,11 +1,11 @@
-"""Ledger of calls in flight: which server each one still occupies."""
+"""Tracker of calls in flight: which server each one still occupies."""
 
 import heapq
 import itertools
 from collections.abc import Iterator
 
 
-class CallLedger:
+class CallTracker:
     """Calls that have not ended, and those given up but not yet over."""
 
     def __init__(self) -> None:
--- a/waxwingford/routing/_dispatcher.py
+++ b/waxwingford/routing/_dispatcher.py
@@ -1,4 +1,4 @@
-"""Request desk: takes a request and returns its one final outcome."""
+"""Request dispatcher: takes a request and returns its one final outcome."""
 
 import asyncio
 import dataclasses
@@ -10,7 +10,7 @@
 from waxwingford.routing._evidence import NeverSent, refuse, turn_away
 from waxwingford.routing._key_gate import KeyGate
 from waxwingford.routing._key_messages import MayRun
-from waxwingford.routing._limits import DeskLimits, ServiceLimits
+from waxwingford.routing._limits import DispatchLimits, ServiceLimits
 from waxwingford.routing._messages import (
     HeldServer,
     Outcome,
@@ -20,7 +20,7 @@
     Request,
     Unknown,
 )
-from waxwingford.routing._router import DeskPorts, Router
+from waxwingford.routing._router import DispatchPorts, Router
 
 _MS_IN_S = 1000
 
@@ -40,7 +40,7 @@
     in_progress: int
 
 
-class RequestDesk:
+class RequestDispatcher:
     """Owner of all requests in progress in one daemon."""
 
     def __init__(
@@ -48,9 +48,9 @@
         *,
         daemon_id: str,
         failure_domain: str,
-        ports: DeskPorts,
+        ports: DispatchPorts,
         rng: random.Random,
-        limits: DeskLimits,
+        limits: DispatchLimits,
     ) -> None:
         """Start without servers, peers and limits of services.
 
@@ -71,7 +71,7 @@
     def set_servers(self, servers: tuple[HeldServer, ...]) -> None:
         """Replace the set of held servers.
 
-        Called at least once a second: the desk also notices by it when the
+        Called at least once a second: the dispatcher also notices by it when the
         process was frozen.
 
         :param servers: all servers held now.
@@ -168,7 +168,9 @@
         """
         self._draining = True
         self._ports.time_line.note(
-            'desk.draining', 'desk', f'{len(self._in_progress)} in progress'
+            'dispatcher.draining',
+            'dispatcher',
+            f'{len(self._in_progress)} in progress',
         )
         if self._in_progress:
             await asyncio.wait(
--- a/waxwingford/routing/_key_gate.py
+++ b/waxwingford/routing/_key_gate.py
@@ -20,7 +20,7 @@
     MustRecall,
 )
 from waxwingford.routing._keys import KeyMemory
-from waxwingford.routing._limits import DeskLimits
+from waxwingford.routing._limits import DispatchLimits
 from waxwingford.routing._messages import (
     Answered,
     Outcome,
@@ -77,7 +77,7 @@
     def __init__(
         self,
         daemon_id: str,
-        limits: DeskLimits,
+        limits: DispatchLimits,
         peers: PeerForwarder,
         clock: Clock,
     ) -> None:
--- a/waxwingford/routing/_keys.py
+++ b/waxwingford/routing/_keys.py
@@ -18,7 +18,7 @@
     MayRun,
     MustRecall,
 )
-from waxwingford.routing._limits import DeskLimits
+from waxwingford.routing._limits import DispatchLimits
 from waxwingford.routing._messages import (
     Answered,
     Outcome,
@@ -50,7 +50,7 @@
 class KeyMemory:
     """Keys of non-idempotent requests that this daemon has to do with."""
 
-    def __init__(self, limits: DeskLimits) -> None:
+    def __init__(self, limits: DispatchLimits) -> None:
         """Start empty.
 
         :param limits: bounds of keys, bytes and time.
--- a/waxwingford/routing/_limits.py
+++ b/waxwingford/routing/_limits.py
@@ -27,7 +27,7 @@
     may_spill: bool = True
 
 
-class DeskLimits(NamedTuple):
+class DispatchLimits(NamedTuple):
     """Bounds of the request path of one daemon.
 
     :ivar in_progress: requests in progress at most, over all services.
--- a/waxwingford/routing/_router.py
+++ b/waxwingford/routing/_router.py
@@ -20,7 +20,7 @@
     ServerSaidNotRun,
     refuse,
 )
-from waxwingford.routing._limits import DeskLimits, ServiceLimits
+from waxwingford.routing._limits import DispatchLimits, ServiceLimits
 from waxwingford.routing._messages import (
     Answered,
     Outcome,
@@ -36,7 +36,7 @@
 from waxwingford.timeline import TimeLine
 
 
-class DeskPorts(NamedTuple):
+class DispatchPorts(NamedTuple):
     """Everything outside that the request path speaks to.
 
     :ivar servers: backend servers.
@@ -78,9 +78,9 @@
     def __init__(
         self,
         failure_domain: str,
-        ports: DeskPorts,
+        ports: DispatchPorts,
         rng: random.Random,
-        limits: DeskLimits,
+        limits: DispatchLimits,
     ) -> None:
         """Start without servers and peers.
 
--- a/waxwingford/routing/_slots.py
+++ b/waxwingford/routing/_slots.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable
 
 from waxwingford.kernel import Invariant, require
-from waxwingford.routing._call_ledger import CallLedger
+from waxwingford.routing._call_tracker import CallTracker
 from waxwingford.routing._messages import HeldServer
 from waxwingford.routing._server_state import SLOW_START_MS, ServerState
 from waxwingford.routing._service_group import ServiceGroup, best_of
@@ -45,7 +45,7 @@
         self.state_by_server: dict[str, ServerState] = {}
         self.group_by_service: dict[str, ServiceGroup] = {}
         self._rng = rng
-        self._ledger = CallLedger()
+        self._tracker = CallTracker()
         self._wake_ups: list[tuple[int, str]] = []
         self._warm_services: frozenset[str] = frozenset()
 
@@ -146,7 +146,7 @@
             f'{server_id}: {state.in_flight} calls for {held.slots} slots',
         )
         self._refresh(state, now_ms)
-        return Slot(self._ledger.begin(server_id), held, now_ms)
+        return Slot(self._tracker.begin(server_id), held, now_ms)
 
     def answered(self, slot: Slot, now_ms: int) -> float:
         """Give a slot back after a whole answer.
@@ -196,7 +196,7 @@
         :param until_ms: monotonic time at which the server has ended the call
             for certain, in milliseconds.
         """
-        self._ledger.abandon(slot.call_id, until_ms)
+        self._tracker.abandon(slot.call_id, until_ms)
 
     def release(self, slot: Slot, now_ms: int) -> None:
         """Give a slot back; a second time does nothing.
@@ -211,7 +211,7 @@
 
         :param now_ms: monotonic time, in milliseconds.
         """
-        for call_id in self._ledger.due(now_ms):
+        for call_id in self._tracker.due(now_ms):
             self._end_call(call_id, now_ms)
         while self._wake_ups and self._wake_ups[0][0] <= now_ms:
             _, server_id = heapq.heappop(self._wake_ups)
@@ -263,7 +263,7 @@
         heapq.heappush(self._wake_ups, (at_ms, state.held.server_id))
 
     def _end_call(self, call_id: int, now_ms: int) -> None:
-        server_id = self._ledger.end(call_id)
+        server_id = self._tracker.end(call_id)
         if server_id is None:
             return
         state = self.state_by_server[server_id]
--- a/waxwingford/routing/tests/admission.feature
+++ b/waxwingford/routing/tests/admission.feature
@@ -52,7 +52,7 @@
   # the limit on requests in progress falls.
   # Cause: service time was taken for waiting time.
   Scenario: A service that is slower than its target sheds nothing
-    Given a desk that holds 3 servers of 8 slots
+    Given a dispatcher that holds 3 servers of 8 slots
     When its servers take 130 ms for a target of 50 ms
     Then 10 callers who each send 30 requests are all answered
 
--- a/waxwingford/routing/tests/admission_steps.py
+++ b/waxwingford/routing/tests/admission_steps.py
@@ -188,8 +188,8 @@
 def slow_servers(context, latency_ms, target_ms):
     for server in context.region.server_by_id.values():
         server.latency_ms = latency_ms
-    limits = {'desk': ServiceLimits(target_ms=target_ms)}
-    context.region.desk_by_id['centre-1'].set_limits(limits)
+    limits = {'dispatcher': ServiceLimits(target_ms=target_ms)}
+    context.region.dispatcher_by_id['centre-1'].set_limits(limits)
 
 
 @then('{callers:d} callers who each send {count:d} requests are all answered')
@@ -244,7 +244,7 @@
     for _ in range(5):
         for member in (one, other):
             decision = context.admission.enter(
-                'desk', member, Urgency.urgent, 1, context.now_ms
+                'dispatcher', member, Urgency.urgent, 1, context.now_ms
             )
             if is_admitted(decision):
                 context.entered[member] += 1
--- a/waxwingford/routing/tests/at_most_once_steps.py
+++ b/waxwingford/routing/tests/at_most_once_steps.py
@@ -5,7 +5,7 @@
 
 from behave import given, then, use_fixture, when
 
-from waxwingford.routing import DeskLimits, Unknown
+from waxwingford.routing import DispatchLimits, Unknown
 from waxwingford.routing.tests.fakes import FakeServer
 from waxwingford.routing.tests.slots_steps import region_of
 
@@ -39,12 +39,12 @@
 
 @given('a region of daemons "{names}" that have long been up')
 def region_long_up(context, names):
-    begin_region(context, names.split(', '), DeskLimits())
+    begin_region(context, names.split(', '), DispatchLimits())
 
 
 @given('the key memory holds {count:d} keys of a member')
 def small_memory(context, count):
-    limits = DeskLimits(keys_by_member=count)
+    limits = DispatchLimits(keys_by_member=count)
     begin_region(context, context.daemon_ids, limits)
 
 
@@ -126,7 +126,7 @@
 
 @when('daemon "{daemon_id}" stops')
 def daemon_stops(context, daemon_id):
-    drained = context.region.desk_by_id[daemon_id].drain(100)
+    drained = context.region.dispatcher_by_id[daemon_id].drain(100)
     context.region.loop.run_until_complete(drained)
 
 
--- a/waxwingford/routing/tests/callers.py
+++ b/waxwingford/routing/tests/callers.py
@@ -85,7 +85,7 @@
 
     async def _deliver(self, daemon_id, request, delay_ms, key):
         await sleep_ms(delay_ms)
-        if self._region.desk_by_id[daemon_id] is None:
+        if self._region.dispatcher_by_id[daemon_id] is None:
             return None
         serving = self._region.begin(daemon_id, request)
         await asyncio.wait((serving,))
--- a/waxwingford/routing/tests/fakes.py
+++ b/waxwingford/routing/tests/fakes.py
@@ -21,7 +21,7 @@
     """A backend server: runs calls up to its slots, also abandoned ones."""
 
     server_id: str
-    service: str = 'desk'
+    service: str = 'dispatcher'
     slots: int = 8
     connections: int = 64
     latency_ms: float = 10
@@ -85,7 +85,7 @@
 
 
 class FakePeers:
-    """Network between desks; links can be cut in one direction."""
+    """Network between dispatchers; links can be cut in one direction."""
 
     def __init__(self, own_id, region):
         self._own_id = own_id
@@ -95,8 +95,8 @@
         if self._cut(self._own_id, peer_id):
             return Refused('not connected', 100)
         await sleep_ms(_DELAY_MS)
-        desk = self._region.desk_by_id[peer_id]
-        if desk is None:
+        dispatcher = self._region.dispatcher_by_id[peer_id]
+        if dispatcher is None:
             return Unknown('connection lost', 100)
         forwarded = dataclasses.replace(request, hops=request.hops + 1)
         served = self._region.begin(peer_id, forwarded)
@@ -110,7 +110,9 @@
 
     async def recall_all(self, member, key, body_digest):
         peers = [
-            name for name in self._region.desk_by_id if name != self._own_id
+            name
+            for name in self._region.dispatcher_by_id
+            if name != self._own_id
         ]
         answers = await asyncio.gather(
             *(self._recall(name, member, key, body_digest) for name in peers)
@@ -119,10 +121,12 @@
 
     async def _recall(self, peer_id, member, key, body_digest):
         await sleep_ms(_DELAY_MS)
-        desk = self._region.desk_by_id[peer_id]
-        if desk is None or self._cut(self._own_id, peer_id):
+        dispatcher = self._region.dispatcher_by_id[peer_id]
+        if dispatcher is None or self._cut(self._own_id, peer_id):
             return RecallAnswer(RecallState.unreachable, 0)
-        answer = desk.answer_recall(member, key, body_digest, self._own_id)
+        answer = dispatcher.answer_recall(
+            member, key, body_digest, self._own_id
+        )
         await sleep_ms(_DELAY_MS)
         if self._cut(peer_id, self._own_id):
             return RecallAnswer(RecallState.unreachable, 0)
--- a/waxwingford/routing/tests/outcomes.feature
+++ b/waxwingford/routing/tests/outcomes.feature
@@ -6,7 +6,7 @@
   # daemon refuses.
   # Cause: a lost answer was taken for a refusal.
   Scenario Outline: Only what certainly did not run is refused
-    Given a desk that holds 2 servers of 3 slots
+    Given a dispatcher that holds 2 servers of 3 slots
     When a request that is not idempotent is sent while <fault>
     Then its outcome is "<outcome>" and it ran <count> times
 
@@ -25,7 +25,7 @@
   # attempt that was given up arrives while a later one waits.
   # Cause: answers were matched by order instead of by id.
   Scenario: Late and foreign answers are dropped and counted
-    Given a desk that holds 2 servers of 3 slots
+    Given a dispatcher that holds 2 servers of 3 slots
     When the first server mixes answers up and the second is in order
     And 40 idempotent requests are sent one after another
     Then each answered request has its own body
@@ -40,7 +40,7 @@
   # Sequence: every server fails; each request is retried on each server.
   # Cause: retries limited by request instead of by a share of traffic.
   Scenario: A retry storm is bounded by the budget
-    Given a desk that holds 20 servers of 8 slots
+    Given a dispatcher that holds 20 servers of 8 slots
     When every answer is lost from now on
     And 200 idempotent requests are sent one after another
     Then at most 25 more requests ran than were sent
@@ -49,8 +49,8 @@
   # Sequence: the daemon stops while requests wait for their answers.
   # Cause: the stop did not wait, or took new requests meanwhile.
   Scenario: A drain ends requests in progress and takes no new ones
-    Given a desk that holds 2 servers of 3 slots
-    When 4 requests are in progress and the desk drains
+    Given a dispatcher that holds 2 servers of 3 slots
+    When 4 requests are in progress and the dispatcher drains
     And another request comes
     Then the requests in progress are answered and the other one is refused
     And the drain says that nothing is left
@@ -68,6 +68,6 @@
   # Sequence: the caller closes its connection; its handler is cancelled.
   # Cause: the cancellation reached the call to the backend server.
   Scenario: A caller that goes away leaves its slot counted
-    Given a desk that holds 1 servers of 3 slots
+    Given a dispatcher that holds 1 servers of 3 slots
     When 3 callers go away while their requests run
     Then no slot is free until the requests have ended
--- a/waxwingford/routing/tests/outcomes_steps.py
+++ b/waxwingford/routing/tests/outcomes_steps.py
@@ -112,7 +112,7 @@
     assert 0 < retries <= most, retries
 
 
-@when('{count:d} requests are in progress and the desk drains')
+@when('{count:d} requests are in progress and the dispatcher drains')
 def drain_begins(context, count):
     region = context.region
     context.tasks = [
@@ -120,8 +120,8 @@
         for _ in range(count)
     ]
     region.pass_ms(1)
-    desk = region.desk_by_id['centre-1']
-    context.draining = region.loop.create_task(desk.drain(5000))
+    dispatcher = region.dispatcher_by_id['centre-1']
+    context.draining = region.loop.create_task(dispatcher.drain(5000))
     region.pass_ms(1)
 
 
@@ -155,8 +155,8 @@
 def sent_past_b(context):
     region = context.region
     region.refresh()
-    stale = PeerView('b', 'centre', True, {'desk': 9}, {}, 1.0)
-    region.desk_by_id['a'].set_peers((stale,))
+    stale = PeerView('b', 'centre', True, {'dispatcher': 9}, {}, 1.0)
+    region.dispatcher_by_id['a'].set_peers((stale,))
     context.outcome = region.call('a')
 
 
@@ -192,7 +192,7 @@
 @then('no slot is free until the requests have ended')
 def slots_still_taken(context):
     region = context.region
-    desk = region.desk_by_id['centre-1']
-    assert desk.spare_by_service() == {'desk': 0}
+    dispatcher = region.dispatcher_by_id['centre-1']
+    assert dispatcher.spare_by_service() == {'dispatcher': 0}
     region.loop.run_until_complete(sleep_ms(20))
-    assert desk.spare_by_service() == {'desk': 3}
+    assert dispatcher.spare_by_service() == {'dispatcher': 3}
--- a/waxwingford/routing/tests/random_requests_steps.py
+++ b/waxwingford/routing/tests/random_requests_steps.py
@@ -6,14 +6,16 @@
 from behave import then, when
 from hypothesis import HealthCheck, given, settings, strategies
 
-from waxwingford.routing import DeskLimits, Urgency
+from waxwingford.routing import DispatchLimits, Urgency
 from waxwingford.routing.tests.callers import Callers
 from waxwingford.routing.tests.fakes import FakeServer
 from waxwingford.routing.tests.region import Region
 
 _DAEMONS = ('a', 'b', 'c')
 _SERVERS = tuple(f'server-{number}' for number in range(4))
-_LIMITS = DeskLimits(key_memory_ms=20_000, delivery_ms=2000, keys_by_member=12)
+_LIMITS = DispatchLimits(
+    key_memory_ms=20_000, delivery_ms=2000, keys_by_member=12
+)
 _LEASE_MS = 3000
 _TICK_MS = 250
 
@@ -119,12 +121,12 @@
             setattr(server, fault, 0)
 
     def _kill(self, daemon_id):
-        if self.region.desk_by_id[daemon_id] is not None:
+        if self.region.dispatcher_by_id[daemon_id] is not None:
             self.region.kill(daemon_id)
             self._changed_holder(daemon_id)
 
     def _start(self, daemon_id):
-        if self.region.desk_by_id[daemon_id] is None:
+        if self.region.dispatcher_by_id[daemon_id] is None:
             self.region.start(daemon_id)
 
     def _freeze(self):
@@ -162,8 +164,8 @@
 
     def _check_not_stuck(self):
         spare = [
-            sum(desk.spare_by_service().values())
-            for desk in self.region.desk_by_id.values()
+            sum(dispatcher.spare_by_service().values())
+            for dispatcher in self.region.dispatcher_by_id.values()
         ]
         assert sum(spare) == 2 * len(_SERVERS), spare
         for daemon_id in _DAEMONS:
--- a/waxwingford/routing/tests/region.py
+++ b/waxwingford/routing/tests/region.py
@@ -1,4 +1,4 @@
-"""A region of desks, fake servers and callers on one virtual event loop."""
+"""A region of dispatchers, fake servers and callers on one virtual event loop."""
 
 import asyncio
 import collections
@@ -8,12 +8,12 @@
 
 from waxwingford.metrics import Metrics
 from waxwingford.routing import (
-    DeskLimits,
-    DeskPorts,
+    DispatchLimits,
+    DispatchPorts,
     HeldServer,
     PeerView,
     Request,
-    RequestDesk,
+    RequestDispatcher,
     Urgency,
 )
 from waxwingford.routing.tests.fakes import FakePeers, FakeServers, sleep_ms
@@ -52,7 +52,7 @@
         self.loop = VirtualLoop()
         self.loop.set_task_factory(self._make_task)
         self._tasks_by_process = collections.defaultdict(weakref.WeakSet)
-        self.limits = limits or DeskLimits()
+        self.limits = limits or DispatchLimits()
         self.servers_by_daemon = servers_by_daemon
         self.server_by_id = {
             server.server_id: server
@@ -61,7 +61,7 @@
         }
         self.clock_by_id = {}
         self.metrics_by_id = {}
-        self.desk_by_id = {}
+        self.dispatcher_by_id = {}
         self.incarnation_by_id = dict.fromkeys(servers_by_daemon, 0)
         self.cuts = set()
         self._numbers = iter(range(1, 1_000_000))
@@ -76,14 +76,14 @@
         self.incarnation_by_id[daemon_id] += 1
         clock = self.clock_by_id.setdefault(daemon_id, LoopClock(self.loop))
         metrics = self.metrics_by_id.setdefault(daemon_id, Metrics())
-        ports = DeskPorts(
+        ports = DispatchPorts(
             FakeServers(self.server_by_id.values()),
             FakePeers(daemon_id, self),
             clock,
             TimeLine(daemon_id, 'test', clock, 100),
             metrics,
         )
-        self.desk_by_id[daemon_id] = RequestDesk(
+        self.dispatcher_by_id[daemon_id] = RequestDispatcher(
             daemon_id=daemon_id,
             failure_domain='centre',
             ports=ports,
@@ -96,19 +96,21 @@
         process = self.process(daemon_id)
         for task in tuple(self._tasks_by_process.pop(process, ())):
             task.cancel()
-        self.desk_by_id[daemon_id] = None
+        self.dispatcher_by_id[daemon_id] = None
 
     def process(self, daemon_id):
         return f'{daemon_id}#{self.incarnation_by_id[daemon_id]}'
 
     def refresh(self, lease_ms=10_000_000, frozen=''):
         """Do what control exchanges and heartbeats do in the daemon."""
-        for daemon_id, desk in self.desk_by_id.items():
-            if desk is not None and daemon_id != frozen:
+        for daemon_id, dispatcher in self.dispatcher_by_id.items():
+            if dispatcher is not None and daemon_id != frozen:
                 until_ms = self.clock_by_id[daemon_id].monotonic_ms() + lease_ms
                 servers = self.servers_by_daemon[daemon_id]
-                desk.set_servers(tuple(hold(one, until_ms) for one in servers))
-                desk.set_peers(self._views(daemon_id))
+                dispatcher.set_servers(
+                    tuple(hold(one, until_ms) for one in servers)
+                )
+                dispatcher.set_peers(self._views(daemon_id))
 
     def request(self, daemon_id, **fields):
         given = {
@@ -120,7 +122,7 @@
                 )
             ),
             'member': MEMBER,
-            'service': 'desk',
+            'service': 'dispatcher',
             'path': 'reserve',
             'body': b'kettle',
             'urgency': Urgency.normal,
@@ -136,7 +138,7 @@
         context = contextvars.copy_context()
         context.run(PROCESS.set, self.process(daemon_id))
         return self.loop.create_task(
-            self.desk_by_id[daemon_id].handle(request), context=context
+            self.dispatcher_by_id[daemon_id].handle(request), context=context
         )
 
     def call(self, daemon_id, **fields):
@@ -185,12 +187,14 @@
             PeerView(
                 daemon_id=peer_id,
                 failure_domain='centre',
-                alive=desk is not None
+                alive=dispatcher is not None
                 and (peer_id, daemon_id) not in self.cuts,
-                spare_by_service=desk.spare_by_service() if desk else {},
+                spare_by_service=dispatcher.spare_by_service()
+                if dispatcher
+                else {},
                 expected_ms_by_service={},
                 distance_ms=1.0,
             )
-            for peer_id, desk in self.desk_by_id.items()
+            for peer_id, dispatcher in self.dispatcher_by_id.items()
             if peer_id != daemon_id
         )
--- a/waxwingford/routing/tests/slots.feature
+++ b/waxwingford/routing/tests/slots.feature
@@ -7,7 +7,7 @@
   # out again; the server thaws and runs old and new calls together.
   # Cause: the end of the caller's wait was taken for the end of the call.
   Scenario: Abandoned calls keep their slots until the server has ended them
-    Given a desk that holds 2 servers of 3 slots
+    Given a dispatcher that holds 2 servers of 3 slots
     And both servers are frozen and give up 100 ms after the deadline
     When 12 requests with a deadline of 200 ms come at once
     And 12 requests with a deadline of 200 ms come at once
--- a/waxwingford/routing/tests/slots_steps.py
+++ b/waxwingford/routing/tests/slots_steps.py
@@ -5,7 +5,7 @@
 
 from behave import fixture, given, then, use_fixture, when
 
-from waxwingford.routing import DeskLimits, SlotTable
+from waxwingford.routing import DispatchLimits, SlotTable
 from waxwingford.routing.tests.fakes import FakeServer
 from waxwingford.routing.tests.region import Region, hold
 
@@ -33,17 +33,19 @@
     """Take every slot that is given out."""
     slots = []
     while True:
-        server_id = context.slot_table.choose('desk', context.now_ms)
+        server_id = context.slot_table.choose('dispatcher', context.now_ms)
         slot = server_id and context.slot_table.take(server_id, context.now_ms)
         if not slot:
             return slots
         slots.append(slot)
 
 
-@given('a desk that holds {count:d} servers of {slots:d} slots')
-def desk_with_servers(context, count, slots):
+@given('a dispatcher that holds {count:d} servers of {slots:d} slots')
+def dispatcher_with_servers(context, count, slots):
     servers = [FakeServer(f'server-{one}', slots=slots) for one in range(count)]
-    use_fixture(region_of, context, {'centre-1': servers}, limits=DeskLimits())
+    use_fixture(
+        region_of, context, {'centre-1': servers}, limits=DispatchLimits()
+    )
     context.region.pass_ms(_PAST_SLOW_START_MS)
 
 
@@ -76,8 +78,8 @@
 @then('after {wait_ms:d} ms all slots are free again')
 def slots_free(context, wait_ms):
     context.region.pass_ms(wait_ms)
-    spare = context.region.desk_by_id['centre-1'].spare_by_service()
-    assert spare == {'desk': 6}, spare
+    spare = context.region.dispatcher_by_id['centre-1'].spare_by_service()
+    assert spare == {'dispatcher': 6}, spare
 
 
 @given(
@@ -133,7 +135,7 @@
     server = context.servers[0]
     server.lease_until_ms = context.now_ms + 10
     context.slot_table.hold(hold(server), context.now_ms)
-    context.chosen = context.slot_table.choose('desk', context.now_ms)
+    context.chosen = context.slot_table.choose('dispatcher', context.now_ms)
     context.now_ms += 10
 
 
@@ -145,10 +147,10 @@
 
 @then('no server is chosen until the lease is renewed')
 def not_chosen_until_renewed(context):
-    assert context.slot_table.choose('desk', context.now_ms) is None
+    assert context.slot_table.choose('dispatcher', context.now_ms) is None
     context.servers[0].lease_until_ms = context.now_ms + 10
     context.slot_table.hold(hold(context.servers[0]), context.now_ms)
-    assert context.slot_table.choose('desk', context.now_ms) == 'server-0'
+    assert context.slot_table.choose('dispatcher', context.now_ms) == 'server-0'
 
 
 @when('every call to every server fails {times:d} times')
--- a/waxwingford_bench/colocation/_backlog.py
+++ b/waxwingford_bench/colocation/_backlog.py
@@ -1,9 +1,9 @@
-"""Pending tasks of an emulated failure domain, kept by the product's books."""
+"""Pending tasks of an emulated failure domain, kept by the product's trackers."""
 
 from waxwingford.placement import (
     PendingTask,
-    QuotaBook,
-    SizeBook,
+    QuotaTracker,
+    SizeTracker,
     TeamName,
     never_fits,
     subtract,
@@ -30,8 +30,8 @@
 
         :param servers: servers of the failure domain.
         """
-        self.quotas = QuotaBook(total_of(_OFFER for _ in range(servers)))
-        self._sizes = SizeBook()
+        self.quotas = QuotaTracker(total_of(_OFFER for _ in range(servers)))
+        self._sizes = SizeTracker()
         self._task_by_key: dict[TaskKey, Task] = {}
 
     def can_run(self, task: Task) -> bool:
--- a/waxwingford_bench/routing_cost.py
+++ b/waxwingford_bench/routing_cost.py
@@ -61,7 +61,7 @@
         yield HeldServer(
             server_id=f'server-{number}',
             rack=f'rack-{number // 6}',
-            service='desk',
+            service='dispatcher',
             host='127.0.0.1',
             port=1,
             slots=_SLOTS,
@@ -83,7 +83,7 @@
     table = SlotTable(rng)
     table.set_servers(held_servers(count), 0)
     for _ in range(int(count * _SLOTS * _BUSY_SHARE)):
-        server_id = table.choose('desk', _PAST_SLOW_START_MS)
+        server_id = table.choose('dispatcher', _PAST_SLOW_START_MS)
         if server_id is not None:
             table.take(server_id, _PAST_SLOW_START_MS)
     return table
@@ -96,7 +96,7 @@
     :param rng: unused here.
     :returns: server id.
     """
-    return table.choose('desk', _PAST_SLOW_START_MS)
+    return table.choose('dispatcher', _PAST_SLOW_START_MS)
 
 
 def choose_by_scan(table: SlotTable, rng: random.Random) -> str | None:
--- a/waxwingford_bench/routing_site.py
+++ b/waxwingford_bench/routing_site.py
@@ -18,11 +18,11 @@
 from waxwingford.metrics import Metrics
 from waxwingford.peers import PeerLinks, PeerService
 from waxwingford.routing import (
-    DeskLimits,
-    DeskPorts,
+    DispatchLimits,
+    DispatchPorts,
     HeldServer,
     PeerView,
-    RequestDesk,
+    RequestDispatcher,
 )
 from waxwingford.settings import PeerAddress
 from waxwingford.timeline import TimeLine
@@ -47,7 +47,7 @@
 
 
 class _Daemon:
-    """Request path of one daemon: entry, desk, links."""
+    """Request path of one daemon: entry, dispatcher, links."""
 
     def __init__(
         self, daemon_id: str, clock: Clock, peers: tuple[PeerAddress, ...]
@@ -55,22 +55,22 @@
         self.time_line = TimeLine(daemon_id, '1', clock, 64)
         self.servers = HttpServers()
         self.links = PeerLinks(daemon_id, peers, clock, self.time_line)
-        ports = DeskPorts(
+        ports = DispatchPorts(
             self.servers, self.links, clock, self.time_line, Metrics()
         )
-        self.desk = RequestDesk(
+        self.dispatcher = RequestDispatcher(
             daemon_id=daemon_id,
             failure_domain=_DOMAIN,
             ports=ports,
             rng=random.Random(1),
-            limits=DeskLimits(),
+            limits=DispatchLimits(),
         )
         entry = ServiceEntry(
             daemon_id=daemon_id,
             incarnation='1',
-            desk=self.desk,
+            dispatcher=self.dispatcher,
             clock=clock,
-            members_by_service=lambda: {'desk': {'qadri'}},
+            members_by_service=lambda: {'dispatcher': {'qadri'}},
             not_ready=str,
         )
         app = web.Application()
@@ -93,14 +93,14 @@
         """
         self._clock = clock
         app = web.Application()
-        app.router.add_post('/services/desk/{path}', _echo)
+        app.router.add_post('/services/dispatcher/{path}', _echo)
         self._backend = HttpSite(app, EntryLimits())
         self._holder = _Daemon('gulberg-1', clock, ())
         self._peer: _Daemon | None = None
         self._rpc = Server(
             [
                 PeerService(
-                    self._holder.desk,
+                    self._holder.dispatcher,
                     lambda beat: beat,
                     lambda after: (0, ()),
                     self._holder.time_line,
@@ -125,12 +125,12 @@
         )
         self._peer = _Daemon('gulberg-2', self._clock, (address,))
         await self._peer.site.start(_HOST, 0)
-        self._holder.desk.set_servers((self._held(),))
+        self._holder.dispatcher.set_servers((self._held(),))
         await asyncio.sleep(_SETTLE_S)
-        self._holder.desk.set_servers((self._held(),))
-        spare = {'desk': _HOUR_MS}
+        self._holder.dispatcher.set_servers((self._held(),))
+        spare = {'dispatcher': _HOUR_MS}
         view = PeerView('gulberg-1', _DOMAIN, True, spare, {}, 1.0)
-        self._peer.desk.set_peers((view,))
+        self._peer.dispatcher.set_peers((view,))
 
     async def stop(self) -> None:
         """Stop all."""
@@ -154,14 +154,14 @@
         if self._peer is not None:
             ports['peer'] = self._peer.site.port
         direct = Address(
-            f'http://{_HOST}:{self._backend.port}/services/desk/x',
+            f'http://{_HOST}:{self._backend.port}/services/dispatcher/x',
             {_REQUEST_ID: '1'},
         )
         return {
             'direct': direct,
             **{
                 way: Address(
-                    f'http://{_HOST}:{port}/v1/services/desk/x', headers
+                    f'http://{_HOST}:{port}/v1/services/dispatcher/x', headers
                 )
                 for way, port in ports.items()
             },
@@ -176,7 +176,7 @@
         return HeldServer(
             server_id='server-1',
             rack='rack-1',
-            service='desk',
+            service='dispatcher',
             host=_HOST,
             port=self._backend.port,
             slots=_SLOTS,
--- a/waxwingford_standins/night.py
+++ b/waxwingford_standins/night.py
@@ -57,7 +57,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class DomainLedger:
+class DomainTracker:
     """Jobs of a failure domain as its stream tells them.
 
     :ivar state: fold of the stream so far.
@@ -133,7 +133,7 @@
         return sum(status in ACCEPTED_STATUSES for status, _ in asked)
 
 
-async def read_ledger(local_run: LocalRun, domain: str) -> DomainLedger:
+async def read_tracker(local_run: LocalRun, domain: str) -> DomainTracker:
     """Fold the stream of a failure domain, straight from the log.
 
     :param local_run: where the log is.
@@ -142,18 +142,18 @@
     """
     port = local_run.layout.platform_port
     log = HttpLog(f'http://{HOST}:{port}', _LOG_TIMEOUT_MS)
-    ledger = DomainLedger()
+    tracker = DomainTracker()
     try:
         more = True
         while more:
-            more = await _fold_more(log, domain, ledger)
+            more = await _fold_more(log, domain, tracker)
     finally:
         await log.close()
-    return ledger
+    return tracker
 
 
-async def _fold_more(log: HttpLog, domain: str, ledger: DomainLedger) -> bool:
-    state = ledger.state
+async def _fold_more(log: HttpLog, domain: str, tracker: DomainTracker) -> bool:
+    state = tracker.state
     block = await log.read(f'domain/{domain}', state.next_offset, _READ_LIMIT)
     if isinstance(block, LogUnavailable):
         return False
@@ -164,7 +164,7 @@
             state.skip(entry.offset)
             continue
         state.apply(entry.offset, group)
-        ledger.accepted |= state.jobs_by_id.keys()
+        tracker.accepted |= state.jobs_by_id.keys()
     return state.next_offset < block.next_offset
 
 
--- a/waxwingford_standins/report.py
+++ b/waxwingford_standins/report.py
@@ -17,7 +17,7 @@
 from waxwingford_standins.backend_server import ServerAudit
 from waxwingford_standins.latencies import LatencyRow, latency_rows
 from waxwingford_standins.load import Callers
-from waxwingford_standins.night import DomainLedger, Submitted
+from waxwingford_standins.night import DomainTracker, Submitted
 from waxwingford_standins.operator import ACCEPTED_STATUSES
 
 _MOST_FINDINGS = 20
@@ -81,7 +81,7 @@
     callers: Callers,
     servers: Sequence[ServerAudit],
     submitted: Sequence[Submitted],
-    ledgers: Sequence[DomainLedger],
+    trackers: Sequence[DomainTracker],
     platform: dict[str, int],
 ) -> RunReport:
     """Put a report together and audit the run.
@@ -91,12 +91,12 @@
     :param callers: their ended calls.
     :param servers: what the servers ran.
     :param submitted: jobs submitted.
-    :param ledgers: streams of all failure domains.
+    :param trackers: streams of all failure domains.
     :param platform: what the platform counted.
     :returns: the report.
     """
-    in_log = frozenset().union(*(ledger.accepted for ledger in ledgers))
-    finished = list(_finished(ledgers))
+    in_log = frozenset().union(*(tracker.accepted for tracker in trackers))
+    finished = list(_finished(trackers))
     answered_for = (
         job.job_id for job in submitted if job.status in ACCEPTED_STATUSES
     )
@@ -116,7 +116,7 @@
         dict(collections.Counter(outcome.value for outcome in outcomes)),
         dict(callers.reasons.most_common(_MOST_REASONS)),
         sum(server.refused for server in servers),
-        _batch(submitted, in_log, finished, ledgers, servers),
+        _batch(submitted, in_log, finished, trackers, servers),
         findings,
         platform,
     )
@@ -131,9 +131,9 @@
     return '\n'.join((*_lines(report), ''))
 
 
-def _finished(ledgers: Iterable[DomainLedger]) -> Iterator[FinishedTasks]:
-    for ledger in ledgers:
-        for job in ledger.state.finished.kept_by_id.values():
+def _finished(trackers: Iterable[DomainTracker]) -> Iterator[FinishedTasks]:
+    for tracker in trackers:
+        for job in tracker.state.finished.kept_by_id.values():
             yield FinishedTasks(job.job_id, job.done, job.failed, job.cancelled)
 
 
@@ -141,14 +141,14 @@
     submitted: Sequence[Submitted],
     in_log: frozenset[str],
     finished: Sequence[FinishedTasks],
-    ledgers: Iterable[DomainLedger],
+    trackers: Iterable[DomainTracker],
     servers: Iterable[ServerAudit],
 ) -> BatchReport:
     phases = collections.Counter(
         run.phase for server in servers for run in server.attempts
     )
     unfinished = itertools.chain.from_iterable(
-        ledger.state.jobs_by_id for ledger in ledgers
+        tracker.state.jobs_by_id for tracker in trackers
     )
     return BatchReport(
         len(submitted),
--- a/waxwingford_standins/tests/backend_server_steps.py
+++ b/waxwingford_standins/tests/backend_server_steps.py
@@ -56,8 +56,8 @@
 @given('a stand-in server with {slots:d} slots, {milli:d} milli and {mb:d} MB')
 def stand_in_server(context, slots, milli, mb):
     size = Resources(milli, mb)
-    vm = Vm('s', 'd', 'r', 'h', 1, VmState.live, size, slots, 64, 'desk')
-    context.server = BackendServerCore(vm, ServiceModel('desk'))
+    vm = Vm('s', 'd', 'r', 'h', 1, VmState.live, size, slots, 64, 'dispatcher')
+    context.server = BackendServerCore(vm, ServiceModel('dispatcher'))
     context.first_boot_id = context.server.boot_id
     context.clock = ManualClock()
     context.epochs = {}
@@ -174,7 +174,7 @@
 @when('{count:d} requests reach the stand-in at once')
 def requests_reach(context, count):
     calls = [
-        ServiceCall(f'r{number}', 'desk', 'p', b'', 1000)
+        ServiceCall(f'r{number}', 'dispatcher', 'p', b'', 1000)
         for number in range(count)
     ]
     context.calls = [context.server.begin_call(call, 0) for call in calls]
--- a/waxwingford_standins/tests/platform_steps.py
+++ b/waxwingford_standins/tests/platform_steps.py
@@ -89,7 +89,9 @@
 @when('VM "{server_id}" is "{state}" on the platform')
 def vm_is(context, server_id, state):
     size = Resources(1, 1)
-    vm = Vm(server_id, 'd', 'r', 'h', 1, VmState(state), size, 1, 1, 'desk')
+    vm = Vm(
+        server_id, 'd', 'r', 'h', 1, VmState(state), size, 1, 1, 'dispatcher'
+    )
     context.vms.heartbeat(vm, context.clock.monotonic_ms())
 
 
--- a/waxwingford_standins/tests/server_changes_steps.py
+++ b/waxwingford_standins/tests/server_changes_steps.py
@@ -56,9 +56,9 @@
 def changing_server(context, one, other):
     vm = Vm(
         's0', 'g', 'r', '127.0.0.1', 1, VmState.live,
-        Resources(8000, 8000), 8, 8, 'desk',
+        Resources(8000, 8000), 8, 8, 'dispatcher',
     )  # fmt: skip
-    context.core = BackendServerCore(vm, ServiceModel('desk'))
+    context.core = BackendServerCore(vm, ServiceModel('dispatcher'))
     preference = Preference(OwnershipTimes(), 0, 0)
     context.holder = ServerControl(vm, ControlLease(500), preference)
     context.epoch = 0
--- a/waxwingford_standins/trial.py
+++ b/waxwingford_standins/trial.py
@@ -10,7 +10,7 @@
 from waxwingford_standins.backend_server import ServerAudit
 from waxwingford_standins.load import Callers
 from waxwingford_standins.local_run import LocalRun
-from waxwingford_standins.night import DomainLedger, Night, read_ledger
+from waxwingford_standins.night import DomainTracker, Night, read_tracker
 from waxwingford_standins.report import RunReport, make_report, report_text
 
 _POLL_S = 0.2
@@ -56,7 +56,7 @@
         :param seconds: length of the load, for the report.
         :returns: the report.
         """
-        ledgers = await _finish(self._run)
+        trackers = await _finish(self._run)
         switches = self._run.switches
         return make_report(
             self._run.deployment.name,
@@ -64,7 +64,7 @@
             self.callers,
             await read_servers(self._run),
             self.night.submitted,
-            ledgers,
+            trackers,
             _counts_decoder.decode(await switches.platform_audit()),
         )
 
@@ -99,7 +99,7 @@
     return text
 
 
-async def _finish(local_run: LocalRun) -> list[DomainLedger]:
+async def _finish(local_run: LocalRun) -> list[DomainTracker]:
     """Wait until the streams show no open job, with a cap.
 
     :param local_run: where the log is.
@@ -108,13 +108,13 @@
     loop = asyncio.get_running_loop()
     until_s = loop.time() + _FINISH_S
     while True:
-        ledgers = [
-            await read_ledger(local_run, domain.name)
+        trackers = [
+            await read_tracker(local_run, domain.name)
             for domain in local_run.deployment.failure_domains
         ]
-        is_open = any(ledger.state.jobs_by_id for ledger in ledgers)
+        is_open = any(tracker.state.jobs_by_id for tracker in trackers)
         if not is_open or loop.time() > until_s:
-            return ledgers
+            return trackers
         await asyncio.sleep(_POLL_S)
 
 
