Log each event of the time line

Cause: the daemon logged five lines of its own life; leases, bundles, policy and log outages stood in the time line only, which ends with the process. Ruled out: log calls in each part (the same thing said twice). Change: TimeLine tells a listener, which writes one line an event with daemon, incarnation and the task, request or server; what comes with each request or task is logged at debug.

--- a/waxwingford/daemon/_assembly.py
+++ b/waxwingford/daemon/_assembly.py
@@ -12,6 +12,7 @@
     ReaderSetup,
 )
 from waxwingford.daemon._bundle_terms import batch_terms, service_limits
+from waxwingford.daemon._logging import log_event
 from waxwingford.daemon._parts import Parts, own_address
 from waxwingford.daemon._readiness import make_life
 from waxwingford.kernel import SystemClock, load_plugins
@@ -47,6 +48,7 @@
         incarnation,
         clock,
         settings.limits.time_line_events,
+        on_event=log_event,
     )
     metrics = Metrics()
     platform = open_platform(
--- a/waxwingford/daemon/_logging.py
+++ b/waxwingford/daemon/_logging.py
@@ -7,6 +7,7 @@
 import logbook
 
 from waxwingford.settings import Logging
+from waxwingford.timeline import Event
 
 
 class LineFormat:
@@ -74,3 +75,23 @@
     )
     handler.formatter = LineFormat(settings.form, daemon, incarnation)
     return handler
+
+
+_events = logbook.Logger('events')
+#: Kinds of events that come with each request or exchange.
+_FREQUENT = ('request.', 'forward.', 'control.', 'task.')
+
+
+def log_event(event: Event) -> None:
+    """Log an event of the time line, one line each.
+
+    What comes with each request or task is logged at ``debug`` only.
+
+    :param event: the event; its subject names the task, request or server.
+    """
+    about, _, name = event.subject.partition(':')
+    extra = {about: name, 'detail': event.detail}
+    if event.kind.startswith(_FREQUENT):
+        _events.debug(event.kind, extra=extra)
+    else:
+        _events.info(event.kind, extra=extra)
--- a/waxwingford/timeline/_events.py
+++ b/waxwingford/timeline/_events.py
@@ -2,6 +2,7 @@
 
 import collections
 import itertools
+from collections.abc import Callable
 from typing import NamedTuple
 
 from waxwingford.kernel import Clock
@@ -49,7 +50,12 @@
     """Bounded ring of a daemon's events; the oldest fall out, counted."""
 
     def __init__(
-        self, daemon: str, incarnation: str, clock: Clock, capacity: int
+        self,
+        daemon: str,
+        incarnation: str,
+        clock: Clock,
+        capacity: int,
+        on_event: Callable[[Event], None] | None = None,
     ) -> None:
         """Start an empty ring.
 
@@ -57,10 +63,12 @@
         :param incarnation: of this process.
         :param clock: source of both times.
         :param capacity: events kept at most.
+        :param on_event: hears of each event, to log it.
         """
         self._daemon = daemon
         self._incarnation = incarnation
         self._clock = clock
+        self._on_event = on_event
         self._sequence = itertools.count(1)
         self._ring: collections.deque[Event] = collections.deque(
             maxlen=capacity
@@ -84,17 +92,18 @@
         event_id = EventId(
             self._daemon, self._incarnation, next(self._sequence)
         )
-        self._ring.append(
-            Event(
-                event_id,
-                self._clock.monotonic_ms(),
-                self._clock.wall_ms(),
-                kind,
-                subject,
-                detail,
-                parent,
-            )
+        event = Event(
+            event_id,
+            self._clock.monotonic_ms(),
+            self._clock.wall_ms(),
+            kind,
+            subject,
+            detail,
+            parent,
         )
+        self._ring.append(event)
+        if self._on_event is not None:
+            self._on_event(event)
         return event_id
 
     def since(self, sequence: int) -> list[Event]:
