--- a/waxwingford/routing/_dispatcher.py
+++ b/waxwingford/routing/_dispatcher.py
@@ -241,7 +241,7 @@
         metrics = self._ports.metrics
         metrics.count('requests_total', service=service, outcome=kind)
         elapsed_ms = self._now_ms() - began_ms
-        metrics.latency('request', elapsed_ms, service=service)
+        metrics.latency('request', elapsed_ms, service=service, outcome=kind)
         if isinstance(outcome, Unknown):
             self._ports.time_line.note(
                 'request.unknown',
