Note a forward once, and remove what nothing calls

Cause: a reading of the whole change. Each forward was noted twice in the sending daemon (request.forwarded by the router, forward.sent by the link), on a hot path and in a bounded ring; three methods had no caller. Change: the link alone notes a forward: forward.sent, or forward.not_sent where no connection could be made (only the router's event showed that before). Membership.newest_bundle_version, the colocation model's predict and the stand-in log's stream_names are gone. Requests are served as before.

--- a/waxwingford/colocation/_model.py
+++ b/waxwingford/colocation/_model.py
@@ -175,18 +175,6 @@
             return Term(self._expected_effect(kind), PRIORS.effect_variance)
         return _total(levels.weighted(band_shares(load), 1))
 
-    def predict(self, setting: Setting) -> float:
-        """Predict a service in a setting.
-
-        :param setting: the service and the work beside it.
-        :returns: logarithm of its 99th percentile in milliseconds.
-        """
-        service, load = setting.service, setting.load
-        return self.base(setting.server_id, service, load).mean + sum(
-            units * self.effect(service, kind, load).mean
-            for kind, units in setting.units_by_kind.items()
-        )
-
     def learn(self, setting: Setting, p99_ms: float, trust: float) -> None:
         """Learn from what was measured in a setting.
 
--- a/waxwingford/peers/_links.py
+++ b/waxwingford/peers/_links.py
@@ -92,12 +92,15 @@
         :param timeout_ms: longest wait, in milliseconds.
         :returns: the peer's outcome, or what can be said without one.
         """
+        subject = f'request:{request.request_id}'
         if not await self._connected():
+            self._time_line.note(
+                'forward.not_sent', subject, self.address.daemon_id
+            )
             return Refused(
                 f'no connection to {self.address.daemon_id}', _COME_BACK_MS
             )
         message = _convert.request_to_wire(request)
-        subject = f'request:{request.request_id}'
         sent = self._time_line.note(
             'forward.sent', subject, self.address.daemon_id
         )
--- a/waxwingford/peers/_membership.py
+++ b/waxwingford/peers/_membership.py
@@ -136,16 +136,6 @@
         heard = self._heard_by_id.get(daemon_id)
         return heard.distance_ms if heard else 0
 
-    def newest_bundle_version(self) -> int:
-        """Find the newest bundle version that any peer spoke of.
-
-        :returns: the version, 0 if none.
-        """
-        return max(
-            (heard.beat.bundle_version for heard in self._heard_by_id.values()),
-            default=0,
-        )
-
     def _view(
         self, daemon_id: str, failure_domain: str, now_ms: int
     ) -> PeerView:
--- a/waxwingford/routing/_router.py
+++ b/waxwingford/routing/_router.py
@@ -198,9 +198,6 @@
         self, peer_id: str, request: Request, left_ms: int
     ) -> CallOutcome | Rejected:
         self.peer_table.forwarded(peer_id, request.service)
-        self._ports.time_line.note(
-            'request.forwarded', f'request:{request.request_id}', peer_id
-        )
         outcome = await self._ports.peers.forward(
             peer_id,
             dataclasses.replace(request, deadline_ms=left_ms),
--- a/waxwingford_standins/platform_log.py
+++ b/waxwingford_standins/platform_log.py
@@ -163,13 +163,6 @@
         if kept is not None:
             _drop(kept, before_offset - kept.first)
 
-    def stream_names(self) -> list[str]:
-        """List streams that were ever written to.
-
-        :returns: names in order.
-        """
-        return sorted(self._stream_by_name)
-
     def _refusal(self, payload: bytes, now_ms: int) -> AppendRefused | None:
         if len(payload) > _MAX_PAYLOAD_BYTES:
             return AppendRefused(TOO_LARGE, _TOO_LARGE_RETRY_MS)
