--- a/waxwingford/colocation/__init__.py
+++ b/waxwingford/colocation/__init__.py
@@ -11,12 +11,15 @@
 )
 from waxwingford.colocation._learned import LearnedPolicy
 from waxwingford.colocation._mechanisms import Mechanisms
+from waxwingford.colocation._model import InterferenceModel, Setting
 
 __all__ = (
     'BestFitPolicy',
     'EvictAtOncePolicy',
+    'InterferenceModel',
     'LearnedPolicy',
     'LeastLoadedPolicy',
     'Mechanisms',
     'RandomPolicy',
+    'Setting',
 )
--- a/waxwingford/commands/settings_files.py
+++ b/waxwingford/commands/settings_files.py
@@ -6,6 +6,8 @@
 from waxwingford.commands._output import add_json, show
 from waxwingford.settings import (
     SettingsInvalid,
+    is_for_scheduler,
+    load_scheduler_settings,
     load_settings,
     settings_page,
 )
@@ -17,7 +19,10 @@
 
 
 def _check(args: Namespace) -> ExitCode:
-    loaded = load_settings(args.file)
+    if is_for_scheduler(args.file):
+        loaded = load_scheduler_settings(args.file)
+    else:
+        loaded = load_settings(args.file)
     if isinstance(loaded, SettingsInvalid):
         problems = [problem._asdict() for problem in loaded.problems]
         text = '\n'.join(map(str, loaded.problems))
--- /dev/null
+++ b/waxwingford/platform/_adapter.py
@@ -0,0 +1,130 @@
+"""The adapter as the product sees it: ports and a server for clients."""
+
+import asyncio
+from collections.abc import Callable
+
+import logbook
+import msgspec
+from aiohttp import web
+
+from waxwingford.platform._calls import Calls
+from waxwingford.platform._entry import Desk, Entry
+from waxwingford.platform._records import (
+    decode_configuration,
+    decode_registration,
+)
+from waxwingford.platform._store import PlatformLog
+from waxwingford.platform._workers import PlatformWorkers
+from waxwingford.scheduling import ServerEntry, Terms
+from waxwingford.shard import CaughtUp, Mirror, scheduler_platforms
+
+#: Longest wait for a new configuration, in ms: a connection that went silent
+#: is noticed soon after, within the time in which it must be in force.
+CONFIG_WAIT_MS = 500
+#: Pause after a read that failed, in seconds.
+FAILED_PAUSE_S = 0.1
+_CONFIG_TOPIC = 'op'
+_CONFIG_KEY = 'config'
+_SERVERS_TOPIC = 'servers'
+
+_log = logbook.Logger('platform')
+
+
+class UsersPlatform:
+    """Ports to the platform, and the entry of its clients."""
+
+    def __init__(self, store_address: str) -> None:
+        """Prepare; no connection is opened yet.
+
+        :param store_address: of the platform's store, IP number and port.
+        """
+        self._calls = Calls()
+        self.log = PlatformLog(self._calls, store_address)
+        self.runners = PlatformWorkers(self._calls)
+        self._servers = Mirror(self.log, _SERVERS_TOPIC)
+        self._entry: Entry | None = None
+        self._runner: web.ServerRunner | None = None
+
+    async def entries(self) -> tuple[ServerEntry, ...] | None:
+        """Read the registrations of all backend servers.
+
+        :returns: them, ``None`` if the store can't be read.
+        """
+        if not isinstance(await self._servers.catch_up(), CaughtUp):
+            return None
+        found = map(_entry_of, self._servers.payload_by_key.items())
+        return tuple(entry for entry in found if entry is not None)
+
+    async def follow_terms(
+        self, apply: Callable[[Terms], None], failed: Callable[[], None]
+    ) -> None:
+        """Follow the configuration for ever.
+
+        :param apply: takes each one, never an older one.
+        :param failed: called when it can't be read.
+        """
+        mirror = Mirror(self.log, _CONFIG_TOPIC)
+        version = -1
+        while True:
+            read = await mirror.catch_up(CONFIG_WAIT_MS)
+            if not isinstance(read, CaughtUp):
+                failed()
+                await asyncio.sleep(FAILED_PAUSE_S)
+                continue
+            raw = mirror.payload_by_key.get(_CONFIG_KEY)
+            if raw is None:
+                await asyncio.sleep(FAILED_PAUSE_S)
+                continue
+            configuration = decode_configuration(raw)
+            if configuration.terms.version > version:
+                version = configuration.terms.version
+                self._entry.configuration = configuration
+                _log.info('configuration', extra={'version': version})
+            apply(configuration.terms)
+
+    async def serve(self, desk: Desk, endpoint: str) -> None:
+        """Answer clients.
+
+        :param desk: does what they ask.
+        :param endpoint: IP number and port to listen at.
+        """
+        self._entry = Entry(desk)
+        self._runner = web.ServerRunner(
+            web.Server(self._entry.handle, access_log=None)
+        )
+        await self._runner.setup()
+        host, port = endpoint.rsplit(':', 1)
+        await web.TCPSite(self._runner, host, int(port)).start()
+
+    def begin_closing(self) -> None:
+        """Close each connection of a client after its next answer."""
+        if self._entry is not None:
+            self._entry.closing = True
+
+    async def close(self) -> None:
+        """Finish open requests, then close all connections."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+        await self._calls.close()
+
+
+def _entry_of(item: tuple[str, bytes]) -> ServerEntry | None:
+    server_id, raw = item
+    try:
+        return decode_registration(server_id, raw)
+    except msgspec.MsgspecError as error:
+        _log.warning(
+            'registration not read',
+            extra={'server': server_id, 'reason': error},
+        )
+        return None
+
+
+@scheduler_platforms.register('waxwingford.platform')
+def open_platform(store_address: str) -> UsersPlatform:
+    """Open the adapter.
+
+    :param store_address: of the platform's store, IP number and port.
+    :returns: the adapter.
+    """
+    return UsersPlatform(store_address)
--- /dev/null
+++ b/waxwingford/platform/_workers.py
@@ -0,0 +1,210 @@
+"""Orders to the platform's workers, which are backend servers here."""
+
+from http import HTTPStatus
+
+import msgspec
+
+from waxwingford.platform._calls import Answer, Calls
+from waxwingford.scheduling import (
+    Address,
+    Denial,
+    EndKind,
+    EndReport,
+    Looked,
+    LookOrder,
+    LookOutcome,
+    OrderDenied,
+    OrderOutcome,
+    OrderTaken,
+    OrderUnknown,
+    RunKey,
+    RunningReport,
+    ServerReplaced,
+    StartOrder,
+    TaskKey,
+)
+
+#: Time for an order, in seconds: a server answers within some ms; what takes
+#: longer is looked for by what the server lists.
+ORDER_TIMEOUT_S = 0.6
+#: Time for a look beyond the time that the server may wait, in seconds.
+LOOK_TIMEOUT_S = 0.8
+_MS_IN_S = 1000
+_DENIAL_BY_REASON = {
+    'fence': Denial.fenced,
+    'old': Denial.superseded,
+    'late': Denial.too_late,
+    'room': Denial.no_room,
+    'ticket': Denial.no_ticket,
+}
+
+
+class _OrderBody(msgspec.Struct, rename='kebab'):
+    clock_ms: int = 0
+    reason: str = ''
+
+
+class _LookBody(msgspec.Struct, rename='kebab'):
+    clock_ms: int
+    # Rows of task, run, checkpoint, percent and a figure of its last half
+    # second, the tail in ms or the cpu in use.
+    running: list[list[str | float | int | None]]
+    # Rows of number, task, run, how it ended, checkpoint.
+    ended_runs: list[list[str | int | None]]
+
+
+_order_decoder = msgspec.json.Decoder(_OrderBody)
+_look_decoder = msgspec.json.Decoder(_LookBody)
+
+
+class PlatformWorkers:
+    """Way to all workers of the platform."""
+
+    def __init__(self, calls: Calls) -> None:
+        """Use connections.
+
+        :param calls: to make calls with.
+        """
+        self._calls = calls
+
+    async def start(self, address: Address, order: StartOrder) -> OrderOutcome:
+        """Start a run, once.
+
+        :param address: which server.
+        :param order: what to run.
+        :returns: what is known of it.
+        """
+        content = {
+            'task': str(order.run.task),
+            'run-id': order.run.run,
+            'spec': order.payload,
+            'deadline-ms': order.lease_until_ms,
+            'fence': order.fencing_token,
+        }
+        if order.checkpoint:
+            content['last-checkpoint'] = order.checkpoint
+        if order.ticket:
+            content['ticket'] = order.ticket
+        return await self._order(address, '/api/run-start', content)
+
+    async def stop(
+        self, address: Address, run: RunKey, fencing_token: int
+    ) -> OrderOutcome:
+        """Stop a run; one that is not there yet will be refused later.
+
+        :param address: which server.
+        :param run: which run.
+        :param fencing_token: of the shard's owner.
+        :returns: what is known of it.
+        """
+        content = {
+            'task': str(run.task),
+            'run-id': run.run,
+            'fence': fencing_token,
+        }
+        return await self._order(address, '/api/run-stop', content)
+
+    async def pace(
+        self, address: Address, run: RunKey, percent: int, fencing_token: int
+    ) -> OrderOutcome:
+        """Let a run work at a share of its speed.
+
+        :param address: which server.
+        :param run: which run.
+        :param percent: 0 to 100.
+        :param fencing_token: of the shard's owner.
+        :returns: what is known of it.
+        """
+        content = {
+            'task': str(run.task),
+            'run-id': run.run,
+            'percent': percent,
+            'fence': fencing_token,
+        }
+        return await self._order(address, '/api/pace', content)
+
+    async def look(self, address: Address, order: LookOrder) -> LookOutcome:
+        """Extend the lease and see what runs.
+
+        :param address: which server.
+        :param order: lease, forgotten ends, wait.
+        :returns: what the server lists.
+        """
+        content = {'fence': order.fencing_token, 'ack-cursor': order.seen_end}
+        if order.lease_until_ms is not None:
+            content['deadline-ms'] = order.lease_until_ms
+        if order.wait_ms:
+            content['wait-ms'] = order.wait_ms
+        timeout_s = order.wait_ms / _MS_IN_S + LOOK_TIMEOUT_S
+        answer = await self._post(address, '/api/hold', content, timeout_s)
+        if not isinstance(answer, Answer):
+            return answer
+        body = _look_decoder.decode(answer.body)
+        return Looked(
+            body.clock_ms,
+            tuple(map(_running, body.running)),
+            tuple(map(_ended, body.ended_runs)),
+        )
+
+    async def _order(
+        self, address: Address, path: str, content: dict[str, object]
+    ) -> OrderOutcome:
+        answer = await self._post(address, path, content, ORDER_TIMEOUT_S)
+        if not isinstance(answer, Answer):
+            return answer
+        return OrderTaken(_order_decoder.decode(answer.body).clock_ms)
+
+    async def _post(
+        self,
+        address: Address,
+        path: str,
+        content: dict[str, object],
+        timeout_s: float,
+    ) -> Answer | OrderDenied | ServerReplaced | OrderUnknown:
+        headers = {'X-Expect-Instance': address.server_id}
+        outcome = await self._calls.post_json(
+            address.endpoint, path, content, headers, timeout_s
+        )
+        if not isinstance(outcome, Answer):
+            return OrderUnknown(outcome.reason)
+        match outcome.status:
+            case HTTPStatus.OK:
+                return outcome
+            case HTTPStatus.MISDIRECTED_REQUEST:
+                return ServerReplaced()
+            case HTTPStatus.CONFLICT:
+                reason = _order_decoder.decode(outcome.body).reason
+                return OrderDenied(
+                    _DENIAL_BY_REASON.get(reason, Denial.invalid)
+                )
+            case HTTPStatus.TOO_MANY_REQUESTS | HTTPStatus.SERVICE_UNAVAILABLE:
+                return OrderDenied(Denial.unhealthy)
+            case HTTPStatus.BAD_REQUEST:
+                return OrderDenied(Denial.invalid)
+            case _:
+                return OrderUnknown(f'status {outcome.status}')
+
+
+def task_key(name: str) -> TaskKey:
+    """Read the name of a task.
+
+    :param name: job, repetition, step and index, joined by dots.
+    :returns: the key.
+    """
+    job_id, occurrence, step, index = name.split('.')
+    return TaskKey(job_id, int(occurrence), int(step), int(index))
+
+
+def _running(row: list) -> RunningReport:
+    task, run, checkpoint, percent, *figures = row
+    figure = figures[0] if figures else 0
+    return RunningReport(
+        RunKey(task_key(task), run), checkpoint or '', percent, figure or 0
+    )
+
+
+def _ended(row: list) -> EndReport:
+    number, task, run, kind, checkpoint = row
+    return EndReport(
+        number, RunKey(task_key(task), run), EndKind(kind), checkpoint or ''
+    )
--- /dev/null
+++ b/waxwingford/scheduler/__init__.py
@@ -0,0 +1,1 @@
+"""The scheduler daemon: assembly, life cycle, logs, readiness."""
--- /dev/null
+++ b/waxwingford/scheduler/_daemon.py
@@ -0,0 +1,131 @@
+"""Life of a scheduler daemon: start, readiness, planned stop."""
+
+import asyncio
+import signal
+
+import logbook
+
+from waxwingford.kernel import load_plugins
+from waxwingford.scheduler._readiness import Readiness
+from waxwingford.scheduling import Terms
+from waxwingford.settings import SchedulerSettings
+from waxwingford.shard import (
+    Owner,
+    OwnerPorts,
+    OwnerSettings,
+    ShardMember,
+    scheduler_platforms,
+    serve_queries,
+)
+
+#: Leases are this much shorter than the longest that servers grant, in ms, so
+#: that a lease that was sent is never cut by the server.
+LEASE_MARGIN_MS = 1000
+#: Time without any answer of the store after which callers had better go to
+#: another daemon, in seconds.
+STORE_LOST_S = 1.5
+#: Time after a stop is asked for in which requests still come in, in seconds:
+#: the balancer asks for readiness each second and acts on the second miss.
+STOP_LINGER_S = 2.6
+#: Share of the grace period that a planned stop may take.
+GRACE_SHARE = 0.75
+_MS_IN_S = 1000
+
+_log = logbook.Logger('daemon')
+
+
+class SchedulerDaemon:
+    """One daemon: callers' entry, part of the shard, readiness."""
+
+    def __init__(self, settings: SchedulerSettings) -> None:
+        """Assemble.
+
+        :param settings: checked.
+        """
+        load_plugins([settings.store.adapter])
+        open_platform = scheduler_platforms.get(settings.store.adapter)
+        self._settings = settings
+        self._platform = open_platform(settings.store.address)
+        self._member = ShardMember(self._platform.log, self._make_owner)
+        self._readiness = Readiness(self._missing)
+        self._stopping = asyncio.Event()
+        self._terms_seen_s: float = 0
+        self._store_lost = False
+
+    async def run(self) -> None:
+        """Run until stopped by SIGTERM or SIGINT."""
+        loop = asyncio.get_running_loop()
+        for name in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(name, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        listen = self._settings.listen
+        await self._readiness.serve(listen.readiness)
+        queries = await serve_queries(
+            self._member, listen.host, listen.peers_port
+        )
+        await self._platform.serve(self._member, listen.callers)
+        works = [
+            asyncio.create_task(
+                self._platform.follow_terms(self._configure, self._not_read)
+            ),
+            asyncio.create_task(self._member.stand_by()),
+        ]
+        _log.info('started', extra={'store': self._settings.store.address})
+        await self._stopping.wait()
+        await self._stop(works)
+        queries.close()
+
+    async def _stop(self, works: list[asyncio.Task[None]]) -> None:
+        _log.info('stopping')
+        self._platform.begin_closing()
+        await self._member.resign()
+        grace_s = self._settings.bounds.stop_grace_ms / _MS_IN_S
+        await asyncio.sleep(min(STOP_LINGER_S, grace_s * GRACE_SHARE))
+        await self._platform.close()
+        for work in works:
+            work.cancel()
+        self._member.close()
+        await self._readiness.close()
+        _log.info('stopped')
+
+    def _reload(self) -> None:
+        # What could change while the daemon runs lies in the store.
+        _log.info('settings kept: they are read at the start only')
+
+    def _configure(self, terms: Terms) -> None:
+        self._terms_seen_s = asyncio.get_running_loop().time()
+        if self._store_lost:
+            self._store_lost = False
+            _log.info('store regained', extra={'version': terms.version})
+        if terms.version > self._member.terms.version:
+            self._member.configure(terms)
+
+    def _not_read(self) -> None:
+        lost_s = asyncio.get_running_loop().time() - self._terms_seen_s
+        if lost_s > STORE_LOST_S and not self._store_lost:
+            self._store_lost = True
+            _log.warning('store lost', extra={'for_s': round(lost_s, 1)})
+
+    def _missing(self) -> str:
+        if self._stopping.is_set():
+            return 'stopping'
+        if not self._member.terms.version:
+            return 'no configuration yet'
+        if self._store_lost:
+            return 'the store does not answer'
+        if not self._member.knows_owner:
+            return 'the shard has no owner yet'
+        return ''
+
+    def _make_owner(self, terms: Terms) -> Owner:
+        settings = self._settings
+        listen = settings.listen
+        figures = OwnerSettings(
+            settings.identity.daemon_id,
+            f'{listen.host}:{listen.peers_port}',
+            settings.bounds.longest_lease_ms - LEASE_MARGIN_MS,
+        )
+        ports = OwnerPorts(
+            self._platform.log, self._platform.runners, self._platform
+        )
+        return Owner(figures, ports, terms)
--- /dev/null
+++ b/waxwingford/scheduling/_engine.py
@@ -0,0 +1,285 @@
+"""The scheduler of a shard: events in, records and orders out.
+
+Pure: it reads no clock, opens no connection and is the same in the daemon, in
+virtual time and in randomised tests. The caller stores each batch before it
+sends the starts in it.
+"""
+
+import math
+from collections.abc import Iterable, Iterator
+
+from waxwingford.ports import Resources
+from waxwingford.scheduling._book import Book
+from waxwingford.scheduling._harm import HarmModel
+from waxwingford.scheduling._inheritance import Inheritance
+from waxwingford.scheduling._order_making import OrderMaker
+from waxwingford.scheduling._orders import Batch, Start
+from waxwingford.scheduling._pacing import FULL_PERCENT, Pacer
+from waxwingford.scheduling._placing import Placer
+from waxwingford.scheduling._runners import (
+    LookOutcome,
+    OrderOutcome,
+    RunKey,
+)
+from waxwingford.scheduling._servers import Server, ServerEntry
+from waxwingford.scheduling._settle import (
+    BLAME_STUCK,
+    Settler,
+    blame_server,
+)
+from waxwingford.scheduling._specs import JobSpec, Terms
+from waxwingford.scheduling._state import Job, JobPhase, Run, RunPhase, Step
+from waxwingford.scheduling._stops import Stopper
+
+#: A run whose progress stands still this long is given up, in ms. Progress is
+#: listed in percent, and the shortest tasks take some hundred ms.
+STUCK_MS = 2500
+#: The same for a task that fills: it may be starved for a while.
+STUCK_FILL_MS = 6000
+#: The same for a lasting task that is not at work, in ms.
+STUCK_LASTING_MS = 4000
+#: Progress of a lasting task that is at work.
+AT_WORK_PERCENT = 100
+_NOTHING = Resources(0, 0, 0)
+
+
+class Engine:
+    """Decides for one shard under one fencing token.
+
+    :ivar book: state of the shard.
+    :ivar orders: makes orders.
+    :ivar inheritance: what the rows of a former owner say.
+    """
+
+    def __init__(
+        self, token: int, lease_ms: int, inherited_until_ms: int
+    ) -> None:
+        """Start empty.
+
+        :param token: fencing token of this owner.
+        :param lease_ms: length of the leases given to servers.
+        :param inherited_until_ms: steady time at which every lease that a
+            former owner gave is over.
+        """
+        self.book = Book()
+        self.orders = OrderMaker(self.book, token, lease_ms)
+        self.inheritance = Inheritance(self.book)
+        self._inherited_until_ms = inherited_until_ms
+        self._settler = Settler(self.book)
+        self._stopper = Stopper(self.book)
+        self._harm = HarmModel()
+        self._placer = Placer(self.book, self._harm)
+        self._pacer = Pacer(self.book, self._harm)
+        self._cancelled: set[str] = set()
+        self._stirred: dict[str, Job] = {}
+        self._timed_by_id: dict[str, Job] = {}
+
+    def submit(self, spec: JobSpec, now_ms: int) -> bool:
+        """Take a stored job in.
+
+        :param spec: as submitted.
+        :param now_ms: steady time.
+        :returns: whether it is new.
+        """
+        if not self.book.submit(spec, now_ms):
+            return False
+        job = self.book.job_by_id[spec.job_id]
+        self._stirred[spec.job_id] = job
+        if spec.times:
+            self._timed_by_id[spec.job_id] = job
+        if spec.job_id in self._cancelled:
+            self.cancel(spec.job_id)
+        return True
+
+    def cancel(self, job_id: str) -> None:
+        """Apply a stored cancelling.
+
+        :param job_id: which job; it may become known later.
+        """
+        job = self.book.job_by_id.get(job_id)
+        if job is None:
+            if job_id not in self.book.end_by_job:
+                self._cancelled.add(job_id)
+            return
+        self._cancelled.discard(job_id)
+        self.book.finish(job, JobPhase.cancelled)
+
+    def configure(self, terms: Terms) -> None:
+        """Put a configuration in force, unless a newer one is.
+
+        :param terms: the configuration.
+        """
+        if terms.version >= self.book.terms.version:
+            self.book.terms = terms
+
+    def inherit(self, now_ms: int) -> None:
+        """Take over what the rows of the store say.
+
+        :param now_ms: steady time.
+        """
+        self.inheritance.apply(now_ms)
+        self._stirred.update(self.book.job_by_id)
+
+    def register(self, entries: Iterable[ServerEntry], now_ms: int) -> None:
+        """Take the newest registrations of backend servers.
+
+        :param entries: all that are registered.
+        :param now_ms: steady time.
+        """
+        entry_by_id = {entry.server_id: entry for entry in entries}
+        for server_id, entry in entry_by_id.items():
+            server = self.book.server_by_id.get(server_id)
+            if server is None:
+                self._add(entry, now_ms)
+            else:
+                server.entry = entry
+                server.listed = True
+        for server_id, server in self.book.server_by_id.items():
+            server.listed = server_id in entry_by_id
+        for server_id in list(self.inheritance.orphans_by_server):
+            self._add_unlisted(server_id, now_ms)
+
+    def looked(
+        self, server: Server, sent_ms: int, now_ms: int, outcome: LookOutcome
+    ) -> None:
+        """Apply the answer to a look.
+
+        :param server: which answered.
+        :param sent_ms: when the look was sent, steady time.
+        :param now_ms: steady time.
+        :param outcome: what came back.
+        """
+        self._settler.looked(server, sent_ms, now_ms, outcome)
+        if self._pacer.watches(server) and server.looked_ms == sent_ms:
+            self._harm.learn(server, now_ms)
+            self._pacer.react(server, now_ms)
+
+    def start_answered(
+        self, server: Server, run: Run, now_ms: int, outcome: OrderOutcome
+    ) -> None:
+        """Apply the answer to a start.
+
+        :param server: which answered.
+        :param run: what was to start.
+        :param now_ms: steady time.
+        :param outcome: what came back.
+        """
+        self._settler.start_answered(server, run, now_ms, outcome)
+
+    def stop_answered(
+        self, server: Server, key: RunKey, now_ms: int, outcome: OrderOutcome
+    ) -> None:
+        """Apply the answer to a stop.
+
+        :param server: which answered.
+        :param key: what was to stop.
+        :param now_ms: steady time.
+        :param outcome: what came back.
+        """
+        self._settler.stop_answered(server, key, now_ms, outcome)
+
+    def decide(self, now_ms: int, wall_ms: int) -> None:
+        """Settle, release, place and order whatever can be now.
+
+        :param now_ms: steady time.
+        :param wall_ms: Unix time, for jobs that are due at a time.
+        """
+        for server in list(self.book.server_by_id.values()):
+            self._tend(server, now_ms)
+        due = {**self._stirred, **self._timed_by_id}
+        self._stirred = {}
+        for job in due.values():
+            self._placer.release(job, now_ms, wall_ms)
+        self._placer.place(now_ms)
+
+    def take_batch(self) -> Batch:
+        """Take what has to be stored.
+
+        :returns: rows, and what may be done once they are stored.
+        """
+        batch = self.book.take_batch()
+        batch.payload_by_key.update(self.book.forget_ended())
+        return batch
+
+    def stored(self, batch: Batch) -> list[Start]:
+        """Note that a batch is stored.
+
+        :param batch: which.
+        :returns: starts to send now.
+        """
+        for job, _ in batch.shown:
+            self._stirred[job.spec.job_id] = job
+        return self.book.stored(batch)
+
+    def watched(self, server: Server) -> bool:
+        """Tell whether a server's figures are needed often.
+
+        :param server: which.
+        :returns: whether tasks serve there beside others that fill.
+        """
+        return self._pacer.watches(server)
+
+    def _add(self, entry: ServerEntry, now_ms: int) -> None:
+        server = Server(entry)
+        self.book.server_by_id[entry.server_id] = server
+        if entry.server_id in self.inheritance.orphans_by_server:
+            server.inherited_until_ms = self._inherited_until_ms
+            self.inheritance.adopt(server)
+
+    def _add_unlisted(self, server_id: str, now_ms: int) -> None:
+        entry = ServerEntry(
+            server_id, '', '', '', frozenset(), _NOTHING, draining=True
+        )
+        self._add(entry, now_ms)
+        self.book.server_by_id[server_id].listed = False
+
+    def _tend(self, server: Server, now_ms: int) -> None:
+        unreachable = server.failing_ms is not None or not server.entry.endpoint
+        if server.gone or unreachable:
+            self._settler.drop_lost(server, now_ms)
+        for run, step in _stuck_runs(server):
+            run.stopping = True
+            found = self.book.find(run.key)
+            if found is not None:
+                found[0].avoided.add(server.entry.server_id)
+            if not step.spec.lasting:
+                blame_server(server, BLAME_STUCK, now_ms)
+        if server.entry.draining and server.listed:
+            _move_away(server)
+        self._settler.drop_unsent(server, now_ms)
+        self._stopper.order_due(server, now_ms)
+        if not server.listed and not server.run_by_key:
+            self.book.server_by_id.pop(server.entry.server_id, None)
+
+
+def _stuck_runs(server: Server) -> Iterator[tuple[Run, Step]]:
+    """List the runs whose progress stands still.
+
+    :param server: where.
+    :returns: runs with their steps.
+    """
+    for key, run in server.run_by_key.items():
+        step = server.step_by_run[key]
+        waits = run.stopping or run.pace < FULL_PERCENT
+        if run.phase is RunPhase.present and not waits:
+            if server.looked_ms - run.moved_ms > _patience_ms(run, step):
+                yield run, step
+
+
+def _patience_ms(run: Run, step: Step) -> float:
+    if step.spec.lasting:
+        at_work = run.percent >= AT_WORK_PERCENT
+        return math.inf if at_work else STUCK_LASTING_MS
+    return STUCK_FILL_MS if step.spec.fills else STUCK_MS
+
+
+def _move_away(server: Server) -> None:
+    """Stop what can go on elsewhere before a draining server leaves.
+
+    Left alone, it would end when the server exits, which shows only when the
+    lease is over: seconds in which a lasting task is away.
+    """
+    for key, run in server.run_by_key.items():
+        spec = server.step_by_run[key].spec
+        if run.phase is RunPhase.present and (spec.lasting or spec.saves):
+            run.stopping = True
--- /dev/null
+++ b/waxwingford/scheduling/_inheritance.py
@@ -0,0 +1,76 @@
+"""What a new owner takes over from the rows of its predecessor."""
+
+import collections
+
+from waxwingford.scheduling._book import Book, steps_of
+from waxwingford.scheduling._rows import (
+    ENDED_PREFIX,
+    apply_step,
+    decode_end,
+    step_name,
+)
+from waxwingford.scheduling._servers import Server
+from waxwingford.scheduling._state import Job, JobPhase, Run, Step
+
+
+class Inheritance:
+    """Rows of the store on their way into a book.
+
+    :ivar orphans_by_server: recorded runs on servers that aren't known yet.
+    """
+
+    def __init__(self, book: Book) -> None:
+        """Work on a book.
+
+        :param book: of the shard.
+        """
+        self.orphans_by_server: dict[str, list[tuple[Run, Step]]] = (
+            collections.defaultdict(list)
+        )
+        self._book = book
+        self._row_by_key: dict[str, bytes] = {}
+
+    def restore(self, payload_by_key: dict[str, bytes]) -> None:
+        """Keep the rows of the store for the jobs that are still to come.
+
+        :param payload_by_key: newest rows by key.
+        """
+        for key, raw in payload_by_key.items():
+            if key.startswith(ENDED_PREFIX):
+                job_id = key.removeprefix(ENDED_PREFIX)
+                self._book.end_by_job[job_id] = decode_end(raw)
+            else:
+                self._row_by_key[key] = raw
+
+    def apply(self, now_ms: int) -> None:
+        """Put the kept rows into their jobs, once all jobs are known.
+
+        :param now_ms: steady time.
+        """
+        for key, raw in self._row_by_key.items():
+            name = step_name(key)
+            job = self._book.job_by_id.get(name.job_id)
+            if job is not None:
+                apply_step(job, name, raw, now_ms)
+                job.shown = JobPhase.running
+        self._row_by_key.clear()
+        for job in self._book.job_by_id.values():
+            self._find_orphans(job)
+
+    def adopt(self, server: Server) -> None:
+        """Give a server the runs that are recorded on it.
+
+        :param server: just found.
+        """
+        for run, step in self.orphans_by_server.pop(server.entry.server_id, ()):
+            server.add(run, step)
+
+    def _find_orphans(self, job: Job) -> None:
+        for step in steps_of(job):
+            runs = (
+                run
+                for task in step.tasks
+                for run in task.run_by_number.values()
+            )
+            for run in runs:
+                self.orphans_by_server[run.server_id].append((run, step))
--- /dev/null
+++ b/waxwingford/scheduling/_order_making.py
@@ -0,0 +1,62 @@
+"""Orders with their lease and fencing token."""
+
+from waxwingford.scheduling._book import Book
+from waxwingford.scheduling._runners import LookOrder, StartOrder
+from waxwingford.scheduling._servers import Server
+from waxwingford.scheduling._state import Run, RunPhase
+
+
+class OrderMaker:
+    """Makes the orders of one owner.
+
+    :ivar token: fencing token of the owner.
+    """
+
+    def __init__(self, book: Book, token: int, lease_ms: int) -> None:
+        """Work on a book.
+
+        :param book: of the shard.
+        :param token: fencing token of the owner.
+        :param lease_ms: length of the leases given to servers.
+        """
+        self.token = token
+        self._book = book
+        self._lease_ms = lease_ms
+
+    def look(
+        self, server: Server, now_ms: int, wait_ms: int, extend: bool
+    ) -> LookOrder:
+        """Make a look at a server.
+
+        :param server: which.
+        :param now_ms: steady time.
+        :param wait_ms: how long the server may wait for an end.
+        :param extend: whether the lease is extended.
+        :returns: the order.
+        """
+        lease_until_ms = None
+        if extend and server.run_by_key and server.clock_ahead_ms is not None:
+            lease_until_ms = server.lease_for(now_ms, self._lease_ms)
+        return LookOrder(self.token, server.seen_end, lease_until_ms, wait_ms)
+
+    def start(self, run: Run, now_ms: int) -> StartOrder | None:
+        """Make the order of a start whose record is stored.
+
+        :param run: what to start.
+        :param now_ms: steady time.
+        :returns: the order, ``None`` if the run is no longer wanted.
+        """
+        server = self._book.server_by_id.get(run.server_id)
+        job = self._book.job_by_id.get(run.key.task.job_id)
+        if server is None or job is None or run.stopping:
+            return None
+        if run.key not in server.run_by_key or server.gone:
+            return None
+        run.enter(RunPhase.sent, now_ms)
+        return StartOrder(
+            run.key,
+            job.spec.payload,
+            server.lease_for(now_ms, self._lease_ms),
+            self.token,
+            run.checkpoint,
+        )
--- /dev/null
+++ b/waxwingford/scheduling/_placing.py
@@ -0,0 +1,276 @@
+"""Choice of a backend server for each task that waits."""
+
+import math
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from waxwingford.ports import Resources, fits_resources
+from waxwingford.scheduling._book import Book
+from waxwingford.scheduling._harm import HarmModel, serving_runs, units_of
+from waxwingford.scheduling._runners import RunKey
+from waxwingford.scheduling._servers import Server
+from waxwingford.scheduling._specs import QueueTerms
+from waxwingford.scheduling._state import Job, Run, RunPhase, Step, Task
+
+#: Costs of a server, in units of its whole cpu: it is away from the task's
+#: data; the task failed there before; it is blamed for a failure; a fill
+#: would bring a tail by a factor of e over what is safe; it serves no task of
+#: the same image yet, so that one more image would be harmed by fills there.
+AWAY_COST = 0.5
+AVOIDED_COST = 4.0
+BLAME_COST = 0.5
+HARM_COST = 6.0
+OTHER_IMAGE_COST = 0.3
+#: Share of its target that is safe for a tail.
+SAFE_SHARE = 0.6
+#: Share of its cpu that a task is taken to use; fills get the rest.
+USE_SHARE = 0.6
+#: Weight of the cpu that fills ask for in the choice for other tasks.
+FILL_WEIGHT = 0.15
+#: Starts that are not answered yet, on one server at most: its answers come
+#: one after the other, and a server that stalls must not take many tasks.
+MOST_UNANSWERED = 12
+
+
+class Waiting(NamedTuple):
+    """A task that waits, with what decides its turn.
+
+    :ivar order: lower comes first.
+    :ivar task: the task.
+    :ivar step: its step.
+    :ivar queue: terms of its queue.
+    """
+
+    order: tuple[int, int, int, int]
+    task: Task
+    step: Step
+    queue: QueueTerms
+
+
+class Placer:
+    """Places waiting tasks of a book on its servers."""
+
+    def __init__(self, book: Book, model: HarmModel) -> None:
+        """Work on a book.
+
+        :param book: of the shard.
+        :param model: of what harms what.
+        """
+        self._book = book
+        self._model = model
+
+    def release(self, job: Job, now_ms: int, wall_ms: int) -> None:
+        """Make the tasks wait for servers whose turn has come.
+
+        :param job: whose.
+        :param now_ms: steady time.
+        :param wall_ms: Unix time, for jobs that are due at a time.
+        """
+        if job.ended is not None:
+            return
+        for occurrence in range(_due(job, wall_ms)):
+            steps = job.begin(occurrence)
+            for step in steps:
+                if step.left and self._turn(step, steps):
+                    self._wait(step, now_ms)
+
+    def place(self, now_ms: int) -> list[Waiting]:
+        """Plan a run of each waiting task for which a server has room.
+
+        :param now_ms: steady time.
+        :returns: tasks that found none, in their order.
+        """
+        usable = [
+            server
+            for server in self._book.server_by_id.values()
+            if _takes_starts(server, now_ms)
+        ]
+        unplaced: list[Waiting] = []
+        full_steps: set[str] = set()
+        for waiting in sorted(self._waiting(now_ms), key=_order):
+            name = waiting.step.name
+            if name in full_steps and not waiting.task.avoided:
+                unplaced.append(waiting)
+                continue
+            server = self._choose(waiting, usable)
+            if server is None:
+                full_steps.add(name)
+                unplaced.append(waiting)
+            else:
+                self.plan(waiting, server, now_ms)
+        return unplaced
+
+    def plan(self, waiting: Waiting, server: Server, now_ms: int) -> None:
+        """Plan a run.
+
+        :param waiting: of this task.
+        :param server: there.
+        :param now_ms: steady time.
+        """
+        task = waiting.task
+        task.last_run += 1
+        key = RunKey(task.key, task.last_run)
+        run = Run(
+            key,
+            server.entry.server_id,
+            RunPhase.planned,
+            now_ms,
+            now_ms,
+            checkpoint=task.checkpoint,
+            moved_ms=now_ms,
+        )
+        task.run_by_number[key.run] = run
+        self._book.ready_by_key.pop(task.key, None)
+        self._book.plan(run, waiting.step)
+
+    def _waiting(self, now_ms: int) -> Iterable[Waiting]:
+        for task in list(self._book.ready_by_key.values()):
+            job = self._book.job_by_id.get(task.key.job_id)
+            if job is None or job.ended is not None:
+                self._book.ready_by_key.pop(task.key, None)
+                continue
+            if task.waits_until_ms > now_ms:
+                continue
+            queue = self._book.queue_of(job)
+            steps = job.steps_by_occurrence[task.key.occurrence]
+            step = steps[task.key.step]
+            order = (
+                queue.priority,
+                int(step.spec.fills),
+                job.known_ms,
+                task.key.index,
+            )
+            yield Waiting(order, task, step, queue)
+
+    def _turn(self, step: Step, steps: list[Step]) -> bool:
+        return not any(
+            steps[index].left for index in step.spec.after if index < len(steps)
+        )
+
+    def _wait(self, step: Step, now_ms: int) -> None:
+        for task in step.tasks:
+            waits = not (task.done or task.run_by_number)
+            if waits and task.key not in self._book.ready_by_key:
+                task.waiting_ms = now_ms
+                self._book.ready_by_key[task.key] = task
+
+    def _choose(self, waiting: Waiting, usable: list[Server]) -> Server | None:
+        step = waiting.step
+        counts = step.per_server() if step.spec.most_per_server else {}
+        most = step.spec.most_per_server or len(step.tasks) + 1
+        fitting = [
+            server
+            for server in usable
+            if server.entry.service == waiting.queue.service
+            and counts.get(server.entry.server_id, 0) < most
+            and _fits(step, server)
+        ]
+        if not fitting:
+            return None
+        return min(
+            fitting, key=lambda server: self._cost(waiting.task, step, server)
+        )
+
+    def _cost(self, task: Task, step: Step, server: Server) -> float:
+        spec = step.spec
+        cost = _crowding(step, server)
+        if spec.near_rack and spec.near_rack not in server.entry.labels:
+            cost += AWAY_COST
+        if server.entry.server_id in task.avoided:
+            cost += AVOIDED_COST
+        cost += BLAME_COST * server.blame
+        if spec.fills:
+            cost += HARM_COST * self._harm(step, server)
+        elif spec.target_ms and not _serves(spec.image, server):
+            cost += OTHER_IMAGE_COST
+        return cost
+
+    def _harm(self, fill: Step, server: Server) -> float:
+        """Predict by how much a fill would bring tails over their share.
+
+        :param fill: step of the fill.
+        :param server: where it would run.
+        :returns: excess of the logarithm, added up over images.
+        """
+        step_by_image = {
+            step.spec.image: step for _, step in serving_runs(server)
+        }
+        units = units_of(fill.spec.needs)
+        total: float = 0
+        for step in step_by_image.values():
+            added = self._model.effect(step, fill) * units
+            if added:
+                share = self._model.log_share(server, step) + added
+                total += max(0, share - math.log(SAFE_SHARE))
+        return total
+
+
+def _due(job: Job, wall_ms: int) -> int:
+    """Count the repetitions of a job that are due.
+
+    :param job: the job.
+    :param wall_ms: Unix time.
+    :returns: the count; 1 for a job without a time.
+    """
+    spec = job.spec
+    if not spec.times:
+        return 1
+    if wall_ms < spec.first_due_ms:
+        return 0
+    past = (wall_ms - spec.first_due_ms) // max(1, spec.every_ms)
+    return min(spec.times, past + 1)
+
+
+def _order(waiting: Waiting) -> tuple[int, int, int, int]:
+    return waiting.order
+
+
+def _takes_starts(server: Server, now_ms: int) -> bool:
+    known = server.looked_ms >= 0 and server.failing_ms is None
+    here = server.listed and not server.entry.draining and not server.gone
+    if not known or not here or server.strangers:
+        return False
+    unanswered = sum(
+        run.phase in {RunPhase.sent, RunPhase.doubtful}
+        for run in server.run_by_key.values()
+    )
+    barred = server.barred_until_ms > now_ms
+    return not barred and unanswered < MOST_UNANSWERED
+
+
+def _needs(step: Step) -> Resources:
+    needs = step.spec.needs
+    return Resources(0, *needs[1:]) if step.spec.fills else needs
+
+
+def _fits(step: Step, server: Server) -> bool:
+    label = step.spec.label
+    if label and label not in server.entry.labels:
+        return False
+    return fits_resources(_needs(step), server.room)
+
+
+def _crowding(step: Step, server: Server) -> float:
+    """Say how crowded a server would be.
+
+    A fill gets what is not in use, so what counts for it is the share of that
+    which all fills together would ask for.
+
+    :param step: what is to be placed.
+    :param server: where.
+    :returns: 0 to 1 while there is enough, more beyond.
+    """
+    needs_milli = step.spec.needs.processors_milli
+    capacity_milli = max(1, server.entry.capacity.processors_milli)
+    if not step.spec.fills:
+        used_milli = server.used.processors_milli + needs_milli
+        return (used_milli + FILL_WEIGHT * server.fill_milli) / capacity_milli
+    idle_milli = capacity_milli - USE_SHARE * server.used.processors_milli
+    return (server.fill_milli + needs_milli) / max(1, idle_milli)
+
+
+def _serves(image: str, server: Server) -> bool:
+    return any(
+        step.spec.target_ms and step.spec.image == image
+        for step in server.step_by_run.values()
+    )
--- /dev/null
+++ b/waxwingford/scheduling/_rows.py
@@ -0,0 +1,165 @@
+"""Rows of the journal: what an owner stores of each step and ended job.
+
+A row holds the whole state of a step that a successor needs, so that the
+newest row of each key is enough to go on. Tasks that never ran are left out.
+"""
+
+from typing import NamedTuple
+
+import msgspec
+
+from waxwingford.scheduling._runners import RunKey
+from waxwingford.scheduling._specs import JobSpec
+from waxwingford.scheduling._state import (
+    Job,
+    JobPhase,
+    Run,
+    RunPhase,
+    Step,
+    Task,
+)
+
+#: Prefix of keys that hold the end of a job; steps begin with the job's id.
+ENDED_PREFIX = 'ended/'
+
+
+class _TaskRow(msgspec.Struct, array_like=True, omit_defaults=True):
+    index: int
+    last_run: int
+    failures: int
+    done: bool
+    checkpoint: str = ''
+    runs: tuple[tuple[int, str], ...] = ()
+
+
+_rows_encoder = msgspec.msgpack.Encoder()
+_rows_decoder = msgspec.msgpack.Decoder(list[_TaskRow])
+_spec_decoder = msgspec.msgpack.Decoder(JobSpec)
+
+
+class StepName(NamedTuple):
+    """Parts of a step's key.
+
+    :ivar job_id: its job.
+    :ivar occurrence: which repetition.
+    :ivar index: of the step in the job.
+    """
+
+    job_id: str
+    occurrence: int
+    index: int
+
+
+def step_name(key: str) -> StepName:
+    """Take the key of a step's row apart.
+
+    :param key: as ``Step.name`` wrote it.
+    :returns: its parts.
+    """
+    job_id, occurrence, index = key.rsplit('.', 2)
+    return StepName(job_id, int(occurrence), int(index))
+
+
+def encode_spec(spec: JobSpec) -> bytes:
+    """Write a job for the store.
+
+    :param spec: as submitted.
+    :returns: its bytes.
+    """
+    return _rows_encoder.encode(spec)
+
+
+def decode_spec(raw: bytes) -> JobSpec:
+    """Read a job from the store.
+
+    :param raw: as ``encode_spec`` wrote it.
+    :returns: the job.
+    """
+    return _spec_decoder.decode(raw)
+
+
+def encode_step(step: Step) -> bytes:
+    """Write a step's row.
+
+    :param step: the step.
+    :returns: its bytes.
+    """
+    return _rows_encoder.encode(
+        [_task_row(task) for task in step.tasks if task.last_run]
+    )
+
+
+def _task_row(task: Task) -> _TaskRow:
+    runs = tuple(
+        (number, run.server_id) for number, run in task.run_by_number.items()
+    )
+    return _TaskRow(
+        task.key.index,
+        task.last_run,
+        task.failures,
+        task.done,
+        task.checkpoint,
+        runs,
+    )
+
+
+def apply_step(job: Job, name: StepName, raw: bytes, now_ms: int) -> None:
+    """Put a step's row into the state of its job.
+
+    :param job: the job.
+    :param name: which step.
+    :param raw: the row.
+    :param now_ms: steady time, from when inherited runs are counted.
+    """
+    step = job.begin(name.occurrence)[name.index]
+    for row in _rows_decoder.decode(raw):
+        task = step.tasks[row.index]
+        task.last_run = row.last_run
+        task.failures = row.failures
+        task.done = row.done
+        task.checkpoint = row.checkpoint
+        task.run_by_number = {
+            number: Run(
+                RunKey(task.key, number),
+                server_id,
+                RunPhase.inherited,
+                now_ms,
+                now_ms,
+                checkpoint=row.checkpoint,
+                moved_ms=now_ms,
+            )
+            for number, server_id in row.runs
+        }
+        job.started = True
+    step.left = sum(not task.done for task in step.tasks)
+
+
+def encode_end(phase: JobPhase) -> bytes:
+    """Write the end of a job.
+
+    :param phase: final phase.
+    :returns: its bytes.
+    """
+    return phase.value.encode()
+
+
+def decode_end(raw: bytes) -> JobPhase:
+    """Read the end of a job.
+
+    :param raw: as ``encode_end`` wrote it.
+    :returns: final phase.
+    """
+    return JobPhase(raw.decode())
+
+
+__all__ = (
+    'ENDED_PREFIX',
+    'StepName',
+    'apply_step',
+    'decode_end',
+    'decode_spec',
+    'encode_end',
+    'encode_spec',
+    'encode_step',
+    'step_name',
+)
--- /dev/null
+++ b/waxwingford/scheduling/_servers.py
@@ -0,0 +1,168 @@
+"""What an owner knows of each backend server."""
+
+import dataclasses
+from typing import NamedTuple
+
+from waxwingford.ports import Resources
+from waxwingford.scheduling._runners import Address, RunKey
+from waxwingford.scheduling._state import Run, Step
+
+#: Slowest and fastest clocks differ by this share: a server's may be 2% slow,
+#: as the platform says, and as much again is allowed for our own.
+CLOCK_DRIFT = 0.04
+
+
+class ServerEntry(NamedTuple):
+    """A backend server as it registered itself.
+
+    :ivar server_id: this incarnation.
+    :ivar endpoint: IP number and port.
+    :ivar service: whose tasks it runs.
+    :ivar failure_domain: where it is.
+    :ivar labels: its kind, its rack and others.
+    :ivar capacity: what it has.
+    :ivar draining: whether it will leave.
+    """
+
+    server_id: str
+    endpoint: str
+    service: str
+    failure_domain: str
+    labels: frozenset[str]
+    capacity: Resources
+    draining: bool
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Server:
+    """A backend server, its runs and its lease.
+
+    :ivar entry: newest registration.
+    :ivar listed: whether it is registered now.
+    :ivar run_by_key: runs that may be present.
+    :ivar step_by_run: steps of those.
+    :ivar used: what they take, fills' cpu left out.
+    :ivar fill_milli: cpu that runs of fills ask for.
+    :ivar clock_ahead_ms: its clock less ours, ``None`` before an answer.
+    :ivar clock_read_ms: when it was read, steady time.
+    :ivar lease_until_ms: longest lease that was sent, on its clock.
+    :ivar taken_end: highest number of an end that was processed.
+    :ivar seen_end: highest number of an end that is stored.
+    :ivar looked_ms: when the newest answered look was sent, -1 for none.
+    :ivar failing_ms: since when looks fail, ``None`` if they don't.
+    :ivar gone: whether another incarnation answered in its place.
+    :ivar inherited_until_ms: leases of a former owner may last until then.
+    :ivar strangers: runs that it lists and nobody here knows.
+    :ivar barred_until_ms: no starts before, steady time.
+    :ivar blame: recent runs that failed or stood still, decaying.
+    """
+
+    entry: ServerEntry
+    listed: bool = True
+    run_by_key: dict[RunKey, Run] = dataclasses.field(default_factory=dict)
+    step_by_run: dict[RunKey, Step] = dataclasses.field(default_factory=dict)
+    used: Resources = Resources(0, 0, 0)
+    fill_milli: int = 0
+    clock_ahead_ms: int | None = None
+    clock_read_ms: int = 0
+    lease_until_ms: int = 0
+    taken_end: int = 0
+    seen_end: int = 0
+    looked_ms: int = -1
+    failing_ms: int | None = None
+    gone: bool = False
+    inherited_until_ms: int = 0
+    strangers: dict[RunKey, int] = dataclasses.field(default_factory=dict)
+    barred_until_ms: int = 0
+    blame: float = 0
+
+    @property
+    def address(self) -> Address:
+        """Say where orders go.
+
+        :returns: incarnation and endpoint.
+        """
+        return Address(self.entry.server_id, self.entry.endpoint)
+
+    @property
+    def room(self) -> Resources:
+        """Work out what is free.
+
+        :returns: capacity less what runs take.
+        """
+        capacity, used = self.entry.capacity, self.used
+        return Resources(
+            capacity.processors_milli - used.processors_milli,
+            capacity.memory_mb - used.memory_mb,
+            capacity.accelerators - used.accelerators,
+        )
+
+    def add(self, run: Run, step: Step) -> None:
+        """Count a run in.
+
+        :param run: the run.
+        :param step: its step.
+        """
+        self.run_by_key[run.key] = run
+        self.step_by_run[run.key] = step
+        self._count(step, 1)
+
+    def remove(self, key: RunKey) -> None:
+        """Count a run out, if it is counted.
+
+        :param key: which.
+        """
+        if self.run_by_key.pop(key, None) is not None:
+            self._count(self.step_by_run.pop(key), -1)
+
+    def read_clock(self, clock_ms: int, now_ms: int) -> None:
+        """Take its clock from an answer.
+
+        :param clock_ms: as the answer said.
+        :param now_ms: steady time at which the answer arrived.
+        """
+        self.clock_ahead_ms = clock_ms - now_ms
+        self.clock_read_ms = now_ms
+
+    def lease_for(self, now_ms: int, length_ms: int) -> int:
+        """Work out the end of a lease and remember the longest.
+
+        :param now_ms: steady time.
+        :param length_ms: of the lease.
+        :returns: its end on the server's clock.
+        """
+        ahead_ms = self.clock_ahead_ms or 0
+        until_ms = now_ms + ahead_ms + length_ms
+        self.lease_until_ms = max(self.lease_until_ms, until_ms)
+        return until_ms
+
+    def lapsed(self, now_ms: int) -> bool:
+        """Tell whether every lease there is surely over.
+
+        Without this proof a task would run twice: a server that is cut off
+        goes on with what it has until its lease ends by its own, perhaps
+        slow, clock.
+
+        :param now_ms: steady time.
+        :returns: whether nothing that was started there can still run.
+        """
+        if self.gone:
+            return True
+        if now_ms < self.inherited_until_ms:
+            return False
+        if self.clock_ahead_ms is None:
+            return True
+        passed_ms = (now_ms - self.clock_read_ms) * (1 - CLOCK_DRIFT)
+        clock_ms = self.clock_read_ms + self.clock_ahead_ms + passed_ms
+        return clock_ms > self.lease_until_ms
+
+    def _count(self, step: Step, sign: int) -> None:
+        needs, used = step.spec.needs, self.used
+        cpu_milli = 0 if step.spec.fills else needs.processors_milli
+        if step.spec.fills:
+            self.fill_milli += sign * needs.processors_milli
+        self.used = Resources(
+            used.processors_milli + sign * cpu_milli,
+            used.memory_mb + sign * needs.memory_mb,
+            used.accelerators + sign * needs.accelerators,
+        )
--- /dev/null
+++ b/waxwingford/scheduling/_settle.py
@@ -0,0 +1,302 @@
+"""What answers and silence of backend servers prove about runs.
+
+A run may be forgotten, and its task started again, only by proof: its end was
+listed; or its server, asked after the run was refused or stopped there, lists
+it neither as running nor as ended; or another incarnation answers in the
+server's place; or every lease that it may have had is over. A guess instead
+of a proof shows as a task that runs in two places at once.
+"""
+
+from waxwingford.scheduling._book import Book
+from waxwingford.scheduling._runners import (
+    Denial,
+    EndKind,
+    EndReport,
+    Looked,
+    LookOutcome,
+    OrderDenied,
+    OrderOutcome,
+    OrderTaken,
+    OrderUnknown,
+    RunKey,
+    RunningReport,
+    ServerReplaced,
+)
+from waxwingford.scheduling._servers import Server
+from waxwingford.scheduling._state import JobPhase, Run, RunPhase, Step, Task
+from waxwingford.scheduling._stops import STOP_AGAIN_MS
+
+#: A task is not placed again this soon after it was refused, in ms.
+REFUSED_PAUSE_MS = 60
+#: A server that refused an order as unhealthy gets no starts for this, in ms.
+UNHEALTHY_BAR_MS = 1500
+#: A server that refused for want of room gets no starts for this, in ms.
+NO_ROOM_BAR_MS = 300
+#: Blame of a server for one failed run and for one that stood still; what is
+#: at or over the threshold bars it for `BLAMED_BAR_MS`.
+BLAME_FAILED = 1.0
+BLAME_STUCK = 2.0
+BLAME_THRESHOLD = 2.5
+BLAMED_BAR_MS = 4000
+#: A run that ended well takes this share of the blame away.
+PRAISE_FACTOR = 0.6
+
+
+class Settler:
+    """Applies answers of servers to the book."""
+
+    def __init__(self, book: Book) -> None:
+        """Work on a book.
+
+        :param book: of the shard.
+        """
+        self._book = book
+
+    def looked(
+        self, server: Server, sent_ms: int, now_ms: int, outcome: LookOutcome
+    ) -> None:
+        """Apply the answer to a look.
+
+        :param server: which answered.
+        :param sent_ms: when the look was sent, steady time.
+        :param now_ms: steady time.
+        :param outcome: what came back.
+        """
+        match outcome:
+            case Looked():
+                self._listed(server, sent_ms, now_ms, outcome)
+            case ServerReplaced():
+                server.gone = True
+                self.drop_lost(server, now_ms)
+            case OrderDenied() | OrderUnknown():
+                if server.failing_ms is None:
+                    server.failing_ms = sent_ms
+
+    def start_answered(
+        self, server: Server, run: Run, now_ms: int, outcome: OrderOutcome
+    ) -> None:
+        """Apply the answer to a start.
+
+        :param server: which answered.
+        :param run: what was to start.
+        :param now_ms: steady time.
+        :param outcome: what came back.
+        """
+        if run.key not in server.run_by_key:
+            return
+        match outcome:
+            case OrderTaken(clock_ms):
+                server.read_clock(clock_ms, now_ms)
+                run.enter(RunPhase.present, now_ms)
+                run.moved_ms = now_ms
+            case OrderDenied(denial):
+                self._refused(server, run, now_ms, denial)
+            case ServerReplaced():
+                server.gone = True
+                self.drop_lost(server, now_ms)
+            case OrderUnknown():
+                run.enter(RunPhase.doubtful, now_ms)
+
+    def stop_answered(
+        self, server: Server, key: RunKey, now_ms: int, outcome: OrderOutcome
+    ) -> None:
+        """Apply the answer to a stop.
+
+        :param server: which answered.
+        :param key: what was to stop.
+        :param now_ms: steady time.
+        :param outcome: what came back.
+        """
+        run = server.run_by_key.get(key)
+        match outcome:
+            case OrderTaken():
+                server.strangers.pop(key, None)
+                if run is not None and not run.stop_taken_ms:
+                    run.stop_taken_ms = now_ms
+            case ServerReplaced():
+                server.gone = True
+                self.drop_lost(server, now_ms)
+            case _:
+                pass
+
+    def drop_unsent(self, server: Server, now_ms: int) -> None:
+        """Settle runs that are no longer wanted before they were sent.
+
+        :param server: where they were planned.
+        :param now_ms: steady time.
+        """
+        for run in list(server.run_by_key.values()):
+            if run.phase is RunPhase.planned and run.stopping:
+                self._settle(server, run, None, '', now_ms)
+
+    def drop_lost(self, server: Server, now_ms: int) -> bool:
+        """Settle all runs of a server on which nothing can run any more.
+
+        :param server: which.
+        :param now_ms: steady time.
+        :returns: whether it was so.
+        """
+        if not server.lapsed(now_ms):
+            return False
+        for run in list(server.run_by_key.values()):
+            self._settle(server, run, None, run.checkpoint, now_ms)
+        return True
+
+    def _listed(
+        self, server: Server, sent_ms: int, now_ms: int, looked: Looked
+    ) -> None:
+        server.read_clock(looked.clock_ms, now_ms)
+        server.failing_ms = None
+        for end in looked.ended:
+            self._ended(server, end, now_ms)
+        listed = {report.run for report in looked.running}
+        for report in looked.running:
+            self._running(server, report, now_ms)
+        for run in list(server.run_by_key.values()):
+            if run.key not in listed:
+                self._absent(server, run, sent_ms, now_ms)
+        server.strangers = {
+            key: sent_ms
+            for key, sent_ms in server.strangers.items()
+            if key in listed
+        }
+        server.looked_ms = sent_ms
+
+    def _running(
+        self, server: Server, report: RunningReport, now_ms: int
+    ) -> None:
+        run = server.run_by_key.get(report.run)
+        if run is None:
+            # A start that arrived late, after its run was given up, or one of
+            # a job that has ended. It would run on unasked until its lease
+            # ends, and the lease is extended for the others there.
+            server.strangers.setdefault(report.run, now_ms - STOP_AGAIN_MS)
+            return
+        run.enter(RunPhase.present, now_ms)
+        if report.percent != run.percent:
+            run.percent = report.percent
+            run.moved_ms = now_ms
+        run.checkpoint = report.checkpoint or run.checkpoint
+        run.figure = report.figure
+
+    def _absent(
+        self, server: Server, run: Run, sent_ms: int, now_ms: int
+    ) -> None:
+        match run.phase:
+            case RunPhase.inherited:
+                # The look carried our fencing token, so a start that the
+                # former owner may still have on its way is refused.
+                self._settle(server, run, None, run.checkpoint, now_ms)
+            case RunPhase.present if sent_ms > run.since_ms:
+                run.stopping = True
+            case _:
+                pass
+        stopped = run.stop_taken_ms and sent_ms > run.stop_taken_ms
+        if stopped and run.key in server.run_by_key:
+            # The server refuses a run that was stopped there, also one that
+            # arrives later: it is neither there nor on its way.
+            self._settle(server, run, None, run.checkpoint, now_ms)
+
+    def _refused(
+        self, server: Server, run: Run, now_ms: int, denial: Denial
+    ) -> None:
+        match denial:
+            case Denial.unhealthy:
+                server.barred_until_ms = now_ms + UNHEALTHY_BAR_MS
+            case Denial.no_room:
+                server.barred_until_ms = now_ms + NO_ROOM_BAR_MS
+            case _:
+                pass
+        found = self._book.find(run.key)
+        self._settle(server, run, None, '', now_ms)
+        if found is not None:
+            found[0].waits_until_ms = now_ms + REFUSED_PAUSE_MS
+
+    def _ended(self, server: Server, end: EndReport, now_ms: int) -> None:
+        if end.number <= server.taken_end:
+            return
+        server.taken_end = end.number
+        self._book.note_end(server.entry.server_id, end.number)
+        server.strangers.pop(end.run, None)
+        run = server.run_by_key.get(end.run)
+        if run is not None:
+            self._settle(server, run, end.kind, end.checkpoint, now_ms)
+
+    def _settle(
+        self,
+        server: Server,
+        run: Run,
+        kind: EndKind | None,
+        checkpoint: str,
+        now_ms: int,
+    ) -> None:
+        server.remove(run.key)
+        found = self._book.find(run.key)
+        if found is None:
+            return
+        task, step = found
+        task.run_by_number.pop(run.key.run, None)
+        task.checkpoint = checkpoint or task.checkpoint
+        self._book.mark(step)
+        match kind:
+            case EndKind.done:
+                server.blame *= PRAISE_FACTOR
+                self._done(task, step)
+            case EndKind.failed:
+                self._failed(server, task, step, now_ms)
+            case _:
+                pass
+        self._again(task, step, now_ms)
+
+    def _done(self, task: Task, step: Step) -> None:
+        if task.done or step.spec.lasting:
+            return
+        task.done = True
+        step.left -= 1
+        for other in task.run_by_number.values():
+            other.stopping = True
+        if not step.left:
+            self._step_done(step)
+
+    def _step_done(self, step: Step) -> None:
+        job = step.job
+        steps = job.steps_by_occurrence[step.occurrence]
+        if any(other.left for other in steps):
+            return
+        job.occurrences_left -= 1
+        if not job.occurrences_left:
+            self._book.finish(job, JobPhase.completed)
+
+    def _failed(
+        self, server: Server, task: Task, step: Step, now_ms: int
+    ) -> None:
+        task.failures += 1
+        task.avoided.add(server.entry.server_id)
+        blame_server(server, BLAME_FAILED, now_ms)
+        if step.spec.lasting or task.done:
+            return
+        if task.failures >= self._book.queue_of(step.job).most_attempts:
+            self._book.finish(step.job, JobPhase.failed)
+
+    def _again(self, task: Task, step: Step, now_ms: int) -> None:
+        if task.done or task.run_by_number or step.job.ended is not None:
+            return
+        task.waiting_ms = now_ms
+        self._book.ready_by_key[task.key] = task
+
+
+def blame_server(server: Server, blame: float, now_ms: int) -> None:
+    """Count a failure against a server, and bar it when there are many.
+
+    A job that fails everywhere must not bar good servers, so one failure is
+    never enough; a server that fails all it starts reaches the threshold with
+    few tasks lost.
+
+    :param server: where it happened.
+    :param blame: how much.
+    :param now_ms: steady time.
+    """
+    server.blame += blame
+    if server.blame >= BLAME_THRESHOLD:
+        server.barred_until_ms = now_ms + BLAMED_BAR_MS
+        server.blame = BLAME_THRESHOLD / 2
--- a/waxwingford/settings/__init__.py
+++ b/waxwingford/settings/__init__.py
@@ -3,6 +3,8 @@
 from waxwingford.settings._load import (
     Loaded,
     SettingsInvalid,
+    is_for_scheduler,
+    load_scheduler_settings,
     load_settings,
     load_toml,
 )
@@ -24,6 +26,7 @@
     Trust,
 )
 from waxwingford.settings._problems import Problem, problems_of
+from waxwingford.settings._scheduler import SchedulerSettings
 from waxwingford.settings._table import settings_page
 from waxwingford.settings._tls import Alpn, client_context, server_context
 
@@ -42,12 +45,15 @@
     'Platform',
     'Problem',
     'PublicKey',
+    'SchedulerSettings',
     'ServiceUrl',
     'Settings',
     'SettingsInvalid',
     'Tls',
     'Trust',
     'client_context',
+    'is_for_scheduler',
+    'load_scheduler_settings',
     'load_settings',
     'load_toml',
     'problems_of',
--- a/waxwingford/settings/_load.py
+++ b/waxwingford/settings/_load.py
@@ -11,7 +11,10 @@
 
 from waxwingford.settings._model import Settings, Tls
 from waxwingford.settings._problems import Problem, problems_of
+from waxwingford.settings._scheduler import SchedulerSettings
 
+#: Only the settings of a scheduler daemon have this table.
+_SCHEDULER_TABLE = 'store'
 _ANY_ADDRESSES = frozenset(('0.0.0.0', '::'))
 
 
@@ -22,7 +25,7 @@
     :ivar settings: checked settings.
     """
 
-    settings: Settings
+    settings: Settings | SchedulerSettings
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -80,6 +83,33 @@
     return Loaded(_with_full_paths(pathlib.Path(path).parent, loaded))
 
 
+def load_scheduler_settings(
+    path: str | pathlib.Path,
+) -> SchedulerSettings | SettingsInvalid:
+    """Load the settings of a scheduler daemon.
+
+    :param path: TOML file.
+    :returns: the settings, or everything that is wrong with the file.
+    """
+    loaded = load_toml(path, SchedulerSettings)
+    if isinstance(loaded, SchedulerSettings):
+        return loaded
+    return SettingsInvalid(loaded)
+
+
+def is_for_scheduler(path: str | pathlib.Path) -> bool:
+    """Tell the settings of a scheduler daemon from those of an entry daemon.
+
+    :param path: TOML file; one that can't be read is neither.
+    :returns: whether it has the table that only a scheduler's settings have.
+    """
+    try:
+        document = tomllib.loads(pathlib.Path(path).read_text('utf-8'))
+    except (OSError, ValueError):
+        return False
+    return _SCHEDULER_TABLE in document
+
+
 def _with_full_paths(directory: pathlib.Path, settings: Settings) -> Settings:
     if settings.tls is None:
         return settings
--- a/waxwingford/settings/_model.py
+++ b/waxwingford/settings/_model.py
@@ -15,7 +15,13 @@
 _KEY_BYTES = 32
 
 
-def _ip_number(host: str) -> str:
+def ip_number(host: str) -> str:
+    """Check that an address is a number, as daemons look no names up.
+
+    :param host: text of the settings.
+    :returns: the same text.
+    :raises ValueError: if it is anything else.
+    """
     try:
         ipaddress.ip_address(host)
     except ValueError:
@@ -27,7 +33,7 @@
     parts = urlsplit(url)
     if parts.scheme not in {'http', 'https'} or not parts.hostname:
         raise ValueError('http://ADDRESS:PORT or https://ADDRESS:PORT')
-    _ip_number(parts.hostname)
+    ip_number(parts.hostname)
     return url
 
 
@@ -42,18 +48,20 @@
 
 
 Port = Annotated[int, Field(ge=0, le=65535)]
-IpNumber = Annotated[str, AfterValidator(_ip_number)]
+IpNumber = Annotated[str, AfterValidator(ip_number)]
 ServiceUrl = Annotated[str, AfterValidator(_service_url)]
 PublicKey = Annotated[str, AfterValidator(_public_key)]
 Name = Annotated[str, Field(pattern='^[a-z][a-z0-9_-]*$', max_length=64)]
 Millis = Annotated[int, Field(ge=1, le=86_400_000)]
 
 
-class _Strict(BaseModel):
+class Strict(BaseModel):
+    """A table of a settings file: unknown keys are errors."""
+
     model_config = ConfigDict(extra='forbid', frozen=True)
 
 
-class PeerAddress(_Strict):
+class PeerAddress(Strict):
     """A daemon that this one may speak to (itself may be listed too)."""
 
     daemon_id: Name
@@ -63,7 +71,7 @@
     http_port: Port
 
 
-class Identity(_Strict):
+class Identity(Strict):
     """Who this daemon is."""
 
     daemon_id: Name
@@ -71,7 +79,7 @@
     region: Name
 
 
-class Listen(_Strict):
+class Listen(Strict):
     """Where it listens, by IP number."""
 
     host: IpNumber = '127.0.0.1'
@@ -79,7 +87,7 @@
     rpc_port: Port
 
 
-class Platform(_Strict):
+class Platform(Strict):
     """Addresses of the platform's services."""
 
     log_url: ServiceUrl
@@ -87,13 +95,13 @@
     log_timeout_ms: Millis = 2000
 
 
-class Trust(_Strict):
+class Trust(Strict):
     """Public keys of the members, Ed25519, base64, by member name."""
 
     public_key_by_member: Annotated[dict[Name, PublicKey], Field(min_length=1)]
 
 
-class Leases(_Strict):
+class Leases(Strict):
     """Lengths of leases, all in milliseconds."""
 
     control_ms: Millis = 6000
@@ -104,7 +112,7 @@
     longest_renew_ms: Millis = 10_000
 
 
-class Limits(_Strict):
+class Limits(Strict):
     """Bounds of what callers and the log can make this daemon hold."""
 
     body_bytes: Annotated[int, Field(ge=1024, le=64 << 20)] = 1 << 20
@@ -118,7 +126,7 @@
     delivery_ms: Annotated[int, Field(ge=0, le=60_000)] = 5000
 
 
-class Tls(_Strict):
+class Tls(Strict):
     """Files of this daemon's certificate; relative to the settings file."""
 
     certificate_file: str
@@ -126,7 +134,7 @@
     authority_file: str
 
 
-class Logging(_Strict):
+class Logging(Strict):
     """Form of the log lines."""
 
     form: Annotated[str, Field(pattern='^(json|text)$')] = 'json'
@@ -135,7 +143,7 @@
     )
 
 
-class Settings(_Strict):
+class Settings(Strict):
     """One daemon's settings file."""
 
     identity: Identity
--- /dev/null
+++ b/waxwingford/settings/_scheduler.py
@@ -0,0 +1,70 @@
+"""Settings of a scheduler daemon, which keeps its state in a shared log."""
+
+from typing import Annotated
+
+from pydantic import AfterValidator, Field
+
+from waxwingford.settings._model import (
+    IpNumber,
+    Logging,
+    Millis,
+    Port,
+    Strict,
+    ip_number,
+)
+
+_LARGEST_PORT = 65_535
+_LONGEST_NAME = 128
+
+
+def _endpoint(text: str) -> str:
+    host, separator, port = text.rpartition(':')
+    if not separator or not port.isdecimal() or int(port) > _LARGEST_PORT:
+        raise ValueError('ADDRESS:PORT')
+    ip_number(host)
+    return text
+
+
+Endpoint = Annotated[str, AfterValidator(_endpoint)]
+PlainName = Annotated[str, Field(min_length=1, max_length=_LONGEST_NAME)]
+
+
+class SchedulerIdentity(Strict):
+    """Who this daemon is."""
+
+    daemon_id: PlainName
+    failure_domain: PlainName
+    region: PlainName
+
+
+class SchedulerListen(Strict):
+    """Where it listens, by IP number."""
+
+    host: IpNumber
+    callers: Endpoint
+    readiness: Endpoint
+    peers_port: Port
+
+
+class SchedulerStore(Strict):
+    """The shared log, and the adapter that speaks to it."""
+
+    adapter: PlainName
+    address: Endpoint
+
+
+class SchedulerBounds(Strict):
+    """Promises of the platform that the scheduler relies on."""
+
+    longest_lease_ms: Millis
+    stop_grace_ms: Millis
+
+
+class SchedulerSettings(Strict):
+    """One scheduler daemon's settings file."""
+
+    identity: SchedulerIdentity
+    listen: SchedulerListen
+    store: SchedulerStore
+    bounds: SchedulerBounds
+    logging: Logging = Logging()
--- a/waxwingford/settings/_table.py
+++ b/waxwingford/settings/_table.py
@@ -103,7 +103,7 @@
 
 def _kind(field: FieldInfo) -> str:
     return {
-        '_ip_number': 'IP number',
+        'ip_number': 'IP number',
         '_service_url': 'URL with an IP number',
     }.get(_validator_name(field), 'text')
 
--- /dev/null
+++ b/waxwingford/shard/__init__.py
@@ -0,0 +1,81 @@
+"""A shard: its intake and journal in the store, its owner, its standbys."""
+
+from waxwingford.shard._fleet import ServerDirectory
+from waxwingford.shard._intake import (
+    Intake,
+    IntakeOutcome,
+    MayBeStored,
+    NotStored,
+    Stored,
+)
+from waxwingford.shard._log_port import (
+    Appended,
+    AppendElsewhere,
+    AppendFenced,
+    AppendOutcome,
+    AppendOutOfOrder,
+    Fence,
+    KeyedRecord,
+    NewestOutcome,
+    NewestPage,
+    ReadOutcome,
+    RecordsExpired,
+    RecordsRead,
+    SharedLog,
+    StoredRecord,
+    StoreRefused,
+    StoreUnknown,
+)
+from waxwingford.shard._member import CancelNotKnown, ShardMember
+from waxwingford.shard._mirror import CaughtUp, Mirror
+from waxwingford.shard._owner import Owner, OwnerPorts, OwnerSettings
+from waxwingford.shard._peers import (
+    JobAnswer,
+    JobKnown,
+    JobNotKnown,
+    NotAnswered,
+    serve_queries,
+)
+from waxwingford.shard._platform_port import (
+    SchedulerPlatform,
+    scheduler_platforms,
+)
+
+__all__ = (
+    'AppendElsewhere',
+    'AppendFenced',
+    'AppendOutOfOrder',
+    'AppendOutcome',
+    'Appended',
+    'CancelNotKnown',
+    'CaughtUp',
+    'Fence',
+    'Intake',
+    'IntakeOutcome',
+    'JobAnswer',
+    'JobKnown',
+    'JobNotKnown',
+    'KeyedRecord',
+    'MayBeStored',
+    'Mirror',
+    'NewestOutcome',
+    'NewestPage',
+    'NotAnswered',
+    'NotStored',
+    'Owner',
+    'OwnerPorts',
+    'OwnerSettings',
+    'ReadOutcome',
+    'RecordsExpired',
+    'RecordsRead',
+    'SchedulerPlatform',
+    'ServerDirectory',
+    'ShardMember',
+    'SharedLog',
+    'StoreRefused',
+    'StoreUnknown',
+    'Stored',
+    'StoredRecord',
+    'scheduler_platforms',
+    'serve_queries',
+)
--- /dev/null
+++ b/waxwingford/shard/_drivers.py
@@ -0,0 +1,188 @@
+"""Task that owns the conversation with one backend server."""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable
+
+from waxwingford.scheduling import (
+    Engine,
+    Pace,
+    Run,
+    RunKey,
+    RunPhase,
+    Server,
+    TaskRunners,
+)
+from waxwingford.shard._times import MS_IN_S, steady_ms
+
+#: Longest wait of a look for an end, in ms: progress and tails are read no
+#: less often than this.
+LOOK_WAIT_MS = 1000
+#: The same where fills run beside tasks that serve, in ms: the tails listed
+#: cover half a second.
+WATCHED_WAIT_MS = 500
+#: The same while the outcome of an order is open, in ms.
+DOUBT_WAIT_MS = 60
+#: Pause between two looks, in ms: ends that come close together are listed
+#: by one look.
+LOOK_GAP_MS = 25
+#: Pause after a look that failed, in ms.
+FAILED_GAP_MS = 150
+#: Longest wait for ends to be stored before the next look, in seconds.
+STORE_WAIT_S = 1.0
+#: Orders to one server at a time, besides the look.
+MOST_ORDERS = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DriverPorts:
+    """What all drivers of an owner share.
+
+    :ivar runners: way to the servers.
+    :ivar extends: tells whether leases may be extended.
+    :ivar stir: called after each answer.
+    """
+
+    runners: TaskRunners
+    extends: Callable[[], bool]
+    stir: Callable[[], None]
+
+
+class ServerDriver:
+    """Looks at a server and sends it orders.
+
+    :ivar server: which.
+    """
+
+    def __init__(
+        self, server: Server, engine: Engine, ports: DriverPorts
+    ) -> None:
+        """Begin to look at a server.
+
+        :param server: which.
+        :param engine: decides.
+        :param ports: what all drivers share.
+        """
+        self.server = server
+        self._engine = engine
+        self._runners = ports.runners
+        self._extends = ports.extends
+        self._stir = ports.stir
+        self._wanted = asyncio.Event()
+        self._orders = asyncio.Semaphore(MOST_ORDERS)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._looker = asyncio.create_task(self._look_on())
+
+    def close(self) -> None:
+        """Stop talking to the server."""
+        self._looker.cancel()
+        for task in self._tasks:
+            task.cancel()
+
+    def wake(self) -> None:
+        """Look soon: runs were started, or ends were stored."""
+        self._wanted.set()
+
+    def start(self, run: Run) -> None:
+        """Send a start.
+
+        :param run: whose record is stored.
+        """
+        self._spawn(self._start(run))
+        self.wake()
+
+    def stop(self, key: RunKey) -> None:
+        """Send a stop.
+
+        :param key: which run.
+        """
+        self._spawn(self._stop(key))
+        self.wake()
+
+    def pace(self, order: Pace) -> None:
+        """Send a change of pace.
+
+        :param order: which run, which pace.
+        """
+        self._spawn(self._pace(order))
+
+    def _spawn(self, work) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _start(self, run: Run) -> None:
+        async with self._orders:
+            order = self._engine.orders.start(run, steady_ms())
+            if order is None:
+                self._stir()
+                return
+            outcome = await self._runners.start(self.server.address, order)
+        self._engine.start_answered(self.server, run, steady_ms(), outcome)
+        self._stir()
+
+    async def _stop(self, key: RunKey) -> None:
+        outcome = await self._runners.stop(
+            self.server.address, key, self._engine.orders.token
+        )
+        self._engine.stop_answered(self.server, key, steady_ms(), outcome)
+        self._stir()
+
+    async def _pace(self, order: Pace) -> None:
+        async with self._orders:
+            await self._runners.pace(
+                self.server.address,
+                order.key,
+                order.percent,
+                self._engine.orders.token,
+            )
+
+    async def _look_on(self) -> None:
+        while not self.server.gone:
+            await self._until_needed()
+            sent_ms = steady_ms()
+            order = self._engine.orders.look(
+                self.server, sent_ms, self._wait_ms(), self._extends()
+            )
+            outcome = await self._runners.look(self.server.address, order)
+            self._engine.looked(self.server, sent_ms, steady_ms(), outcome)
+            self._stir()
+            await self._pause()
+
+    async def _until_needed(self) -> None:
+        server = self.server
+        if server.looked_ms >= 0 and server.failing_ms is None:
+            if not server.run_by_key and not server.strangers:
+                self._wanted.clear()
+                await self._wanted.wait()
+
+    def _wait_ms(self) -> int:
+        server = self.server
+        if server.looked_ms < 0 or server.failing_ms is not None:
+            return 0
+        if server.strangers or any(map(_open, server.run_by_key.values())):
+            return DOUBT_WAIT_MS
+        if self._engine.watched(server):
+            return WATCHED_WAIT_MS
+        return LOOK_WAIT_MS
+
+    async def _pause(self) -> None:
+        if self.server.failing_ms is not None:
+            await asyncio.sleep(FAILED_GAP_MS / MS_IN_S)
+            return
+        until_s = asyncio.get_running_loop().time() + STORE_WAIT_S
+        await asyncio.sleep(LOOK_GAP_MS / MS_IN_S)
+        while self.server.seen_end < self.server.taken_end:
+            # The ends would only be listed again until they are stored.
+            left_s = until_s - asyncio.get_running_loop().time()
+            if left_s <= 0:
+                break
+            self._wanted.clear()
+            try:
+                await asyncio.wait_for(self._wanted.wait(), left_s)
+            except TimeoutError:
+                break
+
+
+def _open(run: Run) -> bool:
+    return run.stopping or run.phase is RunPhase.doubtful
--- /dev/null
+++ b/waxwingford/shard/_intake_reader.py
@@ -0,0 +1,91 @@
+"""Brings jobs and cancellings from the intake into the owner's engine."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+from waxwingford.scheduling import Engine, decode_spec
+from waxwingford.shard._intake import (
+    CANCEL_PREFIX,
+    INTAKE_TOPIC,
+    JOB_PREFIX,
+)
+from waxwingford.shard._log_port import SharedLog, StoredRecord
+from waxwingford.shard._mirror import CatchUp, CaughtUp, Mirror
+from waxwingford.shard._times import steady_ms
+
+#: Longest wait of a read, in ms; a connection that went silent is noticed soon
+#: after.
+INTAKE_WAIT_MS = 1000
+#: Pause after a read that failed, in seconds.
+FAILED_PAUSE_S = 0.1
+
+
+class IntakeReader:
+    """Follows the intake."""
+
+    def __init__(self, log: SharedLog) -> None:
+        """Read from a store.
+
+        :param log: the store.
+        """
+        self._log = log
+        self._mirror = Mirror(log, INTAKE_TOPIC)
+
+    async def restore(self) -> None:
+        """Read everything, however long the store takes."""
+        while not isinstance(await self._mirror.catch_up(), CaughtUp):
+            await asyncio.sleep(FAILED_PAUSE_S)
+
+    def hand_over(self, engine: Engine) -> None:
+        """Give an engine everything that was read.
+
+        :param engine: new.
+        """
+        _apply(
+            engine,
+            (
+                StoredRecord(0, key, raw)
+                for key, raw in self._mirror.payload_by_key.items()
+            ),
+        )
+
+    async def follow(self, engine: Engine, stir: Callable[[], None]) -> None:
+        """Give an engine what comes, for ever.
+
+        :param engine: takes jobs and cancellings.
+        :param stir: called after each.
+        """
+        while True:
+            read = await self._mirror.catch_up(INTAKE_WAIT_MS)
+            if not isinstance(read, CaughtUp):
+                await asyncio.sleep(FAILED_PAUSE_S)
+            elif read.changed:
+                _apply(engine, read.changed)
+                stir()
+
+    async def peek(self, engine: Engine) -> bool:
+        """Read to the end now, beside the reader that waits.
+
+        It takes nothing from that one: jobs that are known are skipped.
+
+        :param engine: takes jobs and cancellings.
+        :returns: whether the end was read.
+        """
+        mirror = Mirror(self._log, INTAKE_TOPIC)
+        mirror.follow_from(self._mirror.next_offset)
+        read: CatchUp = await mirror.catch_up()
+        if isinstance(read, CaughtUp):
+            _apply(engine, read.changed)
+            return True
+        return False
+
+
+def _apply(engine: Engine, records: Iterable[StoredRecord]) -> None:
+    now_ms = steady_ms()
+    for record in records:
+        if record.payload is None:
+            continue
+        if record.key.startswith(JOB_PREFIX):
+            engine.submit(decode_spec(record.payload), now_ms)
+        elif record.key.startswith(CANCEL_PREFIX):
+            engine.cancel(record.key.removeprefix(CANCEL_PREFIX))
--- /dev/null
+++ b/waxwingford/shard/_journal.py
@@ -0,0 +1,170 @@
+"""The journal of a shard: appended to by its owner alone.
+
+Whoever has appended under an epoch is the owner until somebody appends under
+a higher one; from then on the store refuses the former owner, so a record
+that the store acknowledged is a decision that no other owner has taken.
+"""
+
+import asyncio
+import dataclasses
+import random
+
+import msgspec
+
+from waxwingford.shard._log_port import (
+    Appended,
+    AppendElsewhere,
+    AppendFenced,
+    AppendOutOfOrder,
+    Fence,
+    KeyedRecord,
+    SharedLog,
+    StoreRefused,
+    StoreUnknown,
+)
+
+JOURNAL_TOPIC = 'journal'
+#: Key of the journal's record that names its owner.
+OWNER_KEY = 'owner'
+#: Low bits of an epoch are random, so that two daemons that claim the shard
+#: at once never use the same one: the store takes any epoch that isn't lower.
+EPOCH_RANDOM_BITS = 20
+#: Pause before an append is repeated, in seconds; grows to the longest.
+FIRST_PAUSE_S = 0.02
+LONGEST_PAUSE_S = 0.25
+
+
+class OwnerRecord(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Who owns a shard.
+
+    :ivar daemon_id: its daemon.
+    :ivar epoch: under which it appends; also its fencing token at servers.
+    :ivar endpoint: where its daemon answers others, IP number and port.
+    :ivar beat: rises with each heartbeat.
+    :ivar resigned: whether it has stopped and a successor may follow at once.
+    """
+
+    daemon_id: str
+    epoch: int
+    endpoint: str
+    beat: int = 0
+    resigned: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Deposed:
+    """Another daemon has claimed the shard."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Claimed:
+    """The shard belongs to this daemon."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimFailed:
+    """The shard does not belong to this daemon, as far as is known.
+
+    :ivar reason: why.
+    """
+
+    reason: str
+
+
+_owner_decoder = msgspec.msgpack.Decoder(OwnerRecord)
+_encoder = msgspec.msgpack.Encoder()
+
+
+def encode_owner(record: OwnerRecord) -> bytes:
+    """Write an owner's record.
+
+    :param record: the record.
+    :returns: its bytes.
+    """
+    return _encoder.encode(record)
+
+
+def decode_owner(raw: bytes | None) -> OwnerRecord | None:
+    """Read an owner's record.
+
+    :param raw: as ``encode_owner`` wrote it, ``None`` if there is none.
+    :returns: the record, ``None`` if there is none.
+    """
+    return None if raw is None else _owner_decoder.decode(raw)
+
+
+def next_epoch(former: int) -> int:
+    """Choose an epoch for a claim.
+
+    :param former: highest one that was seen.
+    :returns: a higher one that no other daemon chooses.
+    """
+    count = (former >> EPOCH_RANDOM_BITS) + 1
+    return (count << EPOCH_RANDOM_BITS) | random.getrandbits(EPOCH_RANDOM_BITS)
+
+
+class EpochWriter:
+    """Appends to one topic under an epoch, one append at a time."""
+
+    def __init__(self, log: SharedLog, topic: str, epoch: int) -> None:
+        """Write under an epoch.
+
+        :param log: the store.
+        :param topic: where.
+        :param epoch: of the owner.
+        """
+        self._log = log
+        self._topic = topic
+        self._epoch = epoch
+        self._sequence = 0
+
+    async def claim(
+        self, end: int, record: OwnerRecord
+    ) -> Claimed | ClaimFailed:
+        """Append the first record of an epoch, if nothing came before it.
+
+        :param end: where the topic ended when its content was read.
+        :param record: the new owner.
+        :returns: whether the shard is claimed. After an unknown outcome the
+            claim may still be carried out: it fences the former owner then,
+            and the next claim goes on from it.
+        """
+        rows = (KeyedRecord(OWNER_KEY, encode_owner(record)),)
+        fence = Fence(self._epoch, 0, end)
+        outcome = await self._log.append(self._topic, rows, fence)
+        match outcome:
+            case Appended():
+                self._sequence = 1
+                return Claimed()
+            case AppendElsewhere():
+                return ClaimFailed('somebody else has appended')
+            case AppendFenced():
+                return ClaimFailed('a higher epoch was seen')
+            case _:
+                return ClaimFailed(str(outcome))
+
+    async def append(self, rows: tuple[KeyedRecord, ...]) -> Appended | Deposed:
+        """Append, and repeat until it is known that the append counts.
+
+        :param rows: what.
+        :returns: whether it counts, or this owner was deposed.
+        """
+        fence = Fence(self._epoch, self._sequence)
+        pause_s = FIRST_PAUSE_S
+        while True:
+            outcome = await self._log.append(self._topic, rows, fence)
+            match outcome:
+                case Appended():
+                    self._sequence += 1
+                    return outcome
+                case AppendFenced() | AppendElsewhere():
+                    return Deposed()
+                case AppendOutOfOrder(expected) if expected > self._sequence:
+                    # An earlier try of this append was carried out after all.
+                    self._sequence += 1
+                    return Appended(0)
+                case AppendOutOfOrder():
+                    return Deposed()
+                case StoreRefused() | StoreUnknown():
+                    await asyncio.sleep(pause_s)
+                    pause_s = min(2 * pause_s, LONGEST_PAUSE_S)
--- /dev/null
+++ b/waxwingford/shard/_owner.py
@@ -0,0 +1,288 @@
+"""The owner of a shard: stores what its engine decides, then acts on it."""
+
+import asyncio
+import dataclasses
+
+import logbook
+
+from waxwingford.scheduling import Engine, TaskRunners, Terms
+from waxwingford.shard._beats import PROOF_MS, Beats
+from waxwingford.shard._drivers import DriverPorts
+from waxwingford.shard._fleet import Fleet, ServerDirectory
+from waxwingford.shard._intake_reader import IntakeReader
+from waxwingford.shard._journal import (
+    JOURNAL_TOPIC,
+    OWNER_KEY,
+    Claimed,
+    ClaimFailed,
+    Deposed,
+    EpochWriter,
+    OwnerRecord,
+    decode_owner,
+    next_epoch,
+)
+from waxwingford.shard._log_port import KeyedRecord, SharedLog
+from waxwingford.shard._mirror import CaughtUp, Mirror
+from waxwingford.shard._peers import (
+    JobAnswer,
+    JobKnown,
+    JobNotKnown,
+    NotAnswered,
+)
+from waxwingford.shard._times import boot_ms, steady_ms, wall_ms
+
+#: Time between two decisions without an event, in seconds.
+TICK_S = 0.1
+#: Time between two readings of the registrations, in seconds.
+REGISTER_EVERY_S = 0.4
+#: Share by which clocks may differ, and time on the way, in ms, that a
+#: successor adds before it takes leases for lapsed that it can't ask about.
+DRIFT = 1.04
+ON_THE_WAY_MS = 1000
+
+_log = logbook.Logger('shard')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnerSettings:
+    """Figures of an owner.
+
+    :ivar daemon_id: its daemon.
+    :ivar endpoint: where that answers other daemons.
+    :ivar lease_ms: length of leases given to servers.
+    """
+
+    daemon_id: str
+    endpoint: str
+    lease_ms: int
+
+    @property
+    def inherited_ms(self) -> int:
+        """Bound the leases of a former owner.
+
+        :returns: milliseconds after a claim until all are surely over.
+        """
+        return int((PROOF_MS + self.lease_ms) * DRIFT) + ON_THE_WAY_MS
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnerPorts:
+    """What an owner acts through.
+
+    :ivar log: the store.
+    :ivar runners: way to backend servers.
+    :ivar directory: their registrations.
+    """
+
+    log: SharedLog
+    runners: TaskRunners
+    directory: ServerDirectory
+
+
+class Owner:
+    """Owns one shard from its claim until it is deposed or resigns.
+
+    :ivar ready: whether it has read all of the shard and acts.
+    :ivar over: set when it has stopped for good.
+    :ivar epoch: under which it appends; its fencing token at servers.
+    """
+
+    def __init__(
+        self, settings: OwnerSettings, ports: OwnerPorts, terms: Terms
+    ) -> None:
+        """Prepare; nothing is claimed yet.
+
+        :param settings: figures.
+        :param ports: what it acts through.
+        :param terms: configuration in force.
+        """
+        self.ready = False
+        self.over = asyncio.Event()
+        self.epoch = 0
+        self._settings = settings
+        self._ports = ports
+        self._terms = terms
+        self._intake = IntakeReader(ports.log)
+        self._tasks: list[asyncio.Task[None]] = []
+        self._stirred = asyncio.Event()
+        self._to_store = asyncio.Event()
+
+    async def claim(self, former_epoch: int) -> bool:
+        """Claim the shard and begin to act.
+
+        :param former_epoch: highest epoch that was seen.
+        :returns: whether the shard belongs to this daemon now.
+        """
+        log = self._ports.log
+        journal = Mirror(log, JOURNAL_TOPIC)
+        if not isinstance(await journal.catch_up(), CaughtUp):
+            return False
+        owner = decode_owner(journal.payload_by_key.pop(OWNER_KEY, None))
+        known = max(former_epoch, owner.epoch if owner else 0)
+        self.epoch = next_epoch(known)
+        self._writer = EpochWriter(log, JOURNAL_TOPIC, self.epoch)
+        record = OwnerRecord(
+            self._settings.daemon_id, self.epoch, self._settings.endpoint
+        )
+        self._beats = Beats(log, record)
+        sent_ms = boot_ms()
+        claimed = await self._writer.claim(journal.next_offset, record)
+        match claimed:
+            case ClaimFailed(reason):
+                _log.info('claim failed', extra={'reason': reason})
+                return False
+            case Claimed():
+                self._beats.prove(sent_ms)
+        _log.info(
+            'shard claimed',
+            extra={'epoch': self.epoch, 'former_epoch': known},
+        )
+        self._tasks.append(asyncio.create_task(self._keep_beating()))
+        await self._take_over(journal.payload_by_key)
+        return True
+
+    def configure(self, terms: Terms) -> None:
+        """Put a configuration in force.
+
+        :param terms: the configuration.
+        """
+        self._terms = terms
+        if self.ready:
+            self._engine.configure(terms)
+            self._stirred.set()
+
+    async def phase(self, job_id: str) -> JobAnswer:
+        """Say how far a job is.
+
+        :param job_id: which.
+        :returns: the answer; that a job isn't known is only said after the
+            intake was read to its end.
+        """
+        found = self._engine.book.phase(job_id)
+        if found is None:
+            if not await self._intake.peek(self._engine):
+                return NotAnswered('the intake can not be read')
+            found = self._engine.book.phase(job_id)
+        return JobNotKnown() if found is None else JobKnown(found)
+
+    def pending(self, queue: str) -> int:
+        """Count the jobs of a queue that have not begun.
+
+        :param queue: which.
+        :returns: the count.
+        """
+        return self._engine.book.pending(queue)
+
+    async def resign(self) -> None:
+        """Stop acting and let a successor follow at once."""
+        was_ready = self.ready
+        self._halt()
+        if was_ready:
+            await self._beats.resign()
+        self._end('resigned')
+
+    def stop(self, reason: str) -> None:
+        """Stop acting: another daemon owns the shard.
+
+        :param reason: how that is known.
+        """
+        self._halt()
+        self._end(reason)
+
+    def _halt(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        if self.ready:
+            self._fleet.close()
+        self.ready = False
+
+    def _end(self, reason: str) -> None:
+        if not self.over.is_set():
+            about = {**self._about(), 'reason': reason}
+            _log.info('shard given up', extra=about)
+        self.over.set()
+
+    def _about(self) -> dict[str, int]:
+        return {'epoch': self.epoch}
+
+    async def _take_over(self, rows: dict[str, bytes]) -> None:
+        now_ms = steady_ms()
+        settings = self._settings
+        self._engine = Engine(
+            self.epoch, settings.lease_ms, now_ms + settings.inherited_ms
+        )
+        self._engine.configure(self._terms)
+        self._engine.inheritance.restore(rows)
+        # After the claim: any job that the journal names is in it then.
+        await self._intake.restore()
+        self._intake.hand_over(self._engine)
+        self._engine.inherit(now_ms)
+        driver_ports = DriverPorts(
+            self._ports.runners,
+            lambda: self._beats.proven,
+            self._stirred.set,
+        )
+        self._fleet = Fleet(self._engine, driver_ports, self._ports.directory)
+        await self._fleet.register()
+        self.ready = True
+        works = (
+            self._intake.follow(self._engine, self._stirred.set),
+            self._keep_registering(),
+            self._decide(),
+            self._commit(),
+        )
+        self._tasks += map(asyncio.create_task, works)
+        book = self._engine.book
+        _log.info(
+            'shard taken over',
+            extra={
+                **self._about(),
+                'jobs': len(book.job_by_id),
+                'servers': len(book.server_by_id),
+            },
+        )
+
+    async def _keep_registering(self) -> None:
+        while True:
+            await asyncio.sleep(REGISTER_EVERY_S)
+            await self._fleet.register()
+            self._stirred.set()
+
+    async def _decide(self) -> None:
+        while True:
+            try:
+                await asyncio.wait_for(self._stirred.wait(), TICK_S)
+            except TimeoutError:
+                # Time itself is an event: leases lapse, repetitions are due.
+                self._stirred.set()
+            self._stirred.clear()
+            self._engine.decide(steady_ms(), wall_ms())
+            self._fleet.send_orders()
+            if self._engine.book.dirty:
+                self._to_store.set()
+
+    async def _commit(self) -> None:
+        while True:
+            await self._to_store.wait()
+            self._to_store.clear()
+            batch = self._engine.take_batch()
+            rows = tuple(
+                KeyedRecord(key, raw)
+                for key, raw in batch.payload_by_key.items()
+            )
+            if rows and not await self._append(rows):
+                self.stop('the store has seen a higher epoch')
+                return
+            self._fleet.act_on(batch, self._engine.stored(batch))
+            self._stirred.set()
+
+    async def _append(self, rows: tuple[KeyedRecord, ...]) -> bool:
+        sent_ms = boot_ms()
+        if isinstance(await self._writer.append(rows), Deposed):
+            return False
+        self._beats.prove(sent_ms)
+        return True
+
+    async def _keep_beating(self) -> None:
+        await self._beats.keep()
+        self.stop('a higher epoch has sent heartbeats')
--- /dev/null
+++ b/waxwingford/shard/_platform_port.py
@@ -0,0 +1,59 @@
+"""What the scheduler needs of a platform, and the registry of adapters."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+from waxwingford.kernel import Registry
+from waxwingford.scheduling import ServerEntry, TaskRunners, Terms
+from waxwingford.shard._log_port import SharedLog
+from waxwingford.shard._member import ShardMember
+
+
+class SchedulerPlatform(Protocol):
+    """An adapter to a platform.
+
+    :ivar log: shared log.
+    :ivar runners: way to backend servers.
+    """
+
+    log: SharedLog
+    runners: TaskRunners
+
+    async def entries(self) -> tuple[ServerEntry, ...] | None:
+        """Read the registrations of all backend servers.
+
+        :returns: them, ``None`` if they can't be read.
+        """
+        ...
+
+    async def follow_terms(
+        self, apply: Callable[[Terms], None], failed: Callable[[], None]
+    ) -> None:
+        """Follow the configuration for ever.
+
+        :param apply: takes each one, never an older one.
+        :param failed: called when it can't be read.
+        """
+        ...
+
+    async def serve(self, desk: ShardMember, endpoint: str) -> None:
+        """Answer callers.
+
+        :param desk: does what they ask.
+        :param endpoint: IP number and port to listen at.
+        """
+        ...
+
+    def begin_closing(self) -> None:
+        """Close each connection of a caller after its next answer."""
+        ...
+
+    async def close(self) -> None:
+        """Finish open requests, then close all connections."""
+        ...
+
+
+#: Adapters by the name in the settings, each opened with the store's address.
+scheduler_platforms: Registry[Callable[[str], SchedulerPlatform]] = Registry(
+    'platform of the scheduler'
+)
