--- a/waxwingford/platform/_records.py
+++ b/waxwingford/platform/_records.py
@@ -20,6 +20,8 @@
     priority: int = 0
     max_attempts: int = 1
     timeout_ms: int = 0
+    stretch: float = 1
+    target_latency_ms: int = 0
     advice: _Advice | None = None
 
 
@@ -143,6 +145,8 @@
             route.priority,
             route.max_attempts,
             route.advice is not None,
+            route.stretch,
+            route.target_latency_ms,
         )
         for route in config.routes
     }
--- a/waxwingford/scheduling/_harm.py
+++ b/waxwingford/scheduling/_harm.py
@@ -6,6 +6,7 @@
 """
 
 import math
+from typing import NamedTuple
 
 from waxwingford.colocation import InterferenceModel, Mechanisms, Setting
 from waxwingford.ports import Resources
@@ -31,11 +32,15 @@
 #: the server takes it up.
 _LOAD = 0.25
 _UNIT_MILLI = 4000
-_FULL_PERCENT = 100
 #: A tail that is listed as less counts as this, in ms.
 LEAST_TAIL_MS = 0.5
 
 
+class _Spares(NamedTuple):
+    changes: int
+    log_spares: list[tuple[Step, float]]
+
+
 class HarmModel:
     """Learned effects of fills on serving tasks, image by image."""
 
@@ -47,6 +52,7 @@
         )
         self._effect_by_pair: dict[tuple[str, str], float] = {}
         self._base_by_server: dict[tuple[str, str], float] = {}
+        self._spares_by_server: dict[str, _Spares] = {}
 
     def learn(self, server: Server, now_ms: int) -> None:
         """Learn from what a look at a server listed.
@@ -54,6 +60,7 @@
         :param server: just looked at.
         :param now_ms: steady time.
         """
+        self._spares_by_server.pop(server.entry.server_id, None)
         fills = fill_runs(server)
         units_by_kind = _units_by_kind(fills)
         changed = any(
@@ -79,7 +86,47 @@
             self._effect_by_pair[pair] = found
         return found if found >= LEAST_EFFECT else 0
 
-    def log_share(self, server: Server, serving: Step) -> float:
+    def spare_units(self, server: Server, fill: Step, limit: float) -> float:
+        """Predict how much of a fill a server bears beside what it has.
+
+        :param server: where.
+        :param fill: a step that fills.
+        :param limit: share of its target that no tail may pass.
+        :returns: units of four cores, infinite where it harms nobody.
+        """
+        spares = (
+            (self.effect(step, fill), log_spare + math.log(limit))
+            for step, log_spare in self._log_spares(server)
+        )
+        return min(
+            (spare / effect for effect, spare in spares if effect),
+            default=math.inf,
+        )
+
+    def _log_spares(self, server: Server) -> list[tuple[Step, float]]:
+        """Predict by how much each tail may grow up to its target.
+
+        Kept until a run comes or leaves or a sample is learned: it is asked
+        for with every fill that waits.
+
+        :param server: where.
+        :returns: a step for each image that serves there, with the logarithm.
+        """
+        server_id = server.entry.server_id
+        kept = self._spares_by_server.get(server_id)
+        if kept is not None and kept.changes == server.changes:
+            return kept.log_spares
+        step_by_image = {
+            step.spec.image: step for _, step in serving_runs(server)
+        }
+        log_spares = [
+            (step, -self._log_share(server, step))
+            for step in step_by_image.values()
+        ]
+        self._spares_by_server[server_id] = _Spares(server.changes, log_spares)
+        return log_spares
+
+    def _log_share(self, server: Server, serving: Step) -> float:
         """Predict a tail with all fills of a server at their asked cpu.
 
         :param server: where.
@@ -87,8 +134,8 @@
         :returns: logarithm of the tail as a share of its target.
         """
         added = sum(
-            self.effect(serving, step) * asked_units(run, step)
-            for run, step in fill_runs(server)
+            self.effect(serving, step) * units_of(step.spec.needs)
+            for _, step in fill_runs(server)
         )
         return self._base(server, serving) + added
 
@@ -160,16 +207,6 @@
     return run.figure / _UNIT_MILLI
 
 
-def asked_units(run: Run, step: Step) -> float:
-    """Express the cpu that a fill may use in the model's unit.
-
-    :param run: the fill.
-    :param step: its step.
-    :returns: units of four cores, less where it is paced down.
-    """
-    return units_of(step.spec.needs) * run.pace / _FULL_PERCENT
-
-
 def units_of(needs: Resources) -> float:
     """Express cpu in the model's unit.
 
--- a/waxwingford/scheduling/_pacing.py
+++ b/waxwingford/scheduling/_pacing.py
@@ -10,7 +10,6 @@
 
 from waxwingford.scheduling._book import Book
 from waxwingford.scheduling._harm import (
-    LEAST_TAIL_MS,
     HarmModel,
     fill_runs,
     serving_runs,
@@ -21,25 +20,26 @@
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._state import Run, RunPhase, Step
 
-#: Share of its target at which a task's fills are slowed down.
-SLOW_SHARE = 0.85
-#: Share of its target to which the tail is to come down.
-WANTED_SHARE = 0.65
-#: Share of its target that a tail is expected to stay below when a fill is
-#: let up.
-CALM_SHARE = 0.8
-#: A tail over its target for this long, in ms, halts all fills beside it when
-#: none is known to harm it: more than that the consortium's rules forbid, and
-#: a pair that is not known yet may be the cause.
+#: Share of its target at which a task's fills are slowed down, to which its
+#: tail is to come down then, and which a tail may be expected to reach when
+#: fills are let up. The gap between them keeps paces from changing with each
+#: swing of a serving task's own load.
+SLOW_SHARE = 0.75
+WANTED_SHARE = 0.6
+CALM_SHARE = 0.7
+#: A tail over its target for this long, in ms, halts all fills beside it:
+#: more than that the consortium's rules forbid, and a pair that is not known
+#: yet may be the cause.
 UNEXPLAINED_MS = 1500
-#: Percent of one step up.
-STEP_UP_PERCENT = 34
+#: A change of pace by less than this, in percent, is not worth an order.
+LEAST_CHANGE_PERCENT = 12
 #: Below this percent a fill is halted: so low a share only keeps its memory.
 LEAST_PERCENT = 8
 FULL_PERCENT = 100
 #: Time between two changes of one run, in ms: the figures listed lag by half
 #: a second, and pacing takes a tenth of one to work.
-CHANGE_EVERY_MS = 700
+CHANGE_EVERY_MS = 600
+_LEAST_SHARE = 0.02
 
 
 class Pacer:
@@ -79,88 +79,86 @@
             return
         serving = serving_runs(server)
         _note_over(serving, now_ms)
-        for pair in serving:
-            if _tail_share(pair) >= SLOW_SHARE:
-                self._slow(*pair, fills, now_ms)
         if any(_unexplained(run, now_ms) for run, _ in serving):
             for fill, _ in fills:
                 self._pace(fill, 0, now_ms)
-        else:
-            self._let_up(serving, fills, now_ms)
-
-    def _slow(
-        self,
-        harmed: Run,
-        serving: Step,
-        fills: list[tuple[Run, Step]],
-        now_ms: int,
-    ) -> None:
-        wanted_ms = WANTED_SHARE * serving.spec.target_ms
-        excess = math.log(harmed.figure / wanted_ms)
-        parts = (
-            (self._model.effect(serving, step) * used_units(run), run)
-            for run, step in fills
-        )
-        blamed = [(part, run) for part, run in parts if part > 0]
-        for part, run in sorted(blamed, key=lambda pair: -pair[0]):
-            if excess <= 0:
-                break
-            if now_ms - run.paced_ms >= CHANGE_EVERY_MS:
-                left = max(0, 1 - excess / part)
-                self._pace(run, int(run.pace * left), now_ms)
-            excess -= part
-
-    def _let_up(
-        self,
-        serving: list[tuple[Run, Step]],
-        fills: list[tuple[Run, Step]],
-        now_ms: int,
-    ) -> None:
-        paced = [
-            (run, step)
-            for run, step in fills
-            if run.pace < FULL_PERCENT
-            and now_ms - run.paced_ms >= CHANGE_EVERY_MS
-        ]
-        spare_by_image = _spare_by_image(serving) if paced else {}
-        step_by_image = {step.spec.image: step for _, step in serving}
-        for run, fill in paced:
-            percent = min(FULL_PERCENT, run.pace + STEP_UP_PERCENT)
-            more = units_of(fill.spec.needs) * (percent - run.pace)
-            added_by_image = {
-                image: self._model.effect(step, fill) * more / FULL_PERCENT
-                for image, step in step_by_image.items()
-            }
-            if all(
-                not added or added <= spare_by_image[image]
-                for image, added in added_by_image.items()
-            ):
+            return
+        harmed = any(_tail_share(pair) >= SLOW_SHARE for pair in serving)
+        limit = WANTED_SHARE if harmed else CALM_SHARE
+        shares = _Shares(self._model, serving, fills, limit)
+        for run, step in sorted(fills, key=_turn):
+            percent = shares.take(run, step)
+            if (percent < run.pace) is harmed:
                 self._pace(run, percent, now_ms)
-                for image, added in added_by_image.items():
-                    spare_by_image[image] -= added
 
     def _pace(self, run: Run, percent: int, now_ms: int) -> None:
         percent = percent if percent >= LEAST_PERCENT else 0
-        run.paced_ms = now_ms
-        if percent != run.pace:
+        if abs(percent - run.pace) < LEAST_CHANGE_PERCENT:
+            return
+        if now_ms - run.paced_ms >= CHANGE_EVERY_MS:
+            run.paced_ms = now_ms
             run.pace = percent
             run.moved_ms = now_ms
             self._book.orders.append(Pace(run.server_id, run.key, percent))
 
 
-def _spare_by_image(serving: list[tuple[Run, Step]]) -> dict[str, float]:
-    """Say by how much the tail of each image may grow, as a logarithm.
+class _Shares:
+    """What fills may add to the tails beside them, shared out in turn."""
+
+    def __init__(
+        self,
+        model: HarmModel,
+        serving: list[tuple[Run, Step]],
+        fills: list[tuple[Run, Step]],
+        limit: float,
+    ) -> None:
+        self._model = model
+        self._step_by_image = {step.spec.image: step for _, step in serving}
+        self._spare_by_image = {
+            image: min(
+                math.log(limit / max(_tail_share(pair), _LEAST_SHARE))
+                for pair in serving
+                if pair[1].spec.image == image
+            )
+            for image in self._step_by_image
+        }
+        for image, step in self._step_by_image.items():
+            # What the fills add now is in the tail; all of it is shared out
+            # anew.
+            self._spare_by_image[image] += sum(
+                model.effect(step, fill) * used_units(run)
+                for run, fill in fills
+            )
+
+    def take(self, run: Run, fill: Step) -> int:
+        """Give a fill what is left for it.
+
+        :param run: the fill.
+        :param fill: its step.
+        :returns: the pace that it may have, in percent.
+        """
+        units = units_of(fill.spec.needs)
+        added_by_image = {
+            image: self._model.effect(step, fill) * units
+            for image, step in self._step_by_image.items()
+        }
+        share = min(
+            (
+                max(0, self._spare_by_image[image]) / added
+                for image, added in added_by_image.items()
+                if added
+            ),
+            default=1,
+        )
+        share = min(1, share)
+        for image, added in added_by_image.items():
+            self._spare_by_image[image] -= added * share
+        return int(share * FULL_PERCENT)
+
 
-    :param serving: runs that serve on a server.
-    :returns: the least of its runs, by image.
-    """
-    spare: dict[str, float] = {}
-    for run, step in serving:
-        calm_ms = CALM_SHARE * step.spec.target_ms
-        left = math.log(calm_ms / max(run.figure, LEAST_TAIL_MS))
-        image = step.spec.image
-        spare[image] = min(left, spare.get(image, left))
-    return spare
+def _turn(pair: tuple[Run, Step]) -> float:
+    # Those that are nearest their end first: they make room for the others.
+    return -pair[0].percent
 
 
 def _tail_share(pair: tuple[Run, Step]) -> float:
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -1,50 +1,46 @@
 """Choice of a backend server for each task that waits."""
 
-import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
 from waxwingford.ports import Resources, fits_resources
-from waxwingford.scheduling._book import Book
-from waxwingford.scheduling._harm import HarmModel, serving_runs, units_of
+from waxwingford.scheduling._book import Book, runs_of
+from waxwingford.scheduling._harm import HarmModel, units_of
 from waxwingford.scheduling._runners import RunKey
 from waxwingford.scheduling._servers import Server
-from waxwingford.scheduling._specs import QueueTerms
 from waxwingford.scheduling._state import Job, Run, RunPhase, Step, Task
+from waxwingford.scheduling._turns import Waiting, waiting
 
 #: Costs of a server, in units of its whole cpu: it is away from the task's
 #: data; the task failed there before; it is blamed for a failure; a fill
-#: would bring a tail by a factor of e over what is safe; it serves no task of
-#: the same image yet, so that one more image would be harmed by fills there.
+#: is by four cores more than its tails bear; one more image
+#: serves there, so that more fills harm some tail there than on two servers
+#: with an image each.
 AWAY_COST = 0.5
 AVOIDED_COST = 4.0
 BLAME_COST = 0.5
-HARM_COST = 6.0
-OTHER_IMAGE_COST = 0.3
+HARM_COST = 3.0
+OTHER_IMAGE_COST = 1.0
 #: Share of its target that is safe for a tail.
-SAFE_SHARE = 0.6
+SAFE_SHARE = 0.55
+#: A fill that would harm everywhere waits, in ms, unless its job has nothing
+#: running for so long: then it starts, and is paced.
+HOLD_MS = 1500
 #: Share of its cpu that a task is taken to use; fills get the rest.
 USE_SHARE = 0.6
 #: Weight of the cpu that fills ask for in the choice for other tasks.
 FILL_WEIGHT = 0.15
+#: Time between two rounds in which fills are placed, in ms: hundreds of them
+#: may wait, and each round looks at all servers for each.
+FILLS_EVERY_MS = 40
 #: Starts that are not answered yet, on one server at most: its answers come
 #: one after the other, and a server that stalls must not take many tasks.
 MOST_UNANSWERED = 12
 
 
-class Waiting(NamedTuple):
-    """A task that waits, with what decides its turn.
-
-    :ivar order: lower comes first.
-    :ivar task: the task.
-    :ivar step: its step.
-    :ivar queue: terms of its queue.
-    """
-
-    order: tuple[int, int, int, int]
-    task: Task
-    step: Step
-    queue: QueueTerms
+class _Spare(NamedTuple):
+    changes: int
+    units: float
 
 
 class Placer:
@@ -58,6 +54,8 @@
         """
         self._book = book
         self._model = model
+        self._spare_by_pair: dict[tuple[str, str], _Spare] = {}
+        self._fills_ms = 0
 
     def release(self, job: Job, now_ms: int, wall_ms: int) -> None:
         """Make the tasks wait for servers whose turn has come.
@@ -85,19 +83,20 @@
             for server in self._book.server_by_id.values()
             if _takes_starts(server, now_ms)
         ]
+        self._spare_by_pair.clear()
+        fills_too = now_ms - self._fills_ms >= FILLS_EVERY_MS
+        if fills_too:
+            self._fills_ms = now_ms
         unplaced: list[Waiting] = []
         full_steps: set[str] = set()
-        for waiting in sorted(self._waiting(now_ms), key=_order):
-            name = waiting.step.name
-            if name in full_steps and not waiting.task.avoided:
-                unplaced.append(waiting)
-                continue
-            server = self._choose(waiting, usable)
+        for turn in sorted(self._waiting(now_ms, fills_too), key=_order):
+            tried = turn.step.name in full_steps and not turn.task.avoided
+            server = None if tried else self._choose(turn, usable, now_ms)
             if server is None:
-                full_steps.add(name)
-                unplaced.append(waiting)
+                full_steps.add(turn.step.name)
+                unplaced.append(turn)
             else:
-                self.plan(waiting, server, now_ms)
+                self.plan(turn, server, now_ms)
         return unplaced
 
     def plan(self, waiting: Waiting, server: Server, now_ms: int) -> None:
@@ -123,7 +122,7 @@
         self._book.ready_by_key.pop(task.key, None)
         self._book.plan(run, waiting.step)
 
-    def _waiting(self, now_ms: int) -> Iterable[Waiting]:
+    def _waiting(self, now_ms: int, fills_too: bool) -> Iterable[Waiting]:
         for task in list(self._book.ready_by_key.values()):
             job = self._book.job_by_id.get(task.key.job_id)
             if job is None or job.ended is not None:
@@ -134,13 +133,9 @@
             queue = self._book.queue_of(job)
             steps = job.steps_by_occurrence[task.key.occurrence]
             step = steps[task.key.step]
-            order = (
-                queue.priority,
-                int(step.spec.fills),
-                job.known_ms,
-                task.key.index,
-            )
-            yield Waiting(order, task, step, queue)
+            if step.spec.fills and not fills_too:
+                continue
+            yield waiting(task, step, queue, now_ms)
 
     def _turn(self, step: Step, steps: list[Step]) -> bool:
         return not any(
@@ -154,7 +149,9 @@
                 task.waiting_ms = now_ms
                 self._book.ready_by_key[task.key] = task
 
-    def _choose(self, waiting: Waiting, usable: list[Server]) -> Server | None:
+    def _choose(
+        self, waiting: Waiting, usable: list[Server], now_ms: int
+    ) -> Server | None:
         step = waiting.step
         counts = step.per_server() if step.spec.most_per_server else {}
         most = step.spec.most_per_server or len(step.tasks) + 1
@@ -165,6 +162,10 @@
             and counts.get(server.entry.server_id, 0) < most
             and _fits(step, server)
         ]
+        if step.spec.fills and not _starved(step.job, now_ms):
+            fitting = [
+                server for server in fitting if not self._harm(step, server)
+            ]
         if not fitting:
             return None
         return min(
@@ -181,28 +182,24 @@
         cost += BLAME_COST * server.blame
         if spec.fills:
             cost += HARM_COST * self._harm(step, server)
-        elif spec.target_ms and not _serves(spec.image, server):
-            cost += OTHER_IMAGE_COST
+        elif spec.target_ms:
+            cost += OTHER_IMAGE_COST * _count_other_images(spec.image, server)
         return cost
 
     def _harm(self, fill: Step, server: Server) -> float:
-        """Predict by how much a fill would bring tails over their share.
+        """Predict how much more of a fill there would be than a server bears.
 
         :param fill: step of the fill.
         :param server: where it would run.
-        :returns: excess of the logarithm, added up over images.
+        :returns: units of four cores beyond what is safe.
         """
-        step_by_image = {
-            step.spec.image: step for _, step in serving_runs(server)
-        }
-        units = units_of(fill.spec.needs)
-        total: float = 0
-        for step in step_by_image.values():
-            added = self._model.effect(step, fill) * units
-            if added:
-                share = self._model.log_share(server, step) + added
-                total += max(0, share - math.log(SAFE_SHARE))
-        return total
+        key = (server.entry.server_id, fill.spec.image)
+        kept = self._spare_by_pair.get(key)
+        if kept is None or kept.changes != server.changes:
+            spare = self._model.spare_units(server, fill, SAFE_SHARE)
+            kept = _Spare(server.changes, spare)
+            self._spare_by_pair[key] = kept
+        return max(0, units_of(fill.spec.needs) - kept.units)
 
 
 def _due(job: Job, wall_ms: int) -> int:
@@ -221,8 +218,12 @@
     return min(spec.times, past + 1)
 
 
-def _order(waiting: Waiting) -> tuple[int, int, int, int]:
-    return waiting.order
+def _starved(job: Job, now_ms: int) -> bool:
+    return not runs_of(job) and now_ms - job.idle_ms >= HOLD_MS
+
+
+def _order(turn: Waiting) -> tuple[int, ...]:
+    return turn.order
 
 
 def _takes_starts(server: Server, now_ms: int) -> bool:
@@ -262,6 +263,10 @@
     """
     needs_milli = step.spec.needs.processors_milli
     capacity_milli = max(1, server.entry.capacity.processors_milli)
+    if step.spec.target_ms:
+        # Packed tightly, so that some servers stay free of tasks that fills
+        # could harm.
+        return (server.room.processors_milli - needs_milli) / capacity_milli
     if not step.spec.fills:
         used_milli = server.used.processors_milli + needs_milli
         return (used_milli + FILL_WEIGHT * server.fill_milli) / capacity_milli
@@ -269,8 +274,10 @@
     return (server.fill_milli + needs_milli) / max(1, idle_milli)
 
 
-def _serves(image: str, server: Server) -> bool:
-    return any(
-        step.spec.target_ms and step.spec.image == image
+def _count_other_images(image: str, server: Server) -> int:
+    images = {
+        step.spec.image
         for step in server.step_by_run.values()
-    )
+        if step.spec.target_ms
+    }
+    return len(images - {image})
--- a/waxwingford/scheduling/_servers.py
+++ b/waxwingford/scheduling/_servers.py
@@ -55,6 +55,7 @@
     :ivar strangers: runs that it lists and nobody here knows.
     :ivar barred_until_ms: no starts before, steady time.
     :ivar blame: recent runs that failed or stood still, decaying.
+    :ivar changes: counts runs that came or left.
     """
 
     entry: ServerEntry
@@ -75,6 +76,7 @@
     strangers: dict[RunKey, int] = dataclasses.field(default_factory=dict)
     barred_until_ms: int = 0
     blame: float = 0
+    changes: int = 0
 
     @property
     def address(self) -> Address:
@@ -157,6 +159,7 @@
         return clock_ms > self.lease_until_ms
 
     def _count(self, step: Step, sign: int) -> None:
+        self.changes += 1
         needs, used = step.spec.needs, self.used
         cpu_milli = 0 if step.spec.fills else needs.processors_milli
         if step.spec.fills:
--- a/waxwingford/scheduling/_settle.py
+++ b/waxwingford/scheduling/_settle.py
@@ -236,6 +236,7 @@
             return
         task, step = found
         task.run_by_number.pop(run.key.run, None)
+        step.job.idle_ms = now_ms
         task.checkpoint = checkpoint or task.checkpoint
         self._book.mark(step)
         match kind:
--- a/waxwingford/scheduling/_specs.py
+++ b/waxwingford/scheduling/_specs.py
@@ -54,6 +54,8 @@
     :ivar priority: 0 comes first and may preempt the others.
     :ivar most_attempts: failed runs after which a task has failed.
     :ivar advised: whether starts need a ticket of the advice service.
+    :ivar stretch: a job is late after so many times its longest chain.
+    :ivar target_ms: added to that.
     """
 
     name: str
@@ -61,6 +63,8 @@
     priority: int
     most_attempts: int
     advised: bool = False
+    stretch: float = 1
+    target_ms: int = 0
 
 
 #: Terms of a job whose queue nobody named.
@@ -90,6 +94,31 @@
     times: int = 0
     terms: QueueTerms = NO_QUEUE
 
+    @property
+    def chain_ms(self) -> int:
+        """Estimate the job's longest chain of steps.
+
+        :returns: its length in milliseconds.
+        """
+        until_ms: list[int] = []
+        for step in self.steps:
+            begins_ms = max(
+                (until_ms[index] for index in step.after), default=0
+            )
+            until_ms.append(begins_ms + step.estimate_ms)
+        return max(until_ms, default=0)
+
+    @property
+    def work(self) -> int:
+        """Estimate the job's work.
+
+        :returns: thousandths of a core times milliseconds.
+        """
+        return sum(
+            step.count * step.estimate_ms * step.needs.processors_milli
+            for step in self.steps
+        )
+
     @property
     def occurrences(self) -> int:
         """Count repetitions.
--- a/waxwingford/scheduling/_state.py
+++ b/waxwingford/scheduling/_state.py
@@ -151,6 +151,9 @@
 
     :ivar spec: as submitted.
     :ivar steps_by_occurrence: steps of each repetition that has begun.
+    :ivar chain_ms: estimated length of its longest chain of steps.
+    :ivar work: estimated work, see ``JobSpec.work``.
+    :ivar idle_ms: when it last had a run, steady time.
     :ivar shown: phase that callers may be told: nothing that isn't stored.
     :ivar ended: final phase that was decided, ``None`` before.
     :ivar started: whether a run was ever stored.
@@ -161,6 +164,9 @@
 
     spec: JobSpec
     known_ms: int
+    chain_ms: int
+    work: int
+    idle_ms: int
     steps_by_occurrence: dict[int, list[Step]] = dataclasses.field(
         default_factory=dict
     )
@@ -205,7 +211,14 @@
     :param now_ms: steady time.
     :returns: a job of which nothing has begun.
     """
-    return Job(spec, now_ms, occurrences_left=spec.occurrences)
+    return Job(
+        spec,
+        now_ms,
+        spec.chain_ms,
+        spec.work,
+        now_ms,
+        occurrences_left=spec.occurrences,
+    )
 
 
 def _new_step(job: Job, occurrence: int, index: int) -> Step:
--- /dev/null
+++ b/waxwingford/scheduling/_turns.py
@@ -0,0 +1,57 @@
+"""Whose turn it is: the order in which tasks that wait are placed."""
+
+from typing import NamedTuple
+
+from waxwingford.scheduling._specs import QueueTerms
+from waxwingford.scheduling._state import Job, Step, Task
+
+#: A job is worth nothing any more after so many times its objective, as the
+#: consortium counts it.
+WORTHLESS_FACTOR = 3
+
+
+class Waiting(NamedTuple):
+    """A task that waits, with what decides its turn.
+
+    :ivar order: lower comes first.
+    :ivar task: the task.
+    :ivar step: its step.
+    :ivar queue: terms of its queue.
+    """
+
+    order: tuple[int, int, int, int, int]
+    task: Task
+    step: Step
+    queue: QueueTerms
+
+
+def waiting(task: Task, step: Step, queue: QueueTerms, now_ms: int) -> Waiting:
+    """Work out the turn of a task.
+
+    Of the fills, those of jobs that can still be in time come first, and the
+    smaller jobs among them: when there is more work than room, to go by age
+    makes every job late.
+
+    :param task: the task.
+    :param step: its step.
+    :param queue: terms of its queue.
+    :param now_ms: steady time.
+    :returns: the task with its turn.
+    """
+    job = step.job
+    order = (
+        queue.priority,
+        int(step.spec.fills),
+        _lateness(job, queue, now_ms) if step.spec.fills else 0,
+        job.work if step.spec.fills else job.known_ms,
+        task.key.index,
+    )
+    return Waiting(order, task, step, queue)
+
+
+def _lateness(job: Job, queue: QueueTerms, now_ms: int) -> int:
+    objective_ms = queue.stretch * job.chain_ms + queue.target_ms
+    age_ms = now_ms - job.known_ms
+    if age_ms <= objective_ms:
+        return 0
+    return 1 if age_ms <= WORTHLESS_FACTOR * objective_ms else 2
--- /dev/null
+++ b/waxwingford/shard/_commits.py
@@ -0,0 +1,57 @@
+"""Stores what an engine decides, batch by batch, then acts on it."""
+
+import asyncio
+from collections.abc import Callable
+
+from waxwingford.scheduling import Engine
+from waxwingford.shard._beats import Beats
+from waxwingford.shard._fleet import Fleet
+from waxwingford.shard._journal import Deposed, EpochWriter
+from waxwingford.shard._log_port import KeyedRecord
+from waxwingford.shard._times import boot_ms
+
+
+class Committer:
+    """One append at a time; what comes meanwhile goes into the next."""
+
+    def __init__(
+        self, engine: Engine, writer: EpochWriter, fleet: Fleet, beats: Beats
+    ) -> None:
+        """Prepare.
+
+        :param engine: decides.
+        :param writer: of the journal, under the owner's epoch.
+        :param fleet: acts.
+        :param beats: takes each acknowledgement as a proof of ownership.
+        """
+        self._engine = engine
+        self._writer = writer
+        self._fleet = fleet
+        self._beats = beats
+        self._wanted = asyncio.Event()
+
+    def wake(self) -> None:
+        """Store soon, if there is something to store."""
+        if self._engine.book.dirty:
+            self._wanted.set()
+
+    async def run(self, stir: Callable[[], None]) -> None:
+        """Store batches until the owner is deposed.
+
+        :param stir: called after each batch.
+        """
+        while True:
+            await self._wanted.wait()
+            self._wanted.clear()
+            batch = self._engine.take_batch()
+            rows = tuple(
+                KeyedRecord(key, raw)
+                for key, raw in batch.payload_by_key.items()
+            )
+            sent_ms = boot_ms()
+            if rows:
+                if isinstance(await self._writer.append(rows), Deposed):
+                    return
+                self._beats.prove(sent_ms)
+            self._fleet.act_on(batch, self._engine.stored(batch))
+            stir()
--- a/waxwingford/shard/_owner.py
+++ b/waxwingford/shard/_owner.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Coroutine
 
 import logbook
 
 from waxwingford.scheduling import Engine, TaskRunners, Terms
 from waxwingford.shard._beats import PROOF_MS, Beats
+from waxwingford.shard._commits import Committer
 from waxwingford.shard._drivers import DriverPorts
 from waxwingford.shard._fleet import Fleet, ServerDirectory
 from waxwingford.shard._intake_reader import IntakeReader
@@ -15,13 +17,12 @@
     OWNER_KEY,
     Claimed,
     ClaimFailed,
-    Deposed,
     EpochWriter,
     OwnerRecord,
     decode_owner,
     next_epoch,
 )
-from waxwingford.shard._log_port import KeyedRecord, SharedLog
+from waxwingford.shard._log_port import SharedLog
 from waxwingford.shard._mirror import CaughtUp, Mirror
 from waxwingford.shard._peers import (
     JobAnswer,
@@ -105,7 +106,6 @@
         self._intake = IntakeReader(ports.log)
         self._tasks: list[asyncio.Task[None]] = []
         self._stirred = asyncio.Event()
-        self._to_store = asyncio.Event()
 
     async def claim(self, former_epoch: int) -> bool:
         """Claim the shard and begin to act.
@@ -137,7 +137,7 @@
             'shard claimed',
             extra={'epoch': self.epoch, 'former_epoch': known},
         )
-        self._tasks.append(asyncio.create_task(self._keep_beating()))
+        self._spawn(self._keep_beating())
         await self._take_over(journal.payload_by_key)
         return True
 
@@ -189,6 +189,28 @@
         self._halt()
         self._end(reason)
 
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        task.add_done_callback(self._finished)
+        self._tasks.append(task)
+
+    def _finished(self, task: asyncio.Task[None]) -> None:
+        """Stop owning the shard when a part of the owner has failed.
+
+        Without one of its tasks the owner would go on with heartbeats while
+        nothing is placed or stored, and no other daemon would take over.
+
+        :param task: that has ended.
+        """
+        if task.cancelled() or task.exception() is None:
+            return
+        _log.error(
+            'part of the owner failed',
+            extra={'epoch': self.epoch},
+            exc_info=task.exception(),
+        )
+        self.stop('a part of the owner failed')
+
     def _halt(self) -> None:
         for task in self._tasks:
             task.cancel()
@@ -198,13 +220,10 @@
 
     def _end(self, reason: str) -> None:
         if not self.over.is_set():
-            about = {**self._about(), 'reason': reason}
+            about = {'epoch': self.epoch, 'reason': reason}
             _log.info('shard given up', extra=about)
         self.over.set()
 
-    def _about(self) -> dict[str, int]:
-        return {'epoch': self.epoch}
-
     async def _take_over(self, rows: dict[str, bytes]) -> None:
         now_ms = steady_ms()
         settings = self._settings
@@ -223,6 +242,9 @@
             self._stirred.set,
         )
         self._fleet = Fleet(self._engine, driver_ports, self._ports.directory)
+        self._committer = Committer(
+            self._engine, self._writer, self._fleet, self._beats
+        )
         await self._fleet.register()
         self.ready = True
         works = (
@@ -231,12 +253,13 @@
             self._decide(),
             self._commit(),
         )
-        self._tasks += map(asyncio.create_task, works)
+        for work in works:
+            self._spawn(work)
         book = self._engine.book
         _log.info(
             'shard taken over',
             extra={
-                **self._about(),
+                'epoch': self.epoch,
                 'jobs': len(book.job_by_id),
                 'servers': len(book.server_by_id),
             },
@@ -258,30 +281,11 @@
             self._stirred.clear()
             self._engine.decide(steady_ms(), wall_ms())
             self._fleet.send_orders()
-            if self._engine.book.dirty:
-                self._to_store.set()
+            self._committer.wake()
 
     async def _commit(self) -> None:
-        while True:
-            await self._to_store.wait()
-            self._to_store.clear()
-            batch = self._engine.take_batch()
-            rows = tuple(
-                KeyedRecord(key, raw)
-                for key, raw in batch.payload_by_key.items()
-            )
-            if rows and not await self._append(rows):
-                self.stop('the store has seen a higher epoch')
-                return
-            self._fleet.act_on(batch, self._engine.stored(batch))
-            self._stirred.set()
-
-    async def _append(self, rows: tuple[KeyedRecord, ...]) -> bool:
-        sent_ms = boot_ms()
-        if isinstance(await self._writer.append(rows), Deposed):
-            return False
-        self._beats.prove(sent_ms)
-        return True
+        await self._committer.run(self._stirred.set)
+        self.stop('the store has seen a higher epoch')
 
     async def _keep_beating(self) -> None:
         await self._beats.keep()
