Claim once, suspect by the heartbeats' own gaps, refuse at once without the store

Change: a claim gives way to one that came since it was decided; the owner is lost after 2.2 times the longest recent gap between heartbeats, 0.95 to 4 s; two calls in a row without an answer of the store refuse a submission at once (true: nothing was tried) with when to come back; a daemon that the store turns away lets the owner store for it.

--- a/waxwingford/platform/_store.py
+++ b/waxwingford/platform/_store.py
@@ -28,6 +28,9 @@
 #: Time for an append, in seconds: an answer takes some ms, some hundred when
 #: the store is slow.
 APPEND_TIMEOUT_S = 1.2
+#: So many calls in a row without an answer mean that the store is away: one
+#: may be lost by itself.
+MOST_FAILURES = 2
 #: Time for a read beyond the time that the store may wait, in seconds.
 READ_TIMEOUT_S = 1.2
 _MS_IN_S = 1000
@@ -93,6 +96,15 @@
         """
         self._calls = calls
         self._address = address
+        self._failures = 0
+
+    @property
+    def answering(self) -> bool:
+        """Tell whether the store has answered one of the newest calls.
+
+        :returns: whether fewer than two calls in a row have failed.
+        """
+        return self._failures < MOST_FAILURES
 
     async def append(
         self,
@@ -108,12 +120,14 @@
         :returns: what is known of it.
         """
         query = {'topic': _KEYED + topic, 'part': _PART, **_conditions(fence)}
-        outcome = await self._calls.post(
-            self._address,
-            '/api/log-append',
-            query,
-            b''.join(map(_encode, records)),
-            APPEND_TIMEOUT_S,
+        outcome = self._noted(
+            await self._calls.post(
+                self._address,
+                '/api/log-append',
+                query,
+                b''.join(map(_encode, records)),
+                APPEND_TIMEOUT_S,
+            )
         )
         if not isinstance(outcome, Answer):
             return _lost(outcome)
@@ -147,11 +161,13 @@
         }
         if wait_ms:
             query['wait-ms'] = str(wait_ms)
-        outcome = await self._calls.get(
-            self._address,
-            '/api/log-read',
-            query,
-            wait_ms / _MS_IN_S + READ_TIMEOUT_S,
+        outcome = self._noted(
+            await self._calls.get(
+                self._address,
+                '/api/log-read',
+                query,
+                wait_ms / _MS_IN_S + READ_TIMEOUT_S,
+            )
         )
         if not isinstance(outcome, Answer):
             return _lost(outcome)
@@ -175,8 +191,10 @@
         if after_key:
             # Here the parameter says after which key the page begins.
             query['depends-on'] = after_key
-        outcome = await self._calls.get(
-            self._address, '/api/log-newest', query, READ_TIMEOUT_S
+        outcome = self._noted(
+            await self._calls.get(
+                self._address, '/api/log-newest', query, READ_TIMEOUT_S
+            )
         )
         if not isinstance(outcome, Answer):
             return _lost(outcome)
@@ -189,6 +207,12 @@
         )
         return NewestPage(records, body.has_more, body.end)
 
+    def _noted(self, outcome: CallOutcome) -> CallOutcome:
+        refused = isinstance(outcome, Answer) and outcome.status in _REFUSALS
+        failed = refused or not isinstance(outcome, Answer)
+        self._failures = self._failures + 1 if failed else 0
+        return outcome
+
 
 def _conditions(fence: Fence | None) -> dict[str, str]:
     if fence is None:
--- a/waxwingford/shard/_intake.py
+++ b/waxwingford/shard/_intake.py
@@ -8,7 +8,7 @@
 import dataclasses
 import itertools
 
-from waxwingford.scheduling import JobSpec, encode_spec
+from waxwingford.scheduling import decode_spec
 from waxwingford.shard._log_port import (
     Appended,
     KeyedRecord,
@@ -56,6 +56,29 @@
 IntakeOutcome = Stored | NotStored | MayBeStored
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobRow:
+    """A job for the intake.
+
+    :ivar raw: as ``encode_spec`` wrote it.
+    """
+
+    raw: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelRow:
+    """A cancelling for the intake.
+
+    :ivar job_id: which job.
+    """
+
+    job_id: str
+
+
+IntakeRow = JobRow | CancelRow
+
+
 class Intake:
     """Appends to the intake of a shard."""
 
@@ -66,31 +89,22 @@
         """
         self._log = log
 
-    async def submit(self, spec: JobSpec, until_s: float) -> IntakeOutcome:
-        """Store a job.
+    async def store(self, row: IntakeRow, until_s: float) -> IntakeOutcome:
+        """Store a job or a cancelling.
 
-        :param spec: as submitted.
+        :param row: what to store.
         :param until_s: loop time at which the caller gives up.
         :returns: whether it is stored.
         """
-        row = KeyedRecord(JOB_PREFIX + spec.job_id, encode_spec(spec))
-        return await self._append(row, until_s)
-
-    async def cancel(self, job_id: str, until_s: float) -> IntakeOutcome:
-        """Store the cancelling of a job.
-
-        :param job_id: which.
-        :param until_s: loop time at which the caller gives up.
-        :returns: whether it is stored.
-        """
-        row = KeyedRecord(CANCEL_PREFIX + job_id, _CANCELLED)
-        return await self._append(row, until_s)
-
-    async def _append(self, row: KeyedRecord, until_s: float) -> IntakeOutcome:
+        record = _record(row)
+        if not self._log.answering:
+            # To try would leave the outcome open, and a caller can only come
+            # back at once if nothing was tried.
+            return NotStored('the store does not answer')
         loop = asyncio.get_running_loop()
         unknown: list[str] = []
         for tries in itertools.count(1):
-            outcome = await self._log.append(INTAKE_TOPIC, (row,))
+            outcome = await self._log.append(INTAKE_TOPIC, (record,))
             match outcome:
                 case Appended():
                     break
@@ -104,6 +118,14 @@
         return Stored()
 
 
+def _record(row: IntakeRow) -> KeyedRecord:
+    match row:
+        case JobRow(raw):
+            return KeyedRecord(JOB_PREFIX + decode_spec(raw).job_id, raw)
+        case CancelRow(job_id):
+            return KeyedRecord(CANCEL_PREFIX + job_id, _CANCELLED)
+
+
 def _given_up(unknown: list[str], refused: str) -> IntakeOutcome:
     # One try of unknown outcome is enough to leave all open: it may still be
     # carried out, and "not stored" must be true.
--- a/waxwingford/shard/_journal.py
+++ b/waxwingford/shard/_journal.py
@@ -71,6 +71,18 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimOvertaken:
+    """Another daemon has claimed the shard since the claim was decided.
+
+    :ivar epoch: of that daemon.
+    """
+
+    epoch: int
+
+
+ClaimOutcome = Claimed | ClaimFailed | ClaimOvertaken
+
 _owner_decoder = msgspec.msgpack.Decoder(OwnerRecord)
 _encoder = msgspec.msgpack.Encoder()
 
--- a/waxwingford/shard/_log_port.py
+++ b/waxwingford/shard/_log_port.py
@@ -153,7 +153,12 @@
 
 
 class SharedLog(Protocol):
-    """Topics of keyed records, one partition each."""
+    """Topics of keyed records, one partition each.
+
+    :ivar answering: whether the store has answered one of the newest calls.
+    """
+
+    answering: bool
 
     async def append(
         self,
--- a/waxwingford/shard/_member.py
+++ b/waxwingford/shard/_member.py
@@ -7,31 +7,18 @@
 
 import logbook
 
-from waxwingford.scheduling import (
-    ENDED_PREFIX,
-    JobPhase,
-    JobSpec,
-    Terms,
-    decode_end,
-    decode_spec,
-)
-from waxwingford.shard._beats import OWNERS_TOPIC
+from waxwingford.scheduling import JobPhase, JobSpec, Terms, encode_spec
 from waxwingford.shard._intake import (
-    CANCEL_PREFIX,
-    INTAKE_TOPIC,
-    JOB_PREFIX,
+    CancelRow,
     Intake,
     IntakeOutcome,
+    IntakeRow,
+    JobRow,
+    NotStored,
     Stored,
 )
-from waxwingford.shard._journal import (
-    JOURNAL_TOPIC,
-    OWNER_KEY,
-    OwnerRecord,
-    decode_owner,
-)
+from waxwingford.shard._journal import Claimed, ClaimFailed, ClaimOvertaken
 from waxwingford.shard._log_port import SharedLog
-from waxwingford.shard._mirror import CaughtUp, Mirror
 from waxwingford.shard._owner import Owner
 from waxwingford.shard._peers import (
     JobAnswer,
@@ -40,18 +27,13 @@
     NotAnswered,
     OwnerLink,
 )
-from waxwingford.shard._times import MS_IN_S, steady_ms
-
-#: The owner is taken for lost when the store has shown no heartbeat of it for
-#: this long, in ms: three times the interval, and some for a slow store.
-SUSPECT_MS = 1300
-#: Random part of the wait before a claim, in ms, so that daemons that stand
-#: by seldom claim together; the store lets one of them through.
-CLAIM_JITTER_MS = 250
-#: The same after a resignation or when there was never an owner.
+from waxwingford.shard._store_view import StoreView
+from waxwingford.shard._times import MS_IN_S
+from waxwingford.shard._watch import OwnerWatch
+
+#: Random wait before a claim after a resignation, or when there was never an
+#: owner, in ms.
 FREE_JITTER_MS = 60
-#: Longest wait of a read of the owner's heartbeats, in ms.
-BEAT_WAIT_MS = 1000
 #: Pause after a read or a claim that failed, in seconds.
 FAILED_PAUSE_S = 0.15
 
@@ -65,7 +47,11 @@
 
 
 class ShardMember:
-    """Stands by for a shard and answers callers about it."""
+    """Stands by for a shard and answers callers about it.
+
+    :ivar terms: configuration in force.
+    :ivar owner: set while the shard is owned here.
+    """
 
     def __init__(
         self,
@@ -81,16 +67,13 @@
         """
         self.terms = Terms(0, {})
         self.owner: Owner | None = None
-        self._log = log
         self._make_owner = make_owner
         self._intake = Intake(log)
-        self._owners = Mirror(log, OWNERS_TOPIC)
+        self._watch = OwnerWatch(log)
         self._link = link
-        self._record: OwnerRecord | None = None
-        self._changed_ms = 0
-        self._suspect_ms = SUSPECT_MS
-        self._view = _StoreView(log)
+        self._view = StoreView(log)
         self._resigning = False
+        self._overtaken_epoch = 0
         self._final_by_job: dict[str, JobPhase] = {}
 
     @property
@@ -99,7 +82,7 @@
 
         :returns: whether there is an owner.
         """
-        return self._record is not None and not self._record.resigned
+        return not self._watch.unowned
 
     def configure(self, terms: Terms) -> None:
         """Put a configuration in force.
@@ -115,15 +98,12 @@
         while not self._resigning:
             if self.owner is not None and self.owner.over.is_set():
                 self.owner = None
-            read = await self._owners.catch_up(self._wait_ms())
-            if not isinstance(read, CaughtUp):
-                # Without the store nobody can tell whether the owner lives.
-                self._changed_ms = steady_ms()
+            if not await self._watch.read():
                 await asyncio.sleep(FAILED_PAUSE_S)
                 continue
-            self._see(decode_owner(self._owners.payload_by_key.get(OWNER_KEY)))
-            if self.owner is None and self._free() and not self._resigning:
-                await self._claim()
+            free = self._watch.unowned or self._watch.overdue
+            if free and self.owner is None and not self._resigning:
+                await self._try_claim()
 
     async def resign(self) -> None:
         """Hand the shard over, if it is owned here."""
@@ -144,7 +124,7 @@
         :param until_s: loop time at which the caller gives up.
         :returns: whether it is stored.
         """
-        return await self._intake.submit(spec, until_s)
+        return await self._store(JobRow(encode_spec(spec)), until_s)
 
     async def cancel(
         self, job_id: str, until_s: float
@@ -159,7 +139,7 @@
             case JobKnown(phase):
                 if phase in _FINAL:
                     return Stored()
-                return await self._intake.cancel(job_id, until_s)
+                return await self._store(CancelRow(job_id), until_s)
             case JobNotKnown():
                 return CancelNotKnown()
             case NotAnswered() as lost:
@@ -175,8 +155,9 @@
         if final is not None:
             return JobKnown(final)
         answer = await self.own_phase(job_id)
-        if isinstance(answer, NotAnswered) and self._record is not None:
-            answer = await self._link.phase(self._record.endpoint, job_id)
+        record = self._watch.record
+        if isinstance(answer, NotAnswered) and record is not None:
+            answer = await self._link.phase(record.endpoint, job_id)
         if isinstance(answer, NotAnswered):
             answer = await self._view.phase(job_id)
         if isinstance(answer, JobKnown) and answer.phase in _FINAL:
@@ -190,8 +171,9 @@
         :returns: the count, ``None`` if nobody can say.
         """
         count = self.own_pending(queue)
-        if count is None and self._record is not None:
-            count = await self._link.pending(self._record.endpoint, queue)
+        record = self._watch.record
+        if count is None and record is not None:
+            count = await self._link.pending(record.endpoint, queue)
         if count is None:
             count = await self._view.pending(queue)
         return count
@@ -216,92 +198,49 @@
             return None
         return self.owner.pending(queue)
 
-    def _wait_ms(self) -> int:
-        left_ms = self._changed_ms + self._suspect_ms - steady_ms()
-        return max(1, min(BEAT_WAIT_MS, left_ms))
-
-    def _see(self, record: OwnerRecord | None) -> None:
-        if record != self._record:
-            self._record = record
-            self._changed_ms = steady_ms()
-            jitter_ms = random.randint(0, CLAIM_JITTER_MS)
-            self._suspect_ms = SUSPECT_MS + jitter_ms
-
-    def _free(self) -> bool:
-        if self._record is None or self._record.resigned:
-            return True
-        return steady_ms() - self._changed_ms >= self._suspect_ms
-
-    async def _claim(self) -> None:
-        former = self._record
-        if former is None or former.resigned:
+    async def store_for(self, row: IntakeRow, until_s: float) -> IntakeOutcome:
+        """Store a job or a cancelling for another daemon.
+
+        :param row: what to store.
+        :param until_s: loop time at which its caller gives up.
+        :returns: whether it is stored.
+        """
+        return await self._intake.store(row, until_s)
+
+    async def _store(self, row: IntakeRow, until_s: float) -> IntakeOutcome:
+        outcome = await self._intake.store(row, until_s)
+        record = self._watch.record
+        if not isinstance(outcome, NotStored) or record is None:
+            return outcome
+        # The store may turn this daemon away and serve the owner.
+        left_s = until_s - asyncio.get_running_loop().time()
+        if left_s <= 0 or self.owner is not None:
+            return outcome
+        return await self._link.store(record.endpoint, row, left_s)
+
+    async def _try_claim(self) -> None:
+        watch = self._watch
+        former = watch.record
+        if watch.unowned:
             await asyncio.sleep(random.randint(0, FREE_JITTER_MS) / MS_IN_S)
-            read = await self._owners.catch_up()
-            if not isinstance(read, CaughtUp):
-                return
-            self._see(decode_owner(self._owners.payload_by_key.get(OWNER_KEY)))
-            if self._record != former:
+            if not await watch.read(wait=False) or watch.record != former:
                 return
         else:
             _log.info('owner lost', extra={'owner': former.daemon_id})
         former_epoch = 0 if former is None else former.epoch
-        self.owner = self._make_owner(self.terms)
-        if not await self.owner.claim(former_epoch):
-            self.owner = None
-            self._changed_ms = steady_ms()
-            await asyncio.sleep(FAILED_PAUSE_S)
+        await self._claim(max(former_epoch, self._overtaken_epoch))
 
-
-class _StoreView:
-    """Answers from the store itself while no owner can be asked."""
-
-    def __init__(self, log: SharedLog) -> None:
-        self._intake = Mirror(log, INTAKE_TOPIC)
-        self._journal = Mirror(log, JOURNAL_TOPIC)
-        self._lock = asyncio.Lock()
-
-    async def phase(self, job_id: str) -> JobAnswer:
-        if not await self._catch_up():
-            return NotAnswered('neither the owner nor the store can be asked')
-        rows = self._journal.payload_by_key
-        ended = rows.get(ENDED_PREFIX + job_id)
-        if ended is not None:
-            return JobKnown(decode_end(ended))
-        stored = self._intake.payload_by_key
-        if JOB_PREFIX + job_id not in stored:
-            return JobNotKnown()
-        if CANCEL_PREFIX + job_id in stored:
-            return JobKnown(JobPhase.cancelled)
-        begun = any(key.startswith(f'{job_id}.') for key in rows)
-        phase = JobPhase.running if begun else JobPhase.queued
-        return JobKnown(phase)
-
-    async def pending(self, queue: str) -> int | None:
-        if not await self._catch_up():
-            return None
-        stored = self._intake.payload_by_key
-        begun = (
-            key.partition('.')[0].removeprefix(ENDED_PREFIX)
-            for key in self._journal.payload_by_key
-        )
-        cancelled = (
-            key.removeprefix(CANCEL_PREFIX)
-            for key in stored
-            if key.startswith(CANCEL_PREFIX)
-        )
-        settled = {*begun, *cancelled}
-        waiting = (
-            raw
-            for key, raw in stored.items()
-            if key.startswith(JOB_PREFIX)
-            and key.removeprefix(JOB_PREFIX) not in settled
-        )
-        return sum(decode_spec(raw).queue == queue for raw in waiting)
-
-    async def _catch_up(self) -> bool:
-        async with self._lock:
-            # The intake last: a job that the journal names is in it then.
-            for mirror in (self._journal, self._intake):
-                if not isinstance(await mirror.catch_up(), CaughtUp):
-                    return False
-        return True
+    async def _claim(self, former_epoch: int) -> None:
+        self.owner = self._make_owner(self.terms)
+        match await self.owner.claim(former_epoch):
+            case Claimed():
+                return
+            case ClaimOvertaken(epoch):
+                # That daemon sends heartbeats soon; if it doesn't, the next
+                # claim goes past it.
+                self._overtaken_epoch = epoch
+            case ClaimFailed(reason):
+                _log.info('claim failed', extra={'reason': reason})
+        self.owner = None
+        self._watch.restart()
+        await asyncio.sleep(FAILED_PAUSE_S)
--- a/waxwingford/shard/_owner.py
+++ b/waxwingford/shard/_owner.py
@@ -17,6 +17,8 @@
     OWNER_KEY,
     Claimed,
     ClaimFailed,
+    ClaimOutcome,
+    ClaimOvertaken,
     EpochWriter,
     OwnerRecord,
     decode_owner,
@@ -109,7 +111,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._stirred = asyncio.Event()
 
-    async def claim(self, former_epoch: int) -> bool:
+    async def claim(self, former_epoch: int) -> ClaimOutcome:
         """Claim the shard and begin to act.
 
         :param former_epoch: highest epoch that was seen.
@@ -117,11 +119,16 @@
         """
         log = self._ports.log
         journal = Mirror(log, JOURNAL_TOPIC)
-        if not isinstance(await journal.catch_up(), CaughtUp):
-            return False
+        read = await journal.catch_up()
+        if not isinstance(read, CaughtUp):
+            return ClaimFailed(str(read))
         owner = decode_owner(journal.payload_by_key.pop(OWNER_KEY, None))
-        known = max(former_epoch, owner.epoch if owner else 0)
-        self.epoch = next_epoch(known)
+        if owner is not None and owner.epoch > former_epoch:
+            # Several daemons miss the former owner at the same time. Without
+            # this each would depose the one before, and the shard would
+            # change hands as often as there are daemons.
+            return ClaimOvertaken(owner.epoch)
+        self.epoch = next_epoch(former_epoch)
         self._writer = EpochWriter(log, JOURNAL_TOPIC, self.epoch)
         record = OwnerRecord(
             self._settings.daemon_id, self.epoch, self._settings.endpoint
@@ -130,18 +137,17 @@
         sent_ms = self._ports.since_boot_ms()
         claimed = await self._writer.claim(journal.next_offset, record)
         match claimed:
-            case ClaimFailed(reason):
-                _log.info('claim failed', extra={'reason': reason})
-                return False
+            case ClaimFailed():
+                return claimed
             case Claimed():
                 self._beats.prove(sent_ms)
         _log.info(
             'shard claimed',
-            extra={'epoch': self.epoch, 'former_epoch': known},
+            extra={'epoch': self.epoch, 'former_epoch': former_epoch},
         )
         self._spawn(self._keep_beating())
         await self._take_over(journal.payload_by_key)
-        return True
+        return claimed
 
     def configure(self, terms: Terms) -> None:
         """Put a configuration in force.
--- a/waxwingford/shard/_peers.py
+++ b/waxwingford/shard/_peers.py
@@ -10,11 +10,26 @@
 
 from waxwingford.scheduling import JobPhase
 from waxwingford.shard import queries_pb2 as wire
+from waxwingford.shard._intake import (
+    CancelRow,
+    IntakeOutcome,
+    IntakeRow,
+    JobRow,
+    MayBeStored,
+    NotStored,
+    Stored,
+)
+from waxwingford.shard._times import MS_IN_S
 from waxwingford.shard.queries_grpc import ShardQueriesBase, ShardQueriesStub
 
 #: Longest wait for the owner's answer, in seconds: a few times what a busy
 #: owner takes, and short enough that the store can still be asked instead.
 ASK_TIMEOUT_S = 0.5
+_WIRE_BY_OUTCOME = {
+    Stored: wire.StoreReply.STORED,
+    NotStored: wire.StoreReply.NOT_STORED,
+    MayBeStored: wire.StoreReply.MAY_BE_STORED,
+}
 _LOST = (GRPCError, StreamTerminatedError, asyncio.TimeoutError, OSError)
 
 
@@ -65,6 +80,15 @@
         """
         ...
 
+    async def store_for(self, row: IntakeRow, until_s: float) -> IntakeOutcome:
+        """Store a job or a cancelling for another daemon.
+
+        :param row: what to store.
+        :param until_s: loop time at which its caller gives up.
+        :returns: whether it is stored.
+        """
+        ...
+
 
 class QueryService(ShardQueriesBase):
     """Answers other daemons."""
@@ -102,6 +126,24 @@
             wire.PendingReply(owner=count is not None, count=count or 0)
         )
 
+    async def Store(self, stream: Stream) -> None:  # noqa: N802
+        """Store a job or a cancelling for another daemon.
+
+        :param stream: of the call.
+        """
+        request = await stream.recv_message()
+        row = (
+            CancelRow(request.cancel_job_id)
+            if request.cancel_job_id
+            else JobRow(request.job)
+        )
+        left_s = request.left_ms / MS_IN_S
+        until_s = asyncio.get_running_loop().time() + left_s
+        outcome = await self._answers.store_for(row, until_s)
+        await stream.send_message(
+            wire.StoreReply(outcome=_WIRE_BY_OUTCOME[type(outcome)])
+        )
+
 
 class OwnerLink:
     """Channel to the daemon that owns the shard."""
@@ -154,6 +196,37 @@
             return None
         return reply.count if reply.owner else None
 
+    async def store(
+        self, endpoint: str, row: IntakeRow, left_s: float
+    ) -> IntakeOutcome:
+        """Let the owner store a job or a cancelling.
+
+        :param endpoint: of the owner.
+        :param row: what to store.
+        :param left_s: time that the caller has left, in seconds.
+        :returns: whether it is stored.
+        """
+        request = wire.StoreRequest(left_ms=int(left_s * MS_IN_S))
+        match row:
+            case JobRow(raw):
+                request.job = raw
+            case CancelRow(job_id):
+                request.cancel_job_id = job_id
+        try:
+            reply = await self._stub(endpoint).Store(request, timeout=left_s)
+        except OSError as error:
+            # No connection: nothing was sent.
+            return NotStored(self._lost(error).reason)
+        except _LOST as error:
+            return MayBeStored(self._lost(error).reason)
+        match reply.outcome:
+            case wire.StoreReply.STORED:
+                return Stored()
+            case wire.StoreReply.NOT_STORED:
+                return NotStored('refused by the owner')
+            case _:
+                return MayBeStored('unknown to the owner')
+
     def _lost(self, error: Exception) -> NotAnswered:
         # The connection may have gone silent for good: the next call opens a
         # new one.
--- a/waxwingford/shard/queries_grpc.py
+++ b/waxwingford/shard/queries_grpc.py
@@ -22,6 +22,10 @@
     async def Pending(self, stream: 'grpclib.server.Stream[waxwingford.shard.queries_pb2.PendingRequest, waxwingford.shard.queries_pb2.PendingReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Store(self, stream: 'grpclib.server.Stream[waxwingford.shard.queries_pb2.StoreRequest, waxwingford.shard.queries_pb2.StoreReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/waxwingford.shard.ShardQueries/JobState': grpclib.const.Handler(
@@ -36,6 +40,12 @@
                 waxwingford.shard.queries_pb2.PendingRequest,
                 waxwingford.shard.queries_pb2.PendingReply,
             ),
+            '/waxwingford.shard.ShardQueries/Store': grpclib.const.Handler(
+                self.Store,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                waxwingford.shard.queries_pb2.StoreRequest,
+                waxwingford.shard.queries_pb2.StoreReply,
+            ),
         }
 
 
@@ -54,3 +64,9 @@
             waxwingford.shard.queries_pb2.PendingRequest,
             waxwingford.shard.queries_pb2.PendingReply,
         )
+        self.Store = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/waxwingford.shard.ShardQueries/Store',
+            waxwingford.shard.queries_pb2.StoreRequest,
+            waxwingford.shard.queries_pb2.StoreReply,
+        )
--- a/waxwingford/shard/tests/shard.feature
+++ b/waxwingford/shard/tests/shard.feature
@@ -23,6 +23,27 @@
     And each task was started at most once
     And nothing was breached
 
+  Scenario: several daemons miss the owner at the same time
+    # Symptom: the shard changes hands as often as there are daemons, and each
+    # owner in turn reads everything and is deposed.
+    # Sequence: the owner is killed, all others miss it and claim.
+    # Cause: a claim that goes on although another daemon has just claimed.
+    Given a shard with 6 daemons and 4 servers
+    When the owner is killed
+    And 4 s pass
+    Then there is one owner
+    And the shard has changed hands once
+
+  Scenario: the store turns the daemon away that a caller asks
+    # Symptom: a job is refused although the store is there for others.
+    # Sequence: the store refuses one daemon's calls, a job comes to it.
+    # Cause: a daemon that asks nobody else.
+    Given a shard with 3 daemons and 4 servers
+    When the store turns a standby away
+    And a job of 2 steps is submitted through that standby
+    And 6 s pass
+    Then the job is shown as completed by every daemon
+
   Scenario: the owner resigns
     Given a shard with 3 daemons and 4 servers
     When the owner resigns
--- a/waxwingford/shard/tests/shard_steps.py
+++ b/waxwingford/shard/tests/shard_steps.py
@@ -3,6 +3,7 @@
 from behave import given, then, when
 
 from waxwingford.shard import Stored
+from waxwingford.shard._journal import JOURNAL_TOPIC, OWNER_KEY
 from waxwingford.shard.tests.virtual_shard import VirtualShard, step
 
 FAULT_KINDS = ('kill', 'cut_store', 'refuse_store', 'cut_server', 'crash')
@@ -63,6 +64,28 @@
     context.shard.cancel(context.jobs[-1])
 
 
+@when('the store turns a standby away')
+def refuse_standby(context):
+    shard = context.shard
+    context.standby = next(one for one in shard.daemons if not one.owns)
+    shard.store.refused.add(context.standby.daemon_id)
+
+
+@when('a job of 2 steps is submitted through that standby')
+def submit_through(context):
+    steps = (step(4), step(3, after=(0,)))
+    job_id, outcome = context.shard.submit(steps, context.standby)
+    assert isinstance(outcome, Stored), outcome
+    context.jobs.append(job_id)
+
+
+@then('the shard has changed hands once')
+def changed_hands(context):
+    rows = context.shard.store.topic(JOURNAL_TOPIC).records
+    claims = [row for row in rows if row.key == OWNER_KEY]
+    assert len(claims) == 2, claims
+
+
 @when('the owner resigns')
 def resign(context):
     owner = context.shard.owners[0]
--- a/waxwingford/shard/tests/virtual_shard.py
+++ b/waxwingford/shard/tests/virtual_shard.py
@@ -45,6 +45,10 @@
     async def pending(self, endpoint, queue):
         return self.member(endpoint).own_pending(queue)
 
+    async def store(self, endpoint, row, left_s):
+        until_s = self.shard.loop.time() + left_s
+        return await self.member(endpoint).store_for(row, until_s)
+
 
 class VirtualDaemon:
     """One daemon; it may be killed and started again."""
--- a/waxwingford/shard/tests/virtual_store.py
+++ b/waxwingford/shard/tests/virtual_store.py
@@ -87,6 +87,7 @@
     def __init__(self, store: VirtualStore, daemon_id: str):
         self._store = store
         self._daemon_id = daemon_id
+        self.answering = True
 
     async def append(self, topic, records, fence=None):
         trouble = await self._trouble()
