--- a/waxwingford/scheduler/_daemon.py
+++ b/waxwingford/scheduler/_daemon.py
@@ -48,7 +48,10 @@
         self._settings = settings
         self._platform = open_platform(settings.store.address)
         self._member = ShardMember(
-            self._platform.log, self._make_owner, OwnerLink()
+            settings.identity.daemon_id,
+            self._platform.log,
+            self._make_owner,
+            OwnerLink(),
         )
         self._readiness = Readiness(self._missing)
         self._stopping = asyncio.Event()
--- a/waxwingford/shard/_member.py
+++ b/waxwingford/shard/_member.py
@@ -55,18 +55,21 @@
 
     def __init__(
         self,
+        daemon_id: str,
         log: SharedLog,
         make_owner: Callable[[Terms], Owner],
         link: OwnerLink,
     ) -> None:
         """Prepare.
 
+        :param daemon_id: of this daemon.
         :param log: the store.
         :param make_owner: makes an owner that hasn't claimed yet.
         :param link: way to the owner in another daemon.
         """
         self.terms = Terms(0, {})
         self.owner: Owner | None = None
+        self._daemon_id = daemon_id
         self._make_owner = make_owner
         self._intake = Intake(log)
         self._watch = OwnerWatch(log)
@@ -101,8 +104,7 @@
             if not await self._watch.read():
                 await asyncio.sleep(FAILED_PAUSE_S)
                 continue
-            free = self._watch.unowned or self._watch.overdue
-            if free and self.owner is None and not self._resigning:
+            if self._shard_is_free() and not self._resigning:
                 await self._try_claim()
 
     async def resign(self) -> None:
@@ -218,6 +220,15 @@
             return outcome
         return await self._link.store(record.endpoint, row, left_s)
 
+    def _shard_is_free(self) -> bool:
+        if self.owner is not None:
+            return False
+        record = self._watch.record
+        # An owner of this name that isn't here was this daemon's former
+        # process: it is certainly gone, and nobody need wait for its silence.
+        own = record is not None and record.daemon_id == self._daemon_id
+        return own or self._watch.unowned or self._watch.overdue
+
     async def _try_claim(self) -> None:
         watch = self._watch
         former = watch.record
--- a/waxwingford/shard/tests/virtual_shard.py
+++ b/waxwingford/shard/tests/virtual_shard.py
@@ -62,7 +62,9 @@
 
     def start(self):
         link = VirtualLink(self.shard)
-        self.member = ShardMember(self.log, self.make_owner, link)
+        self.member = ShardMember(
+            self.daemon_id, self.log, self.make_owner, link
+        )
         self.member.configure(TERMS)
         self.task = asyncio.ensure_future(self.member.stand_by())
         self.alive = True
