Place gangs whole and ask for tickets where a queue is advised

Cause: deployments with gangs and advised queues must be served too; a gang placed member by member ends alone and loses its work. Change: all members are placed at once or none, under one run number and with one checkpoint; the rest of a run that has lost a member is stopped; tickets are asked for 30 servers at a time and carried by starts; restarted owners claim at once.

--- a/waxwingford/platform/_adapter.py
+++ b/waxwingford/platform/_adapter.py
@@ -7,6 +7,7 @@
 import msgspec
 from aiohttp import web
 
+from waxwingford.platform._advice import AdviceService
 from waxwingford.platform._calls import Calls
 from waxwingford.platform._entry import Desk, Entry
 from waxwingford.platform._records import (
@@ -16,7 +17,13 @@
 from waxwingford.platform._store import PlatformLog
 from waxwingford.platform._workers import PlatformWorkers
 from waxwingford.scheduling import ServerEntry, Terms
-from waxwingford.shard import CaughtUp, Mirror, scheduler_platforms
+from waxwingford.shard import (
+    Advised,
+    CaughtUp,
+    Mirror,
+    NotAdvised,
+    scheduler_platforms,
+)
 
 #: Longest wait for a new configuration, in ms: a connection that went silent
 #: is noticed soon after, within the time in which it must be in force.
@@ -33,12 +40,14 @@
 class UsersPlatform:
     """Ports to the platform, and the entry of its clients."""
 
-    def __init__(self, store_address: str) -> None:
+    def __init__(self, store_address: str, advice_address: str) -> None:
         """Prepare; no connection is opened yet.
 
         :param store_address: of the platform's store, IP number and port.
+        :param advice_address: of the advice service, empty if there is none.
         """
         self._calls = Calls()
+        self._advice = AdviceService(self._calls, advice_address)
         self.log = PlatformLog(self._calls, store_address)
         self.runners = PlatformWorkers(self._calls)
         self._servers = Mirror(self.log, _SERVERS_TOPIC)
@@ -55,6 +64,17 @@
         found = map(_entry_of, self._servers.payload_by_key.items())
         return tuple(entry for entry in found if entry is not None)
 
+    async def advise(
+        self, step_name: str, server_ids: tuple[str, ...]
+    ) -> Advised | NotAdvised:
+        """Ask which servers may run a step.
+
+        :param step_name: of the step.
+        :param server_ids: servers that might.
+        :returns: the answer.
+        """
+        return await self._advice.advise(step_name, server_ids)
+
     async def follow_terms(
         self, apply: Callable[[Terms], None], failed: Callable[[], None]
     ) -> None:
@@ -121,10 +141,11 @@
 
 
 @scheduler_platforms.register('waxwingford.platform')
-def open_platform(store_address: str) -> UsersPlatform:
+def open_platform(store_address: str, advice_address: str) -> UsersPlatform:
     """Open the adapter.
 
     :param store_address: of the platform's store, IP number and port.
+    :param advice_address: of the advice service, empty if there is none.
     :returns: the adapter.
     """
-    return UsersPlatform(store_address)
+    return UsersPlatform(store_address, advice_address)
--- a/waxwingford/scheduler/_daemon.py
+++ b/waxwingford/scheduler/_daemon.py
@@ -46,7 +46,9 @@
         load_plugins([settings.store.adapter])
         open_platform = scheduler_platforms.get(settings.store.adapter)
         self._settings = settings
-        self._platform = open_platform(settings.store.address)
+        self._platform = open_platform(
+            settings.store.address, settings.store.advice_address or ''
+        )
         self._member = ShardMember(
             settings.identity.daemon_id,
             self._platform.log,
@@ -132,6 +134,9 @@
             settings.bounds.longest_lease_ms - LEASE_MARGIN_MS,
         )
         ports = OwnerPorts(
-            self._platform.log, self._platform.runners, self._platform
+            self._platform.log,
+            self._platform.runners,
+            self._platform,
+            self._platform,
         )
         return Owner(figures, ports, terms)
--- /dev/null
+++ b/waxwingford/scheduling/_advice.py
@@ -0,0 +1,144 @@
+"""Leave to run the steps of queues whose policy is known to a service only."""
+
+import dataclasses
+from typing import NamedTuple
+
+from waxwingford.scheduling._servers import Server
+from waxwingford.scheduling._state import Step
+
+#: Servers that one question names at most: the service takes time for each,
+#: and a step seldom needs more.
+MOST_ASKED = 30
+#: Part of a ticket's validity in which it is still used: the start has to
+#: arrive while it is valid.
+USABLE_SHARE = 0.8
+
+
+class Ticket(NamedTuple):
+    """Leave to start tasks of a step on a server.
+
+    :ivar text: carried by the start.
+    :ivar until_ms: used before, steady time.
+    """
+
+    text: str
+    until_ms: float
+
+
+@dataclasses.dataclass(slots=True)
+class StepAdvice:
+    """What is known of one step.
+
+    :ivar ticket_by_server: of eligible servers.
+    :ivar refused: servers that may not run it; that doesn't change.
+    """
+
+    ticket_by_server: dict[str, Ticket] = dataclasses.field(
+        default_factory=dict
+    )
+    refused: set[str] = dataclasses.field(default_factory=set)
+
+
+class Question(NamedTuple):
+    """What to ask the service.
+
+    :ivar step: the step.
+    :ivar server_ids: servers that might run it.
+    """
+
+    step: Step
+    server_ids: tuple[str, ...]
+
+
+class AdviceBook:
+    """Tickets by step, and the questions that are open."""
+
+    def __init__(self) -> None:
+        """Know nothing."""
+        self._advice_by_step: dict[str, StepAdvice] = {}
+        self._question_by_step: dict[str, Question] = {}
+
+    def allowed(
+        self, step: Step, servers: list[Server], now_ms: int
+    ) -> list[Server]:
+        """Keep the servers that may run a step; ask if there is none.
+
+        :param step: of an advised queue.
+        :param servers: with room for it.
+        :param now_ms: steady time.
+        :returns: those with a valid ticket.
+        """
+        advice = self._advice_by_step.setdefault(step.name, StepAdvice())
+        allowed = [
+            server
+            for server in servers
+            if self.ticket(step, server.entry.server_id, now_ms)
+        ]
+        if not allowed:
+            asked = [
+                server.entry.server_id
+                for server in servers
+                if server.entry.server_id not in advice.refused
+            ]
+            # Those that were eligible before come first.
+            asked.sort(key=lambda name: name not in advice.ticket_by_server)
+            if asked:
+                question = Question(step, tuple(asked[:MOST_ASKED]))
+                self._question_by_step[step.name] = question
+        return allowed
+
+    def ticket(self, step: Step, server_id: str, now_ms: int) -> str:
+        """Find a valid ticket.
+
+        :param step: of an advised queue.
+        :param server_id: where it would run.
+        :param now_ms: steady time.
+        :returns: the ticket, empty if there is none.
+        """
+        advice = self._advice_by_step.get(step.name)
+        if advice is None:
+            return ''
+        ticket = advice.ticket_by_server.get(server_id)
+        valid = ticket is not None and now_ms < ticket.until_ms
+        return ticket.text if valid else ''
+
+    def next_question(self) -> Question | None:
+        """Take the question that has waited longest.
+
+        :returns: the question, ``None`` if there is none.
+        """
+        if not self._question_by_step:
+            return None
+        name = next(iter(self._question_by_step))
+        return self._question_by_step.pop(name)
+
+    def answered(
+        self,
+        question: Question,
+        ticket_by_server: dict[str, str],
+        asked_ms: int,
+        validity_ms: int,
+    ) -> None:
+        """Note an answer.
+
+        :param question: what was asked.
+        :param ticket_by_server: of the eligible servers.
+        :param asked_ms: when it was asked, steady time.
+        :param validity_ms: of the tickets.
+        """
+        advice = self._advice_by_step[question.step.name]
+        until_ms = asked_ms + validity_ms * USABLE_SHARE
+        advice.ticket_by_server.update(
+            (server_id, Ticket(text, until_ms))
+            for server_id, text in ticket_by_server.items()
+        )
+        asked = set(question.server_ids)
+        advice.refused |= asked - ticket_by_server.keys()
+
+    def forget(self, step: Step) -> None:
+        """Drop what is kept of a step that is over.
+
+        :param step: which.
+        """
+        self._advice_by_step.pop(step.name, None)
+        self._question_by_step.pop(step.name, None)
--- a/waxwingford/scheduling/_book.py
+++ b/waxwingford/scheduling/_book.py
@@ -5,6 +5,7 @@
 it: what callers, servers or a successor see never runs ahead of the store.
 """
 
+from waxwingford.scheduling._advice import AdviceBook
 from waxwingford.scheduling._orders import Batch, Order, SeenEnd, Start
 from waxwingford.scheduling._rows import (
     ENDED_PREFIX,
@@ -35,6 +36,7 @@
     :ivar server_by_id: backend servers.
     :ivar ready_by_key: tasks that wait for a server.
     :ivar orders: orders that need no record, to be sent at once.
+    :ivar advice: tickets for steps of advised queues.
     """
 
     def __init__(self) -> None:
@@ -45,6 +47,7 @@
         self.server_by_id: dict[str, Server] = {}
         self.ready_by_key: dict[object, Task] = {}
         self.orders: list[Order] = []
+        self.advice = AdviceBook()
         self._dirty_by_name: dict[str, Step] = {}
         self._ended: list[tuple[Job, JobPhase]] = []
         self._starts: list[Start] = []
@@ -179,7 +182,9 @@
         dropped: dict[str, bytes | None] = {}
         for job in over:
             del self.job_by_id[job.spec.job_id]
-            dropped.update((step.name, None) for step in steps_of(job))
+            for step in steps_of(job):
+                dropped[step.name] = None
+                self.advice.forget(step)
         return dropped
 
     def phase(self, job_id: str) -> JobPhase | None:
--- a/waxwingford/scheduling/_order_making.py
+++ b/waxwingford/scheduling/_order_making.py
@@ -58,10 +58,13 @@
         if run.key not in server.run_by_key or server.gone:
             return None
         run.enter(RunPhase.sent, now_ms)
+        step = server.step_by_run[run.key]
+        ticket = self._book.advice.ticket(step, run.server_id, now_ms)
         return StartOrder(
             run.key,
             job.spec.payload,
             server.lease_for(now_ms, self._lease_ms),
             self.token,
             run.checkpoint,
+            ticket,
         )
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from waxwingford.ports import Resources, fits_resources
+from waxwingford.scheduling import _gangs as gangs
 from waxwingford.scheduling._book import Book, runs_of
 from waxwingford.scheduling._harm import HarmModel, units_of
 from waxwingford.scheduling._runners import RunKey
@@ -88,22 +89,49 @@
         full_steps: set[str] = set()
         for turn in self._turns(now_ms):
             tried = turn.step.name in full_steps and not turn.task.avoided
-            server = None if tried else self._choose(turn, usable, now_ms)
-            if server is None:
+            if tried or not self._seat(turn, usable, now_ms):
                 full_steps.add(turn.step.name)
                 unplaced.append(turn)
-            else:
-                self.plan(turn, server, now_ms)
         return unplaced
 
-    def plan(self, waiting: Waiting, server: Server, now_ms: int) -> None:
+    def _seat(self, turn: Waiting, usable: list[Server], now_ms: int) -> bool:
+        if turn.task.key not in self._book.ready_by_key:
+            # Placed in this round, with the rest of its gang.
+            return True
+        fitting = self._fitting(turn, usable, now_ms)
+        if turn.step.spec.gang:
+            return self._seat_gang(turn, fitting, now_ms)
+        if not fitting:
+            return False
+        server = min(
+            fitting, key=lambda one: self._cost(turn.task, turn.step, one)
+        )
+        self.plan(turn.task, turn.step, server, now_ms)
+        return True
+
+    def _seat_gang(
+        self, turn: Waiting, fitting: list[Server], now_ms: int
+    ) -> bool:
+        step = turn.step
+        seats = (
+            gangs.find_seats(step, fitting) if gangs.is_whole(step) else None
+        )
+        if seats is None:
+            return False
+        number = gangs.next_run(step)
+        for seat in seats:
+            seat.task.last_run = number - 1
+            self.plan(seat.task, step, seat.server, now_ms)
+        return True
+
+    def plan(self, task: Task, step: Step, server: Server, now_ms: int) -> None:
         """Plan a run.
 
-        :param waiting: of this task.
+        :param task: of this task.
+        :param step: its step.
         :param server: there.
         :param now_ms: steady time.
         """
-        task = waiting.task
         task.last_run += 1
         key = RunKey(task.key, task.last_run)
         run = Run(
@@ -117,7 +145,7 @@
         )
         task.run_by_number[key.run] = run
         self._book.ready_by_key.pop(task.key, None)
-        self._book.plan(run, waiting.step)
+        self._book.plan(run, step)
 
     def _turns(self, now_ms: int) -> list[Waiting]:
         fills_too = now_ms - self._fills_ms >= FILLS_EVERY_MS
@@ -152,16 +180,16 @@
                 task.waiting_ms = now_ms
                 self._book.ready_by_key[task.key] = task
 
-    def _choose(
-        self, waiting: Waiting, usable: list[Server], now_ms: int
-    ) -> Server | None:
-        step = waiting.step
+    def _fitting(
+        self, turn: Waiting, usable: list[Server], now_ms: int
+    ) -> list[Server]:
+        step = turn.step
         counts = step.per_server() if step.spec.most_per_server else {}
         most = step.spec.most_per_server or len(step.tasks) + 1
         fitting = [
             server
             for server in usable
-            if server.entry.service == waiting.queue.service
+            if server.entry.service == turn.queue.service
             and counts.get(server.entry.server_id, 0) < most
             and _fits(step, server)
         ]
@@ -169,11 +197,9 @@
             fitting = [
                 server for server in fitting if not self._harm(step, server)
             ]
-        if not fitting:
-            return None
-        return min(
-            fitting, key=lambda server: self._cost(waiting.task, step, server)
-        )
+        if turn.queue.advised and fitting:
+            return self._book.advice.allowed(step, fitting, now_ms)
+        return fitting
 
     def _cost(self, task: Task, step: Step, server: Server) -> float:
         spec = step.spec
--- a/waxwingford/scheduling/_settle.py
+++ b/waxwingford/scheduling/_settle.py
@@ -7,6 +7,7 @@
 of a proof shows as a task that runs in two places at once.
 """
 
+from waxwingford.scheduling import _gangs as gangs
 from waxwingford.scheduling._book import Book
 from waxwingford.scheduling._runners import (
     Denial,
@@ -238,6 +239,10 @@
         task.run_by_number.pop(run.key.run, None)
         step.job.idle_ms = now_ms
         task.checkpoint = checkpoint or task.checkpoint
+        if step.spec.gang:
+            gangs.share_checkpoint(step, task.checkpoint)
+            if kind is not EndKind.done:
+                gangs.stop_others(step, run.key.run)
         self._book.mark(step)
         match kind:
             case EndKind.done:
@@ -252,8 +257,12 @@
     def _done(self, task: Task, step: Step) -> None:
         if task.done or step.spec.lasting:
             return
-        task.done = True
-        step.left -= 1
+        # One end of a gang stands for all of its members.
+        ended = step.tasks if step.spec.gang else [task]
+        for one in ended:
+            one.done = True
+            self._book.ready_by_key.pop(one.key, None)
+        step.left -= len(ended)
         for other in task.run_by_number.values():
             other.stopping = True
         if not step.left:
@@ -276,7 +285,9 @@
         blame_server(server, BLAME_FAILED, now_ms)
         if step.spec.lasting or task.done:
             return
-        if task.failures >= self._book.queue_of(step.job).most_attempts:
+        failed = step.tasks if step.spec.gang else [task]
+        failures = sum(one.failures for one in failed)
+        if failures >= self._book.queue_of(step.job).most_attempts:
             self._book.finish(step.job, JobPhase.failed)
 
     def _again(self, task: Task, step: Step, now_ms: int) -> None:
--- a/waxwingford/settings/_scheduler.py
+++ b/waxwingford/settings/_scheduler.py
@@ -51,6 +51,7 @@
 
     adapter: PlainName
     address: Endpoint
+    advice_address: Endpoint | None = None
 
 
 class SchedulerBounds(Strict):
--- a/waxwingford/shard/__init__.py
+++ b/waxwingford/shard/__init__.py
@@ -1,5 +1,6 @@
 """A shard: its intake and journal in the store, its owner, its standbys."""
 
+from waxwingford.shard._advice_asker import Advised, Advisor, NotAdvised
 from waxwingford.shard._fleet import ServerDirectory
 from waxwingford.shard._intake import (
     Intake,
@@ -43,6 +44,9 @@
 )
 
 __all__ = (
+    'Advised',
+    'Advisor',
+    'NotAdvised',
     'AppendElsewhere',
     'AppendFenced',
     'AppendOutOfOrder',
--- a/waxwingford/shard/_member.py
+++ b/waxwingford/shard/_member.py
@@ -104,7 +104,8 @@
             if not await self._watch.read():
                 await asyncio.sleep(FAILED_PAUSE_S)
                 continue
-            if self._shard_is_free() and not self._resigning:
+            free = self._watch.free_for(self._daemon_id)
+            if free and self.owner is None and not self._resigning:
                 await self._try_claim()
 
     async def resign(self) -> None:
@@ -220,15 +221,6 @@
             return outcome
         return await self._link.store(record.endpoint, row, left_s)
 
-    def _shard_is_free(self) -> bool:
-        if self.owner is not None:
-            return False
-        record = self._watch.record
-        # An owner of this name that isn't here was this daemon's former
-        # process: it is certainly gone, and nobody need wait for its silence.
-        own = record is not None and record.daemon_id == self._daemon_id
-        return own or self._watch.unowned or self._watch.overdue
-
     async def _try_claim(self) -> None:
         watch = self._watch
         former = watch.record
--- a/waxwingford/shard/_owner.py
+++ b/waxwingford/shard/_owner.py
@@ -7,6 +7,7 @@
 import logbook
 
 from waxwingford.scheduling import Engine, TaskRunners, Terms
+from waxwingford.shard._advice_asker import AdviceAsker, Advisor
 from waxwingford.shard._beats import PROOF_MS, Beats
 from waxwingford.shard._commits import Committer
 from waxwingford.shard._drivers import DriverPorts
@@ -75,12 +76,14 @@
     :ivar log: the store.
     :ivar runners: way to backend servers.
     :ivar directory: their registrations.
+    :ivar advisor: way to the advice service.
     :ivar since_boot_ms: clock that counts suspension too.
     """
 
     log: SharedLog
     runners: TaskRunners
     directory: ServerDirectory
+    advisor: Advisor
     since_boot_ms: Callable[[], int] = boot_ms
 
 
@@ -253,6 +256,7 @@
         self._committer = Committer(
             self._engine, self._writer, self._fleet, self._beats
         )
+        self._asker = AdviceAsker(self._engine, self._ports.advisor)
         await self._fleet.register()
         self.ready = True
         works = (
@@ -260,6 +264,7 @@
             self._keep_registering(),
             self._decide(),
             self._commit(),
+            self._asker.run(self._stirred.set),
         )
         for work in works:
             self._spawn(work)
@@ -290,6 +295,7 @@
             self._engine.decide(steady_ms(), wall_ms())
             self._fleet.send_orders()
             self._committer.wake()
+            self._asker.wake()
 
     async def _commit(self) -> None:
         await self._committer.run(self._stirred.set)
--- a/waxwingford/shard/_platform_port.py
+++ b/waxwingford/shard/_platform_port.py
@@ -5,6 +5,7 @@
 
 from waxwingford.kernel import Registry
 from waxwingford.scheduling import ServerEntry, TaskRunners, Terms
+from waxwingford.shard._advice_asker import Advised, NotAdvised
 from waxwingford.shard._log_port import SharedLog
 from waxwingford.shard._member import ShardMember
 
@@ -26,6 +27,17 @@
         """
         ...
 
+    async def advise(
+        self, step_name: str, server_ids: tuple[str, ...]
+    ) -> Advised | NotAdvised:
+        """Ask which servers may run a step.
+
+        :param step_name: of the step.
+        :param server_ids: servers that might.
+        :returns: the answer.
+        """
+        ...
+
     async def follow_terms(
         self, apply: Callable[[Terms], None], failed: Callable[[], None]
     ) -> None:
@@ -53,7 +65,8 @@
         ...
 
 
-#: Adapters by the name in the settings, each opened with the store's address.
-scheduler_platforms: Registry[Callable[[str], SchedulerPlatform]] = Registry(
-    'platform of the scheduler'
+#: Adapters by the name in the settings, each opened with the addresses of the
+#: store and of the advice service, the latter empty if there is none.
+scheduler_platforms: Registry[Callable[[str, str], SchedulerPlatform]] = (
+    Registry('platform of the scheduler')
 )
--- a/waxwingford/shard/_watch.py
+++ b/waxwingford/shard/_watch.py
@@ -48,13 +48,18 @@
         """
         return self.record is None or self.record.resigned
 
-    @property
-    def overdue(self) -> bool:
-        """Tell whether the owner's heartbeats have stopped.
+    def free_for(self, daemon_id: str) -> bool:
+        """Tell whether a daemon that doesn't own the shard may claim it.
 
-        :returns: whether the newest is too old.
+        :param daemon_id: of the daemon.
+        :returns: whether there is no owner, as far as can be told.
         """
-        return steady_ms() - self._changed_ms >= self._suspect_ms
+        if self.record is None or self.record.resigned:
+            return True
+        # An owner of this name was the daemon's former process: it is
+        # certainly gone, and nobody need wait for its silence.
+        own = self.record.daemon_id == daemon_id
+        return own or steady_ms() - self._changed_ms >= self._suspect_ms
 
     async def read(self, wait: bool = True) -> bool:
         """Read heartbeats.
--- a/waxwingford/shard/tests/virtual_shard.py
+++ b/waxwingford/shard/tests/virtual_shard.py
@@ -76,7 +76,9 @@
 
     def make_owner(self, terms):
         settings = OwnerSettings(self.daemon_id, self.daemon_id, LEASE_MS)
-        ports = OwnerPorts(self.log, self.servers, self.servers, steady_ms)
+        ports = OwnerPorts(
+            self.log, self.servers, self.servers, self.servers, steady_ms
+        )
         return Owner(settings, ports, terms)
 
     @property
