Log each decision as a JSON line that never blocks, serve metrics

Cause: on-call engineers have only logs and metrics. Change: the engine notes what it decides or comes to believe, with the inputs and their age; the daemon writes a line each, counts them by event, and serves counters and latencies at the metrics address. The desk for callers is a module of its own.

--- a/waxwingford/scheduler/_daemon.py
+++ b/waxwingford/scheduler/_daemon.py
@@ -6,14 +6,17 @@
 import logbook
 
 from waxwingford.kernel import load_plugins
+from waxwingford.metrics import Metrics
 from waxwingford.scheduler._readiness import Readiness
 from waxwingford.scheduling import Terms
 from waxwingford.settings import SchedulerSettings
 from waxwingford.shard import (
+    Observer,
     Owner,
     OwnerLink,
     OwnerPorts,
     OwnerSettings,
+    ShardDesk,
     ShardMember,
     scheduler_platforms,
     serve_queries,
@@ -49,13 +52,20 @@
         self._platform = open_platform(
             settings.store.address, settings.store.advice_address or ''
         )
+        self._observer = Observer(Metrics())
         self._member = ShardMember(
             settings.identity.daemon_id,
             self._platform.log,
             self._make_owner,
-            OwnerLink(),
+            self._observer,
+        )
+        self._link = OwnerLink()
+        self._desk = ShardDesk(
+            self._platform.log, self._member, self._link, self._observer
+        )
+        self._readiness = Readiness(
+            self._missing, self._observer.metrics.render
         )
-        self._readiness = Readiness(self._missing)
         self._stopping = asyncio.Event()
         self._terms_seen_s: float = 0
         self._store_lost = False
@@ -68,10 +78,12 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         listen = self._settings.listen
         await self._readiness.serve(listen.readiness)
+        if listen.metrics_port:
+            await self._readiness.serve(f'{listen.host}:{listen.metrics_port}')
         queries = await serve_queries(
-            self._member, listen.host, listen.peers_port
+            self._desk, listen.host, listen.peers_port
         )
-        await self._platform.serve(self._member, listen.callers)
+        await self._platform.serve(self._desk, listen.callers)
         works = [
             asyncio.create_task(
                 self._platform.follow_terms(self._configure, self._not_read)
@@ -93,6 +105,7 @@
         for work in works:
             work.cancel()
         self._member.close()
+        self._link.close()
         await self._readiness.close()
         _log.info('stopped')
 
@@ -138,5 +151,6 @@
             self._platform.runners,
             self._platform,
             self._platform,
+            self._observer,
         )
         return Owner(figures, ports, terms)
--- a/waxwingford/scheduler/main.py
+++ b/waxwingford/scheduler/main.py
@@ -28,7 +28,7 @@
             sys.stderr.write(f'{problem}\n')
         return EXIT_BAD_SETTINGS
     with log_lines(
-        loaded.logging, loaded.identity.daemon_id
+        loaded.logging, loaded.identity.daemon_id, sys.stdout.fileno()
     ).applicationbound():
         asyncio.run(_run(loaded))
     return 0
--- a/waxwingford/scheduling/__init__.py
+++ b/waxwingford/scheduling/__init__.py
@@ -1,6 +1,7 @@
 """Pure scheduling of a shard: jobs, runs, backend servers, decisions."""
 
 from waxwingford.scheduling._engine import Engine
+from waxwingford.scheduling._notes import Note
 from waxwingford.scheduling._orders import Batch, Order, Pace, Start, Stop
 from waxwingford.scheduling._rows import (
     ENDED_PREFIX,
@@ -44,6 +45,7 @@
     'LookOrder',
     'LookOutcome',
     'Looked',
+    'Note',
     'Order',
     'OrderDenied',
     'OrderOutcome',
--- a/waxwingford/scheduling/_book.py
+++ b/waxwingford/scheduling/_book.py
@@ -6,6 +6,7 @@
 """
 
 from waxwingford.scheduling._advice import AdviceBook
+from waxwingford.scheduling._notes import NoteBook
 from waxwingford.scheduling._orders import Batch, Order, SeenEnd, Start
 from waxwingford.scheduling._rows import (
     ENDED_PREFIX,
@@ -36,6 +37,7 @@
     :ivar server_by_id: backend servers.
     :ivar ready_by_key: tasks that wait for a server.
     :ivar orders: orders that need no record, to be sent at once.
+    :ivar notes: decisions for the logs.
     :ivar advice: tickets for steps of advised queues.
     """
 
@@ -48,6 +50,7 @@
         self.ready_by_key: dict[object, Task] = {}
         self.orders: list[Order] = []
         self.advice = AdviceBook()
+        self.notes = NoteBook()
         self._dirty_by_name: dict[str, Step] = {}
         self._ended: list[tuple[Job, JobPhase]] = []
         self._starts: list[Start] = []
@@ -73,6 +76,7 @@
         if spec.job_id in self.job_by_id or spec.job_id in self.end_by_job:
             return False
         self.job_by_id[spec.job_id] = new_job(spec, now_ms)
+        self.notes.add('job.known', spec.job_id, queue=spec.queue)
         return True
 
     def mark(self, step: Step) -> None:
@@ -110,6 +114,7 @@
             return
         job.ended = phase
         self._ended.append((job, phase))
+        self.notes.add('job.ended', job.spec.job_id, phase=phase.value)
         for step in steps_of(job):
             for task in step.tasks:
                 self.ready_by_key.pop(task.key, None)
--- a/waxwingford/scheduling/_engine.py
+++ b/waxwingford/scheduling/_engine.py
@@ -239,6 +239,14 @@
             self._settler.drop_lost(server, now_ms)
         for run, step in _stuck_runs(server):
             run.stopping = True
+            self.book.notes.add(
+                'run.stuck',
+                run.key.task,
+                run=run.key.run,
+                server=run.server_id,
+                percent=run.percent,
+                still_ms=server.looked_ms - run.moved_ms,
+            )
             found = self.book.find(run.key)
             if found is not None:
                 found[0].avoided.add(server.entry.server_id)
--- /dev/null
+++ b/waxwingford/scheduling/_notes.py
@@ -0,0 +1,42 @@
+"""Notes of what an engine has decided or come to believe, for logs."""
+
+from typing import NamedTuple
+
+
+class Note(NamedTuple):
+    """One decision or change of belief.
+
+    :ivar event: what happened, for example ``run.planned``.
+    :ivar subject: id of the job, task or server that it is about.
+    :ivar inputs: what decided it, by name.
+    """
+
+    event: str
+    subject: str
+    inputs: dict[str, object]
+
+
+class NoteBook:
+    """Notes that were not logged yet."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._notes: list[Note] = []
+
+    def add(self, event: str, subject: object, **inputs: object) -> None:
+        """Note a decision or a change of belief.
+
+        :param event: what happened.
+        :param subject: id of the job, task or server that it is about.
+        :param inputs: what decided it.
+        """
+        self._notes.append(Note(event, str(subject), inputs))
+
+    def take(self) -> list[Note]:
+        """Take what was noted.
+
+        :returns: notes since the last call.
+        """
+        notes = self._notes
+        self._notes = []
+        return notes
--- a/waxwingford/scheduling/_pacing.py
+++ b/waxwingford/scheduling/_pacing.py
@@ -96,6 +96,14 @@
         if abs(percent - run.pace) < LEAST_CHANGE_PERCENT:
             return
         if now_ms - run.paced_ms >= CHANGE_EVERY_MS:
+            self._book.notes.add(
+                'run.paced',
+                run.key.task,
+                run=run.key.run,
+                server=run.server_id,
+                percent=percent,
+                before=run.pace,
+            )
             run.paced_ms = now_ms
             run.pace = percent
             run.moved_ms = now_ms
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -146,6 +146,15 @@
         task.run_by_number[key.run] = run
         self._book.ready_by_key.pop(task.key, None)
         self._book.plan(run, step)
+        self._book.notes.add(
+            'run.planned',
+            task.key,
+            run=key.run,
+            server=run.server_id,
+            waited_ms=now_ms - task.waiting_ms,
+            looked_ms_ago=now_ms - server.looked_ms,
+            terms=self._book.terms.version,
+        )
 
     def _turns(self, now_ms: int) -> list[Waiting]:
         fills_too = now_ms - self._fills_ms >= FILLS_EVERY_MS
--- a/waxwingford/scheduling/_settle.py
+++ b/waxwingford/scheduling/_settle.py
@@ -72,6 +72,11 @@
             case OrderDenied() | OrderUnknown():
                 if server.failing_ms is None:
                     server.failing_ms = sent_ms
+                    self._book.notes.add(
+                        'server.silent',
+                        server.entry.server_id,
+                        reason=str(outcome),
+                    )
 
     def start_answered(
         self, server: Server, run: Run, now_ms: int, outcome: OrderOutcome
@@ -95,8 +100,15 @@
             case ServerReplaced():
                 server.gone = True
                 self.drop_lost(server, now_ms)
-            case OrderUnknown():
+            case OrderUnknown(reason):
                 run.enter(RunPhase.doubtful, now_ms)
+                self._book.notes.add(
+                    'run.doubtful',
+                    run.key.task,
+                    run=run.key.run,
+                    server=run.server_id,
+                    reason=reason,
+                )
 
     def stop_answered(
         self, server: Server, key: RunKey, now_ms: int, outcome: OrderOutcome
@@ -139,6 +151,13 @@
         """
         if not server.lapsed(now_ms):
             return False
+        if server.run_by_key:
+            self._book.notes.add(
+                'server.lost',
+                server.entry.server_id,
+                replaced=server.gone,
+                runs=len(server.run_by_key),
+            )
         for run in list(server.run_by_key.values()):
             self._settle(server, run, None, run.checkpoint, now_ms)
         return True
@@ -147,6 +166,12 @@
         self, server: Server, sent_ms: int, now_ms: int, looked: Looked
     ) -> None:
         server.read_clock(looked.clock_ms, now_ms)
+        if server.failing_ms is not None:
+            self._book.notes.add(
+                'server.answers',
+                server.entry.server_id,
+                silent_ms=now_ms - server.failing_ms,
+            )
         server.failing_ms = None
         for end in looked.ended:
             self._ended(server, end, now_ms)
@@ -171,7 +196,14 @@
             # A start that arrived late, after its run was given up, or one of
             # a job that has ended. It would run on unasked until its lease
             # ends, and the lease is extended for the others there.
-            server.strangers.setdefault(report.run, now_ms - STOP_AGAIN_MS)
+            if report.run not in server.strangers:
+                server.strangers[report.run] = now_ms - STOP_AGAIN_MS
+                self._book.notes.add(
+                    'run.unknown',
+                    report.run.task,
+                    run=report.run.run,
+                    server=server.entry.server_id,
+                )
             return
         run.enter(RunPhase.present, now_ms)
         if report.percent != run.percent:
@@ -208,6 +240,13 @@
                 server.barred_until_ms = now_ms + NO_ROOM_BAR_MS
             case _:
                 pass
+        self._book.notes.add(
+            'run.refused',
+            run.key.task,
+            run=run.key.run,
+            server=run.server_id,
+            reason=denial.value,
+        )
         found = self._book.find(run.key)
         self._settle(server, run, None, '', now_ms)
         if found is not None:
@@ -232,6 +271,15 @@
         now_ms: int,
     ) -> None:
         server.remove(run.key)
+        self._book.notes.add(
+            'run.settled',
+            run.key.task,
+            run=run.key.run,
+            server=run.server_id,
+            how='absent' if kind is None else kind.value,
+            was=run.phase.value,
+            for_ms=now_ms - run.planned_ms,
+        )
         found = self._book.find(run.key)
         if found is None:
             return
--- a/waxwingford/settings/_scheduler.py
+++ b/waxwingford/settings/_scheduler.py
@@ -44,6 +44,7 @@
     callers: Endpoint
     readiness: Endpoint
     peers_port: Port
+    metrics_port: Port | None = None
 
 
 class SchedulerStore(Strict):
--- a/waxwingford/shard/__init__.py
+++ b/waxwingford/shard/__init__.py
@@ -1,6 +1,7 @@
 """A shard: its intake and journal in the store, its owner, its standbys."""
 
 from waxwingford.shard._advice_asker import Advised, Advisor, NotAdvised
+from waxwingford.shard._desk import CancelNotKnown, ShardDesk
 from waxwingford.shard._fleet import ServerDirectory
 from waxwingford.shard._intake import (
     Intake,
@@ -27,8 +28,9 @@
     StoreRefused,
     StoreUnknown,
 )
-from waxwingford.shard._member import CancelNotKnown, ShardMember
+from waxwingford.shard._member import ShardMember
 from waxwingford.shard._mirror import CaughtUp, Mirror
+from waxwingford.shard._observer import Observer
 from waxwingford.shard._owner import Owner, OwnerPorts, OwnerSettings
 from waxwingford.shard._peers import (
     JobAnswer,
@@ -67,6 +69,7 @@
     'NewestPage',
     'NotAnswered',
     'NotStored',
+    'Observer',
     'Owner',
     'OwnerLink',
     'OwnerPorts',
@@ -76,6 +79,7 @@
     'RecordsRead',
     'SchedulerPlatform',
     'ServerDirectory',
+    'ShardDesk',
     'ShardMember',
     'SharedLog',
     'StoreRefused',
--- a/waxwingford/shard/_owner.py
+++ b/waxwingford/shard/_owner.py
@@ -27,6 +27,7 @@
 )
 from waxwingford.shard._log_port import SharedLog
 from waxwingford.shard._mirror import CaughtUp, Mirror
+from waxwingford.shard._observer import Observer
 from waxwingford.shard._peers import (
     JobAnswer,
     JobKnown,
@@ -77,6 +78,7 @@
     :ivar runners: way to backend servers.
     :ivar directory: their registrations.
     :ivar advisor: way to the advice service.
+    :ivar observer: logs and metrics.
     :ivar since_boot_ms: clock that counts suspension too.
     """
 
@@ -84,6 +86,7 @@
     runners: TaskRunners
     directory: ServerDirectory
     advisor: Advisor
+    observer: Observer
     since_boot_ms: Callable[[], int] = boot_ms
 
 
@@ -110,6 +113,7 @@
         self._settings = settings
         self._ports = ports
         self._terms = terms
+        self._observer = ports.observer
         self._intake = IntakeReader(ports.log)
         self._tasks: list[asyncio.Task[None]] = []
         self._stirred = asyncio.Event()
@@ -144,9 +148,8 @@
                 return claimed
             case Claimed():
                 self._beats.prove(sent_ms)
-        _log.info(
-            'shard claimed',
-            extra={'epoch': self.epoch, 'former_epoch': former_epoch},
+        self._observer.tell(
+            'shard.claimed', epoch=self.epoch, former_epoch=former_epoch
         )
         self._spawn(self._keep_beating())
         await self._take_over(journal.payload_by_key)
@@ -231,8 +234,9 @@
 
     def _end(self, reason: str) -> None:
         if not self.over.is_set():
-            about = {'epoch': self.epoch, 'reason': reason}
-            _log.info('shard given up', extra=about)
+            self._observer.tell(
+                'shard.given_up', epoch=self.epoch, reason=reason
+            )
         self.over.set()
 
     async def _take_over(self, rows: dict[str, bytes]) -> None:
@@ -269,13 +273,13 @@
         for work in works:
             self._spawn(work)
         book = self._engine.book
-        _log.info(
-            'shard taken over',
-            extra={
-                'epoch': self.epoch,
-                'jobs': len(book.job_by_id),
-                'servers': len(book.server_by_id),
-            },
+        self._observer.tell(
+            'shard.taken_over',
+            epoch=self.epoch,
+            terms=book.terms.version,
+            jobs=len(book.job_by_id),
+            servers=len(book.server_by_id),
+            took_ms=steady_ms() - now_ms,
         )
 
     async def _keep_registering(self) -> None:
@@ -294,6 +298,7 @@
             self._stirred.clear()
             self._engine.decide(steady_ms(), wall_ms())
             self._fleet.send_orders()
+            self._observer.tell_all(self._engine.book.notes.take())
             self._committer.wake()
             self._asker.wake()
 
--- a/waxwingford/shard/_platform_port.py
+++ b/waxwingford/shard/_platform_port.py
@@ -6,8 +6,8 @@
 from waxwingford.kernel import Registry
 from waxwingford.scheduling import ServerEntry, TaskRunners, Terms
 from waxwingford.shard._advice_asker import Advised, NotAdvised
+from waxwingford.shard._desk import ShardDesk
 from waxwingford.shard._log_port import SharedLog
-from waxwingford.shard._member import ShardMember
 
 
 class SchedulerPlatform(Protocol):
@@ -48,7 +48,7 @@
         """
         ...
 
-    async def serve(self, desk: ShardMember, endpoint: str) -> None:
+    async def serve(self, desk: ShardDesk, endpoint: str) -> None:
         """Answer callers.
 
         :param desk: does what they ask.
--- a/waxwingford/shard/_watch.py
+++ b/waxwingford/shard/_watch.py
@@ -59,7 +59,15 @@
         # An owner of this name was the daemon's former process: it is
         # certainly gone, and nobody need wait for its silence.
         own = self.record.daemon_id == daemon_id
-        return own or steady_ms() - self._changed_ms >= self._suspect_ms
+        return own or self.silent_ms >= self._suspect_ms
+
+    @property
+    def silent_ms(self) -> int:
+        """Say for how long no heartbeat has come.
+
+        :returns: milliseconds.
+        """
+        return steady_ms() - self._changed_ms
 
     async def read(self, wait: bool = True) -> bool:
         """Read heartbeats.
--- a/waxwingford/shard/tests/virtual_shard.py
+++ b/waxwingford/shard/tests/virtual_shard.py
@@ -3,14 +3,17 @@
 import asyncio
 import random
 
+from waxwingford.metrics import Metrics
 from waxwingford.ports import Resources
 from waxwingford.routing.tests.virtual_loop import VirtualLoop, end_loop
 from waxwingford.scheduling import JobSpec, QueueTerms, StepSpec, Terms
 from waxwingford.shard import (
     JobKnown,
+    Observer,
     Owner,
     OwnerPorts,
     OwnerSettings,
+    ShardDesk,
     ShardMember,
 )
 from waxwingford.shard._times import steady_ms
@@ -32,22 +35,22 @@
     def close(self):
         """Hold no connection."""
 
-    def member(self, endpoint):
+    def desk(self, endpoint):
         return next(
-            daemon.member
+            daemon.desk
             for daemon in self.shard.daemons
             if daemon.daemon_id == endpoint
         )
 
     async def phase(self, endpoint, job_id):
-        return await self.member(endpoint).own_phase(job_id)
+        return await self.desk(endpoint).own_phase(job_id)
 
     async def pending(self, endpoint, queue):
-        return self.member(endpoint).own_pending(queue)
+        return self.desk(endpoint).own_pending(queue)
 
     async def store(self, endpoint, row, left_s):
         until_s = self.shard.loop.time() + left_s
-        return await self.member(endpoint).store_for(row, until_s)
+        return await self.desk(endpoint).store_for(row, until_s)
 
 
 class VirtualDaemon:
@@ -58,12 +61,18 @@
         self.daemon_id = daemon_id
         self.log = StoreWay(shard.store, daemon_id)
         self.servers = ServersWay(shard.servers, daemon_id)
+        self.observer = Observer(Metrics())
         self.start()
 
     def start(self):
-        link = VirtualLink(self.shard)
         self.member = ShardMember(
-            self.daemon_id, self.log, self.make_owner, link
+            self.daemon_id,
+            self.log,
+            self.make_owner,
+            self.observer,
+        )
+        self.desk = ShardDesk(
+            self.log, self.member, VirtualLink(self.shard), self.observer
         )
         self.member.configure(TERMS)
         self.task = asyncio.ensure_future(self.member.stand_by())
@@ -77,7 +86,12 @@
     def make_owner(self, terms):
         settings = OwnerSettings(self.daemon_id, self.daemon_id, LEASE_MS)
         ports = OwnerPorts(
-            self.log, self.servers, self.servers, self.servers, steady_ms
+            self.log,
+            self.servers,
+            self.servers,
+            self.servers,
+            self.observer,
+            steady_ms,
         )
         return Owner(settings, ports, terms)
 
@@ -139,13 +153,13 @@
         spec = JobSpec(job_id, 'queue', '', steps, terms=QUEUE)
         through = daemon or self.living()[0]
         until_s = self.loop.time() + 3
-        outcome = self.run_until(through.member.submit(spec, until_s))
+        outcome = self.run_until(through.desk.submit(spec, until_s))
         return job_id, outcome
 
     def cancel(self, job_id, daemon=None):
         through = daemon or self.living()[0]
         until_s = self.loop.time() + 3
-        outcome = self.run_until(through.member.cancel(job_id, until_s))
+        outcome = self.run_until(through.desk.cancel(job_id, until_s))
         self.servers.cancelled_s_by_job[job_id] = self.loop.time()
         return outcome
 
@@ -154,7 +168,7 @@
 
     def phase(self, job_id, daemon=None):
         through = daemon or self.living()[0]
-        answer = self.run_until(through.member.phase(job_id))
+        answer = self.run_until(through.desk.phase(job_id))
         return answer.phase.value if isinstance(answer, JobKnown) else answer
 
     def running(self, job_id):
