--- a/waxwingford/colocation/__init__.py
+++ b/waxwingford/colocation/__init__.py
@@ -11,7 +11,7 @@
 )
 from waxwingford.colocation._learned import LearnedPolicy
 from waxwingford.colocation._mechanisms import Mechanisms
-from waxwingford.colocation._model import InterferenceModel, Setting
+from waxwingford.colocation._model import InterferenceModel, Setting, Term
 
 __all__ = (
     'BestFitPolicy',
@@ -22,4 +22,5 @@
     'Mechanisms',
     'RandomPolicy',
     'Setting',
+    'Term',
 )
--- a/waxwingford/colocation/_model.py
+++ b/waxwingford/colocation/_model.py
@@ -175,6 +175,26 @@
             return Term(self._expected_effect(kind), PRIORS.effect_variance)
         return _total(levels.weighted(band_shares(load), 1))
 
+    def pairs(self) -> dict[tuple[str, str], Term]:
+        """Give what is known of each pair, for a store.
+
+        :returns: effect of one unit, by service and kind.
+        """
+        return {
+            pair: Term(levels.general.mean, levels.general.variance)
+            for pair, levels in self._levels_by_pair.items()
+        }
+
+    def restore(self, term_by_pair: Mapping[tuple[str, str], Term]) -> None:
+        """Go on from what was known of each pair.
+
+        :param term_by_pair: as ``pairs`` gave it.
+        """
+        for (service, kind), term in term_by_pair.items():
+            levels = self._pair(service, kind)
+            levels.general.mean = term.mean
+            levels.general.variance = term.variance
+
     def learn(self, setting: Setting, p99_ms: float, trust: float) -> None:
         """Learn from what was measured in a setting.
 
--- a/waxwingford/scheduling/_book.py
+++ b/waxwingford/scheduling/_book.py
@@ -10,6 +10,7 @@
 from waxwingford.scheduling._orders import Batch, Order, SeenEnd, Start
 from waxwingford.scheduling._rows import (
     ENDED_PREFIX,
+    HARM_KEY,
     encode_end,
     encode_step,
 )
@@ -37,6 +38,7 @@
     :ivar server_by_id: backend servers.
     :ivar ready_by_key: tasks that wait for a server.
     :ivar orders: orders that need no record, to be sent at once.
+    :ivar harm_row: what is known of harm, to be stored with the next batch.
     :ivar notes: decisions for the logs.
     :ivar advice: tickets for steps of advised queues.
     """
@@ -55,6 +57,7 @@
         self._ended: list[tuple[Job, JobPhase]] = []
         self._starts: list[Start] = []
         self._ends: list[SeenEnd] = []
+        self.harm_row: bytes | None = None
 
     @property
     def dirty(self) -> bool:
@@ -147,6 +150,9 @@
         for job, phase in self._ended:
             payload_by_key[ENDED_PREFIX + job.spec.job_id] = encode_end(phase)
             shown.append((job, phase))
+        if self.harm_row is not None:
+            payload_by_key[HARM_KEY] = self.harm_row
+            self.harm_row = None
         batch = Batch(payload_by_key, self._starts, self._ends, shown)
         self._dirty_by_name = {}
         self._ended = []
--- a/waxwingford/scheduling/_engine.py
+++ b/waxwingford/scheduling/_engine.py
@@ -16,6 +16,7 @@
 from waxwingford.scheduling._orders import Batch, Start
 from waxwingford.scheduling._pacing import FULL_PERCENT, Pacer
 from waxwingford.scheduling._placing import Placer
+from waxwingford.scheduling._rows import HARM_KEY
 from waxwingford.scheduling._runners import (
     LookOutcome,
     OrderOutcome,
@@ -38,6 +39,9 @@
 STUCK_FILL_MS = 6000
 #: The same for a lasting task that is not at work, in ms.
 STUCK_LASTING_MS = 4000
+#: Time between two writings of what is known of harm, in ms: a successor that
+#: learns it anew lets each pair do its harm once more.
+STORE_HARM_EVERY_MS = 2000
 #: Time between two rounds over all servers and their runs, in ms: what they
 #: find (lapsed leases, runs that stand still, stops to send) is not urgent,
 #: and a decision is made with each answer.
@@ -76,6 +80,7 @@
         self._pacer = Pacer(self.book, self._harm)
         self._cancelled: set[str] = set()
         self._tended_ms = 0
+        self._harm_stored_ms = 0
         self._stirred: dict[str, Job] = {}
         self._timed_by_id: dict[str, Job] = {}
 
@@ -117,8 +122,18 @@
         if terms.version >= self.book.terms.version:
             self.book.terms = terms
 
+    def restore(self, rows: dict[str, bytes]) -> None:
+        """Read the rows of a former owner, before any job is taken in.
+
+        :param rows: newest rows by key.
+        """
+        harm = rows.pop(HARM_KEY, None)
+        if harm is not None:
+            self._harm.restore(harm)
+        self.inheritance.restore(rows)
+
     def inherit(self, now_ms: int) -> None:
-        """Take over what the rows of the store say.
+        """Take the rows over, once all jobs are known.
 
         :param now_ms: steady time.
         """
@@ -157,6 +172,9 @@
         self._settler.looked(server, sent_ms, now_ms, outcome)
         if self._pacer.watches(server) and server.looked_ms == sent_ms:
             self._harm.learn(server, now_ms)
+            if now_ms - self._harm_stored_ms >= STORE_HARM_EVERY_MS:
+                self._harm_stored_ms = now_ms
+                self.book.harm_row = self._harm.encode()
             self._pacer.react(server, now_ms)
 
     def start_answered(
--- a/waxwingford/scheduling/_harm.py
+++ b/waxwingford/scheduling/_harm.py
@@ -8,7 +8,14 @@
 import math
 from typing import NamedTuple
 
-from waxwingford.colocation import InterferenceModel, Mechanisms, Setting
+import msgspec
+
+from waxwingford.colocation import (
+    InterferenceModel,
+    Mechanisms,
+    Setting,
+    Term,
+)
 from waxwingford.ports import Resources
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._state import Run, RunPhase, Step
@@ -36,6 +43,9 @@
 LEAST_TAIL_MS = 0.5
 
 
+_decoder = msgspec.msgpack.Decoder(list[tuple[str, str, float, float]])
+
+
 class _Spares(NamedTuple):
     changes: int
     log_spares: list[tuple[Step, float]]
@@ -72,6 +82,31 @@
             if run.figure > 0 and now_ms - run.since_ms >= WARM_MS:
                 self._learn(server, run, step, units_by_kind, trust)
 
+    def encode(self) -> bytes:
+        """Write what is known of pairs for the store.
+
+        :returns: its bytes.
+        """
+        return msgspec.msgpack.encode(
+            [
+                (*pair, term.mean, term.variance)
+                for pair, term in self._model.pairs().items()
+            ]
+        )
+
+    def restore(self, raw: bytes) -> None:
+        """Go on from what a former owner knew.
+
+        :param raw: as ``encode`` wrote it.
+        """
+        self._model.restore(
+            {
+                (serving, fill): Term(mean, variance)
+                for serving, fill, mean, variance in _decoder.decode(raw)
+            }
+        )
+        self._effect_by_pair.clear()
+
     def effect(self, serving: Step, fill: Step) -> float:
         """Predict what one unit of a fill adds to the logarithm of a tail.
 
--- a/waxwingford/scheduling/_rows.py
+++ b/waxwingford/scheduling/_rows.py
@@ -21,6 +21,8 @@
 
 #: Prefix of keys that hold the end of a job; steps begin with the job's id.
 ENDED_PREFIX = 'ended/'
+#: Key that holds what is known of fills that harm.
+HARM_KEY = 'harm'
 
 
 class _TaskRow(msgspec.Struct, array_like=True, omit_defaults=True):
@@ -154,6 +156,7 @@
 
 __all__ = (
     'ENDED_PREFIX',
+    'HARM_KEY',
     'StepName',
     'apply_step',
     'decode_end',
--- a/waxwingford/shard/_commits.py
+++ b/waxwingford/shard/_commits.py
@@ -1,7 +1,7 @@
 """Stores what an engine decides, batch by batch, then acts on it."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from waxwingford.scheduling import Engine
 from waxwingford.shard._beats import Beats
@@ -9,6 +9,9 @@
 from waxwingford.shard._journal import Deposed, EpochWriter
 from waxwingford.shard._log_port import KeyedRecord
 
+#: Bytes of rows in one append: half of what the platform takes.
+MOST_APPEND_BYTES = 1_000_000
+
 
 class Committer:
     """One append at a time; what comes meanwhile goes into the next."""
@@ -47,10 +50,31 @@
                 KeyedRecord(key, raw)
                 for key, raw in batch.payload_by_key.items()
             )
-            sent_ms = self._beats.since_boot_ms()
-            if rows:
-                if isinstance(await self._writer.append(rows), Deposed):
+            for part in _parts(rows):
+                sent_ms = self._beats.since_boot_ms()
+                if isinstance(await self._writer.append(part), Deposed):
                     return
                 self._beats.prove(sent_ms)
             self._fleet.act_on(batch, self._engine.stored(batch))
             stir()
+
+
+def _parts(
+    rows: tuple[KeyedRecord, ...],
+) -> Iterator[tuple[KeyedRecord, ...]]:
+    """Split rows into appends that the store takes.
+
+    :param rows: of one batch; acted on only when all are stored.
+    :returns: rows of each append.
+    """
+    part: list[KeyedRecord] = []
+    held_bytes = 0
+    for row in rows:
+        row_bytes = len(row.key) + len(row.payload or b'')
+        if part and held_bytes + row_bytes > MOST_APPEND_BYTES:
+            yield tuple(part)
+            part, held_bytes = [], 0
+        part.append(row)
+        held_bytes += row_bytes
+    if part:
+        yield tuple(part)
--- a/waxwingford/shard/_owner.py
+++ b/waxwingford/shard/_owner.py
@@ -34,6 +34,7 @@
     JobNotKnown,
     NotAnswered,
 )
+from waxwingford.shard._sweeper import Sweeper
 from waxwingford.shard._times import boot_ms, steady_ms, wall_ms
 
 #: Time between two decisions without an event, in seconds.
@@ -249,7 +250,7 @@
             self.epoch, settings.lease_ms, now_ms + settings.inherited_ms
         )
         self._engine.configure(self._terms)
-        self._engine.inheritance.restore(rows)
+        self._engine.restore(rows)
         # After the claim: any job that the journal names is in it then.
         await self._intake.restore()
         self._intake.hand_over(self._engine)
@@ -266,7 +267,9 @@
         self._asker = AdviceAsker(self._engine, self._ports.advisor)
         await self._fleet.register()
         self.ready = True
+        sweeper = Sweeper(self._ports.log, self._engine)
         works = (
+            sweeper.run(),
             self._intake.follow(self._engine, self._stirred.set),
             self._keep_registering(),
             self._decide(),
