--- a/waxwingford/scheduling/_engine.py
+++ b/waxwingford/scheduling/_engine.py
@@ -57,6 +57,7 @@
     :ivar book: state of the shard.
     :ivar orders: makes orders.
     :ivar inheritance: what the rows of a former owner say.
+    :ivar pacer: chooses the pace of fills.
     """
 
     def __init__(
@@ -77,7 +78,7 @@
         self._stopper = Stopper(self.book)
         self._harm = HarmModel()
         self._placer = Placer(self.book, self._harm)
-        self._pacer = Pacer(self.book, self._harm)
+        self.pacer = Pacer(self.book, self._harm)
         self._cancelled: set[str] = set()
         self._tended_ms = 0
         self._harm_stored_ms = 0
@@ -170,12 +171,12 @@
         :param outcome: what came back.
         """
         self._settler.looked(server, sent_ms, now_ms, outcome)
-        if self._pacer.watches(server) and server.looked_ms == sent_ms:
+        if self.pacer.watches(server) and server.looked_ms == sent_ms:
             self._harm.learn(server, now_ms)
             if now_ms - self._harm_stored_ms >= STORE_HARM_EVERY_MS:
                 self._harm_stored_ms = now_ms
                 self.book.harm_row = self._harm.encode()
-            self._pacer.react(server, now_ms)
+            self.pacer.react(server, now_ms)
 
     def start_answered(
         self, server: Server, run: Run, now_ms: int, outcome: OrderOutcome
@@ -236,14 +237,6 @@
             self._stirred[job.spec.job_id] = job
         return self.book.stored(batch)
 
-    def watched(self, server: Server) -> bool:
-        """Tell whether a server's figures are needed often.
-
-        :param server: which.
-        :returns: whether tasks serve there beside others that fill.
-        """
-        return self._pacer.watches(server)
-
     def _add(self, entry: ServerEntry, now_ms: int) -> None:
         server = Server(entry)
         self.book.server_by_id[entry.server_id] = server
--- a/waxwingford/shard/_drivers.py
+++ b/waxwingford/shard/_drivers.py
@@ -164,7 +164,7 @@
             return 0
         if server.strangers or any(map(_open, server.run_by_key.values())):
             return DOUBT_WAIT_MS
-        if self._engine.watched(server):
+        if self._engine.pacer.watches(server):
             return WATCHED_WAIT_MS
         return LOOK_WAIT_MS
 
