Store jobs by way of the owner, in one append at a time; resign for certain

Change: rows that come while an append is under way go into the next; daemons hand rows to the owner, which knows them without reading back, and fall back to the store; an owner looks for its end after the last read of a takeover; an append after one of open outcome goes out under the next sequence number.

--- a/waxwingford/platform/_store.py
+++ b/waxwingford/platform/_store.py
@@ -33,6 +33,9 @@
 MOST_FAILURES = 2
 #: Time for a read beyond the time that the store may wait, in seconds.
 READ_TIMEOUT_S = 1.2
+#: Time for a page of newest records, in seconds: up to 1 MB, which a slow
+#: store shares out among all readers.
+PAGE_TIMEOUT_S = 3.0
 _MS_IN_S = 1000
 _APPEND_ANSWERS = frozenset(
     (HTTPStatus.OK, HTTPStatus.CONFLICT, HTTPStatus.PRECONDITION_FAILED)
@@ -193,7 +196,7 @@
             query['depends-on'] = after_key
         outcome = self._noted(
             await self._calls.get(
-                self._address, '/api/log-newest', query, READ_TIMEOUT_S
+                self._address, '/api/log-newest', query, PAGE_TIMEOUT_S
             )
         )
         if not isinstance(outcome, Answer):
--- a/waxwingford/shard/_beats.py
+++ b/waxwingford/shard/_beats.py
@@ -18,6 +18,9 @@
 OWNERS_TOPIC = 'owners'
 #: Time between two heartbeats, in seconds.
 BEAT_EVERY_S = 0.4
+#: Longest wait for a resignation to be stored, in seconds: two appends of a
+#: slow store, and well within the time that a planned stop may take.
+RESIGN_WAIT_S = 1.5
 #: Leases are extended while the newest proof of ownership is no older, in ms:
 #: longer than most outages of the store, and a successor waits it out only
 #: for servers that it can't reach.
@@ -74,7 +77,7 @@
         """Tell the others that they need not wait for a silence."""
         resigned = msgspec.structs.replace(self._record, resigned=True)
         try:
-            await asyncio.wait_for(self._send(resigned), BEAT_EVERY_S)
+            await asyncio.wait_for(self._send(resigned), RESIGN_WAIT_S)
         except TimeoutError:
             about = {'epoch': resigned.epoch}
             _log.warning('resignation not stored', extra=about)
--- a/waxwingford/shard/_desk.py
+++ b/waxwingford/shard/_desk.py
@@ -10,6 +10,7 @@
     IntakeOutcome,
     IntakeRow,
     JobRow,
+    MayBeStored,
     NotStored,
     Stored,
 )
@@ -26,6 +27,8 @@
 from waxwingford.shard._store_view import StoreView
 from waxwingford.shard._times import steady_ms
 
+#: Share of a caller's time in which the owner may store its job.
+OWNER_TIME_SHARE = 0.4
 #: Ended jobs whose phase a daemon remembers: callers ask for it again for a
 #: while, and it never changes.
 MOST_FINAL = 20_000
@@ -154,7 +157,11 @@
         :param until_s: loop time at which its caller gives up.
         :returns: whether it is stored.
         """
-        return await self._intake.store(row, until_s)
+        outcome = await self._intake.store(row, until_s)
+        owner = self._member.owner
+        if isinstance(outcome, Stored) and owner is not None and owner.ready:
+            owner.take(row)
+        return outcome
 
     async def _cancel(
         self, job_id: str, until_s: float
@@ -170,26 +177,35 @@
                 return lost
 
     async def _store(self, row: IntakeRow, until_s: float) -> IntakeOutcome:
-        outcome = await self._intake.store(row, until_s)
-        if isinstance(outcome, NotStored):
-            outcome = await self._store_elsewhere(row, until_s, outcome)
-        return outcome
+        """Store by way of the owner, or else directly.
 
-    async def _store_elsewhere(
-        self, row: IntakeRow, until_s: float, refused: NotStored
-    ) -> IntakeOutcome:
-        """Let the owner store what the store would not take from here.
+        The owner puts the rows of all daemons into one append and knows them
+        without reading them back; with each daemon for itself a slow store has
+        eight times the appends. Both ways may store the same row: it stays one.
 
         :param row: what to store.
         :param until_s: loop time at which the caller gives up.
-        :param refused: what the store said here.
         :returns: whether it is stored.
         """
+        by_owner = await self._store_by_owner(row, until_s)
+        if isinstance(by_owner, Stored):
+            return by_owner
+        directly = await self.store_for(row, until_s)
+        unsure = isinstance(by_owner, MayBeStored)
+        if unsure and isinstance(directly, NotStored):
+            return by_owner
+        return directly
+
+    async def _store_by_owner(
+        self, row: IntakeRow, until_s: float
+    ) -> IntakeOutcome:
         record = self._member.owner_record
+        if record is None or record.resigned or self._member.owner is not None:
+            return NotStored('no owner elsewhere')
         left_s = until_s - asyncio.get_running_loop().time()
-        if record is None or left_s <= 0 or self._member.owner is not None:
-            return refused
-        return await self._link.store(record.endpoint, row, left_s)
+        # Half of the time is kept for the way without the owner.
+        share_s = left_s * OWNER_TIME_SHARE
+        return await self._link.store(record.endpoint, row, share_s)
 
     def _remember(self, job_id: str, phase: JobPhase) -> None:
         self._final_by_job[job_id] = phase
--- a/waxwingford/shard/_intake.py
+++ b/waxwingford/shard/_intake.py
@@ -6,11 +6,11 @@
 
 import asyncio
 import dataclasses
-import itertools
 
 from waxwingford.scheduling import decode_spec
 from waxwingford.shard._log_port import (
     Appended,
+    AppendOutcome,
     KeyedRecord,
     SharedLog,
     StoreUnknown,
@@ -21,6 +21,8 @@
 CANCEL_PREFIX = 'cancel/'
 #: Pause between two tries, in seconds.
 RETRY_PAUSE_S = 0.05
+#: Jobs and cancellings in one append, some hundred KB at most.
+MOST_ROWS = 64
 #: A refusal by the store is passed on after this many tries: a caller that is
 #: told at once goes to another daemon, which the store may serve.
 MOST_REFUSALS = 3
@@ -79,8 +81,22 @@
 IntakeRow = JobRow | CancelRow
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class _Entry:
+    record: KeyedRecord
+    until_s: float
+    stored: asyncio.Future[IntakeOutcome]
+    tries: int = 0
+    unknown: str = ''
+
+
 class Intake:
-    """Appends to the intake of a shard."""
+    """Appends to the intake of a shard, one append at a time.
+
+    What comes while an append is under way goes into the next: a slow store
+    takes hundreds of ms for each append, one after the other, and refuses when
+    more than 2 s of them wait.
+    """
 
     def __init__(self, log: SharedLog) -> None:
         """Use a store.
@@ -88,6 +104,8 @@
         :param log: the store.
         """
         self._log = log
+        self._waiting: list[_Entry] = []
+        self._flusher: asyncio.Task[None] | None = None
 
     async def store(self, row: IntakeRow, until_s: float) -> IntakeOutcome:
         """Store a job or a cancelling.
@@ -96,26 +114,68 @@
         :param until_s: loop time at which the caller gives up.
         :returns: whether it is stored.
         """
-        record = _record(row)
         if not self._log.answering:
             # To try would leave the outcome open, and a caller can only come
             # back at once if nothing was tried.
             return NotStored('the store does not answer')
         loop = asyncio.get_running_loop()
-        unknown: list[str] = []
-        for tries in itertools.count(1):
-            outcome = await self._log.append(INTAKE_TOPIC, (record,))
-            match outcome:
-                case Appended():
-                    break
-                case StoreUnknown(reason):
-                    unknown.append(reason)
-            late = loop.time() + RETRY_PAUSE_S >= until_s
-            given_up = late if unknown else late or tries >= MOST_REFUSALS
-            if given_up:
-                return _given_up(unknown, str(outcome))
+        entry = _Entry(_record(row), until_s, loop.create_future())
+        self._waiting.append(entry)
+        if self._flusher is None or self._flusher.done():
+            self._flusher = asyncio.create_task(self._flush())
+        left_s = until_s - loop.time()
+        try:
+            return await asyncio.wait_for(
+                asyncio.shield(entry.stored), max(0, left_s)
+            )
+        except TimeoutError:
+            return self._late(entry)
+
+    def _late(self, entry: _Entry) -> IntakeOutcome:
+        if entry in self._waiting:
+            self._waiting.remove(entry)
+            return _given_up(entry, 'not tried in time')
+        return MayBeStored('its append is under way')
+
+    async def _flush(self) -> None:
+        while self._waiting:
+            batch = self._waiting[:MOST_ROWS]
+            del self._waiting[:MOST_ROWS]
+            rows = tuple(entry.record for entry in batch)
+            outcome = await self._log.append(INTAKE_TOPIC, rows)
+            if isinstance(outcome, Appended):
+                for entry in batch:
+                    _resolve(entry, Stored())
+                continue
+            self._waiting = self._open_entries(batch, outcome) + self._waiting
             await asyncio.sleep(RETRY_PAUSE_S)
-        return Stored()
+
+    def _open_entries(
+        self, batch: list[_Entry], outcome: AppendOutcome
+    ) -> list[_Entry]:
+        """Note a failed try; settle what is not tried again.
+
+        :param batch: what was tried.
+        :param outcome: of the append.
+        :returns: what is tried again.
+        """
+        again: list[_Entry] = []
+        retry_s = asyncio.get_running_loop().time() + RETRY_PAUSE_S
+        for entry in batch:
+            entry.tries += 1
+            if isinstance(outcome, StoreUnknown):
+                entry.unknown = outcome.reason
+            refused = entry.tries >= MOST_REFUSALS and not entry.unknown
+            if refused or retry_s >= entry.until_s:
+                _resolve(entry, _given_up(entry, str(outcome)))
+            else:
+                again.append(entry)
+        return again
+
+
+def _resolve(entry: _Entry, outcome: IntakeOutcome) -> None:
+    if not entry.stored.done():
+        entry.stored.set_result(outcome)
 
 
 def _record(row: IntakeRow) -> KeyedRecord:
@@ -126,7 +186,7 @@
             return KeyedRecord(CANCEL_PREFIX + job_id, _CANCELLED)
 
 
-def _given_up(unknown: list[str], refused: str) -> IntakeOutcome:
+def _given_up(entry: _Entry, refused: str) -> IntakeOutcome:
     # One try of unknown outcome is enough to leave all open: it may still be
     # carried out, and "not stored" must be true.
-    return MayBeStored(unknown[-1]) if unknown else NotStored(refused)
+    return MayBeStored(entry.unknown) if entry.unknown else NotStored(refused)
--- a/waxwingford/shard/_journal.py
+++ b/waxwingford/shard/_journal.py
@@ -129,6 +129,7 @@
         self._topic = topic
         self._epoch = epoch
         self._sequence = 0
+        self._open = False
 
     async def claim(
         self, end: int, record: OwnerRecord
@@ -161,22 +162,48 @@
         :param rows: what.
         :returns: whether it counts, or this owner was deposed.
         """
-        fence = Fence(self._epoch, self._sequence)
+        # An append that was cancelled under way may have been done: under its
+        # sequence number the store would answer for it, and drop this one.
+        after_open = self._open
+        self._sequence += int(after_open)
+        self._open = True
         pause_s = FIRST_PAUSE_S
         while True:
+            fence = Fence(self._epoch, self._sequence)
             outcome = await self._log.append(self._topic, rows, fence)
             match outcome:
                 case Appended():
-                    self._sequence += 1
+                    self._settle()
                     return outcome
+                case AppendOutOfOrder(expected):
+                    settled = self._settle_by(expected, after_open)
+                    after_open = False
+                    if settled is not None:
+                        return settled
                 case AppendFenced() | AppendElsewhere():
                     return Deposed()
-                case AppendOutOfOrder(expected) if expected > self._sequence:
-                    # An earlier try of this append was carried out after all.
-                    self._sequence += 1
-                    return Appended(0)
-                case AppendOutOfOrder():
-                    return Deposed()
                 case StoreRefused() | StoreUnknown():
                     await asyncio.sleep(pause_s)
                     pause_s = min(2 * pause_s, LONGEST_PAUSE_S)
+
+    def _settle_by(
+        self, expected: int, after_open: bool
+    ) -> Appended | Deposed | None:
+        """Learn from the sequence number that the store expects.
+
+        :param expected: that number.
+        :param after_open: whether an earlier append was left open.
+        :returns: outcome of the present append, ``None`` to try it again.
+        """
+        if expected > self._sequence:
+            # An earlier try was carried out after all.
+            self._settle()
+            return Appended(0)
+        if not after_open:
+            return Deposed()
+        self._sequence = expected
+        return None
+
+    def _settle(self) -> None:
+        self._sequence += 1
+        self._open = False
--- a/waxwingford/shard/_owner.py
+++ b/waxwingford/shard/_owner.py
@@ -6,12 +6,13 @@
 
 import logbook
 
-from waxwingford.scheduling import Engine, TaskRunners, Terms
+from waxwingford.scheduling import Engine, TaskRunners, Terms, decode_spec
 from waxwingford.shard._advice_asker import AdviceAsker, Advisor
 from waxwingford.shard._beats import PROOF_MS, Beats
 from waxwingford.shard._commits import Committer
 from waxwingford.shard._drivers import DriverPorts
 from waxwingford.shard._fleet import Fleet, ServerDirectory
+from waxwingford.shard._intake import CancelRow, IntakeRow, JobRow
 from waxwingford.shard._intake_reader import IntakeReader
 from waxwingford.shard._journal import (
     JOURNAL_TOPIC,
@@ -121,6 +122,7 @@
         self._intake = IntakeReader(ports.log)
         self._tasks: list[asyncio.Task[None]] = []
         self._stirred = asyncio.Event()
+        self._beats: Beats | None = None
 
     async def claim(self, former_epoch: int) -> ClaimOutcome:
         """Claim the shard and begin to act.
@@ -155,8 +157,14 @@
         self._observer.tell(
             'shard.claimed', epoch=self.epoch, former_epoch=former_epoch
         )
-        self._spawn(self._keep_beating())
+        self._spawn(
+            self._until(
+                self._beats.keep(), 'a higher epoch has sent heartbeats'
+            )
+        )
         await self._take_over(journal.payload_by_key)
+        if self.over.is_set():
+            return ClaimFailed('given up while taking over')
         return claimed
 
     def configure(self, terms: Terms) -> None:
@@ -169,6 +177,18 @@
             self._engine.configure(terms)
             self._stirred.set()
 
+    def take(self, row: IntakeRow) -> None:
+        """Take in what was stored here, before it is read back.
+
+        :param row: a job or a cancelling.
+        """
+        match row:
+            case JobRow(raw):
+                self._engine.submit(decode_spec(raw), steady_ms())
+            case CancelRow(job_id):
+                self._engine.cancel(job_id)
+        self._stirred.set()
+
     async def phase(self, job_id: str) -> JobAnswer:
         """Say how far a job is.
 
@@ -193,9 +213,8 @@
 
     async def resign(self) -> None:
         """Stop acting and let a successor follow at once."""
-        was_ready = self.ready
         self._halt()
-        if was_ready:
+        if self._beats is not None:
             await self._beats.resign()
         self._end('resigned')
 
@@ -266,6 +285,10 @@
         )
         self._asker = AdviceAsker(self._engine, self._ports.advisor)
         await self._fleet.register()
+        if self.over.is_set():
+            # Stopped meanwhile: a successor may own the shard already.
+            self._fleet.close()
+            return
         self.ready = True
         sweeper = Sweeper(self._ports.log, self._engine)
         works = (
@@ -273,7 +296,10 @@
             self._intake.follow(self._engine, self._stirred.set),
             self._keep_registering(),
             self._decide(),
-            self._commit(),
+            self._until(
+                self._committer.run(self._stirred.set),
+                'the store has seen a higher epoch',
+            ),
             self._asker.run(self._stirred.set),
         )
         for work in works:
@@ -309,10 +335,13 @@
             self._committer.wake()
             self._asker.wake()
 
-    async def _commit(self) -> None:
-        await self._committer.run(self._stirred.set)
-        self.stop('the store has seen a higher epoch')
+    async def _until(
+        self, work: Coroutine[None, None, None], reason: str
+    ) -> None:
+        """Run a part that ends when this owner was deposed.
 
-    async def _keep_beating(self) -> None:
-        await self._beats.keep()
-        self.stop('a higher epoch has sent heartbeats')
+        :param work: the part.
+        :param reason: what its end means.
+        """
+        await work
+        self.stop(reason)
--- a/waxwingford/shard/tests/shard.feature
+++ b/waxwingford/shard/tests/shard.feature
@@ -50,6 +50,31 @@
     And 0.5 s pass
     Then there is one owner
 
+  Scenario: the owner resigns while a heartbeat is under way
+    # Symptom: a planned stop leaves the shard without an owner for a second.
+    # Sequence: the store is slow; the owner resigns in the middle of an append
+    # of a heartbeat, which is done all the same.
+    # Cause: the resignation goes out under the heartbeat's sequence number and
+    # is answered like it, without being stored.
+    Given a shard with 3 daemons and 4 servers
+    When the store takes 0.3 s more for each call
+    And 3 s pass
+    And the owner resigns in the middle of a heartbeat
+    Then the resignation is stored
+
+  Scenario: the owner resigns while it takes over
+    # Symptom: two owners act at the same time.
+    # Sequence: a daemon claims the shard, is told to stop while it reads the
+    # intake, resigns, and goes on when it has read.
+    # Cause: not looking at the resignation after the last read.
+    Given a shard with 3 daemons and 4 servers
+    When the store takes 0.3 s more for each call
+    And the owner is killed
+    And the next owner resigns as soon as it has claimed
+    And 12 s pass
+    Then there is one owner
+    And the one that resigned is not ready
+
   Scenario: a cancelled job is stopped also when its owner is killed at once
     # Symptom: tasks of a cancelled job run on until the job's servers leave.
     # Sequence: lasting tasks run, the job is cancelled, the owner is killed
--- a/waxwingford/shard/tests/shard_steps.py
+++ b/waxwingford/shard/tests/shard_steps.py
@@ -3,7 +3,12 @@
 from behave import given, then, when
 
 from waxwingford.shard import Stored
-from waxwingford.shard._journal import JOURNAL_TOPIC, OWNER_KEY
+from waxwingford.shard._beats import OWNERS_TOPIC
+from waxwingford.shard._journal import (
+    JOURNAL_TOPIC,
+    OWNER_KEY,
+    decode_owner,
+)
 from waxwingford.shard.tests.virtual_shard import VirtualShard, step
 
 FAULT_KINDS = ('kill', 'cut_store', 'refuse_store', 'cut_server', 'crash')
@@ -92,6 +97,54 @@
     context.shard.run_until(owner.member.resign())
 
 
+@when('the store takes {extra_s:g} s more for each call')
+def slow_store(context, extra_s):
+    context.shard.store.slow_s = extra_s
+
+
+@when('the owner resigns in the middle of a heartbeat')
+def resign_in_beat(context):
+    shard = context.shard
+    owner = shard.owners[0]
+    topic = shard.store.topic(OWNERS_TOPIC)
+    known = len(topic.records)
+    while len(topic.records) == known:
+        shard.run(0.01)
+    # The next heartbeat is sent 0.4 s after the answer to this one.
+    shard.run(0.45)
+    shard.run_until(owner.member.resign())
+    shard.run(1)
+
+
+@then('the resignation is stored')
+def resignation_stored(context):
+    records = context.shard.store.topic(OWNERS_TOPIC).records
+    owners = [decode_owner(row.payload) for row in records]
+    assert any(owner.resigned for owner in owners), owners[-3:]
+
+
+@when('the next owner resigns as soon as it has claimed')
+def resign_early(context):
+    shard = context.shard
+    journal = shard.store.topic(JOURNAL_TOPIC)
+
+    def claims():
+        return [row for row in journal.records if row.key == OWNER_KEY]
+
+    while len(claims()) < 2:
+        shard.run(0.01)
+    name = decode_owner(claims()[-1].payload).daemon_id
+    context.resigned = next(
+        one for one in shard.daemons if one.daemon_id == name
+    )
+    shard.run_until(context.resigned.member.resign())
+
+
+@then('the one that resigned is not ready')
+def resigned_not_ready(context):
+    assert not context.resigned.owns
+
+
 @when('the owner is cut off from the store for {span_s:g} s')
 def cut_owner(context, span_s):
     daemon_id = context.shard.owners[0].daemon_id
