--- /dev/null
+++ b/waxwingford/platform/tests/adapter.feature
@@ -0,0 +1,80 @@
+Feature: the adapter translates names, formats and calls
+
+  Scenario: records go to the store and come back
+    Given a store and a worker on loopback
+    When records of two keys are appended under an epoch
+    Then they are read back in order
+    And the newest record of each key is read
+
+  Scenario Outline: what the store answers to an append
+    Given a store and a worker on loopback
+    When the store answers <status> with <body>
+    Then the append's outcome is "<outcome>"
+
+    Examples:
+      | status | body                          | outcome          |
+      | 200    | {"offset":3,"end":4}          | Appended         |
+      | 409    | {"reason":"fenced"}           | AppendFenced     |
+      | 409    | {"reason":"seq","seq":5}      | AppendOutOfOrder |
+      | 412    | {"end":9}                     | AppendElsewhere  |
+      | 429    | {}                            | StoreRefused     |
+      | 503    | {}                            | StoreRefused     |
+      | 500    | {}                            | StoreUnknown     |
+
+  Scenario: nobody listens at the store
+    Given an address at which nobody listens
+    Then the append's outcome is "StoreRefused"
+
+  Scenario: the store never answers
+    # Symptom: a daemon stands still although other connections work.
+    # Sequence: a connection goes silent for good, without a reset.
+    # Cause: waiting for an answer without a limit.
+    Given a store that never answers
+    Then the append's outcome is "StoreUnknown"
+
+  Scenario Outline: what a worker answers to a start
+    Given a store and a worker on loopback
+    When the worker answers <status> with <body>
+    Then the start's outcome is "<outcome>"
+
+    Examples:
+      | status | body                             | outcome                             |
+      | 200    | {"clock-ms":7}                   | OrderTaken(clock_ms=7)              |
+      | 409    | {"clock-ms":7,"reason":"fence"}  | OrderDenied(denial=fenced)          |
+      | 409    | {"clock-ms":7,"reason":"old"}    | OrderDenied(denial=superseded)      |
+      | 409    | {"clock-ms":7,"reason":"room"}   | OrderDenied(denial=no_room)         |
+      | 409    | {"clock-ms":7,"reason":"late"}   | OrderDenied(denial=too_late)        |
+      | 421    | {}                               | ServerReplaced()                    |
+      | 503    | {}                               | OrderDenied(denial=unhealthy)       |
+      | 400    | {}                               | OrderDenied(denial=invalid)         |
+
+  Scenario: a look at a worker
+    Given a store and a worker on loopback
+    When the worker answers 200 with {"clock-ms":9,"running":[["00000000000000aa.0.1.2",3,"c1",41,12]],"ended-runs":[[5,"00000000000000aa.0.1.1",1,"done",""]]}
+    Then the look lists a run and an end
+
+  Scenario: a submission
+    When a submission with all fields is decoded
+    Then its step says all of it
+
+  Scenario Outline: requests of clients
+    Given an entry with one queue, whose desk knows nothing
+    When a client sends <method> to <path> with "<body>"
+    Then the client is answered <status>
+
+    Examples:
+      | method | path                     | body                   | status |
+      | POST   | /q/00000000000000aa      | {"spec":"","steps":[]} | 200    |
+      | POST   | /q/00000000000000aa      | {"steps":7}            | 400    |
+      | POST   | /other/00000000000000aa  | {"spec":"","steps":[]} | 404    |
+      | GET    | /q/00000000000000aa      |                        | 410    |
+      | GET    | /q/nothing               |                        | 404    |
+      | DELETE | /q/00000000000000aa      |                        | 410    |
+      | GET    | /q/                      |                        | 200    |
+      | PUT    | /q/00000000000000aa      |                        | 405    |
+
+  Scenario: a client before there is a configuration
+    Given an entry without a configuration
+    When a client sends GET to /q/ with ""
+    Then the client is answered 503
+    And is told when to come back
--- a/waxwingford/scheduler/tests/logs_steps.py
+++ b/waxwingford/scheduler/tests/logs_steps.py
@@ -32,6 +32,8 @@
     'bounds.grace-s': '6',
 }
 READ_BYTES = 1 << 20
+# A pipe holds 64 KiB; what waits in the process is four times that.
+READS = 8
 log = logbook.Logger('test')
 
 
@@ -83,7 +85,7 @@
 def read_and_write(context):
     context.lines = read_lines(context)
     context.now.return_value += 1
-    for _ in range(3):
+    for _ in range(READS):
         log.info('store regained')
         context.lines += read_lines(context)
 
