--- a/docs/make_api.py
+++ b/docs/make_api.py
@@ -28,12 +28,16 @@
     'metrics': 'operators.md',
     'ownership': 'design/batch.md',
     'peers': 'architecture.md',
+    'platform': 'design/platform.md',
     'placement': 'design/colocation.md',
     'ports': 'design/decisions.md',
     'records': 'design/batch.md',
     'routing': 'design/requests.md',
     'settings': 'settings.md',
     'timeline': 'operators.md',
+    'scheduler': 'OPERATIONS.md',
+    'scheduling': 'design/platform.md',
+    'shard': 'design/platform.md',
 }
 
 
--- a/waxwingford/scheduler/main.py
+++ b/waxwingford/scheduler/main.py
@@ -71,5 +71,10 @@
     return parser
 
 
-if __name__ == '__main__':
+def run_and_exit() -> None:
+    """Run the daemon and exit with its code."""
     sys.exit(main())
+
+
+if __name__ == '__main__':
+    run_and_exit()
