Take leases from the platform's bound, at most 5 s; grace in seconds

Change: leases are five sixths of what servers grant, 5 s at most; looks come four times a lease at least.

--- a/waxwingford/scheduler/_daemon.py
+++ b/waxwingford/scheduler/_daemon.py
@@ -22,9 +22,11 @@
     serve_queries,
 )
 
-#: Leases are this much shorter than the longest that servers grant, in ms, so
-#: that a lease that was sent is never cut by the server.
-LEASE_MARGIN_MS = 1000
+#: Leases are this share of the longest that servers grant, so that a lease that
+#: was sent is never cut by the server; and no longer than what a takeover and
+#: some looks take, in ms, as tasks of a dead server wait for its lease.
+LEASE_SHARE = 5 / 6
+MOST_LEASE_MS = 5000
 #: Time without any answer of the store after which callers had better go to
 #: another daemon, in seconds.
 STORE_LOST_S = 1.5
@@ -33,7 +35,6 @@
 STOP_LINGER_S = 2.6
 #: Share of the grace period that a planned stop may take.
 GRACE_SHARE = 0.75
-_MS_IN_S = 1000
 
 _log = logbook.Logger('daemon')
 
@@ -99,7 +100,7 @@
         _log.info('stopping')
         self._platform.begin_closing()
         await self._member.resign()
-        grace_s = self._settings.bounds.stop_grace_ms / _MS_IN_S
+        grace_s = self._settings.bounds.stop_grace_s
         await asyncio.sleep(min(STOP_LINGER_S, grace_s * GRACE_SHARE))
         await self._platform.close()
         for work in works:
@@ -144,7 +145,10 @@
         figures = OwnerSettings(
             settings.identity.daemon_id,
             f'{listen.host}:{listen.peers_port}',
-            settings.bounds.longest_lease_ms - LEASE_MARGIN_MS,
+            min(
+                MOST_LEASE_MS,
+                int(settings.bounds.longest_lease_ms * LEASE_SHARE),
+            ),
         )
         ports = OwnerPorts(
             self._platform.log,
--- a/waxwingford/scheduling/_order_making.py
+++ b/waxwingford/scheduling/_order_making.py
@@ -10,6 +10,7 @@
     """Makes the orders of one owner.
 
     :ivar token: fencing token of the owner.
+    :ivar lease_ms: length of the leases given to servers.
     """
 
     def __init__(self, book: Book, token: int, lease_ms: int) -> None:
@@ -21,7 +22,7 @@
         """
         self.token = token
         self._book = book
-        self._lease_ms = lease_ms
+        self.lease_ms = lease_ms
 
     def look(
         self, server: Server, now_ms: int, wait_ms: int, extend: bool
@@ -41,7 +42,7 @@
             server.clock_ahead_ms is not None and server.failing_ms is None
         )
         if extend and answers and server.run_by_key:
-            lease_until_ms = server.lease_for(now_ms, self._lease_ms)
+            lease_until_ms = server.lease_for(now_ms, self.lease_ms)
         return LookOrder(self.token, server.seen_end, lease_until_ms, wait_ms)
 
     def start(self, run: Run, now_ms: int) -> StartOrder | None:
@@ -63,7 +64,7 @@
         return StartOrder(
             run.key,
             job.spec.payload,
-            server.lease_for(now_ms, self._lease_ms),
+            server.lease_for(now_ms, self.lease_ms),
             self.token,
             run.checkpoint,
             ticket,
--- a/waxwingford/settings/_scheduler.py
+++ b/waxwingford/settings/_scheduler.py
@@ -59,7 +59,7 @@
     """Promises of the platform that the scheduler relies on."""
 
     longest_lease_ms: Millis
-    stop_grace_ms: Millis
+    stop_grace_s: Annotated[float, Field(gt=0)]
 
 
 class SchedulerSettings(Strict):
--- a/waxwingford/shard/_drivers.py
+++ b/waxwingford/shard/_drivers.py
@@ -18,6 +18,8 @@
 #: Longest wait of a look for an end, in ms: progress and tails are read no
 #: less often than this.
 LOOK_WAIT_MS = 1000
+#: Looks that fit into a lease at least: it is extended with each.
+LOOKS_A_LEASE = 4
 #: The same where fills run beside tasks that serve, in ms: the tails listed
 #: cover half a second.
 WATCHED_WAIT_MS = 500
@@ -166,7 +168,7 @@
             return DOUBT_WAIT_MS
         if self._engine.pacer.watches(server):
             return WATCHED_WAIT_MS
-        return LOOK_WAIT_MS
+        return min(LOOK_WAIT_MS, self._engine.orders.lease_ms // LOOKS_A_LEASE)
 
     def _gap_ms(self) -> int:
         urgent = any(
