--- a/waxwingford/timeline/_from_logs.py
+++ b/waxwingford/timeline/_from_logs.py
@@ -21,8 +21,15 @@
         'level',
     )
 )
-#: Events that concern all jobs.
-_OWNERSHIP = ('owner.', 'shard.', 'claim.')
+#: Events that concern all jobs: the owner, the store, the life of daemons.
+_COMMON_EVENTS = (
+    'owner.',
+    'shard.',
+    'claim.',
+    'store ',
+    'started',
+    'stopping',
+)
 _MS_IN_S = 1000
 _decoder = msgspec.json.Decoder(dict[str, Any])
 
@@ -54,7 +61,7 @@
     :param events: in any order.
     :param job_id: id of the job, or the name of a task of it.
     :returns: events of the job and its tasks, of the servers that these ran
-        on, and of changes of the owner.
+        on, of the owner, the store and the daemons' lives.
     """
     kept = list(events)
     servers = {
@@ -69,7 +76,7 @@
         for event in kept
         if event.subject.startswith(job_id)
         or event.subject in servers
-        or event.kind.startswith(_OWNERSHIP)
+        or event.kind.startswith(_COMMON_EVENTS)
     ]
 
 
