--- a/waxwingford/scheduling/tests/engine.feature
+++ b/waxwingford/scheduling/tests/engine.feature
@@ -100,3 +100,24 @@
     When the service gives a ticket for the second server only
     Then the task is planned on the second server
     And its start carries the ticket
+
+  Scenario: an older configuration changes nothing
+    # Symptom: tasks go to the servers of a service that a queue no longer has.
+    # Sequence: a newer configuration is in force, an answer that was long on
+    # its way brings an older one.
+    # Cause: taking the configuration that arrives last for the newest.
+    Given an engine with 1 servers of 8 cores
+    And version 5 sends the queue to the servers of "service"
+    When version 4 arrives, which sends it to the servers of "other"
+    And a job of 1 task is submitted
+    Then 1 run was planned in all
+
+  Scenario: a server is never filled beyond its capacity
+    # Symptom: a server that checks nothing is told to run more than it can.
+    # Sequence: tasks are started, stopped and not listed as ended yet.
+    # Cause: taking what is being stopped for free already.
+    Given an engine with 1 servers of 2 cores
+    And a job of 1 task that runs
+    When its progress stands still for 3 s
+    And a second job of 2 tasks of 1 core is submitted
+    Then 1 task of the second job is planned
--- a/waxwingford/scheduling/tests/engine_steps.py
+++ b/waxwingford/scheduling/tests/engine_steps.py
@@ -26,6 +26,7 @@
 )
 
 JOB = '00000000000000aa'
+SECOND = '00000000000000bb'
 LOOK_EVERY_MS = 250
 QUEUE = QueueTerms('queue', 'service', 0, 3)
 
@@ -410,3 +411,26 @@
 @then('its start carries the ticket')
 def carries(context):
     assert context.bench.last_order.ticket == 'ticket'
+
+
+@given('version {version:d} sends the queue to the servers of "{service}"')
+@when(
+    'version {version:d} arrives, which sends it to the servers of "{service}"'
+)
+def configured(context, version, service):
+    queue = QUEUE._replace(service=service)
+    context.bench.engine.configure(Terms(version, {'queue': queue}))
+
+
+@when('a second job of {count:d} tasks of 1 core is submitted')
+def second_job(context, count):
+    bench = context.bench
+    spec = JobSpec(SECOND, 'queue', 'payload', (step(count),), terms=QUEUE)
+    bench.engine.submit(spec, bench.now_ms)
+    bench.decide()
+
+
+@then('{count:d} task of the second job is planned')
+def second_planned(context, count):
+    jobs = [run.key.task.job_id for run in context.bench.planned]
+    assert jobs.count(SECOND) == count, jobs
