Make subpackages of the benchmarks, and end their two import circles

Cause: 35 modules in one folder with prefixes for packages; daemons of the virtual domain and of the storms imported their domain, which imports them. Change: virtual, storms, bundles, whole_path, recovery, capacity and routing are subpackages (commands keep their names, two change a _ to a dot); daemons see their domain by a protocol in a module of its own.

--- a/waxwingford/batch/tests/mutations.py
+++ b/waxwingford/batch/tests/mutations.py
@@ -17,8 +17,8 @@
     _rules,
     _snapshot,
 )
-from waxwingford_bench import virtual_daemon
-from waxwingford_bench.virtual_server import VirtualServer
+from waxwingford_bench.virtual import daemon as virtual_daemon
+from waxwingford_bench.virtual.server import VirtualServer
 
 
 def start_unseen():
--- a/waxwingford/batch/tests/protections_steps.py
+++ b/waxwingford/batch/tests/protections_steps.py
@@ -32,8 +32,8 @@
     Valid,
 )
 from waxwingford_bench.random_run import play
-from waxwingford_bench.virtual_domain import VirtualDomain
-from waxwingford_bench.virtual_oracle import Violation
+from waxwingford_bench.virtual.domain import VirtualDomain
+from waxwingford_bench.virtual.oracle import Violation
 
 STEPS = 400
 MOST_SEEDS = 60
--- a/waxwingford/batch/tests/random_run_steps.py
+++ b/waxwingford/batch/tests/random_run_steps.py
@@ -17,8 +17,8 @@
     play,
     random_settings,
 )
-from waxwingford_bench.virtual_actions import Run, weight_by_action
-from waxwingford_bench.virtual_domain import VirtualDomain
+from waxwingford_bench.virtual.actions import Run, weight_by_action
+from waxwingford_bench.virtual.domain import VirtualDomain
 
 EXAMPLES = 25
 STEPS = 120
--- a/waxwingford/batch/tests/urgent_steps.py
+++ b/waxwingford/batch/tests/urgent_steps.py
@@ -4,7 +4,7 @@
 
 from waxwingford.ports import Resources
 from waxwingford.records import JobSpec
-from waxwingford_bench.virtual_domain import VirtualDomain
+from waxwingford_bench.virtual.domain import VirtualDomain
 
 SETTLE_MS = 8000
 
--- /dev/null
+++ b/waxwingford_bench/bundles/__init__.py
@@ -0,0 +1,1 @@
+"""Roll-out of bundles over daemons."""
--- a/waxwingford_bench/bundles_fleet.py
+++ b/waxwingford_bench/bundles/fleet.py
@@ -15,7 +15,7 @@
 from waxwingford.kernel import SystemClock
 from waxwingford.metrics import Metrics
 from waxwingford.ports import AppendOutcome, LogUnavailable, ReadOutcome
-from waxwingford_bench.bundles_versions import TRUST
+from waxwingford_bench.bundles.versions import TRUST
 from waxwingford_standins.platform_log import FakeLog, LogCore
 
 _MS_IN_S = 1000
--- a/waxwingford_bench/bundles_rollout.py
+++ b/waxwingford_bench/bundles/rollout.py
@@ -1,6 +1,6 @@
 """Measures the rollout of bundles in one process, over an in-process log.
 
-``python -m waxwingford_bench.bundles_rollout`` prints one JSON line for each
+``python -m waxwingford_bench.bundles.rollout`` prints one JSON line for each
 measurement: time from append to in force by reader count, the same from one
 peer while the log is away, and processor time and bytes of a change by the
 size of the bundle.  All readers share one process and one event loop, so the
@@ -25,9 +25,9 @@
     body_of,
     canonical_bytes,
 )
-from waxwingford_bench.bundles_fleet import Fleet
-from waxwingford_bench.bundles_rows import Cost, Figures, StartCost
-from waxwingford_bench.bundles_versions import (
+from waxwingford_bench.bundles.fleet import Fleet
+from waxwingford_bench.bundles.rows import Cost, Figures, StartCost
+from waxwingford_bench.bundles.versions import (
     TRUST,
     make_first,
     make_next,
--- /dev/null
+++ b/waxwingford_bench/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Capacity at the two-year size, from measured slopes."""
--- a/waxwingford_bench/capacity.py
+++ b/waxwingford_bench/capacity/__main__.py
@@ -18,7 +18,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from waxwingford_bench.capacity_sizes import (
+from waxwingford_bench.capacity.sizes import (
     SIZES_BY_ROLE,
     Size,
     make_deployment,
--- a/waxwingford_bench/random_run.py
+++ b/waxwingford_bench/random_run.py
@@ -10,9 +10,9 @@
 from collections.abc import Callable
 
 from waxwingford.batch import BatchSettings
-from waxwingford_bench import virtual_faults
-from waxwingford_bench.virtual_actions import Action, Run, weight_by_action
-from waxwingford_bench.virtual_domain import VirtualDomain
+from waxwingford_bench.virtual import faults as virtual_faults
+from waxwingford_bench.virtual.actions import Action, Run, weight_by_action
+from waxwingford_bench.virtual.domain import VirtualDomain
 
 _CALM_MS = 5000
 _MOST_CALM_STEPS = 240
--- /dev/null
+++ b/waxwingford_bench/recovery/__init__.py
@@ -0,0 +1,1 @@
+"""Recovery of a daemon: reading a large domain back."""
--- a/waxwingford_bench/recovery.py
+++ b/waxwingford_bench/recovery/__main__.py
@@ -19,14 +19,14 @@
     encode_group,
     snapshot_chunks,
 )
-from waxwingford_bench.recovery_output import write_line
-from waxwingford_bench.recovery_state import (
+from waxwingford_bench.recovery.output import write_line
+from waxwingford_bench.recovery.state import (
     TASKS_IN_JOB,
     make_spec,
     make_state,
 )
-from waxwingford_bench.recovery_ticks import measure_ticks
-from waxwingford_bench.virtual_domain import VirtualDomain
+from waxwingford_bench.recovery.ticks import measure_ticks
+from waxwingford_bench.virtual.domain import VirtualDomain
 
 _MS_IN_S = 1000
 
--- a/waxwingford_bench/recovery_ticks.py
+++ b/waxwingford_bench/recovery/ticks.py
@@ -25,8 +25,8 @@
     VmState,
 )
 from waxwingford.records import DomainState
-from waxwingford_bench.recovery_output import write_line
-from waxwingford_bench.recovery_state import make_state
+from waxwingford_bench.recovery.output import write_line
+from waxwingford_bench.recovery.state import make_state
 
 _MS_IN_S = 1000
 _TASKS_ON_SERVER = 16
--- /dev/null
+++ b/waxwingford_bench/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Cost of routing."""
--- a/waxwingford_bench/routing_cost.py
+++ b/waxwingford_bench/routing/cost.py
@@ -8,7 +8,7 @@
 
 Run it with nothing else running::
 
-    python -m waxwingford_bench.routing_cost
+    python -m waxwingford_bench.routing.cost
 """
 
 import argparse
@@ -24,7 +24,7 @@
 
 from waxwingford.kernel import SystemClock
 from waxwingford.routing import HeldServer, SlotTable
-from waxwingford_bench.routing_site import Address, BenchSite
+from waxwingford_bench.routing.site import Address, BenchSite
 
 _SERVERS = (24, 720, 13_000)
 _SLOTS = 8
--- a/waxwingford_bench/storms.py
+++ b/waxwingford_bench/storms/__main__.py
@@ -8,11 +8,11 @@
 import itertools
 import sys
 
-from waxwingford_bench.storms_cases import Case, case_by_name
-from waxwingford_bench.storms_domain import DAEMONS, StormDomain
-from waxwingford_bench.storms_meter import busiest, longest_above, mean
-from waxwingford_bench.storms_pauses import FixedPauses, Pauses
-from waxwingford_bench.storms_report import (
+from waxwingford_bench.storms.cases import Case, case_by_name
+from waxwingford_bench.storms.domain import DAEMONS, StormDomain
+from waxwingford_bench.storms.meter import busiest, longest_above, mean
+from waxwingford_bench.storms.pauses import FixedPauses, Pauses
+from waxwingford_bench.storms.report import (
     COLUMNS,
     Load,
     Report,
--- a/waxwingford_bench/storms_cases.py
+++ b/waxwingford_bench/storms/cases.py
@@ -3,7 +3,7 @@
 import dataclasses
 from collections.abc import Callable
 
-from waxwingford_bench.storms_domain import StormDomain
+from waxwingford_bench.storms.domain import StormDomain
 
 _RACK = 8
 _RACK_DOWN_MS = 60_000
--- a/waxwingford_bench/storms_daemon.py
+++ b/waxwingford_bench/storms/daemon.py
@@ -2,7 +2,6 @@
 
 import time
 from collections.abc import Callable, Coroutine
-from typing import TYPE_CHECKING
 
 from waxwingford.batch import (
     BatchSettings,
@@ -20,11 +19,9 @@
     VmListUnavailable,
 )
 from waxwingford.records import DomainState, snapshot_chunks
-from waxwingford_bench.virtual_daemon import VirtualDaemon
-from waxwingford_bench.virtual_network import SNAPSHOTS, STREAM
-
-if TYPE_CHECKING:
-    from waxwingford_bench.storms_domain import StormDomain
+from waxwingford_bench.storms.surroundings import StormSurroundings
+from waxwingford_bench.virtual.daemon import VirtualDaemon
+from waxwingford_bench.virtual.network import SNAPSHOTS, STREAM
 
 #: As in :mod:`waxwingford.peers`.
 _SILENT_AFTER_MS = 3500
@@ -35,7 +32,7 @@
 class _SnapshotLog:
     """The log's port for reading snapshots, which answers at once."""
 
-    def __init__(self, daemon_id: str, domain: 'StormDomain') -> None:
+    def __init__(self, daemon_id: str, domain: StormSurroundings) -> None:
         self._daemon_id = daemon_id
         self._domain = domain
 
@@ -59,7 +56,7 @@
     def __init__(
         self,
         daemon_id: str,
-        domain: 'StormDomain',
+        domain: StormSurroundings,
         settings: Callable[[BatchSettings], BatchSettings],
     ) -> None:
         """Prepare; nothing runs before ``boot``.
@@ -218,7 +215,9 @@
         domain.time.at(pause_ms, lambda: self._list_again(life))
 
 
-def _note_spent(domain: 'StormDomain', daemon_id: str, started_ns: int) -> None:
+def _note_spent(
+    domain: StormSurroundings, daemon_id: str, started_ns: int
+) -> None:
     spent_ns = time.process_time_ns() - started_ns
     domain.meter.note_spent(daemon_id, spent_ns, domain.now_ms)
 
--- a/waxwingford_bench/storms_domain.py
+++ b/waxwingford_bench/storms/domain.py
@@ -4,12 +4,12 @@
 
 from waxwingford.batch import SubmitJob
 from waxwingford.records import JobSpec
-from waxwingford_bench.storms_daemon import StormDaemon
-from waxwingford_bench.storms_meter import Meter
-from waxwingford_bench.storms_network import MeteredNetwork
-from waxwingford_bench.storms_pauses import Pauses
-from waxwingford_bench.storms_submitters import Submitters
-from waxwingford_bench.virtual_domain import VirtualDomain
+from waxwingford_bench.storms.daemon import StormDaemon
+from waxwingford_bench.storms.meter import Meter
+from waxwingford_bench.storms.network import MeteredNetwork
+from waxwingford_bench.storms.pauses import Pauses
+from waxwingford_bench.storms.submitters import Submitters
+from waxwingford_bench.virtual.domain import VirtualDomain
 
 DAEMONS = 8
 TICK_MS = 50
--- a/waxwingford_bench/storms_network.py
+++ b/waxwingford_bench/storms/network.py
@@ -6,8 +6,8 @@
 
 from waxwingford.batch import Control
 from waxwingford.ports import AppendOutcome, ControlOutcome, LogRead
-from waxwingford_bench.storms_meter import Meter
-from waxwingford_bench.virtual_network import VirtualNetwork
+from waxwingford_bench.storms.meter import Meter
+from waxwingford_bench.virtual.network import VirtualNetwork
 
 #: Sizes are those of msgpack, without headers of HTTP or TLS.
 _ENCODE = msgspec.msgpack.Encoder().encode
--- a/waxwingford_bench/storms_report.py
+++ b/waxwingford_bench/storms/report.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from waxwingford_bench.storms_meter import Spread
+from waxwingford_bench.storms.meter import Spread
 
 
 class Load(NamedTuple):
--- a/waxwingford_bench/storms_submitters.py
+++ b/waxwingford_bench/storms/submitters.py
@@ -2,14 +2,11 @@
 
 import itertools
 import random
-from typing import TYPE_CHECKING
 
 from waxwingford.batch import JobRefused, JobUnknown, SubmissionOutcome
 from waxwingford.ports import Resources
 from waxwingford.records import JobSpec
-
-if TYPE_CHECKING:
-    from waxwingford_bench.storms_domain import StormDomain
+from waxwingford_bench.storms.surroundings import StormSurroundings
 
 #: Submitters at once at most; more jobs wait with their members.
 MOST_AT_ONCE = 100
@@ -30,7 +27,7 @@
     :ivar is_open: whether new jobs arrive.
     """
 
-    def __init__(self, domain: 'StormDomain', servers: int) -> None:
+    def __init__(self, domain: StormSurroundings, servers: int) -> None:
         """Begin.
 
         :param domain: whom to submit to.
--- a/waxwingford_bench/tests/storms_steps.py
+++ b/waxwingford_bench/tests/storms_steps.py
@@ -5,8 +5,8 @@
 from behave import given, then, when
 
 from waxwingford.batch import JobRefused
-from waxwingford_bench.storms_domain import StormDomain
-from waxwingford_bench.storms_pauses import Pauses
+from waxwingford_bench.storms.domain import StormDomain
+from waxwingford_bench.storms.pauses import Pauses
 
 SEED = 3
 WARM_MS = 60_000
--- /dev/null
+++ b/waxwingford_bench/virtual/__init__.py
@@ -0,0 +1,1 @@
+"""Virtual failure domain: daemons of the batch controller in virtual time."""
--- a/waxwingford_bench/virtual_actions.py
+++ b/waxwingford_bench/virtual/actions.py
@@ -6,8 +6,8 @@
 
 from waxwingford.ports import Resources
 from waxwingford.records import JobSpec
-from waxwingford_bench.virtual_domain import VirtualDomain
-from waxwingford_bench.virtual_server import VirtualServer
+from waxwingford_bench.virtual.domain import VirtualDomain
+from waxwingford_bench.virtual.server import VirtualServer
 
 _MEMBERS = ('qadri', 'svatbena')
 _AGAIN_SHARE = 0.1
--- a/waxwingford_bench/virtual_daemon.py
+++ b/waxwingford_bench/virtual/daemon.py
@@ -2,7 +2,6 @@
 
 import itertools
 from collections.abc import Callable
-from typing import TYPE_CHECKING
 
 from waxwingford.batch import (
     Append,
@@ -27,10 +26,8 @@
     encode_group,
     snapshot_chunks,
 )
-from waxwingford_bench.virtual_network import DOMAIN, SNAPSHOTS, STREAM
-
-if TYPE_CHECKING:
-    from waxwingford_bench.virtual_domain import VirtualDomain
+from waxwingford_bench.virtual.network import DOMAIN, SNAPSHOTS, STREAM
+from waxwingford_bench.virtual.surroundings import Surroundings
 
 
 class VirtualDaemon:
@@ -43,7 +40,7 @@
     def __init__(
         self,
         daemon_id: str,
-        domain: 'VirtualDomain',
+        domain: Surroundings,
         settings: Callable[[BatchSettings], BatchSettings],
     ) -> None:
         """Prepare; nothing runs before ``boot``.
--- a/waxwingford_bench/virtual_domain.py
+++ b/waxwingford_bench/virtual/domain.py
@@ -20,11 +20,11 @@
 )
 from waxwingford.ports import Resources, Vm, VmList, VmState
 from waxwingford.records import DomainState, JobSpec
-from waxwingford_bench.virtual_daemon import VirtualDaemon
-from waxwingford_bench.virtual_network import DOMAIN, VirtualNetwork
-from waxwingford_bench.virtual_oracle import Oracle
-from waxwingford_bench.virtual_server import VirtualServer
-from waxwingford_bench.virtual_time import VirtualTime
+from waxwingford_bench.virtual.daemon import VirtualDaemon
+from waxwingford_bench.virtual.network import DOMAIN, VirtualNetwork
+from waxwingford_bench.virtual.oracle import Oracle
+from waxwingford_bench.virtual.server import VirtualServer
+from waxwingford_bench.virtual.time import VirtualTime
 
 SERVICE = 'report_desk'
 RESERVED = Resources(8000, 32_000)
--- a/waxwingford_bench/virtual_faults.py
+++ b/waxwingford_bench/virtual/faults.py
@@ -1,7 +1,7 @@
 """Faults of a virtual failure domain, and their ends."""
 
-from waxwingford_bench.virtual_actions import Run, action
-from waxwingford_bench.virtual_network import STREAM
+from waxwingford_bench.virtual.actions import Run, action
+from waxwingford_bench.virtual.network import STREAM
 
 
 @action(3)
--- a/waxwingford_bench/virtual_network.py
+++ b/waxwingford_bench/virtual/network.py
@@ -20,9 +20,9 @@
     decode_group,
     encode_group,
 )
-from waxwingford_bench.virtual_oracle import Oracle
-from waxwingford_bench.virtual_server import VirtualServer
-from waxwingford_bench.virtual_time import VirtualTime
+from waxwingford_bench.virtual.oracle import Oracle
+from waxwingford_bench.virtual.server import VirtualServer
+from waxwingford_bench.virtual.time import VirtualTime
 from waxwingford_standins.platform_log import LogCore
 
 DOMAIN = 'gulberg'
--- a/waxwingford_bench/virtual_server.py
+++ b/waxwingford_bench/virtual/server.py
@@ -14,7 +14,7 @@
     Vm,
     VmState,
 )
-from waxwingford_bench.virtual_oracle import Oracle
+from waxwingford_bench.virtual.oracle import Oracle
 from waxwingford_standins.backend_server import BackendServerCore
 from waxwingford_standins.server_attempts import AttemptTable
 from waxwingford_standins.server_service import ServiceModel
--- /dev/null
+++ b/waxwingford_bench/whole_path/__init__.py
@@ -0,0 +1,1 @@
+"""Whole paths over real processes."""
--- a/waxwingford_bench/whole_path.py
+++ b/waxwingford_bench/whole_path/__main__.py
@@ -15,13 +15,9 @@
 from collections.abc import Awaitable, Callable, Iterable, Sequence
 from typing import NamedTuple
 
-from waxwingford_bench import (
-    whole_path_batch,
-    whole_path_control,
-    whole_path_requests,
-)
-from waxwingford_bench.whole_path_fleet import LEASES_BY_NAME, Fleet, started
-from waxwingford_bench.whole_path_rows import NotReached, Row, spread
+from waxwingford_bench.whole_path import batch, control, requests
+from waxwingford_bench.whole_path.fleet import LEASES_BY_NAME, Fleet, started
+from waxwingford_bench.whole_path.rows import NotReached, Row, spread
 
 _SHORT_SERVICE_MS = 1
 _HEAD = (
@@ -42,16 +38,16 @@
 
 
 CASE_BY_NAME = {
-    'urgent-idle': Case(whole_path_batch.urgent_idle),
-    'urgent-shared': Case(whole_path_batch.urgent_shared),
-    'urgent-beside': Case(whole_path_batch.urgent_beside),
-    'urgent-long': Case(whole_path_batch.urgent_long),
-    'bundle': Case(whole_path_control.bundle),
-    'bundle-from-peer': Case(whole_path_control.bundle_from_peer),
-    'start': Case(whole_path_control.empty_start),
-    'request': Case(whole_path_requests.request_cost, _SHORT_SERVICE_MS),
-    'death': Case(whole_path_batch.death),
-    'planned-stop': Case(whole_path_batch.planned_stop),
+    'urgent-idle': Case(batch.urgent_idle),
+    'urgent-shared': Case(batch.urgent_shared),
+    'urgent-beside': Case(batch.urgent_beside),
+    'urgent-long': Case(batch.urgent_long),
+    'bundle': Case(control.bundle),
+    'bundle-from-peer': Case(control.bundle_from_peer),
+    'start': Case(control.empty_start),
+    'request': Case(requests.request_cost, _SHORT_SERVICE_MS),
+    'death': Case(batch.death),
+    'planned-stop': Case(batch.planned_stop),
 }
 
 
--- a/waxwingford_bench/whole_path_batch.py
+++ b/waxwingford_bench/whole_path/batch.py
@@ -6,8 +6,8 @@
 from typing import NamedTuple
 
 from waxwingford.ports import Resources
-from waxwingford_bench.whole_path_fleet import Fleet
-from waxwingford_bench.whole_path_rows import NotReached, Row, now_ms, until
+from waxwingford_bench.whole_path.fleet import Fleet
+from waxwingford_bench.whole_path.rows import NotReached, Row, now_ms, until
 from waxwingford_standins.layout import DaemonPlace
 from waxwingford_standins.server_tasks import Work
 
--- a/waxwingford_bench/whole_path_control.py
+++ b/waxwingford_bench/whole_path/control.py
@@ -11,8 +11,8 @@
     canonical_bytes,
     digest_of,
 )
-from waxwingford_bench.whole_path_fleet import OK, Fleet
-from waxwingford_bench.whole_path_rows import NotReached, Row, now_ms, until
+from waxwingford_bench.whole_path.fleet import OK, Fleet
+from waxwingford_bench.whole_path.rows import NotReached, Row, now_ms, until
 from waxwingford_standins.layout import DaemonPlace
 
 _VERSIONS = 20
--- a/waxwingford_bench/whole_path_fleet.py
+++ b/waxwingford_bench/whole_path/fleet.py
@@ -16,7 +16,7 @@
 from waxwingford.ports import Resources
 from waxwingford.settings import Leases
 from waxwingford.timeline import Event
-from waxwingford_bench.whole_path_rows import MS_IN_S, NotReached, until
+from waxwingford_bench.whole_path.rows import MS_IN_S, NotReached, until
 from waxwingford_standins.configs import LOCAL_LEASES, RunOptions
 from waxwingford_standins.deployment import Deployment, load_deployment
 from waxwingford_standins.layout import DaemonPlace
--- a/waxwingford_bench/whole_path_requests.py
+++ b/waxwingford_bench/whole_path/requests.py
@@ -7,8 +7,8 @@
 
 from waxwingford.adapters import encode_json
 from waxwingford_bench.process_cost import read_process
-from waxwingford_bench.whole_path_fleet import OK, Fleet
-from waxwingford_bench.whole_path_rows import NotReached, Row, now_ms
+from waxwingford_bench.whole_path.fleet import OK, Fleet
+from waxwingford_bench.whole_path.rows import NotReached, Row, now_ms
 from waxwingford_standins.layout import DaemonPlace
 from waxwingford_standins.server_service import ServiceEcho
 
