Order a pace again that had no answer; let no unreadable answer end a task

Cause: a reading of the whole change. The answer to a change of pace was not looked at: a fill whose slow-down was lost went on and counted as slowed. An answer that can't be read would have ended the task that looks at a server, or the one that stands by, without a line. Change: a pace without an answer counts as unchanged and is ordered again, with a line; answers that can't be read are of unknown outcome; a failed part of the daemon ends it, a failed driver the ownership, each with a line.

--- a/waxwingford/platform/_adapter.py
+++ b/waxwingford/platform/_adapter.py
@@ -11,6 +11,7 @@
 from waxwingford.platform._calls import Calls
 from waxwingford.platform._entry import Desk, Entry
 from waxwingford.platform._records import (
+    Configuration,
     decode_configuration,
     decode_registration,
 )
@@ -19,6 +20,7 @@
 from waxwingford.scheduling import ServerEntry, Terms
 from waxwingford.shard import (
     Advised,
+    CatchUp,
     CaughtUp,
     Mirror,
     NotAdvised,
@@ -87,15 +89,13 @@
         version = -1
         while True:
             read = await mirror.catch_up(CONFIG_WAIT_MS)
+            raw = mirror.payload_by_key.get(_CONFIG_KEY)
             if not isinstance(read, CaughtUp):
                 failed()
+            configuration = _configuration_of(read, raw)
+            if configuration is None:
                 await asyncio.sleep(FAILED_PAUSE_S)
                 continue
-            raw = mirror.payload_by_key.get(_CONFIG_KEY)
-            if raw is None:
-                await asyncio.sleep(FAILED_PAUSE_S)
-                continue
-            configuration = decode_configuration(raw)
             if configuration.terms.version > version:
                 version = configuration.terms.version
                 self._entry.configuration = configuration
@@ -128,6 +128,17 @@
         await self._calls.close()
 
 
+def _configuration_of(read: CatchUp, raw: bytes | None) -> Configuration | None:
+    if raw is None or not isinstance(read, CaughtUp):
+        return None
+    try:
+        return decode_configuration(raw)
+    except msgspec.MsgspecError as error:
+        # The one before stays in force; another may come.
+        _log.error('configuration not read', extra={'reason': str(error)})
+        return None
+
+
 def _entry_of(item: tuple[str, bytes]) -> ServerEntry | None:
     server_id, raw = item
     try:
--- a/waxwingford/platform/_store.py
+++ b/waxwingford/platform/_store.py
@@ -1,8 +1,11 @@
 """The platform's store, as a shared log of keyed topics."""
 
 import base64
+import functools
 import struct
+from collections.abc import Callable
 from http import HTTPStatus
+from typing import TypeVar
 
 import msgspec
 
@@ -48,6 +51,7 @@
         HTTPStatus.INSUFFICIENT_STORAGE,
     )
 )
+Outcome = TypeVar('Outcome')
 _LENGTH = struct.Struct('>I')
 _HEAD = struct.Struct('>QQ')
 #: Topics whose name begins so keep the newest record of each key for good.
@@ -136,16 +140,7 @@
             return _lost(outcome)
         if outcome.status not in _APPEND_ANSWERS:
             return _refused(outcome)
-        body = _append_decoder.decode(outcome.body)
-        match outcome.status:
-            case HTTPStatus.OK:
-                return Appended(body.end)
-            case HTTPStatus.PRECONDITION_FAILED:
-                return AppendElsewhere(body.end)
-            case _ if body.reason == 'seq':
-                return AppendOutOfOrder(body.seq)
-            case _:
-                return AppendFenced()
+        return _understood(_appended, outcome)
 
     async def read(
         self, topic: str, from_offset: int, wait_ms: int
@@ -176,10 +171,11 @@
             return _lost(outcome)
         match outcome.status:
             case HTTPStatus.OK:
-                return _decode(from_offset, outcome.body)
+                return _understood(
+                    functools.partial(_decode, from_offset), outcome
+                )
             case HTTPStatus.GONE:
-                body = _expired_decoder.decode(outcome.body)
-                return RecordsExpired(body.first)
+                return _understood(_expired, outcome)
             case _:
                 return _refused(outcome)
 
@@ -203,12 +199,7 @@
             return _lost(outcome)
         if outcome.status != HTTPStatus.OK:
             return _refused(outcome)
-        body = _newest_decoder.decode(outcome.body)
-        records = tuple(
-            StoredRecord(item.offset, item.key, base64.b64decode(item.value))
-            for item in body.items
-        )
-        return NewestPage(records, body.has_more, body.end)
+        return _understood(_page, outcome)
 
     def _noted(self, outcome: CallOutcome) -> CallOutcome:
         refused = isinstance(outcome, Answer) and outcome.status in _REFUSALS
@@ -236,7 +227,49 @@
     return _LENGTH.pack(len(body)) + body
 
 
-def _decode(from_offset: int, raw: bytes) -> RecordsRead:
+def _understood(
+    read: Callable[[Answer], Outcome], answer: Answer
+) -> Outcome | StoreUnknown:
+    """Read an answer; one that can't be read says nothing of the call.
+
+    :param read: translates an answer.
+    :param answer: as it came.
+    :returns: what it says.
+    """
+    try:
+        return read(answer)
+    except (msgspec.MsgspecError, struct.error, ValueError) as error:
+        return StoreUnknown(f'answer not understood: {error}')
+
+
+def _appended(answer: Answer) -> AppendOutcome:
+    body = _append_decoder.decode(answer.body)
+    match answer.status:
+        case HTTPStatus.OK:
+            return Appended(body.end)
+        case HTTPStatus.PRECONDITION_FAILED:
+            return AppendElsewhere(body.end)
+        case _ if body.reason == 'seq':
+            return AppendOutOfOrder(body.seq)
+        case _:
+            return AppendFenced()
+
+
+def _page(answer: Answer) -> NewestPage:
+    body = _newest_decoder.decode(answer.body)
+    records = tuple(
+        StoredRecord(item.offset, item.key, base64.b64decode(item.value))
+        for item in body.items
+    )
+    return NewestPage(records, body.has_more, body.end)
+
+
+def _expired(answer: Answer) -> RecordsExpired:
+    return RecordsExpired(_expired_decoder.decode(answer.body).first)
+
+
+def _decode(from_offset: int, answer: Answer) -> RecordsRead:
+    raw = answer.body
     end, _ = _HEAD.unpack_from(raw)
     records: list[StoredRecord] = []
     place = _HEAD.size
--- a/waxwingford/platform/_workers.py
+++ b/waxwingford/platform/_workers.py
@@ -139,12 +139,10 @@
         answer = await self._post(address, '/api/hold', content, timeout_s)
         if not isinstance(answer, Answer):
             return answer
-        body = _look_decoder.decode(answer.body)
-        return Looked(
-            body.clock_ms,
-            tuple(map(_running, body.running)),
-            tuple(map(_ended, body.ended_runs)),
-        )
+        try:
+            return _looked(_look_decoder.decode(answer.body))
+        except (msgspec.MsgspecError, ValueError) as error:
+            return OrderUnknown(f'answer not understood: {error}')
 
     async def _order(
         self, address: Address, path: str, content: dict[str, object]
@@ -152,7 +150,7 @@
         answer = await self._post(address, path, content, ORDER_TIMEOUT_S)
         if not isinstance(answer, Answer):
             return answer
-        return OrderTaken(_order_decoder.decode(answer.body).clock_ms)
+        return _taken(answer)
 
     async def _post(
         self,
@@ -173,10 +171,7 @@
             case HTTPStatus.MISDIRECTED_REQUEST:
                 return ServerReplaced()
             case HTTPStatus.CONFLICT:
-                reason = _order_decoder.decode(outcome.body).reason
-                return OrderDenied(
-                    _DENIAL_BY_REASON.get(reason, Denial.invalid)
-                )
+                return _denied(outcome)
             case HTTPStatus.TOO_MANY_REQUESTS | HTTPStatus.SERVICE_UNAVAILABLE:
                 return OrderDenied(Denial.unhealthy)
             case HTTPStatus.BAD_REQUEST:
@@ -195,6 +190,29 @@
     return TaskKey(job_id, int(occurrence), int(step), int(index))
 
 
+def _looked(body: _LookBody) -> Looked:
+    return Looked(
+        body.clock_ms,
+        tuple(map(_running, body.running)),
+        tuple(map(_ended, body.ended_runs)),
+    )
+
+
+def _taken(answer: Answer) -> OrderTaken | OrderUnknown:
+    try:
+        return OrderTaken(_order_decoder.decode(answer.body).clock_ms)
+    except msgspec.MsgspecError as error:
+        return OrderUnknown(f'answer not understood: {error}')
+
+
+def _denied(answer: Answer) -> OrderDenied | OrderUnknown:
+    try:
+        reason = _order_decoder.decode(answer.body).reason
+    except msgspec.MsgspecError as error:
+        return OrderUnknown(f'answer not understood: {error}')
+    return OrderDenied(_DENIAL_BY_REASON.get(reason, Denial.invalid))
+
+
 def _running(row: list) -> RunningReport:
     task, run, checkpoint, percent, *figures = row
     figure = figures[0] if figures else 0
--- a/waxwingford/platform/tests/adapter.feature
+++ b/waxwingford/platform/tests/adapter.feature
@@ -47,6 +47,7 @@
       | 421    | {}                               | ServerReplaced()                    |
       | 503    | {}                               | OrderDenied(denial=unhealthy)       |
       | 400    | {}                               | OrderDenied(denial=invalid)         |
+      | 200    | not JSON                         | OrderUnknown(reason='answer not understood) |
 
   Scenario: a look at a worker
     Given a store and a worker on loopback
--- a/waxwingford/scheduler/_daemon.py
+++ b/waxwingford/scheduler/_daemon.py
@@ -92,11 +92,23 @@
             ),
             asyncio.create_task(self._member.stand_by()),
         ]
+        for work in works:
+            work.add_done_callback(self._finished)
         _log.info('started', extra={'store': self._settings.store.address})
         await self._stopping.wait()
         await self._stop(works)
         queries.close()
 
+    def _finished(self, work: asyncio.Task[None]) -> None:
+        """Stop the daemon when a part of it has failed: it is started again.
+
+        :param work: that has ended.
+        """
+        if work.cancelled() or work.exception() is None:
+            return
+        _log.error('part of the daemon failed', exc_info=work.exception())
+        self._stopping.set()
+
     async def _stop(self, works: list[asyncio.Task[None]]) -> None:
         _log.info('stopping')
         self._platform.begin_closing()
--- a/waxwingford/scheduling/_orders.py
+++ b/waxwingford/scheduling/_orders.py
@@ -38,11 +38,13 @@
     :ivar server_id: where.
     :ivar key: which.
     :ivar percent: of its full speed.
+    :ivar before: what it was told before.
     """
 
     server_id: str
     key: RunKey
     percent: int
+    before: int
 
 
 Order = Start | Stop | Pace
--- a/waxwingford/scheduling/_pacing.py
+++ b/waxwingford/scheduling/_pacing.py
@@ -17,6 +17,7 @@
     used_units,
 )
 from waxwingford.scheduling._orders import Pace
+from waxwingford.scheduling._runners import OrderOutcome, OrderTaken
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._state import Run, RunPhase, Step
 
@@ -91,6 +92,33 @@
             if (percent < run.pace) is harmed:
                 self._pace(run, percent, now_ms)
 
+    def answered(
+        self, server: Server, order: Pace, outcome: OrderOutcome
+    ) -> None:
+        """Apply the answer to a change of pace.
+
+        Without an answer the fill may go on as before, and harm: it counts as
+        unchanged, so that the next look orders the change again.
+
+        :param server: which answered.
+        :param order: what was ordered.
+        :param outcome: what came back.
+        """
+        run = server.run_by_key.get(order.key)
+        if run is None or isinstance(outcome, OrderTaken):
+            return
+        self._book.notes.add(
+            'run.not_paced',
+            order.key.task,
+            run=order.key.run,
+            server=order.server_id,
+            percent=order.percent,
+            outcome=str(outcome),
+        )
+        if run.pace == order.percent:
+            run.pace = order.before
+            run.paced_ms = 0
+
     def _pace(self, run: Run, percent: int, now_ms: int) -> None:
         percent = percent if percent >= LEAST_PERCENT else 0
         if abs(percent - run.pace) < LEAST_CHANGE_PERCENT:
@@ -104,10 +132,11 @@
                 percent=percent,
                 before=run.pace,
             )
+            order = Pace(run.server_id, run.key, percent, run.pace)
+            self._book.orders.append(order)
             run.paced_ms = now_ms
             run.pace = percent
             run.moved_ms = now_ms
-            self._book.orders.append(Pace(run.server_id, run.key, percent))
 
 
 class _Shares:
--- a/waxwingford/scheduling/tests/engine.feature
+++ b/waxwingford/scheduling/tests/engine.feature
@@ -121,3 +121,14 @@
     When its progress stands still for 3 s
     And a second job of 2 tasks of 1 core is submitted
     Then 1 task of the second job is planned
+
+  Scenario: a change of pace that had no answer is ordered again
+    # Symptom: a fill harms a serving task for seconds, and is listed as slowed.
+    # Sequence: the order that slows it is lost.
+    # Cause: taking an order without an answer for carried out.
+    Given an engine with 1 servers of 32 cores
+    And a task that serves with a target of 18 ms, beside fills "calm" and "wild"
+    When its tail is 30 ms for 2.5 s
+    And the order that slows "wild" has no answer
+    And its tail is 30 ms for 1 s
+    Then "wild" was ordered to slow down twice
--- a/waxwingford/scheduling/tests/engine_steps.py
+++ b/waxwingford/scheduling/tests/engine_steps.py
@@ -14,6 +14,7 @@
     Looked,
     OrderDenied,
     OrderTaken,
+    OrderUnknown,
     Pace,
     QueueTerms,
     RunKey,
@@ -46,6 +47,7 @@
         self.pace_by_image = {}
         self.still = False
         self.strangers = []
+        self.paces = []
         for _ in range(count):
             self.add(cores)
 
@@ -104,6 +106,7 @@
         self.orders += self.engine.book.take_orders()
         for order in self.orders:
             if isinstance(order, Pace):
+                self.paces.append(order)
                 step = self.step_of(order.key)
                 self.pace_by_image[step.image] = order.percent
                 self.lowest = min(
@@ -434,3 +437,24 @@
 def second_planned(context, count):
     jobs = [run.key.task.job_id for run in context.bench.planned]
     assert jobs.count(SECOND) == count, jobs
+
+
+def slow_downs(bench, image):
+    return [
+        order
+        for order in bench.paces
+        if bench.step_of(order.key).image == image and order.percent == 0
+    ]
+
+
+@when('the order that slows "{image}" has no answer')
+def not_answered(context, image):
+    bench = context.bench
+    order = slow_downs(bench, image)[-1]
+    server = bench.engine.book.server_by_id[order.server_id]
+    bench.engine.pacer.answered(server, order, OrderUnknown('lost'))
+
+
+@then('"{image}" was ordered to slow down twice')
+def slowed_twice(context, image):
+    assert len(slow_downs(context.bench, image)) == 2, context.bench.paces
--- a/waxwingford/shard/__init__.py
+++ b/waxwingford/shard/__init__.py
@@ -29,7 +29,7 @@
     StoreUnknown,
 )
 from waxwingford.shard._member import ShardMember
-from waxwingford.shard._mirror import CaughtUp, Mirror
+from waxwingford.shard._mirror import CatchUp, CaughtUp, Mirror
 from waxwingford.shard._observer import Observer
 from waxwingford.shard._owner import Owner, OwnerPorts, OwnerSettings
 from waxwingford.shard._peers import (
@@ -55,6 +55,7 @@
     'AppendOutcome',
     'Appended',
     'CancelNotKnown',
+    'CatchUp',
     'CaughtUp',
     'Fence',
     'Intake',
--- a/waxwingford/shard/_drivers.py
+++ b/waxwingford/shard/_drivers.py
@@ -45,11 +45,13 @@
     :ivar runners: way to the servers.
     :ivar extends: tells whether leases may be extended.
     :ivar stir: called after each answer.
+    :ivar watch: called with each task that has ended.
     """
 
     runners: TaskRunners
     extends: Callable[[], bool]
     stir: Callable[[], None]
+    watch: Callable[[asyncio.Task[None]], None]
 
 
 class ServerDriver:
@@ -75,7 +77,9 @@
         self._wanted = asyncio.Event()
         self._orders = asyncio.Semaphore(MOST_ORDERS)
         self._tasks: set[asyncio.Task[None]] = set()
+        self._watch = ports.watch
         self._looker = asyncio.create_task(self._look_on())
+        self._looker.add_done_callback(self._watch)
 
     def close(self) -> None:
         """Stop talking to the server."""
@@ -114,6 +118,7 @@
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._watch)
 
     async def _start(self, run: Run) -> None:
         async with self._orders:
@@ -134,12 +139,13 @@
 
     async def _pace(self, order: Pace) -> None:
         async with self._orders:
-            await self._runners.pace(
+            outcome = await self._runners.pace(
                 self.server.address,
                 order.key,
                 order.percent,
                 self._engine.orders.token,
             )
+        self._engine.pacer.answered(self.server, order, outcome)
 
     async def _look_on(self) -> None:
         while not self.server.gone:
--- a/waxwingford/shard/_owner.py
+++ b/waxwingford/shard/_owner.py
@@ -296,6 +296,7 @@
             self._ports.runners,
             lambda: self._beats.proven,
             self._stirred.set,
+            self._finished,
         )
         self._fleet = Fleet(self._engine, driver_ports, self._ports.directory)
         self._committer = Committer(
