Resign from a claim that is answered after the daemon was told to stop

Cause: a planned stop that meets a claim under way found nothing to resign from; the claim was done all the same, and its heartbeats kept the others from claiming until the process ended.

Ruled out: the wait for the owner's silence (1.0 s, as it should be), the slow appends themselves (0.4 s each).

Change: a claim looks at the resignation before it appends and when it is answered. Before: the test failed with no owner after 3 s; after: one owner.

--- a/waxwingford/shard/_owner.py
+++ b/waxwingford/shard/_owner.py
@@ -157,6 +157,8 @@
             self._settings.endpoint,
             failure_domain=self._settings.failure_domain,
         )
+        if self.over.is_set():
+            return ClaimFailed('stopped before the claim')
         beats = Beats(log, record, self._ports.since_boot_ms)
         sent_ms = self._ports.since_boot_ms()
         claimed = await self._writer.claim(journal.next_offset, record)
@@ -171,6 +173,12 @@
         self._observer.tell(
             'shard.claimed', epoch=self.epoch, former_epoch=former_epoch
         )
+        if self.over.is_set():
+            # Told to stop while the store had not answered: there was nothing
+            # to resign from then. Heartbeats now would keep the others from
+            # claiming until this process ends.
+            await beats.resign()
+            return ClaimFailed('stopped during the claim')
         self._spawn(
             self._until(
                 self._beats.keep(), 'a higher epoch has sent heartbeats'
--- a/waxwingford/shard/tests/shard.feature
+++ b/waxwingford/shard/tests/shard.feature
@@ -85,6 +85,24 @@
     Then there is one owner
     And the one that resigned is not ready
 
+  Scenario: a daemon is stopped while its claim has no answer yet
+    # Symptom: nothing is started for three seconds during a planned stop of all
+    # daemons while the store is slow.
+    # Sequence: the owner resigns, a standby claims and is told to stop before
+    # the store has answered; it has nothing to resign from yet; the claim is
+    # done all the same, and its heartbeats keep the others from claiming until
+    # the process ends.
+    # Cause: not looking at the resignation when the claim is answered.
+    Given a shard with 3 daemons and 4 servers
+    When the store takes 0.3 s more for each call
+    And 3 s pass
+    And the owner resigns
+    And a standby resigns while its claim is under way
+    And 3 s pass
+    Then there is one owner
+    And the one that resigned is not ready
+    And its last heartbeat says that it resigned
+
   Scenario: a cancelled job is stopped also when its owner is killed at once
     # Symptom: tasks of a cancelled job run on until the job's servers leave.
     # Sequence: lasting tasks run, the job is cancelled, the owner is killed
--- a/waxwingford/shard/tests/shard_steps.py
+++ b/waxwingford/shard/tests/shard_steps.py
@@ -143,6 +143,37 @@
     shard.run_until(context.resigned.member.resign())
 
 
+@when('a standby resigns while its claim is under way')
+def resign_while_claiming(context):
+    shard = context.shard
+
+    def claiming():
+        owners = ((one, one.member.owner) for one in shard.daemons)
+        return [
+            daemon
+            for daemon, owner in owners
+            if owner is not None and owner.epoch and not owner.over.is_set()
+        ]
+
+    while not claiming():
+        shard.run(0.01)
+    context.resigned = claiming()[0]
+    assert not context.resigned.owns
+    shard.run_until(context.resigned.member.resign())
+
+
+@then('its last heartbeat says that it resigned')
+def last_beat_resigned(context):
+    records = context.shard.store.topic(OWNERS_TOPIC).records
+    owners = [decode_owner(row.payload) for row in records]
+    own_beats = [
+        owner
+        for owner in owners
+        if owner.daemon_id == context.resigned.daemon_id
+    ]
+    assert own_beats[-1].resigned, own_beats[-3:]
+
+
 @when('a standby claims in vain and resigns')
 def claim_in_vain(context):
     shard = context.shard
