Show the events whose named causes form a circle

Cause: the line of a submission is written with its answer, after the owner has taken the job in, when the owner itself answers; named as its cause it waits for an event behind it in its own process, and the merge left both out with all that followed in that process. Ruled out: lines missing in the logs.

Change: where no event is ready the oldest goes next whose process has come to it. The test failed first.

--- a/waxwingford/timeline/_merge.py
+++ b/waxwingford/timeline/_merge.py
@@ -3,7 +3,7 @@
 import heapq
 import itertools
 from collections import defaultdict
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from typing import NamedTuple
 
 from waxwingford.timeline._events import Event, EventId
@@ -55,27 +55,66 @@
     :returns: events in causal order.
     """
     event_by_id = {event.event_id: event for event in events}
-    causes = _edges(list(event_by_id.values()))
-    effects: dict[EventId, list[EventId]] = defaultdict(list)
-    waits = {event_id: len(causes[event_id]) for event_id in event_by_id}
-    for event_id, causing in causes.items():
-        for cause in causing:
-            effects[cause].append(event_id)
-    ready = [
-        (event_by_id[event_id].wall_ms, event_id)
-        for event_id, count in waits.items()
-        if not count
-    ]
-    heapq.heapify(ready)
-    merged: list[Event] = []
-    while ready:
-        _, event_id = heapq.heappop(ready)
-        merged.append(event_by_id[event_id])
-        for effect in effects[event_id]:
-            waits[effect] -= 1
-            if not waits[effect]:
-                heapq.heappush(ready, (event_by_id[effect].wall_ms, effect))
-    return merged
+    order = _CausalOrder(event_by_id)
+    return list(order.events())
+
+
+class _CausalOrder:
+    """Events that wait for their causes.
+
+    A line may be written after its effect: that of a request comes with the
+    answer.  Named causes can then form a circle, and whatever waits in it would
+    never be shown.  Where nothing is ready, the oldest event goes next whose
+    process has come to it.
+    """
+
+    def __init__(self, event_by_id: dict[EventId, Event]) -> None:
+        self._event_by_id = event_by_id
+        self._effects: dict[EventId, list[EventId]] = defaultdict(list)
+        causes = _edges(list(event_by_id.values()))
+        self._waits = {
+            event_id: len(causes[event_id]) for event_id in event_by_id
+        }
+        for event_id, causing in causes.items():
+            for cause in causing:
+                self._effects[cause].append(event_id)
+        self._ready = [
+            self._entry(event_id)
+            for event_id, count in self._waits.items()
+            if not count
+        ]
+        heapq.heapify(self._ready)
+
+    def events(self) -> Iterator[Event]:
+        """Go through the events.
+
+        :yields: all of them, causes first.
+        """
+        while self._waits:
+            if not self._ready:
+                self._ready.append(min(self._heads()))
+            _, event_id = heapq.heappop(self._ready)
+            self._waits.pop(event_id)
+            yield self._event_by_id[event_id]
+            for effect in self._effects[event_id]:
+                self._release(effect)
+
+    def _release(self, effect: EventId) -> None:
+        if effect in self._waits:
+            self._waits[effect] -= 1
+            if not self._waits[effect]:
+                heapq.heappush(self._ready, self._entry(effect))
+
+    def _heads(self) -> Iterator[tuple[int, EventId]]:
+        first_by_process: dict[tuple[str, str], EventId] = {}
+        for event_id in self._waits:
+            process = event_id[:2]
+            if event_id < first_by_process.setdefault(process, event_id):
+                first_by_process[process] = event_id
+        return map(self._entry, first_by_process.values())
+
+    def _entry(self, event_id: EventId) -> tuple[int, EventId]:
+        return self._event_by_id[event_id].wall_ms, event_id
 
 
 def place_events(merged: Sequence[Event]) -> list[Placed]:
--- a/waxwingford/timeline/tests/logs.feature
+++ b/waxwingford/timeline/tests/logs.feature
@@ -19,3 +19,18 @@
       | shard.claimed   |
       | run.planned     |
     And nothing of another job stands in it
+
+  Scenario: a line that is written after its effect
+    # Symptom: the history of a job breaks off while it runs.
+    # Sequence: the owner itself takes the submission; its line is written with
+    # the answer, after the job was taken in.
+    # Cause: an event that waits for one behind it in its own process, and with
+    # it all that follow there, is left out.
+    Given log lines of an owner that answers after it has taken the job in
+    When the history of the job is made
+    Then the events are, in this order
+      | event          |
+      | job.known      |
+      | request.submit |
+      | run.planned    |
+      | run.settled    |
--- a/waxwingford/timeline/tests/logs_steps.py
+++ b/waxwingford/timeline/tests/logs_steps.py
@@ -41,6 +41,16 @@
     ]
 
 
+@given('log lines of an owner that answers after it has taken the job in')
+def answered_late(context):
+    context.lines = [
+        line('first', 1, 10, 'job.known', subject=JOB),
+        line('first', 2, 11, 'request.submit', subject=JOB, outcome='Stored()'),
+        line('first', 3, 12, 'run.planned', subject=TASK, run=1, server='s1'),
+        line('first', 4, 14, 'run.settled', subject=TASK, run=1, how='done'),
+    ]
+
+
 @when('the history of the job is made')
 def history(context):
     merged = merge_events(events_of_lines(context.lines))
@@ -64,3 +74,9 @@
 def nothing_else(context):
     subjects = {event.subject for event in context.history}
     assert subjects <= {JOB, TASK, 's1', ''}, subjects
+
+
+@then('the events are, in this order')
+def exactly(context):
+    found = [event.kind for event in context.history]
+    assert found == [row['event'] for row in context.table], found
