--- a/waxwingford/timeline/_merge.py
+++ b/waxwingford/timeline/_merge.py
@@ -100,10 +100,12 @@
                 self._release(effect)
 
     def _release(self, effect: EventId) -> None:
-        if effect in self._waits:
-            self._waits[effect] -= 1
-            if not self._waits[effect]:
-                heapq.heappush(self._ready, self._entry(effect))
+        count = self._waits.get(effect)
+        if count is None:
+            return
+        self._waits[effect] = count - 1
+        if count == 1:
+            heapq.heappush(self._ready, self._entry(effect))
 
     def _heads(self) -> Iterator[tuple[int, EventId]]:
         first_by_process: dict[tuple[str, str], EventId] = {}
