Bound the search for better servers, and work out a fill's company once a round

Change: five steps a round, a step without a better server again after 0.8 s; spare and effect kept together for a pair of server and image; paces chosen anew each 0.3 s, and once after several starts; fills placed each 60 ms.

--- a/waxwingford/scheduling/_engine.py
+++ b/waxwingford/scheduling/_engine.py
@@ -46,7 +46,7 @@
 #: Time between two rounds over all servers and their runs, in ms: what they
 #: find (lapsed leases, runs that stand still, stops to send) is not urgent,
 #: and a decision is made with each answer.
-TEND_EVERY_MS = 40
+TEND_EVERY_MS = 50
 #: Progress of a lasting task that is at work.
 AT_WORK_PERCENT = 100
 _NOTHING = Resources(0, 0, 0)
@@ -191,9 +191,8 @@
         :param outcome: what came back.
         """
         self._settler.start_answered(server, run, now_ms, outcome)
-        step = server.step_by_run.get(run.key)
-        if step is not None and step.spec.fills:
-            self.pacer.react(server, now_ms)
+        # A fill that has just started harms until it is slowed.
+        server.paced_ms = 0
 
     def stop_answered(
         self, server: Server, key: RunKey, now_ms: int, outcome: OrderOutcome
@@ -292,11 +291,15 @@
     :returns: runs with their steps.
     """
     for key, run in server.run_by_key.items():
+        # First what rules most out: this is asked of all runs, many times a
+        # second.
+        still_ms = server.looked_ms - run.moved_ms
+        if still_ms <= STUCK_MS or run.phase is not RunPhase.present:
+            continue
         step = server.step_by_run[key]
         waits = run.stopping or run.pace < FULL_PERCENT
-        if run.phase is RunPhase.present and not waits:
-            if server.looked_ms - run.moved_ms > _patience_ms(run, step):
-                yield run, step
+        if not waits and still_ms > _patience_ms(run, step):
+            yield run, step
 
 
 def _patience_ms(run: Run, step: Step) -> float:
--- a/waxwingford/scheduling/_harm.py
+++ b/waxwingford/scheduling/_harm.py
@@ -159,20 +159,21 @@
         base = self._base(server.entry.server_id, serving)
         return base + load - math.log(serving.spec.target_ms)
 
-    def pressure(self, fill: Step, server: Server) -> float:
-        """Predict what a fill adds to the tail that it raises most.
+    def most_effect(self, server: Server, fill: Step, now_ms: int) -> float:
+        """Predict what one unit of a fill adds to the tail it raises most.
 
+        :param server: where.
         :param fill: a step that fills.
-        :param server: where it would run.
-        :returns: of the logarithm, for one task.
+        :param now_ms: steady time.
+        :returns: of the logarithm, per four cores in use.
         """
-        effect_by_image = {
-            step.spec.image: self.effect(step, fill)
-            for step in server.step_by_run.values()
-            if step.spec.target_ms
-        }
-        units = units_of(fill.spec.needs)
-        return units * max(effect_by_image.values(), default=0)
+        return max(
+            (
+                self.effect(step, fill)
+                for step, _ in self._log_spares(server, now_ms)
+            ),
+            default=0,
+        )
 
     def spare_units(
         self, server: Server, fill: Step, limit: float, now_ms: int
--- a/waxwingford/scheduling/_moving.py
+++ b/waxwingford/scheduling/_moving.py
@@ -6,6 +6,8 @@
 on other servers.
 """
 
+import itertools
+
 from waxwingford.scheduling._book import Book
 from waxwingford.scheduling._harm import fill_runs
 from waxwingford.scheduling._placing import Placer
@@ -20,10 +22,14 @@
 #: Most progress that may be lost by a move, in percent, for a task that writes
 #: no checkpoint.
 MOST_LOST_PERCENT = 25
-#: Time between two rounds, in ms, and most moves in one: each move changes
-#: what the others would find.
+#: Time between two rounds, in ms; each move changes what others would find.
 ROUND_EVERY_MS = 200
-MOST_MOVES = 4
+#: Most steps for which a server is looked for in one round, each for one task,
+#: and time for which a step without a better server is not looked for again, in
+#: ms: with hundreds of fills held back and dozens of servers the search alone
+#: would take the processor.
+MOST_SEARCHES = 5
+SEARCH_AGAIN_MS = 800
 
 
 class Mover:
@@ -38,6 +44,7 @@
         self._book = book
         self._placer = placer
         self._round_ms = 0
+        self._searched_by_step: dict[str, int] = {}
 
     def move(self, now_ms: int) -> None:
         """Stop the fills that are held back and have a better place.
@@ -47,17 +54,27 @@
         if now_ms - self._round_ms < ROUND_EVERY_MS:
             return
         self._round_ms = now_ms
-        held = [
-            (run, step)
+        self._searched_by_step = {
+            name: searched_ms
+            for name, searched_ms in self._searched_by_step.items()
+            if now_ms - searched_ms < SEARCH_AGAIN_MS
+        }
+        first_by_step: dict[str, tuple[Run, Step]] = {}
+        for pair in sorted(self._held_back(now_ms), key=_longest_first):
+            first_by_step.setdefault(pair[1].name, pair)
+        for run, step in itertools.islice(
+            first_by_step.values(), MOST_SEARCHES
+        ):
+            if not self._move(run, step, now_ms):
+                self._searched_by_step[step.name] = now_ms
+
+    def _held_back(self, now_ms: int) -> list[tuple[Run, Step]]:
+        return [
+            pair
             for server in self._book.server_by_id.values()
-            for run, step in _held_back(server, now_ms)
+            for pair in _held_back_on(server, now_ms)
+            if pair[1].name not in self._searched_by_step
         ]
-        held.sort(key=_longest_first)
-        moved = 0
-        for run, step in held:
-            if moved == MOST_MOVES:
-                break
-            moved += self._move(run, step, now_ms)
 
     def _move(self, run: Run, step: Step, now_ms: int) -> bool:
         found = self._book.find(run.key)
@@ -84,7 +101,7 @@
         return True
 
 
-def _held_back(server: Server, now_ms: int) -> list[tuple[Run, Step]]:
+def _held_back_on(server: Server, now_ms: int) -> list[tuple[Run, Step]]:
     if server.failing_ms is not None:
         return []
     return [
--- a/waxwingford/scheduling/_pacing.py
+++ b/waxwingford/scheduling/_pacing.py
@@ -47,7 +47,7 @@
 CHANGE_EVERY_MS = 600
 SLOW_EVERY_MS = 200
 #: Time between two choices for one server, in ms.
-REACT_EVERY_MS = 250
+REACT_EVERY_MS = 300
 
 
 class Pacer:
@@ -85,8 +85,7 @@
     def react(self, server: Server, now_ms: int) -> None:
         """Choose paces and order what has to change.
 
-        Not only after a look: loads swing, and a fill that has just started
-        harms until it is slowed.
+        Not only after a look, as loads swing.
 
         :param server: where.
         :param now_ms: steady time.
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -41,15 +41,23 @@
 FILL_WEIGHT = 0.15
 #: Time between two rounds in which fills are placed, in ms: hundreds of them
 #: may wait, and each round looks at all servers for each.
-FILLS_EVERY_MS = 40
+FILLS_EVERY_MS = 60
 #: Starts that are not answered yet, on one server at most: its answers come
 #: one after the other, and a server that stalls must not take many tasks.
 MOST_UNANSWERED = 12
 
 
-class _Spare(NamedTuple):
+class _Company(NamedTuple):
+    """What a fill meets on a server.
+
+    :ivar changes: of the server's runs when this was worked out.
+    :ivar spare_units: how much of the fill the server bears.
+    :ivar effect: what a unit of the fill adds to the tail that it raises most.
+    """
+
     changes: int
-    units: float
+    spare_units: float
+    effect: float
 
 
 class Placer:
@@ -63,7 +71,7 @@
         """
         self._book = book
         self._model = model
-        self._spare_by_pair: dict[tuple[str, str], _Spare] = {}
+        self._company_by_pair: dict[tuple[str, str], _Company] = {}
         self._fills_ms = 0
         self._waits = WaitNotes(book.notes)
         self._holder = Holder()
@@ -89,7 +97,7 @@
         :param now_ms: steady time.
         """
         usable = self._usable(now_ms)
-        self._spare_by_pair.clear()
+        self._company_by_pair.clear()
         unplaced: list[Waiting] = []
         full_steps: set[str] = set()
         turns = self._turns(now_ms)
@@ -235,7 +243,7 @@
             fitting = [
                 server
                 for server in fitting
-                if not self._harm(step, server, now_ms)
+                if not self._harms(step, server, now_ms)
             ]
         if turn.queue.advised and fitting:
             return self._book.advice.allowed(step, fitting, now_ms)
@@ -252,27 +260,38 @@
             cost += AVOIDED_COST
         cost += BLAME_COST * server.blame
         if spec.fills:
-            cost += HARM_COST * self._harm(step, server, now_ms)
-            cost += PRESSURE_COST * self._model.pressure(step, server)
+            company = self._company(step, server, now_ms)
+            units = units_of(spec.needs)
+            cost += HARM_COST * max(0, units - company.spare_units)
+            cost += PRESSURE_COST * units * company.effect
         elif spec.target_ms:
             cost += OTHER_IMAGE_COST * _count_other_images(spec.image, server)
         return cost
 
-    def _harm(self, fill: Step, server: Server, now_ms: int) -> float:
-        """Predict how much more of a fill there would be than a server bears.
+    def _harms(self, fill: Step, server: Server, now_ms: int) -> bool:
+        company = self._company(fill, server, now_ms)
+        return company.spare_units < units_of(fill.spec.needs)
+
+    def _company(self, fill: Step, server: Server, now_ms: int) -> _Company:
+        """Predict what a fill meets on a server.
+
+        Kept for a round, as long as nothing comes or leaves there.
 
         :param fill: step of the fill.
         :param server: where it would run.
         :param now_ms: steady time.
-        :returns: units of four cores beyond what is safe.
+        :returns: the prediction.
         """
         key = (server.entry.server_id, fill.spec.image)
-        kept = self._spare_by_pair.get(key)
+        kept = self._company_by_pair.get(key)
         if kept is None or kept.changes != server.changes:
-            spare = self._model.spare_units(server, fill, SAFE_SHARE, now_ms)
-            kept = _Spare(server.changes, spare)
-            self._spare_by_pair[key] = kept
-        return max(0, units_of(fill.spec.needs) - kept.units)
+            kept = _Company(
+                server.changes,
+                self._model.spare_units(server, fill, SAFE_SHARE, now_ms),
+                self._model.most_effect(server, fill, now_ms),
+            )
+            self._company_by_pair[key] = kept
+        return kept
 
 
 def _due(job: Job, wall_ms: int) -> int:
@@ -305,7 +324,7 @@
     if not known or not here or server.strangers:
         return False
     unanswered = sum(
-        run.phase in {RunPhase.sent, RunPhase.doubtful}
+        run.phase is RunPhase.sent or run.phase is RunPhase.doubtful
         for run in server.run_by_key.values()
     )
     barred = server.barred_until_ms > now_ms
