--- a/waxwingford/colocation/__init__.py
+++ b/waxwingford/colocation/__init__.py
@@ -12,17 +12,14 @@
 from waxwingford.colocation._learned import LearnedPolicy
 from waxwingford.colocation._mechanisms import Mechanisms
 from waxwingford.colocation._model import InterferenceModel, Setting, Term
-from waxwingford.colocation._priors import PRIORS, Priors
 
 __all__ = (
-    'PRIORS',
     'BestFitPolicy',
     'EvictAtOncePolicy',
     'InterferenceModel',
     'LearnedPolicy',
     'LeastLoadedPolicy',
     'Mechanisms',
-    'Priors',
     'RandomPolicy',
     'Setting',
     'Term',
--- a/waxwingford/colocation/_model.py
+++ b/waxwingford/colocation/_model.py
@@ -17,10 +17,14 @@
 from waxwingford.colocation._mechanisms import ALL, Mechanisms
 from waxwingford.colocation._priors import (
     BAND_CENTRES,
+    PAIR,
+    PAIR_BAND,
     PRIORS,
     QUEUEING_BY_BAND,
+    SERVER,
+    SERVICE,
+    SERVICE_BAND,
     Prior,
-    Priors,
 )
 from waxwingford.ports import Resources
 
@@ -132,16 +136,13 @@
         self,
         expected_ms_by_service: Mapping[str, float],
         mechanisms: Mechanisms = ALL,
-        priors: Priors = PRIORS,
     ) -> None:
         """Start from the priors.
 
         :param expected_ms_by_service: 99th percentile that a service is taken
             to have alone before any sample, in milliseconds.
         :param mechanisms: parts to use.
-        :param priors: where the estimates start and how fast they forget.
         """
-        self._priors = priors
         self._expected_by_service = {
             service: math.log(expected_ms)
             for service, expected_ms in expected_ms_by_service.items()
@@ -151,15 +152,6 @@
         self._levels_by_service: dict[str, _Levels] = {}
         self._levels_by_pair: dict[tuple[str, str], _Levels] = {}
 
-    def expect(self, service: str, p99_ms: float) -> None:
-        """Say where a service starts, unless that was said before.
-
-        :param service: which service.
-        :param p99_ms: 99th percentile that it is taken to have alone before
-            any sample, in milliseconds.
-        """
-        self._expected_by_service.setdefault(service, math.log(p99_ms))
-
     def base(self, server_id: str, service: str, load: float) -> Term:
         """Predict a service without batch work beside it.
 
@@ -180,9 +172,7 @@
         """
         levels = self._levels_by_pair.get((service, kind))
         if levels is None:
-            return Term(
-                self._expected_effect(kind), self._priors.effect_variance
-            )
+            return Term(self._expected_effect(kind), PRIORS.effect_variance)
         return _total(levels.weighted(band_shares(load), 1))
 
     def pairs(self) -> dict[tuple[str, str], Term]:
@@ -238,7 +228,7 @@
             self._levels_by_service[service] = levels
         server = self._estimate_by_server.get(server_id)
         if server is None:
-            server = _Estimate(*self._priors.server)
+            server = _Estimate(*SERVER)
             self._estimate_by_server[server_id] = server
         terms = levels.weighted(shares, 1)
         terms.append((server, 1))
@@ -253,30 +243,27 @@
 
     def _new_service(self, service: str) -> _Levels:
         expected = self._expected_by_service.get(service, 0)
-        priors = [
-            self._priors.service_band._replace(mean=mean)
-            for mean in QUEUEING_BY_BAND
-        ]
+        priors = [SERVICE_BAND._replace(mean=mean) for mean in QUEUEING_BY_BAND]
         return _Levels(
-            _Estimate(*self._priors.service._replace(mean=expected)),
+            _Estimate(*SERVICE._replace(mean=expected)),
             self._new_bands(priors),
         )
 
     def _new_pair(self, kind: str) -> _Levels:
-        bands = self._new_bands([self._priors.pair_band for _ in BAND_CENTRES])
-        prior = self._priors.pair._replace(mean=self._expected_effect(kind))
+        bands = self._new_bands([PAIR_BAND for _ in BAND_CENTRES])
+        prior = PAIR._replace(mean=self._expected_effect(kind))
         return _Levels(_Estimate(*prior), bands)
 
     def _expected_effect(self, kind: str) -> float:
         if not self._mechanisms.shrinkage:
-            return self._priors.effect_mean
+            return PAIR.mean
         mean_by_pair = {
             pair: levels.general.mean
             for pair, levels in self._levels_by_pair.items()
         }
         alike = [mean for pair, mean in mean_by_pair.items() if pair[1] == kind]
         known = alike or list(mean_by_pair.values())
-        return (self._priors.effect_mean + sum(known)) / (1 + len(known))
+        return (PAIR.mean + sum(known)) / (1 + len(known))
 
     def _new_bands(self, priors: list[Prior]) -> tuple[_Estimate, ...]:
         if not self._mechanisms.bands:
--- a/waxwingford/colocation/_priors.py
+++ b/waxwingford/colocation/_priors.py
@@ -21,12 +21,11 @@
     drift: float
 
 
-class Priors(NamedTuple):
+class _Priors(NamedTuple):
     """Variances and drifts of all estimates, as squares of the logarithm.
 
     The server's own level drifts fastest: it follows what no other term
-    explains, such as a slow disk or a change of the requests' mix.  The
-    defaults are for percentiles over minutes.
+    explains, such as a slow disk or a change of the requests' mix.
     """
 
     effect_mean: float = 0.08
@@ -39,45 +38,14 @@
     server_variance: float = 0.01
     server_drift: float = 2e-4
 
-    @property
-    def pair(self) -> Prior:
-        """Say where the effect of a kind on a service starts.
 
-        :returns: for one unit of the kind.
-        """
-        return Prior(self.effect_mean, self.effect_variance, self.effect_drift)
-
-    @property
-    def pair_band(self) -> Prior:
-        """Say where the correction of a pair in a band of load starts.
-
-        :returns: for one unit of the kind.
-        """
-        return Prior(0, self.effect_band_variance, self.effect_drift)
-
-    @property
-    def service(self) -> Prior:
-        """Say where a service starts of which nothing is expected.
-
-        :returns: of the logarithm of its percentile.
-        """
-        return Prior(0, self.service_variance, self.base_drift)
-
-    @property
-    def service_band(self) -> Prior:
-        """Say where the correction of a service in a band of load starts.
-
-        :returns: of the logarithm of its percentile.
-        """
-        return Prior(0, self.service_band_variance, self.base_drift)
-
-    @property
-    def server(self) -> Prior:
-        """Say where a server's own level starts.
-
-        :returns: of the logarithm of all percentiles there.
-        """
-        return Prior(0, self.server_variance, self.server_drift)
-
-
-PRIORS = Priors()
+PRIORS = _Priors()
+PAIR = Prior(
+    PRIORS.effect_mean,
+    PRIORS.effect_variance,
+    PRIORS.effect_drift,
+)
+PAIR_BAND = Prior(0, PRIORS.effect_band_variance, PRIORS.effect_drift)
+SERVICE = Prior(0, PRIORS.service_variance, PRIORS.base_drift)
+SERVICE_BAND = Prior(0, PRIORS.service_band_variance, PRIORS.base_drift)
+SERVER = Prior(0, PRIORS.server_variance, PRIORS.server_drift)
--- a/waxwingford/scheduling/_engine.py
+++ b/waxwingford/scheduling/_engine.py
@@ -177,7 +177,7 @@
             self._harm.learn(server, now_ms)
             if now_ms - self._harm_stored_ms >= STORE_HARM_EVERY_MS:
                 self._harm_stored_ms = now_ms
-                self.book.harm_row = self._harm.encode(now_ms)
+                self.book.harm_row = self._harm.encode()
             self.pacer.react(server, now_ms)
 
     def start_answered(
@@ -191,8 +191,6 @@
         :param outcome: what came back.
         """
         self._settler.start_answered(server, run, now_ms, outcome)
-        # A fill that has just started harms until it is slowed.
-        server.paced_ms = 0
 
     def stop_answered(
         self, server: Server, key: RunKey, now_ms: int, outcome: OrderOutcome
@@ -278,7 +276,6 @@
         if server.entry.draining and server.listed:
             _move_away(server)
         self._settler.drop_unsent(server, now_ms)
-        self.pacer.react_in_time(server, now_ms)
         self._stopper.order_due(server, now_ms)
         if not server.listed and not server.run_by_key:
             self.book.server_by_id.pop(server.entry.server_id, None)
--- a/waxwingford/scheduling/_pacing.py
+++ b/waxwingford/scheduling/_pacing.py
@@ -1,9 +1,9 @@
 """Slows fills down where they harm tasks that serve users.
 
-The tail that a server lists covers the last half second, so harm shows late.
-Paces are chosen by what the model predicts for the time until the next look: of
-what a tail bears at the load to come, each fill gets a share, those first that
-harm least.
+The tail that a server lists covers the last half second, so harm shows late:
+at the first sign those fills that the model blames are slowed at once as far
+as the tail has to come down, and let up again by steps that the model expects
+to be harmless.
 """
 
 import math
@@ -14,24 +14,20 @@
     fill_runs,
     serving_runs,
     units_of,
+    used_units,
 )
 from waxwingford.scheduling._orders import Pace
 from waxwingford.scheduling._runners import OrderOutcome, OrderTaken
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._state import Run, RunPhase, Step
-from waxwingford.scheduling._turns import lateness
 
-#: Shares of its target that a tail is let come to by the model's prediction at
-#: a peak of its load, and at the load's mean. The error of a prediction is a
-#: fifth, to both sides, and what is held back for nothing is lost: over eight
-#: seeds of a calm day, 0.95, 1.1 and 1.25 at a peak were worth 0.693, 0.719 and
-#: 0.710 at one site. Without the second, a load that is steady would leave its
-#: tail over the target for good.
-BORNE_SHARE = 1.1
-USUAL_SHARE = 0.85
-#: Times ahead at which a tail must bear the fills beside it, in ms: a change
-#: works after a tenth of a second, and the next look comes within a second.
-PACE_AHEAD_MS = (200, 900)
+#: Share of its target at which a task's fills are slowed down, to which its
+#: tail is to come down then, and which a tail may be expected to reach when
+#: fills are let up. The gap between them keeps paces from changing with each
+#: swing of a serving task's own load.
+SLOW_SHARE = 0.75
+WANTED_SHARE = 0.6
+CALM_SHARE = 0.7
 #: A tail over its target for this long, in ms, halts all fills beside it:
 #: more than that the consortium's rules forbid, and a pair that is not known
 #: yet may be the cause.
@@ -41,13 +37,10 @@
 #: Below this percent a fill is halted: so low a share only keeps its memory.
 LEAST_PERCENT = 8
 FULL_PERCENT = 100
-#: Time between a change of one run and the next to more or to less, in ms:
-#: the figures listed lag by half a second, and pacing takes a tenth of one to
-#: work; but a tail that is about to pass its target does not wait.
+#: Time between two changes of one run, in ms: the figures listed lag by half
+#: a second, and pacing takes a tenth of one to work.
 CHANGE_EVERY_MS = 600
-SLOW_EVERY_MS = 200
-#: Time between two choices for one server, in ms.
-REACT_EVERY_MS = 300
+_LEAST_SHARE = 0.02
 
 
 class Pacer:
@@ -72,25 +65,12 @@
         fills = any(step.spec.fills for step in steps)
         return fills and any(step.spec.target_ms for step in steps)
 
-    def react_in_time(self, server: Server, now_ms: int) -> None:
-        """Choose paces again if the last choice is old.
-
-        :param server: where.
-        :param now_ms: steady time.
-        """
-        due = now_ms - server.paced_ms >= REACT_EVERY_MS
-        if due and self.watches(server) and server.failing_ms is None:
-            self.react(server, now_ms)
-
     def react(self, server: Server, now_ms: int) -> None:
-        """Choose paces and order what has to change.
-
-        Not only after a look, as loads swing.
+        """Choose paces after a look and order what has to change.
 
-        :param server: where.
+        :param server: which was looked at.
         :param now_ms: steady time.
         """
-        server.paced_ms = now_ms
         fills = [
             (run, step)
             for run, step in fill_runs(server)
@@ -104,39 +84,13 @@
             for fill, _ in fills:
                 self._pace(fill, 0, now_ms)
             return
-        shares = _Shares(self._model, self._spares(server, serving, now_ms))
-        turns = sorted(
-            fills,
-            key=lambda pair: (self._late(pair[1], now_ms), *shares.turn(*pair)),
-        )
-        for run, step in turns:
-            self._pace(run, shares.take(step), now_ms)
-
-    def _late(self, step: Step, now_ms: int) -> int:
-        return lateness(step.job, self._book.queue_of(step.job), now_ms)
-
-    def _spares(
-        self, server: Server, serving: list[tuple[Run, Step]], now_ms: int
-    ) -> list[tuple[Step, float]]:
-        """Predict by how much all fills together may raise each tail.
-
-        :param server: where.
-        :param serving: what serves there.
-        :param now_ms: steady time.
-        :returns: logarithms by step.
-        """
-        spares = []
-        for step in {step.name: step for _, step in serving}.values():
-            alone = max(
-                self._model.alone(server, step, now_ms + ahead_ms)
-                for ahead_ms in PACE_AHEAD_MS
-            )
-            usual = self._model.usual(server, step)
-            spare = min(
-                math.log(BORNE_SHARE) - alone, math.log(USUAL_SHARE) - usual
-            )
-            spares.append((step, spare))
-        return spares
+        harmed = any(_tail_share(pair) >= SLOW_SHARE for pair in serving)
+        limit = WANTED_SHARE if harmed else CALM_SHARE
+        shares = _Shares(self._model, serving, fills, limit)
+        for run, step in sorted(fills, key=_turn):
+            percent = shares.take(run, step)
+            if (percent < run.pace) is harmed:
+                self._pace(run, percent, now_ms)
 
     def answered(
         self, server: Server, order: Pace, outcome: OrderOutcome
@@ -186,8 +140,7 @@
         percent = percent if percent >= LEAST_PERCENT else 0
         if abs(percent - run.pace) < LEAST_CHANGE_PERCENT:
             return
-        wait_ms = CHANGE_EVERY_MS if percent > run.pace else SLOW_EVERY_MS
-        if now_ms - run.paced_ms >= wait_ms:
+        if now_ms - run.paced_ms >= CHANGE_EVERY_MS:
             self._book.notes.add(
                 'run.paced',
                 run.key.task,
@@ -207,48 +160,59 @@
     """What fills may add to the tails beside them, shared out in turn."""
 
     def __init__(
-        self, model: HarmModel, spares: list[tuple[Step, float]]
+        self,
+        model: HarmModel,
+        serving: list[tuple[Run, Step]],
+        fills: list[tuple[Run, Step]],
+        limit: float,
     ) -> None:
         self._model = model
-        self._serving = [step for step, _ in spares]
-        self._spares = [max(0, spare) for _, spare in spares]
-
-    def turn(self, run: Run, step: Step) -> tuple[float, float]:
-        """Order fills: those that harm least come first, so most work is done.
-
-        Among equals those that are nearest their end: they make room.
-
-        :param run: a fill.
-        :param step: its step.
-        :returns: lower comes first.
-        """
-        return max(self._effects(step), default=0), -run.percent
+        self._step_by_image = {step.spec.image: step for _, step in serving}
+        self._spare_by_image = {
+            image: min(
+                math.log(limit / max(_tail_share(pair), _LEAST_SHARE))
+                for pair in serving
+                if pair[1].spec.image == image
+            )
+            for image in self._step_by_image
+        }
+        for image, step in self._step_by_image.items():
+            # What the fills add now is in the tail; all of it is shared out
+            # anew.
+            self._spare_by_image[image] += sum(
+                model.effect(step, fill) * used_units(run)
+                for run, fill in fills
+            )
 
-    def take(self, fill: Step) -> int:
+    def take(self, run: Run, fill: Step) -> int:
         """Give a fill what is left for it.
 
+        :param run: the fill.
         :param fill: its step.
         :returns: the pace that it may have, in percent.
         """
         units = units_of(fill.spec.needs)
-        added = [effect * units for effect in self._effects(fill)]
+        added_by_image = {
+            image: self._model.effect(step, fill) * units
+            for image, step in self._step_by_image.items()
+        }
         share = min(
             (
-                spare / more
-                for spare, more in zip(self._spares, added, strict=True)
-                if more
+                max(0, self._spare_by_image[image]) / added
+                for image, added in added_by_image.items()
+                if added
             ),
             default=1,
         )
         share = min(1, share)
-        self._spares = [
-            max(0, spare - more * share)
-            for spare, more in zip(self._spares, added, strict=True)
-        ]
+        for image, added in added_by_image.items():
+            self._spare_by_image[image] -= added * share
         return int(share * FULL_PERCENT)
 
-    def _effects(self, fill: Step) -> list[float]:
-        return [self._model.effect(step, fill) for step in self._serving]
+
+def _turn(pair: tuple[Run, Step]) -> float:
+    # Those that are nearest their end first: they make room for the others.
+    return -pair[0].percent
 
 
 def _tail_share(pair: tuple[Run, Step]) -> float:
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -24,14 +24,8 @@
 BLAME_COST = 0.5
 HARM_COST = 3.0
 OTHER_IMAGE_COST = 1.0
-#: Cost of what a fill adds to the logarithm of the tail that it raises most:
-#: so high that of all servers with room those are taken on which it does least,
-#: and the spare of the others is left for fills that have no such server.
-PRESSURE_COST = 6.0
-#: Share of its target that a tail may be predicted to reach with a new fill. By
-#: runs of a calm day under eight seeds: at 0.7 the worth of fills was less by a
-#: fifth, and 0.03 more of serving was got for it.
-SAFE_SHARE = 0.95
+#: Share of its target that is safe for a tail.
+SAFE_SHARE = 0.55
 #: A fill that would harm everywhere waits, in ms, unless its job has nothing
 #: running for so long: then it starts, and is paced.
 HOLD_MS = 1500
@@ -41,23 +35,15 @@
 FILL_WEIGHT = 0.15
 #: Time between two rounds in which fills are placed, in ms: hundreds of them
 #: may wait, and each round looks at all servers for each.
-FILLS_EVERY_MS = 60
+FILLS_EVERY_MS = 40
 #: Starts that are not answered yet, on one server at most: its answers come
 #: one after the other, and a server that stalls must not take many tasks.
 MOST_UNANSWERED = 12
 
 
-class _Company(NamedTuple):
-    """What a fill meets on a server.
-
-    :ivar changes: of the server's runs when this was worked out.
-    :ivar spare_units: how much of the fill the server bears.
-    :ivar effect: what a unit of the fill adds to the tail that it raises most.
-    """
-
+class _Spare(NamedTuple):
     changes: int
-    spare_units: float
-    effect: float
+    units: float
 
 
 class Placer:
@@ -71,7 +57,7 @@
         """
         self._book = book
         self._model = model
-        self._company_by_pair: dict[tuple[str, str], _Company] = {}
+        self._spare_by_pair: dict[tuple[str, str], _Spare] = {}
         self._fills_ms = 0
         self._waits = WaitNotes(book.notes)
         self._holder = Holder()
@@ -97,7 +83,7 @@
         :param now_ms: steady time.
         """
         usable = self._usable(now_ms)
-        self._company_by_pair.clear()
+        self._spare_by_pair.clear()
         unplaced: list[Waiting] = []
         full_steps: set[str] = set()
         turns = self._turns(now_ms)
@@ -139,8 +125,7 @@
         if not fitting:
             return False
         server = min(
-            fitting,
-            key=lambda one: self._cost(turn.task, turn.step, one, now_ms),
+            fitting, key=lambda one: self._cost(turn.task, turn.step, one)
         )
         self.plan(turn.task, turn.step, server, now_ms)
         return True
@@ -241,17 +226,13 @@
         ]
         if step.spec.fills and not _starved(step.job, now_ms):
             fitting = [
-                server
-                for server in fitting
-                if not self._harms(step, server, now_ms)
+                server for server in fitting if not self._harm(step, server)
             ]
         if turn.queue.advised and fitting:
             return self._book.advice.allowed(step, fitting, now_ms)
         return fitting
 
-    def _cost(
-        self, task: Task, step: Step, server: Server, now_ms: int
-    ) -> float:
+    def _cost(self, task: Task, step: Step, server: Server) -> float:
         spec = step.spec
         cost = _crowding(step, server)
         if spec.near_rack and spec.near_rack not in server.entry.labels:
@@ -260,38 +241,25 @@
             cost += AVOIDED_COST
         cost += BLAME_COST * server.blame
         if spec.fills:
-            company = self._company(step, server, now_ms)
-            units = units_of(spec.needs)
-            cost += HARM_COST * max(0, units - company.spare_units)
-            cost += PRESSURE_COST * units * company.effect
+            cost += HARM_COST * self._harm(step, server)
         elif spec.target_ms:
             cost += OTHER_IMAGE_COST * _count_other_images(spec.image, server)
         return cost
 
-    def _harms(self, fill: Step, server: Server, now_ms: int) -> bool:
-        company = self._company(fill, server, now_ms)
-        return company.spare_units < units_of(fill.spec.needs)
-
-    def _company(self, fill: Step, server: Server, now_ms: int) -> _Company:
-        """Predict what a fill meets on a server.
-
-        Kept for a round, as long as nothing comes or leaves there.
+    def _harm(self, fill: Step, server: Server) -> float:
+        """Predict how much more of a fill there would be than a server bears.
 
         :param fill: step of the fill.
         :param server: where it would run.
-        :param now_ms: steady time.
-        :returns: the prediction.
+        :returns: units of four cores beyond what is safe.
         """
         key = (server.entry.server_id, fill.spec.image)
-        kept = self._company_by_pair.get(key)
+        kept = self._spare_by_pair.get(key)
         if kept is None or kept.changes != server.changes:
-            kept = _Company(
-                server.changes,
-                self._model.spare_units(server, fill, SAFE_SHARE, now_ms),
-                self._model.most_effect(server, fill, now_ms),
-            )
-            self._company_by_pair[key] = kept
-        return kept
+            spare = self._model.spare_units(server, fill, SAFE_SHARE)
+            kept = _Spare(server.changes, spare)
+            self._spare_by_pair[key] = kept
+        return max(0, units_of(fill.spec.needs) - kept.units)
 
 
 def _due(job: Job, wall_ms: int) -> int:
--- a/waxwingford/scheduling/_servers.py
+++ b/waxwingford/scheduling/_servers.py
@@ -56,7 +56,6 @@
     :ivar barred_until_ms: no starts before, steady time.
     :ivar blame: recent runs that failed or stood still, decaying.
     :ivar changes: counts runs that came or left.
-    :ivar paced_ms: when paces were last chosen, steady time.
     """
 
     entry: ServerEntry
@@ -78,7 +77,6 @@
     barred_until_ms: int = 0
     blame: float = 0
     changes: int = 0
-    paced_ms: int = 0
 
     @property
     def address(self) -> Address:
--- a/waxwingford/scheduling/_turns.py
+++ b/waxwingford/scheduling/_turns.py
@@ -42,21 +42,14 @@
     order = (
         queue.priority,
         int(step.spec.fills),
-        lateness(job, queue, now_ms) if step.spec.fills else 0,
+        _lateness(job, queue, now_ms) if step.spec.fills else 0,
         job.work if step.spec.fills else job.known_ms,
         task.key.index,
     )
     return Waiting(order, task, step, queue)
 
 
-def lateness(job: Job, queue: QueueTerms, now_ms: int) -> int:
-    """Tell how late a job is.
-
-    :param job: which.
-    :param queue: terms of its queue.
-    :param now_ms: steady time.
-    :returns: 0 if it can be in time, 1 if it is late, 2 if worth nothing.
-    """
+def _lateness(job: Job, queue: QueueTerms, now_ms: int) -> int:
     objective_ms = queue.stretch * job.chain_ms + queue.target_ms
     age_ms = now_ms - job.known_ms
     if age_ms <= objective_ms:
