Take the holding of servers for gangs back

Cause: it shows no gain.

Left: a gang can wait for as long as small tasks fill its servers; step.waits tells so.

--- a/waxwingford/scheduling/_gangs.py
+++ b/waxwingford/scheduling/_gangs.py
@@ -6,7 +6,6 @@
 without waiting for that.
 """
 
-from collections.abc import Callable
 from typing import NamedTuple
 
 from waxwingford.ports import Resources, fits_resources, subtract_resources
@@ -17,10 +16,6 @@
 RACK_PREFIX = 'r'
 
 
-#: Tells the room of a server.
-RoomOf = Callable[[Server], Resources]
-
-
 class Seat(NamedTuple):
     """A place for a member of a gang.
 
@@ -32,15 +27,6 @@
     server: Server
 
 
-def room_now(server: Server) -> Resources:
-    """Tell what is free on a server.
-
-    :param server: which.
-    :returns: its room.
-    """
-    return server.room
-
-
 def is_whole(step: Step) -> bool:
     """Tell whether all members of a gang can be placed now.
 
@@ -50,14 +36,11 @@
     return not any(task.run_by_number for task in step.tasks)
 
 
-def find_seats(
-    step: Step, servers: list[Server], room_of: RoomOf = room_now
-) -> list[Seat] | None:
+def find_seats(step: Step, servers: list[Server]) -> list[Seat] | None:
     """Find places for all members.
 
     :param step: of the gang.
     :param servers: that take starts and have what the step asks for.
-    :param room_of: tells the room of a server.
     :returns: a place for each, ``None`` if they don't all fit.
     """
     if step.spec.one_rack:
@@ -65,10 +48,10 @@
         for server in servers:
             by_rack.setdefault(rack_of(server), []).append(server)
         for group in by_rack.values():
-            seats = _seats_in(step, group, room_of)
+            seats = _seats_in(step, group)
             if seats is not None:
                 return seats
-    return _seats_in(step, servers, room_of)
+    return _seats_in(step, servers)
 
 
 def rack_of(server: Server) -> str:
@@ -114,18 +97,15 @@
             run.stopping = True
 
 
-def _seats_in(
-    step: Step, servers: list[Server], room_of: RoomOf
-) -> list[Seat] | None:
+def _seats_in(step: Step, servers: list[Server]) -> list[Seat] | None:
     needs = step.spec.needs
     if step.spec.fills:
         needs = Resources(0, *needs[1:])
     most = step.spec.most_per_server or step.spec.count
     seats: list[Seat] = []
     waiting = iter(step.tasks)
-    rooms = [(room_of(server), server) for server in servers]
-    for room, server in sorted(rooms, key=_most_first):
-        held = 0
+    for server in sorted(servers, key=_room_order):
+        room, held = server.room, 0
         while fits_resources(needs, room) and held < most:
             task = next(waiting, None)
             if task is None:
@@ -136,5 +116,5 @@
     return seats if next(waiting, None) is None else None
 
 
-def _most_first(pair: tuple[Resources, Server]) -> int:
-    return -pair[0].processors_milli
+def _room_order(server: Server) -> int:
+    return -server.room.processors_milli
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -7,7 +7,6 @@
 from waxwingford.scheduling import _gangs as gangs
 from waxwingford.scheduling._book import Book, runs_of
 from waxwingford.scheduling._harm import HarmModel, units_of
-from waxwingford.scheduling._holding import Holder
 from waxwingford.scheduling._runners import RunKey
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._state import Job, Run, RunPhase, Step, Task
@@ -60,7 +59,6 @@
         self._spare_by_pair: dict[tuple[str, str], _Spare] = {}
         self._fills_ms = 0
         self._waits = WaitNotes(book.notes)
-        self._holder = Holder()
 
     def release(self, job: Job, now_ms: int, wall_ms: int) -> None:
         """Make the tasks wait for servers whose turn has come.
@@ -86,9 +84,7 @@
         self._spare_by_pair.clear()
         unplaced: list[Waiting] = []
         full_steps: set[str] = set()
-        turns = self._turns(now_ms)
-        self._holder.update(turns, usable, now_ms)
-        for turn in turns:
+        for turn in self._turns(now_ms):
             tried = turn.step.name in full_steps and not turn.task.avoided
             if tried or not self._seat(turn, usable, now_ms):
                 full_steps.add(turn.step.name)
@@ -222,7 +218,6 @@
             if server.entry.service == turn.queue.service
             and counts.get(server.entry.server_id, 0) < most
             and _fits(step, server)
-            and not self._holder.keeps_out(turn, server)
         ]
         if step.spec.fills and not _starved(step.job, now_ms):
             fitting = [
