--- a/waxwingford/shard/tests/shard.feature
+++ b/waxwingford/shard/tests/shard.feature
@@ -44,6 +44,30 @@
     And 6 s pass
     Then the job is shown as completed by every daemon
 
+  Scenario: a job is followed by its id through all daemons
+    # Symptom: a caller complains of a late job, and no line tells why.
+    # Sequence: a standby takes the job, its owner is killed while tasks run,
+    # another daemon finishes it.
+    # Cause: a decision without a line, or a line without the job's id.
+    Given a shard with 3 daemons and 4 servers
+    When a job of 2 steps is submitted through a standby
+    And 0.4 s pass
+    And the owner is killed
+    And 10 s pass
+    Then its history by the lines of all daemons is, in this order
+      | event            | daemon |
+      | shard.claimed    | first  |
+      | job.known        | first  |
+      | run.planned      | first  |
+      | owner.lost       | other  |
+      | shard.claimed    | other  |
+      | job.known        | other  |
+      | run.settled      | other  |
+      | run.planned      | other  |
+      | job.ended        | other  |
+    And its submission stands in it, at a daemon that is not the first owner
+    And each run that was planned was settled
+
   Scenario: the owner resigns
     Given a shard with 3 daemons and 4 servers
     When the owner resigns
--- a/waxwingford/shard/tests/shard_steps.py
+++ b/waxwingford/shard/tests/shard_steps.py
@@ -13,6 +13,7 @@
     decode_owner,
 )
 from waxwingford.shard.tests.virtual_shard import TERMS, VirtualShard, step
+from waxwingford.timeline import about, events_of_lines, merge_events
 
 FAULT_KINDS = ('kill', 'cut_store', 'refuse_store', 'cut_server', 'crash')
 CALM_S = 60
@@ -87,6 +88,60 @@
     context.jobs.append(job_id)
 
 
+@when('a job of 2 steps is submitted through a standby')
+def submit_to_standby(context):
+    shard = context.shard
+    context.first_owner = shard.owners[0]
+    standby = next(one for one in shard.daemons if not one.owns)
+    job_id, outcome = shard.submit((step(4), step(3, after=(0,))), standby)
+    assert isinstance(outcome, Stored), outcome
+    context.jobs.append(job_id)
+
+
+def history(context):
+    merged = merge_events(events_of_lines(context.shard.lines))
+    return about(merged, context.jobs[-1])
+
+
+@then('its history by the lines of all daemons is, in this order')
+def followed(context):
+    first = context.first_owner.daemon_id
+    left = iter(history(context))
+    for row in context.table:
+        found = next(
+            (
+                event
+                for event in left
+                if event.kind == row['event']
+                and (event.event_id[0] == first) == (row['daemon'] == 'first')
+            ),
+            None,
+        )
+        assert found is not None, (row.as_dict(), context.shard.lines)
+
+
+@then('its submission stands in it, at a daemon that is not the first owner')
+def submission_told(context):
+    taken = [one for one in history(context) if one.kind == 'request.submit']
+    assert len(taken) == 1, taken
+    assert taken[0].event_id[0] != context.first_owner.daemon_id
+
+
+@then('each run that was planned was settled')
+def runs_settled(context):
+    told = history(context)
+    planned, settled = (
+        {(one.subject, run_of(one)) for one in told if one.kind == kind}
+        for kind in ('run.planned', 'run.settled')
+    )
+    assert planned
+    assert planned == settled, planned ^ settled
+
+
+def run_of(event):
+    return next(one for one in event.detail.split() if one.startswith('run='))
+
+
 @then('the shard has changed hands once')
 def changed_hands(context):
     rows = context.shard.store.topic(JOURNAL_TOPIC).records
--- a/waxwingford/shard/tests/virtual_shard.py
+++ b/waxwingford/shard/tests/virtual_shard.py
@@ -1,8 +1,12 @@
 """Daemons of a shard in virtual time, on a store and servers in memory."""
 
 import asyncio
+import datetime
+import itertools
 import random
 
+import msgspec
+
 from waxwingford.metrics import Metrics
 from waxwingford.ports import Resources
 from waxwingford.routing.tests.virtual_loop import VirtualLoop, end_loop
@@ -26,6 +30,31 @@
 TERMS = Terms(1, {'queue': QUEUE})
 
 
+class LineKeeper(Observer):
+    """Keeps log lines as the daemon would write them."""
+
+    def __init__(self, daemon_id, lines):
+        super().__init__(Metrics())
+        self._daemon_id = daemon_id
+        self._lines = lines
+        self._sequence = itertools.count(1)
+
+    def tell(self, event, **inputs):
+        super().tell(event, **inputs)
+        now = datetime.datetime.fromtimestamp(
+            steady_ms() / MS_IN_S, datetime.UTC
+        )
+        line = {
+            'time': now.replace(tzinfo=None).isoformat(timespec='milliseconds'),
+            'daemon': self._daemon_id,
+            'process': 'p',
+            'sequence': next(self._sequence),
+            'event': event,
+            **inputs,
+        }
+        self._lines.append(msgspec.json.encode(line, enc_hook=str).decode())
+
+
 class VirtualLink:
     """Way to the owner, whose endpoint is its daemon's name here."""
 
@@ -61,7 +90,7 @@
         self.daemon_id = daemon_id
         self.log = StoreWay(shard.store, daemon_id)
         self.servers = ServersWay(shard.servers, daemon_id)
-        self.observer = Observer(Metrics())
+        self.observer = LineKeeper(daemon_id, shard.lines)
         self.start()
 
     def start(self):
@@ -119,6 +148,7 @@
         self.servers = VirtualServers(self.store, seed)
         self.servers.add(servers, ahead_ms=seed % 1000)
         self.job_count = 0
+        self.lines = []
         self.daemons = []
         self.run_until(self._start(daemons))
 
