--- a/waxwingford/scheduler/_daemon.py
+++ b/waxwingford/scheduler/_daemon.py
@@ -65,9 +65,7 @@
         self._desk = ShardDesk(
             self._platform.log, self._member, self._link, self._observer
         )
-        self._readiness = Readiness(
-            self._missing, self._observer.metrics.render
-        )
+        self._readiness = Readiness(self.missing, self._observer.metrics.render)
         self._stopping = asyncio.Event()
         self._terms_seen_s: float = 0
         self._store_lost = False
@@ -88,7 +86,7 @@
         await self._platform.serve(self._desk, listen.callers)
         works = [
             asyncio.create_task(
-                self._platform.follow_terms(self._configure, self._not_read)
+                self._platform.follow_terms(self.take_terms, self.miss_terms)
             ),
             asyncio.create_task(self._member.stand_by()),
         ]
@@ -127,7 +125,11 @@
         # What could change while the daemon runs lies in the store.
         _log.info('settings kept: they are read at the start only')
 
-    def _configure(self, terms: Terms) -> None:
+    def take_terms(self, terms: Terms) -> None:
+        """Put a configuration in force: the store has answered.
+
+        :param terms: as read.
+        """
         self._terms_seen_s = asyncio.get_running_loop().time()
         if self._store_lost:
             self._store_lost = False
@@ -135,13 +137,18 @@
         if terms.version > self._member.terms.version:
             self._member.configure(terms)
 
-    def _not_read(self) -> None:
+    def miss_terms(self) -> None:
+        """Note that the store has not answered a read of the configuration."""
         lost_s = asyncio.get_running_loop().time() - self._terms_seen_s
         if lost_s > STORE_LOST_S and not self._store_lost:
             self._store_lost = True
             _log.warning('store lost', extra={'for_s': round(lost_s, 1)})
 
-    def _missing(self) -> str:
+    def missing(self) -> str:
+        """Say why callers had better go to another daemon.
+
+        :returns: the reason, empty if the daemon is ready.
+        """
         if self._stopping.is_set():
             return 'stopping'
         if not self._member.terms.version:
