Let an event wait for its cause only while others are not much later

The line of a submission comes with its answer, so that it named itself as the cause of what it led to.

Change: a line that is later than its effect by no more than it took holds nothing up; else an event waits until others are 8 s later, more than clocks differ. The test failed first.

--- a/waxwingford/timeline/_from_logs.py
+++ b/waxwingford/timeline/_from_logs.py
@@ -44,15 +44,32 @@
     :param lines: of any daemons, in any order between daemons.
     :returns: events.
     """
-    cause_by_key: dict[tuple[str, str, int], EventId] = {}
+    cause_by_key: dict[tuple[str, str, int], dict[str, Any]] = {}
     fields_of = [fields for line in lines if (fields := _fields(line))]
     for fields in fields_of:
         key = _effect_key(fields)
         if key is not None:
-            cause_by_key[key] = _event_id(fields)
+            cause_by_key[key] = fields
     for fields in fields_of:
-        cause = _cause_key(fields)
-        yield _event(fields, None if cause is None else cause_by_key.get(cause))
+        cause = cause_by_key.get(_cause_key(fields))
+        if cause is None or _meanwhile(fields, cause):
+            yield _event(fields, None)
+        else:
+            yield _event(fields, _event_id(cause))
+
+
+def _meanwhile(fields: dict[str, Any], cause: dict[str, Any]) -> bool:
+    """Tell whether something happened while its cause was still going on.
+
+    The line of a request is written with its answer, often after what it led to:
+    taken for earlier, it would hold up all that its process tells.
+
+    :param fields: of a line.
+    :param cause: fields of the line that it names as its cause.
+    :returns: whether the cause's line is later, by no more than it took.
+    """
+    later_ms = _wall_ms(cause) - _wall_ms(fields)
+    return 0 <= later_ms <= cause.get('took_ms', -1)
 
 
 def about(events: Iterable[Event], job_id: str) -> list[Event]:
@@ -107,6 +124,12 @@
             return None
 
 
+def _wall_ms(fields: dict[str, Any]) -> int:
+    stamp = datetime.datetime.fromisoformat(fields['time'])
+    utc = stamp.replace(tzinfo=datetime.UTC)
+    return int(utc.timestamp() * _MS_IN_S)
+
+
 def _cause_key(fields: dict[str, Any]) -> tuple[str, str, int] | None:
     match fields['event']:
         case 'job.known':
@@ -120,9 +143,7 @@
 
 
 def _event(fields: dict[str, Any], parent: EventId | None) -> Event:
-    stamp = datetime.datetime.fromisoformat(fields['time'])
-    utc = stamp.replace(tzinfo=datetime.UTC)
-    wall_ms = int(utc.timestamp() * _MS_IN_S)
+    wall_ms = _wall_ms(fields)
     detail = ' '.join(
         f'{name}={value}'
         for name, value in fields.items()
--- a/waxwingford/timeline/_merge.py
+++ b/waxwingford/timeline/_merge.py
@@ -1,8 +1,7 @@
 """Merge of the rings of many daemons into one time line in causal order."""
 
-import heapq
 import itertools
-from collections import defaultdict
+from collections import deque
 from collections.abc import Iterable, Iterator, Sequence
 from typing import NamedTuple
 
@@ -10,6 +9,9 @@
 
 #: Smallest step between cause and effect on the drawn axis, in milliseconds.
 _CAUSAL_STEP_MS = 1
+#: How much later than an event others may be before it no longer waits for its
+#: cause, in milliseconds: more than the clocks of VMs are ever apart.
+PATIENCE_MS = 8000
 
 
 class Placed(NamedTuple):
@@ -23,28 +25,6 @@
     at_ms: int
 
 
-def _edges(events: Sequence[Event]) -> dict[EventId, list[EventId]]:
-    """Find direct causes: earlier in the same process, or the parent.
-
-    :param events: of all processes.
-    :returns: causes by event.
-    """
-    known = {event.event_id for event in events}
-    causes: dict[EventId, list[EventId]] = defaultdict(list)
-    ordered = sorted(events, key=_event_id)
-    for before, after in itertools.pairwise(ordered):
-        if before.event_id[:2] == after.event_id[:2]:
-            causes[after.event_id].append(before.event_id)
-    for event in events:
-        if event.parent in known and event.parent != event.event_id:
-            causes[event.event_id].append(event.parent)
-    return causes
-
-
-def _event_id(event: Event) -> EventId:
-    return event.event_id
-
-
 def merge_events(events: Iterable[Event]) -> list[Event]:
     """Order events so that no event stands before its cause.
 
@@ -54,69 +34,66 @@
     :param events: of all processes, doubles allowed (rings read twice).
     :returns: events in causal order.
     """
-    event_by_id = {event.event_id: event for event in events}
-    order = _CausalOrder(event_by_id)
-    return list(order.events())
+    return list(_CausalOrder(events).events())
 
 
 class _CausalOrder:
-    """Events that wait for their causes.
+    """Events that wait for the cause that they name.
 
     A line may be written after its effect: that of a request comes with the
-    answer.  Named causes can then form a circle, and whatever waits in it would
-    never be shown.  Where nothing is ready, the oldest event goes next whose
-    process has come to it.
+    answer.  Causes can then form a circle, and whatever waits in it would never
+    be shown, or after all others.  So an event waits for its cause only while
+    others are not much later than it.
     """
 
-    def __init__(self, event_by_id: dict[EventId, Event]) -> None:
-        self._event_by_id = event_by_id
-        self._effects: dict[EventId, list[EventId]] = defaultdict(list)
-        causes = _edges(list(event_by_id.values()))
-        self._waits = {
-            event_id: len(causes[event_id]) for event_id in event_by_id
-        }
-        for event_id, causing in causes.items():
-            for cause in causing:
-                self._effects[cause].append(event_id)
-        self._ready = [
-            self._entry(event_id)
-            for event_id, count in self._waits.items()
-            if not count
+    def __init__(self, events: Iterable[Event]) -> None:
+        event_by_id = {event.event_id: event for event in events}
+        self._left = set(event_by_id)
+        self._queues = [
+            deque(group)
+            for _, group in itertools.groupby(
+                sorted(event_by_id.values(), key=_event_id), key=_process
+            )
         ]
-        heapq.heapify(self._ready)
 
     def events(self) -> Iterator[Event]:
         """Go through the events.
 
         :yields: all of them, causes first.
         """
-        while self._waits:
-            if not self._ready:
-                self._ready.append(min(self._heads()))
-            _, event_id = heapq.heappop(self._ready)
-            self._waits.pop(event_id)
-            yield self._event_by_id[event_id]
-            for effect in self._effects[event_id]:
-                self._release(effect)
-
-    def _release(self, effect: EventId) -> None:
-        count = self._waits.get(effect)
-        if count is None:
-            return
-        self._waits[effect] = count - 1
-        if count == 1:
-            heapq.heappush(self._ready, self._entry(effect))
-
-    def _heads(self) -> Iterator[tuple[int, EventId]]:
-        first_by_process: dict[tuple[str, str], EventId] = {}
-        for event_id in self._waits:
-            process = event_id[:2]
-            if event_id < first_by_process.setdefault(process, event_id):
-                first_by_process[process] = event_id
-        return map(self._entry, first_by_process.values())
-
-    def _entry(self, event_id: EventId) -> tuple[int, EventId]:
-        return self._event_by_id[event_id].wall_ms, event_id
+        while self._queues:
+            queue = self._next()
+            event = queue.popleft()
+            self._left.discard(event.event_id)
+            if not queue:
+                self._queues.remove(queue)
+            yield event
+
+    def _next(self) -> deque[Event]:
+        """Choose the process whose event comes next.
+
+        :returns: its events.
+        """
+        oldest = min(self._queues, key=_head_order)
+        free = (queue for queue in self._queues if self._is_free(queue[0]))
+        first = min(free, key=_head_order, default=oldest)
+        waited_ms = first[0].wall_ms - oldest[0].wall_ms
+        return oldest if waited_ms > PATIENCE_MS else first
+
+    def _is_free(self, event: Event) -> bool:
+        return event.parent not in self._left or event.parent == event.event_id
+
+
+def _event_id(event: Event) -> EventId:
+    return event.event_id
+
+
+def _process(event: Event) -> tuple[str, ...]:
+    return event.event_id[:2]
+
+
+def _head_order(queue: deque[Event]) -> tuple[int, EventId]:
+    return queue[0].wall_ms, queue[0].event_id
 
 
 def place_events(merged: Sequence[Event]) -> list[Placed]:
--- a/waxwingford/timeline/tests/logs.feature
+++ b/waxwingford/timeline/tests/logs.feature
@@ -34,3 +34,18 @@
       | request.submit |
       | run.planned    |
       | run.settled    |
+
+  Scenario: a submission is answered after its job has run for a while
+    # Symptom: the history goes back in time: the end of a run stands behind the
+    # change of owner two seconds later.
+    # Sequence: the store is slow, and the line of the submission is written 900
+    # ms after the owner has read the job.
+    # Cause: holding the owner's events up until that line.
+    Given log lines of a submission that took 900 ms, answered after a run
+    When the history of the job is made
+    Then the events are, in this order
+      | event          |
+      | job.known      |
+      | run.planned    |
+      | run.settled    |
+      | request.submit |
--- a/waxwingford/timeline/tests/logs_steps.py
+++ b/waxwingford/timeline/tests/logs_steps.py
@@ -13,7 +13,7 @@
 def line(daemon, sequence, second, event, **fields):
     text = json.dumps(
         {
-            'time': f'2026-03-08T01:00:{second:02}.000',
+            'time': f'2026-03-08T01:00:{second:06.3f}',
             'daemon': daemon,
             'process': 'p',
             'sequence': sequence,
@@ -51,6 +51,16 @@
     ]
 
 
+@given('log lines of a submission that took 900 ms, answered after a run')
+def slow_answer(context):
+    context.lines = [
+        line('entry', 1, 10.9, 'request.submit', subject=JOB, took_ms=900),
+        line('first', 1, 10.1, 'job.known', subject=JOB),
+        line('first', 2, 10.2, 'run.planned', subject=TASK, run=1, server='s1'),
+        line('first', 3, 10.8, 'run.settled', subject=TASK, run=1, how='done'),
+    ]
+
+
 @when('the history of the job is made')
 def history(context):
     merged = merge_events(events_of_lines(context.lines))
