Read the change once more: two errors with advice, and what stood twice

Errors, each with a test that failed first: an answer for a step that was forgotten meanwhile, or one that can't be read, was an error that ended the ownership.

What stood twice or without use: the engine handed answers to the settler unchanged; the adapter, its port and the asker each had the question for advice, and the entry a copy of the desk's interface; the calendar clock of the kernel; the loop of two measurements of rollouts; a field of jobs, fields of an advised queue, a result that nobody reads. The form of the label that names a rack was known outside the adapter: registrations have a rack now.

--- a/waxwingford/platform/_adapter.py
+++ b/waxwingford/platform/_adapter.py
@@ -9,7 +9,7 @@
 
 from waxwingford.platform._advice import AdviceService
 from waxwingford.platform._calls import Calls
-from waxwingford.platform._entry import Desk, Entry
+from waxwingford.platform._entry import Entry
 from waxwingford.platform._records import (
     Configuration,
     decode_configuration,
@@ -19,11 +19,10 @@
 from waxwingford.platform._workers import PlatformWorkers
 from waxwingford.scheduling import ServerEntry, Terms
 from waxwingford.shard import (
-    Advised,
     CatchUp,
     CaughtUp,
     Mirror,
-    NotAdvised,
+    ShardDesk,
     scheduler_platforms,
 )
 
@@ -49,7 +48,7 @@
         :param advice_address: of the advice service, empty if there is none.
         """
         self._calls = Calls()
-        self._advice = AdviceService(self._calls, advice_address)
+        self.advisor = AdviceService(self._calls, advice_address)
         self.log = PlatformLog(self._calls, store_address)
         self.runners = PlatformWorkers(self._calls)
         self._servers = Mirror(self.log, _SERVERS_TOPIC)
@@ -66,17 +65,6 @@
         found = map(_entry_of, self._servers.payload_by_key.items())
         return tuple(entry for entry in found if entry is not None)
 
-    async def advise(
-        self, step_name: str, server_ids: tuple[str, ...]
-    ) -> Advised | NotAdvised:
-        """Ask which servers may run a step.
-
-        :param step_name: of the step.
-        :param server_ids: servers that might.
-        :returns: the answer.
-        """
-        return await self._advice.advise(step_name, server_ids)
-
     async def follow_terms(
         self, apply: Callable[[Terms], None], failed: Callable[[], None]
     ) -> None:
@@ -102,7 +90,7 @@
                 _log.info('configuration', extra={'version': version})
             apply(configuration.terms)
 
-    async def serve(self, desk: Desk, endpoint: str) -> None:
+    async def serve(self, desk: ShardDesk, endpoint: str) -> None:
         """Answer clients.
 
         :param desk: does what they ask.
--- a/waxwingford/platform/_advice.py
+++ b/waxwingford/platform/_advice.py
@@ -54,5 +54,8 @@
             return NotAdvised(outcome.reason)
         if outcome.status != HTTPStatus.OK:
             return NotAdvised(f'status {outcome.status}')
-        advice = _decoder.decode(outcome.body)
+        try:
+            advice = _decoder.decode(outcome.body)
+        except msgspec.MsgspecError as error:
+            return NotAdvised(f'answer not understood: {error}')
         return Advised(dict(advice.eligible), advice.validity_ms)
--- a/waxwingford/platform/_entry.py
+++ b/waxwingford/platform/_entry.py
@@ -3,7 +3,6 @@
 import asyncio
 import re
 from http import HTTPStatus
-from typing import Protocol
 
 import msgspec
 from aiohttp import web
@@ -17,12 +16,12 @@
 from waxwingford.shard import (
     CancelNotKnown,
     IntakeOutcome,
-    JobAnswer,
     JobKnown,
     JobNotKnown,
     MayBeStored,
     NotAnswered,
     NotStored,
+    ShardDesk,
     Stored,
 )
 
@@ -37,50 +36,10 @@
 _JSON = 'application/json'
 
 
-class Desk(Protocol):
-    """What the product does for a client."""
-
-    async def submit(self, spec: JobSpec, until_s: float) -> IntakeOutcome:
-        """Store a job.
-
-        :param spec: as submitted.
-        :param until_s: loop time at which the caller gives up.
-        :returns: whether it is stored.
-        """
-        ...
-
-    async def cancel(
-        self, job_id: str, until_s: float
-    ) -> IntakeOutcome | CancelNotKnown | NotAnswered:
-        """Store the cancelling of a job that exists.
-
-        :param job_id: which.
-        :param until_s: loop time at which the caller gives up.
-        :returns: whether it is stored, or that there is no such job.
-        """
-        ...
-
-    async def phase(self, job_id: str) -> JobAnswer:
-        """Say how far a job is.
-
-        :param job_id: which.
-        :returns: the answer.
-        """
-        ...
-
-    async def pending(self, queue: str) -> int | None:
-        """Count the jobs of a queue that have not begun.
-
-        :param queue: which.
-        :returns: the count, ``None`` if nobody can say.
-        """
-        ...
-
-
 class Entry:
     """Translates requests of clients."""
 
-    def __init__(self, desk: Desk) -> None:
+    def __init__(self, desk: ShardDesk) -> None:
         """Use a desk.
 
         :param desk: does what is asked.
--- a/waxwingford/platform/_records.py
+++ b/waxwingford/platform/_records.py
@@ -1,15 +1,18 @@
 """What operators and workers write to the store: configuration, registrations."""
 
+import re
+
 import msgspec
 
 from waxwingford.ports import Resources
 from waxwingford.scheduling import QueueTerms, ServerEntry, StepSpec, Terms
 
+# Among a worker's labels the one of this form names its rack.
+_RACK = re.compile(r'r\d+(-\d+)*')
+
 
-class _Advice(msgspec.Struct, rename='kebab'):
-    decision_ms: int = 0
-    per_worker_ms: float = 0
-    validity_ms: int = 0
+class _Advice(msgspec.Struct):
+    """Only whether there is one counts: tickets say how long they are valid."""
 
 
 class _Route(msgspec.Struct, rename='kebab'):
@@ -183,6 +186,7 @@
         frozenset(beat.labels),
         Resources(beat.capacity.cpu, beat.capacity.mem_mb, beat.capacity.gpu),
         beat.state == 'draining',
+        next(filter(_RACK.fullmatch, beat.labels), ''),
     )
 
 
--- a/waxwingford/platform/tests/adapter.feature
+++ b/waxwingford/platform/tests/adapter.feature
@@ -54,6 +54,27 @@
     When the worker answers 200 with {"clock-ms":9,"running":[["00000000000000aa.0.1.2",3,"c1",41,12]],"ended-runs":[[5,"00000000000000aa.0.1.1",1,"done",""]]}
     Then the look lists a run and an end
 
+  Scenario Outline: what the advice service answers
+    # Symptom: the shard changes hands with each question.
+    # Sequence: the service answers with something that can't be read.
+    # Cause: an error of the decoder that nobody takes ends the owner.
+    Given a store and a worker on loopback
+    When the store answers <status> with <body>
+    Then the advice is "<outcome>"
+
+    Examples:
+      | status | body                                        | outcome    |
+      | 200    | {"eligible":[["i-1","t"]],"validity-ms":50} | Advised    |
+      | 200    | not JSON                                    | NotAdvised |
+      | 200    | {"eligible":[["i-1"]]}                      | NotAdvised |
+      | 429    | {}                                          | NotAdvised |
+
+  Scenario: a registration names its rack
+    When a worker registers with the labels "ram r1-3 gpu"
+    Then its rack is "r1-3"
+    When a worker registers with the labels "ram"
+    Then its rack is ""
+
   Scenario: a submission
     When a submission with all fields is decoded
     Then its step says all of it
--- a/waxwingford/platform/tests/adapter_steps.py
+++ b/waxwingford/platform/tests/adapter_steps.py
@@ -10,10 +10,12 @@
 from behave import given, then, when
 
 from waxwingford.platform import _store
+from waxwingford.platform._advice import AdviceService
 from waxwingford.platform._calls import Calls
 from waxwingford.platform._entry import Entry
 from waxwingford.platform._records import (
     decode_configuration,
+    decode_registration,
     decode_submission,
 )
 from waxwingford.platform._workers import PlatformWorkers
@@ -229,6 +231,34 @@
     assert found.clock_ms == 9
 
 
+@then('the advice is "{name}"')
+def advice(context, name):
+    async def _work(calls, address):
+        return await AdviceService(calls, address).advise('s', ('i-1',))
+
+    found = asyncio.run(serve(context.stand_in.answer, _work))
+    assert type(found).__name__ == name, found
+
+
+@when('a worker registers with the labels "{labels}"')
+def register(context, labels):
+    body = {
+        'service': 's',
+        'address': '127.0.0.1:1',
+        'zone': 'z',
+        'state': 'ready',
+        'labels': labels.split(),
+    }
+    raw = json.dumps(body).encode()
+    context.registration = decode_registration('i-1', raw)
+
+
+@then('its rack is "{rack}"')
+@then('its rack is ""')
+def rack_is(context, rack=''):
+    assert context.registration.rack == rack, context.registration
+
+
 @when('a submission with all fields is decoded')
 def decode(context):
     step = {
--- a/waxwingford/scheduler/_daemon.py
+++ b/waxwingford/scheduler/_daemon.py
@@ -175,7 +175,7 @@
             self._platform.log,
             self._platform.runners,
             self._platform,
-            self._platform,
+            self._platform.advisor,
             self._observer,
         )
         return Owner(figures, ports, terms)
--- a/waxwingford/scheduling/_advice.py
+++ b/waxwingford/scheduling/_advice.py
@@ -126,7 +126,10 @@
         :param asked_ms: when it was asked, steady time.
         :param validity_ms: of the tickets.
         """
-        advice = self._advice_by_step[question.step.name]
+        advice = self._advice_by_step.get(question.step.name)
+        if advice is None:
+            # The step was forgotten meanwhile: its job has ended.
+            return
         until_ms = asked_ms + validity_ms * USABLE_SHARE
         advice.ticket_by_server.update(
             (server_id, Ticket(text, until_ms))
--- a/waxwingford/scheduling/_engine.py
+++ b/waxwingford/scheduling/_engine.py
@@ -20,8 +20,6 @@
 from waxwingford.scheduling._rows import HARM_KEY
 from waxwingford.scheduling._runners import (
     LookOutcome,
-    OrderOutcome,
-    RunKey,
 )
 from waxwingford.scheduling._servers import Server, ServerEntry
 from waxwingford.scheduling._settle import (
@@ -57,6 +55,7 @@
 
     :ivar book: state of the shard.
     :ivar orders: makes orders.
+    :ivar settler: takes the answers to starts and stops.
     :ivar inheritance: what the rows of a former owner say.
     :ivar pacer: chooses the pace of fills.
     """
@@ -75,7 +74,7 @@
         self.orders = OrderMaker(self.book, token, lease_ms)
         self.inheritance = Inheritance(self.book)
         self._inherited_until_ms = inherited_until_ms
-        self._settler = Settler(self.book)
+        self.settler = Settler(self.book)
         self._stopper = Stopper(self.book)
         self._harm = HarmModel()
         self._placer = Placer(self.book, self._harm)
@@ -172,7 +171,7 @@
         :param now_ms: steady time.
         :param outcome: what came back.
         """
-        self._settler.looked(server, sent_ms, now_ms, outcome)
+        self.settler.looked(server, sent_ms, now_ms, outcome)
         if self.pacer.watches(server) and server.looked_ms == sent_ms:
             self._harm.learn(server, now_ms)
             if now_ms - self._harm_stored_ms >= STORE_HARM_EVERY_MS:
@@ -180,30 +179,6 @@
                 self.book.harm_row = self._harm.encode()
             self.pacer.react(server, now_ms)
 
-    def start_answered(
-        self, server: Server, run: Run, now_ms: int, outcome: OrderOutcome
-    ) -> None:
-        """Apply the answer to a start.
-
-        :param server: which answered.
-        :param run: what was to start.
-        :param now_ms: steady time.
-        :param outcome: what came back.
-        """
-        self._settler.start_answered(server, run, now_ms, outcome)
-
-    def stop_answered(
-        self, server: Server, key: RunKey, now_ms: int, outcome: OrderOutcome
-    ) -> None:
-        """Apply the answer to a stop.
-
-        :param server: which answered.
-        :param key: what was to stop.
-        :param now_ms: steady time.
-        :param outcome: what came back.
-        """
-        self._settler.stop_answered(server, key, now_ms, outcome)
-
     def decide(self, now_ms: int, wall_ms: int) -> None:
         """Settle, release, place and order whatever can be now.
 
@@ -257,7 +232,7 @@
     def _tend(self, server: Server, now_ms: int) -> None:
         unreachable = server.failing_ms is not None or not server.entry.endpoint
         if server.gone or unreachable:
-            self._settler.drop_lost(server, now_ms)
+            self.settler.drop_lost(server, now_ms)
         for run, step in _stuck_runs(server):
             run.stopping = True
             self.book.notes.add(
@@ -275,7 +250,7 @@
                 blame_server(server, BLAME_STUCK, now_ms)
         if server.entry.draining and server.listed:
             _move_away(server)
-        self._settler.drop_unsent(server, now_ms)
+        self.settler.drop_unsent(server, now_ms)
         self._stopper.order_due(server, now_ms)
         if not server.listed and not server.run_by_key:
             self.book.server_by_id.pop(server.entry.server_id, None)
--- a/waxwingford/scheduling/_gangs.py
+++ b/waxwingford/scheduling/_gangs.py
@@ -12,9 +12,6 @@
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._state import Step, Task
 
-#: Label that names the rack of a server begins so, as the platform writes it.
-RACK_PREFIX = 'r'
-
 
 class Seat(NamedTuple):
     """A place for a member of a gang.
@@ -46,7 +43,7 @@
     if step.spec.one_rack:
         by_rack: dict[str, list[Server]] = {}
         for server in servers:
-            by_rack.setdefault(rack_of(server), []).append(server)
+            by_rack.setdefault(server.entry.rack, []).append(server)
         for group in by_rack.values():
             seats = _seats_in(step, group)
             if seats is not None:
@@ -54,18 +51,6 @@
     return _seats_in(step, servers)
 
 
-def rack_of(server: Server) -> str:
-    """Find the rack of a server.
-
-    :param server: which.
-    :returns: its label, empty if it has none.
-    """
-    racks = (
-        label for label in server.entry.labels if label.startswith(RACK_PREFIX)
-    )
-    return min(racks, default='')
-
-
 def next_run(step: Step) -> int:
     """Choose the run number that all members share.
 
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -230,7 +230,7 @@
     def _cost(self, task: Task, step: Step, server: Server) -> float:
         spec = step.spec
         cost = _crowding(step, server)
-        if spec.near_rack and spec.near_rack not in server.entry.labels:
+        if spec.near_rack and spec.near_rack != server.entry.rack:
             cost += AWAY_COST
         if server.entry.server_id in task.avoided:
             cost += AVOIDED_COST
--- a/waxwingford/scheduling/_servers.py
+++ b/waxwingford/scheduling/_servers.py
@@ -22,6 +22,7 @@
     :ivar labels: its kind, its rack and others.
     :ivar capacity: what it has.
     :ivar draining: whether it will leave.
+    :ivar rack: where it stands, empty if it doesn't say.
     """
 
     server_id: str
@@ -31,6 +32,7 @@
     labels: frozenset[str]
     capacity: Resources
     draining: bool
+    rack: str = ''
 
 
 @dataclasses.dataclass(slots=True, eq=False)
--- a/waxwingford/scheduling/_settle.py
+++ b/waxwingford/scheduling/_settle.py
@@ -142,15 +142,14 @@
             if run.phase is RunPhase.planned and run.stopping:
                 self._settle(server, run, None, '', now_ms)
 
-    def drop_lost(self, server: Server, now_ms: int) -> bool:
+    def drop_lost(self, server: Server, now_ms: int) -> None:
         """Settle all runs of a server on which nothing can run any more.
 
         :param server: which.
         :param now_ms: steady time.
-        :returns: whether it was so.
         """
         if not server.lapsed(now_ms):
-            return False
+            return
         if server.run_by_key:
             self._book.notes.add(
                 'server.lost',
@@ -160,7 +159,6 @@
             )
         for run in list(server.run_by_key.values()):
             self._settle(server, run, None, run.checkpoint, now_ms)
-        return True
 
     def _listed(
         self, server: Server, sent_ms: int, now_ms: int, looked: Looked
--- a/waxwingford/scheduling/_state.py
+++ b/waxwingford/scheduling/_state.py
@@ -158,7 +158,6 @@
     :ivar ended: final phase that was decided, ``None`` before.
     :ivar started: whether a run was ever stored.
     :ivar known_ms: when it became known, steady time.
-    :ivar cancel_asked: whether its cancelling is stored.
     :ivar occurrences_left: repetitions that have not ended.
     """
 
@@ -173,7 +172,6 @@
     shown: JobPhase = JobPhase.queued
     ended: JobPhase | None = None
     started: bool = False
-    cancel_asked: bool = False
     occurrences_left: int = 1
 
     def task(self, key: TaskKey) -> Task | None:
--- a/waxwingford/scheduling/tests/engine.feature
+++ b/waxwingford/scheduling/tests/engine.feature
@@ -124,6 +124,18 @@
     Then the task is planned on the second server
     And its start carries the ticket
 
+  Scenario: a ticket comes for a job that is over
+    # Symptom: the shard changes hands each time a job with tickets is cancelled.
+    # Sequence: the service is asked about a step, its job is cancelled and
+    # forgotten, the service answers.
+    # Cause: an answer that takes the step for known ends the owner.
+    Given an engine with 2 servers of 8 cores
+    And the queue is advised
+    When a job of 1 task is submitted
+    And the service is asked, and the job is cancelled and forgotten
+    And the service gives a ticket for the second server after that
+    Then nothing is planned
+
   Scenario: an older configuration changes nothing
     # Symptom: tasks go to the servers of a service that a queue no longer has.
     # Sequence: a newer configuration is in force, an answer that was long on
--- a/waxwingford/scheduling/tests/engine_steps.py
+++ b/waxwingford/scheduling/tests/engine_steps.py
@@ -66,7 +66,8 @@
                 'd',
                 frozenset(('r1',)),
                 capacity,
-                False,
+                draining=False,
+                rack='r1',
             )
         )
         self.register()
@@ -100,7 +101,7 @@
             server = self.engine.book.server_by_id[start.server_id]
             self.last_order = self.engine.orders.start(start.run, self.now_ms)
             if accept:
-                self.engine.start_answered(
+                self.engine.settler.start_answered(
                     server, start.run, self.now_ms, OrderTaken(self.now_ms)
                 )
         self.orders += self.engine.book.take_orders()
@@ -270,7 +271,7 @@
     run = bench.planned[0]
     server = bench.engine.book.server_by_id[run.server_id]
     refusal = OrderDenied(Denial.no_room)
-    bench.engine.start_answered(server, run, bench.now_ms, refusal)
+    bench.engine.settler.start_answered(server, run, bench.now_ms, refusal)
     bench.decide()
 
 
@@ -439,6 +440,24 @@
     bench.decide()
 
 
+@when('the service is asked, and the job is cancelled and forgotten')
+def asked_then_cancelled(context):
+    bench = context.bench
+    context.question = bench.engine.book.advice.next_question()
+    bench.engine.cancel(JOB)
+    bench.decide()
+    bench.decide()
+    assert JOB not in bench.engine.book.job_by_id
+
+
+@when('the service gives a ticket for the second server after that')
+def late_ticket(context):
+    bench = context.bench
+    advice = bench.engine.book.advice
+    advice.answered(context.question, {'s1': 'ticket'}, bench.now_ms, 3000)
+    bench.decide()
+
+
 @then('the task is planned on the second server')
 def on_second(context):
     assert [run.server_id for run in context.bench.planned] == ['s1']
--- a/waxwingford/settings/_load.py
+++ b/waxwingford/settings/_load.py
@@ -25,7 +25,7 @@
     :ivar settings: checked settings.
     """
 
-    settings: Settings | SchedulerSettings
+    settings: Settings
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/waxwingford/shard/_drivers.py
+++ b/waxwingford/shard/_drivers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 
 from waxwingford.scheduling import (
     Engine,
@@ -114,7 +114,7 @@
         """
         self._spawn(self._pace(order))
 
-    def _spawn(self, work) -> None:
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -127,14 +127,18 @@
                 self._stir()
                 return
             outcome = await self._runners.start(self.server.address, order)
-        self._engine.start_answered(self.server, run, steady_ms(), outcome)
+        self._engine.settler.start_answered(
+            self.server, run, steady_ms(), outcome
+        )
         self._stir()
 
     async def _stop(self, key: RunKey) -> None:
         outcome = await self._runners.stop(
             self.server.address, key, self._engine.orders.token
         )
-        self._engine.stop_answered(self.server, key, steady_ms(), outcome)
+        self._engine.settler.stop_answered(
+            self.server, key, steady_ms(), outcome
+        )
         self._stir()
 
     async def _pace(self, order: Pace) -> None:
--- a/waxwingford/shard/_fleet.py
+++ b/waxwingford/shard/_fleet.py
@@ -1,5 +1,7 @@
 """Drivers of all backend servers of an owner."""
 
+from typing import Protocol
+
 from waxwingford.scheduling import (
     Batch,
     Engine,
@@ -17,7 +19,7 @@
 CUT_OFF_MS = 1200
 
 
-class ServerDirectory:
+class ServerDirectory(Protocol):
     """Registrations of backend servers, as the owner needs them."""
 
     async def entries(self) -> tuple[ServerEntry, ...] | None:
@@ -25,7 +27,7 @@
 
         :returns: them, ``None`` if they can't be read now.
         """
-        raise NotImplementedError
+        ...
 
 
 class Fleet:
--- a/waxwingford/shard/_owner.py
+++ b/waxwingford/shard/_owner.py
@@ -6,6 +6,7 @@
 
 import logbook
 
+from waxwingford.kernel import SystemClock
 from waxwingford.scheduling import Engine, TaskRunners, Terms, decode_spec
 from waxwingford.shard._advice_asker import AdviceAsker, Advisor
 from waxwingford.shard._beats import PROOF_MS, Beats
@@ -36,7 +37,7 @@
     NotAnswered,
 )
 from waxwingford.shard._sweeper import Sweeper
-from waxwingford.shard._times import boot_ms, steady_ms, wall_ms
+from waxwingford.shard._times import boot_ms, steady_ms
 
 #: Time between two decisions without an event, in seconds.
 TICK_S = 0.1
@@ -54,6 +55,7 @@
 ON_THE_WAY_MS = 1000
 
 _log = logbook.Logger('shard')
+_clock = SystemClock()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -362,7 +364,7 @@
                 self._stirred.set()
             await asyncio.sleep(GATHER_S)
             self._stirred.clear()
-            self._engine.decide(steady_ms(), wall_ms())
+            self._engine.decide(steady_ms(), _clock.wall_ms())
             self._fleet.send_orders()
             self._observer.tell_all(self._engine.book.notes.take())
             self._committer.wake()
--- a/waxwingford/shard/_platform_port.py
+++ b/waxwingford/shard/_platform_port.py
@@ -4,39 +4,24 @@
 from typing import Protocol
 
 from waxwingford.kernel import Registry
-from waxwingford.scheduling import ServerEntry, TaskRunners, Terms
-from waxwingford.shard._advice_asker import Advised, NotAdvised
+from waxwingford.scheduling import TaskRunners, Terms
+from waxwingford.shard._advice_asker import Advisor
 from waxwingford.shard._desk import ShardDesk
+from waxwingford.shard._fleet import ServerDirectory
 from waxwingford.shard._log_port import SharedLog
 
 
-class SchedulerPlatform(Protocol):
+class SchedulerPlatform(ServerDirectory, Protocol):
     """An adapter to a platform.
 
     :ivar log: shared log.
     :ivar runners: way to backend servers.
+    :ivar advisor: way to the advice service.
     """
 
     log: SharedLog
     runners: TaskRunners
-
-    async def entries(self) -> tuple[ServerEntry, ...] | None:
-        """Read the registrations of all backend servers.
-
-        :returns: them, ``None`` if they can't be read.
-        """
-        ...
-
-    async def advise(
-        self, step_name: str, server_ids: tuple[str, ...]
-    ) -> Advised | NotAdvised:
-        """Ask which servers may run a step.
-
-        :param step_name: of the step.
-        :param server_ids: servers that might.
-        :returns: the answer.
-        """
-        ...
+    advisor: Advisor
 
     async def follow_terms(
         self, apply: Callable[[Terms], None], failed: Callable[[], None]
--- a/waxwingford/shard/_times.py
+++ b/waxwingford/shard/_times.py
@@ -15,14 +15,6 @@
     return int(asyncio.get_running_loop().time() * MS_IN_S)
 
 
-def wall_ms() -> int:
-    """Read the calendar clock, for jobs that are due at a time.
-
-    :returns: milliseconds since the Unix epoch.
-    """
-    return time.time_ns() // _NS_IN_MS
-
-
 def boot_ms() -> int:
     """Read the clock that counts also while the VM is suspended.
 
--- a/waxwingford_bench/bundles/rollout.py
+++ b/waxwingford_bench/bundles/rollout.py
@@ -13,6 +13,7 @@
 import statistics
 import sys
 import time
+from collections.abc import Sequence
 
 import msgspec
 
@@ -25,7 +26,7 @@
     body_of,
     canonical_bytes,
 )
-from waxwingford_bench.bundles.fleet import Fleet
+from waxwingford_bench.bundles.fleet import Fleet, HeldLog
 from waxwingford_bench.bundles.rows import Cost, Figures, StartCost
 from waxwingford_bench.bundles.versions import (
     TRUST,
@@ -41,6 +42,10 @@
 _READERS = (8, 144)
 #: Just after a restatement, and just before the next is due.
 _STREAM_CHANGES = (322, 382)
+#: Pauses between changes, in seconds; beside peers long enough for the pauses
+#: between their questions to be longest.
+_LOG_PAUSE_S = 0.05
+_PEER_PAUSE_S = 10
 
 
 async def measure_rollout(count: int, teams: int, changes: int) -> Figures:
@@ -51,22 +56,7 @@
     :param changes: changes to make, one after the other.
     :returns: figures.
     """
-    fleet = Fleet(count)
-    bundle = make_first(teams)
-    await fleet.logs[0].append(CONFIG_STREAM, make_payload(bundle, {}))
-    waits: list[float] = []
-    async with asyncio.TaskGroup() as group:
-        tasks = [group.create_task(one.run()) for one in fleet.readers]
-        await fleet.until(1)
-        for _ in range(changes):
-            before, bundle = bundle, make_next(bundle)
-            payload = make_payload(bundle, body_of(before))
-            await asyncio.sleep(0.05)
-            started = time.perf_counter()
-            await fleet.logs[0].append(CONFIG_STREAM, payload)
-            times = await fleet.until(bundle.version)
-            waits += [(at - started) * _MS_IN_S for at in times]
-        _cancel(tasks)
+    waits = await _wait_for_all(Fleet(count), teams, changes, _LOG_PAUSE_S)
     return _figures('append to in force', count, teams, changes, waits)
 
 
@@ -79,25 +69,46 @@
     :returns: figures.
     """
     fleet = Fleet(count)
+    waits = await _wait_for_all(
+        fleet, teams, changes, _PEER_PAUSE_S, fleet.logs[1:]
+    )
+    return _figures('one peer to all', count, teams, changes, waits)
+
+
+async def _wait_for_all(
+    fleet: Fleet,
+    teams: int,
+    changes: int,
+    pause_s: float,
+    away: Sequence[HeldLog] = (),
+) -> list[float]:
+    """Make changes and time until each reader has them in force.
+
+    :param fleet: readers, each with its way to the log.
+    :param teams: teams in the bundle.
+    :param changes: changes to make, one after the other.
+    :param pause_s: before each change, in seconds.
+    :param away: ways to the log that are cut once the first bundle is known.
+    :returns: milliseconds of each reader and change.
+    """
     bundle = make_first(teams)
     await fleet.logs[0].append(CONFIG_STREAM, make_payload(bundle, {}))
     waits: list[float] = []
     async with asyncio.TaskGroup() as group:
         tasks = [group.create_task(one.run()) for one in fleet.readers]
         await fleet.until(1)
-        for log in fleet.logs[1:]:
+        for log in away:
             log.away = True
         for _ in range(changes):
             before, bundle = bundle, make_next(bundle)
             payload = make_payload(bundle, body_of(before))
-            # Long enough for the pauses between questions to be longest.
-            await asyncio.sleep(10)
+            await asyncio.sleep(pause_s)
             started = time.perf_counter()
             await fleet.logs[0].append(CONFIG_STREAM, payload)
             times = await fleet.until(bundle.version)
             waits += [(at - started) * _MS_IN_S for at in times]
         _cancel(tasks)
-    return _figures('one peer to all', count, teams, changes, waits)
+    return waits
 
 
 def measure_cost(teams: int, changes: int) -> Cost:
