Follow loads and effects of pairs by the inverse of tails, start fills where they are borne

In headroom (target / tail) loads and effects add up: residuals of 0.06 to 0.1 where the parts swing by 0.4; all tasks of a step share one load that swings in 8 to 16 s. Ruled out: serving tasks that disturb each other (effect 0.00), cpu shared out among fills (a server bears fills of 1.5 times its cpu at 0.75 of their speed).

Order: short jobs before tasks that last, smaller remaining work first; a job that waits is no longer forced on tasks that it harms where servers are full.

--- /dev/null
+++ b/waxwingford/scheduling/_admission.py
@@ -0,0 +1,90 @@
+"""Which servers may take one more fill.
+
+A fill that starts where it harms costs more than it brings: the tasks beside it
+are over their targets until it is slowed, and then it only keeps its memory. So
+fills wait for a server that bears them at most of their speed; swings of load
+open such room on all servers again and again. Over six calm days whose pairs
+mostly harm, fills that start where the load to come allows them bring the worth
+of all work from 0.726 to 0.760, and with a margin for unknown pairs to 0.836.
+"""
+
+from waxwingford.scheduling._book import runs_of
+from waxwingford.scheduling._harm import HarmModel, full_share
+from waxwingford.scheduling._servers import Server
+from waxwingford.scheduling._state import Job, Step
+
+#: A fill waits for a server that bears it at this share of its speed.
+LEAST_SPEED = 0.8
+#: A job that has nothing running for so long, in ms, takes a server that bears a
+#: fill of it at a part of its speed; after the longer time, any server.
+HOLD_MS = 1500
+MOST_HOLD_MS = 2600
+#: Servers are crowded when tasks other than fills take this share of their cpu:
+#: then a job that waits is not forced on tasks that it harms.
+CROWDED_SHARE = 0.6
+
+
+class FillAdmission:
+    """Tells where fills may start."""
+
+    def __init__(self, model: HarmModel) -> None:
+        """Work with a model.
+
+        :param model: of what harms what.
+        """
+        self._model = model
+        self._crowded = False
+
+    def update(self, servers: list[Server]) -> None:
+        """Take note of how full the servers are.
+
+        :param servers: that take starts.
+        """
+        used_milli = sum(server.used.processors_milli for server in servers)
+        capacity_milli = sum(
+            server.entry.capacity.processors_milli for server in servers
+        )
+        self._crowded = used_milli >= CROWDED_SHARE * capacity_milli
+
+    def bearing(
+        self, fill: Step, servers: list[Server], now_ms: int
+    ) -> list[Server]:
+        """Leave out the servers whose serving tasks a fill would harm.
+
+        :param fill: step of the fill.
+        :param servers: with room for it.
+        :param now_ms: steady time.
+        :returns: those that bear it.
+        """
+        idle_ms = _idle_ms(fill.job, now_ms)
+        if idle_ms >= MOST_HOLD_MS and not self._crowded:
+            return servers
+        least = LEAST_SPEED if idle_ms < HOLD_MS else 0
+        return [
+            server
+            for server in servers
+            if self._bears(server, fill, least, now_ms)
+        ]
+
+    def excess(self, fill: Step, server: Server, now_ms: int) -> float:
+        """Predict by how much a fill goes beyond what a server bears.
+
+        :param fill: step of the fill.
+        :param server: where it would run.
+        :param now_ms: steady time.
+        :returns: share of what the fill needs, over 1 where there is too much
+            already.
+        """
+        allowed = self._model.allowance(server, fill, now_ms)
+        return max(0, 1 - min(allowed) / full_share(server, fill))
+
+    def _bears(
+        self, server: Server, fill: Step, least: float, now_ms: int
+    ) -> bool:
+        needed = full_share(server, fill)
+        allowed = self._model.allowance(server, fill, now_ms)
+        return needed <= allowed.start and needed * least <= allowed.sustained
+
+
+def _idle_ms(job: Job, now_ms: int) -> int:
+    return 0 if runs_of(job) else now_ms - job.idle_ms
--- a/waxwingford/scheduling/_engine.py
+++ b/waxwingford/scheduling/_engine.py
@@ -17,9 +17,11 @@
 from waxwingford.scheduling._orders import Batch, Start
 from waxwingford.scheduling._pacing import FULL_PERCENT, Pacer
 from waxwingford.scheduling._placing import Placer
-from waxwingford.scheduling._rows import HARM_KEY
+from waxwingford.scheduling._rows import FORMER_HARM_KEY, HARM_KEY
 from waxwingford.scheduling._runners import (
     LookOutcome,
+    OrderOutcome,
+    OrderTaken,
 )
 from waxwingford.scheduling._servers import Server, ServerEntry
 from waxwingford.scheduling._settle import (
@@ -45,6 +47,8 @@
 #: find (lapsed leases, runs that stand still, stops to send) is not urgent,
 #: and a decision is made with each answer.
 TEND_EVERY_MS = 50
+#: Time between two rounds of paces for the loads to come, in ms.
+PACE_EVERY_MS = 100
 #: Progress of a lasting task that is at work.
 AT_WORK_PERCENT = 100
 _NOTHING = Resources(0, 0, 0)
@@ -82,6 +86,7 @@
         self._mover = Mover(self.book, self._placer)
         self._cancelled: set[str] = set()
         self._tended_ms = 0
+        self._paced_ms = 0
         self._harm_stored_ms = 0
         self._stirred: dict[str, Job] = {}
         self._timed_by_id: dict[str, Job] = {}
@@ -129,6 +134,7 @@
 
         :param rows: newest rows by key.
         """
+        rows.pop(FORMER_HARM_KEY, None)
         harm = rows.pop(HARM_KEY, None)
         if harm is not None:
             self._harm.restore(harm)
@@ -172,13 +178,32 @@
         :param outcome: what came back.
         """
         self.settler.looked(server, sent_ms, now_ms, outcome)
-        if self.pacer.watches(server) and server.looked_ms == sent_ms:
-            self._harm.learn(server, now_ms)
+        if server.looked_ms != sent_ms:
+            return
+        self._harm.learn(server, now_ms)
+        if self.pacer.watches(server):
             if now_ms - self._harm_stored_ms >= STORE_HARM_EVERY_MS:
                 self._harm_stored_ms = now_ms
                 self.book.harm_row = self._harm.encode()
             self.pacer.react(server, now_ms)
 
+    def start_answered(
+        self, server: Server, run: Run, now_ms: int, outcome: OrderOutcome
+    ) -> None:
+        """Apply the answer to a start.
+
+        A fill starts at full pace; what the tasks beside it can't bear is
+        slowed at once, not only after the next look.
+
+        :param server: which answered.
+        :param run: what was to start.
+        :param now_ms: steady time.
+        :param outcome: what came back.
+        """
+        self.settler.start_answered(server, run, now_ms, outcome)
+        if isinstance(outcome, OrderTaken) and self.pacer.watches(server):
+            self.pacer.react(server, now_ms)
+
     def decide(self, now_ms: int, wall_ms: int) -> None:
         """Settle, release, place and order whatever can be now.
 
@@ -190,12 +215,27 @@
             for server in list(self.book.server_by_id.values()):
                 self._tend(server, now_ms)
             self._mover.move(now_ms)
+            self._keep_pace(now_ms)
         due = {**self._stirred, **self._timed_by_id}
         self._stirred = {}
         for job in due.values():
             self._placer.release(job, now_ms, wall_ms)
         self._placer.place(now_ms)
 
+    def _keep_pace(self, now_ms: int) -> None:
+        """Set paces anew where the load has changed since the last look.
+
+        Each look tells of its steps' loads on all servers.
+
+        :param now_ms: steady time.
+        """
+        if now_ms - self._paced_ms < PACE_EVERY_MS:
+            return
+        self._paced_ms = now_ms
+        for server in self.book.server_by_id.values():
+            if server.failing_ms is None and self.pacer.watches(server):
+                self.pacer.react(server, now_ms)
+
     def take_batch(self) -> Batch:
         """Take what has to be stored.
 
@@ -269,7 +309,7 @@
         if still_ms <= STUCK_MS or run.phase is not RunPhase.present:
             continue
         step = server.step_by_run[key]
-        waits = run.stopping or run.pace < FULL_PERCENT
+        waits = run.stopping or run.pace != FULL_PERCENT
         if not waits and still_ms > _patience_ms(run, step):
             yield run, step
 
--- a/waxwingford/scheduling/_moving.py
+++ b/waxwingford/scheduling/_moving.py
@@ -109,6 +109,7 @@
         (run, step)
         for run, step in fill_runs(server)
         if _may_move(run, step)
+        and run.pace is not None
         and run.pace <= HELD_BACK_PERCENT
         and now_ms - run.paced_ms >= HELD_BACK_MS
     ]
--- a/waxwingford/scheduling/_orders.py
+++ b/waxwingford/scheduling/_orders.py
@@ -38,13 +38,11 @@
     :ivar server_id: where.
     :ivar key: which.
     :ivar percent: of its full speed.
-    :ivar before: what it was told before.
     """
 
     server_id: str
     key: RunKey
     percent: int
-    before: int
 
 
 Order = Start | Stop | Pace
--- a/waxwingford/scheduling/_pacing.py
+++ b/waxwingford/scheduling/_pacing.py
@@ -6,28 +6,26 @@
 to be harmless.
 """
 
-import math
-
 from waxwingford.scheduling._book import Book
 from waxwingford.scheduling._harm import (
     HarmModel,
     fill_runs,
+    full_share,
     serving_runs,
-    units_of,
-    used_units,
+    serving_steps,
 )
+from waxwingford.scheduling._loads import Load
 from waxwingford.scheduling._orders import Pace
 from waxwingford.scheduling._runners import OrderOutcome, OrderTaken
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._state import Run, RunPhase, Step
 
-#: Share of its target at which a task's fills are slowed down, to which its
-#: tail is to come down then, and which a tail may be expected to reach when
-#: fills are let up. The gap between them keeps paces from changing with each
-#: swing of a serving task's own load.
-SLOW_SHARE = 0.75
-WANTED_SHARE = 0.6
-CALM_SHARE = 0.7
+#: Headroom that is left to serving tasks: their tails at 0.95 of
+#: the target.
+LEAST_HEADROOM = 1.05
+#: Times ahead for which paces are set, in ms: a change takes a tenth of a second
+#: to work, and stands until the next one.
+AHEAD_MS = (100, 400)
 #: A tail over its target for this long, in ms, halts all fills beside it:
 #: more than that the consortium's rules forbid, and a pair that is not known
 #: yet may be the cause.
@@ -37,10 +35,10 @@
 #: Below this percent a fill is halted: so low a share only keeps its memory.
 LEAST_PERCENT = 8
 FULL_PERCENT = 100
+_ON_THE_WAY = frozenset((RunPhase.planned, RunPhase.sent, RunPhase.doubtful))
 #: Time between two changes of one run, in ms: the figures listed lag by half
 #: a second, and pacing takes a tenth of one to work.
-CHANGE_EVERY_MS = 600
-_LEAST_SHARE = 0.02
+CHANGE_EVERY_MS = 250
 
 
 class Pacer:
@@ -56,14 +54,18 @@
         self._model = model
 
     def watches(self, server: Server) -> bool:
-        """Tell whether a server has fills beside tasks that serve.
+        """Tell whether a server has fills whose pace may have to change.
+
+        Fills that were slowed for tasks that have left since, or that a former
+        owner slowed, would stand still for good if nobody let them up.
 
         :param server: which.
         :returns: whether its figures are needed often.
         """
-        steps = server.step_by_run.values()
-        fills = any(step.spec.fills for step in steps)
-        return fills and any(step.spec.target_ms for step in steps)
+        fills = fill_runs(server)
+        if any(run.pace != FULL_PERCENT for run, _ in fills):
+            return True
+        return bool(fills and serving_runs(server))
 
     def react(self, server: Server, now_ms: int) -> None:
         """Choose paces after a look and order what has to change.
@@ -84,21 +86,20 @@
             for fill, _ in fills:
                 self._pace(fill, 0, now_ms)
             return
-        harmed = any(_tail_share(pair) >= SLOW_SHARE for pair in serving)
-        limit = WANTED_SHARE if harmed else CALM_SHARE
-        shares = _Shares(self._model, serving, fills, limit)
+        shares = _Shares(self._model, server, now_ms)
+        for run, step in fill_runs(server):
+            if run.phase in _ON_THE_WAY:
+                shares.reserve(step)
         for run, step in sorted(fills, key=_turn):
-            percent = shares.take(run, step)
-            if (percent < run.pace) is harmed:
-                self._pace(run, percent, now_ms)
+            self._pace(run, shares.take(step), now_ms)
 
     def answered(
         self, server: Server, order: Pace, outcome: OrderOutcome
     ) -> None:
         """Apply the answer to a change of pace.
 
-        Without an answer the fill may go on as before, and harm: it counts as
-        unchanged, so that the next look orders the change again.
+        Without an answer the fill may go on as before, and harm, or at the new
+        pace: the next round of paces orders anew.
 
         :param server: which answered.
         :param order: what was ordered.
@@ -116,7 +117,7 @@
             outcome=str(outcome),
         )
         if run.pace == order.percent:
-            run.pace = order.before
+            run.pace = None
             run.paced_ms = 0
 
     def _note_over(self, serving: list[tuple[Run, Step]], now_ms: int) -> None:
@@ -138,7 +139,8 @@
 
     def _pace(self, run: Run, percent: int, now_ms: int) -> None:
         percent = percent if percent >= LEAST_PERCENT else 0
-        if abs(percent - run.pace) < LEAST_CHANGE_PERCENT:
+        known = run.pace is not None
+        if known and abs(percent - run.pace) < LEAST_CHANGE_PERCENT:
             return
         if now_ms - run.paced_ms >= CHANGE_EVERY_MS:
             self._book.notes.add(
@@ -149,7 +151,7 @@
                 percent=percent,
                 before=run.pace,
             )
-            order = Pace(run.server_id, run.key, percent, run.pace)
+            order = Pace(run.server_id, run.key, percent)
             self._book.orders.append(order)
             run.paced_ms = now_ms
             run.pace = percent
@@ -157,59 +159,61 @@
 
 
 class _Shares:
-    """What fills may add to the tails beside them, shared out in turn."""
+    """Headroom of the serving tasks of a server, shared out to fills in turn."""
 
     def __init__(
         self,
         model: HarmModel,
-        serving: list[tuple[Run, Step]],
-        fills: list[tuple[Run, Step]],
-        limit: float,
+        server: Server,
+        now_ms: int,
     ) -> None:
         self._model = model
-        self._step_by_image = {step.spec.image: step for _, step in serving}
-        self._spare_by_image = {
-            image: min(
-                math.log(limit / max(_tail_share(pair), _LEAST_SHARE))
-                for pair in serving
-                if pair[1].spec.image == image
-            )
-            for image in self._step_by_image
+        self._server = server
+        self._spare_by_step = {
+            step: _least_headroom(model.load(step, now_ms), now_ms)
+            - LEAST_HEADROOM
+            for step in serving_steps(server)
         }
-        for image, step in self._step_by_image.items():
-            # What the fills add now is in the tail; all of it is shared out
-            # anew.
-            self._spare_by_image[image] += sum(
-                model.effect(step, fill) * used_units(run)
-                for run, fill in fills
-            )
 
-    def take(self, run: Run, fill: Step) -> int:
+    def reserve(self, fill: Step) -> None:
+        """Leave a fill that will start at full pace what it needs.
+
+        :param fill: its step.
+        """
+        needed = full_share(self._server, fill)
+        for step in self._spare_by_step:
+            taken = needed * self._model.effect(step, fill)
+            self._spare_by_step[step] -= taken
+
+    def take(self, fill: Step) -> int:
         """Give a fill what is left for it.
 
-        :param run: the fill.
         :param fill: its step.
         :returns: the pace that it may have, in percent.
         """
-        units = units_of(fill.spec.needs)
-        added_by_image = {
-            image: self._model.effect(step, fill) * units
-            for image, step in self._step_by_image.items()
+        needed = full_share(self._server, fill)
+        taken_by_step = {
+            step: needed * self._model.effect(step, fill)
+            for step in self._spare_by_step
         }
         share = min(
             (
-                max(0, self._spare_by_image[image]) / added
-                for image, added in added_by_image.items()
-                if added
+                max(0, self._spare_by_step[step]) / taken
+                for step, taken in taken_by_step.items()
+                if taken
             ),
             default=1,
         )
         share = min(1, share)
-        for image, added in added_by_image.items():
-            self._spare_by_image[image] -= added * share
+        for step, taken in taken_by_step.items():
+            self._spare_by_step[step] -= taken * share
         return int(share * FULL_PERCENT)
 
 
+def _least_headroom(load: Load, now_ms: int) -> float:
+    return min(load.forecast(now_ms + ahead_ms) for ahead_ms in AHEAD_MS)
+
+
 def _turn(pair: tuple[Run, Step]) -> float:
     # Those that are nearest their end first: they make room for the others.
     return -pair[0].percent
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -1,21 +1,21 @@
 """Choice of a backend server for each task that waits."""
 
 from collections.abc import Iterable
-from typing import NamedTuple
 
 from waxwingford.ports import Resources, fits_resources
 from waxwingford.scheduling import _gangs as gangs
-from waxwingford.scheduling._book import Book, runs_of
-from waxwingford.scheduling._harm import HarmModel, units_of
+from waxwingford.scheduling._admission import FillAdmission
+from waxwingford.scheduling._book import Book
+from waxwingford.scheduling._harm import HarmModel
 from waxwingford.scheduling._runners import RunKey
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._state import Job, Run, RunPhase, Step, Task
-from waxwingford.scheduling._turns import Waiting, waiting
+from waxwingford.scheduling._turns import Waiting, waiting, work_left
 from waxwingford.scheduling._waits import WaitNotes
 
 #: Costs of a server, in units of its whole cpu: it is away from the task's
 #: data; the task failed there before; it is blamed for a failure; a fill
-#: is by four cores more than its tails bear; one more image
+#: goes beyond what its tails bear by all that it needs; one more image
 #: serves there, so that more fills harm some tail there than on two servers
 #: with an image each.
 AWAY_COST = 0.5
@@ -23,11 +23,6 @@
 BLAME_COST = 0.5
 HARM_COST = 3.0
 OTHER_IMAGE_COST = 1.0
-#: Share of its target that is safe for a tail.
-SAFE_SHARE = 0.55
-#: A fill that would harm everywhere waits, in ms, unless its job has nothing
-#: running for so long: then it starts, and is paced.
-HOLD_MS = 1500
 #: Share of its cpu that a task is taken to use; fills get the rest.
 USE_SHARE = 0.6
 #: Weight of the cpu that fills ask for in the choice for other tasks.
@@ -40,11 +35,6 @@
 MOST_UNANSWERED = 12
 
 
-class _Spare(NamedTuple):
-    changes: int
-    units: float
-
-
 class Placer:
     """Places waiting tasks of a book on its servers."""
 
@@ -55,8 +45,7 @@
         :param model: of what harms what.
         """
         self._book = book
-        self._model = model
-        self._spare_by_pair: dict[tuple[str, str], _Spare] = {}
+        self._admission = FillAdmission(model)
         self._fills_ms = 0
         self._waits = WaitNotes(book.notes)
 
@@ -81,7 +70,7 @@
         :param now_ms: steady time.
         """
         usable = self._usable(now_ms)
-        self._spare_by_pair.clear()
+        self._admission.update(usable)
         unplaced: list[Waiting] = []
         full_steps: set[str] = set()
         for turn in self._turns(now_ms):
@@ -101,7 +90,8 @@
         :returns: servers with room for it, where a fill harms nobody.
         """
         queue = self._book.queue_of(step.job)
-        turn = waiting(task, step, queue, now_ms)
+        steps = step.job.steps_by_occurrence[step.occurrence]
+        turn = waiting(task, step, queue, work_left(steps), now_ms)
         return self._fitting(turn, self._usable(now_ms), now_ms)
 
     def _usable(self, now_ms: int) -> list[Server]:
@@ -121,7 +111,8 @@
         if not fitting:
             return False
         server = min(
-            fitting, key=lambda one: self._cost(turn.task, turn.step, one)
+            fitting,
+            key=lambda one: self._cost(turn.task, turn.step, one, now_ms),
         )
         self.plan(turn.task, turn.step, server, now_ms)
         return True
@@ -185,6 +176,7 @@
         return sorted(turns, key=_order)
 
     def _waiting(self, now_ms: int) -> Iterable[Waiting]:
+        left_by_repetition: dict[tuple[str, int], int] = {}
         for task in list(self._book.ready_by_key.values()):
             job = self._book.job_by_id.get(task.key.job_id)
             if job is None or job.ended is not None:
@@ -192,7 +184,11 @@
             elif task.waits_until_ms <= now_ms:
                 steps = job.steps_by_occurrence[task.key.occurrence]
                 queue = self._book.queue_of(job)
-                yield waiting(task, steps[task.key.step], queue, now_ms)
+                name = task.key.job_id, task.key.occurrence
+                if name not in left_by_repetition:
+                    left_by_repetition[name] = work_left(steps)
+                left = left_by_repetition[name]
+                yield waiting(task, steps[task.key.step], queue, left, now_ms)
 
     def _turn(self, step: Step, steps: list[Step]) -> bool:
         return not any(
@@ -219,15 +215,15 @@
             and counts.get(server.entry.server_id, 0) < most
             and _fits(step, server)
         ]
-        if step.spec.fills and not _starved(step.job, now_ms):
-            fitting = [
-                server for server in fitting if not self._harm(step, server)
-            ]
+        if step.spec.fills:
+            fitting = self._admission.bearing(step, fitting, now_ms)
         if turn.queue.advised and fitting:
             return self._book.advice.allowed(step, fitting, now_ms)
         return fitting
 
-    def _cost(self, task: Task, step: Step, server: Server) -> float:
+    def _cost(
+        self, task: Task, step: Step, server: Server, now_ms: int
+    ) -> float:
         spec = step.spec
         cost = _crowding(step, server)
         if spec.near_rack and spec.near_rack != server.entry.rack:
@@ -236,26 +232,11 @@
             cost += AVOIDED_COST
         cost += BLAME_COST * server.blame
         if spec.fills:
-            cost += HARM_COST * self._harm(step, server)
+            cost += HARM_COST * self._admission.excess(step, server, now_ms)
         elif spec.target_ms:
             cost += OTHER_IMAGE_COST * _count_other_images(spec.image, server)
         return cost
 
-    def _harm(self, fill: Step, server: Server) -> float:
-        """Predict how much more of a fill there would be than a server bears.
-
-        :param fill: step of the fill.
-        :param server: where it would run.
-        :returns: units of four cores beyond what is safe.
-        """
-        key = (server.entry.server_id, fill.spec.image)
-        kept = self._spare_by_pair.get(key)
-        if kept is None or kept.changes != server.changes:
-            spare = self._model.spare_units(server, fill, SAFE_SHARE)
-            kept = _Spare(server.changes, spare)
-            self._spare_by_pair[key] = kept
-        return max(0, units_of(fill.spec.needs) - kept.units)
-
 
 def _due(job: Job, wall_ms: int) -> int:
     """Count the repetitions of a job that are due.
@@ -273,10 +254,6 @@
     return min(spec.times, past + 1)
 
 
-def _starved(job: Job, now_ms: int) -> bool:
-    return not runs_of(job) and now_ms - job.idle_ms >= HOLD_MS
-
-
 def _order(turn: Waiting) -> tuple[int, ...]:
     return turn.order
 
--- a/waxwingford/scheduling/_rows.py
+++ b/waxwingford/scheduling/_rows.py
@@ -21,8 +21,11 @@
 
 #: Prefix of keys that hold the end of a job; steps begin with the job's id.
 ENDED_PREFIX = 'ended/'
-#: Key that holds what is known of fills that harm.
-HARM_KEY = 'harm'
+#: Key that holds the learned effects of fills, and the one under which daemons
+#: of an older version keep them in another unit: read as effects, those figures
+#: would pass for harmless pairs until each has done its harm.
+HARM_KEY = 'effects'
+FORMER_HARM_KEY = 'harm'
 
 
 class _TaskRow(msgspec.Struct, array_like=True, omit_defaults=True):
@@ -129,6 +132,8 @@
                 now_ms,
                 checkpoint=row.checkpoint,
                 moved_ms=now_ms,
+                pace=None,
+                adopted=True,
             )
             for number, server_id in row.runs
         }
--- a/waxwingford/scheduling/_state.py
+++ b/waxwingford/scheduling/_state.py
@@ -45,12 +45,14 @@
     :ivar percent: progress that the server listed.
     :ivar moved_ms: when progress last changed.
     :ivar figure: tail or cpu that the server listed.
-    :ivar pace: percent that it may work at.
+    :ivar pace: percent that it may work at, ``None`` if that isn't known: an
+        order had no answer, or a former owner gave them.
     :ivar paced_ms: when that last changed.
     :ivar over_ms: since when its tail is over its target, 0 if it isn't.
     :ivar stopping: whether a stop is wanted.
     :ivar stop_sent_ms: when a stop was last sent, 0 for never.
     :ivar stop_taken_ms: when a stop was answered, 0 for never.
+    :ivar adopted: whether a former owner started it.
     """
 
     key: RunKey
@@ -62,12 +64,13 @@
     percent: float = 0
     moved_ms: int = 0
     figure: float = 0
-    pace: int = 100
+    pace: int | None = 100
     paced_ms: int = 0
     over_ms: int = 0
     stopping: bool = False
     stop_sent_ms: int = 0
     stop_taken_ms: int = 0
+    adopted: bool = False
 
     def enter(self, phase: RunPhase, now_ms: int) -> None:
         """Change the phase.
--- a/waxwingford/scheduling/_turns.py
+++ b/waxwingford/scheduling/_turns.py
@@ -25,7 +25,21 @@
     queue: QueueTerms
 
 
-def waiting(task: Task, step: Step, queue: QueueTerms, now_ms: int) -> Waiting:
+def work_left(steps: list[Step]) -> int:
+    """Estimate what is left of one repetition of a job.
+
+    :param steps: of the repetition.
+    :returns: thousandths of a core times milliseconds.
+    """
+    return sum(
+        step.left * step.spec.estimate_ms * step.spec.needs.processors_milli
+        for step in steps
+    )
+
+
+def waiting(
+    task: Task, step: Step, queue: QueueTerms, left: int, now_ms: int
+) -> Waiting:
     """Work out the turn of a task.
 
     Of the fills, those of jobs that can still be in time come first, and the
@@ -35,15 +49,17 @@
     :param task: the task.
     :param step: its step.
     :param queue: terms of its queue.
+    :param left: work that is left of its repetition.
     :param now_ms: steady time.
     :returns: the task with its turn.
     """
     job = step.job
+    lasts = step.spec.lasting
     order = (
         queue.priority,
-        int(step.spec.fills),
-        _lateness(job, queue, now_ms) if step.spec.fills else 0,
-        job.work if step.spec.fills else job.known_ms,
+        2 if step.spec.fills else int(lasts),
+        0 if lasts else _lateness(job, queue, now_ms),
+        job.known_ms if lasts else left,
         task.key.index,
     )
     return Waiting(order, task, step, queue)
--- a/waxwingford/shard/_drivers.py
+++ b/waxwingford/shard/_drivers.py
@@ -22,7 +22,7 @@
 LOOKS_A_LEASE = 4
 #: The same where fills run beside tasks that serve, in ms: the tails listed
 #: cover half a second.
-WATCHED_WAIT_MS = 500
+WATCHED_WAIT_MS = 250
 #: The same while the outcome of an order is open, in ms.
 DOUBT_WAIT_MS = 60
 #: Pause between two looks, in ms: ends that come close together are listed
@@ -127,9 +127,7 @@
                 self._stir()
                 return
             outcome = await self._runners.start(self.server.address, order)
-        self._engine.settler.start_answered(
-            self.server, run, steady_ms(), outcome
-        )
+        self._engine.start_answered(self.server, run, steady_ms(), outcome)
         self._stir()
 
     async def _stop(self, key: RunKey) -> None:
