Tell which servers an owner waits for, and which lasting tasks wait, with what went ahead

Cause: in the incident nothing told that a successor was waiting out the leases of a server that had left, nor for how long; of steps that wait only the first six in the order of turns were named, and those that last come late in it. Change: server.awaited after a second of silence, with what is left of the leases; step.waits for the six lasting steps that have waited longest besides the first six others, with the emptiest server's room and what was placed meanwhile. No decision changes.

--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -169,6 +169,7 @@
         task.run_by_number[key.run] = run
         self._book.ready_by_key.pop(task.key, None)
         self._book.plan(run, step)
+        self._waits.placed(step)
         self._book.notes.add(
             'run.planned',
             task.key,
--- a/waxwingford/scheduling/_servers.py
+++ b/waxwingford/scheduling/_servers.py
@@ -58,6 +58,7 @@
     :ivar barred_until_ms: no starts before, steady time.
     :ivar blame: recent runs that failed or stood still, decaying.
     :ivar changes: counts runs that came or left.
+    :ivar awaited: whether it was noted that its leases are waited out.
     """
 
     entry: ServerEntry
@@ -79,6 +80,7 @@
     barred_until_ms: int = 0
     blame: float = 0
     changes: int = 0
+    awaited: bool = False
 
     @property
     def address(self) -> Address:
@@ -150,15 +152,24 @@
         :param now_ms: steady time.
         :returns: whether nothing that was started there can still run.
         """
+        return self.lease_left_ms(now_ms) <= 0
+
+    def lease_left_ms(self, now_ms: int) -> float:
+        """Bound how long something that was started there may still run.
+
+        :param now_ms: steady time.
+        :returns: milliseconds if nothing extends its lease, 0 or less when
+            every lease is surely over.
+        """
         if self.gone:
-            return True
-        if now_ms < self.inherited_until_ms:
-            return False
+            return 0
+        inherited_ms = max(0, self.inherited_until_ms - now_ms)
         if self.clock_ahead_ms is None:
-            return True
+            return inherited_ms
         passed_ms = (now_ms - self.clock_read_ms) * (1 - CLOCK_DRIFT)
         clock_ms = self.clock_read_ms + self.clock_ahead_ms + passed_ms
-        return clock_ms > self.lease_until_ms
+        left_ms = (self.lease_until_ms + 1 - clock_ms) / (1 - CLOCK_DRIFT)
+        return max(inherited_ms, left_ms)
 
     def _count(self, step: Step, sign: int) -> None:
         self.changes += 1
--- a/waxwingford/scheduling/_settle.py
+++ b/waxwingford/scheduling/_settle.py
@@ -9,6 +9,7 @@
 
 from waxwingford.scheduling import _gangs as gangs
 from waxwingford.scheduling._book import Book
+from waxwingford.scheduling._notes import NoteBook
 from waxwingford.scheduling._runners import (
     Denial,
     EndKind,
@@ -41,6 +42,9 @@
 BLAMED_BAR_MS = 4000
 #: A run that ended well takes this share of the blame away.
 PRAISE_FACTOR = 0.6
+#: Silence after which it is noted that the leases of a server are waited out,
+#: in ms: a connection that was reset is there again within 200 ms.
+NOTE_AWAITED_MS = 1000
 
 
 class Settler:
@@ -149,6 +153,7 @@
         :param now_ms: steady time.
         """
         if not server.lapsed(now_ms):
+            _note_awaited(self._book.notes, server, now_ms)
             return
         if server.run_by_key:
             self._book.notes.add(
@@ -171,6 +176,7 @@
                 silent_ms=now_ms - server.failing_ms,
             )
         server.failing_ms = None
+        server.awaited = False
         for end in looked.ended:
             self._ended(server, end, now_ms)
         listed = {report.run for report in looked.running}
@@ -358,3 +364,29 @@
     if server.blame >= BLAME_THRESHOLD:
         server.barred_until_ms = now_ms + BLAMED_BAR_MS
         server.blame = BLAME_THRESHOLD / 2
+
+
+def _note_awaited(notes: NoteBook, server: Server, now_ms: int) -> None:
+    """Note once that the tasks of a server wait for its leases to end.
+
+    They stand still for seconds, and no other line tells why.
+
+    :param notes: of the shard.
+    :param server: that doesn't answer.
+    :param now_ms: steady time.
+    """
+    since_ms = server.failing_ms
+    silent_ms = NOTE_AWAITED_MS if since_ms is None else now_ms - since_ms
+    if server.awaited or not server.run_by_key or silent_ms < NOTE_AWAITED_MS:
+        return
+    server.awaited = True
+    runs = server.run_by_key.values()
+    notes.add(
+        'server.awaited',
+        server.entry.server_id,
+        runs=len(runs),
+        inherited=sum(run.phase is RunPhase.inherited for run in runs),
+        registered=server.listed,
+        draining=server.entry.draining,
+        left_ms=int(server.lease_left_ms(now_ms)),
+    )
--- a/waxwingford/scheduling/_waits.py
+++ b/waxwingford/scheduling/_waits.py
@@ -11,13 +11,15 @@
 from waxwingford.ports import fits_resources
 from waxwingford.scheduling._notes import NoteBook
 from waxwingford.scheduling._servers import Server
+from waxwingford.scheduling._state import Step
 from waxwingford.scheduling._turns import Waiting
 
 #: A step that waits this long is noted, and all again after as long, in ms:
 #: placing takes some tens of ms where there is room.
 NOTE_EVERY_MS = 1000
-#: Most steps noted at a time; of the others only the count: when there is more
-#: work than room, all wait for the same reasons.
+#: Most steps noted at a time, of those that last and of the others; of the rest
+#: only the count: when there is more work than room, all wait for the same
+#: reasons.
 MOST_NOTED = 6
 
 
@@ -31,12 +33,27 @@
         """
         self._notes = notes
         self._noted_ms = 0
+        self._placed_by_kind: collections.Counter[str] = collections.Counter()
+
+    def placed(self, step: Step) -> None:
+        """Count a task that found a server.
+
+        Where tasks wait although servers have become free, this tells what
+        went there instead.
+
+        :param step: of the task.
+        """
+        self._placed_by_kind[_kind(step)] += 1
 
     def update(
         self, unplaced: Iterable[Waiting], usable: list[Server], now_ms: int
     ) -> None:
         """Note the steps that have waited long enough, some of them.
 
+        Those that last are noted first, by how long they have waited: they are
+        owed a server however much else waits, and come late in the order of
+        turns.
+
         :param unplaced: tasks that found no server in this round.
         :param usable: servers that take starts.
         :param now_ms: steady time.
@@ -48,18 +65,57 @@
         for turn in unplaced:
             if now_ms - turn.task.waiting_ms >= NOTE_EVERY_MS:
                 first_by_step.setdefault(turn.step.name, turn)
-        for name, turn in itertools.islice(first_by_step.items(), MOST_NOTED):
+        turns = first_by_step.values()
+        lasting = sorted(filter(_lasts, turns), key=_longest_first)
+        others = itertools.filterfalse(_lasts, turns)
+        placed = dict(self._placed_by_kind)
+        self._placed_by_kind.clear()
+        for turn in (
+            *lasting[:MOST_NOTED],
+            *itertools.islice(others, MOST_NOTED),
+        ):
             self._notes.add(
                 'step.waits',
-                name,
+                turn.step.name,
                 waited_ms=now_ms - turn.task.waiting_ms,
+                kind=_kind(turn.step),
                 gang=turn.step.spec.gang,
+                runs_before=turn.task.last_run,
                 usable_servers=len(usable),
                 kept_out=_count_reasons(turn, usable),
+                most_room=_most_room(usable),
+                placed_meanwhile=placed,
                 steps_that_wait=len(first_by_step),
             )
 
 
+def _kind(step: Step) -> str:
+    if step.spec.fills:
+        return 'fill'
+    return 'lasting' if step.spec.lasting else 'short'
+
+
+def _lasts(turn: Waiting) -> bool:
+    return turn.step.spec.lasting
+
+
+def _longest_first(turn: Waiting) -> int:
+    return turn.task.waiting_ms
+
+
+def _most_room(usable: list[Server]) -> tuple[int, int]:
+    """Find the server with most processors free.
+
+    :param usable: servers that take starts.
+    :returns: thousandths of a core and MB that it has free.
+    """
+    rooms = (server.room for server in usable)
+    return max(
+        ((room.processors_milli, room.memory_mb) for room in rooms),
+        default=(0, 0),
+    )
+
+
 def _count_reasons(turn: Waiting, usable: list[Server]) -> dict[str, int]:
     return dict(collections.Counter(_reason(turn, server) for server in usable))
 
