Bound the leases of former owners by their heartbeats, and name silent servers in them

Cause: a successor waited 8.9 s from its own claim for each server that it couldn't reach. Each claim began the wait anew, also claims that nobody acted on, and servers that a former owner had not reached for seconds were waited for like all others. Ruled out: proof by a refused connection or by the list of servers (a cut looks the same, and the server runs on); a shorter lease (runs would lapse in outages of the store that they outlast now). Change: leases are extended and tasks started only within 2.6 s of a heartbeat that is stored; heartbeats name silent servers with what is left of their leases, and those are not extended until a heartbeat without them is stored. A successor acts once its own first heartbeat is stored, and counts from the newest that it has read before. Starts no longer go out without a proof, or to silent servers; a lease allows for the age of the reading of its server's clock. New scenarios of tasks that would run twice fail when one protection is taken away: the silent server that answers again, the former owner that goes on, starts that wait behind slow orders, a clock that was read long ago.

--- a/waxwingford/scheduling/__init__.py
+++ b/waxwingford/scheduling/__init__.py
@@ -1,6 +1,7 @@
 """Pure scheduling of a shard: jobs, runs, backend servers, decisions."""
 
 from waxwingford.scheduling._engine import Engine
+from waxwingford.scheduling._inheritance import InheritedLeases
 from waxwingford.scheduling._notes import Note
 from waxwingford.scheduling._orders import Batch, Order, Pace, Start, Stop
 from waxwingford.scheduling._rows import (
@@ -40,6 +41,7 @@
     'EndKind',
     'EndReport',
     'Engine',
+    'InheritedLeases',
     'JobPhase',
     'JobSpec',
     'LookOrder',
--- a/waxwingford/scheduling/_book.py
+++ b/waxwingford/scheduling/_book.py
@@ -41,6 +41,7 @@
     :ivar harm_row: what is known of harm, to be stored with the next batch.
     :ivar notes: decisions for the logs.
     :ivar advice: tickets for steps of advised queues.
+    :ivar withheld: servers whose leases are not extended now.
     """
 
     def __init__(self) -> None:
@@ -52,6 +53,7 @@
         self.ready_by_key: dict[object, Task] = {}
         self.orders: list[Order] = []
         self.advice = AdviceBook()
+        self.withheld: set[str] = set()
         self.notes = NoteBook()
         self._dirty_by_name: dict[str, Step] = {}
         self._ended: list[tuple[Job, JobPhase]] = []
--- a/waxwingford/scheduling/_engine.py
+++ b/waxwingford/scheduling/_engine.py
@@ -11,7 +11,7 @@
 from waxwingford.ports import Resources
 from waxwingford.scheduling._book import Book
 from waxwingford.scheduling._harm import HarmModel
-from waxwingford.scheduling._inheritance import Inheritance
+from waxwingford.scheduling._inheritance import Inheritance, InheritedLeases
 from waxwingford.scheduling._moving import Mover
 from waxwingford.scheduling._order_making import OrderMaker
 from waxwingford.scheduling._orders import Batch, Start
@@ -32,6 +32,7 @@
 from waxwingford.scheduling._specs import JobSpec, Terms
 from waxwingford.scheduling._state import Job, JobPhase, Run, RunPhase, Step
 from waxwingford.scheduling._stops import Stopper
+from waxwingford.scheduling._withholding import Withholding
 
 #: A run whose progress stands still this long is given up, in ms. Progress is
 #: listed in percent, and the shortest tasks take some hundred ms.
@@ -60,24 +61,25 @@
     :ivar settler: takes the answers to starts and stops.
     :ivar inheritance: what the rows of a former owner say.
     :ivar pacer: chooses the pace of fills.
+    :ivar withholding: chooses servers whose leases are not extended.
     """
 
     def __init__(
-        self, token: int, lease_ms: int, inherited_until_ms: int
+        self, token: int, lease_ms: int, inherited: InheritedLeases
     ) -> None:
         """Start empty.
 
         :param token: fencing token of this owner.
         :param lease_ms: length of the leases given to servers.
-        :param inherited_until_ms: steady time at which every lease that a
-            former owner gave is over.
+        :param inherited: bounds of the leases that former owners gave.
         """
         self.book = Book()
         self.orders = OrderMaker(self.book, token, lease_ms)
         self.inheritance = Inheritance(self.book)
-        self._inherited_until_ms = inherited_until_ms
+        self._inherited = inherited
         self.settler = Settler(self.book)
         self._stopper = Stopper(self.book)
+        self.withholding = Withholding(self.book)
         self._harm = HarmModel()
         self._placer = Placer(self.book, self._harm)
         self.pacer = Pacer(self.book, self._harm)
@@ -242,7 +244,7 @@
         server = Server(entry)
         self.book.server_by_id[entry.server_id] = server
         if entry.server_id in self.inheritance.orphans_by_server:
-            server.inherited_until_ms = self._inherited_until_ms
+            server.inherited_until_ms = self._inherited.until(entry.server_id)
             self.inheritance.adopt(server)
 
     def _add_unlisted(self, server_id: str, now_ms: int) -> None:
--- a/waxwingford/scheduling/_inheritance.py
+++ b/waxwingford/scheduling/_inheritance.py
@@ -1,6 +1,7 @@
 """What a new owner takes over from the rows of its predecessor."""
 
 import collections
+from typing import NamedTuple
 
 from waxwingford.scheduling._book import Book, steps_of
 from waxwingford.scheduling._rows import (
@@ -13,6 +14,26 @@
 from waxwingford.scheduling._state import Job, JobPhase, Run, Step
 
 
+class InheritedLeases(NamedTuple):
+    """When the leases that former owners gave are over, steady time.
+
+    :ivar until_ms: on servers that are not named.
+    :ivar until_by_server: on servers that were silent for the former owner.
+    """
+
+    until_ms: int
+    until_by_server: dict[str, int]
+
+    def until(self, server_id: str) -> int:
+        """Find the bound for a server.
+
+        :param server_id: which.
+        :returns: steady time at which nothing of former owners runs there.
+        """
+        bound_ms = self.until_by_server.get(server_id, self.until_ms)
+        return min(self.until_ms, bound_ms)
+
+
 class Inheritance:
     """Rows of the store on their way into a book.
 
--- a/waxwingford/scheduling/_order_making.py
+++ b/waxwingford/scheduling/_order_making.py
@@ -41,7 +41,8 @@
         answers = (
             server.clock_ahead_ms is not None and server.failing_ms is None
         )
-        if extend and answers and server.run_by_key:
+        withheld = server.entry.server_id in self._book.withheld
+        if extend and answers and server.run_by_key and not withheld:
             lease_until_ms = server.lease_for(now_ms, self.lease_ms)
         return LookOrder(self.token, server.seen_end, lease_until_ms, wait_ms)
 
@@ -58,6 +59,14 @@
             return None
         if run.key not in server.run_by_key or server.gone:
             return None
+        if (
+            server.failing_ms is not None
+            or run.server_id in self._book.withheld
+        ):
+            # The lease of a silent server would grow with each start that waits
+            # its turn, and its tasks stand still until the lease is over.
+            run.stopping = True
+            return None
         run.enter(RunPhase.sent, now_ms)
         step = server.step_by_run[run.key]
         ticket = self._book.advice.ticket(step, run.server_id, now_ms)
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -112,8 +112,9 @@
     def _usable(self, now_ms: int) -> list[Server]:
         return [
             server
-            for server in self._book.server_by_id.values()
+            for server_id, server in self._book.server_by_id.items()
             if _takes_starts(server, now_ms)
+            and server_id not in self._book.withheld
         ]
 
     def _seat(self, turn: Waiting, usable: list[Server], now_ms: int) -> bool:
--- a/waxwingford/scheduling/_servers.py
+++ b/waxwingford/scheduling/_servers.py
@@ -1,6 +1,7 @@
 """What an owner knows of each backend server."""
 
 import dataclasses
+import math
 from typing import NamedTuple
 
 from waxwingford.ports import Resources
@@ -133,12 +134,17 @@
     def lease_for(self, now_ms: int, length_ms: int) -> int:
         """Work out the end of a lease and remember the longest.
 
+        The server's clock may have fallen behind since it was read: on a server
+        that was idle for minutes the lease would be seconds longer than a
+        successor waits for, and a task would run twice.
+
         :param now_ms: steady time.
-        :param length_ms: of the lease.
+        :param length_ms: of the lease at most.
         :returns: its end on the server's clock.
         """
         ahead_ms = self.clock_ahead_ms or 0
-        until_ms = now_ms + ahead_ms + length_ms
+        behind_ms = math.ceil((now_ms - self.clock_read_ms) * CLOCK_DRIFT)
+        until_ms = now_ms + ahead_ms - behind_ms + length_ms
         self.lease_until_ms = max(self.lease_until_ms, until_ms)
         return until_ms
 
--- a/waxwingford/scheduling/tests/engine.feature
+++ b/waxwingford/scheduling/tests/engine.feature
@@ -184,6 +184,16 @@
     And a second job of 2 tasks of 1 core is submitted
     Then 1 task of the second job is planned
 
+  Scenario: the first lease on a server that was idle for long
+    # Symptom: a task runs in two places at once.
+    # Sequence: a server whose clock is slow is idle, a task starts there, and the
+    # owner and the way to the server are lost.
+    # Cause: a lease by a clock that was read long ago is longer than a successor
+    # waits for.
+    Given an engine with 1 servers of 8 cores
+    When a job of 1 task is submitted after 25 s without a look
+    Then its lease is over after 5 s at most, by a clock that is 2 percent slow
+
   Scenario: a change of pace that had no answer is ordered again
     # Symptom: a fill harms a serving task for seconds, and is listed as slowed.
     # Sequence: the order that slows it is lost.
--- a/waxwingford/scheduling/tests/engine_steps.py
+++ b/waxwingford/scheduling/tests/engine_steps.py
@@ -10,6 +10,7 @@
     EndKind,
     EndReport,
     Engine,
+    InheritedLeases,
     JobSpec,
     Looked,
     OrderDenied,
@@ -37,7 +38,7 @@
 
     def __init__(self, count, cores):
         self.now_ms = 100_000
-        self.engine = Engine(7, 5000, 0)
+        self.engine = Engine(7, 5000, InheritedLeases(0, {}))
         self.engine.configure(Terms(1, {'queue': QUEUE}))
         self.entries = []
         self.planned = []
@@ -324,6 +325,26 @@
     context.bench.submit(step())
 
 
+@when('a job of 1 task is submitted after {span_s:d} s without a look')
+def submit_after(context, span_s):
+    context.read_ms = context.bench.now_ms
+    context.bench.now_ms += span_s * 1000
+    context.bench.submit(step())
+
+
+@then(
+    'its lease is over after {span_s:d} s at most,'
+    ' by a clock that is {percent:d} percent slow'
+)
+def lease_over(context, span_s, percent):
+    bench = context.bench
+    passed_ms = bench.now_ms - context.read_ms
+    clock_ms = context.read_ms + passed_ms * (100 - percent) / 100
+    lease_ms = bench.last_order.lease_until_ms - clock_ms
+    assert 0 < lease_ms, lease_ms
+    assert lease_ms <= span_s * 1000, lease_ms
+
+
 @when('the server of the task drains')
 def drain(context):
     context.bench.drain(context.run.server_id)
--- a/waxwingford/scheduling/tests/interfering_servers.py
+++ b/waxwingford/scheduling/tests/interfering_servers.py
@@ -15,6 +15,7 @@
     EndKind,
     EndReport,
     Engine,
+    InheritedLeases,
     JobSpec,
     Looked,
     OrderTaken,
@@ -98,7 +99,7 @@
         self.rows = {}
 
     def new_owner(self, token):
-        self.engine = Engine(token, 5000, self.now_ms)
+        self.engine = Engine(token, 5000, InheritedLeases(self.now_ms, {}))
         queues = {queue.name: queue for queue in (QUEUE, URGENT)}
         self.engine.configure(Terms(1, queues))
 
--- a/waxwingford/shard/_beats.py
+++ b/waxwingford/shard/_beats.py
@@ -13,7 +13,8 @@
     OwnerRecord,
     encode_owner,
 )
-from waxwingford.shard._log_port import KeyedRecord, SharedLog
+from waxwingford.shard._lease_bounds import PROOF_MS, LeaseLedger
+from waxwingford.shard._log_port import Appended, KeyedRecord, SharedLog
 
 OWNERS_TOPIC = 'owners'
 #: Time between two heartbeats, in seconds.
@@ -21,53 +22,54 @@
 #: Longest wait for a resignation to be stored, in seconds: two appends of a
 #: slow store, and well within the time that a planned stop may take.
 RESIGN_WAIT_S = 1.5
-#: Leases are extended while the newest proof of ownership is no older, in ms.
-#: With the lease it is longer than most outages of the store; but a successor
-#: waits both out for servers that it can't reach, and a lasting task that was on
-#: one of them must be at work again within 10 s of the end of the fault.
-PROOF_MS = 2600
 
 _log = logbook.Logger('shard')
 
 
 class Beats:
-    """Sends the heartbeats of one epoch.
-
-    :ivar since_boot_ms: clock that counts suspension too.
-    """
+    """Sends the heartbeats of one epoch."""
 
     def __init__(
         self,
         log: SharedLog,
         record: OwnerRecord,
         since_boot_ms: Callable[[], int],
+        ledger: LeaseLedger,
     ) -> None:
         """Send none yet.
 
         :param log: the store.
         :param record: the owner.
         :param since_boot_ms: clock that counts suspension too.
+        :param ledger: of leases that are and that are not extended.
         """
-        self.since_boot_ms = since_boot_ms
+        self._since_boot_ms = since_boot_ms
+        self._ledger = ledger
         self._writer = EpochWriter(log, OWNERS_TOPIC, record.epoch)
         self._record = record
-        self._proof_ms = 0
+        self._proof_ms: int | None = None
+        self._proved = asyncio.Event()
         self._beat = 0
 
     @property
     def proven(self) -> bool:
-        """Tell whether nobody else can have been the owner for long.
-
-        :returns: whether the newest proof is recent.
-        """
-        return self.since_boot_ms() - self._proof_ms <= PROOF_MS
+        """Tell whether leases may be extended.
 
-    def prove(self, sent_ms: int) -> None:
-        """Note that the store has acknowledged an append of this epoch.
+        Only heartbeats are proofs: a successor follows them, and knows by the
+        newest one how long the leases of this owner may last. Of appends to the
+        journal it would have to assume one just before its claim.
 
-        :param sent_ms: when it was sent, by the clock that counts suspension.
+        :returns: whether the newest heartbeat that is stored is recent.
         """
-        self._proof_ms = max(self._proof_ms, sent_ms)
+        if self._proof_ms is None:
+            return False
+        return self._since_boot_ms() - self._proof_ms <= PROOF_MS
+
+    async def until_proven(self) -> None:
+        """Wait until leases may be extended."""
+        while not self.proven:
+            self._proved.clear()
+            await self._proved.wait()
 
     async def keep(self) -> None:
         """Send heartbeats until another owner has sent some."""
@@ -89,11 +91,16 @@
             _log.warning('resignation not stored', extra=about)
 
     async def _send(self, record: OwnerRecord) -> bool:
-        sent_ms = self.since_boot_ms()
+        sent_ms = self._since_boot_ms()
         self._beat += 1
-        record = msgspec.structs.replace(record, beat=self._beat)
+        silent = self._ledger.withhold()
+        record = msgspec.structs.replace(record, beat=self._beat, silent=silent)
         row = KeyedRecord(OWNER_KEY, encode_owner(record))
-        if isinstance(await self._writer.append((row,)), Deposed):
-            return False
-        self.prove(sent_ms)
+        match await self._writer.append((row,)):
+            case Deposed():
+                return False
+            case Appended(end):
+                self._ledger.stored(silent, end)
+                self._proof_ms = sent_ms
+                self._proved.set()
         return True
--- a/waxwingford/shard/_commits.py
+++ b/waxwingford/shard/_commits.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable, Iterator
 
 from waxwingford.scheduling import Engine
-from waxwingford.shard._beats import Beats
 from waxwingford.shard._fleet import Fleet
 from waxwingford.shard._journal import Deposed, EpochWriter
 from waxwingford.shard._log_port import KeyedRecord
@@ -17,19 +16,17 @@
     """One append at a time; what comes meanwhile goes into the next."""
 
     def __init__(
-        self, engine: Engine, writer: EpochWriter, fleet: Fleet, beats: Beats
+        self, engine: Engine, writer: EpochWriter, fleet: Fleet
     ) -> None:
         """Prepare.
 
         :param engine: decides.
         :param writer: of the journal, under the owner's epoch.
         :param fleet: acts.
-        :param beats: takes each acknowledgement as a proof of ownership.
         """
         self._engine = engine
         self._writer = writer
         self._fleet = fleet
-        self._beats = beats
         self._wanted = asyncio.Event()
 
     def wake(self) -> None:
@@ -51,10 +48,8 @@
                 for key, raw in batch.payload_by_key.items()
             )
             for part in _parts(rows):
-                sent_ms = self._beats.since_boot_ms()
                 if isinstance(await self._writer.append(part), Deposed):
                     return
-                self._beats.prove(sent_ms)
             self._fleet.act_on(batch, self._engine.stored(batch))
             stir()
 
--- a/waxwingford/shard/_drivers.py
+++ b/waxwingford/shard/_drivers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 
 from waxwingford.scheduling import (
     Engine,
@@ -35,6 +35,10 @@
 #: ones only, so it is longer where nothing but fills and lasting tasks runs.
 LOOK_GAP_MS = 25
 CALM_GAP_MS = 120
+#: Longest time without a look at an idle server, in seconds: its clock is read
+#: with each, and the first lease after it is shorter by what the clock may have
+#: fallen behind meanwhile, 1.2 s of 5 s.
+IDLE_LOOK_S = 30
 #: Pause after a look that failed, in ms.
 FAILED_GAP_MS = 150
 #: Longest wait for ends to be stored before the next look, in seconds.
@@ -49,12 +53,14 @@
 
     :ivar runners: way to the servers.
     :ivar extends: tells whether leases may be extended.
+    :ivar until_extends: waits until they may be.
     :ivar stir: called after each answer.
     :ivar watch: called with each task that has ended.
     """
 
     runners: TaskRunners
     extends: Callable[[], bool]
+    until_extends: Callable[[], Awaitable[None]]
     stir: Callable[[], None]
     watch: Callable[[asyncio.Task[None]], None]
 
@@ -78,6 +84,7 @@
         self._engine = engine
         self._runners = ports.runners
         self._extends = ports.extends
+        self._until_extends = ports.until_extends
         self._stir = ports.stir
         self._wanted = asyncio.Event()
         self._orders = asyncio.Semaphore(MOST_ORDERS)
@@ -127,6 +134,10 @@
 
     async def _start(self, run: Run) -> None:
         async with self._orders:
+            # Orders before it may have taken seconds. A start carries a lease,
+            # and one without a proof of ownership would outlast what a successor
+            # waits for: the task would run twice.
+            await self._until_extends()
             order = self._engine.orders.start(run, steady_ms())
             if order is None:
                 self._stir()
@@ -170,8 +181,7 @@
         server = self.server
         if server.looked_ms >= 0 and server.failing_ms is None:
             if not server.run_by_key and not server.strangers:
-                self._wanted.clear()
-                await self._wanted.wait()
+                await self._until_wanted(IDLE_LOOK_S)
 
     def _wait_ms(self) -> int:
         server = self.server
@@ -201,12 +211,22 @@
             left_s = until_s - asyncio.get_running_loop().time()
             if left_s <= 0:
                 break
-            self._wanted.clear()
-            try:
-                await asyncio.wait_for(self._wanted.wait(), left_s)
-            except TimeoutError:
+            if not await self._until_wanted(left_s):
                 break
 
+    async def _until_wanted(self, longest_s: float) -> bool:
+        """Wait until a look is wanted.
+
+        :param longest_s: how long at most.
+        :returns: whether one is, in time.
+        """
+        self._wanted.clear()
+        try:
+            await asyncio.wait_for(self._wanted.wait(), longest_s)
+        except TimeoutError:
+            return False
+        return True
+
 
 def _watched_wait_ms(servers: int) -> int:
     apart_ms = servers * MS_IN_S // WATCHED_LOOKS_PER_S - CALM_GAP_MS
--- a/waxwingford/shard/_journal.py
+++ b/waxwingford/shard/_journal.py
@@ -44,6 +44,10 @@
     :ivar resigned: whether it has stopped and a successor may follow at once.
     :ivar failure_domain: where its daemon is.
     :ivar cut_off: whether it resigned as it can't reach most servers.
+    :ivar silent: servers that don't answer it, with how long something may still
+        run there, in ms; it doesn't extend their leases until a heartbeat is
+        stored that doesn't name them. ``None`` in heartbeats of daemons of an
+        older version, which don't say.
     """
 
     daemon_id: str
@@ -53,6 +57,7 @@
     resigned: bool = False
     failure_domain: str = ''
     cut_off: bool = False
+    silent: dict[str, int] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/waxwingford/shard/_member.py
+++ b/waxwingford/shard/_member.py
@@ -11,6 +11,7 @@
     ClaimOvertaken,
     OwnerRecord,
 )
+from waxwingford.shard._lease_bounds import Predecessor
 from waxwingford.shard._log_port import SharedLog
 from waxwingford.shard._observer import Observer
 from waxwingford.shard._owner import Owner
@@ -142,8 +143,7 @@
                 beat=former.beat,
                 silent_ms=watch.silent_ms,
             )
-        former_epoch = 0 if former is None else former.epoch
-        await self._claim(max(former_epoch, self._overtaken_epoch))
+        await self._claim(watch.predecessor)
 
     def _free_wait_ms(self) -> int:
         old = steady_ms() - self._began_ms > FRESH_MS
@@ -156,9 +156,11 @@
         jitter_ms = random.randint(0, FREE_JITTER_MS)
         return jitter_ms + OLD_WAIT_MS * old + CUT_OFF_WAIT_MS * near
 
-    async def _claim(self, former_epoch: int) -> None:
+    async def _claim(self, former: Predecessor) -> None:
+        beat_epoch = 0 if former.record is None else former.record.epoch
+        epoch = max(beat_epoch, self._overtaken_epoch)
         self.owner = self._make_owner(self.terms)
-        match await self.owner.claim(former_epoch):
+        match await self.owner.claim(former, epoch):
             case Claimed():
                 return
             case ClaimOvertaken(epoch):
--- a/waxwingford/shard/_owner.py
+++ b/waxwingford/shard/_owner.py
@@ -9,7 +9,7 @@
 from waxwingford.kernel import SystemClock
 from waxwingford.scheduling import Engine, TaskRunners, Terms, decode_spec
 from waxwingford.shard._advice_asker import AdviceAsker, Advisor
-from waxwingford.shard._beats import PROOF_MS, Beats
+from waxwingford.shard._beats import Beats
 from waxwingford.shard._commits import Committer
 from waxwingford.shard._drivers import DriverPorts
 from waxwingford.shard._fleet import Fleet, ServerDirectory
@@ -18,7 +18,6 @@
 from waxwingford.shard._journal import (
     JOURNAL_TOPIC,
     OWNER_KEY,
-    Claimed,
     ClaimFailed,
     ClaimOutcome,
     ClaimOvertaken,
@@ -27,6 +26,7 @@
     decode_owner,
     next_epoch,
 )
+from waxwingford.shard._lease_bounds import LeaseLedger, Predecessor
 from waxwingford.shard._log_port import SharedLog
 from waxwingford.shard._mirror import CaughtUp, Mirror
 from waxwingford.shard._observer import Observer
@@ -49,10 +49,6 @@
 #: An owner stays so long at least, in ms: where nobody reaches most servers,
 #: the shard would change hands all the time.
 STAY_MS = 3000
-#: Share by which clocks may differ, and time on the way, in ms, that a
-#: successor adds before it takes leases for lapsed that it can't ask about.
-DRIFT = 1.04
-ON_THE_WAY_MS = 1000
 
 _log = logbook.Logger('shard')
 _clock = SystemClock()
@@ -73,14 +69,6 @@
     endpoint: str
     lease_ms: int
 
-    @property
-    def inherited_ms(self) -> int:
-        """Bound the leases of a former owner.
-
-        :returns: milliseconds after a claim until all are surely over.
-        """
-        return int((PROOF_MS + self.lease_ms) * DRIFT) + ON_THE_WAY_MS
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OwnerPorts:
@@ -134,9 +122,12 @@
         self._stirred = asyncio.Event()
         self._beats: Beats | None = None
 
-    async def claim(self, former_epoch: int) -> ClaimOutcome:
+    async def claim(
+        self, former: Predecessor, former_epoch: int
+    ) -> ClaimOutcome:
         """Claim the shard and begin to act.
 
+        :param former: newest heartbeat that was read.
         :param former_epoch: highest epoch that was seen.
         :returns: whether the shard belongs to this daemon now.
         """
@@ -161,14 +152,11 @@
         )
         if self.over.is_set():
             return ClaimFailed('stopped before the claim')
-        beats = Beats(log, record, self._ports.since_boot_ms)
-        sent_ms = self._ports.since_boot_ms()
         claimed = await self._writer.claim(journal.next_offset, record)
-        match claimed:
-            case ClaimFailed():
-                return claimed
-            case Claimed():
-                beats.prove(sent_ms)
+        if isinstance(claimed, ClaimFailed):
+            return claimed
+        ledger = LeaseLedger(former, self._settings.lease_ms)
+        beats = Beats(log, record, self._ports.since_boot_ms, ledger)
         # Only now: a resignation of a claim that failed would depose whoever
         # has claimed instead.
         self._beats = beats
@@ -186,7 +174,7 @@
                 self._beats.keep(), 'a higher epoch has sent heartbeats'
             )
         )
-        await self._take_over(journal.payload_by_key)
+        await self._take_over(journal.payload_by_key, ledger)
         if self.over.is_set():
             return ClaimFailed('given up while taking over')
         return claimed
@@ -290,28 +278,32 @@
             )
         self.over.set()
 
-    async def _take_over(self, rows: dict[str, bytes]) -> None:
+    async def _take_over(
+        self, rows: dict[str, bytes], ledger: LeaseLedger
+    ) -> None:
         now_ms = steady_ms()
-        settings = self._settings
+        # After the claim: any job that the journal names is in it then.
+        await self._intake.restore()
+        await ledger.until_begun(self.over)
+        if self.over.is_set():
+            return
         self._engine = Engine(
-            self.epoch, settings.lease_ms, now_ms + settings.inherited_ms
+            self.epoch, self._settings.lease_ms, ledger.inherited
         )
+        ledger.attach(self._engine)
         self._engine.configure(self._terms)
         self._engine.restore(rows)
-        # After the claim: any job that the journal names is in it then.
-        await self._intake.restore()
         self._intake.hand_over(self._engine)
         self._engine.inherit(now_ms)
         driver_ports = DriverPorts(
             self._ports.runners,
             lambda: self._beats.proven,
+            self._beats.until_proven,
             self._stirred.set,
             self._finished,
         )
         self._fleet = Fleet(self._engine, driver_ports, self._ports.directory)
-        self._committer = Committer(
-            self._engine, self._writer, self._fleet, self._beats
-        )
+        self._committer = Committer(self._engine, self._writer, self._fleet)
         self._asker = AdviceAsker(self._engine, self._ports.advisor)
         await self._fleet.register()
         if self.over.is_set():
--- a/waxwingford/shard/_watch.py
+++ b/waxwingford/shard/_watch.py
@@ -4,6 +4,7 @@
 
 from waxwingford.shard._beats import OWNERS_TOPIC
 from waxwingford.shard._journal import OWNER_KEY, OwnerRecord, decode_owner
+from waxwingford.shard._lease_bounds import Predecessor
 from waxwingford.shard._log_port import SharedLog
 from waxwingford.shard._mirror import CaughtUp, Mirror
 from waxwingford.shard._times import steady_ms
@@ -37,6 +38,7 @@
         self.record: OwnerRecord | None = None
         self._mirror = Mirror(log, OWNERS_TOPIC)
         self._changed_ms = 0
+        self._read_ms = 0
         self._suspect_ms = LEAST_SUSPECT_MS
         self._gap_ms: float = 0
 
@@ -69,6 +71,14 @@
         """
         return steady_ms() - self._changed_ms
 
+    @property
+    def predecessor(self) -> Predecessor:
+        """Say what a claim now would go on from.
+
+        :returns: newest heartbeat, and when it was read.
+        """
+        return Predecessor(self.record, self._read_ms, self._mirror.next_offset)
+
     async def read(self, wait: bool = True) -> bool:
         """Read heartbeats.
 
@@ -100,6 +110,7 @@
             self._gap_ms = max(gap_ms, self._gap_ms * GAP_KEPT)
         self.record = record
         self._changed_ms = now_ms
+        self._read_ms = now_ms
         suspect_ms = self._gap_ms * SUSPECT_FACTOR
         suspect_ms = min(MOST_SUSPECT_MS, max(LEAST_SUSPECT_MS, suspect_ms))
         self._suspect_ms = int(suspect_ms) + random.randint(0, CLAIM_JITTER_MS)
--- a/waxwingford/shard/tests/shard.feature
+++ b/waxwingford/shard/tests/shard.feature
@@ -237,6 +237,51 @@
     Then all 4 tasks of the job run on servers that are not cut off
     And nothing was breached
 
+  Scenario: a silent server answers again just before its owner is killed
+    # Symptom: a task runs in two places at once.
+    # Sequence: a server is cut off until a heartbeat names it as silent; it is
+    # there again for an instant, its owner is killed, and it is cut off again.
+    # Cause: extending a lease that the newest heartbeat says is over soon.
+    Given a shard with 4 daemons and 6 servers
+    When a lasting job is submitted
+    And 1 s pass
+    And a server with tasks is cut off
+    And 2.5 s pass
+    And the server is reached for 0.3 s, just after a heartbeat
+    And the owner is killed
+    And 12 s pass
+    Then all 4 tasks of the job run on servers that are not cut off
+    And nothing was breached
+
+  Scenario: a former owner goes on where its successor reaches nothing
+    # Symptom: a task runs in two places at once.
+    # Sequence: the owner loses the store but not a server that all others are
+    # cut off from, and extends its lease until its last heartbeat is too old.
+    # Cause: waiting for the lease only, not for the age that a proof of
+    # ownership may have.
+    Given a shard with 4 daemons and 6 servers
+    When a lasting job is submitted
+    And 1 s pass
+    And a server with tasks is cut off from all daemons but the owner
+    And the owner is cut off from the store for 10 s
+    And 3 s pass
+    Then all 4 tasks of the job run on servers that are not cut off
+    And nothing was breached
+
+  Scenario: starts wait their turn while their owner loses the store
+    # Symptom: a task runs in two places at once.
+    # Sequence: orders to a server take seconds, and starts wait behind them;
+    # their owner loses the store, its successor can't reach the server.
+    # Cause: a start that is sent without a recent proof of ownership, with a
+    # lease that outlasts what the successor waits for.
+    Given a shard with 3 daemons and 1 servers
+    When each order to a server takes 2 s
+    And a job of 8 tasks of 20 s is submitted
+    And 0.1 s pass
+    And the owner loses the store, the others lose that server, and one more comes
+    And 14 s pass
+    Then nothing was breached
+
   Scenario: an owner tells which servers it waits for
     # Symptom: tasks stand still for seconds after the owner has changed, and no
     # line tells why before it is over.
--- a/waxwingford/shard/tests/shard_steps.py
+++ b/waxwingford/shard/tests/shard_steps.py
@@ -13,6 +13,7 @@
     ClaimFailed,
     decode_owner,
 )
+from waxwingford.shard._lease_bounds import Predecessor
 from waxwingford.shard.tests.virtual_shard import TERMS, VirtualShard, step
 from waxwingford.timeline import about, events_of_lines, merge_events
 
@@ -246,7 +247,8 @@
     async def _claim():
         owner = standby.make_owner(TERMS)
         epoch = context.first_owner.member.owner.epoch
-        claim = asyncio.ensure_future(owner.claim(epoch))
+        former = Predecessor(None, 0, 0)
+        claim = asyncio.ensure_future(owner.claim(former, epoch))
         # The journal grows between the standby's read and its claim.
         await asyncio.sleep(0.005)
         journal.records.append(KeyedRecord('harm', b'\x90'))
@@ -312,6 +314,53 @@
     shard.run(context.left_s + span_s - shard.loop.time())
 
 
+@when('the server is reached for {span_s:g} s, just after a heartbeat')
+def reached_again(context, span_s):
+    shard = context.shard
+    cut = set(shard.servers.cut)
+    beats = shard.store.topic(OWNERS_TOPIC).records
+    known = len(beats)
+    while len(beats) == known:
+        shard.run(0.001)
+    silent = decode_owner(beats[-1].payload).silent
+    assert set(silent) == {server_id for _, server_id in cut}, silent
+    shard.servers.cut.clear()
+    shard.run(span_s)
+    shard.servers.cut |= cut
+
+
+@when('each order to a server takes {span_s:g} s')
+def slow_orders(context, span_s):
+    context.shard.servers.order_s = span_s
+
+
+@when(
+    'the owner loses the store, the others lose that server, and one more comes'
+)
+def part_ways(context):
+    shard = context.shard
+    owner_id = shard.owners[0].daemon_id
+    shard.store.silent.add(owner_id)
+    server_id = next(iter(shard.servers.server_by_id))
+    shard.servers.cut |= {
+        (daemon.daemon_id, server_id)
+        for daemon in shard.daemons
+        if daemon.daemon_id != owner_id
+    }
+    shard.servers.add(1)
+
+
+@when('a server with tasks is cut off from all daemons but the owner')
+def cut_from_others(context):
+    shard = context.shard
+    server_id = shard.running(context.jobs[-1])[0]
+    shard.servers.cut |= {
+        (daemon.daemon_id, server_id)
+        for daemon in shard.daemons
+        if not daemon.owns
+    }
+
+
 @then('one line tells that the server is awaited, with what is left')
 def awaited_told(context):
     lines = [msgspec.json.decode(line) for line in context.shard.lines]
--- a/waxwingford/shard/tests/virtual_servers.py
+++ b/waxwingford/shard/tests/virtual_servers.py
@@ -198,6 +198,8 @@
         self.cut = set()
         #: Share of orders without an answer, carried out seconds later.
         self.late_share = 0
+        #: How long each order is on its way, in seconds.
+        self.order_s = 0
         self.done = set()
         self.noted_done = set()
         self.breaches = []
@@ -322,6 +324,7 @@
             )
             await asyncio.sleep(TIMEOUT_S)
             return OrderUnknown('late')
+        await asyncio.sleep(self._fleet.order_s)
         return act(server, *details)
 
     async def _reaches(self, server):
