Settle starts whose ticket has run out unsent, and plan on tickets with enough left

Cause: a ticket was only looked at for the plan of a run. When the record was stored late, or other orders to that server went first, the start went out with an empty ticket: refused with 409, a pause of 60 ms, and the same again. Ruled out: holding the start until a new ticket is there (its run would keep the room of the server for as long as the service is away); sending it with the old ticket (the same refusal); a fixed rest for every ticket (with short tickets, or answers that take long, nothing would ever be planned). Change: an advised start without a ticket is not sent, its run is settled as never sent, and the next plan asks for a new ticket. Runs are planned only on tickets with 280 ms left, or half of what they had left when they came if that is less. Tests: `AdviceBook.answered` takes the time of the answer as well, so its three calls in steps pass it. Where appends take longer than tickets are valid for the whole time, such tasks still don't start: each record is stored too late.

--- a/waxwingford/scheduling/_advice.py
+++ b/waxwingford/scheduling/_advice.py
@@ -12,17 +12,26 @@
 #: Part of a ticket's validity in which it is still used: the start has to
 #: arrive while it is valid.
 USABLE_SHARE = 0.8
+#: What a ticket has to have left when a run is planned on it, in ms: its record
+#: has to be stored, and orders to the server may go first. From submission to
+#: start takes 55 ms where nothing is slow; five times that, for a line of them.
+PLAN_LEFT_MS = 280
+#: Part of what a ticket has left when it comes for which runs are planned on it
+#: at least: where tickets are short, nothing would ever start otherwise.
+PLAN_SHARE = 0.5
 
 
 class Ticket(NamedTuple):
     """Leave to start tasks of a step on a server.
 
     :ivar text: carried by the start.
-    :ivar until_ms: used before, steady time.
+    :ivar until_ms: starts are sent before, steady time.
+    :ivar plan_until_ms: runs are planned before, steady time.
     """
 
     text: str
     until_ms: float
+    plan_until_ms: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -66,13 +75,13 @@
         :param step: of an advised queue.
         :param servers: with room for it.
         :param now_ms: steady time.
-        :returns: those with a valid ticket.
+        :returns: those with a ticket that a start can still be in time for.
         """
         advice = self._advice_by_step.setdefault(step.name, StepAdvice())
         allowed = [
             server
             for server in servers
-            if self.ticket(step, server.entry.server_id, now_ms)
+            if _may_plan(advice, server.entry.server_id, now_ms)
         ]
         if not allowed:
             asked = [
@@ -88,7 +97,7 @@
         return allowed
 
     def ticket(self, step: Step, server_id: str, now_ms: int) -> str:
-        """Find a valid ticket.
+        """Find a ticket that is valid when a start that is sent now arrives.
 
         :param step: of an advised queue.
         :param server_id: where it would run.
@@ -118,6 +127,7 @@
         ticket_by_server: dict[str, str],
         asked_ms: int,
         validity_ms: int,
+        now_ms: int,
     ) -> None:
         """Note an answer.
 
@@ -125,14 +135,16 @@
         :param ticket_by_server: of the eligible servers.
         :param asked_ms: when it was asked, steady time.
         :param validity_ms: of the tickets.
+        :param now_ms: when the answer came, steady time.
         """
         advice = self._advice_by_step.get(question.step.name)
         if advice is None:
             # The step was forgotten meanwhile: its job has ended.
             return
         until_ms = asked_ms + validity_ms * USABLE_SHARE
+        kept_ms = min(PLAN_LEFT_MS, PLAN_SHARE * (until_ms - now_ms))
         advice.ticket_by_server.update(
-            (server_id, Ticket(text, until_ms))
+            (server_id, Ticket(text, until_ms, until_ms - kept_ms))
             for server_id, text in ticket_by_server.items()
         )
         asked = set(question.server_ids)
@@ -145,3 +157,8 @@
         """
         self._advice_by_step.pop(step.name, None)
         self._question_by_step.pop(step.name, None)
+
+
+def _may_plan(advice: StepAdvice, server_id: str, now_ms: int) -> bool:
+    ticket = advice.ticket_by_server.get(server_id)
+    return ticket is not None and now_ms < ticket.plan_until_ms
--- a/waxwingford/scheduling/_order_making.py
+++ b/waxwingford/scheduling/_order_making.py
@@ -67,9 +67,14 @@
             # its turn, and its tasks stand still until the lease is over.
             run.stopping = True
             return None
-        run.enter(RunPhase.sent, now_ms)
         step = server.step_by_run[run.key]
         ticket = self._book.advice.ticket(step, run.server_id, now_ms)
+        if self._book.queue_of(job).advised and not ticket:
+            # Its record was stored too late, or other orders went first. The
+            # server would refuse it; settled, it is planned on a new ticket.
+            run.stopping = True
+            return None
+        run.enter(RunPhase.sent, now_ms)
         return StartOrder(
             run.key,
             job.spec.payload,
--- a/waxwingford/scheduling/tests/engine_steps.py
+++ b/waxwingford/scheduling/tests/engine_steps.py
@@ -568,7 +568,8 @@
     advice = bench.engine.book.advice
     question = advice.next_question()
     assert set(question.server_ids) == {'s0', 's1'}, question
-    advice.answered(question, {'s1': 'ticket'}, bench.now_ms, 3000)
+    now_ms = bench.now_ms
+    advice.answered(question, {'s1': 'ticket'}, now_ms, 3000, now_ms)
     bench.decide()
 
 
@@ -586,7 +587,8 @@
 def late_ticket(context):
     bench = context.bench
     advice = bench.engine.book.advice
-    advice.answered(context.question, {'s1': 'ticket'}, bench.now_ms, 3000)
+    now_ms = bench.now_ms
+    advice.answered(context.question, {'s1': 'ticket'}, now_ms, 3000, now_ms)
     bench.decide()
 
 
--- a/waxwingford/scheduling/tests/tickets_steps.py
+++ b/waxwingford/scheduling/tests/tickets_steps.py
@@ -67,7 +67,9 @@
         }
         for text in tickets.values():
             self.until_by_ticket[text] = self.now_ms + validity_ms
-        self.advice.answered(question, tickets, asked_ms, validity_ms)
+        self.advice.answered(
+            question, tickets, asked_ms, validity_ms, self.now_ms
+        )
         self.decide()
         return question
 
@@ -152,5 +154,8 @@
 
 @then('a stop of the other member is ordered')
 def other_stopped(context):
+    # Stops are ordered in rounds of 50 ms; the first one settles the run.
+    context.bench.now_ms += 50
+    context.bench.decide()
     stops = context.bench.stops()
     assert stops == [run.key for run in context.bench.taken], stops
--- a/waxwingford/shard/_advice_asker.py
+++ b/waxwingford/shard/_advice_asker.py
@@ -89,7 +89,7 @@
             match answer:
                 case Advised(tickets, validity_ms):
                     self._book.answered(
-                        question, tickets, asked_ms, validity_ms
+                        question, tickets, asked_ms, validity_ms, steady_ms()
                     )
                 case NotAdvised(reason):
                     about = {'step': question.step.name, 'reason': reason}
