Add failing tests of gangs that need more servers than have tickets

Seen by reading: `AdviceBook.allowed` asks nothing while any server has a ticket. A gang of 4 beside 40 free servers isn't planned within 3 s when 3 of the first 30 were allowed, and their tickets are valid for 30 s; a gang of 35 is not planned within 9 s, as each question names the 30 servers that were eligible before; a gang that waits for room asks 8 times in 9 s where 5 are enough, since the question is put again while the service is at work on it. That the servers with tickets are full is no cause: a task is only offered servers with room, so there is no ticket among them and the service is asked. The other keeps tickets of a gang from running out in turn.

--- a/waxwingford/scheduling/tests/tickets.feature
+++ b/waxwingford/scheduling/tests/tickets.feature
@@ -53,3 +53,59 @@
     And the service gives tickets of 500 ms for 1 server, after 300 ms
     And the starts are sent 40 ms later
     Then 1 start is taken
+
+  Scenario: a gang needs more servers than have tickets
+    # Symptom: a gang waits beside enough free servers until its tickets expire,
+    # and then again.
+    # Sequence: the service allows fewer of the servers that were named first
+    # than the gang has members.
+    # Cause: asking nothing while any server has a ticket.
+    Given an advised queue, and 40 servers of 1 core
+    And the service allows the servers from 27 to 30 only
+    When a gang of 4 tasks of 1 core is submitted
+    And the service gives tickets of 30000 ms, each time after 450 ms, for 3 s
+    Then 4 runs are planned under one run number
+
+  Scenario: a gang needs more servers than one question names
+    # Symptom: a gang never starts beside enough free servers.
+    # Sequence: it has more members than a question names servers at most, and
+    # each server has room for one.
+    # Cause: each question names those that were eligible before, and no others.
+    Given an advised queue, and 40 servers of 1 core
+    When a gang of 35 tasks of 1 core is submitted
+    And the service gives tickets of 3000 ms, each time after 450 ms, for 9 s
+    Then 35 runs are planned under one run number
+
+  Scenario: the tickets of a gang don't run out in turn
+    # Symptom: a gang never starts beside enough free servers.
+    # Sequence: while the service is asked about the rest of its servers, the
+    # tickets of the first ones run out, and the other way round.
+    # Cause: asking about those without a ticket only.
+    Given an advised queue, and 40 servers of 1 core
+    And the service allows the servers from 26 to 33 only
+    When a gang of 8 tasks of 1 core is submitted
+    And the service gives tickets of 1000 ms, each time after 450 ms, for 9 s
+    Then 8 runs are planned under one run number
+
+  Scenario: servers with tickets are full
+    # Symptom, not seen: a step waits beside free servers whose tickets nobody
+    # has asked for.
+    Given an advised queue, and 40 servers of 1 core
+    When a job of 2 tasks is submitted
+    And the service gives tickets of 3000 ms for 1 server
+    And the starts are sent 50 ms later
+    Then 1 start is taken
+    And the service is asked again
+    When the service gives tickets of 3000 ms for 1 server
+    Then 2 runs were planned in all
+
+  Scenario: the service is not asked without need
+    # Symptom: the service answers 429, and steps that need it wait.
+    # Sequence: a gang waits for room, and the servers with room have tickets; a
+    # decision is made with each answer of a server.
+    # Cause: asking with each decision, also while the service is at work on the
+    # same question.
+    Given an advised queue, and 10 servers of 1 core
+    When a gang of 12 tasks of 1 core is submitted
+    And the service gives tickets of 3000 ms, each time after 450 ms, for 9 s
+    Then it was asked 5 times at most
--- a/waxwingford/scheduling/tests/tickets_steps.py
+++ b/waxwingford/scheduling/tests/tickets_steps.py
@@ -11,6 +11,12 @@
 )
 from waxwingford.scheduling.tests.engine_steps import QUEUE, Bench, step
 
+#: Most servers that the service lets a question name.
+MOST_NAMED = 100
+#: How long a decision takes here, and time between two of them, in ms.
+DECIDE_MS = 10
+DECIDE_EVERY_MS = 50
+
 
 class TicketBench(Bench):
     """An engine whose starts are sent when the scenario says so.
@@ -18,6 +24,8 @@
     :ivar waiting: starts whose record is stored.
     :ivar taken: runs that a server has taken.
     :ivar refused: runs that a server has refused.
+    :ivar allowed: servers that the service allows, ``None`` for all.
+    :ivar asked: questions that the service has answered.
     """
 
     def __init__(self, count, cores):
@@ -29,9 +37,11 @@
         self.waiting = []
         self.taken = []
         self.refused = []
+        self.allowed = None
+        self.asked = 0
 
     def decide(self, accept=True):
-        self.now_ms += 10
+        self.now_ms += DECIDE_MS
         self.engine.decide(self.now_ms, self.wall_ms)
         starts = self.engine.stored(self.engine.take_batch())
         self.planned += [start.run for start in starts]
@@ -57,10 +67,23 @@
         self.engine.start_answered(server, start.run, self.now_ms, outcome)
 
     def advise(self, choose, validity_ms, took_ms=0):
+        """Let the service answer a question, if there is one.
+
+        :param choose: chooses the eligible ones of some servers.
+        :param validity_ms: of its tickets.
+        :param took_ms: time for the answer; decisions go on meanwhile.
+        :returns: whether there was a question.
+        """
         question = self.advice.next_question()
-        assert question is not None, 'the service is not asked'
+        if question is None:
+            return False
+        assert len(question.server_ids) <= MOST_NAMED, question
+        self.asked += 1
         asked_ms = self.now_ms
-        self.now_ms += took_ms
+        while self.now_ms + DECIDE_EVERY_MS <= asked_ms + took_ms:
+            self.now_ms += DECIDE_EVERY_MS - DECIDE_MS
+            self.decide()
+        self.now_ms = asked_ms + took_ms
         tickets = {
             server_id: f'{server_id} at {self.now_ms}'
             for server_id in choose(question.server_ids)
@@ -71,7 +94,26 @@
             question, tickets, asked_ms, validity_ms, self.now_ms
         )
         self.decide()
-        return question
+        return True
+
+    def keep_advising(self, validity_ms, took_ms, span_ms):
+        """Let the service answer questions as they come, until a run starts.
+
+        :param validity_ms: of its tickets.
+        :param took_ms: time for an answer.
+        :param span_ms: how long at most.
+        """
+        until_ms = self.now_ms + span_ms
+        while self.now_ms < until_ms and not self.planned:
+            if not self.advise(self.choose_allowed, validity_ms, took_ms):
+                self.decide()
+
+    def choose_allowed(self, server_ids):
+        return [
+            server_id
+            for server_id in server_ids
+            if self.allowed is None or server_id in self.allowed
+        ]
 
 
 def first(count):
@@ -95,7 +137,7 @@
 @when('the service gives tickets of {validity_ms:d} ms for {count:d} server')
 @when('the service gives tickets of {validity_ms:d} ms for {count:d} servers')
 def gives(context, validity_ms, count):
-    context.bench.advise(first(count), validity_ms)
+    assert context.bench.advise(first(count), validity_ms)
 
 
 @when(
@@ -103,7 +145,25 @@
     ' after {took_ms:d} ms'
 )
 def gives_late(context, validity_ms, count, took_ms):
-    context.bench.advise(first(count), validity_ms, took_ms)
+    assert context.bench.advise(first(count), validity_ms, took_ms)
+
+
+@given('the service allows the servers from {begin:d} to {end:d} only')
+def allows(context, begin, end):
+    context.bench.allowed = {f's{number}' for number in range(begin, end + 1)}
+
+
+@when(
+    'the service gives tickets of {validity_ms:d} ms,'
+    ' each time after {took_ms:d} ms, for {span_s:d} s'
+)
+def keeps_giving(context, validity_ms, took_ms, span_s):
+    context.bench.keep_advising(validity_ms, took_ms, span_s * 1000)
+
+
+@then('it was asked {count:d} times at most')
+def asked_at_most(context, count):
+    assert 0 < context.bench.asked <= count, context.bench.asked
 
 
 @when('the starts are sent {later_ms:d} ms later')
