Ask for further tickets where a gang has room, but not on servers with tickets

Cause: the advice service was asked only when no server at all had a ticket, and each question named those that were eligible before, up to 30. A gang that needs more servers than were allowed waited for its tickets to expire; one that needs more than 30 waited for ever. Ruled out: that servers with tickets are full (a scenario shows that the service is asked then; that part is left as it was). Asking about servers without tickets only: tickets of a gang then run out in turn. Asking whenever tickets don't suffice: a gang without room would keep other steps from the service. Change: when a gang would fit on the servers that were not refused, and doesn't on those with tickets, the question names all servers that it would get, those without a ticket first, and 100 at most; then others, up to 30. It is checked every 100 ms and after each answer. An answer drops the question about the same step that was put again meanwhile; questions still wait in turn, and one is asked at a time. Tests: three scenarios added, and a second example (tickets of 1200 ms) to the gang of 35.

--- a/waxwingford/scheduling/tests/tickets.feature
+++ b/waxwingford/scheduling/tests/tickets.feature
@@ -66,16 +66,21 @@
     And the service gives tickets of 30000 ms, each time after 450 ms, for 3 s
     Then 4 runs are planned under one run number
 
-  Scenario: a gang needs more servers than one question names
+  Scenario Outline: a gang needs more servers than one question names
     # Symptom: a gang never starts beside enough free servers.
     # Sequence: it has more members than a question names servers at most, and
     # each server has room for one.
     # Cause: each question names those that were eligible before, and no others.
     Given an advised queue, and 40 servers of 1 core
     When a gang of 35 tasks of 1 core is submitted
-    And the service gives tickets of 3000 ms, each time after 450 ms, for 9 s
+    And the service gives tickets of <validity> ms, each time after 450 ms, for 9 s
     Then 35 runs are planned under one run number
 
+    Examples:
+      | validity |
+      | 3000     |
+      | 1200     |
+
   Scenario: the tickets of a gang don't run out in turn
     # Symptom: a gang never starts beside enough free servers.
     # Sequence: while the service is asked about the rest of its servers, the
@@ -87,6 +92,14 @@
     And the service gives tickets of 1000 ms, each time after 450 ms, for 9 s
     Then 8 runs are planned under one run number
 
+  Scenario: a gang needs more servers than any question may name
+    # Symptom: a gang never starts beside enough free servers.
+    # Cause: naming the same servers each time, those with tickets first.
+    Given an advised queue, and 130 servers of 1 core
+    When a gang of 120 tasks of 1 core is submitted
+    And the service gives tickets of 3000 ms, each time after 450 ms, for 9 s
+    Then 120 runs are planned under one run number
+
   Scenario: servers with tickets are full
     # Symptom, not seen: a step waits beside free servers whose tickets nobody
     # has asked for.
@@ -109,3 +122,12 @@
     When a gang of 12 tasks of 1 core is submitted
     And the service gives tickets of 3000 ms, each time after 450 ms, for 9 s
     Then it was asked 5 times at most
+
+  Scenario: the service is not asked for a gang that has no room
+    # Symptom: other steps wait for the service while it is asked about a gang that
+    # can't be placed with any number of tickets.
+    # Cause: asking about all servers whenever those with tickets don't suffice.
+    Given an advised queue, and 40 servers of 1 core
+    When a gang of 50 tasks of 1 core is submitted
+    And the service gives tickets of 3000 ms, each time after 450 ms, for 9 s
+    Then it was asked 5 times at most
