Add failing tests of fills that are held, or let in, for another service's servers

Seen by reading: `FillAdmission.update` works out how crowded the servers are over all services together, and the 24 servers among which a fill chooses are picked before those of other services are left out. A fill that may start anywhere after 2.6 s hasn't started after 4 s, when its own servers are a quarter full and those of another service nearly full; the other way round it is started beside a task that it harms on a full server, after 2.6 s. With 47 servers of another service and a fill that fits nowhere, one that fits starts on the empty server of its service after 1.6 s, when the other one may look at all servers; where servers are crowded it doesn't get there. The virtual servers can be of two services now; `add_servers` registers them as before.

--- a/waxwingford/scheduling/tests/interference.feature
+++ b/waxwingford/scheduling/tests/interference.feature
@@ -59,3 +59,43 @@
     Given 1 servers, of which 0 serve "red" and 0 serve "blue", 0 tasks each
     When 7 lasting tasks of 6 cores wait before an urgent job of 4 cores
     Then the urgent job starts at once
+
+  Scenario: a fill is not held for servers of another service that are full
+    # Symptom: a fill doesn't start for as long as another service is full, though
+    # the servers of its own are a quarter full.
+    # Sequence: it would harm the task beside it, and waits for a server that bears
+    # it; after a while it may start anywhere, unless servers are crowded.
+    # Cause: working out how crowded servers are over all services together.
+    Given 1 servers, of which 1 serve "red" and 0 serve "blue", 0 tasks each
+    And 3 servers of another service, with 30 of 32 cores in use
+    And a task of 8 cores that serves "red", which "apple" fills harm by 2.0
+    When a fill of "apple" of 16 cores waits for 4 s
+    Then it has started after 2 s at least
+
+  Scenario: a fill is not forced on a full service because others are empty
+    # Symptom: tasks of a full service are over their targets beside a fill that is
+    # known to harm them.
+    # Sequence: the servers of another service are empty.
+    # Cause: as above.
+    Given 1 servers, of which 1 serve "red" and 0 serve "blue", 0 tasks each
+    And 3 servers of another service, with 0 of 32 cores in use
+    And a task of 28 cores that serves "red", which "apple" fills harm by 2.0
+    When a fill of "apple" of 16 cores waits for 4 s
+    Then it has not started
+
+  Scenario Outline: a fill sees the only server of its service among many others
+    # Symptom: a fill doesn't start before it may start anywhere, or not at all
+    # where servers are crowded, though the server of its service is empty.
+    # Sequence: 47 servers of another service are open to its image as well, and
+    # a second fill, which fits nowhere, waits.
+    # Cause: of the servers that are open to an image, each fill looks at the next
+    # 24 in turn, whose ever they are: with 48 and two fills always at the same.
+    Given 47 servers, of which 0 serve "red" and 0 serve "blue", 0 tasks each
+    And they belong to another service, and 1 server of this one registers
+    When a fill that fits nowhere waits, and <later> ms later one that fits
+    Then the fill that fits has started within 1 s
+
+    Examples:
+      | later |
+      | 1000  |
+      | 1050  |
--- a/waxwingford/scheduling/tests/interference_steps.py
+++ b/waxwingford/scheduling/tests/interference_steps.py
@@ -4,10 +4,16 @@
 
 from waxwingford.ports import Resources
 from waxwingford.scheduling import StepSpec
-from waxwingford.scheduling.tests.interfering_servers import URGENT, World
+from waxwingford.scheduling.tests.interfering_servers import (
+    OTHER,
+    URGENT,
+    World,
+    add_servers,
+)
 
 WARM_UP_S = 6
 URGENT_JOB = 'f0000000000000ff'
+FILL_JOB = 'b0000000000000ff'
 
 
 def name(kind, number):
@@ -148,3 +154,85 @@
 def urgent_starts(context):
     jobs = {key.task.job_id for key in context.world.work_by_key}
     assert URGENT_JOB in jobs, jobs
+
+
+@given(
+    '{count:d} servers of another service, with {cores:d} of 32 cores in use'
+)
+def other_service(context, count, cores):
+    world = context.world
+    add_servers(world, count, 'other')
+    if cores:
+        needs = Resources(cores * 1000, 4000, 0)
+        busy = StepSpec(
+            count, needs, 1000, lasting=True, image='busy', target_ms=1000
+        )
+        world.submit(name('e', 0), busy, queue=OTHER)
+
+
+@given(
+    'a task of {cores:d} cores that serves "{image}",'
+    ' which "{fill}" fills harm by {much:g}'
+)
+def one_serving(context, cores, image, fill, much):
+    world = context.world
+    world.effects = {(image, fill): much}
+    world.serve(name('a', 0), image, cores=cores)
+    world.play(WARM_UP_S)
+
+
+@when('a fill of "{image}" of {cores:d} cores waits for {span_s:d} s')
+def one_fill(context, image, cores, span_s):
+    world = context.world
+    context.submitted_ms = world.now_ms
+    world.fill(FILL_JOB, image, cores=cores, estimate_ms=20_000)
+    world.play(span_s)
+
+
+def began_ms(context):
+    """Say when the fill of a scenario has started.
+
+    :param context: of the scenario.
+    :returns: times after it was submitted.
+    """
+    return [
+        work.began_ms - context.submitted_ms
+        for key, work in context.world.work_by_key.items()
+        if key.task.job_id == FILL_JOB
+    ]
+
+
+@then('it has started after {least_s:d} s at least')
+def started_after(context, least_s):
+    times = began_ms(context)
+    assert times and times[0] >= least_s * 1000, times
+
+
+@then('it has not started')
+def not_started(context):
+    assert not began_ms(context), began_ms(context)
+
+
+@given('they belong to another service, and 1 server of this one registers')
+def only_server(context):
+    world = context.world
+    world.entries = [entry._replace(service='other') for entry in world.entries]
+    add_servers(world, 1)
+
+
+@when('a fill that fits nowhere waits, and {later_ms:d} ms later one that fits')
+def two_fills(context, later_ms):
+    world = context.world
+    needs = Resources(1000, 500_000, 0)
+    # Less work, so that its turn comes first, also after a while.
+    large = StepSpec(1, needs, 3000, image='apple', fills=True)
+    world.submit(name('b', 1), large)
+    world.play(later_ms / 1000)
+    context.submitted_ms = world.now_ms
+    world.fill(FILL_JOB, 'apple', cores=4, estimate_ms=20_000)
+
+
+@then('the fill that fits has started within {span_s:d} s')
+def fill_started(context, span_s):
+    context.world.play(span_s)
+    assert began_ms(context), 'not started'
--- a/waxwingford/scheduling/tests/interfering_servers.py
+++ b/waxwingford/scheduling/tests/interfering_servers.py
@@ -40,6 +40,7 @@
 CORES = 32
 QUEUE = QueueTerms('queue', 'service', 0, 3, stretch=2, target_ms=1000)
 URGENT = QueueTerms('urgent', 'service', 0, 3, stretch=2, target_ms=250)
+OTHER = QueueTerms('other', 'other', 0, 3, stretch=2, target_ms=1000)
 
 
 @dataclasses.dataclass(slots=True)
@@ -83,24 +84,13 @@
         self.spec_by_job = {}
         self.loops = 0
         self.new_owner(1)
-        self.entries = [
-            ServerEntry(
-                f's{number}',
-                f's{number}:1',
-                'service',
-                'd',
-                frozenset(),
-                Resources(CORES * 1000, 128_000, 0),
-                draining=False,
-            )
-            for number in range(servers)
-        ]
-        self.engine.register(self.entries, self.now_ms)
+        self.entries = []
+        add_servers(self, servers)
         self.rows = {}
 
     def new_owner(self, token):
         self.engine = Engine(token, 5000, InheritedLeases(self.now_ms, {}))
-        queues = {queue.name: queue for queue in (QUEUE, URGENT)}
+        queues = {queue.name: queue for queue in (QUEUE, URGENT, OTHER)}
         self.engine.configure(Terms(1, queues))
 
     def change_owner(self):
@@ -234,3 +224,26 @@
                 self.end(order.key, EndKind.stopped)
             case _:
                 pass
+
+
+def add_servers(world, count, service='service'):
+    """Register further servers.
+
+    :param world: whose engine gets to know them.
+    :param count: how many.
+    :param service: whose tasks they run.
+    """
+    begin = len(world.entries)
+    world.entries += [
+        ServerEntry(
+            f's{number}',
+            f's{number}:1',
+            service,
+            'd',
+            frozenset(),
+            Resources(CORES * 1000, 128_000, 0),
+            draining=False,
+        )
+        for number in range(begin, begin + count)
+    ]
+    world.engine.register(world.entries, world.now_ms)
