Hold fills by the servers of their own service, and let them choose among these only

Cause: how crowded the servers are was worked out over all services together, so a fill that may start anywhere after 2.6 s was held while other services were full, and forced on a full service while others were empty. The servers among which a fill chooses were picked from all that are open to its image, and those of other services left out afterwards. Ruled out: grouping all servers by service with each round of placing (57 us a round with 176 servers, against 21 us before). Change: servers of a service, and whether they are crowded, are worked out when the first fill of that service waits in a round; the list of those that are open to an image is kept for each service. In `_placing.py` only the two calls have changed. With one service nothing changes, but that how crowded servers are is looked at when the first fill's turn comes, after what was placed before it.

--- a/waxwingford/scheduling/_admission.py
+++ b/waxwingford/scheduling/_admission.py
@@ -9,6 +9,7 @@
 """
 
 import itertools
+from typing import NamedTuple
 
 from waxwingford.scheduling._book import runs_of
 from waxwingford.scheduling._harm import HarmModel, full_share
@@ -21,14 +22,20 @@
 #: fill of it at a part of its speed; after the longer time, any server.
 HOLD_MS = 1500
 MOST_HOLD_MS = 2600
-#: Servers are crowded when tasks other than fills take this share of their cpu:
-#: then a job that waits is not forced on tasks that it harms.
+#: Servers of a service are crowded when tasks other than fills take this share of
+#: their cpu: then a job that waits is not forced on tasks that it harms.
 CROWDED_SHARE = 0.6
 #: Servers among which one fill chooses at most, in turn where more are open: the
 #: best of two dozen is hardly worse than the best of hundreds.
 MOST_CHOICES = 24
 
 
+class _Pool(NamedTuple):
+    # Servers of a service that take starts, and whether they are crowded.
+    servers: list[Server]
+    crowded: bool
+
+
 class FillAdmission:
     """Tells where fills may start."""
 
@@ -38,24 +45,22 @@
         :param model: of what harms what.
         """
         self._model = model
-        self._crowded = False
         self._begin = 0
-        self._open_by_image: dict[str, list[Server]] = {}
+        self._servers: list[Server] = []
+        self._pool_by_service: dict[str, _Pool] = {}
+        self._open_by_kind: dict[tuple[str, str], list[Server]] = {}
 
     def update(self, servers: list[Server]) -> None:
         """Begin a round of placing.
 
         :param servers: that take starts.
         """
-        self._open_by_image.clear()
-        used_milli = sum(server.used.processors_milli for server in servers)
-        capacity_milli = sum(
-            server.entry.capacity.processors_milli for server in servers
-        )
-        self._crowded = used_milli >= CROWDED_SHARE * capacity_milli
+        self._open_by_kind.clear()
+        self._pool_by_service.clear()
+        self._servers = servers
 
     def open_servers(
-        self, fill: Step, servers: list[Server], now_ms: int
+        self, fill: Step, service: str, now_ms: int
     ) -> list[Server]:
         """Find the servers that bear any fill of an image, once a round.
 
@@ -64,21 +69,22 @@
         core on 176 servers with 300 starts a second.
 
         :param fill: step of the fill.
-        :param servers: that take starts.
+        :param service: whose servers run it.
         :param now_ms: steady time.
         :returns: some that are worth a closer look.
         """
-        if self._forced(fill, now_ms):
+        servers = self._pool(service).servers
+        if self._forced(fill, service, now_ms):
             return servers
-        image = fill.spec.image
-        found = self._open_by_image.get(image)
+        kind = service, fill.spec.image
+        found = self._open_by_kind.get(kind)
         if found is None:
             found = [
                 server
                 for server in servers
                 if min(self._model.allowance(server, fill, now_ms)) > 0
             ]
-            self._open_by_image[image] = found
+            self._open_by_kind[kind] = found
         if len(found) <= MOST_CHOICES:
             return found
         self._begin = (self._begin + MOST_CHOICES) % len(found)
@@ -86,16 +92,17 @@
         return list(itertools.islice(chosen, MOST_CHOICES))
 
     def bearing(
-        self, fill: Step, servers: list[Server], now_ms: int
+        self, fill: Step, service: str, servers: list[Server], now_ms: int
     ) -> list[Server]:
         """Leave out the servers whose serving tasks a fill would harm.
 
         :param fill: step of the fill.
+        :param service: whose servers run it.
         :param servers: with room for it.
         :param now_ms: steady time.
         :returns: those that bear it.
         """
-        if self._forced(fill, now_ms):
+        if self._forced(fill, service, now_ms):
             return servers
         least = LEAST_SPEED if _idle_ms(fill.job, now_ms) < HOLD_MS else 0
         return [
@@ -116,9 +123,22 @@
         allowed = self._model.allowance(server, fill, now_ms)
         return max(0, 1 - min(allowed) / full_share(server, fill))
 
-    def _forced(self, fill: Step, now_ms: int) -> bool:
+    def _forced(self, fill: Step, service: str, now_ms: int) -> bool:
         idle_ms = _idle_ms(fill.job, now_ms)
-        return idle_ms >= MOST_HOLD_MS and not self._crowded
+        return idle_ms >= MOST_HOLD_MS and not self._pool(service).crowded
+
+    def _pool(self, service: str) -> _Pool:
+        # Only when a fill waits: most rounds of placing have none.
+        pool = self._pool_by_service.get(service)
+        if pool is None:
+            servers = [
+                server
+                for server in self._servers
+                if server.entry.service == service
+            ]
+            pool = _Pool(servers, _are_crowded(servers))
+            self._pool_by_service[service] = pool
+        return pool
 
     def _bears(
         self, server: Server, fill: Step, least: float, now_ms: int
@@ -130,3 +150,11 @@
 
 def _idle_ms(job: Job, now_ms: int) -> int:
     return 0 if runs_of(job) else now_ms - job.idle_ms
+
+
+def _are_crowded(servers: list[Server]) -> bool:
+    used_milli = sum(server.used.processors_milli for server in servers)
+    capacity_milli = sum(
+        server.entry.capacity.processors_milli for server in servers
+    )
+    return used_milli >= CROWDED_SHARE * capacity_milli
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -224,11 +224,12 @@
         self, turn: Waiting, usable: list[Server], now_ms: int
     ) -> list[Server]:
         step = turn.step
+        service = turn.queue.service
         counts = step.per_server() if step.spec.most_per_server else {}
         most = step.spec.most_per_server or len(step.tasks) + 1
         pool = usable
         if step.spec.fills:
-            pool = self._admission.open_servers(step, usable, now_ms)
+            pool = self._admission.open_servers(step, service, now_ms)
             self._looks += len(pool)
         fitting = [
             server
@@ -238,7 +239,7 @@
             and _fits(step, server)
         ]
         if step.spec.fills:
-            fitting = self._admission.bearing(step, fitting, now_ms)
+            fitting = self._admission.bearing(step, service, fitting, now_ms)
         if turn.queue.advised and fitting:
             return self._book.advice.allowed(step, fitting, now_ms)
         return fitting
