Test tickets that run out with a whole owner, store and servers

The virtual servers refuse starts without a valid ticket when a scenario asks for it, and answer for the advice service; all other scenarios are as they were. While each append takes longer than tickets are valid, runs are stored, settled unsent and planned anew; such a store still keeps advised tasks out.

--- a/waxwingford/shard/tests/shard.feature
+++ b/waxwingford/shard/tests/shard.feature
@@ -282,6 +282,34 @@
     And 14 s pass
     Then nothing was breached
 
+  Scenario: starts wait their turn until their tickets have run out
+    # Symptom: tasks of an advised queue don't start while others do; their server
+    # refuses them for want of a ticket.
+    # Sequence: orders to a server go two at a time, and starts wait behind them.
+    # Cause: looking at the ticket when a run is planned, and not when it is sent.
+    Given a shard with 3 daemons and 1 servers
+    And starts need tickets that are valid for 500 ms
+    When each order to a server takes 0.15 s
+    And a job of 8 tasks of 20 s is submitted
+    And 5 s pass
+    Then no start was without a valid ticket
+    And all 8 tasks of the job run
+
+  Scenario: the store is slower than tickets are valid
+    # Symptom: as above, and the task starts again and again without effect.
+    # Sequence: the store takes longer for each append than a ticket is valid,
+    # and is quick again after some seconds.
+    # Cause: as above.
+    Given a shard with 3 daemons and 1 servers
+    And starts need tickets that are valid for 500 ms
+    When the store takes 0.6 s more for each call
+    And a job of 8 tasks of 20 s is submitted
+    And 5 s pass
+    And the store takes 0 s more for each call
+    And 2 s pass
+    Then no start was without a valid ticket
+    And all 8 tasks of the job run
+
   Scenario: an owner tells which servers it waits for
     # Symptom: tasks stand still for seconds after the owner has changed, and no
     # line tells why before it is over.
--- a/waxwingford/shard/tests/shard_steps.py
+++ b/waxwingford/shard/tests/shard_steps.py
@@ -5,6 +5,7 @@
 import msgspec
 from behave import given, then, when
 
+from waxwingford.scheduling import Terms
 from waxwingford.shard import KeyedRecord, Stored
 from waxwingford.shard._beats import OWNERS_TOPIC
 from waxwingford.shard._journal import (
@@ -493,3 +494,25 @@
 @then('nothing was breached')
 def no_breach(context):
     assert not context.shard.servers.breaches, context.shard.servers.breaches
+
+
+@given('starts need tickets that are valid for {validity_ms:d} ms')
+def need_tickets(context, validity_ms):
+    shard = context.shard
+    shard.servers.ticket_ms = validity_ms
+    queue = TERMS.queue_by_name['queue']._replace(advised=True)
+    for daemon in shard.daemons:
+        daemon.member.configure(Terms(2, {'queue': queue}))
+
+
+@then('all {count:d} tasks of the job run')
+def all_run(context, count):
+    running = context.shard.running(context.jobs[-1])
+    assert len(running) == count, running
+
+
+@then('no start was without a valid ticket')
+def all_with_ticket(context):
+    servers = context.shard.servers
+    assert servers.until_s_by_ticket
+    assert not servers.without_ticket, servers.without_ticket
--- a/waxwingford/shard/tests/virtual_servers.py
+++ b/waxwingford/shard/tests/virtual_servers.py
@@ -22,6 +22,7 @@
     ServerReplaced,
     decode_spec,
 )
+from waxwingford.shard import Advised
 from waxwingford.shard._intake import INTAKE_TOPIC, JOB_PREFIX
 from waxwingford.shard._journal import JOURNAL_TOPIC
 
@@ -30,6 +31,10 @@
 LONGEST_LEASE_MS = 6000
 STOP_S = 0.3
 MS_IN_S = 1000
+#: Time that the advice service takes for a question and for each server in it,
+#: in seconds.
+ADVICE_S = 0.02
+ADVICE_EACH_S = 0.005
 
 
 @dataclasses.dataclass(eq=False)
@@ -126,6 +131,8 @@
         self.extend(order.lease_until_ms)
         if not self.has_room(task):
             return OrderDenied(Denial.no_room)
+        if not self.fleet.has_ticket(self, order):
+            return OrderDenied(Denial.no_ticket)
         self.begin(order.run)
         return OrderTaken(self.clock_ms())
 
@@ -205,6 +212,11 @@
         self.breaches = []
         self.starts = collections.Counter()
         self.cancelled_s_by_job = {}
+        #: Validity of tickets, in ms; 0 where none are needed.
+        self.ticket_ms = 0
+        #: End of each ticket by server, step and text, and starts without one.
+        self.until_s_by_ticket = {}
+        self.without_ticket = []
         self.job_by_id = {}
 
     def add(self, count, cores=8, ahead_ms=0):
@@ -225,6 +237,25 @@
                     self.job_by_id[job_id] = decode_spec(raw)
         return self.job_by_id[job_id]
 
+    def give_ticket(self, server_id, step_name):
+        now_s = asyncio.get_running_loop().time()
+        text = f'{server_id} at {now_s}'
+        until_s = now_s + self.ticket_ms / MS_IN_S
+        self.until_s_by_ticket[server_id, step_name, text] = until_s
+        return text
+
+    def has_ticket(self, server, order):
+        if not self.ticket_ms:
+            return True
+        task = order.run.task
+        step_name = f'{task.job_id}.{task.occurrence}.{task.step}'
+        ticket = server.server_id, step_name, order.ticket
+        until_s = self.until_s_by_ticket.get(ticket, 0)
+        if asyncio.get_running_loop().time() <= until_s:
+            return True
+        self.without_ticket.append(order.run)
+        return False
+
     def check_start(self, server, key):
         task = key.task
         self.starts[task] += 1
@@ -311,6 +342,14 @@
                 answer = server.look(order)
         return answer
 
+    async def advise(self, step_name, server_ids):
+        await asyncio.sleep(ADVICE_S + ADVICE_EACH_S * len(server_ids))
+        tickets = {
+            server_id: self._fleet.give_ticket(server_id, step_name)
+            for server_id in server_ids
+        }
+        return Advised(tickets, self._fleet.ticket_ms)
+
     async def _order(self, address, act, *details):
         server = self._fleet.server_by_id[address.server_id]
         if not await self._reaches(server):
