--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -238,9 +238,10 @@
         self, turn: Waiting, usable: list[Server], now_ms: int
     ) -> list[Server]:
         step = turn.step
+        service = turn.queue.service
         pool = usable
         if step.spec.fills:
-            pool = self._admission.open_servers(step, usable, now_ms)
+            pool = self._admission.open_servers(step, service, now_ms)
             self._looks += len(pool)
         needs = _needs(step)
         fitting = [
@@ -249,7 +250,7 @@
             if fits_resources(needs, self._holds.room(server))
         ]
         if step.spec.fills:
-            fitting = self._admission.bearing(step, fitting, now_ms)
+            fitting = self._admission.bearing(step, service, fitting, now_ms)
         if turn.queue.advised and fitting:
             return self._book.advice.allowed(step, fitting, now_ms)
         return fitting
