--- a/waxwingford/shard/tests/virtual_store.py
+++ b/waxwingford/shard/tests/virtual_store.py
@@ -43,6 +43,12 @@
         #: share that is done seconds later.
         self.lost_share = 0
         self.late_share = 0
+        #: By topic, the next appends that get no answer: after how many seconds
+        #: each is done, ``None`` for never.
+        self.losses_by_topic: dict[str, list[float | None]] = {}
+        #: Whether it looks at where the topic must end before it looks whether
+        #: an append is a repeat: the platform's pages leave that open.
+        self.at_first = False
         self.slow_s = 0
         self.random = random.Random(seed)
 
@@ -52,7 +58,7 @@
     def apply(self, name, records, fence):
         topic = self.topic(name)
         if fence is not None:
-            refusal = _refusal(topic, fence)
+            refusal = _refusal(topic, fence, self.at_first)
             if refusal is not None:
                 return refusal
         topic.records += records
@@ -64,14 +70,27 @@
         topic.grown = asyncio.Event()
         return answer
 
+    async def lose_answer(self, name, records, fence, done_after_s):
+        if done_after_s:
+            asyncio.get_running_loop().call_later(
+                done_after_s, self.apply, name, records, fence
+            )
+        elif done_after_s is not None:
+            self.apply(name, records, fence)
+        await asyncio.sleep(TIMEOUT_S)
+        return StoreUnknown('lost')
+
 
-def _refusal(topic, fence):
+def _refusal(topic, fence, at_first):
     if fence.epoch < topic.epoch:
         return AppendFenced()
+    elsewhere = fence.at_offset not in {None, len(topic.records)}
+    if at_first and elsewhere:
+        return AppendElsewhere(len(topic.records))
     fresh = fence.epoch > topic.epoch
     if not fresh and fence.sequence in topic.answer_by_sequence:
         return topic.answer_by_sequence[fence.sequence]
-    if fence.at_offset not in {None, len(topic.records)}:
+    if elsewhere:
         return AppendElsewhere(len(topic.records))
     if not fresh and fence.sequence != topic.next_sequence:
         return AppendOutOfOrder(topic.next_sequence)
@@ -94,17 +113,14 @@
         if trouble is not None:
             return trouble
         store = self._store
+        losses = store.losses_by_topic.get(topic)
+        if losses:
+            return await store.lose_answer(topic, records, fence, losses.pop(0))
         if store.random.random() >= store.lost_share:
             return store.apply(topic, records, fence)
-        if store.random.random() < store.late_share:
-            delay_s = store.random.uniform(1, 6)
-            asyncio.get_running_loop().call_later(
-                delay_s, store.apply, topic, records, fence
-            )
-        else:
-            store.apply(topic, records, fence)
-        await asyncio.sleep(TIMEOUT_S)
-        return StoreUnknown('lost')
+        late = store.random.random() < store.late_share
+        delay_s = store.random.uniform(1, 6) if late else 0
+        return await store.lose_answer(topic, records, fence, delay_s)
 
     async def read(self, topic, from_offset, wait_ms):
         trouble = await self._trouble()
