--- a/waxwingford/shard/_journal.py
+++ b/waxwingford/shard/_journal.py
@@ -15,6 +15,7 @@
     Appended,
     AppendElsewhere,
     AppendFenced,
+    AppendOutcome,
     AppendOutOfOrder,
     Fence,
     KeyedRecord,
@@ -29,6 +30,8 @@
 #: Low bits of an epoch are random, so that two daemons that claim the shard
 #: at once never use the same one: the store takes any epoch that isn't lower.
 EPOCH_RANDOM_BITS = 20
+#: Sequence number of the first append of an epoch.
+CLAIM_SEQUENCE = 0
 #: Pause before an append is repeated, in seconds; grows to the longest.
 FIRST_PAUSE_S = 0.02
 LONGEST_PAUSE_S = 0.25
@@ -137,33 +140,28 @@
         self._log = log
         self._topic = topic
         self._epoch = epoch
-        self._sequence = 0
+        self._sequence = CLAIM_SEQUENCE
         self._open = False
 
-    async def claim(
-        self, end: int, record: OwnerRecord
-    ) -> Claimed | ClaimFailed:
+    async def claim(self, end: int, record: OwnerRecord) -> AppendOutcome:
         """Append the first record of an epoch, if nothing came before it.
 
+        Each call is a try of the same append: at most one of them is stored.
+
         :param end: where the topic ended when its content was read.
         :param record: the new owner.
-        :returns: whether the shard is claimed. After an unknown outcome the
-            claim may still be carried out: it fences the former owner then,
-            and the next claim goes on from it.
+        :returns: what is known of this try.
         """
         rows = (KeyedRecord(OWNER_KEY, encode_owner(record)),)
-        fence = Fence(self._epoch, 0, end)
-        outcome = await self._log.append(self._topic, rows, fence)
-        match outcome:
-            case Appended():
-                self._sequence = 1
-                return Claimed()
-            case AppendElsewhere():
-                return ClaimFailed('somebody else has appended')
-            case AppendFenced():
-                return ClaimFailed('a higher epoch was seen')
-            case _:
-                return ClaimFailed(str(outcome))
+        fence = Fence(self._epoch, CLAIM_SEQUENCE, end)
+        return await self._log.append(self._topic, rows, fence)
+
+    def begin(self) -> None:
+        """Go on after the claim, which is known to be stored.
+
+        Tries of it that are carried out from now on are repeats.
+        """
+        self._sequence = CLAIM_SEQUENCE + 1
 
     async def append(self, rows: tuple[KeyedRecord, ...]) -> Appended | Deposed:
         """Append, and repeat until it is known that the append counts.
--- a/waxwingford/shard/_member.py
+++ b/waxwingford/shard/_member.py
@@ -68,6 +68,7 @@
         self._observer = observer
         self._resigning = False
         self._overtaken_epoch = 0
+        self._claimed_epoch = 0
         self._began_ms = 0
 
     @property
@@ -158,9 +159,13 @@
 
     async def _claim(self, former: Predecessor) -> None:
         beat_epoch = 0 if former.record is None else former.record.epoch
-        epoch = max(beat_epoch, self._overtaken_epoch)
+        epoch = max(beat_epoch, self._overtaken_epoch, self._claimed_epoch)
         self.owner = self._make_owner(self.terms)
-        match await self.owner.claim(former, epoch):
+        outcome = await self.owner.claim(former, epoch)
+        # A claim that failed may be carried out late: the next one goes past it
+        # instead of waiting for heartbeats that this daemon would have to send.
+        self._claimed_epoch = max(self._claimed_epoch, self.owner.epoch)
+        match outcome:
             case Claimed():
                 return
             case ClaimOvertaken(epoch):
--- a/waxwingford/shard/_owner.py
+++ b/waxwingford/shard/_owner.py
@@ -10,6 +10,7 @@
 from waxwingford.scheduling import Engine, TaskRunners, Terms, decode_spec
 from waxwingford.shard._advice_asker import AdviceAsker, Advisor
 from waxwingford.shard._beats import Beats
+from waxwingford.shard._claims import Claim
 from waxwingford.shard._commits import Committer
 from waxwingford.shard._drivers import DriverPorts
 from waxwingford.shard._fleet import Fleet, ServerDirectory
@@ -18,6 +19,7 @@
 from waxwingford.shard._journal import (
     JOURNAL_TOPIC,
     OWNER_KEY,
+    Claimed,
     ClaimFailed,
     ClaimOutcome,
     ClaimOvertaken,
@@ -152,9 +154,12 @@
         )
         if self.over.is_set():
             return ClaimFailed('stopped before the claim')
-        claimed = await self._writer.claim(journal.next_offset, record)
-        if isinstance(claimed, ClaimFailed):
+        claim = Claim(self._writer, journal, record)
+        claimed = await claim.store(self.over)
+        if not isinstance(claimed, Claimed):
             return claimed
+        # Read again if the claim had to be looked for: no row of a step.
+        journal.payload_by_key.pop(OWNER_KEY, None)
         ledger = LeaseLedger(former, self._settings.lease_ms)
         beats = Beats(log, record, self._ports.since_boot_ms, ledger)
         # Only now: a resignation of a claim that failed would depose whoever
--- a/waxwingford/shard/tests/virtual_store.py
+++ b/waxwingford/shard/tests/virtual_store.py
@@ -46,8 +46,8 @@
         #: By topic, the next appends that get no answer: after how many seconds
         #: each is done, ``None`` for never.
         self.losses_by_topic: dict[str, list[float | None]] = {}
-        #: Whether it looks at where the topic must end before it looks whether
-        #: an append is a repeat: the platform's pages leave that open.
+        #: Whether it looks at where the topic must end before it looks at the
+        #: epoch, and whether an append is a repeat: the pages leave that open.
         self.at_first = False
         self.slow_s = 0
         self.random = random.Random(seed)
@@ -82,11 +82,11 @@
 
 
 def _refusal(topic, fence, at_first):
-    if fence.epoch < topic.epoch:
-        return AppendFenced()
     elsewhere = fence.at_offset not in {None, len(topic.records)}
     if at_first and elsewhere:
         return AppendElsewhere(len(topic.records))
+    if fence.epoch < topic.epoch:
+        return AppendFenced()
     fresh = fence.epoch > topic.epoch
     if not fresh and fence.sequence in topic.answer_by_sequence:
         return topic.answer_by_sequence[fence.sequence]
