Add a failing scenario of a deposed owner that claims at once

The former owner deposes its successor 1.2 s after it was overtaken by it, though the suspicion time is 4 s then.

--- a/waxwingford/shard/tests/shard.feature
+++ b/waxwingford/shard/tests/shard.feature
@@ -34,6 +34,30 @@
     Then there is one owner
     And the shard has changed hands once
 
+  Scenario: an owner is deposed whose heartbeat is still the newest
+    # Symptom: two daemons depose each other in turn, and nobody acts.
+    # Sequence: a store that was slow has made all daemons patient; the owner
+    # loses the store, another daemon claims, and its first heartbeat is stored
+    # late; the former owner finds the store again, learns that it is deposed, and
+    # that its own heartbeat is the newest.
+    # Cause: taking the shard for its own though the journal has shown a claim of
+    # another daemon since.
+    Given a shard with 3 daemons and 4 servers
+    When the store takes 0.4 s more for each call
+    And 3 s pass
+    And the store takes 0.9 s more for each call
+    And 5 s pass
+    And the store takes 0 s more for each call
+    And 0.5 s pass
+    And the owner is cut off from the store until another daemon has claimed
+    And the first heartbeat of that one is stored after 3.3 s
+    And a job of 2 steps is submitted
+    And 8 s pass
+    Then another daemon owns the shard
+    And the shard has changed hands once
+    And the job is shown as completed by every daemon
+    And nothing was breached
+
   Scenario: the store turns the daemon away that a caller asks
     # Symptom: a job is refused although the store is there for others.
     # Sequence: the store refuses one daemon's calls, a job comes to it.
--- a/waxwingford/shard/tests/shard_steps.py
+++ b/waxwingford/shard/tests/shard_steps.py
@@ -69,6 +69,22 @@
     context.shard.call(context.shard.owners[0].kill)
 
 
+@when('the owner is cut off from the store until another daemon has claimed')
+def cut_until_claimed(context):
+    shard = context.shard
+    context.first_owner = shard.owners[0]
+    shard.store.silent.add(context.first_owner.daemon_id)
+    next_to_claim(shard)
+    shard.store.silent.clear()
+
+
+@when('the first heartbeat of that one is stored after {span_s:g} s')
+def late_beat(context, span_s):
+    # Nor are its repeats done until then, nor what the former owner sends.
+    losses = [span_s, None, None, None]
+    context.shard.store.losses_by_topic[OWNERS_TOPIC] = losses
+
+
 @when('the owner is killed just before the job is cancelled')
 def kill_then_cancel(context):
     kill_owner(context)
