Let a daemon with the newest heartbeat wait once another one has claimed

Cause: a daemon whose own heartbeat is the newest took the shard for free without a silence, as it would after a restart, also when its claim had just been overtaken by another daemon's. With a long suspicion time it claimed again 1.2 s later and deposed that daemon, whose first heartbeat was still to come. Ruled out: never counting the own heartbeat; a restarted owner would wait for a silence that nobody can break. Change: the own heartbeat doesn't count while a higher epoch is known to have claimed. Measured: the failing scenario passes, the shard changes hands once. Conclusion: kept, as it stops daemons that depose each other in turn.

--- a/waxwingford/shard/_member.py
+++ b/waxwingford/shard/_member.py
@@ -104,8 +104,7 @@
             if not await self._watch.read():
                 await asyncio.sleep(FAILED_PAUSE_S)
                 continue
-            free = self._watch.free_for(self._daemon_id)
-            if free and self._may_claim():
+            if self._free() and self._may_claim():
                 await self._try_claim()
 
     async def resign(self) -> None:
@@ -125,6 +124,9 @@
                 self._barred_until_ms = steady_ms() + CUT_OFF_BAR_MS
             self.owner = None
 
+    def _free(self) -> bool:
+        return self._watch.free_for(self._daemon_id, self._overtaken_epoch)
+
     def _may_claim(self) -> bool:
         barred = steady_ms() < self._barred_until_ms
         return self.owner is None and not (barred or self._resigning)
--- a/waxwingford/shard/_watch.py
+++ b/waxwingford/shard/_watch.py
@@ -50,17 +50,21 @@
         """
         return self.record is None or self.record.resigned
 
-    def free_for(self, daemon_id: str) -> bool:
+    def free_for(self, daemon_id: str, claimed_epoch: int) -> bool:
         """Tell whether a daemon that doesn't own the shard may claim it.
 
         :param daemon_id: of the daemon.
+        :param claimed_epoch: highest one under which another daemon is known to
+            have claimed.
         :returns: whether there is no owner, as far as can be told.
         """
         if self.record is None or self.record.resigned:
             return True
         # An owner of this name was the daemon's former process: it is
-        # certainly gone, and nobody need wait for its silence.
+        # certainly gone, and nobody need wait for its silence; unless another
+        # daemon has claimed since, whose heartbeats are to come.
         own = self.record.daemon_id == daemon_id
+        own = own and self.record.epoch >= claimed_epoch
         return own or self.silent_ms >= self._suspect_ms
 
     @property
