--- a/waxwingford/shard/tests/shard.feature
+++ b/waxwingford/shard/tests/shard.feature
@@ -195,6 +195,36 @@
     And each task was started at most once
     And nothing was breached
 
+  Scenario: an owner gets no answer to its reads of the intake
+    # Symptom: nobody acts for seconds though daemons and store are there.
+    # Sequence: the owner is killed, another daemon claims and sends heartbeats,
+    # but the store answers none of its reads of the intake.
+    # Cause: an owner that waits for the intake without bound; its heartbeats keep
+    # all others from claiming.
+    Given a shard with 3 daemons and 4 servers
+    When a long job is submitted
+    And 1 s pass
+    And the owner is killed
+    And the next owner gets no answer to its reads of the intake
+    And 6 s pass
+    Then another daemon owns the shard
+    When 14 s pass
+    Then the job is shown as completed by every daemon
+    And the shard has changed hands twice
+    And nothing was breached
+
+  Scenario: an owner gets few answers to its reads of a long intake
+    # Symptom: the shard changes hands all the time and nobody acts.
+    # Sequence: the intake has many pages, and reads of it are slow.
+    # Cause: an owner that resigns though it gets on.
+    Given a shard with 3 daemons and 4 servers
+    When 400 cancellings are stored in the intake
+    And the owner is killed
+    And the next owner gets an answer to its reads of the intake each 1 s
+    And 12 s pass
+    Then there is one owner
+    And the shard has changed hands once
+
   Scenario: a server goes silent and its leases lapse
     # Symptom: a task runs in two places at once.
     # Sequence: a server is cut off and runs on; its tasks are needed elsewhere.
--- a/waxwingford/shard/tests/shard_steps.py
+++ b/waxwingford/shard/tests/shard_steps.py
@@ -7,6 +7,7 @@
 
 from waxwingford.shard import KeyedRecord, Stored
 from waxwingford.shard._beats import OWNERS_TOPIC
+from waxwingford.shard._intake import CANCEL_PREFIX, INTAKE_TOPIC
 from waxwingford.shard._journal import (
     JOURNAL_TOPIC,
     OWNER_KEY,
@@ -165,6 +166,11 @@
     assert len(claims(context.shard)) == 2, claims(context.shard)
 
 
+@then('the shard has changed hands twice')
+def changed_twice(context):
+    assert len(claims(context.shard)) == 3, claims(context.shard)
+
+
 @when('the owner resigns')
 def resign(context):
     owner = context.shard.owners[0]
@@ -287,6 +293,32 @@
     assert not context.resigned.owns
 
 
+@when('the next owner gets no answer to its reads of the intake')
+def no_pages(context):
+    shard = context.shard
+    context.first_owner = next_to_claim(shard)
+    name = context.first_owner.daemon_id
+    shard.store.page_s_by_reader[name, INTAKE_TOPIC] = None
+
+
+@when(
+    'the next owner gets an answer to its reads of the intake each {span_s:g} s'
+)
+def slow_pages(context, span_s):
+    shard = context.shard
+    name = next_to_claim(shard).daemon_id
+    shard.store.page_s_by_reader[name, INTAKE_TOPIC] = span_s
+
+
+@when('{count:d} cancellings are stored in the intake')
+def many_rows(context, count):
+    rows = [
+        KeyedRecord(f'{CANCEL_PREFIX}{number:016x}', b'1')
+        for number in range(count)
+    ]
+    context.shard.store.apply(INTAKE_TOPIC, rows, None)
+
+
 @when('the owner is cut off from the store for {span_s:g} s')
 def cut_owner(context, span_s):
     daemon_id = context.shard.owners[0].daemon_id
--- a/waxwingford/shard/tests/virtual_store.py
+++ b/waxwingford/shard/tests/virtual_store.py
@@ -46,6 +46,8 @@
         #: By topic, the next appends that get no answer: after how many seconds
         #: each is done, ``None`` for never.
         self.losses_by_topic: dict[str, list[float | None]] = {}
+        #: By daemon and topic, how much longer pages take, ``None`` for ever.
+        self.page_s_by_reader: dict[tuple[str, str], float | None] = {}
         #: Whether it looks at where the topic must end before it looks at the
         #: epoch, and whether an append is a repeat: the pages leave that open.
         self.at_first = False
@@ -146,6 +148,12 @@
         trouble = await self._trouble()
         if trouble is not None:
             return trouble
+        page_s = self._store.page_s_by_reader.get((self._daemon_id, topic), 0)
+        if page_s is None:
+            await asyncio.sleep(TIMEOUT_S)
+            return StoreUnknown('lost')
+        if page_s:
+            await asyncio.sleep(page_s)
         held = self._store.topic(topic)
         newest = {
             key: StoredRecord(offset, key, payload)
