Resign from a shard whose intake can't be read, and keep pages that were read

Cause: a new owner waited for the intake without bound, while its heartbeats kept all others from claiming; and a copy of a topic threw all pages away when one got no answer, so that a long intake might never be read by any owner. Ruled out: a bound on the whole reading. With a slow store and many pages each owner would resign in turn, and its successor would begin at the first page. Change: pages are kept, and the topic is read on from where it ended at the first of them before a copy of kept pages counts as new. An owner that gets no page for 4 s resigns: as long as the others wait at most for a silent owner, and enough for one lost page, which takes 3 s. It claims nothing for 6 s, and the daemons of its failure domain wait longer, as after a resignation for want of servers.

--- a/waxwingford/shard/_beats.py
+++ b/waxwingford/shard/_beats.py
@@ -79,7 +79,7 @@
     async def resign(self, cut_off: bool = False) -> None:
         """Tell the others that they need not wait for a silence.
 
-        :param cut_off: whether most servers can't be reached from here.
+        :param cut_off: whether others may reach what can't be reached from here.
         """
         resigned = msgspec.structs.replace(
             self._record, resigned=True, cut_off=cut_off
--- a/waxwingford/shard/_intake_reader.py
+++ b/waxwingford/shard/_intake_reader.py
@@ -11,13 +11,17 @@
 )
 from waxwingford.shard._log_port import SharedLog, StoredRecord
 from waxwingford.shard._mirror import CatchUp, CaughtUp, Mirror
-from waxwingford.shard._times import steady_ms
+from waxwingford.shard._times import MS_IN_S, steady_ms
 
 #: Longest wait of a read, in ms; a connection that went silent is noticed soon
 #: after.
 INTAKE_WAIT_MS = 1000
 #: Pause after a read that failed, in seconds.
 FAILED_PAUSE_S = 0.1
+#: An owner that takes over and reads no page of the intake for so long, in ms,
+#: gives the shard up: as long as the others wait at most for one that is silent,
+#: for one that doesn't act is worth no more. One lost page fits in, which takes 3 s.
+PAGE_WITHIN_MS = 4000
 
 
 class IntakeReader:
@@ -31,10 +35,33 @@
         self._log = log
         self._mirror = Mirror(log, INTAKE_TOPIC)
 
-    async def restore(self) -> None:
-        """Read everything, however long the store takes."""
-        while not isinstance(await self._mirror.catch_up(), CaughtUp):
-            await asyncio.sleep(FAILED_PAUSE_S)
+    async def restore(self, over: asyncio.Event) -> bool:
+        """Read everything, however long it takes while pages come.
+
+        A successor would have to begin at the first page.
+
+        :param over: set when the owner has stopped.
+        :returns: whether all was read.
+        """
+        until_ms = steady_ms() + PAGE_WITHIN_MS
+        while not over.is_set() and steady_ms() < until_ms:
+            pages = self._mirror.page_count
+            if await self._caught_up(until_ms - steady_ms()):
+                return True
+            if self._mirror.page_count > pages:
+                until_ms = steady_ms() + PAGE_WITHIN_MS
+            else:
+                await asyncio.sleep(FAILED_PAUSE_S)
+        return False
+
+    async def _caught_up(self, left_ms: int) -> bool:
+        try:
+            read = await asyncio.wait_for(
+                self._mirror.catch_up(), left_ms / MS_IN_S
+            )
+        except TimeoutError:
+            return False
+        return isinstance(read, CaughtUp)
 
     def hand_over(self, engine: Engine) -> None:
         """Give an engine everything that was read.
--- a/waxwingford/shard/_journal.py
+++ b/waxwingford/shard/_journal.py
@@ -46,7 +46,8 @@
     :ivar beat: rises with each heartbeat.
     :ivar resigned: whether it has stopped and a successor may follow at once.
     :ivar failure_domain: where its daemon is.
-    :ivar cut_off: whether it resigned as it can't reach most servers.
+    :ivar cut_off: whether it resigned as it can't reach most servers, or can't
+        read the intake.
     :ivar silent: servers that don't answer it, with how long something may still
         run there, in ms; it doesn't extend their leases until a heartbeat is
         stored that doesn't name them. ``None`` in heartbeats of daemons of an
--- a/waxwingford/shard/_member.py
+++ b/waxwingford/shard/_member.py
@@ -26,9 +26,9 @@
 #: not stopped soon, and the shard changes hands once instead of with each stop.
 FRESH_MS = 30_000
 OLD_WAIT_MS = 80
-#: An owner that resigned as it can't reach most servers claims nothing for so
-#: long, and the daemons of its failure domain wait so long, both in ms: others
-#: probably reach more.
+#: An owner that resigned as it can't reach most servers, or can't read the intake,
+#: claims nothing for so long, and the daemons of its failure domain wait so long,
+#: both in ms: others probably reach more.
 CUT_OFF_BAR_MS = 6000
 CUT_OFF_WAIT_MS = 1500
 #: Pause after a read or a claim that failed, in seconds.
@@ -120,9 +120,12 @@
 
     def _drop_owner(self) -> None:
         if self.owner is not None and self.owner.over.is_set():
-            if self.owner.cut_off:
-                self._barred_until_ms = steady_ms() + CUT_OFF_BAR_MS
-            self.owner = None
+            self._let_go(self.owner)
+
+    def _let_go(self, owner: Owner) -> None:
+        if owner.cut_off:
+            self._barred_until_ms = steady_ms() + CUT_OFF_BAR_MS
+        self.owner = None
 
     def _free(self) -> bool:
         return self._watch.free_for(self._daemon_id, self._overtaken_epoch)
@@ -162,11 +165,12 @@
     async def _claim(self, former: Predecessor) -> None:
         beat_epoch = 0 if former.record is None else former.record.epoch
         epoch = max(beat_epoch, self._overtaken_epoch, self._claimed_epoch)
-        self.owner = self._make_owner(self.terms)
-        outcome = await self.owner.claim(former, epoch)
+        owner = self._make_owner(self.terms)
+        self.owner = owner
+        outcome = await owner.claim(former, epoch)
         # A claim that failed may be carried out late: the next one goes past it
         # instead of waiting for heartbeats that this daemon would have to send.
-        self._claimed_epoch = max(self._claimed_epoch, self.owner.epoch)
+        self._claimed_epoch = max(self._claimed_epoch, owner.epoch)
         match outcome:
             case Claimed():
                 return
@@ -177,6 +181,6 @@
                 self._observer.tell('claim.overtaken', by_epoch=epoch)
             case ClaimFailed(reason):
                 self._observer.tell('claim.failed', reason=reason)
-        self.owner = None
+        self._let_go(owner)
         self._watch.restart()
         await asyncio.sleep(FAILED_PAUSE_S)
--- a/waxwingford/shard/_mirror.py
+++ b/waxwingford/shard/_mirror.py
@@ -26,12 +26,45 @@
 CatchUp = CaughtUp | StoreRefused | StoreUnknown
 
 
+@dataclasses.dataclass(slots=True)
+class _Pages:
+    """Pages of newest records that were read so far.
+
+    :ivar records: in them.
+    :ivar first_end: where the topic ended at the first of them.
+    :ivar after_key: last key in them.
+    :ivar whole: whether no key follows.
+    """
+
+    records: list[StoredRecord] = dataclasses.field(default_factory=list)
+    first_end: int | None = None
+    after_key: str = ''
+    whole: bool = False
+
+    def add(self, page: NewestPage) -> None:
+        """Take in the next page.
+
+        :param page: after the key that was last.
+        """
+        if self.first_end is None:
+            self.first_end = page.end
+        self.records.extend(page.records)
+        self.whole = not (page.more and page.records)
+        if page.records:
+            self.after_key = page.records[-1].key
+
+
 class Mirror:
     """Reads a topic once by key, then follows it.
 
     Pages of newest records are no snapshot: a key may change between two of
     them. So the topic is followed from where it ended at the first page, and
-    for each key the record with the higher offset wins.
+    for each key the record with the higher offset wins. For the same reason
+    pages that were read are kept when the next one gets no answer.
+
+    :ivar payload_by_key: the copy.
+    :ivar next_offset: where the topic is read on.
+    :ivar page_count: pages that were read so far.
     """
 
     def __init__(self, log: SharedLog, topic: str) -> None:
@@ -42,10 +75,14 @@
         """
         self.payload_by_key: dict[str, bytes] = {}
         self.next_offset = 0
+        self.page_count = 0
         self._log = log
         self._topic = topic
         self._offset_by_key: dict[str, int] = {}
         self._restored = False
+        self._pages = _Pages()
+        #: Records that no call has told yet.
+        self._untold: tuple[StoredRecord, ...] = ()
 
     async def catch_up(self, wait_ms: int = 0) -> CatchUp:
         """Read what is new; everything, if nothing was read before.
@@ -60,7 +97,7 @@
             case RecordsRead(records, next_offset):
                 self._apply(records)
                 self.next_offset = next_offset
-                return CaughtUp(records)
+                return self._tell(records)
             case RecordsExpired():
                 # Left behind for longer than records are kept.
                 self._restored = False
@@ -77,29 +114,42 @@
         self._restored = True
 
     async def _restore(self) -> CatchUp:
-        after_key = ''
-        records: list[StoredRecord] = []
-        first_end: int | None = None
-        while True:
-            page = await self._log.newest(self._topic, after_key)
+        kept = self._pages.first_end is not None
+        while not self._pages.whole:
+            pages = self._pages
+            page = await self._log.newest(self._topic, pages.after_key)
             if not isinstance(page, NewestPage):
                 return page
-            first_end = page.end if first_end is None else first_end
-            records.extend(page.records)
-            if not page.more or not page.records:
-                break
-            after_key = page.records[-1].key
+            pages.add(page)
+            self.page_count += 1
+        records = self._take_pages()
+        if kept:
+            # The first pages are older than this call: whoever asks now wants
+            # to know what has come since.
+            self._untold = records
+            return await self.catch_up()
+        return self._tell(records)
+
+    def _take_pages(self) -> tuple[StoredRecord, ...]:
+        records = self._pages.records
+        end = self._pages.first_end or 0
         keys = {record.key for record in records}
         dropped = tuple(
-            StoredRecord(first_end, key, None)
+            StoredRecord(end, key, None)
             for key in self.payload_by_key
             if key not in keys
         )
         self._apply(dropped)
         self._apply(tuple(records))
-        self.next_offset = first_end
+        self.next_offset = end
         self._restored = True
-        return CaughtUp((*dropped, *records))
+        self._pages = _Pages()
+        return (*dropped, *records)
+
+    def _tell(self, records: tuple[StoredRecord, ...]) -> CaughtUp:
+        changed = (*self._untold, *records)
+        self._untold = ()
+        return CaughtUp(changed)
 
     def _apply(self, records: tuple[StoredRecord, ...]) -> None:
         for record in records:
--- a/waxwingford/shard/_owner.py
+++ b/waxwingford/shard/_owner.py
@@ -97,7 +97,8 @@
 
     :ivar ready: whether it has read all of the shard and acts.
     :ivar over: set when it has stopped for good.
-    :ivar cut_off: whether it has stopped as it can't reach most servers.
+    :ivar cut_off: whether it has stopped as it can't reach most servers, or
+        can't read the intake.
     :ivar epoch: under which it appends; its fencing token at servers.
     """
 
@@ -228,16 +229,19 @@
         """
         return self._engine.book.pending(queue)
 
-    async def resign(self, cut_off: bool = False) -> None:
+    async def resign(
+        self, reason: str = 'resigned', cut_off: bool = False
+    ) -> None:
         """Stop acting and let a successor follow at once.
 
-        :param cut_off: whether most servers can't be reached from here.
+        :param reason: why.
+        :param cut_off: whether others may reach what can't be reached from here.
         """
         self.cut_off = cut_off
         self._halt()
         if self._beats is not None:
             await self._beats.resign(cut_off)
-        self._end('cut off from servers' if cut_off else 'resigned')
+        self._end(reason)
 
     def stop(self, reason: str) -> None:
         """Stop acting: another daemon owns the shard.
@@ -288,7 +292,10 @@
     ) -> None:
         now_ms = steady_ms()
         # After the claim: any job that the journal names is in it then.
-        await self._intake.restore()
+        read = await self._intake.restore(self.over)
+        if not (read or self.over.is_set()):
+            # Heartbeats without acts would keep all others from claiming.
+            await self.resign('the intake can not be read', cut_off=True)
         await ledger.until_begun(self.over)
         if self.over.is_set():
             return
@@ -349,7 +356,8 @@
             stayed = steady_ms() - self._ready_ms >= STAY_MS
             if stayed and self._ports.log.answering and self._fleet.cut_off:
                 # Not from here: this task is one of those that end with it.
-                self._leaving = asyncio.create_task(self.resign(cut_off=True))
+                leaving = self.resign('cut off from servers', cut_off=True)
+                self._leaving = asyncio.create_task(leaving)
                 return
 
     async def _decide(self) -> None:
--- a/waxwingford/shard/tests/shard.feature
+++ b/waxwingford/shard/tests/shard.feature
@@ -213,6 +213,19 @@
     And the shard has changed hands twice
     And nothing was breached
 
+  Scenario: an owner that could not read the intake leaves the shard to others
+    # Symptom: nobody acts for seconds more.
+    # Sequence: as above, but no other daemon is there when the owner resigns; one
+    # is started two seconds later.
+    # Cause: claiming once more what it has just resigned from.
+    Given a shard with 2 daemons and 4 servers
+    When the owner is killed
+    And the next owner gets no answer to its reads of the intake
+    And 6 s pass
+    And the daemon that was killed is started again
+    And 1 s pass
+    Then another daemon owns the shard
+
   Scenario: an owner gets few answers to its reads of a long intake
     # Symptom: the shard changes hands all the time and nobody acts.
     # Sequence: the intake has many pages, and reads of it are slow.
--- a/waxwingford/shard/tests/shard_steps.py
+++ b/waxwingford/shard/tests/shard_steps.py
@@ -310,6 +310,13 @@
     shard.store.page_s_by_reader[name, INTAKE_TOPIC] = span_s
 
 
+@when('the daemon that was killed is started again')
+def start_killed(context):
+    shard = context.shard
+    killed = next(one for one in shard.daemons if not one.alive)
+    shard.call(killed.start)
+
+
 @when('{count:d} cancellings are stored in the intake')
 def many_rows(context, count):
     rows = [
