--- a/waxwingford/shard/_owner.py
+++ b/waxwingford/shard/_owner.py
@@ -10,6 +10,7 @@
 from waxwingford.scheduling import Engine, TaskRunners, Terms, decode_spec
 from waxwingford.shard._advice_asker import AdviceAsker, Advisor
 from waxwingford.shard._beats import Beats
+from waxwingford.shard._claims import Claim
 from waxwingford.shard._commits import Committer
 from waxwingford.shard._drivers import DriverPorts
 from waxwingford.shard._fleet import Fleet, ServerDirectory
@@ -18,6 +19,7 @@
 from waxwingford.shard._journal import (
     JOURNAL_TOPIC,
     OWNER_KEY,
+    Claimed,
     ClaimFailed,
     ClaimOutcome,
     ClaimOvertaken,
@@ -95,7 +97,8 @@
 
     :ivar ready: whether it has read all of the shard and acts.
     :ivar over: set when it has stopped for good.
-    :ivar cut_off: whether it has stopped as it can't reach most servers.
+    :ivar cut_off: whether it has stopped as it can't reach most servers, or
+        can't read the intake.
     :ivar epoch: under which it appends; its fencing token at servers.
     """
 
@@ -152,9 +155,12 @@
         )
         if self.over.is_set():
             return ClaimFailed('stopped before the claim')
-        claimed = await self._writer.claim(journal.next_offset, record)
-        if isinstance(claimed, ClaimFailed):
+        claim = Claim(self._writer, journal, record)
+        claimed = await claim.store(self.over)
+        if not isinstance(claimed, Claimed):
             return claimed
+        # Read again if the claim had to be looked for: no row of a step.
+        journal.payload_by_key.pop(OWNER_KEY, None)
         ledger = LeaseLedger(former, self._settings.lease_ms)
         beats = Beats(log, record, self._ports.since_boot_ms, ledger)
         # Only now: a resignation of a claim that failed would depose whoever
@@ -223,16 +229,19 @@
         """
         return self._engine.book.pending(queue)
 
-    async def resign(self, cut_off: bool = False) -> None:
+    async def resign(
+        self, reason: str = 'resigned', cut_off: bool = False
+    ) -> None:
         """Stop acting and let a successor follow at once.
 
-        :param cut_off: whether most servers can't be reached from here.
+        :param reason: why.
+        :param cut_off: whether others may reach what can't be reached from here.
         """
         self.cut_off = cut_off
         self._halt()
         if self._beats is not None:
             await self._beats.resign(cut_off)
-        self._end('cut off from servers' if cut_off else 'resigned')
+        self._end(reason)
 
     def stop(self, reason: str) -> None:
         """Stop acting: another daemon owns the shard.
@@ -283,7 +292,10 @@
     ) -> None:
         now_ms = steady_ms()
         # After the claim: any job that the journal names is in it then.
-        await self._intake.restore()
+        read = await self._intake.restore(self.over)
+        if not (read or self.over.is_set()):
+            # Heartbeats without acts would keep all others from claiming.
+            await self.resign('the intake can not be read', cut_off=True)
         await ledger.until_begun(self.over)
         if self.over.is_set():
             return
@@ -344,7 +356,8 @@
             stayed = steady_ms() - self._ready_ms >= STAY_MS
             if stayed and self._ports.log.answering and self._fleet.cut_off:
                 # Not from here: this task is one of those that end with it.
-                self._leaving = asyncio.create_task(self.resign(cut_off=True))
+                leaving = self.resign('cut off from servers', cut_off=True)
+                self._leaving = asyncio.create_task(leaving)
                 return
 
     async def _decide(self) -> None:
--- a/waxwingford/shard/tests/shard.feature
+++ b/waxwingford/shard/tests/shard.feature
@@ -34,6 +34,30 @@
     Then there is one owner
     And the shard has changed hands once
 
+  Scenario: an owner is deposed whose heartbeat is still the newest
+    # Symptom: two daemons depose each other in turn, and nobody acts.
+    # Sequence: a store that was slow has made all daemons patient; the owner
+    # loses the store, another daemon claims, and its first heartbeat is stored
+    # late; the former owner finds the store again, learns that it is deposed, and
+    # that its own heartbeat is the newest.
+    # Cause: taking the shard for its own though the journal has shown a claim of
+    # another daemon since.
+    Given a shard with 3 daemons and 4 servers
+    When the store takes 0.4 s more for each call
+    And 3 s pass
+    And the store takes 0.9 s more for each call
+    And 5 s pass
+    And the store takes 0 s more for each call
+    And 0.5 s pass
+    And the owner is cut off from the store until another daemon has claimed
+    And the first heartbeat of that one is stored after 3.3 s
+    And a job of 2 steps is submitted
+    And 8 s pass
+    Then another daemon owns the shard
+    And the shard has changed hands once
+    And the job is shown as completed by every daemon
+    And nothing was breached
+
   Scenario: the store turns the daemon away that a caller asks
     # Symptom: a job is refused although the store is there for others.
     # Sequence: the store refuses one daemon's calls, a job comes to it.
@@ -171,6 +195,49 @@
     And each task was started at most once
     And nothing was breached
 
+  Scenario: an owner gets no answer to its reads of the intake
+    # Symptom: nobody acts for seconds though daemons and store are there.
+    # Sequence: the owner is killed, another daemon claims and sends heartbeats,
+    # but the store answers none of its reads of the intake.
+    # Cause: an owner that waits for the intake without bound; its heartbeats keep
+    # all others from claiming.
+    Given a shard with 3 daemons and 4 servers
+    When a long job is submitted
+    And 1 s pass
+    And the owner is killed
+    And the next owner gets no answer to its reads of the intake
+    And 6 s pass
+    Then another daemon owns the shard
+    When 14 s pass
+    Then the job is shown as completed by every daemon
+    And the shard has changed hands twice
+    And nothing was breached
+
+  Scenario: an owner that could not read the intake leaves the shard to others
+    # Symptom: nobody acts for seconds more.
+    # Sequence: as above, but no other daemon is there when the owner resigns; one
+    # is started two seconds later.
+    # Cause: claiming once more what it has just resigned from.
+    Given a shard with 2 daemons and 4 servers
+    When the owner is killed
+    And the next owner gets no answer to its reads of the intake
+    And 6 s pass
+    And the daemon that was killed is started again
+    And 1 s pass
+    Then another daemon owns the shard
+
+  Scenario: an owner gets few answers to its reads of a long intake
+    # Symptom: the shard changes hands all the time and nobody acts.
+    # Sequence: the intake has many pages, and reads of it are slow.
+    # Cause: an owner that resigns though it gets on.
+    Given a shard with 3 daemons and 4 servers
+    When 400 cancellings are stored in the intake
+    And the owner is killed
+    And the next owner gets an answer to its reads of the intake each 1 s
+    And 12 s pass
+    Then there is one owner
+    And the shard has changed hands once
+
   Scenario: a server goes silent and its leases lapse
     # Symptom: a task runs in two places at once.
     # Sequence: a server is cut off and runs on; its tasks are needed elsewhere.
--- a/waxwingford/shard/tests/shard_steps.py
+++ b/waxwingford/shard/tests/shard_steps.py
@@ -8,6 +8,7 @@
 from waxwingford.scheduling import Terms
 from waxwingford.shard import KeyedRecord, Stored
 from waxwingford.shard._beats import OWNERS_TOPIC
+from waxwingford.shard._intake import CANCEL_PREFIX, INTAKE_TOPIC
 from waxwingford.shard._journal import (
     JOURNAL_TOPIC,
     OWNER_KEY,
@@ -70,6 +71,22 @@
     context.shard.call(context.shard.owners[0].kill)
 
 
+@when('the owner is cut off from the store until another daemon has claimed')
+def cut_until_claimed(context):
+    shard = context.shard
+    context.first_owner = shard.owners[0]
+    shard.store.silent.add(context.first_owner.daemon_id)
+    next_to_claim(shard)
+    shard.store.silent.clear()
+
+
+@when('the first heartbeat of that one is stored after {span_s:g} s')
+def late_beat(context, span_s):
+    # Nor are its repeats done until then, nor what the former owner sends.
+    losses = [span_s, None, None, None]
+    context.shard.store.losses_by_topic[OWNERS_TOPIC] = losses
+
+
 @when('the owner is killed just before the job is cancelled')
 def kill_then_cancel(context):
     kill_owner(context)
@@ -150,6 +167,11 @@
     assert len(claims(context.shard)) == 2, claims(context.shard)
 
 
+@then('the shard has changed hands twice')
+def changed_twice(context):
+    assert len(claims(context.shard)) == 3, claims(context.shard)
+
+
 @when('the owner resigns')
 def resign(context):
     owner = context.shard.owners[0]
@@ -272,6 +294,39 @@
     assert not context.resigned.owns
 
 
+@when('the next owner gets no answer to its reads of the intake')
+def no_pages(context):
+    shard = context.shard
+    context.first_owner = next_to_claim(shard)
+    name = context.first_owner.daemon_id
+    shard.store.page_s_by_reader[name, INTAKE_TOPIC] = None
+
+
+@when(
+    'the next owner gets an answer to its reads of the intake each {span_s:g} s'
+)
+def slow_pages(context, span_s):
+    shard = context.shard
+    name = next_to_claim(shard).daemon_id
+    shard.store.page_s_by_reader[name, INTAKE_TOPIC] = span_s
+
+
+@when('the daemon that was killed is started again')
+def start_killed(context):
+    shard = context.shard
+    killed = next(one for one in shard.daemons if not one.alive)
+    shard.call(killed.start)
+
+
+@when('{count:d} cancellings are stored in the intake')
+def many_rows(context, count):
+    rows = [
+        KeyedRecord(f'{CANCEL_PREFIX}{number:016x}', b'1')
+        for number in range(count)
+    ]
+    context.shard.store.apply(INTAKE_TOPIC, rows, None)
+
+
 @when('the owner is cut off from the store for {span_s:g} s')
 def cut_owner(context, span_s):
     daemon_id = context.shard.owners[0].daemon_id
