Add a failing scenario of owners that die one after the other

Cause, as shown by reading: the time without an owner counts as a time between two heartbeats, and makes all daemons the more patient with the next owner.

--- a/waxwingford/shard/tests/shard.feature
+++ b/waxwingford/shard/tests/shard.feature
@@ -34,6 +34,16 @@
     Then there is one owner
     And the shard has changed hands once
 
+  Scenario: owners die one after the other
+    # Symptom: nobody acts for seconds, the longer the more owners have died.
+    # Sequence: the owner is killed; so is each of its successors, a moment after
+    # it has begun to act.
+    # Cause: taking the time without an owner for a time between two heartbeats,
+    # and having the more patience with the next owner.
+    Given a shard with 5 daemons and 4 servers
+    When 3 owners are killed, each 0.1 s after it has begun to act
+    Then another one acted within 1.4 s each time
+
   Scenario: an owner is deposed whose heartbeat is still the newest
     # Symptom: two daemons depose each other in turn, and nobody acts.
     # Sequence: a store that was slow has made all daemons patient; the owner
--- a/waxwingford/shard/tests/shard_steps.py
+++ b/waxwingford/shard/tests/shard_steps.py
@@ -71,6 +71,26 @@
     context.shard.call(context.shard.owners[0].kill)
 
 
+@when(
+    '{count:d} owners are killed, each {span_s:g} s after it has begun to act'
+)
+def kill_in_turn(context, count, span_s):
+    shard = context.shard
+    context.waits_s = []
+    for _ in range(count):
+        shard.run(span_s)
+        kill_owner(context)
+        killed_s = shard.loop.time()
+        while not shard.owners:
+            shard.run(0.01)
+        context.waits_s.append(shard.loop.time() - killed_s)
+
+
+@then('another one acted within {span_s:g} s each time')
+def acted_within(context, span_s):
+    assert max(context.waits_s) <= span_s, context.waits_s
+
+
 @when('the owner is cut off from the store until another daemon has claimed')
 def cut_until_claimed(context):
     shard = context.shard
