Count only times between heartbeats of one owner in the patience with it

Cause: the time from the last heartbeat of an owner to the first of its successor was counted as a time between two heartbeats, and 2.2 times that is waited for the next one. Ruled out: forgetting all times at a change of owner; after a slow spell of the store the new owner's heartbeats are as far apart as the former one's. Change: a time across a change of epoch doesn't count.

--- a/waxwingford/shard/_watch.py
+++ b/waxwingford/shard/_watch.py
@@ -109,7 +109,7 @@
         if record == self.record:
             return
         now_ms = steady_ms()
-        if self.record is not None:
+        if self.record is not None and _same_owner(self.record, record):
             gap_ms = now_ms - self._changed_ms
             self._gap_ms = max(gap_ms, self._gap_ms * GAP_KEPT)
         self.record = record
@@ -118,3 +118,16 @@
         suspect_ms = self._gap_ms * SUSPECT_FACTOR
         suspect_ms = min(MOST_SUSPECT_MS, max(LEAST_SUSPECT_MS, suspect_ms))
         self._suspect_ms = int(suspect_ms) + random.randint(0, CLAIM_JITTER_MS)
+
+
+def _same_owner(before: OwnerRecord, after: OwnerRecord | None) -> bool:
+    """Tell whether the time between two heartbeats says how late one may be.
+
+    Between those of two owners lies the time without an owner. Counted, it would
+    make the wait for the next owner that dies the longer the more have died.
+
+    :param before: the one.
+    :param after: the one after it.
+    :returns: whether one owner has sent both.
+    """
+    return after is not None and after.epoch == before.epoch
