Add failing tests of inherited runs that stand still

Cause, as read: the rows give each inherited run a pace that isn't known, and runs whose pace isn't full are never given up. Fills are paced anew with the first look; nothing else is ever paced, so a short or lasting run that stands still on its server is kept for good. The engine's stand-in keeps its rows now, to let a successor go on from them; no existing scenario is changed.

--- a/waxwingford/scheduling/tests/engine_steps.py
+++ b/waxwingford/scheduling/tests/engine_steps.py
@@ -38,8 +38,8 @@
 
     def __init__(self, count, cores):
         self.now_ms = 100_000
-        self.engine = Engine(7, 5000, InheritedLeases(0, {}))
-        self.engine.configure(Terms(1, {'queue': QUEUE}))
+        self.rows = {}
+        self.engine = new_engine(7, self.now_ms)
         self.entries = []
         self.planned = []
         self.orders = []
@@ -97,6 +97,7 @@
         self.now_ms += 50
         self.engine.decide(self.now_ms, self.wall_ms)
         batch = self.engine.take_batch()
+        keep(self.rows, batch.payload_by_key)
         for start in self.engine.stored(batch):
             self.planned.append(start.run)
             server = self.engine.book.server_by_id[start.server_id]
@@ -148,12 +149,14 @@
             pace = self.pace_by_image.get(step.image, 100)
             used = step.needs.processors_milli * pace / 100
             return RunningReport(key, '', self.percent(), used)
-        return RunningReport(key, '', 40 if self.still else self.percent(), 1)
+        percent = self.still_percent if self.still else self.percent()
+        return RunningReport(key, '', percent, 1)
 
     def percent(self):
         return 100 if self.lasting else (self.now_ms // 50) % 100
 
     lasting = False
+    still_percent = 40
 
     def tail(self):
         wild = self.pace_by_image.get('wild', 100) / 100
@@ -178,6 +181,19 @@
         return [one.key for one in self.orders if isinstance(one, Stop)]
 
 
+def new_engine(token, now_ms):
+    engine = Engine(token, 5000, InheritedLeases(now_ms, {}))
+    engine.configure(Terms(1, {'queue': QUEUE}))
+    return engine
+
+
+def keep(rows, payload_by_key):
+    for key, payload in payload_by_key.items():
+        rows.pop(key, None)
+        if payload is not None:
+            rows[key] = payload
+
+
 def step(count=1, cores=1, **more):
     return StepSpec(count, Resources(cores * 1000, 1000, 0), 700, **more)
 
--- /dev/null
+++ b/waxwingford/scheduling/tests/succession.feature
@@ -0,0 +1,29 @@
+Feature: what an owner goes on with from the rows of its predecessor
+
+  Scenario: a run that stands still is given up by the next owner too
+    # Symptom: a job never ends, its task is listed as running.
+    # Sequence: a server keeps a task without any progress; before that is
+    # noticed the owner changes.
+    # Cause: the pace of every inherited run counts as unknown, that of tasks that
+    # are never paced too, and runs whose pace isn't full are not given up.
+    Given an engine with 2 servers of 8 cores
+    And a job of 1 task that runs
+    When its progress stands still for 1 s
+    And the owner changes
+    And its progress stands still until a stop is ordered, for 10 s at most
+    Then a stop of the task is ordered
+    When the server lists it as stopped
+    Then the task is planned on the other server
+
+  Scenario: a lasting run that isn't at work is given up by the next owner too
+    # Symptom: a lasting task isn't at work for minutes, with room for it elsewhere.
+    # Sequence: a server keeps it at the start of its work; the owner changes.
+    # Cause: as above.
+    Given an engine with 2 servers of 8 cores
+    And a lasting job of 1 task that runs
+    When its progress stands still for 1 s
+    And the owner changes
+    And its progress stands still until a stop is ordered, for 10 s at most
+    Then a stop of the task is ordered
+    When the server lists it as stopped
+    Then the task is planned on the other server
--- a/waxwingford/shard/tests/shard.feature
+++ b/waxwingford/shard/tests/shard.feature
@@ -23,6 +23,20 @@
     And each task was started at most once
     And nothing was breached
 
+  Scenario: a task hangs on its server, and its owner is killed
+    # Symptom: a job never ends, its task is listed as running.
+    # Sequence: a server keeps its task without any progress, its owner is killed.
+    # Cause: a successor that gives up only runs whose pace it knows, and takes
+    # that of each inherited run for unknown.
+    Given a shard with 3 daemons and 4 servers
+    When a server hangs
+    And a job of 2 steps is submitted
+    And 0.4 s pass
+    And the owner is killed
+    And 20 s pass
+    Then the job is shown as completed by every daemon
+    And nothing was breached
+
   Scenario: several daemons miss the owner at the same time
     # Symptom: the shard changes hands as often as there are daemons, and each
     # owner in turn reads everything and is deposed.
--- a/waxwingford/shard/tests/shard_steps.py
+++ b/waxwingford/shard/tests/shard_steps.py
@@ -64,6 +64,11 @@
     context.shard.run(span_s)
 
 
+@when('a server hangs')
+def server_hangs(context):
+    next(iter(context.shard.servers.server_by_id.values())).hangs = True
+
+
 @when('the owner is killed')
 def kill_owner(context):
     context.shard.call(context.shard.owners[0].kill)
