Give up inherited runs that stand still: only of fills is the pace unknown

Cause: the rows gave each inherited run a pace that isn't known, and runs whose pace isn't full are never given up. Fills get a pace with the first look; short and lasting tasks are never paced, so after a takeover theirs stayed unknown for good. Ruled out: giving up runs of unknown pace, whatever they are (fills that the former owner had halted would be stopped, and their servers blamed); storing paces (an append with each of hundreds of changes). Change: the pace of an inherited run is unknown for fills only. The time without progress counts from when a run is first listed: counted from the takeover, a run that has just begun on a server that is reached seconds later would be stopped with the first look. A scenario tells so; it passes on the code before, which gave up nothing. Without the second part of the change the new scenario fails.

--- a/waxwingford/scheduling/_rows.py
+++ b/waxwingford/scheduling/_rows.py
@@ -124,23 +124,31 @@
         task.done = row.done
         task.checkpoint = row.checkpoint
         task.run_by_number = {
-            number: Run(
-                RunKey(task.key, number),
-                server_id,
-                RunPhase.inherited,
-                now_ms,
-                now_ms,
-                checkpoint=row.checkpoint,
-                moved_ms=now_ms,
-                pace=None,
-                adopted=True,
-            )
+            number: _inherited_run(task, number, server_id, now_ms)
             for number, server_id in row.runs
         }
         job.started = True
     step.left = sum(not task.done for task in step.tasks)
 
 
+def _inherited_run(task: Task, number: int, server_id: str, now_ms: int) -> Run:
+    run = Run(
+        RunKey(task.key, number),
+        server_id,
+        RunPhase.inherited,
+        now_ms,
+        now_ms,
+        checkpoint=task.checkpoint,
+        moved_ms=now_ms,
+        adopted=True,
+    )
+    if task.fills:
+        # Only these are ever paced. Whatever else stands still at an unknown
+        # pace would be taken for slowed, and kept for good.
+        run.pace = None
+    return run
+
+
 def encode_end(phase: JobPhase) -> bytes:
     """Write the end of a job.
 
--- a/waxwingford/scheduling/_settle.py
+++ b/waxwingford/scheduling/_settle.py
@@ -209,10 +209,12 @@
                     server=server.entry.server_id,
                 )
             return
-        run.enter(RunPhase.present, now_ms)
-        if report.percent != run.percent:
+        if run.phase is not RunPhase.present or report.percent != run.percent:
+            # What is listed for the first time may have moved until now: since
+            # an owner took over, seconds may have passed before its first look.
             run.percent = report.percent
             run.moved_ms = now_ms
+        run.enter(RunPhase.present, now_ms)
         run.checkpoint = report.checkpoint or run.checkpoint
         run.figure = report.figure
 
--- a/waxwingford/scheduling/_state.py
+++ b/waxwingford/scheduling/_state.py
@@ -46,7 +46,7 @@
     :ivar moved_ms: when progress last changed.
     :ivar figure: tail or cpu that the server listed.
     :ivar pace: percent that it may work at, ``None`` if that isn't known: an
-        order had no answer, or a former owner gave them.
+        order had no answer, or it is a fill that a former owner paced.
     :ivar paced_ms: when that last changed.
     :ivar over_ms: since when its tail is over its target, 0 if it isn't.
     :ivar stopping: whether a stop is wanted.
--- a/waxwingford/scheduling/tests/succession.feature
+++ b/waxwingford/scheduling/tests/succession.feature
@@ -27,3 +27,14 @@
     Then a stop of the task is ordered
     When the server lists it as stopped
     Then the task is planned on the other server
+
+  Scenario: a run that is first seen long after the takeover isn't given up at once
+    # Symptom: a task that has just begun is stopped, and its server blamed.
+    # Sequence: a run is at its very beginning when the owner changes; its server
+    # is reached only seconds later, and lists no progress yet.
+    # Cause: counting the time without progress from the takeover.
+    Given an engine with 2 servers of 8 cores
+    And a job of 1 task that runs
+    When the owner changes
+    And 5 s pass before it reaches the server, which lists 0 percent for 2 s
+    Then no stop is ordered
--- a/waxwingford/scheduling/tests/succession_steps.py
+++ b/waxwingford/scheduling/tests/succession_steps.py
@@ -28,3 +28,17 @@
     until_ms = bench.now_ms + span_s * 1000
     while bench.now_ms < until_ms and not bench.stops():
         bench.pass_ms(1)
+
+
+@when(
+    '{span_s:d} s pass before it reaches the server,'
+    ' which lists 0 percent for {still_s:d} s'
+)
+def reached_late(context, span_s, still_s):
+    bench = context.bench
+    for _ in range(span_s):
+        bench.now_ms += 950
+        bench.decide()
+    bench.still = True
+    bench.still_percent = 0
+    bench.pass_ms(still_s * 1000)
