Add failing tests of jobs that are never completed after the owner has changed

Cause, as read: how many repetitions of a job are left is counted in memory only, from all of them anew under each owner; and whether a job is complete is asked only when one of its runs ends. So a job with repetitions that ended under two owners is never shown as completed, nor is, under any later owner, one whose last row says done while its end isn't stored (which the miscount leaves behind).

--- a/waxwingford/scheduling/tests/succession.feature
+++ b/waxwingford/scheduling/tests/succession.feature
@@ -38,3 +38,65 @@
     When the owner changes
     And 5 s pass before it reaches the server, which lists 0 percent for 2 s
     Then no stop is ordered
+
+  Scenario: a job is completed whose repetitions ended under different owners
+    # Symptom: a job is shown as running for ever, though all has been done.
+    # Sequence: of a job that is repeated once, the first repetition ends, the
+    # owner changes, and the second one ends.
+    # Cause: a successor that counts all repetitions as still to be done, also
+    # those that it knows from the rows to be over.
+    Given an engine with 1 servers of 8 cores
+    When a job is submitted that is due in 1 s, twice, 3 s apart
+    And 2 s pass in the engine
+    And what was planned last ends as done
+    And the owner changes
+    And 3 s pass in the engine
+    Then 2 runs were planned in all
+    And its caller is told running
+    When what was planned last ends as done
+    Then its caller is told completed
+
+  Scenario: a job whose repetitions overlap isn't completed too soon
+    # Symptom: a job is shown as completed while one of its tasks runs.
+    # Sequence: of two repetitions that overlap the second ends first, the owner
+    # changes, and changes again, before the first one ends.
+    # Cause: counting a repetition twice, or one that has begun as one that is over.
+    Given an engine with 1 servers of 8 cores
+    When a job is submitted that is due in 1 s, twice, 3 s apart
+    And 6 s pass in the engine
+    And what was planned last ends as done
+    And the owner changes
+    And 1 s pass in the engine
+    And the owner changes
+    And 1 s pass in the engine
+    Then 2 runs were planned in all
+    And its caller is told running
+    When what was planned first ends as done
+    Then its caller is told completed
+
+  Scenario: a job of which all is done, while its end isn't stored
+    # Symptom: a job is shown as running for ever, though all has been done.
+    # Sequence: a former owner that had counted too many repetitions has stored
+    # that the last task is done, and nothing else.
+    # Cause: looking whether a job is complete only when one of its runs ends.
+    Given an engine with 1 servers of 8 cores
+    And a job of 1 task that runs
+    When the former owner stores that its task is done, but not its end
+    And the owner changes
+    And 1 s pass in the engine
+    Then its caller is told completed
+    And nothing more was planned
+
+  Scenario: a step that waits for one that the former owner saw done
+    # Symptom: a job stops between two of its steps.
+    # Sequence: the first step is done, the owner changes before the second one
+    # has begun.
+    # Cause: releasing steps only when a run ends.
+    Given an engine with 1 servers of 8 cores
+    When a job of two steps is submitted
+    And what was planned last ends as done, and the owner changes at once
+    And 1 s pass in the engine
+    Then 2 runs were planned in all
+    And its caller is told running
+    When what was planned last ends as done
+    Then its caller is told completed
--- a/waxwingford/scheduling/tests/succession_steps.py
+++ b/waxwingford/scheduling/tests/succession_steps.py
@@ -1,8 +1,10 @@
 """Steps for an engine that goes on from the rows of another one."""
 
-from behave import when
+from behave import then, when
 
-from waxwingford.scheduling.tests.engine_steps import new_engine
+from waxwingford.scheduling import EndKind, EndReport
+from waxwingford.scheduling._rows import encode_step
+from waxwingford.scheduling.tests.engine_steps import JOB, new_engine, step
 
 
 @when('the owner changes')
@@ -42,3 +44,52 @@
     bench.still = True
     bench.still_percent = 0
     bench.pass_ms(still_s * 1000)
+
+
+@when('what was planned last ends as done')
+def last_done(context):
+    context.bench.end(context.bench.planned[-1], EndKind.done)
+
+
+@when('what was planned first ends as done')
+def first_done(context):
+    context.bench.end(context.bench.planned[0], EndKind.done)
+
+
+@when('a job of two steps is submitted')
+def two_steps(context):
+    context.bench.submit(step(), step(after=(0,)))
+    context.bench.look()
+
+
+@when('what was planned last ends as done, and the owner changes at once')
+def done_and_changes(context):
+    bench = context.bench
+    run = bench.planned[-1]
+    end = EndReport(1, run.key, EndKind.done, '')
+    bench.ends[run.server_id].append(end)
+    bench.look()
+    # Stored without another decision.
+    batch = bench.engine.take_batch()
+    bench.rows.update(batch.payload_by_key)
+    owner_changes(context)
+
+
+@when('the former owner stores that its task is done, but not its end')
+def done_without_end(context):
+    bench = context.bench
+    context.planned_before = len(bench.planned)
+    job = bench.engine.book.job_by_id[JOB]
+    task = job.steps_by_occurrence[0][0].tasks[0]
+    server_id = task.run_by_number[1].server_id
+    end = EndReport(1, context.run.key, EndKind.done, '')
+    bench.ends[server_id].append(end)
+    task.done = True
+    task.run_by_number.clear()
+    row = encode_step(job.steps_by_occurrence[0][0])
+    bench.rows[f'{JOB}.0.0'] = row
+
+
+@then('nothing more was planned')
+def nothing_more(context):
+    assert len(context.bench.planned) == context.planned_before
