Count the repetitions that are over when rows are taken over, and end complete jobs

Cause: each owner counted all repetitions of a job as left, also those that the rows show as over, so a job whose repetitions ended under two owners was shown as running for good. Its last row was stored as done without the job's end, and no later owner looked whether such a job is complete, as that was asked only when a run ended. Ruled out: a job without repetitions whose last row says done: the end of a job goes into the same batch as that row, and in its place, so only the miscount leaves rows like that. Storing the count in a row of its own: the rows of the steps tell it. Change: when the rows are in place, repetitions of which all steps are done are counted out, and jobs that have none left are ended.

--- a/waxwingford/scheduling/_inheritance.py
+++ b/waxwingford/scheduling/_inheritance.py
@@ -77,6 +77,7 @@
                     job.shown = JobPhase.running
         self._row_by_key.clear()
         for job in self._book.job_by_id.values():
+            self._recount(job)
             self._find_orphans(job)
 
     def adopt(self, server: Server) -> None:
@@ -87,6 +88,21 @@
         for run, step in self.orphans_by_server.pop(server.entry.server_id, ()):
             server.add(run, step)
 
+    def _recount(self, job: Job) -> None:
+        """Count the repetitions that are left; end a job that has none.
+
+        That is asked again only when a run of the job ends, and of a job of
+        which all is done none ever does: it would be shown as running for good.
+
+        :param job: which.
+        """
+        job.occurrences_left = job.spec.occurrences - sum(
+            not any(step.left for step in steps)
+            for steps in job.steps_by_occurrence.values()
+        )
+        if not job.occurrences_left:
+            self._book.finish(job, JobPhase.completed)
+
     def _find_orphans(self, job: Job) -> None:
         for step in steps_of(job):
             runs = (
