Add failing tests of jobs that are denied after one read of the store

Cause, as read: the store returns 1,024 KB with a read at most, and what one read returns is taken for all that is new. A daemon that asks the store as nobody owns the shard, and did so before, then answers from an old state; so does an owner that is asked for a job which it hasn't read yet. Measured: two scenarios fail with "not known", which callers are told as 410: a job that was completed, asked of a daemon after the owner was killed, and one of twelve jobs that were stored at once, asked of the owner.

--- a/waxwingford/shard/tests/shard.feature
+++ b/waxwingford/shard/tests/shard.feature
@@ -37,6 +37,34 @@
     Then the job is shown as completed by every daemon
     And nothing was breached
 
+  Scenario: a daemon that read the store long ago is asked while nobody owns the shard
+    # Symptom: a job that was accepted is denied, or shown as running when it was
+    # shown as completed before.
+    # Sequence: a daemon reads the store as it can ask no owner; much is stored
+    # while there is one; the owner is killed, and the daemon is asked again.
+    # Cause: taking what one read of the store returns for all that is new.
+    Given a shard with 4 daemons and 4 servers
+    When a job of 2 steps is submitted
+    And 4 s pass
+    And the owner is killed
+    Then the job is shown as completed by every daemon
+    When 5 s pass
+    And 6 jobs of 2 steps are submitted over 6 s
+    And 4 s pass
+    And the store returns 5 records with each read
+    And the owner is killed
+    Then the job is shown as completed by every daemon
+
+  Scenario: an owner is asked for a job that it has not read yet
+    # Symptom: a job that was accepted is denied.
+    # Sequence: several jobs are stored without the owner, and the owner is asked
+    # for the last one before it has read them.
+    # Cause: as above.
+    Given a shard with 3 daemons and 4 servers
+    When the store returns 5 records with each read
+    And 12 jobs are stored at once, without the owner
+    Then the owner knows the last one
+
   Scenario: several daemons miss the owner at the same time
     # Symptom: the shard changes hands as often as there are daemons, and each
     # owner in turn reads everything and is deposed.
--- a/waxwingford/shard/tests/shard_steps.py
+++ b/waxwingford/shard/tests/shard_steps.py
@@ -5,8 +5,10 @@
 import msgspec
 from behave import given, then, when
 
+from waxwingford.scheduling import JobSpec, encode_spec
 from waxwingford.shard import KeyedRecord, Stored
 from waxwingford.shard._beats import OWNERS_TOPIC
+from waxwingford.shard._intake import INTAKE_TOPIC, JOB_PREFIX
 from waxwingford.shard._journal import (
     JOURNAL_TOPIC,
     OWNER_KEY,
@@ -14,7 +16,12 @@
     decode_owner,
 )
 from waxwingford.shard._lease_bounds import Predecessor
-from waxwingford.shard.tests.virtual_shard import TERMS, VirtualShard, step
+from waxwingford.shard.tests.virtual_shard import (
+    QUEUE,
+    TERMS,
+    VirtualShard,
+    step,
+)
 from waxwingford.timeline import about, events_of_lines, merge_events
 
 FAULT_KINDS = ('kill', 'cut_store', 'refuse_store', 'cut_server', 'crash')
@@ -165,6 +172,30 @@
     context.shard.store.slow_s = extra_s
 
 
+@when('the store returns {count:d} records with each read')
+def short_reads(context, count):
+    context.shard.store.most_read = count
+
+
+@when('{count:d} jobs are stored at once, without the owner')
+def stored_elsewhere(context, count):
+    shard = context.shard
+    rows = []
+    for number in range(count):
+        job_id = f'{0xA000 + number:016x}'
+        spec = JobSpec(job_id, 'queue', '', (step(1),), terms=QUEUE)
+        rows.append(KeyedRecord(JOB_PREFIX + job_id, encode_spec(spec)))
+    shard.call(lambda: shard.store.apply(INTAKE_TOPIC, rows, None))
+    context.jobs.append(job_id)
+
+
+@then('the owner knows the last one')
+def owner_knows(context):
+    shard = context.shard
+    found = shard.phase(context.jobs[-1], shard.owners[0])
+    assert found in {'queued', 'running'}, found
+
+
 @when('the owner resigns in the middle of a heartbeat')
 def resign_in_beat(context):
     shard = context.shard
--- a/waxwingford/shard/tests/virtual_store.py
+++ b/waxwingford/shard/tests/virtual_store.py
@@ -44,6 +44,8 @@
         self.lost_share = 0
         self.late_share = 0
         self.slow_s = 0
+        #: Records that one read returns at most.
+        self.most_read = 10_000
         self.random = random.Random(seed)
 
     def topic(self, name: str) -> _Topic:
@@ -120,11 +122,12 @@
         if trouble is not None:
             return trouble
         end = len(held.records)
+        next_offset = min(end, from_offset + self._store.most_read)
         records = tuple(
             StoredRecord(offset, *held.records[offset])
-            for offset in range(from_offset, end)
+            for offset in range(from_offset, next_offset)
         )
-        return RecordsRead(records, end, end)
+        return RecordsRead(records, max(from_offset, next_offset), end)
 
     async def newest(self, topic, after_key):
         trouble = await self._trouble()
