Read the store to its end before a job is denied

Cause: one read of the store returns 1,024 KB at most, and was taken for all that is new. A daemon that reads the store only while nobody owns the shard has all to read that was stored since the last time; a job behind the first read was denied (410), or shown as running after it had been shown as completed. Ruled out: reading on within each catch-up: the owner's reader would lose the records of a first read when the second one fails. Change: a copy knows whether the topic went on beyond the last read; who denies a job reads to the end first, in the owner (jobs that it hasn't read yet) and elsewhere.

--- a/waxwingford/shard/_intake_reader.py
+++ b/waxwingford/shard/_intake_reader.py
@@ -73,7 +73,7 @@
         """
         mirror = Mirror(self._log, INTAKE_TOPIC)
         mirror.follow_from(self._mirror.next_offset)
-        read: CatchUp = await mirror.catch_up()
+        read: CatchUp = await mirror.reach_end()
         if isinstance(read, CaughtUp):
             _apply(engine, read.changed)
             return True
--- a/waxwingford/shard/_mirror.py
+++ b/waxwingford/shard/_mirror.py
@@ -15,7 +15,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CaughtUp:
-    """The copy is as new as the topic was when the store answered.
+    """The copy is newer than before; how new tells ``Mirror.behind``.
 
     :ivar changed: records that were new, in offset order.
     """
@@ -32,6 +32,10 @@
     Pages of newest records are no snapshot: a key may change between two of
     them. So the topic is followed from where it ended at the first page, and
     for each key the record with the higher offset wins.
+
+    :ivar payload_by_key: newest record of each key.
+    :ivar next_offset: where to read on.
+    :ivar behind: whether the topic went on beyond what the last read returned.
     """
 
     def __init__(self, log: SharedLog, topic: str) -> None:
@@ -42,6 +46,7 @@
         """
         self.payload_by_key: dict[str, bytes] = {}
         self.next_offset = 0
+        self.behind = False
         self._log = log
         self._topic = topic
         self._offset_by_key: dict[str, int] = {}
@@ -50,6 +55,8 @@
     async def catch_up(self, wait_ms: int = 0) -> CatchUp:
         """Read what is new; everything, if nothing was read before.
 
+        Of what is new one read returns a part at most, see ``behind``.
+
         :param wait_ms: how long the store may wait for a record.
         :returns: what changed, or why nothing is known.
         """
@@ -57,9 +64,10 @@
             return await self._restore()
         outcome = await self._log.read(self._topic, self.next_offset, wait_ms)
         match outcome:
-            case RecordsRead(records, next_offset):
+            case RecordsRead(records, next_offset, end):
                 self._apply(records)
                 self.next_offset = next_offset
+                self.behind = next_offset < end
                 return CaughtUp(records)
             case RecordsExpired():
                 # Left behind for longer than records are kept.
@@ -68,6 +76,24 @@
             case _:
                 return outcome
 
+    async def reach_end(self) -> CatchUp:
+        """Read on to where the topic ends.
+
+        One read returns so many records at most. Who takes the first for all
+        denies what is stored behind them.
+
+        :returns: all that changed, or why the end wasn't reached; what was read
+            until then stays in the copy.
+        """
+        changed: list[StoredRecord] = []
+        while True:
+            read = await self.catch_up()
+            if not isinstance(read, CaughtUp):
+                return read
+            changed.extend(read.changed)
+            if not self.behind:
+                return CaughtUp(tuple(changed))
+
     def follow_from(self, offset: int) -> None:
         """Follow without reading what came before.
 
@@ -99,6 +125,7 @@
         self._apply(tuple(records))
         self.next_offset = first_end
         self._restored = True
+        self.behind = False
         return CaughtUp((*dropped, *records))
 
     def _apply(self, records: tuple[StoredRecord, ...]) -> None:
--- a/waxwingford/shard/_store_view.py
+++ b/waxwingford/shard/_store_view.py
@@ -88,6 +88,6 @@
         async with self._lock:
             # The intake last: a job that the journal names is in it then.
             for mirror in (self._journal, self._intake):
-                if not isinstance(await mirror.catch_up(), CaughtUp):
+                if not isinstance(await mirror.reach_end(), CaughtUp):
                     return False
         return True
