Play a shard with jobs of all kinds, servers that hang and owners that follow each other

Cause: the plays with all faults knew only jobs of two steps that nothing holds up, so neither miscounted repetitions nor inherited runs that stand still showed in them. Change: a second play, with repetitions, gangs, lasting jobs, cancellings, questions, servers that hang for seconds and a store that returns 20 records with each read. No check is taken away.

--- a/waxwingford/shard/tests/shard.feature
+++ b/waxwingford/shard/tests/shard.feature
@@ -378,3 +378,24 @@
       | 6    |
       | 7    |
       | 8    |
+
+  Scenario Outline: many faults at once, with gangs, repetitions and hanging servers
+    # Symptom: a job is running for ever, a lasting task isn't at work, a job is
+    # denied.
+    # Sequence: as above, with jobs of all kinds, cancellings and questions, servers
+    # that hang for seconds, and a store that returns little with each read.
+    # Cause: state or clocks that a successor loses.
+    When a shard with jobs of all kinds is played for 60 s under seed <seed>
+    Then all jobs are completed
+    And all lasting tasks run, but for those of cancelled jobs
+    And no job was denied
+    And nothing was breached
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 4    |
+      | 5    |
+      | 6    |
--- a/waxwingford/shard/tests/virtual_servers.py
+++ b/waxwingford/shard/tests/virtual_servers.py
@@ -8,6 +8,8 @@
 import dataclasses
 import random
 
+import msgspec
+
 from waxwingford.ports import Resources
 from waxwingford.scheduling import (
     Denial,
@@ -32,6 +34,10 @@
 MS_IN_S = 1000
 
 
+def step_key(task):
+    return f'{task.job_id}.{task.occurrence}.{task.step}'
+
+
 @dataclasses.dataclass(eq=False)
 class _Run:
     key: object
@@ -98,7 +104,7 @@
             run.timer.cancel()
         self.ends.append(EndReport(len(self.ends) + 1, run.key, kind, ''))
         if kind is EndKind.done:
-            self.fleet.done.add(run.key.task)
+            self.fleet.note_done(run.key.task)
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -229,8 +235,10 @@
         task = key.task
         self.starts[task] += 1
         stored = [row[0] for row in self.store.topic(JOURNAL_TOPIC).records]
-        if f'{task.job_id}.{task.occurrence}.{task.step}' not in stored:
+        if step_key(task) not in stored:
             self.breaches.append(f'{key}: started without a record')
+        if task.index in self.stored_done(task):
+            self.breaches.append(f'{key}: starts, and is stored as done')
         elsewhere = [
             other.server_id
             for other in self.server_by_id.values()
@@ -255,6 +263,31 @@
         if now_s > self.cancelled_s_by_job.get(task.job_id, now_s) + 13:
             self.breaches.append(f'{key}: starts long after its cancelling')
 
+    def stored_done(self, task):
+        """Read which tasks of a step the journal says are done.
+
+        :param task: of the step.
+        :returns: their indices.
+        """
+        key = step_key(task)
+        rows = [
+            raw
+            for name, raw in self.store.topic(JOURNAL_TOPIC).records
+            if name == key and raw is not None
+        ]
+        if not rows:
+            return set()
+        return {row[0] for row in msgspec.msgpack.decode(rows[-1]) if row[3]}
+
+    def note_done(self, task):
+        """Note that a task is done; one end stands for a whole gang.
+
+        :param task: which.
+        """
+        step = self.step(task)
+        indices = range(step.count) if step.gang else (task.index,)
+        self.done |= {task._replace(index=index) for index in indices}
+
     def note_seen(self, server, number):
         self.noted_done |= {
             end.run.task
--- a/waxwingford/shard/tests/virtual_shard.py
+++ b/waxwingford/shard/tests/virtual_shard.py
@@ -183,10 +183,10 @@
             daemon for daemon in self.daemons if daemon.alive and daemon.owns
         ]
 
-    def submit(self, steps, daemon=None):
+    def submit(self, steps, daemon=None, **more):
         self.job_count += 1
         job_id = f'{self.job_count:016x}'
-        spec = JobSpec(job_id, 'queue', '', steps, terms=QUEUE)
+        spec = JobSpec(job_id, 'queue', '', steps, terms=QUEUE, **more)
         through = daemon or self.living()[0]
         until_s = self.loop.time() + 3
         outcome = self.run_until(through.desk.submit(spec, until_s))
