Add a failing test of a gang that had lost a member before the owner changed

Cause, as read: that the other members are to be stopped is kept in memory only. The successor adopts them; they wait for one that never comes, until the servers end them as alone. Since inherited runs that stand still are given up, they are stopped after 2.5 s without progress instead, and their servers are blamed, which bars healthy ones.

--- a/waxwingford/scheduling/tests/succession.feature
+++ b/waxwingford/scheduling/tests/succession.feature
@@ -100,3 +100,22 @@
     And its caller is told running
     When what was planned last ends as done
     Then its caller is told completed
+
+  Scenario: a gang that had lost a member before the owner changed
+    # Symptom: members of a gang wait for one that never comes, end alone, and their
+    # servers are blamed for runs that stand still.
+    # Sequence: one start is refused, which is stored, and the owner changes before
+    # the other members are stopped.
+    # Cause: that they are to be stopped is kept in memory only.
+    Given an engine with 2 servers of 3 cores
+    And a gang of 4 tasks of 1 core that runs
+    When one member is refused by its server, and the owner changes at once
+    And 1 s pass in the engine
+    Then a stop of the 3 other members is ordered
+
+  Scenario: a whole gang goes on under the next owner
+    Given an engine with 2 servers of 3 cores
+    And a gang of 4 tasks of 1 core that runs
+    When the owner changes
+    And 1 s pass in the engine
+    Then no stop is ordered
--- a/waxwingford/scheduling/tests/succession_steps.py
+++ b/waxwingford/scheduling/tests/succession_steps.py
@@ -2,9 +2,14 @@
 
 from behave import then, when
 
-from waxwingford.scheduling import EndKind, EndReport
+from waxwingford.scheduling import Denial, EndKind, EndReport, OrderDenied
 from waxwingford.scheduling._rows import encode_step
-from waxwingford.scheduling.tests.engine_steps import JOB, new_engine, step
+from waxwingford.scheduling.tests.engine_steps import (
+    JOB,
+    keep,
+    new_engine,
+    step,
+)
 
 
 @when('the owner changes')
@@ -69,12 +74,26 @@
     end = EndReport(1, run.key, EndKind.done, '')
     bench.ends[run.server_id].append(end)
     bench.look()
+    store_and_change(context)
+
+
+def store_and_change(context):
     # Stored without another decision.
-    batch = bench.engine.take_batch()
-    bench.rows.update(batch.payload_by_key)
+    bench = context.bench
+    keep(bench.rows, bench.engine.take_batch().payload_by_key)
     owner_changes(context)
 
 
+@when('one member is refused by its server, and the owner changes at once')
+def refused_and_changes(context):
+    bench = context.bench
+    run = bench.planned[0]
+    server = bench.engine.book.server_by_id[run.server_id]
+    refusal = OrderDenied(Denial.no_room)
+    bench.engine.settler.start_answered(server, run, bench.now_ms, refusal)
+    store_and_change(context)
+
+
 @when('the former owner stores that its task is done, but not its end')
 def done_without_end(context):
     bench = context.bench
