Stop what is left of a gang that had lost a member when its rows are taken over

Cause: that the other members are to be stopped was kept in memory only. A successor adopted them, and they waited for one that never comes. Ruled out: a row for wanted stops: all members are planned in one record, so that one of them has no run tells it. Change: when runs are taken over, members of a gang of which one has neither run nor is done are to be stopped.

--- a/waxwingford/scheduling/_gangs.py
+++ b/waxwingford/scheduling/_gangs.py
@@ -82,6 +82,22 @@
             run.stopping = True
 
 
+def stop_broken(step: Step) -> None:
+    """Stop what is left of a gang that has lost a member.
+
+    All members are planned in one record. Where one has no run, its run was
+    settled, and the others wait for it in vain.
+
+    :param step: of the gang.
+    """
+    whole = all(task.done or task.run_by_number for task in step.tasks)
+    if whole:
+        return
+    for task in step.tasks:
+        for run in task.run_by_number.values():
+            run.stopping = True
+
+
 def _seats_in(step: Step, servers: list[Server]) -> list[Seat] | None:
     needs = step.spec.needs
     if step.spec.fills:
--- a/waxwingford/scheduling/_inheritance.py
+++ b/waxwingford/scheduling/_inheritance.py
@@ -3,6 +3,7 @@
 import collections
 from typing import NamedTuple
 
+from waxwingford.scheduling import _gangs as gangs
 from waxwingford.scheduling._book import Book, steps_of
 from waxwingford.scheduling._rows import (
     ENDED_PREFIX,
@@ -115,3 +116,5 @@
                 # of it was not known yet when the job was ended.
                 run.stopping = job.ended is not None
                 self.orphans_by_server[run.server_id].append((run, step))
+            if step.spec.gang:
+                gangs.stop_broken(step)
