Add failing tests of starts that were never sent, and of what else has no answer

Cause: the adapter gives a start for which no connection could be opened the same outcome as one that may be carried out, so its run is doubtful and, as the server doesn't answer, its lease is waited out. Found on the way: the HTTP client follows redirects, and a failed connection to the second address is taken for a proof that nothing was sent, also for an append to the store. Ruled out by the new scenarios that pass: a reset of a kept or of a new connection, and a worker that never answers, aren't taken for a start that wasn't sent. Measured: six scenarios fail on the code as it is (two of shard.feature, three rows and one scenario of adapter.feature), all others of both features pass.

--- a/waxwingford/platform/tests/adapter.feature
+++ b/waxwingford/platform/tests/adapter.feature
@@ -49,6 +49,35 @@
       | 400    | {}                               | OrderDenied(denial=invalid)         |
       | 200    | not JSON                         | OrderUnknown(reason='answer not understood) |
 
+  Scenario Outline: what is known of a start that has no answer
+    # Symptom: a task stands still for 5 s and more though nothing can run.
+    # Sequence: a server leaves or loses power while it is idle, and a start is
+    # meant for it; no connection can be opened.
+    # Cause: taking a start of which not a byte was sent for one that may be
+    # carried out. The reverse is worse, a task that runs in two places at once:
+    # once a request was written, nothing that happens later proves anything.
+    Given a worker that <fate>
+    Then a start is known as "<outcome>", and <requests> starts have come to it
+
+    Examples:
+      | fate                                      | outcome      | requests |
+      | nobody runs any more                      | OrderNotSent | 0        |
+      | lets connections hang                     | OrderNotSent | 0        |
+      | leaves after an earlier call              | OrderNotSent | 0        |
+      | resets a kept connection and leaves       | OrderUnknown | 1        |
+      | resets a new connection and leaves        | OrderUnknown | 1        |
+      | never answers                             | OrderUnknown | 1        |
+      | sends callers on to where nobody listens  | OrderUnknown | 1        |
+
+  Scenario: the store sends callers on to where nobody listens
+    # Symptom: a job is refused, and runs all the same.
+    # Sequence: a call is answered with another address, which can't be reached.
+    # Cause: taking a failed connection to the second address for a proof that
+    # nothing was sent to the first.
+    Given a store and a worker on loopback
+    When the store sends callers on to where nobody listens
+    Then the append's outcome is "StoreUnknown"
+
   Scenario: a look at a worker
     Given a store and a worker on loopback
     When the worker answers 200 with {"clock-ms":9,"running":[["00000000000000aa.0.1.2",3,"c1",41,12]],"ended-runs":[[5,"00000000000000aa.0.1.1",1,"done",""]]}
--- a/waxwingford/shard/tests/shard.feature
+++ b/waxwingford/shard/tests/shard.feature
@@ -185,6 +185,26 @@
     Then the job is shown as completed by every daemon
     And nothing was breached
 
+  Scenario Outline: starts are meant for an idle server that is no more
+    # Symptom: lasting tasks don't run for 5 s and more, beside free servers.
+    # Sequence: idle servers leave or lose power, which no look has shown yet and
+    # the list of servers doesn't show for long; tasks are placed there, and no
+    # connection can be opened.
+    # Cause: a start of which nothing was sent is taken for one that may be
+    # carried out, and its lease is waited out.
+    Given a shard with 3 daemons and 6 servers
+    When 2 s pass
+    And 3 idle servers are no more, which shows after <connect_s> s of a call
+    And a lasting job is submitted
+    And <span_s> s pass
+    Then all 4 tasks of the job run on servers that are not cut off
+    And nothing was breached
+
+    Examples:
+      | connect_s | span_s |
+      | 0         | 0.5    |
+      | 0.5       | 1.2    |
+
   Scenario: a server goes dark, and then its owner is killed
     # Symptom: lasting tasks are away for 13 s although there is room for them.
     # Sequence: a server loses power; before its leases are over the owner is
--- a/waxwingford/shard/tests/shard_steps.py
+++ b/waxwingford/shard/tests/shard_steps.py
@@ -308,6 +308,17 @@
     kill_owner(context)
 
 
+@when(
+    '{count:d} idle servers are no more,'
+    ' which shows after {connect_s:g} s of a call'
+)
+def idle_vanish(context, count, connect_s):
+    servers = context.shard.servers.server_by_id.values()
+    idle = [server for server in servers if not server.run_by_task]
+    for server in idle[:count]:
+        server.vanish(connect_s)
+
+
 @when('{span_s:g} s have passed since the server left')
 def since_left(context, span_s):
     shard = context.shard
--- a/waxwingford/shard/tests/virtual_servers.py
+++ b/waxwingford/shard/tests/virtual_servers.py
@@ -58,6 +58,9 @@
         self.ends = []
         self.last_run_by_task = {}
         self.changed = asyncio.Event()
+        #: How long a caller tries in vain to open a connection, in seconds;
+        #: ``None`` if there are connections.
+        self.connect_s = None
         self.fails = False
         self.hangs = False
 
@@ -103,8 +106,12 @@
         self.changed = asyncio.Event()
 
     def crash(self):
-        self.up = False
         self.listed = False
+        self.vanish()
+
+    def vanish(self, connect_s=None):
+        self.up = False
+        self.connect_s = connect_s
         for run in self.run_by_task.values():
             if run.timer is not None:
                 run.timer.cancel()
@@ -294,6 +301,8 @@
 
     async def look(self, address, order):
         server = self._fleet.server_by_id[address.server_id]
+        if server.connect_s is not None:
+            return await _not_sent(server)
         if not await self._reaches(server):
             return OrderUnknown('cut')
         known = len(server.ends)
@@ -313,6 +322,8 @@
 
     async def _order(self, address, act, *details):
         server = self._fleet.server_by_id[address.server_id]
+        if server.connect_s is not None:
+            return await _not_sent(server)
         if not await self._reaches(server):
             return OrderUnknown('cut')
         if not server.up:
@@ -336,6 +347,11 @@
         return True
 
 
+async def _not_sent(server):
+    await asyncio.sleep(server.connect_s)
+    return OrderUnknown('no connection')
+
+
 def _late(server, act, details):
     if server.up:
         act(server, *details)
