Settle a start that was never sent at once, and place its task elsewhere

Cause: a start for which no connection could be opened had the outcome of one that may still be carried out, so its run was doubtful, and its lease was waited out though nothing could run. Ruled out: taking any failed call for one that wasn't sent (resets of kept and new connections and time-outs after the request was written stay unknown; the scenarios fail with that change); an end of the look's wait to clear the silence sooner (looks at the server go on while the run is counted there, so none is missed). Change: outcome OrderNotSent, given only where the HTTP client fails to open a connection: its errors for that are raised before anything is written, and it repeats reads only. It followed redirects, where a failure at the second address passed for a proof about the first, also for appends to the store: no longer. The owner settles such a run, notes the server as silent, and gives it no start until a look is answered. Stops, paces and looks that weren't sent are treated as before. In the virtual servers of the shard's tests a server without connections now answers as the adapter does. Not done: the lease of a start that wasn't sent still counts for the other runs of its server.

--- a/waxwingford/platform/_calls.py
+++ b/waxwingford/platform/_calls.py
@@ -43,7 +43,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NotSent:
-    """No connection could be opened; the call was not carried out.
+    """No connection could be opened: not a byte of the call has left.
+
+    Callers act on it as on a proof that nothing was, or will be, carried out.
 
     :ivar reason: what happened.
     """
@@ -150,12 +152,17 @@
                 data=body,
                 headers=headers,
                 timeout=timeout,
+                allow_redirects=False,
             ) as response:
                 return Answer(response.status, await response.read())
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
         ) as error:
+            # Raised before anything is written. What fails later has other
+            # types, also on a kept connection. The client repeats only reads by
+            # itself, and would follow a redirect, which is forbidden above: the
+            # first address may have carried the call out.
             return NotSent(f'{type(error).__name__}: {error}')
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
             return NoAnswer(f'{type(error).__name__}: {error}')
--- a/waxwingford/platform/_workers.py
+++ b/waxwingford/platform/_workers.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from waxwingford.platform._calls import Answer, Calls
+from waxwingford.platform._calls import Answer, Calls, NoAnswer, NotSent
 from waxwingford.scheduling import (
     Address,
     Denial,
@@ -14,6 +14,7 @@
     LookOrder,
     LookOutcome,
     OrderDenied,
+    OrderNotSent,
     OrderOutcome,
     OrderTaken,
     OrderUnknown,
@@ -158,26 +159,18 @@
         path: str,
         content: dict[str, object],
         timeout_s: float,
-    ) -> Answer | OrderDenied | ServerReplaced | OrderUnknown:
+    ) -> Answer | OrderDenied | ServerReplaced | OrderNotSent | OrderUnknown:
         headers = {'X-Expect-Instance': address.server_id}
         outcome = await self._calls.post_json(
             address.endpoint, path, content, headers, timeout_s
         )
-        if not isinstance(outcome, Answer):
-            return OrderUnknown(outcome.reason)
-        match outcome.status:
-            case HTTPStatus.OK:
-                return outcome
-            case HTTPStatus.MISDIRECTED_REQUEST:
-                return ServerReplaced()
-            case HTTPStatus.CONFLICT:
-                return _denied(outcome)
-            case HTTPStatus.TOO_MANY_REQUESTS | HTTPStatus.SERVICE_UNAVAILABLE:
-                return OrderDenied(Denial.unhealthy)
-            case HTTPStatus.BAD_REQUEST:
-                return OrderDenied(Denial.invalid)
-            case _:
-                return OrderUnknown(f'status {outcome.status}')
+        match outcome:
+            case NotSent(reason):
+                return OrderNotSent(reason)
+            case NoAnswer(reason):
+                return OrderUnknown(reason)
+            case Answer():
+                return _by_status(outcome)
 
 
 def task_key(name: str) -> TaskKey:
@@ -190,6 +183,24 @@
     return TaskKey(job_id, int(occurrence), int(step), int(index))
 
 
+def _by_status(
+    answer: Answer,
+) -> Answer | OrderDenied | ServerReplaced | OrderUnknown:
+    match answer.status:
+        case HTTPStatus.OK:
+            return answer
+        case HTTPStatus.MISDIRECTED_REQUEST:
+            return ServerReplaced()
+        case HTTPStatus.CONFLICT:
+            return _denied(answer)
+        case HTTPStatus.TOO_MANY_REQUESTS | HTTPStatus.SERVICE_UNAVAILABLE:
+            return OrderDenied(Denial.unhealthy)
+        case HTTPStatus.BAD_REQUEST:
+            return OrderDenied(Denial.invalid)
+        case _:
+            return OrderUnknown(f'status {answer.status}')
+
+
 def _looked(body: _LookBody) -> Looked:
     return Looked(
         body.clock_ms,
--- a/waxwingford/scheduling/_runners.py
+++ b/waxwingford/scheduling/_runners.py
@@ -168,9 +168,22 @@
     """Another incarnation answers at the address; the wanted one is gone."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrderNotSent:
+    """Not a byte of the order has left, so it won't ever be carried out.
+
+    Only for orders for which no connection was opened: one that was written may
+    arrive seconds later, whatever happened to its connection.
+
+    :ivar reason: what happened to the call.
+    """
+
+    reason: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class OrderUnknown:
-    """No whole answer came.
+    """No whole answer came; the order may have been carried out, or will be.
 
     :ivar reason: what happened to the call.
     """
@@ -192,8 +205,12 @@
     ended: tuple[EndReport, ...]
 
 
-OrderOutcome = OrderTaken | OrderDenied | ServerReplaced | OrderUnknown
-LookOutcome = Looked | OrderDenied | ServerReplaced | OrderUnknown
+OrderOutcome = (
+    OrderTaken | OrderDenied | ServerReplaced | OrderNotSent | OrderUnknown
+)
+LookOutcome = (
+    Looked | OrderDenied | ServerReplaced | OrderNotSent | OrderUnknown
+)
 
 
 class TaskRunners(Protocol):
--- a/waxwingford/scheduling/_settle.py
+++ b/waxwingford/scheduling/_settle.py
@@ -1,10 +1,11 @@
 """What answers and silence of backend servers prove about runs.
 
 A run may be forgotten, and its task started again, only by proof: its end was
-listed; or its server, asked after the run was refused or stopped there, lists
-it neither as running nor as ended; or another incarnation answers in the
-server's place; or every lease that it may have had is over. A guess instead
-of a proof shows as a task that runs in two places at once.
+listed; or its start was never sent; or its server, asked after the run was
+refused or stopped there, lists it neither as running nor as ended; or another
+incarnation answers in the server's place; or every lease that it may have had
+is over. A guess instead of a proof shows as a task that runs in two places at
+once.
 """
 
 from waxwingford.scheduling import _gangs as gangs
@@ -17,6 +18,7 @@
     Looked,
     LookOutcome,
     OrderDenied,
+    OrderNotSent,
     OrderOutcome,
     OrderTaken,
     OrderUnknown,
@@ -73,14 +75,9 @@
             case ServerReplaced():
                 server.gone = True
                 self.drop_lost(server, now_ms)
-            case OrderDenied() | OrderUnknown():
-                if server.failing_ms is None:
-                    server.failing_ms = sent_ms
-                    self._book.notes.add(
-                        'server.silent',
-                        server.entry.server_id,
-                        reason=str(outcome),
-                    )
+            case OrderDenied() | OrderNotSent() | OrderUnknown():
+                reason = str(outcome)
+                _note_silent(self._book.notes, server, sent_ms, reason)
 
     def start_answered(
         self, server: Server, run: Run, now_ms: int, outcome: OrderOutcome
@@ -104,15 +101,16 @@
             case ServerReplaced():
                 server.gone = True
                 self.drop_lost(server, now_ms)
+            case OrderNotSent(reason):
+                # Nothing is on its way, so there is no lease to wait out. No
+                # pause either: the server gets no start before it has answered
+                # a look, so the task goes elsewhere.
+                _note_silent(self._book.notes, server, now_ms, reason)
+                _note_run(self._book.notes, 'run.not_sent', run, reason)
+                self._settle(server, run, None, '', now_ms)
             case OrderUnknown(reason):
                 run.enter(RunPhase.doubtful, now_ms)
-                self._book.notes.add(
-                    'run.doubtful',
-                    run.key.task,
-                    run=run.key.run,
-                    server=run.server_id,
-                    reason=reason,
-                )
+                _note_run(self._book.notes, 'run.doubtful', run, reason)
 
     def stop_answered(
         self, server: Server, key: RunKey, now_ms: int, outcome: OrderOutcome
@@ -244,13 +242,7 @@
                 server.barred_until_ms = now_ms + NO_ROOM_BAR_MS
             case _:
                 pass
-        self._book.notes.add(
-            'run.refused',
-            run.key.task,
-            run=run.key.run,
-            server=run.server_id,
-            reason=denial.value,
-        )
+        _note_run(self._book.notes, 'run.refused', run, denial.value)
         found = self._book.find(run.key)
         self._settle(server, run, None, '', now_ms)
         if found is not None:
@@ -366,6 +358,31 @@
         server.blame = BLAME_THRESHOLD / 2
 
 
+def _note_run(notes: NoteBook, event: str, run: Run, reason: str) -> None:
+    notes.add(
+        event,
+        run.key.task,
+        run=run.key.run,
+        server=run.server_id,
+        reason=reason,
+    )
+
+
+def _note_silent(
+    notes: NoteBook, server: Server, since_ms: int, reason: str
+) -> None:
+    """Note once that a server doesn't answer; it gets no starts until it does.
+
+    :param notes: of the shard.
+    :param server: that doesn't answer.
+    :param since_ms: steady time.
+    :param reason: what happened to the call.
+    """
+    if server.failing_ms is None:
+        server.failing_ms = since_ms
+        notes.add('server.silent', server.entry.server_id, reason=reason)
+
+
 def _note_awaited(notes: NoteBook, server: Server, now_ms: int) -> None:
     """Note once that the tasks of a server wait for its leases to end.
 
--- a/waxwingford/scheduling/tests/engine.feature
+++ b/waxwingford/scheduling/tests/engine.feature
@@ -133,6 +133,34 @@
     Then nothing is planned
     And a stop of the unknown run is ordered
 
+  Scenario: a start that was not sent, and one that may have been
+    # Symptom: a task stands still for 5 s, or runs in two places at once.
+    # Sequence: a server has left without a sign; a start is meant for it.
+    # Cause: one answer to both questions, whether the start can still be carried
+    # out and whether the server is there.
+    Given an engine with 2 servers of 8 cores
+    When a job of 1 task is submitted whose start is not sent
+    Then the task is planned on the other server
+    And nothing is known to run on the first one
+    And a second job of 4 tasks of 1 core is placed on the other server only
+    When all servers answer a look
+    Then a third job of 4 tasks of 1 core is placed on the first one
+
+  Scenario: a start without an answer is not placed elsewhere
+    Given an engine with 2 servers of 8 cores
+    When a job of 1 task is submitted whose start has no answer
+    Then 1 run was planned in all
+    And its first run may still be present
+
+  Scenario: a member of a gang whose start was not sent
+    # Symptom: the members of a gang that were started wait for one that can't come.
+    # Sequence: one start of a gang finds no connection, the others are taken.
+    # Cause: settling the one run alone.
+    Given an engine with 2 servers of 3 cores
+    And a gang of 4 tasks of 1 core that runs
+    When the start of one member turns out not to have been sent
+    Then a stop of the 3 other members is ordered
+
   Scenario: a repetition starts when it is due
     Given an engine with 1 servers of 8 cores
     When a job is submitted that is due in 5 s, twice, 3 s apart
--- a/waxwingford/scheduling/tests/engine_steps.py
+++ b/waxwingford/scheduling/tests/engine_steps.py
@@ -14,6 +14,7 @@
     JobSpec,
     Looked,
     OrderDenied,
+    OrderNotSent,
     OrderTaken,
     OrderUnknown,
     Pace,
@@ -29,6 +30,7 @@
 
 JOB = '00000000000000aa'
 SECOND = '00000000000000bb'
+THIRD = '00000000000000cc'
 LOOK_EVERY_MS = 250
 QUEUE = QueueTerms('queue', 'service', 0, 3)
 
@@ -407,6 +409,83 @@
     bench.decide()
 
 
+@when('the start of one member turns out not to have been sent')
+def member_not_sent(context):
+    answer_start(context.bench, context.bench.planned[0], OrderNotSent('-'))
+
+
+def answer_start(bench, run, outcome):
+    server = bench.engine.book.server_by_id[run.server_id]
+    bench.engine.start_answered(server, run, bench.now_ms, outcome)
+    bench.decide()
+
+
+@when('a job of 1 task is submitted whose start is not sent')
+def submit_not_sent(context):
+    submit_unanswered(context, OrderNotSent('no connection'))
+
+
+@when('a job of 1 task is submitted whose start has no answer')
+def submit_unknown(context):
+    submit_unanswered(context, OrderUnknown('time-out'))
+
+
+def submit_unanswered(context, outcome):
+    bench = context.bench
+    spec = JobSpec(JOB, 'queue', 'payload', (step(),), terms=QUEUE)
+    bench.engine.submit(spec, bench.now_ms)
+    bench.decide(accept=False)
+    context.run = bench.planned[0]
+    answer_start(bench, context.run, outcome)
+
+
+@then('nothing is known to run on the first one')
+def nothing_on_first(context):
+    book = context.bench.engine.book
+    server = book.server_by_id[context.run.server_id]
+    assert not server.run_by_key, server.run_by_key
+    assert not context.bench.orders, context.bench.orders
+
+
+@then('its first run may still be present')
+def may_be_present(context):
+    book = context.bench.engine.book
+    server = book.server_by_id[context.run.server_id]
+    assert list(server.run_by_key) == [context.run.key]
+
+
+@then(
+    'a second job of {count:d} tasks of 1 core is placed on the other server only'
+)
+def placed_on_other(context, count):
+    assert places_of(context, SECOND, count) == {
+        one.server_id
+        for one in context.bench.entries
+        if one.server_id != context.run.server_id
+    }
+
+
+@when('all servers answer a look')
+def all_answer(context):
+    context.bench.look()
+
+
+@then('a third job of {count:d} tasks of 1 core is placed on the first one')
+def placed_on_first(context, count):
+    places = places_of(context, THIRD, count)
+    assert places == {context.run.server_id}, places
+
+
+def places_of(context, job_id, count):
+    bench = context.bench
+    spec = JobSpec(job_id, 'queue', 'payload', (step(count),), terms=QUEUE)
+    bench.engine.submit(spec, bench.now_ms)
+    bench.decide()
+    runs = [run for run in bench.planned if run.key.task.job_id == job_id]
+    assert len(runs) == count, runs
+    return {run.server_id for run in runs}
+
+
 @then('a stop of the {count:d} other members is ordered')
 def others_stopped(context, count):
     others = {run.key for run in context.bench.planned[1:]}
--- a/waxwingford/shard/tests/shard.feature
+++ b/waxwingford/shard/tests/shard.feature
@@ -205,6 +205,19 @@
       | 0         | 0.5    |
       | 0.5       | 1.2    |
 
+  Scenario: the only server takes no connection for an instant
+    # Symptom: a task doesn't run for 30 s beside an idle server.
+    # Sequence: a start isn't sent, and its server gets no more until it answers a
+    # look; it is idle again by then.
+    # Cause: not looking at a server that is noted as silent.
+    Given a shard with 3 daemons and 1 servers
+    When 2 s pass
+    And the next 2 starts are not sent
+    And a lasting job is submitted
+    And 1.5 s pass
+    Then all 4 tasks of the job run on servers that are not cut off
+    And nothing was breached
+
   Scenario: a server goes dark, and then its owner is killed
     # Symptom: lasting tasks are away for 13 s although there is room for them.
     # Sequence: a server loses power; before its leases are over the owner is
--- a/waxwingford/shard/tests/shard_steps.py
+++ b/waxwingford/shard/tests/shard_steps.py
@@ -319,6 +319,12 @@
         server.vanish(connect_s)
 
 
+@when('the next {count:d} starts are not sent')
+def not_sent(context, count):
+    for server in context.shard.servers.server_by_id.values():
+        server.starts_unsent = count
+
+
 @when('{span_s:g} s have passed since the server left')
 def since_left(context, span_s):
     shard = context.shard
--- a/waxwingford/shard/tests/virtual_servers.py
+++ b/waxwingford/shard/tests/virtual_servers.py
@@ -15,6 +15,7 @@
     EndReport,
     Looked,
     OrderDenied,
+    OrderNotSent,
     OrderTaken,
     OrderUnknown,
     RunningReport,
@@ -61,6 +62,8 @@
         #: How long a caller tries in vain to open a connection, in seconds;
         #: ``None`` if there are connections.
         self.connect_s = None
+        #: Starts to come that won't be sent.
+        self.starts_unsent = 0
         self.fails = False
         self.hangs = False
 
@@ -288,6 +291,10 @@
         )
 
     async def start(self, address, order):
+        server = self._fleet.server_by_id[address.server_id]
+        if server.starts_unsent:
+            server.starts_unsent -= 1
+            return OrderNotSent('no connection')
         return await self._order(address, VirtualServer.start, order)
 
     async def stop(self, address, run, fencing_token):
@@ -349,7 +356,7 @@
 
 async def _not_sent(server):
     await asyncio.sleep(server.connect_s)
-    return OrderUnknown('no connection')
+    return OrderNotSent('no connection')
 
 
 def _late(server, act, details):
