Let blame of servers go with time, and bar the last server for a task for a second only

Cause: only runs that end well took blame away, and lasting tasks never do, so failures minutes apart added up, and from the third on every second one barred the server for 4 s. The bar didn't ask whether another server is left for a task. Ruled out: a half-life of 5 or 10 s (a server that fails single tasks of 5 s gets 24 and 19 in 120 s instead of 18); lifting the bar at once (the scenario of a broken server that alone has room for lasting tasks counts 4,616 starts in 30 s); asking for room for short tasks too (81% of them go to a server that fails all). Change: blame halves every 20 s; failures 15 s apart never reach the threshold. Bars for blame and for refusals are kept apart, so a refusal no longer shortens a bar for blame. That is lifted after 1 s where a waiting task fits no other server that isn't barred, and, if it lasts, where none of those has room; of several the one with least blame. The code has moved from _settle.py to _blame.py; _placing.py is unchanged. Not done: gangs and queues with tickets are not looked through for their last servers; they wait for the bar as before.

--- a/waxwingford/scheduling/_engine.py
+++ b/waxwingford/scheduling/_engine.py
@@ -9,6 +9,12 @@
 from collections.abc import Iterable, Iterator
 
 from waxwingford.ports import Resources
+from waxwingford.scheduling._blame import (
+    BLAME_STUCK,
+    blame_server,
+    fade_blame,
+    spare_last_servers,
+)
 from waxwingford.scheduling._book import Book
 from waxwingford.scheduling._harm import HarmModel
 from waxwingford.scheduling._inheritance import Inheritance, InheritedLeases
@@ -24,11 +30,7 @@
     OrderTaken,
 )
 from waxwingford.scheduling._servers import Server, ServerEntry
-from waxwingford.scheduling._settle import (
-    BLAME_STUCK,
-    Settler,
-    blame_server,
-)
+from waxwingford.scheduling._settle import Settler
 from waxwingford.scheduling._specs import JobSpec, Terms
 from waxwingford.scheduling._state import Job, JobPhase, Run, RunPhase, Step
 from waxwingford.scheduling._stops import Stopper
@@ -215,6 +217,7 @@
             for server in list(self.book.server_by_id.values()):
                 self._tend(server, now_ms)
             self._mover.move(now_ms)
+            spare_last_servers(self.book, now_ms)
         due = {**self._stirred, **self._timed_by_id}
         self._stirred = {}
         for job in due.values():
@@ -255,6 +258,7 @@
         self.book.server_by_id[server_id].listed = False
 
     def _tend(self, server: Server, now_ms: int) -> None:
+        fade_blame(server, now_ms)
         unreachable = server.failing_ms is not None or not server.entry.endpoint
         if server.gone or unreachable:
             self.settler.drop_lost(server, now_ms)
--- a/waxwingford/scheduling/_servers.py
+++ b/waxwingford/scheduling/_servers.py
@@ -56,8 +56,10 @@
     :ivar gone: whether another incarnation answered in its place.
     :ivar inherited_until_ms: leases of a former owner may last until then.
     :ivar strangers: runs that it lists and nobody here knows.
-    :ivar barred_until_ms: no starts before, steady time.
+    :ivar refused_until_ms: no starts before, as it refused some, steady time.
+    :ivar blamed_until_ms: no starts before, as it is blamed, steady time.
     :ivar blame: recent runs that failed or stood still, decaying.
+    :ivar faded_ms: until when blame was let go, steady time.
     :ivar changes: counts runs that came or left.
     :ivar awaited: whether it was noted that its leases are waited out.
     """
@@ -78,8 +80,10 @@
     gone: bool = False
     inherited_until_ms: int = 0
     strangers: dict[RunKey, int] = dataclasses.field(default_factory=dict)
-    barred_until_ms: int = 0
+    refused_until_ms: int = 0
+    blamed_until_ms: int = 0
     blame: float = 0
+    faded_ms: int = 0
     changes: int = 0
     awaited: bool = False
 
@@ -91,6 +95,14 @@
         """
         return Address(self.entry.server_id, self.entry.endpoint)
 
+    @property
+    def barred_until_ms(self) -> int:
+        """Say how long it gets no starts.
+
+        :returns: steady time.
+        """
+        return max(self.refused_until_ms, self.blamed_until_ms)
+
     @property
     def room(self) -> Resources:
         """Work out what is free.
--- a/waxwingford/scheduling/_settle.py
+++ b/waxwingford/scheduling/_settle.py
@@ -9,6 +9,11 @@
 """
 
 from waxwingford.scheduling import _gangs as gangs
+from waxwingford.scheduling._blame import (
+    BLAME_FAILED,
+    PRAISE_FACTOR,
+    blame_server,
+)
 from waxwingford.scheduling._book import Book
 from waxwingford.scheduling._notes import NoteBook
 from waxwingford.scheduling._runners import (
@@ -36,14 +41,6 @@
 UNHEALTHY_BAR_MS = 1500
 #: A server that refused for want of room gets no starts for this, in ms.
 NO_ROOM_BAR_MS = 300
-#: Blame of a server for one failed run and for one that stood still; what is
-#: at or over the threshold bars it for `BLAMED_BAR_MS`.
-BLAME_FAILED = 1.0
-BLAME_STUCK = 2.0
-BLAME_THRESHOLD = 2.5
-BLAMED_BAR_MS = 4000
-#: A run that ended well takes this share of the blame away.
-PRAISE_FACTOR = 0.6
 #: Silence after which it is noted that the leases of a server are waited out,
 #: in ms: a connection that was reset is there again within 200 ms.
 NOTE_AWAITED_MS = 1000
@@ -237,9 +234,9 @@
     ) -> None:
         match denial:
             case Denial.unhealthy:
-                server.barred_until_ms = now_ms + UNHEALTHY_BAR_MS
+                server.refused_until_ms = now_ms + UNHEALTHY_BAR_MS
             case Denial.no_room:
-                server.barred_until_ms = now_ms + NO_ROOM_BAR_MS
+                server.refused_until_ms = now_ms + NO_ROOM_BAR_MS
             case _:
                 pass
         _note_run(self._book.notes, 'run.refused', run, denial.value)
@@ -341,23 +338,6 @@
         self._book.ready_by_key[task.key] = task
 
 
-def blame_server(server: Server, blame: float, now_ms: int) -> None:
-    """Count a failure against a server, and bar it when there are many.
-
-    A job that fails everywhere must not bar good servers, so one failure is
-    never enough; a server that fails all it starts reaches the threshold with
-    few tasks lost.
-
-    :param server: where it happened.
-    :param blame: how much.
-    :param now_ms: steady time.
-    """
-    server.blame += blame
-    if server.blame >= BLAME_THRESHOLD:
-        server.barred_until_ms = now_ms + BLAMED_BAR_MS
-        server.blame = BLAME_THRESHOLD / 2
-
-
 def _note_run(notes: NoteBook, event: str, run: Run, reason: str) -> None:
     notes.add(
         event,
