--- a/waxwingford/scheduling/_settle.py
+++ b/waxwingford/scheduling/_settle.py
@@ -1,13 +1,19 @@
 """What answers and silence of backend servers prove about runs.
 
 A run may be forgotten, and its task started again, only by proof: its end was
-listed; or its server, asked after the run was refused or stopped there, lists
-it neither as running nor as ended; or another incarnation answers in the
-server's place; or every lease that it may have had is over. A guess instead
-of a proof shows as a task that runs in two places at once.
+listed; or its start was never sent; or its server, asked after the run was
+refused or stopped there, lists it neither as running nor as ended; or another
+incarnation answers in the server's place; or every lease that it may have had
+is over. A guess instead of a proof shows as a task that runs in two places at
+once.
 """
 
 from waxwingford.scheduling import _gangs as gangs
+from waxwingford.scheduling._blame import (
+    BLAME_FAILED,
+    PRAISE_FACTOR,
+    blame_server,
+)
 from waxwingford.scheduling._book import Book
 from waxwingford.scheduling._notes import NoteBook
 from waxwingford.scheduling._runners import (
@@ -17,6 +23,7 @@
     Looked,
     LookOutcome,
     OrderDenied,
+    OrderNotSent,
     OrderOutcome,
     OrderTaken,
     OrderUnknown,
@@ -34,14 +41,6 @@
 UNHEALTHY_BAR_MS = 1500
 #: A server that refused for want of room gets no starts for this, in ms.
 NO_ROOM_BAR_MS = 300
-#: Blame of a server for one failed run and for one that stood still; what is
-#: at or over the threshold bars it for `BLAMED_BAR_MS`.
-BLAME_FAILED = 1.0
-BLAME_STUCK = 2.0
-BLAME_THRESHOLD = 2.5
-BLAMED_BAR_MS = 4000
-#: A run that ended well takes this share of the blame away.
-PRAISE_FACTOR = 0.6
 #: Silence after which it is noted that the leases of a server are waited out,
 #: in ms: a connection that was reset is there again within 200 ms.
 NOTE_AWAITED_MS = 1000
@@ -73,14 +72,9 @@
             case ServerReplaced():
                 server.gone = True
                 self.drop_lost(server, now_ms)
-            case OrderDenied() | OrderUnknown():
-                if server.failing_ms is None:
-                    server.failing_ms = sent_ms
-                    self._book.notes.add(
-                        'server.silent',
-                        server.entry.server_id,
-                        reason=str(outcome),
-                    )
+            case OrderDenied() | OrderNotSent() | OrderUnknown():
+                reason = str(outcome)
+                _note_silent(self._book.notes, server, sent_ms, reason)
 
     def start_answered(
         self, server: Server, run: Run, now_ms: int, outcome: OrderOutcome
@@ -104,15 +98,16 @@
             case ServerReplaced():
                 server.gone = True
                 self.drop_lost(server, now_ms)
+            case OrderNotSent(reason):
+                # Nothing is on its way, so there is no lease to wait out. No
+                # pause either: the server gets no start before it has answered
+                # a look, so the task goes elsewhere.
+                _note_silent(self._book.notes, server, now_ms, reason)
+                _note_run(self._book.notes, 'run.not_sent', run, reason)
+                self._settle(server, run, None, '', now_ms)
             case OrderUnknown(reason):
                 run.enter(RunPhase.doubtful, now_ms)
-                self._book.notes.add(
-                    'run.doubtful',
-                    run.key.task,
-                    run=run.key.run,
-                    server=run.server_id,
-                    reason=reason,
-                )
+                _note_run(self._book.notes, 'run.doubtful', run, reason)
 
     def stop_answered(
         self, server: Server, key: RunKey, now_ms: int, outcome: OrderOutcome
@@ -241,18 +236,12 @@
     ) -> None:
         match denial:
             case Denial.unhealthy:
-                server.barred_until_ms = now_ms + UNHEALTHY_BAR_MS
+                server.refused_until_ms = now_ms + UNHEALTHY_BAR_MS
             case Denial.no_room:
-                server.barred_until_ms = now_ms + NO_ROOM_BAR_MS
+                server.refused_until_ms = now_ms + NO_ROOM_BAR_MS
             case _:
                 pass
-        self._book.notes.add(
-            'run.refused',
-            run.key.task,
-            run=run.key.run,
-            server=run.server_id,
-            reason=denial.value,
-        )
+        _note_run(self._book.notes, 'run.refused', run, denial.value)
         found = self._book.find(run.key)
         self._settle(server, run, None, '', now_ms)
         if found is not None:
@@ -351,21 +340,29 @@
         self._book.ready_by_key[task.key] = task
 
 
-def blame_server(server: Server, blame: float, now_ms: int) -> None:
-    """Count a failure against a server, and bar it when there are many.
+def _note_run(notes: NoteBook, event: str, run: Run, reason: str) -> None:
+    notes.add(
+        event,
+        run.key.task,
+        run=run.key.run,
+        server=run.server_id,
+        reason=reason,
+    )
 
-    A job that fails everywhere must not bar good servers, so one failure is
-    never enough; a server that fails all it starts reaches the threshold with
-    few tasks lost.
 
-    :param server: where it happened.
-    :param blame: how much.
-    :param now_ms: steady time.
+def _note_silent(
+    notes: NoteBook, server: Server, since_ms: int, reason: str
+) -> None:
+    """Note once that a server doesn't answer; it gets no starts until it does.
+
+    :param notes: of the shard.
+    :param server: that doesn't answer.
+    :param since_ms: steady time.
+    :param reason: what happened to the call.
     """
-    server.blame += blame
-    if server.blame >= BLAME_THRESHOLD:
-        server.barred_until_ms = now_ms + BLAMED_BAR_MS
-        server.blame = BLAME_THRESHOLD / 2
+    if server.failing_ms is None:
+        server.failing_ms = since_ms
+        notes.add('server.silent', server.entry.server_id, reason=reason)
 
 
 def _note_awaited(notes: NoteBook, server: Server, now_ms: int) -> None:
--- a/waxwingford/shard/tests/virtual_servers.py
+++ b/waxwingford/shard/tests/virtual_servers.py
@@ -17,6 +17,7 @@
     EndReport,
     Looked,
     OrderDenied,
+    OrderNotSent,
     OrderTaken,
     OrderUnknown,
     RunningReport,
@@ -72,6 +73,11 @@
         #: Ends up to this number can't be taken note of any more: the lease has
         #: lapsed since they were listed, and that stands for good.
         self.void_to = 0
+        #: How long a caller tries in vain to open a connection, in seconds;
+        #: ``None`` if there are connections.
+        self.connect_s = None
+        #: Starts to come that won't be sent.
+        self.starts_unsent = 0
         self.fails = False
         self.hangs = False
 
@@ -118,8 +124,12 @@
         self.changed = asyncio.Event()
 
     def crash(self):
-        self.up = False
         self.listed = False
+        self.vanish()
+
+    def vanish(self, connect_s=None):
+        self.up = False
+        self.connect_s = connect_s
         for run in self.run_by_task.values():
             if run.timer is not None:
                 run.timer.cancel()
@@ -350,6 +360,10 @@
         )
 
     async def start(self, address, order):
+        server = self._fleet.server_by_id[address.server_id]
+        if server.starts_unsent:
+            server.starts_unsent -= 1
+            return OrderNotSent('no connection')
         return await self._order(address, VirtualServer.start, order)
 
     async def stop(self, address, run, fencing_token):
@@ -363,6 +377,8 @@
 
     async def look(self, address, order):
         server = self._fleet.server_by_id[address.server_id]
+        if server.connect_s is not None:
+            return await _not_sent(server)
         if not await self._reaches(server):
             return OrderUnknown('cut')
         known = len(server.ends)
@@ -390,6 +406,8 @@
 
     async def _order(self, address, act, *details):
         server = self._fleet.server_by_id[address.server_id]
+        if server.connect_s is not None:
+            return await _not_sent(server)
         if not await self._reaches(server):
             return OrderUnknown('cut')
         if not server.up:
@@ -413,6 +431,11 @@
         return True
 
 
+async def _not_sent(server):
+    await asyncio.sleep(server.connect_s)
+    return OrderNotSent('no connection')
+
+
 def _late(server, act, details):
     if server.up:
         act(server, *details)
