Add a failing test of ends that are not acknowledged on a server that becomes idle

Cause, by reading: the wake that follows the storing of ends is cleared before the driver waits for the next reason to look, and an idle server gives none.

--- a/waxwingford/shard/tests/shard.feature
+++ b/waxwingford/shard/tests/shard.feature
@@ -7,6 +7,17 @@
     Then the job is shown as completed by every daemon
     And nothing was breached
 
+  Scenario: the last ends on a server are acknowledged
+    # Symptom: a server lists ends for half a minute that are long stored.
+    # Sequence: all tasks on a server have ended; nothing more is placed there.
+    # Cause: no look at an idle server, though the newest ends are acknowledged by
+    # the next look only.
+    Given a shard with 3 daemons and 4 servers
+    When a job of 2 steps is submitted
+    And 6 s pass
+    Then the job is shown as completed by every daemon
+    And all ends have been acknowledged
+
   Scenario: the owner is killed while tasks run
     # Symptom: the tasks run twice, or nothing is placed for many seconds.
     # Sequence: tasks run, their owner is killed, another daemon claims.
--- a/waxwingford/shard/tests/shard_steps.py
+++ b/waxwingford/shard/tests/shard_steps.py
@@ -605,6 +605,18 @@
     assert set(phases) == {'completed'}, phases
 
 
+@then('all ends have been acknowledged')
+def acknowledged(context):
+    servers = context.shard.servers.server_by_id.values()
+    left = {
+        server.server_id: len(server.ends) - server.seen_end
+        for server in servers
+        if server.ends
+    }
+    assert left
+    assert not any(left.values()), left
+
+
 @then('there is one owner')
 def one_owner(context):
     assert len(context.shard.owners) == 1, context.shard.owners
--- a/waxwingford/shard/tests/virtual_servers.py
+++ b/waxwingford/shard/tests/virtual_servers.py
@@ -70,6 +70,7 @@
         self.ends = []
         self.last_run_by_task = {}
         self.changed = asyncio.Event()
+        self.seen_end = 0
         #: Ends up to this number can't be taken note of any more: the lease has
         #: lapsed since they were listed, and that stands for good.
         self.void_to = 0
@@ -200,6 +201,7 @@
         if order.lease_until_ms is not None:
             self.extend(order.lease_until_ms)
         self.fleet.note_seen(self, order.seen_end)
+        self.seen_end = max(self.seen_end, order.seen_end)
         return Looked(
             self.clock_ms(),
             tuple(map(self.report, self.run_by_task.values())),
