Look once more at a server that becomes idle, to acknowledge its last ends

Cause: ends are acknowledged by the look after the one that listed them, and an idle server was not looked at until something was placed there again. Ruled out: an order of its own for acknowledgements; the look is one. Change: the driver remembers which ends its newest answered look has acknowledged. Measured: the failing scenario passes, as do all of the shard's. Conclusion: kept; one more look each time that a server becomes idle.

--- a/waxwingford/shard/_drivers.py
+++ b/waxwingford/shard/_drivers.py
@@ -6,6 +6,7 @@
 
 from waxwingford.scheduling import (
     Engine,
+    Looked,
     Pace,
     Run,
     RunKey,
@@ -88,6 +89,7 @@
         self._stir = ports.stir
         self._wanted = asyncio.Event()
         self._orders = asyncio.Semaphore(MOST_ORDERS)
+        self._told_end = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self._watch = ports.watch
         self._looker = asyncio.create_task(self._look_on())
@@ -173,15 +175,21 @@
                 self.server, sent_ms, self._wait_ms(), self._extends()
             )
             outcome = await self._runners.look(self.server.address, order)
+            if isinstance(outcome, Looked):
+                self._told_end = order.seen_end
             self._engine.looked(self.server, sent_ms, steady_ms(), outcome)
             self._stir()
             await self._pause()
 
     async def _until_needed(self) -> None:
         server = self.server
-        if server.looked_ms >= 0 and server.failing_ms is None:
-            if not server.run_by_key and not server.strangers:
-                await self._until_wanted(IDLE_LOOK_S)
+        if server.looked_ms < 0 or server.failing_ms is not None:
+            return
+        # Ends are acknowledged by the look after the one that listed them; an idle
+        # server would list its last ones for as long as it stays idle.
+        owes_ends = self._told_end < server.seen_end
+        if not (server.run_by_key or server.strangers or owes_ends):
+            await self._until_wanted(IDLE_LOOK_S)
 
     def _wait_ms(self) -> int:
         server = self.server
