--- /dev/null
+++ b/waxwingford/scheduling/tests/engine_bench.py
@@ -0,0 +1,191 @@
+"""An engine whose servers do as they are told, for steps."""
+
+import collections
+
+from waxwingford.ports import Resources
+from waxwingford.scheduling import (
+    EndReport,
+    Engine,
+    InheritedLeases,
+    JobSpec,
+    Looked,
+    OrderTaken,
+    Pace,
+    QueueTerms,
+    RunningReport,
+    ServerEntry,
+    StepSpec,
+    Stop,
+    Terms,
+)
+
+JOB = '00000000000000aa'
+SECOND = '00000000000000bb'
+THIRD = '00000000000000cc'
+LOOK_EVERY_MS = 250
+QUEUE = QueueTerms('queue', 'service', 0, 3)
+
+
+class Bench:
+    """An engine whose servers do as they are told."""
+
+    def __init__(self, count, cores):
+        self.now_ms = 100_000
+        self.rows = {}
+        self.engine = new_engine(7, self.now_ms)
+        self.entries = []
+        self.planned = []
+        self.orders = []
+        self.ends = collections.defaultdict(list)
+        self.figure_by_image = {}
+        self.pace_by_image = {}
+        self.still = False
+        self.strangers = []
+        self.paces = []
+        for _ in range(count):
+            self.add(cores)
+
+    @property
+    def wall_ms(self):
+        return self.now_ms + 1_000_000
+
+    def add(self, cores, labels=('r1',)):
+        server_id = f's{len(self.entries)}'
+        capacity = Resources(cores * 1000, cores * 4000, 0)
+        self.entries.append(
+            ServerEntry(
+                server_id,
+                f'{server_id}:1',
+                'service',
+                'd',
+                frozenset(labels),
+                capacity,
+                draining=False,
+                rack='r1',
+            )
+        )
+        self.register()
+        self.look()
+
+    def register(self):
+        self.engine.register(self.entries, self.now_ms)
+
+    def drain(self, server_id):
+        self.entries = [
+            entry._replace(
+                draining=entry.draining or entry.server_id == server_id
+            )
+            for entry in self.entries
+        ]
+        self.register()
+
+    def submit(self, *steps, **more):
+        self.engine.submit(
+            JobSpec(JOB, 'queue', 'payload', steps, terms=QUEUE, **more),
+            self.now_ms,
+        )
+        self.decide()
+
+    def decide(self, accept=True):
+        self.now_ms += 50
+        self.engine.decide(self.now_ms, self.wall_ms)
+        batch = self.engine.take_batch()
+        keep(self.rows, batch.payload_by_key)
+        for start in self.engine.stored(batch):
+            self.planned.append(start.run)
+            server = self.engine.book.server_by_id[start.server_id]
+            self.last_order = self.engine.orders.start(start.run, self.now_ms)
+            if accept:
+                self.engine.settler.start_answered(
+                    server, start.run, self.now_ms, OrderTaken(self.now_ms)
+                )
+        self.orders += self.engine.book.take_orders()
+        for order in self.orders:
+            if isinstance(order, Pace):
+                self.paces.append(order)
+                step = self.step_of(order.key)
+                self.pace_by_image[step.image] = order.percent
+                self.lowest = min(
+                    self.lowest_by_image.get(step.image, 100), order.percent
+                )
+                self.lowest_by_image[step.image] = self.lowest
+        self.orders = [one for one in self.orders if not isinstance(one, Pace)]
+
+    lowest_by_image: dict = {}
+
+    def step_of(self, key):
+        job = self.engine.book.job_by_id[key.task.job_id]
+        return job.spec.steps[key.task.step]
+
+    def look(self):
+        sent_ms = self.now_ms
+        self.now_ms += 2
+        for server in list(self.engine.book.server_by_id.values()):
+            server_id = server.entry.server_id
+            running = [
+                self.report(key, run)
+                for key, run in server.run_by_key.items()
+                if key not in {end.run for end in self.ends[server_id]}
+            ]
+            looked = Looked(
+                self.now_ms,
+                tuple(running + self.strangers),
+                tuple(self.ends[server_id]),
+            )
+            self.engine.looked(server, sent_ms, self.now_ms, looked)
+
+    def report(self, key, run):
+        step = self.step_of(key)
+        if step.target_ms:
+            return RunningReport(key, '', 100, self.tail())
+        if step.fills:
+            pace = self.pace_by_image.get(step.image, 100)
+            used = step.needs.processors_milli * pace / 100
+            return RunningReport(key, '', self.percent(), used)
+        percent = self.still_percent if self.still else self.percent()
+        return RunningReport(key, '', percent, 1)
+
+    def percent(self):
+        return 100 if self.lasting else (self.now_ms // 50) % 100
+
+    lasting = False
+    still_percent = 40
+
+    def tail(self):
+        wild = self.pace_by_image.get('wild', 100) / 100
+        return self.figure_by_image['calm'] * (
+            1 + (self.figure_by_image['wild'] - 1) * wild
+        )
+
+    def end(self, run, kind, checkpoint=''):
+        ends = self.ends[run.server_id]
+        ends.append(EndReport(len(ends) + 1, run.key, kind, checkpoint))
+        self.look()
+        self.decide()
+
+    def pass_ms(self, span_ms):
+        until_ms = self.now_ms + span_ms
+        while self.now_ms < until_ms:
+            self.look()
+            self.decide()
+            self.now_ms += LOOK_EVERY_MS
+
+    def stops(self):
+        return [one.key for one in self.orders if isinstance(one, Stop)]
+
+
+def new_engine(token, now_ms):
+    engine = Engine(token, 5000, InheritedLeases(now_ms, {}))
+    engine.configure(Terms(1, {'queue': QUEUE}))
+    return engine
+
+
+def keep(rows, payload_by_key):
+    for key, payload in payload_by_key.items():
+        rows.pop(key, None)
+        if payload is not None:
+            rows[key] = payload
+
+
+def step(count=1, cores=1, **more):
+    return StepSpec(count, Resources(cores * 1000, 1000, 0), 700, **more)
--- /dev/null
+++ b/waxwingford/scheduling/tests/pressure_steps.py
@@ -0,0 +1,127 @@
+"""Steps for lasting tasks beside more short work than there is room for."""
+
+from behave import given, then, when
+
+from waxwingford.scheduling import EndKind, EndReport, JobSpec
+from waxwingford.scheduling.tests.engine_bench import QUEUE, SECOND, step
+
+
+@given('a lasting job of {count:d} task of {cores:d} cores that runs')
+@given('a lasting job of {count:d} tasks of {cores:d} cores that runs')
+def lasting_tasks(context, count, cores):
+    context.bench.lasting = True
+    context.bench.submit(step(count, cores, lasting=True))
+    context.bench.look()
+    assert len(context.bench.planned) == count
+    context.run = context.bench.planned[0]
+
+
+@when('a lasting job of 1 task of {cores:d} cores waits for {span_s:d} s')
+def lasting_waits(context, cores, span_s):
+    steps = (step(1, cores, lasting=True),)
+    spec = JobSpec(SECOND, 'queue', 'payload', steps, terms=QUEUE)
+    context.bench.engine.submit(spec, context.bench.now_ms)
+    context.bench.pass_ms(span_s * 1000)
+
+
+@when(
+    'urgent tasks of 1 core and {length_ms:d} ms come,'
+    ' twice what there is room for'
+)
+def press(context, length_ms):
+    press_between(context, length_ms, length_ms)
+
+
+@when(
+    'urgent tasks of 1 core and {least_ms:d} to {most_ms:d} ms come,'
+    ' twice what there is room for'
+)
+def press_between(context, least_ms, most_ms):
+    context.length_ms = least_ms
+    context.spread_ms = most_ms - least_ms
+    context.pressed = 0
+    run_pressed(context, 3000, until=bool)
+
+
+def run_pressed(context, span_ms, until):
+    """Let time pass while more short tasks wait than there is room for.
+
+    :param context: of the scenario.
+    :param span_ms: how long at most.
+    :param until: ends it earlier.
+    :returns: milliseconds that have passed.
+    """
+    bench = context.bench
+    began_ms = bench.now_ms
+    cores = sum(one.capacity.processors_milli for one in bench.entries) // 1000
+    while bench.now_ms - began_ms < span_ms and not until():
+        while len(bench.engine.book.ready_by_key) < cores:
+            submit_short(context)
+        end_short(context)
+        bench.decide()
+    return bench.now_ms - began_ms
+
+
+def submit_short(context):
+    bench = context.bench
+    context.pressed += 1
+    job_id = f'{0xC000 + context.pressed:016x}'
+    spec = JobSpec(job_id, 'queue', 'payload', (step(),), terms=QUEUE)
+    bench.engine.submit(spec, bench.now_ms)
+    bench.engine.decide(bench.now_ms, bench.wall_ms)
+
+
+def short_runs(bench):
+    return [
+        run
+        for server in bench.engine.book.server_by_id.values()
+        for key, run in server.run_by_key.items()
+        if not bench.step_of(key).lasting
+    ]
+
+
+def end_short(context):
+    bench = context.bench
+    for run in short_runs(bench):
+        more_ms = int(run.key.task.job_id, 16) * 97 % (context.spread_ms + 1)
+        if bench.now_ms - run.planned_ms >= context.length_ms + more_ms:
+            ends = bench.ends[run.server_id]
+            end = EndReport(len(ends) + 1, run.key, EndKind.done, '')
+            ends.append(end)
+    bench.look()
+
+
+@when('the run of the lasting task ends as stopped')
+def lasting_ends(context):
+    context.bench.end(context.run, EndKind.stopped)
+
+
+@then('it is planned again within {span_s:d} s')
+def planned_again(context, span_s):
+    bench = context.bench
+    context.planned_before = len(bench.planned)
+    task = context.run.key.task
+
+    def again():
+        return any(
+            run.key.task == task and run is not context.run
+            for run in bench.planned
+        )
+
+    passed_ms = run_pressed(context, 3 * span_s * 1000, until=again)
+    context.waited_ms = passed_ms
+    assert again(), f'not within {passed_ms} ms'
+    assert passed_ms <= span_s * 1000, passed_ms
+
+
+@then('short tasks were planned all the while')
+def short_planned(context):
+    count = len(context.bench.planned) - context.planned_before
+    # Two of three servers go on: 16 tasks every 0.75 s.
+    least = 16 * context.waited_ms // 750
+    assert count >= least, (count, least)
+
+
+@then('all {cores:d} cores beside the lasting tasks are in use')
+def in_use(context, cores):
+    assert len(short_runs(context.bench)) == cores
--- a/waxwingford/scheduling/tests/succession_steps.py
+++ b/waxwingford/scheduling/tests/succession_steps.py
@@ -4,7 +4,7 @@
 
 from waxwingford.scheduling import Denial, EndKind, EndReport, OrderDenied
 from waxwingford.scheduling._rows import encode_step
-from waxwingford.scheduling.tests.engine_steps import (
+from waxwingford.scheduling.tests.engine_bench import (
     JOB,
     keep,
     new_engine,
--- a/waxwingford/scheduling/tests/tickets_steps.py
+++ b/waxwingford/scheduling/tests/tickets_steps.py
@@ -9,7 +9,7 @@
     OrderTaken,
     Terms,
 )
-from waxwingford.scheduling.tests.engine_steps import QUEUE, Bench, step
+from waxwingford.scheduling.tests.engine_bench import QUEUE, Bench, step
 
 #: Most servers that the service lets a question name.
 MOST_NAMED = 100
