--- a/waxwingford/scheduling/tests/engine.feature
+++ b/waxwingford/scheduling/tests/engine.feature
@@ -113,6 +113,40 @@
     And the run of the lasting task ends as stopped
     Then it is planned again within 5 s
 
+  Scenario Outline: overdue tasks that no server can hold come first
+    # Symptom: a lasting task waits for 22 s beside servers that it fits on.
+    # Sequence: many lasting tasks that fit nowhere have waited for longer; short
+    # work takes what becomes free.
+    # Cause: looking for a server for the first few overdue tasks only.
+    Given an engine with 3 servers of 8 cores
+    When a lasting job of <count> tasks of 9 cores waits for 1 s
+    And urgent tasks of 1 core and 500 to 900 ms come, twice what there is room for
+    And a lasting job of 1 task of 4 cores comes besides
+    Then that one is planned within 5 s
+
+    Examples:
+      | count |
+      | 1     |
+      | 16    |
+      | 80    |
+
+  Scenario Outline: what will not become free soon is no room
+    # Symptom: a lasting task waits for 30 s beside a server that has new room for
+    # it every second.
+    # Sequence: on the server that lacks least cpu there is a fill with much memory,
+    # or a task of a minute.
+    # Cause: keeping room where only short tasks are thought to run.
+    Given an engine with 2 servers of 8 cores
+    When a <kind> task of <cores> cores, <memory_mb> MB and 60 s runs
+    And urgent tasks of 1 core and 500 to 900 ms come, twice what there is room for
+    And a lasting job of 1 task of 4 cores and 8000 MB comes besides
+    Then that one is planned within 5 s
+
+    Examples:
+      | kind | cores | memory_mb |
+      | fill | 1     | 26000     |
+      | long | 5     | 1000      |
+
   Scenario: a lasting task that no server can ever hold keeps nobody out
     # Symptom: urgent work stands still beside servers with room.
     # Sequence: lasting tasks hold half of each server, and one more needs more
--- a/waxwingford/scheduling/tests/pressure_steps.py
+++ b/waxwingford/scheduling/tests/pressure_steps.py
@@ -2,8 +2,17 @@
 
 from behave import given, then, when
 
-from waxwingford.scheduling import EndKind, EndReport, JobSpec
-from waxwingford.scheduling.tests.engine_bench import QUEUE, SECOND, step
+from waxwingford.ports import Resources
+from waxwingford.scheduling import EndKind, EndReport, JobSpec, StepSpec
+from waxwingford.scheduling.tests.engine_bench import (
+    QUEUE,
+    SECOND,
+    THIRD,
+    step,
+)
+
+#: Tasks with a longer estimate don't end while a scenario runs, in ms.
+LONG_MS = 30_000
 
 
 @given('a lasting job of {count:d} task of {cores:d} cores that runs')
@@ -24,6 +33,56 @@
     context.bench.pass_ms(span_s * 1000)
 
 
+@when(
+    'a lasting job of {count:d} tasks of {cores:d} cores waits for {span_s:d} s'
+)
+def lasting_wait(context, count, cores, span_s):
+    submit_lasting(context.bench, SECOND, step(count, cores, lasting=True))
+    context.bench.pass_ms(span_s * 1000)
+
+
+@when('a lasting job of 1 task of {cores:d} cores comes besides')
+def lasting_comes(context, cores):
+    submit_lasting(context.bench, THIRD, step(1, cores, lasting=True))
+
+
+@when(
+    'a lasting job of 1 task of {cores:d} cores and {memory_mb:d} MB'
+    ' comes besides'
+)
+def large_comes(context, cores, memory_mb):
+    needs = Resources(cores * 1000, memory_mb, 0)
+    large = StepSpec(1, needs, 700, lasting=True)
+    submit_lasting(context.bench, THIRD, large)
+
+
+def submit_lasting(bench, job_id, spec):
+    job = JobSpec(job_id, 'queue', 'payload', (spec,), terms=QUEUE)
+    bench.engine.submit(job, bench.now_ms)
+
+
+@when(
+    'a {kind} task of {cores:d} cores, {memory_mb:d} MB and {span_s:d} s runs'
+)
+def long_runs(context, kind, cores, memory_mb, span_s):
+    needs = Resources(cores * 1000, memory_mb, 0)
+    long = StepSpec(1, needs, span_s * 1000, fills=kind == 'fill')
+    context.bench.submit(long)
+    context.bench.look()
+    assert len(context.bench.planned) == 1
+
+
+@then('that one is planned within {span_s:d} s')
+def third_planned(context, span_s):
+    bench = context.bench
+
+    def planned():
+        return any(run.key.task.job_id == THIRD for run in bench.planned)
+
+    passed_ms = run_pressed(context, span_s * 1000, until=planned)
+    assert planned(), f'not within {passed_ms} ms'
+
+
 @when(
     'urgent tasks of 1 core and {length_ms:d} ms come,'
     ' twice what there is room for'
@@ -77,6 +136,7 @@
         for server in bench.engine.book.server_by_id.values()
         for key, run in server.run_by_key.items()
         if not bench.step_of(key).lasting
+        and bench.step_of(key).estimate_ms < LONG_MS
     ]
 
 
