Seek room for each overdue task in turn and only where it comes free; let paces pass starts

Cause: overdue tasks that fit nowhere used up the search for a server; fills and long tasks were taken to end soon; starts that wait for a proof of ownership held the places of changes of pace. What a task takes of a server is worked out in one place; it stood in four.

--- a/waxwingford/scheduling/_blame.py
+++ b/waxwingford/scheduling/_blame.py
@@ -4,7 +4,7 @@
 a task that waits.
 """
 
-from waxwingford.ports import Resources, fits_resources
+from waxwingford.ports import fits_resources
 from waxwingford.scheduling._book import Book
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._state import Step
@@ -129,16 +129,11 @@
         return False
     if spec.label and spec.label not in entry.labels:
         return False
-    return fits_resources(_needs(step), entry.capacity)
+    return fits_resources(step.spec.takes, entry.capacity)
 
 
 def _has_room(step: Step, server: Server) -> bool:
-    if not fits_resources(_needs(step), server.room):
+    if not fits_resources(step.spec.takes, server.room):
         return False
     most = step.spec.most_per_server
     return not most or step.per_server().get(server.entry.server_id, 0) < most
-
-
-def _needs(step: Step) -> Resources:
-    needs = step.spec.needs
-    return needs._replace(processors_milli=0) if step.spec.fills else needs
--- a/waxwingford/scheduling/_gangs.py
+++ b/waxwingford/scheduling/_gangs.py
@@ -109,9 +109,7 @@
     servers: list[Server],
     room_of: Callable[[Server], Resources],
 ) -> list[Seat] | None:
-    needs = step.spec.needs
-    if step.spec.fills:
-        needs = Resources(0, *needs[1:])
+    needs = step.spec.takes
     most = step.spec.most_per_server or step.spec.count
     seats: list[Seat] = []
     waiting = iter(step.tasks)
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from waxwingford.ports import Resources, fits_resources
+from waxwingford.ports import fits_resources
 from waxwingford.scheduling import _gangs as gangs
 from waxwingford.scheduling._admission import FillAdmission
 from waxwingford.scheduling._book import Book
@@ -76,6 +76,7 @@
 
         :param now_ms: steady time.
         """
+        self._holds.begin(now_ms)
         turns = self._turns(now_ms)
         if not turns:
             # Most answers of servers bring nothing to place: to go through all
@@ -84,7 +85,6 @@
         usable = self._usable(now_ms)
         self._admission.update(usable)
         self._looks = 0
-        self._holds.clear()
         unplaced: list[Waiting] = []
         full_steps: set[str] = set()
         for turn in turns:
@@ -143,7 +143,8 @@
             # A gang needs room on several servers, and which ones an advised
             # step may use is known only when they have it.
             return
-        self._holds.keep(turn, self._allowed(turn, usable))
+        if self._holds.seeks(turn.step):
+            self._holds.keep(turn.step, self._allowed(turn, usable))
 
     def _seat_gang(
         self, turn: Waiting, fitting: list[Server], now_ms: int
@@ -243,11 +244,11 @@
         if step.spec.fills:
             pool = self._admission.open_servers(step, service, now_ms)
             self._looks += len(pool)
-        needs = _needs(step)
+        takes = step.spec.takes
         fitting = [
             server
             for server in self._allowed(turn, pool)
-            if fits_resources(needs, self._holds.room(server))
+            if fits_resources(takes, self._holds.room(server))
         ]
         if step.spec.fills:
             fitting = self._admission.bearing(step, service, fitting, now_ms)
@@ -324,11 +325,6 @@
     return sum(run.phase in _UNANSWERED for run in runs) < MOST_UNANSWERED
 
 
-def _needs(step: Step) -> Resources:
-    needs = step.spec.needs
-    return Resources(0, *needs[1:]) if step.spec.fills else needs
-
-
 def _crowding(step: Step, server: Server) -> float:
     """Say how crowded a server would be.
 
--- a/waxwingford/scheduling/_servers.py
+++ b/waxwingford/scheduling/_servers.py
@@ -4,7 +4,11 @@
 import math
 from typing import NamedTuple
 
-from waxwingford.ports import Resources
+from waxwingford.ports import (
+    Resources,
+    add_resources,
+    subtract_resources,
+)
 from waxwingford.scheduling._runners import Address, RunKey
 from waxwingford.scheduling._state import Run, Step
 
@@ -60,6 +64,7 @@
     :ivar blamed_until_ms: no starts before, as it is blamed, steady time.
     :ivar blame: recent runs that failed or stood still, decaying.
     :ivar faded_ms: until when blame was let go, steady time.
+    :ivar known_ms: since when it is known here, steady time.
     :ivar changes: counts runs that came or left.
     :ivar awaited: whether it was noted that its leases are waited out.
     """
@@ -84,6 +89,7 @@
     blamed_until_ms: int = 0
     blame: float = 0
     faded_ms: int = 0
+    known_ms: int = 0
     changes: int = 0
     awaited: bool = False
 
@@ -109,12 +115,7 @@
 
         :returns: capacity less what runs take.
         """
-        capacity, used = self.entry.capacity, self.used
-        return Resources(
-            capacity.processors_milli - used.processors_milli,
-            capacity.memory_mb - used.memory_mb,
-            capacity.accelerators - used.accelerators,
-        )
+        return subtract_resources(self.entry.capacity, self.used)
 
     def add(self, run: Run, step: Step) -> None:
         """Count a run in.
@@ -191,12 +192,7 @@
 
     def _count(self, step: Step, sign: int) -> None:
         self.changes += 1
-        needs, used = step.spec.needs, self.used
-        cpu_milli = 0 if step.spec.fills else needs.processors_milli
         if step.spec.fills:
-            self.fill_milli += sign * needs.processors_milli
-        self.used = Resources(
-            used.processors_milli + sign * cpu_milli,
-            used.memory_mb + sign * needs.memory_mb,
-            used.accelerators + sign * needs.accelerators,
-        )
+            self.fill_milli += sign * step.spec.needs.processors_milli
+        count = add_resources if sign > 0 else subtract_resources
+        self.used = count(self.used, step.spec.takes)
--- a/waxwingford/scheduling/_specs.py
+++ b/waxwingford/scheduling/_specs.py
@@ -45,6 +45,18 @@
     fills: bool = False
     most_away: int = 0
 
+    @property
+    def takes(self) -> Resources:
+        """Say what a task takes of a server's room.
+
+        :returns: its needs; for a fill all but cpu, which others leave to it.
+        """
+        return (
+            self.needs._replace(processors_milli=0)
+            if self.fills
+            else self.needs
+        )
+
 
 class QueueTerms(NamedTuple):
     """What the configuration says of a queue.
--- a/waxwingford/shard/_drivers.py
+++ b/waxwingford/shard/_drivers.py
@@ -135,19 +135,34 @@
         task.add_done_callback(self._watch)
 
     async def _start(self, run: Run) -> None:
-        async with self._orders:
-            # Orders before it may have taken seconds. A start carries a lease,
-            # and one without a proof of ownership would outlast what a successor
-            # waits for: the task would run twice.
+        sent = False
+        while not sent:
+            # Outside of the places for orders: changes of pace need no proof.
             await self._until_extends()
-            order = self._engine.orders.start(run, steady_ms())
-            if order is None:
-                self._stir()
-                return
-            outcome = await self._runners.start(self.server.address, order)
-        self._engine.start_answered(self.server, run, steady_ms(), outcome)
+            async with self._orders:
+                sent = await self._send_start(run)
         self._stir()
 
+    async def _send_start(self, run: Run) -> bool:
+        """Send a start, if leases may still be extended.
+
+        Orders before it may have taken seconds. A start carries a lease, and one
+        without a proof of ownership would outlast what a successor waits for: the
+        task would run twice.
+
+        :param run: whose record is stored.
+        :returns: whether it was sent or is no longer wanted.
+        """
+        # Read first: frozen in between, the VM would give a longer lease.
+        now_ms = steady_ms()
+        if not self._extends():
+            return False
+        order = self._engine.orders.start(run, now_ms)
+        if order is not None:
+            outcome = await self._runners.start(self.server.address, order)
+            self._engine.start_answered(self.server, run, steady_ms(), outcome)
+        return True
+
     async def _stop(self, key: RunKey) -> None:
         outcome = await self._runners.stop(
             self.server.address, key, self._engine.orders.token
@@ -201,19 +216,12 @@
             return _watched_wait_ms(self._engine.pacer.watched)
         return min(LOOK_WAIT_MS, self._engine.orders.lease_ms // LOOKS_A_LEASE)
 
-    def _gap_ms(self) -> int:
-        urgent = any(
-            not (step.spec.fills or step.spec.lasting)
-            for step in self.server.step_by_run.values()
-        )
-        return LOOK_GAP_MS if urgent else CALM_GAP_MS
-
     async def _pause(self) -> None:
         if self.server.failing_ms is not None:
             await asyncio.sleep(FAILED_GAP_MS / MS_IN_S)
             return
         until_s = asyncio.get_running_loop().time() + STORE_WAIT_S
-        await asyncio.sleep(self._gap_ms() / MS_IN_S)
+        await asyncio.sleep(_gap_ms(self.server) / MS_IN_S)
         while self.server.seen_end < self.server.taken_end:
             # The ends would only be listed again until they are stored.
             left_s = until_s - asyncio.get_running_loop().time()
@@ -236,6 +244,14 @@
         return True
 
 
+def _gap_ms(server: Server) -> int:
+    urgent = any(
+        not (step.spec.fills or step.spec.lasting)
+        for step in server.step_by_run.values()
+    )
+    return LOOK_GAP_MS if urgent else CALM_GAP_MS
+
+
 def _watched_wait_ms(servers: int) -> int:
     apart_ms = servers * MS_IN_S // WATCHED_LOOKS_PER_S - CALM_GAP_MS
     return min(MOST_WATCHED_WAIT_MS, max(WATCHED_WAIT_MS, apart_ms))
