Name what names silent servers, and what is overdue, and tell draining of listed servers only

An unlisted server's made-up entry says that it drains; server.awaited told it as if the list of servers had. No decision changes: the features of scheduling and shard pass.

--- a/waxwingford/scheduling/_settle.py
+++ b/waxwingford/scheduling/_settle.py
@@ -386,6 +386,6 @@
         runs=len(runs),
         inherited=sum(run.phase is RunPhase.inherited for run in runs),
         registered=server.listed,
-        draining=server.entry.draining,
+        draining=server.listed and server.entry.draining,
         left_ms=int(server.lease_left_ms(now_ms)),
     )
--- a/waxwingford/scheduling/_turns.py
+++ b/waxwingford/scheduling/_turns.py
@@ -23,20 +23,14 @@
     :ivar task: the task.
     :ivar step: its step.
     :ivar queue: terms of its queue.
+    :ivar overdue: whether it is a lasting task that has waited too long.
     """
 
     order: tuple[int, int, int, int, int]
     task: Task
     step: Step
     queue: QueueTerms
-
-    @property
-    def overdue(self) -> bool:
-        """Tell whether it is a lasting task that has waited too long.
-
-        :returns: whether it goes before everything else.
-        """
-        return self.order[0] == _OVERDUE_RANK
+    overdue: bool = False
 
 
 def work_left(steps: list[Step]) -> int:
@@ -73,7 +67,7 @@
     lasts = step.spec.lasting
     if lasts and now_ms - task.waiting_ms >= OVERDUE_MS:
         order = _OVERDUE_RANK, 0, 0, task.waiting_ms, task.key.index
-        return Waiting(order, task, step, queue)
+        return Waiting(order, task, step, queue, overdue=True)
     order = (
         queue.priority,
         2 if step.spec.fills else int(lasts),
--- a/waxwingford/scheduling/_withholding.py
+++ b/waxwingford/scheduling/_withholding.py
@@ -27,8 +27,8 @@
         """
         self._book = book
 
-    def begin(self, now_ms: int) -> dict[str, int]:
-        """Stop extending the leases of silent servers, for a heartbeat.
+    def name_silent(self, now_ms: int) -> dict[str, int]:
+        """Name the silent servers for a heartbeat, and stop extending their leases.
 
         :param now_ms: steady time.
         :returns: how long something may still run there, in ms, by server.
--- a/waxwingford/shard/_lease_bounds.py
+++ b/waxwingford/shard/_lease_bounds.py
@@ -162,7 +162,7 @@
         """
         now_ms = steady_ms()
         if self._engine is not None:
-            return LeaseNews(self._engine.withholding.begin(now_ms))
+            return LeaseNews(self._engine.withholding.name_silent(now_ms))
         if self.begun.is_set():
             bounds, read_to = self.inherited, None
         else:
