Work out in one place which servers may run a step, and set randomised plays up in one

Found by reading the change again: blame had its own copy of what placing asks of a server (service, label, bound for one server, whether it takes part), and the play with jobs of all kinds its own set-up. Change: _eligibility.py and Server.takes_part serve both; begin_faults serves both plays.

--- a/waxwingford/scheduling/_blame.py
+++ b/waxwingford/scheduling/_blame.py
@@ -6,6 +6,7 @@
 
 from waxwingford.ports import fits_resources
 from waxwingford.scheduling._book import Book
+from waxwingford.scheduling._eligibility import eligible, suits
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._state import Step
 
@@ -65,7 +66,9 @@
     :param book: of the shard.
     :param now_ms: steady time.
     """
-    alive = [server for server in book.server_by_id.values() if _alive(server)]
+    alive = [
+        server for server in book.server_by_id.values() if server.takes_part
+    ]
     barred = [
         server
         for server in alive
@@ -74,18 +77,16 @@
     ]
     if not barred:
         return
+    free = [server for server in alive if server.barred_until_ms <= now_ms]
     for step in _waiting_steps(book):
         # First the few that are barred: this is asked often, and hundreds of
         # steps may wait.
-        spared = [
-            server
-            for server in barred
-            if _has_room(step, server) and _fits(book, step, server)
-        ]
-        if spared and not _is_left(book, step, alive, now_ms):
+        spared = _with_room(book, step, barred)
+        if spared and not _is_left(book, step, free):
             least = min(spared, key=lambda server: server.blame)
             least.blamed_until_ms = now_ms
             barred.remove(least)
+            free.append(least)
 
 
 def _waiting_steps(book: Book) -> list[Step]:
@@ -98,42 +99,30 @@
     return list(step_by_name.values())
 
 
-def _alive(server: Server) -> bool:
-    answers = server.looked_ms >= 0 and server.failing_ms is None
-    leaves = server.gone or server.entry.draining or not server.listed
-    return answers and not leaves
-
-
-def _is_left(book: Book, step: Step, alive: list[Server], now_ms: int) -> bool:
+def _is_left(book: Book, step: Step, free: list[Server]) -> bool:
     """Tell whether a step's tasks can wait for a server that isn't barred.
 
     Tasks that end make room within a short time, those that last don't.
 
     :param book: of the shard.
     :param step: that waits.
-    :param alive: servers that answer and stay.
-    :param now_ms: steady time.
+    :param free: servers that take part and aren't barred.
     :returns: whether bars may stand.
     """
+    if step.spec.lasting:
+        return bool(_with_room(book, step, free))
+    service = book.queue_of(step.job).service
     return any(
-        server.barred_until_ms <= now_ms
-        and (not step.spec.lasting or _has_room(step, server))
-        and _fits(book, step, server)
-        for server in alive
+        suits(step, service, server)
+        and fits_resources(step.spec.takes, server.entry.capacity)
+        for server in free
     )
 
 
-def _fits(book: Book, step: Step, server: Server) -> bool:
-    spec, entry = step.spec, server.entry
-    if entry.service != book.queue_of(step.job).service:
-        return False
-    if spec.label and spec.label not in entry.labels:
-        return False
-    return fits_resources(step.spec.takes, entry.capacity)
-
-
-def _has_room(step: Step, server: Server) -> bool:
-    if not fits_resources(step.spec.takes, server.room):
-        return False
-    most = step.spec.most_per_server
-    return not most or step.per_server().get(server.entry.server_id, 0) < most
+def _with_room(book: Book, step: Step, servers: list[Server]) -> list[Server]:
+    service = book.queue_of(step.job).service
+    return [
+        server
+        for server in eligible(step, service, servers)
+        if fits_resources(step.spec.takes, server.room)
+    ]
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -6,6 +6,7 @@
 from waxwingford.scheduling import _gangs as gangs
 from waxwingford.scheduling._admission import FillAdmission
 from waxwingford.scheduling._book import Book
+from waxwingford.scheduling._eligibility import eligible
 from waxwingford.scheduling._harm import HarmModel
 from waxwingford.scheduling._holding import Holds
 from waxwingford.scheduling._runners import RunKey
@@ -144,7 +145,8 @@
             # step may use is known only when they have it.
             return
         if self._holds.seeks(turn.step):
-            self._holds.keep(turn.step, self._allowed(turn, usable))
+            able = eligible(turn.step, turn.queue.service, usable)
+            self._holds.keep(turn.step, able)
 
     def _seat_gang(
         self, turn: Waiting, fitting: list[Server], now_ms: int
@@ -247,7 +249,7 @@
         takes = step.spec.takes
         fitting = [
             server
-            for server in self._allowed(turn, pool)
+            for server in eligible(step, service, pool)
             if fits_resources(takes, self._holds.room(server))
         ]
         if step.spec.fills:
@@ -256,25 +258,6 @@
             return self._book.advice.allowed(step, fitting, now_ms)
         return fitting
 
-    def _allowed(self, turn: Waiting, servers: list[Server]) -> list[Server]:
-        """List the servers that a task may run on, with room or without.
-
-        :param turn: the task.
-        :param servers: from these.
-        :returns: those of its service, with its label, below its bound.
-        """
-        step = turn.step
-        counts = step.per_server() if step.spec.most_per_server else {}
-        most = step.spec.most_per_server or len(step.tasks) + 1
-        label = step.spec.label
-        return [
-            server
-            for server in servers
-            if server.entry.service == turn.queue.service
-            and counts.get(server.entry.server_id, 0) < most
-            and (not label or label in server.entry.labels)
-        ]
-
     def _cost(
         self, task: Task, step: Step, server: Server, now_ms: int
     ) -> float:
@@ -313,9 +296,7 @@
 
 
 def _takes_starts(server: Server, now_ms: int) -> bool:
-    known = server.looked_ms >= 0 and server.failing_ms is None
-    here = server.listed and not server.entry.draining and not server.gone
-    if not known or not here or server.strangers:
+    if not server.takes_part or server.strangers:
         return False
     if server.barred_until_ms > now_ms:
         return False
--- a/waxwingford/scheduling/_servers.py
+++ b/waxwingford/scheduling/_servers.py
@@ -107,6 +107,16 @@
         """
         return max(self.refused_until_ms, self.blamed_until_ms)
 
+    @property
+    def takes_part(self) -> bool:
+        """Tell whether it answers and isn't about to leave.
+
+        :returns: whether tasks may be placed there, bars left aside.
+        """
+        answers = self.looked_ms >= 0 and self.failing_ms is None
+        leaves = self.gone or self.entry.draining or not self.listed
+        return answers and not leaves
+
     @property
     def room(self) -> Resources:
         """Work out what is free.
--- a/waxwingford/shard/tests/mixed_steps.py
+++ b/waxwingford/shard/tests/mixed_steps.py
@@ -4,8 +4,13 @@
 
 from waxwingford.shard import Stored
 from waxwingford.shard._peers import JobNotKnown
-from waxwingford.shard.tests.shard_steps import CALM_S, act, calm
-from waxwingford.shard.tests.virtual_shard import VirtualShard, step
+from waxwingford.shard.tests.shard_steps import (
+    CALM_S,
+    act,
+    begin_faults,
+    calm,
+)
+from waxwingford.shard.tests.virtual_shard import step
 
 LASTING_TASKS = 2
 
@@ -15,17 +20,10 @@
     ' under seed {seed:d}'
 )
 def play_mixed(context, span_s, seed):
-    shard = VirtualShard(seed, daemons=4, servers=6)
-    context.shard = shard
-    context.add_cleanup(shard.close)
-    context.jobs = []
+    shard = begin_faults(context, seed)
     context.lasting = []
     context.cancelled = []
     context.denied = []
-    shard.run(1)
-    shard.servers.late_share = 0.1
-    shard.store.lost_share = 0.1
-    shard.store.late_share = 0.3
     shard.store.most_read = 20
     while shard.loop.time() < span_s:
         act_mixed(context, shard)
--- a/waxwingford/shard/tests/shard_steps.py
+++ b/waxwingford/shard/tests/shard_steps.py
@@ -575,6 +575,21 @@
 
 @when('a shard is played for {span_s:d} s with all faults under seed {seed:d}')
 def play(context, span_s, seed):
+    shard = begin_faults(context, seed)
+    while shard.loop.time() < span_s:
+        act(context, shard)
+        shard.run(shard.random.uniform(0.2, 1.5))
+    calm(shard)
+    shard.run(CALM_S)
+
+
+def begin_faults(context, seed):
+    """Set up a shard whose orders and appends go wrong at times.
+
+    :param context: of the scenario.
+    :param seed: of all that is drawn.
+    :returns: the shard.
+    """
     context.shard = VirtualShard(seed, daemons=4, servers=6)
     context.add_cleanup(context.shard.close)
     context.jobs = []
@@ -583,11 +598,7 @@
     shard.servers.late_share = 0.1
     shard.store.lost_share = 0.1
     shard.store.late_share = 0.3
-    while shard.loop.time() < span_s:
-        act(context, shard)
-        shard.run(shard.random.uniform(0.2, 1.5))
-    calm(shard)
-    shard.run(CALM_S)
+    return shard
 
 
 def act(context, shard):
