Tell how long a server outlived the start of a run that was lost with it

A line of a lost run said since when it was planned, up to the moment at which the loss was proved: seconds, whatever happened. Whether its server crashed 10 ms after the start or had worked on it for half a minute could not be told, so a task that crashes servers looked like those that were beside it.

Only lines change: `outlived_ms` of `run.settled`, by the server's own clock.

--- a/waxwingford/scheduling/_servers.py
+++ b/waxwingford/scheduling/_servers.py
@@ -56,6 +56,7 @@
     :ivar lasting_milli: cpu that runs of lasting tasks take.
     :ivar clock_ahead_ms: its clock less ours, ``None`` before an answer.
     :ivar clock_read_ms: when it was read, steady time.
+    :ivar heard_clock_ms: latest time on its clock at which it answered.
     :ivar lease_until_ms: longest lease that was sent, on its clock.
     :ivar taken_end: highest number of an end that was processed.
     :ivar seen_end: highest number of an end that is stored.
@@ -83,6 +84,7 @@
     lasting_milli: int = 0
     clock_ahead_ms: int | None = None
     clock_read_ms: int = 0
+    heard_clock_ms: int = 0
     lease_until_ms: int = 0
     taken_end: int = 0
     seen_end: int = 0
@@ -177,6 +179,19 @@
         """
         self.clock_ahead_ms = clock_ms - now_ms
         self.clock_read_ms = now_ms
+        # Answers on different connections may overtake each other.
+        self.heard_clock_ms = max(self.heard_clock_ms, clock_ms)
+
+    def outlived_ms(self, run: Run) -> int | None:
+        """Say for how long it is known to have answered since a run began.
+
+        :param run: one of its runs.
+        :returns: milliseconds of its clock, ``None`` if the run isn't known to
+            have begun.
+        """
+        if run.began_clock_ms is None:
+            return None
+        return max(0, self.heard_clock_ms - run.began_clock_ms)
 
     def lease_for(self, now_ms: int, length_ms: int) -> int:
         """Work out the end of a lease and remember the longest.
--- a/waxwingford/scheduling/_settle.py
+++ b/waxwingford/scheduling/_settle.py
@@ -93,6 +93,7 @@
                 server.read_clock(clock_ms, now_ms)
                 server.enter(run, RunPhase.present, now_ms)
                 run.moved_ms = now_ms
+                run.began_clock_ms = clock_ms
             case OrderDenied(denial):
                 self._refused(server, run, now_ms, denial)
             case ServerReplaced():
@@ -210,6 +211,8 @@
             run.percent = report.percent
             run.moved_ms = now_ms
         server.enter(run, RunPhase.present, now_ms)
+        if run.began_clock_ms is None:
+            run.began_clock_ms = server.heard_clock_ms
         run.checkpoint = report.checkpoint or run.checkpoint
         run.figure = report.figure
 
@@ -274,6 +277,7 @@
             how='absent' if kind is None else kind.value,
             was=run.phase.value,
             for_ms=now_ms - run.planned_ms,
+            outlived_ms=server.outlived_ms(run),
         )
         found = self._book.find(run.key)
         if found is None:
--- a/waxwingford/scheduling/_state.py
+++ b/waxwingford/scheduling/_state.py
@@ -53,6 +53,8 @@
     :ivar stop_sent_ms: when a stop was last sent, 0 for never.
     :ivar stop_taken_ms: when a stop was answered, 0 for never.
     :ivar adopted: whether a former owner started it.
+    :ivar began_clock_ms: when its server took the start, or first listed it, on
+        the server's clock; ``None`` before.
     """
 
     key: RunKey
@@ -71,6 +73,7 @@
     stop_sent_ms: int = 0
     stop_taken_ms: int = 0
     adopted: bool = False
+    began_clock_ms: int | None = None
 
     def enter(self, phase: RunPhase, now_ms: int) -> None:
         """Change the phase.
--- a/waxwingford/scheduling/tests/engine_bench.py
+++ b/waxwingford/scheduling/tests/engine_bench.py
@@ -14,6 +14,7 @@
     QueueTerms,
     RunningReport,
     ServerEntry,
+    ServerReplaced,
     StepSpec,
     Stop,
     Terms,
@@ -79,6 +80,22 @@
         ]
         self.register()
 
+    def crash(self, server_id):
+        """Let a server crash; another incarnation registers in its place."""
+        server = self.engine.book.server_by_id[server_id]
+        sent_ms = self.now_ms
+        self.now_ms += 2
+        self.engine.looked(server, sent_ms, self.now_ms, ServerReplaced())
+        self.entries = [
+            entry._replace(server_id=f'{server_id}+')
+            if entry.server_id == server_id
+            else entry
+            for entry in self.entries
+        ]
+        self.register()
+        self.look()
+        self.decide()
+
     def submit(self, *steps, **more):
         self.engine.submit(
             JobSpec(JOB, 'queue', 'payload', steps, terms=QUEUE, **more),
