Add failing tests: tasks that crash each server that starts them

What callers saw: a job that never ends, and servers that go down one after the other, each with all that runs on it.

Servers in virtual time may now crash 10 ms after the start of a task, take no connection, and be back after 3 s as another incarnation; they note a breach when a task is started three times after it has crashed three of them.

Lasting tasks whose servers crash by themselves eight times, 4 s apart, are served; that scenario passes and has to go on passing.

--- /dev/null
+++ b/waxwingford/shard/tests/crashes.feature
@@ -0,0 +1,28 @@
+Feature: tasks that crash each server that starts them, in a shard
+
+  Scenario: a task crashes each server that starts it
+    # Guards against a task that is started again and again while servers crash under it.
+    Given a shard with 3 daemons and 6 servers
+    When a job of 3 tasks is submitted, of which the first crashes each server
+    And 30 s pass
+    Then nothing was breached
+    And the job is shown as failed by every daemon
+    And at most 2 servers have crashed under it
+
+  Scenario: a task crashes servers while owners follow each other
+    # Guards against an owner that forgets the crashes that its predecessor has seen.
+    Given a shard with 4 daemons and 6 servers
+    When a job of 3 tasks is submitted, of which the first crashes each server
+    And 40 s pass, in which the owner is killed after each crash
+    Then nothing was breached
+    And the job is shown as failed by every daemon
+    And at most 3 servers have crashed under it
+
+  Scenario: servers crash by themselves again and again
+    # Guards against giving up sound tasks that were lost with their servers.
+    Given a shard with 3 daemons and 6 servers
+    When a lasting job is submitted
+    And 8 times a server of the lasting job crashes by itself, 4 s apart
+    And 12 s pass
+    Then all 4 tasks of the job run
+    And nothing was breached
--- /dev/null
+++ b/waxwingford/shard/tests/crashes_steps.py
@@ -0,0 +1,109 @@
+"""Steps for tasks that crash the servers of a shard."""
+
+import functools
+
+from behave import then, when
+
+from waxwingford.scheduling import TaskKey
+from waxwingford.shard import Stored
+from waxwingford.shard.tests.crashing_tasks import crash_for_a_while
+from waxwingford.shard.tests.shard_steps import kill_owner
+from waxwingford.shard.tests.virtual_shard import step
+
+LOOK_S = 0.05
+
+
+def submit_crashing(shard, count, daemon=None):
+    """Submit a job whose first task crashes servers.
+
+    :param shard: where.
+    :param count: tasks of the job.
+    :param daemon: through which one.
+    :returns: its id, and the outcome.
+    """
+    # Known before the task can start.
+    job_id = f'{shard.job_count + 1:016x}'
+    shard.servers.crashing.tasks.add(TaskKey(job_id, 0, 0, 0))
+    return shard.submit((step(count),), daemon)
+
+
+def crashes_of(context):
+    crashes = context.shard.servers.crashing.crashes
+    return sum(
+        count
+        for task, count in crashes.items()
+        if task.job_id == context.jobs[-1]
+    )
+
+
+@when(
+    'a job of {count:d} tasks is submitted, of which the first crashes'
+    ' each server'
+)
+def one_crashes(context, count):
+    job_id, outcome = submit_crashing(context.shard, count)
+    assert isinstance(outcome, Stored), outcome
+    context.jobs.append(job_id)
+
+
+@when('{span_s:d} s pass, in which the owner is killed after each crash')
+def kill_after_crashes(context, span_s):
+    shard = context.shard
+    until_s = shard.loop.time() + span_s
+    seen = 0
+    while shard.loop.time() < until_s:
+        shard.run(LOOK_S)
+        if crashes_of(context) > seen and shard.owners:
+            seen = crashes_of(context)
+            daemon = shard.owners[0]
+            kill_owner(context)
+            shard.loop.call_later(2, daemon.start)
+
+
+@when(
+    '{count:d} jobs of 2 steps come over {span_s:d} s,'
+    ' and one whose first task crashes servers'
+)
+def among_sound(context, count, span_s):
+    shard = context.shard
+    context.sound = []
+    crashing = None
+    for number in range(count):
+        job_id, outcome = shard.submit((step(3), step(2, after=(0,))))
+        assert isinstance(outcome, Stored), outcome
+        context.sound.append(job_id)
+        if number == count // 3:
+            crashing, _ = submit_crashing(shard, 2)
+        shard.run(span_s / count)
+    context.jobs.append(crashing)
+
+
+@when(
+    '{times:d} times a server of the lasting job crashes by itself,'
+    ' {span_s:d} s apart'
+)
+def crash_in_turn(context, times, span_s):
+    shard = context.shard
+    for _ in range(times):
+        shard.run(span_s)
+        names = shard.running(context.jobs[-1])
+        server = shard.servers.server_by_id[names[0]]
+        shard.call(functools.partial(crash_for_a_while, server))
+
+
+@then('at most {most:d} servers have crashed under it')
+def crashed_at_most(context, most):
+    assert 0 < crashes_of(context) <= most, (
+        context.shard.servers.crashing.crashes
+    )
+
+
+@then('all sound jobs are completed')
+def sound_completed(context):
+    phases = {
+        job_id: context.shard.phase(job_id)
+        for job_id in context.sound
+        if context.shard.phase(job_id) != 'completed'
+    }
+    assert context.sound
+    assert not phases, phases
--- a/waxwingford/shard/tests/virtual_servers.py
+++ b/waxwingford/shard/tests/virtual_servers.py
@@ -17,27 +17,20 @@
     EndReport,
     Looked,
     OrderDenied,
-    OrderNotSent,
     OrderTaken,
-    OrderUnknown,
     RunningReport,
     ServerEntry,
-    ServerReplaced,
     decode_spec,
 )
-from waxwingford.shard import Advised
 from waxwingford.shard._intake import INTAKE_TOPIC, JOB_PREFIX
 from waxwingford.shard._journal import JOURNAL_TOPIC
+from waxwingford.shard.tests.crashing_tasks import CrashingTasks
 
 ANSWER_S = 0.002
 TIMEOUT_S = 0.6
 LONGEST_LEASE_MS = 6000
 STOP_S = 0.3
 MS_IN_S = 1000
-#: Time that the advice service takes for a question and for each server in it,
-#: in seconds.
-ADVICE_S = 0.02
-ADVICE_EACH_S = 0.005
 
 
 def step_key(task):
@@ -81,6 +74,8 @@
         self.starts_unsent = 0
         self.fails = False
         self.hangs = False
+        #: Whether another incarnation answers at its address.
+        self.replaced = False
 
     @property
     def entry(self):
@@ -173,6 +168,7 @@
         run = _Run(key, now_s, step.estimate_ms / MS_IN_S)
         self.run_by_task[key.task] = run
         self.last_run_by_task[key.task] = key.run
+        self.fleet.crashing.started(self, key)
         if not step.lasting and not self.hangs:
             kind = EndKind.failed if self.fails else EndKind.done
             run.timer = asyncio.get_running_loop().call_later(
@@ -235,6 +231,7 @@
         self.noted_done = set()
         self.breaches = []
         self.starts = collections.Counter()
+        self.crashing = CrashingTasks(self)
         self.cancelled_s_by_job = {}
         #: Validity of tickets, in ms; 0 where none are needed.
         self.ticket_ms = 0
@@ -244,12 +241,15 @@
         self.job_by_id = {}
 
     def add(self, count, cores=8, ahead_ms=0):
-        for number in range(count):
-            server_id = f's{len(self.server_by_id)}-{number}'
-            capacity = Resources(cores * 1000, cores * 4000, 0)
-            self.server_by_id[server_id] = VirtualServer(
-                self, server_id, capacity, ahead_ms
-            )
+        capacity = Resources(cores * 1000, cores * 4000, 0)
+        for _ in range(count):
+            self.add_one(capacity, ahead_ms)
+
+    def add_one(self, capacity, ahead_ms):
+        server_id = f's{len(self.server_by_id)}'
+        self.server_by_id[server_id] = VirtualServer(
+            self, server_id, capacity, ahead_ms
+        )
 
     def step(self, task):
         return self.job(task.job_id).steps[task.step]
@@ -308,6 +308,7 @@
                 self.breaches.append(
                     f'{key}: starts before step {index} is done'
                 )
+        self.crashing.check_start(key)
         now_s = asyncio.get_running_loop().time()
         if now_s > self.cancelled_s_by_job.get(task.job_id, now_s) + 13:
             self.breaches.append(f'{key}: starts long after its cancelling')
@@ -344,131 +345,3 @@
             if server.void_to < end.number <= number
             and end.kind is EndKind.done
         }
-
-
-class ServersWay:
-    """Way of one daemon to all backend servers."""
-
-    def __init__(self, fleet: VirtualServers, daemon_id: str):
-        self._fleet = fleet
-        self._daemon_id = daemon_id
-
-    async def entries(self):
-        await asyncio.sleep(ANSWER_S)
-        if self._daemon_id in self._fleet.store.silent:
-            return None
-        return tuple(
-            server.entry
-            for server in self._fleet.server_by_id.values()
-            if server.listed
-        )
-
-    async def start(self, address, order):
-        server = self._fleet.server_by_id[address.server_id]
-        if server.starts_unsent:
-            server.starts_unsent -= 1
-            return OrderNotSent('no connection')
-        return await self._order(address, VirtualServer.start, order)
-
-    async def stop(self, address, run, fencing_token):
-        return await self._order(
-            address, VirtualServer.stop, run, fencing_token
-        )
-
-    async def pace(self, address, run, percent, fencing_token):
-        await asyncio.sleep(ANSWER_S)
-        return OrderTaken(0)
-
-    async def look(self, address, order):
-        if self._fleet.call_work_s:
-            longest_s = order.wait_ms / MS_IN_S + TIMEOUT_S
-            return await self._busy(self._look(address, order), longest_s)
-        return await self._look(address, order)
-
-    async def _look(self, address, order):
-        server = self._fleet.server_by_id[address.server_id]
-        if server.connect_s is not None:
-            return await _not_sent(server)
-        if not await self._reaches(server):
-            return OrderUnknown('cut')
-        known = len(server.ends)
-        answer = server.look(order)
-        if order.wait_ms and isinstance(answer, Looked) and not answer.ended:
-            try:
-                await asyncio.wait_for(
-                    server.changed.wait(), order.wait_ms / MS_IN_S
-                )
-            except TimeoutError:
-                known = len(server.ends)
-            if not await self._reaches(server):
-                return OrderUnknown('cut')
-            if known != len(server.ends) or server.run_by_task:
-                answer = server.look(order)
-        return answer
-
-    async def advise(self, step_name, server_ids):
-        await asyncio.sleep(ADVICE_S + ADVICE_EACH_S * len(server_ids))
-        tickets = {
-            server_id: self._fleet.give_ticket(server_id, step_name)
-            for server_id in server_ids
-        }
-        return Advised(tickets, self._fleet.ticket_ms)
-
-    async def _busy(self, work, timeout_s):
-        """Make a call on a processor that each call keeps for a while.
-
-        :returns: its outcome; unknown if the answer was read too late.
-        """
-        loop = asyncio.get_running_loop()
-        sent_s = loop.time()
-        # Nothing else runs on the daemon's processor meanwhile.
-        loop.stall(self._fleet.call_work_s)
-        outcome = await work
-        # As a client does that reads head and body as they come.
-        await asyncio.sleep(0)
-        loop.stall(self._fleet.call_work_s)
-        if loop.time() - sent_s > timeout_s:
-            return OrderUnknown('read too late')
-        return outcome
-
-    async def _order(self, address, act, *details):
-        if self._fleet.call_work_s:
-            work = self._carry_out(address, act, *details)
-            return await self._busy(work, TIMEOUT_S)
-        return await self._carry_out(address, act, *details)
-
-    async def _carry_out(self, address, act, *details):
-        server = self._fleet.server_by_id[address.server_id]
-        if server.connect_s is not None:
-            return await _not_sent(server)
-        if not await self._reaches(server):
-            return OrderUnknown('cut')
-        if not server.up:
-            return ServerReplaced()
-        if self._fleet.random.random() < self._fleet.late_share:
-            delay_s = self._fleet.random.uniform(2, 12)
-            asyncio.get_running_loop().call_later(
-                delay_s, _late, server, act, details
-            )
-            await asyncio.sleep(TIMEOUT_S)
-            return OrderUnknown('late')
-        await asyncio.sleep(self._fleet.order_s)
-        return act(server, *details)
-
-    async def _reaches(self, server):
-        await asyncio.sleep(ANSWER_S)
-        cut = (self._daemon_id, server.server_id) in self._fleet.cut
-        if cut or not server.up:
-            await asyncio.sleep(TIMEOUT_S)
-            return False
-        return True
-
-
-async def _not_sent(server):
-    await asyncio.sleep(server.connect_s)
-    return OrderNotSent('no connection')
-
-
-def _late(server, act, details):
-    if server.up:
-        act(server, *details)
--- a/waxwingford/shard/tests/virtual_shard.py
+++ b/waxwingford/shard/tests/virtual_shard.py
@@ -21,7 +21,8 @@
     ShardMember,
 )
 from waxwingford.shard._times import steady_ms
-from waxwingford.shard.tests.virtual_servers import ServersWay, VirtualServers
+from waxwingford.shard.tests.servers_way import ServersWay
+from waxwingford.shard.tests.virtual_servers import VirtualServers
 from waxwingford.shard.tests.virtual_store import StoreWay, VirtualStore
 
 LEASE_MS = 5000
