Give up tasks that crash each server that starts them, and try suspects alone

What callers saw: a job that is running for ever, and servers that crash one after the other, 92 in 110 s, with all that ran on them.

Cause: only ends that a server lists were counted. It is a class of fault: an outcome that nobody reports counts against nobody.

Change: a run is fresh until its server answers 300 ms after the start, by its own clock. When a server is lost, its fresh runs make their tasks suspects. A suspect starts on a server without fresh runs, on which nothing else starts until it has outlived the start; with the second crash its job has failed. A server that was only silent until its leases were over may have been cut off: there it takes four. A server that lives on clears the suspect. Crashes, and whether a start was outlived, stand in the row of the step, so that the next owner goes on from there; also where the owner dies between start and proof.

--- a/waxwingford/scheduling/_book.py
+++ b/waxwingford/scheduling/_book.py
@@ -42,6 +42,7 @@
     :ivar notes: decisions for the logs.
     :ivar advice: tickets for steps of advised queues.
     :ivar withheld: servers whose leases are not extended now.
+    :ivar outlived_by_name: steps with starts that were outlived, to be stored.
     """
 
     def __init__(self) -> None:
@@ -55,6 +56,7 @@
         self.advice = AdviceBook()
         self.withheld: set[str] = set()
         self.notes = NoteBook()
+        self.outlived_by_name: dict[str, Step] = {}
         self._dirty_by_name: dict[str, Step] = {}
         self._ended: list[tuple[Job, JobPhase]] = []
         self._starts: list[Start] = []
--- a/waxwingford/scheduling/_engine.py
+++ b/waxwingford/scheduling/_engine.py
@@ -16,6 +16,7 @@
     spare_last_servers,
 )
 from waxwingford.scheduling._book import Book
+from waxwingford.scheduling._crashes import mark_outlived
 from waxwingford.scheduling._harm import HarmModel
 from waxwingford.scheduling._inheritance import Inheritance, InheritedLeases
 from waxwingford.scheduling._moving import Mover
@@ -50,6 +51,10 @@
 #: find (lapsed leases, runs that stand still, stops to send) is not urgent,
 #: and a decision is made with each answer.
 TEND_EVERY_MS = 50
+#: Time between two markings of starts that servers have outlived, in ms. Most are
+#: stored with other changes of their step; without any, a successor would suspect
+#: all that was started last on a server that crashes when the owner does.
+MARK_OUTLIVED_EVERY_MS = 200
 #: Progress of a lasting task that is at work.
 AT_WORK_PERCENT = 100
 _NOTHING = Resources(0, 0, 0)
@@ -89,6 +94,7 @@
         self._cancelled: set[str] = set()
         self._tended_ms = 0
         self._harm_stored_ms = 0
+        self._marked_ms = 0
         self._stirred: dict[str, Job] = {}
         self._timed_by_id: dict[str, Job] = {}
 
@@ -218,6 +224,9 @@
                 self._tend(server, now_ms)
             self._mover.move(now_ms)
             spare_last_servers(self.book, now_ms)
+            if now_ms - self._marked_ms >= MARK_OUTLIVED_EVERY_MS:
+                self._marked_ms = now_ms
+                mark_outlived(self.book)
         due = {**self._stirred, **self._timed_by_id}
         self._stirred = {}
         for job in due.values():
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -5,9 +5,11 @@
 from waxwingford.scheduling._admission import FillAdmission
 from waxwingford.scheduling._book import Book
 from waxwingford.scheduling._choices import Choices
+from waxwingford.scheduling._crashes import is_suspect
 from waxwingford.scheduling._eligibility import eligible
 from waxwingford.scheduling._harm import HarmModel
 from waxwingford.scheduling._holding import Holds
+from waxwingford.scheduling._isolation import Isolation
 from waxwingford.scheduling._runners import RunKey
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._state import Job, Run, RunPhase, Step, Task
@@ -23,12 +25,13 @@
 #: data; the task failed there before; it is blamed for a failure; a fill
 #: goes beyond what its tails bear by all that it needs; one more image
 #: serves there, so that more fills harm some tail there than on two servers
-#: with an image each.
+#: with an image each; and for a task that may crash it, each run there.
 AWAY_COST = 0.5
 AVOIDED_COST = 4.0
 BLAME_COST = 0.5
 HARM_COST = 3.0
 OTHER_IMAGE_COST = 1.0
+LOST_RUN_COST = 2.0
 #: Share of its cpu that a task is taken to use; fills get the rest.
 USE_SHARE = 0.6
 #: Weight of the cpu that fills ask for in the choice for other tasks.
@@ -59,6 +62,7 @@
         self._looks = 0
         self._waits = WaitNotes(book.notes)
         self._holds = Holds()
+        self._isolation = Isolation(book)
         self._choices_by_step: dict[str, Choices] = {}
         self._changed: list[Server] = []
 
@@ -74,8 +78,8 @@
         for occurrence in range(_due(job, wall_ms)):
             steps = job.begin(occurrence)
             for step in steps:
-                if step.left and self._turn(step, steps):
-                    self._wait(step, now_ms)
+                if step.left and _has_turn(step, steps):
+                    _make_wait(self._book, step, now_ms)
 
     def place(self, now_ms: int) -> None:
         """Plan a run of each waiting task for which a server has room.
@@ -90,15 +94,14 @@
             return
         usable = self._usable(now_ms)
         self._admission.update(usable)
+        self._isolation.begin(usable)
         self._looks = 0
         self._choices_by_step.clear()
         self._changed.clear()
         unplaced: list[Waiting] = []
         full_steps: set[str] = set()
         for turn in turns:
-            tried = turn.step.name in full_steps and not turn.task.avoided
-            if tried or not self._seat(turn, usable, now_ms):
-                full_steps.add(turn.step.name)
+            if not self._try(turn, usable, full_steps, now_ms):
                 unplaced.append(turn)
                 if turn.overdue:
                     self._keep_room(turn, usable)
@@ -130,6 +133,23 @@
             and server_id not in self._book.withheld
         ]
 
+    def _try(
+        self,
+        turn: Waiting,
+        usable: list[Server],
+        full_steps: set[str],
+        now_ms: int,
+    ) -> bool:
+        if is_suspect(turn.task, turn.step):
+            return self._seat_alone(turn, usable, now_ms)
+        name = turn.step.name
+        if name in full_steps and not turn.task.avoided:
+            return False
+        if self._seat(turn, usable, now_ms):
+            return True
+        full_steps.add(name)
+        return False
+
     def _seat(self, turn: Waiting, usable: list[Server], now_ms: int) -> bool:
         if turn.task.key not in self._book.ready_by_key:
             # Placed in this round, with the rest of its gang.
@@ -143,6 +163,17 @@
         self.plan(turn.task, turn.step, server, now_ms)
         return True
 
+    def _seat_alone(
+        self, turn: Waiting, usable: list[Server], now_ms: int
+    ) -> bool:
+        if self._seat(turn, usable, now_ms):
+            return True
+        able = self._able(turn, usable, now_ms)
+        self._changed += self._isolation.reserve(
+            turn.task, turn.step, able, self._holds.room
+        )
+        return False
+
     def _choose(
         self, turn: Waiting, usable: list[Server], now_ms: int
     ) -> Server | None:
@@ -154,9 +185,11 @@
         def cost(server: Server) -> float:
             return self._cost(task, step, server, now_ms)
 
-        if step.spec.fills or turn.queue.advised or task.avoided:
+        own = task.avoided or task.crashes
+        if step.spec.fills or turn.queue.advised or own:
             # Fills choose among a few servers, others with each task; what an
-            # advised step may use, and what a task avoids, is its own matter.
+            # advised step may use, what a task avoids and what it may crash is
+            # its own matter.
             return min(fit(usable), key=cost, default=None)
         choices = self._choices_by_step.get(step.name)
         if choices is None:
@@ -212,6 +245,8 @@
             moved_ms=now_ms,
         )
         task.run_by_number[key.run] = run
+        if is_suspect(task, step):
+            self._isolation.keep(server, task, step)
         self._book.ready_by_key.pop(task.key, None)
         self._book.plan(run, step)
         self._changed.append(server)
@@ -232,20 +267,17 @@
             self._fills_ms = now_ms
         return in_turn(self._book, now_ms, fills_too)
 
-    def _turn(self, step: Step, steps: list[Step]) -> bool:
-        return not any(
-            steps[index].left for index in step.spec.after if index < len(steps)
-        )
-
-    def _wait(self, step: Step, now_ms: int) -> None:
-        for task in step.tasks:
-            waits = not (task.done or task.run_by_number)
-            if waits and task.key not in self._book.ready_by_key:
-                task.waiting_ms = now_ms
-                self._book.ready_by_key[task.key] = task
-
     def _fitting(
         self, turn: Waiting, usable: list[Server], now_ms: int
+    ) -> list[Server]:
+        return [
+            server
+            for server in self._able(turn, usable, now_ms)
+            if self._isolation.admits(server, turn.task, turn.step)
+        ]
+
+    def _able(
+        self, turn: Waiting, usable: list[Server], now_ms: int
     ) -> list[Server]:
         step = turn.step
         service = turn.queue.service
@@ -275,6 +307,8 @@
         if server.entry.server_id in task.avoided:
             cost += AVOIDED_COST
         cost += BLAME_COST * server.blame
+        if task.crashes:
+            cost += LOST_RUN_COST * len(server.run_by_key)
         if spec.fills:
             cost += HARM_COST * self._admission.excess(step, server, now_ms)
         elif spec.target_ms:
@@ -298,6 +332,20 @@
     return min(spec.times, past + 1)
 
 
+def _has_turn(step: Step, steps: list[Step]) -> bool:
+    return not any(
+        steps[index].left for index in step.spec.after if index < len(steps)
+    )
+
+
+def _make_wait(book: Book, step: Step, now_ms: int) -> None:
+    for task in step.tasks:
+        waits = not (task.done or task.run_by_number)
+        if waits and task.key not in book.ready_by_key:
+            task.waiting_ms = now_ms
+            book.ready_by_key[task.key] = task
+
+
 def _takes_starts(server: Server, now_ms: int) -> bool:
     if not server.takes_part or server.strangers:
         return False
--- a/waxwingford/scheduling/_rows.py
+++ b/waxwingford/scheduling/_rows.py
@@ -35,6 +35,9 @@
     done: bool
     checkpoint: str = ''
     runs: tuple[tuple[int, str], ...] = ()
+    crashes: int = 0
+    #: Whether the servers of its runs are known to have outlived their start.
+    outlived: bool = False
 
 
 _rows_encoder = msgspec.msgpack.Encoder()
@@ -105,6 +108,8 @@
         task.done,
         task.checkpoint,
         runs,
+        task.crashes,
+        all(run.outlived for run in task.run_by_number.values()),
     )
 
 
@@ -121,12 +126,15 @@
         task = step.tasks[row.index]
         task.last_run = row.last_run
         task.failures = row.failures
+        task.crashes = row.crashes
         task.done = row.done
         task.checkpoint = row.checkpoint
         task.run_by_number = {
             number: _inherited_run(task, number, server_id, now_ms)
             for number, server_id in row.runs
         }
+        for run in task.run_by_number.values():
+            run.outlived = row.outlived
         job.started = True
     step.left = sum(not task.done for task in step.tasks)
 
--- a/waxwingford/scheduling/_servers.py
+++ b/waxwingford/scheduling/_servers.py
@@ -9,7 +9,7 @@
     add_resources,
     subtract_resources,
 )
-from waxwingford.scheduling._runners import Address, RunKey
+from waxwingford.scheduling._runners import Address, RunKey, TaskKey
 from waxwingford.scheduling._state import Run, RunPhase, Step
 
 #: Slowest and fastest clocks differ by this share: a server's may be 2% slow,
@@ -49,6 +49,8 @@
     :ivar listed: whether it is registered now.
     :ivar run_by_key: runs that may be present.
     :ivar step_by_run: steps of those.
+    :ivar fresh: runs that it isn't known to have outlived yet.
+    :ivar reserved_for: suspect that is to start alone here, ``None`` for none.
     :ivar unanswered: runs whose start was sent, and is not known to be taken.
     :ivar used: what they take, fills' cpu left out.
     :ivar room: what is free: its capacity less what runs take.
@@ -77,6 +79,8 @@
     listed: bool = True
     run_by_key: dict[RunKey, Run] = dataclasses.field(default_factory=dict)
     step_by_run: dict[RunKey, Step] = dataclasses.field(default_factory=dict)
+    fresh: set[RunKey] = dataclasses.field(default_factory=set)
+    reserved_for: TaskKey | None = None
     unanswered: set[RunKey] = dataclasses.field(default_factory=set)
     used: Resources = Resources(0, 0, 0)
     room: Resources = dataclasses.field(init=False)
@@ -147,6 +151,8 @@
         """
         self.run_by_key[run.key] = run
         self.step_by_run[run.key] = step
+        if not run.outlived:
+            self.fresh.add(run.key)
         self._count(step, 1)
 
     def remove(self, key: RunKey) -> None:
@@ -156,6 +162,7 @@
         """
         if self.run_by_key.pop(key, None) is not None:
             self.unanswered.discard(key)
+            self.fresh.discard(key)
             self._count(self.step_by_run.pop(key), -1)
 
     def enter(self, run: Run, phase: RunPhase, now_ms: int) -> None:
--- a/waxwingford/scheduling/_settle.py
+++ b/waxwingford/scheduling/_settle.py
@@ -8,6 +8,7 @@
 once.
 """
 
+from waxwingford.scheduling import _crashes as crashes
 from waxwingford.scheduling import _gangs as gangs
 from waxwingford.scheduling._blame import (
     BLAME_FAILED,
@@ -94,10 +95,13 @@
                 server.enter(run, RunPhase.present, now_ms)
                 run.moved_ms = now_ms
                 run.began_clock_ms = clock_ms
+                crashes.clear_outlived(self._book, server)
             case OrderDenied(denial):
                 self._refused(server, run, now_ms, denial)
             case ServerReplaced():
                 server.gone = True
+                # Refused by the other incarnation, so it never began here.
+                self._settle(server, run, None, '', now_ms)
                 self.drop_lost(server, now_ms)
             case OrderNotSent(reason):
                 # Nothing is on its way, so there is no lease to wait out. No
@@ -158,8 +162,10 @@
                 replaced=server.gone,
                 runs=len(server.run_by_key),
             )
+        suspects = crashes.find_suspects(server)
         for run in list(server.run_by_key.values()):
             self._settle(server, run, None, run.checkpoint, now_ms)
+        crashes.count_crash(self._book, server, suspects)
 
     def _listed(
         self, server: Server, sent_ms: int, now_ms: int, looked: Looked
@@ -178,6 +184,7 @@
         listed = {report.run for report in looked.running}
         for report in looked.running:
             self._running(server, report, now_ms)
+        crashes.clear_outlived(self._book, server)
         for run in list(server.run_by_key.values()):
             if run.key not in listed:
                 self._absent(server, run, sent_ms, now_ms)
@@ -285,6 +292,9 @@
         task, step = found
         task.run_by_number.pop(run.key.run, None)
         step.job.idle_ms = now_ms
+        if kind is not None:
+            # Its server has lived on to tell how it ended.
+            task.crashes = 0
         task.checkpoint = checkpoint or task.checkpoint
         if step.spec.gang:
             gangs.share_checkpoint(step, task.checkpoint)
--- a/waxwingford/scheduling/_state.py
+++ b/waxwingford/scheduling/_state.py
@@ -55,6 +55,7 @@
     :ivar adopted: whether a former owner started it.
     :ivar began_clock_ms: when its server took the start, or first listed it, on
         the server's clock; ``None`` before.
+    :ivar outlived: whether its server is known to have lived on after the start.
     """
 
     key: RunKey
@@ -74,6 +75,7 @@
     stop_taken_ms: int = 0
     adopted: bool = False
     began_clock_ms: int | None = None
+    outlived: bool = False
 
     def enter(self, phase: RunPhase, now_ms: int) -> None:
         """Change the phase.
@@ -93,6 +95,8 @@
     :ivar key: its name.
     :ivar last_run: highest number of a run so far.
     :ivar failures: recorded runs that failed.
+    :ivar crashes: servers that crashed just after they had started it, since one
+        last lived on; a task that has any is a suspect.
     :ivar done: whether a run ended as done.
     :ivar checkpoint: to resume from.
     :ivar run_by_number: runs that may be present.
@@ -105,6 +109,7 @@
     key: TaskKey
     last_run: int = 0
     failures: int = 0
+    crashes: int = 0
     done: bool = False
     checkpoint: str = ''
     run_by_number: dict[int, Run] = dataclasses.field(default_factory=dict)
--- a/waxwingford/scheduling/tests/crash_steps.py
+++ b/waxwingford/scheduling/tests/crash_steps.py
@@ -2,7 +2,26 @@
 
 from behave import given, then, when
 
-from waxwingford.scheduling.tests.engine_bench import step
+from waxwingford.scheduling import (
+    EndKind,
+    JobSpec,
+    OrderUnknown,
+    ServerReplaced,
+)
+from waxwingford.scheduling.tests.engine_bench import (
+    JOB,
+    QUEUE,
+    SECOND,
+    step,
+)
+from waxwingford.scheduling.tests.fault_steps import answer_start
+
+#: Short tasks that are started every so often, in ms.
+SHORT_EVERY_MS = 100
+SHORT_AT_ONCE = 2
+MOST_ROUNDS = 10
+#: Longer than any lease, in ms.
+LEASE_OVER_MS = 6000
 
 
 @given('a job of 1 task that has run for {span_ms:d} ms')
@@ -46,3 +65,162 @@
 )
 def outlived_by_least(context, least_ms):
     assert outlived_ms(context) >= least_ms
+
+
+def runs_of_job(bench):
+    return [run for run in bench.planned if run.key.task.job_id == JOB]
+
+
+@when('the server of the task crashes {times:d} time, each time at once')
+def crashes_at_once(context, times):
+    crashes_after(context, times, 0)
+
+
+@when(
+    'the server of the task crashes {times:d} time,'
+    ' each time after {span_ms:d} ms'
+)
+@when(
+    'the server of the task crashes {times:d} times,'
+    ' each time after {span_ms:d} ms'
+)
+def crashes_after(context, times, span_ms):
+    bench = context.bench
+    for _ in range(times):
+        bench.pass_ms(span_ms)
+        bench.crash(runs_of_job(bench)[-1].server_id)
+
+
+@when('the server of the task is silent until its lease is over {times:d} time')
+@when(
+    'the server of the task is silent until its lease is over {times:d} times'
+)
+def silent_until_over(context, times):
+    bench = context.bench
+    for _ in range(times):
+        silent_id = runs_of_job(bench)[-1].server_id
+        server = bench.engine.book.server_by_id[silent_id]
+        outcome = OrderUnknown('cut off')
+        bench.engine.looked(server, bench.now_ms, bench.now_ms, outcome)
+        bench.now_ms += LEASE_OVER_MS
+        bench.decide()
+        bench.decide()
+
+
+@then('its task has {count:d} runs')
+def has_runs(context, count):
+    assert len(runs_of_job(context.bench)) == count, context.bench.planned
+
+
+@then('its task runs')
+def task_runs(context):
+    run = runs_of_job(context.bench)[-1]
+    server = context.bench.engine.book.server_by_id[run.server_id]
+    assert run.key in server.run_by_key
+
+
+@when(
+    'a job of 1 task is submitted whose start another incarnation refuses,'
+    ' {times:d} times'
+)
+def refused_by_other(context, times):
+    bench = context.bench
+    spec = JobSpec(JOB, 'queue', 'payload', (step(),), terms=QUEUE)
+    bench.engine.submit(spec, bench.now_ms)
+    for number in range(times):
+        for _ in range(MOST_ROUNDS):
+            if len(bench.planned) == number:
+                bench.decide(accept=False)
+        answer_start(bench, bench.planned[-1], ServerReplaced())
+
+
+@when(
+    'a job of {count:d} tasks of 1 core is submitted that all start on one'
+    ' server'
+)
+def all_on_one(context, count):
+    bench = context.bench
+    others = bench.entries[1:]
+    bench.entries = bench.entries[:1]
+    bench.register()
+    bench.submit(step(count))
+    bench.entries += others
+    bench.register()
+    bench.look()
+    assert {run.server_id for run in bench.planned} == {'s0'}
+    context.tasks = count
+
+
+@when('that server crashes')
+def that_crashes(context):
+    context.bench.crash('s0')
+
+
+@then('no two of them start on one server before it has outlived the first')
+def apart(context):
+    bench = context.bench
+    fresh = [server.fresh for server in bench.engine.book.server_by_id.values()]
+    assert max(map(len, fresh)) == 1, fresh
+
+
+@then('all {count:d} of them run after {span_s:d} s')
+def all_run_after(context, count, span_s):
+    bench = context.bench
+    bench.pass_ms(span_s * 1000)
+    running = [
+        key
+        for server in bench.engine.book.server_by_id.values()
+        for key in server.run_by_key
+    ]
+    assert len(running) == count, running
+
+
+@then('{count:d} tasks of the second job are planned')
+def of_second(context, count):
+    planned = context.bench.planned
+    ids = [run.key.task.job_id for run in planned]
+    assert ids.count(SECOND) == count, planned
+
+
+@given(
+    'a job of 1 task whose server has crashed, and short tasks on another one'
+)
+def among_short(context):
+    bench = context.bench
+    context.short = 0
+    bench.submit(step())
+    bench.add(8)
+    start_short(context)
+    bench.crash('s0', back=False)
+    assert [run.server_id for run in bench.planned] == ['s0', 's1']
+
+
+@when(
+    '{span_s:d} s pass in the engine, in which a short task comes each 100 ms'
+)
+def more_short(context, span_s):
+    bench = context.bench
+    until_ms = bench.now_ms + span_s * 1000
+    while bench.now_ms < until_ms:
+        bench.now_ms += SHORT_EVERY_MS
+        start_short(context)
+        end_oldest_short(bench)
+
+
+def end_oldest_short(bench):
+    # Others take its room: none is ever without a short task.
+    short = [run for run in bench.planned if run.key.task.job_id != JOB]
+    if len(short) > SHORT_AT_ONCE:
+        bench.planned.remove(short[0])
+        bench.end(short[0], EndKind.done)
+    else:
+        bench.look()
+
+
+def start_short(context):
+    bench = context.bench
+    context.short += 1
+    job_id = f'{0xB000 + context.short:016x}'
+    spec = JobSpec(job_id, 'queue', 'payload', (step(),), terms=QUEUE)
+    bench.engine.submit(spec, bench.now_ms)
+    bench.decide()
--- a/waxwingford/scheduling/tests/engine_bench.py
+++ b/waxwingford/scheduling/tests/engine_bench.py
@@ -80,8 +80,12 @@
         ]
         self.register()
 
-    def crash(self, server_id):
-        """Let a server crash; another incarnation registers in its place."""
+    def crash(self, server_id, back=True):
+        """Let a server crash.
+
+        :param server_id: which.
+        :param back: whether another incarnation registers in its place.
+        """
         server = self.engine.book.server_by_id[server_id]
         sent_ms = self.now_ms
         self.now_ms += 2
@@ -91,6 +95,7 @@
             if entry.server_id == server_id
             else entry
             for entry in self.entries
+            if back or entry.server_id != server_id
         ]
         self.register()
         self.look()
--- a/waxwingford/shard/_drivers.py
+++ b/waxwingford/shard/_drivers.py
@@ -28,7 +28,8 @@
 WATCHED_WAIT_MS = 250
 MOST_WATCHED_WAIT_MS = 500
 WATCHED_LOOKS_PER_S = 65
-#: The same while the outcome of an order is open, in ms.
+#: The same while the outcome of an order is open, or a task has the server for
+#: itself until it is known whether it crashes it, in ms.
 DOUBT_WAIT_MS = 60
 #: Pause between two looks, in ms: ends that come close together are listed
 #: by one look. It adds to each step of a job, which matters for short urgent
@@ -217,6 +218,8 @@
         server = self.server
         if server.looked_ms < 0 or server.failing_ms is not None:
             return 0
+        if server.reserved_for is not None:
+            return DOUBT_WAIT_MS
         if server.strangers or any(map(_open, server.run_by_key.values())):
             return DOUBT_WAIT_MS
         if self._engine.pacer.watches(server):
--- a/waxwingford/shard/tests/crashes.feature
+++ b/waxwingford/shard/tests/crashes.feature
@@ -26,3 +26,26 @@
     And 12 s pass
     Then all 4 tasks of the job run
     And nothing was breached
+  Scenario: sound tasks run beside one that crashes servers
+    # Guards against sound jobs that are given up, or wait, for what another task does.
+    Given a shard with 3 daemons and 3 servers
+    When 12 jobs of 2 steps come over 6 s, and one whose first task crashes servers
+    And 30 s pass
+    Then the job is shown as failed by every daemon
+    And all sound jobs are completed
+    And at most 2 servers have crashed under it
+    And nothing was breached
+
+  Scenario Outline: many faults at once, and tasks that crash servers
+    # Guards against sound jobs that fail, and crashing tasks that are never given up.
+    When a shard with some crashing tasks is played for 60 s under seed <seed>
+    Then all jobs are completed
+    And all jobs with a crashing task have failed
+    And nothing was breached
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 4    |
--- a/waxwingford/shard/tests/crashes_steps.py
+++ b/waxwingford/shard/tests/crashes_steps.py
@@ -7,10 +7,17 @@
 from waxwingford.scheduling import TaskKey
 from waxwingford.shard import Stored
 from waxwingford.shard.tests.crashing_tasks import crash_for_a_while
-from waxwingford.shard.tests.shard_steps import kill_owner
+from waxwingford.shard.tests.shard_steps import (
+    CALM_S,
+    act,
+    begin_faults,
+    calm,
+    kill_owner,
+)
 from waxwingford.shard.tests.virtual_shard import step
 
 LOOK_S = 0.05
+CRASHING_SHARE = 0.1
 
 
 def submit_crashing(shard, count, daemon=None):
@@ -91,6 +98,34 @@
         shard.call(functools.partial(crash_for_a_while, server))
 
 
+@when(
+    'a shard with some crashing tasks is played for {span_s:d} s'
+    ' under seed {seed:d}'
+)
+def play_crashing(context, span_s, seed):
+    shard = begin_faults(context, seed)
+    context.crashing = []
+    while shard.loop.time() < span_s:
+        if shard.random.random() < CRASHING_SHARE:
+            daemon = shard.random.choice(shard.living())
+            job_id, outcome = submit_crashing(shard, 3, daemon)
+            if isinstance(outcome, Stored):
+                context.crashing.append(job_id)
+        act(context, shard)
+        shard.run(shard.random.uniform(0.2, 1.5))
+    calm(shard)
+    shard.run(CALM_S)
+
+
+@then('all jobs with a crashing task have failed')
+def crashing_failed(context):
+    phases = {
+        job_id: context.shard.phase(job_id) for job_id in context.crashing
+    }
+    assert phases, 'no job with a crashing task was accepted'
+    assert set(phases.values()) == {'failed'}, phases
+
+
 @then('at most {most:d} servers have crashed under it')
 def crashed_at_most(context, most):
     assert 0 < crashes_of(context) <= most, (
