Send no start to a server that has shrunk since the start was planned

What callers would see: a backend server that doesn't guard its capacity runs more than it has.

Cause: room was looked at when a run was planned. Its start is sent when its record is stored and the orders before it were answered, which may take seconds.

Change: a start is sent only while all that counts on the server, the start included, fits its newest registration; else the run is settled as never sent and its task placed again.

--- a/waxwingford/scheduling/_order_making.py
+++ b/waxwingford/scheduling/_order_making.py
@@ -1,10 +1,13 @@
 """Orders with their lease and fencing token."""
 
+from waxwingford.ports import Resources, fits_resources
 from waxwingford.scheduling._book import Book
 from waxwingford.scheduling._runners import LookOrder, StartOrder
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._state import Run, RunPhase
 
+_NOTHING = Resources(0, 0, 0)
+
 
 class OrderMaker:
     """Makes the orders of one owner.
@@ -67,6 +70,11 @@
             # its turn, and its tasks stand still until the lease is over.
             run.stopping = True
             return None
+        if not fits_resources(_NOTHING, server.room):
+            # Its capacity has shrunk since the run was planned; a server that
+            # doesn't guard its capacity would start it all the same.
+            run.stopping = True
+            return None
         step = server.step_by_run[run.key]
         ticket = self._book.advice.ticket(step, run.server_id, now_ms)
         if self._book.queue_of(job).advised and not ticket:
--- a/waxwingford/shard/tests/crashes.feature
+++ b/waxwingford/shard/tests/crashes.feature
@@ -36,9 +36,10 @@
     And at most 2 servers have crashed under it
     And nothing was breached
 
-  Scenario Outline: many faults at once, and tasks that crash servers
-    # Guards against sound jobs that fail, and crashing tasks that are never given up.
-    When a shard with some crashing tasks is played for 60 s under seed <seed>
+  Scenario Outline: many faults at once, crashing tasks and shrinking servers
+    # Guards against sound jobs that fail, crashing tasks that are never given up, and
+    # starts on servers that have become too small.
+    When a shard with crashing tasks and shrinking servers is played for 60 s under seed <seed>
     Then all jobs are completed
     And all jobs with a crashing task have failed
     And nothing was breached
--- a/waxwingford/shard/tests/crashes_steps.py
+++ b/waxwingford/shard/tests/crashes_steps.py
@@ -4,6 +4,7 @@
 
 from behave import then, when
 
+from waxwingford.ports import Resources
 from waxwingford.scheduling import TaskKey
 from waxwingford.shard import Stored
 from waxwingford.shard.tests.crashing_tasks import crash_for_a_while
@@ -18,6 +19,8 @@
 
 LOOK_S = 0.05
 CRASHING_SHARE = 0.1
+SHRINKING_SHARE = 0.1
+SHRUNK_PART = 4
 
 
 def submit_crashing(shard, count, daemon=None):
@@ -99,11 +102,13 @@
 
 
 @when(
-    'a shard with some crashing tasks is played for {span_s:d} s'
+    'a shard with crashing tasks and shrinking servers is played for {span_s:d} s'
     ' under seed {seed:d}'
 )
 def play_crashing(context, span_s, seed):
     shard = begin_faults(context, seed)
+    for server in list(shard.servers.server_by_id.values())[::2]:
+        server.guards = False
     context.crashing = []
     while shard.loop.time() < span_s:
         if shard.random.random() < CRASHING_SHARE:
@@ -111,12 +116,24 @@
             job_id, outcome = submit_crashing(shard, 3, daemon)
             if isinstance(outcome, Stored):
                 context.crashing.append(job_id)
+        if shard.random.random() < SHRINKING_SHARE:
+            shrink_for_a_while(shard)
         act(context, shard)
         shard.run(shard.random.uniform(0.2, 1.5))
     calm(shard)
     shard.run(CALM_S)
 
 
+def shrink_for_a_while(shard):
+    server = shard.random.choice(list(shard.servers.server_by_id.values()))
+    former = server.capacity
+    less = Resources(*(have // SHRUNK_PART for have in former))
+    shard.call(functools.partial(server.capacities.change, less))
+    shard.loop.call_later(
+        shard.random.uniform(1, 8), server.capacities.change, former
+    )
+
+
 @then('all jobs with a crashing task have failed')
 def crashing_failed(context):
     phases = {
--- a/waxwingford/shard/tests/virtual_servers.py
+++ b/waxwingford/shard/tests/virtual_servers.py
@@ -24,6 +24,7 @@
 )
 from waxwingford.shard._intake import INTAKE_TOPIC, JOB_PREFIX
 from waxwingford.shard._journal import JOURNAL_TOPIC
+from waxwingford.shard.tests.capacities import CapacityHistory, exceeds
 from waxwingford.shard.tests.crashing_tasks import CrashingTasks
 
 ANSWER_S = 0.002
@@ -52,7 +53,9 @@
     def __init__(self, fleet, server_id, capacity, ahead_ms):
         self.fleet = fleet
         self.server_id = server_id
-        self.capacity = capacity
+        self.capacities = CapacityHistory(capacity)
+        #: Whether it refuses what doesn't fit.
+        self.guards = True
         self.ahead_ms = ahead_ms
         self.up = True
         self.listed = True
@@ -77,6 +80,10 @@
         #: Whether another incarnation answers at its address.
         self.replaced = False
 
+    @property
+    def capacity(self):
+        return self.capacities.newest
+
     @property
     def entry(self):
         return ServerEntry(
@@ -145,21 +152,21 @@
         if order.lease_until_ms <= self.clock_ms():
             return OrderDenied(Denial.too_late)
         self.extend(order.lease_until_ms)
-        if not self.has_room(task):
+        if self.guards and exceeds(self.needs_with(task), self.capacity):
             return OrderDenied(Denial.no_room)
         if not self.fleet.has_ticket(self, order):
             return OrderDenied(Denial.no_ticket)
         self.begin(order.run)
         return OrderTaken(self.clock_ms())
 
-    def has_room(self, task):
-        step = self.fleet.step(task)
-        used = [self.fleet.step(key).needs for key in self.run_by_task]
-        needs = [*used, step.needs]
-        return all(
-            sum(column) <= limit
-            for column, limit in zip(zip(*needs), self.capacity)
-        )
+    def needs_with(self, task):
+        """List what runs here takes, also what is being stopped, and one task more.
+
+        :param task: which.
+        :returns: the needs of each.
+        """
+        keys = (*self.run_by_task, task)
+        return [self.fleet.step(key).takes for key in keys]
 
     def begin(self, key):
         step = self.fleet.step(key.task)
@@ -309,6 +316,10 @@
                     f'{key}: starts before step {index} is done'
                 )
         self.crashing.check_start(key)
+        if exceeds(server.needs_with(task), server.capacities.most()):
+            self.breaches.append(
+                f'{key}: brings {server.server_id} over its capacity'
+            )
         now_s = asyncio.get_running_loop().time()
         if now_s > self.cancelled_s_by_job.get(task.job_id, now_s) + 13:
             self.breaches.append(f'{key}: starts long after its cancelling')
