Suspect only what a crash can have been caused by

Cause: what had begun since the last answer of a server was suspected, up to a second's worth of starts, and any lost server counted, whatever it was lost by.

Change: a connection that is closed by the other end tells when a server crashed, to the few ms; runs that had begun 300 ms before are no suspects. A server that was only silent until its leases were over counts only where few are silent with it.

--- a/waxwingford/platform/_calls.py
+++ b/waxwingford/platform/_calls.py
@@ -36,9 +36,11 @@
     """No whole answer; the call may have been carried out.
 
     :ivar reason: what happened.
+    :ivar broken: whether the other end, or the way there, closed the connection.
     """
 
     reason: str
+    broken: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -164,8 +166,10 @@
             # itself, and would follow a redirect, which is forbidden above: the
             # first address may have carried the call out.
             return NotSent(f'{type(error).__name__}: {error}')
-        except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
+        except asyncio.TimeoutError as error:
             return NoAnswer(f'{type(error).__name__}: {error}')
+        except (aiohttp.ClientError, OSError) as error:
+            return NoAnswer(f'{type(error).__name__}: {error}', broken=True)
 
     def _opened(self) -> aiohttp.ClientSession:
         if self._session is None:
--- a/waxwingford/platform/_workers.py
+++ b/waxwingford/platform/_workers.py
@@ -167,8 +167,8 @@
         match outcome:
             case NotSent(reason):
                 return OrderNotSent(reason)
-            case NoAnswer(reason):
-                return OrderUnknown(reason)
+            case NoAnswer(reason, broken):
+                return OrderUnknown(reason, broken)
             case Answer():
                 return _by_status(outcome)
 
--- a/waxwingford/platform/tests/adapter.feature
+++ b/waxwingford/platform/tests/adapter.feature
@@ -69,6 +69,17 @@
       | never answers                             | OrderUnknown | 1        |
       | sends callers on to where nobody listens  | OrderUnknown | 1        |
 
+  Scenario Outline: a connection that breaks is told from an answer that is slow
+    # Guards against taking a slow server for one that has just crashed.
+    Given a worker that <fate>
+    Then the connection of a start is known to have <been>
+
+    Examples:
+      | fate                                | been   |
+      | resets a kept connection and leaves | broken |
+      | resets a new connection and leaves  | broken |
+      | never answers                       | held   |
+
   Scenario: the store sends callers on to where nobody listens
     # Symptom: a job is refused, and runs all the same.
     # Sequence: a call is answered with another address, which can't be reached.
--- a/waxwingford/platform/tests/adapter_steps.py
+++ b/waxwingford/platform/tests/adapter_steps.py
@@ -351,6 +351,12 @@
     assert type(outcome).__name__ == name, outcome
 
 
+@then('the connection of a start is known to have {been}')
+def connection_known(context, been):
+    outcome = asyncio.run(start_at_frail(context.worker, context.address))
+    assert outcome.broken == (been == 'broken'), outcome
+
+
 @then('the look lists a run and an end')
 def looked(context):
     order = LookOrder(7, 4, 100, 0)
--- a/waxwingford/scheduling/_crashes.py
+++ b/waxwingford/scheduling/_crashes.py
@@ -21,18 +21,24 @@
 #: its leases were over, as one that is cut off would be.
 MOST_CRASHES = 2
 MOST_SILENCES = 4
+#: A server that falls silent counts as crashed only if so small a share of all is
+#: silent with it.
+MOST_SILENT_SHARE = 0.125
 
 
-def find_suspects(server: Server) -> list[Run]:
+def find_suspects(book: Book, server: Server) -> list[Run]:
     """List the runs that may have made a server crash.
 
+    :param book: of the shard.
     :param server: that was lost.
     :returns: those that it isn't known to have outlived, and that may have begun.
     """
+    if not server.run_by_key or not (server.gone or _is_rare(book)):
+        return []
     return [
-        server.run_by_key[key]
-        for key in server.fresh
-        if server.run_by_key[key].phase is not RunPhase.planned
+        run
+        for run in map(server.run_by_key.__getitem__, server.fresh)
+        if run.phase is not RunPhase.planned and not _was_outlived(server, run)
     ]
 
 
@@ -87,6 +93,28 @@
                 task.crashes = 0
 
 
+def _is_rare(book: Book) -> bool:
+    """Tell whether few servers are silent.
+
+    Where many are, the way to them is cut, or this owner could not extend their
+    leases: that tells nothing about tasks.
+    """
+    servers = book.server_by_id.values()
+    silent = sum(server.failing_ms is not None for server in servers)
+    return silent <= max(1, len(servers) * MOST_SILENT_SHARE)
+
+
+def _was_outlived(server: Server, run: Run) -> bool:
+    """Tell by when its connections broke whether a server has outlived a run.
+
+    Its last answer may be a second older, and all that began in between would be
+    suspected.
+    """
+    if server.broke_ms is None or run.phase is not RunPhase.present:
+        return False
+    return server.broke_ms - run.since_ms >= OUTLIVED_MS
+
+
 def mark_outlived(book: Book) -> None:
     """Mark the steps to be stored that have starts which servers have outlived.
 
--- a/waxwingford/scheduling/_runners.py
+++ b/waxwingford/scheduling/_runners.py
@@ -186,9 +186,11 @@
     """No whole answer came; the order may have been carried out, or will be.
 
     :ivar reason: what happened to the call.
+    :ivar broken: whether its connection has just been closed, as by a crash.
     """
 
     reason: str
+    broken: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/waxwingford/scheduling/_servers.py
+++ b/waxwingford/scheduling/_servers.py
@@ -64,6 +64,8 @@
     :ivar seen_end: highest number of an end that is stored.
     :ivar looked_ms: when the newest answered look was sent, -1 for none.
     :ivar failing_ms: since when looks fail, ``None`` if they don't.
+    :ivar broke_ms: when a connection to it was closed since its last answer, steady
+        time, ``None`` if none was.
     :ivar gone: whether another incarnation answered in its place.
     :ivar inherited_until_ms: leases of a former owner may last until then.
     :ivar strangers: runs that it lists and nobody here knows.
@@ -94,6 +96,7 @@
     seen_end: int = 0
     looked_ms: int = -1
     failing_ms: int | None = None
+    broke_ms: int | None = None
     gone: bool = False
     inherited_until_ms: int = 0
     strangers: dict[RunKey, int] = dataclasses.field(default_factory=dict)
--- a/waxwingford/scheduling/_settle.py
+++ b/waxwingford/scheduling/_settle.py
@@ -76,6 +76,7 @@
             case OrderDenied() | OrderNotSent() | OrderUnknown():
                 reason = str(outcome)
                 _note_silent(self._book.notes, server, sent_ms, reason)
+                _note_broken(server, outcome, now_ms)
 
     def start_answered(
         self, server: Server, run: Run, now_ms: int, outcome: OrderOutcome
@@ -111,6 +112,7 @@
                 _note_run(self._book.notes, 'run.not_sent', run, reason)
                 self._settle(server, run, None, '', now_ms)
             case OrderUnknown(reason):
+                _note_broken(server, outcome, now_ms)
                 server.enter(run, RunPhase.doubtful, now_ms)
                 _note_run(self._book.notes, 'run.doubtful', run, reason)
 
@@ -162,7 +164,7 @@
                 replaced=server.gone,
                 runs=len(server.run_by_key),
             )
-        suspects = crashes.find_suspects(server)
+        suspects = crashes.find_suspects(self._book, server)
         for run in list(server.run_by_key.values()):
             self._settle(server, run, None, run.checkpoint, now_ms)
         crashes.count_crash(self._book, server, suspects)
@@ -178,6 +180,7 @@
                 silent_ms=now_ms - server.failing_ms,
             )
         server.failing_ms = None
+        server.broke_ms = None
         server.awaited = False
         for end in looked.ended:
             self._ended(server, end, now_ms)
@@ -364,6 +367,14 @@
     )
 
 
+def _note_broken(
+    server: Server, outcome: LookOutcome | OrderOutcome, now_ms: int
+) -> None:
+    if isinstance(outcome, OrderUnknown) and outcome.broken:
+        first_ms = now_ms if server.broke_ms is None else server.broke_ms
+        server.broke_ms = first_ms
+
+
 def _note_silent(
     notes: NoteBook, server: Server, since_ms: int, reason: str
 ) -> None:
--- a/waxwingford/scheduling/tests/crash_steps.py
+++ b/waxwingford/scheduling/tests/crash_steps.py
@@ -22,6 +22,8 @@
 MOST_ROUNDS = 10
 #: Longer than any lease, in ms.
 LEASE_OVER_MS = 6000
+#: Until a server that has crashed is there again, in ms.
+BACK_MS = 3000
 
 
 @given('a job of 1 task that has run for {span_ms:d} ms')
@@ -105,6 +107,42 @@
         bench.now_ms += LEASE_OVER_MS
         bench.decide()
         bench.decide()
+        bench.look()
+
+
+@when('all servers are silent until their leases are over, {times:d} times')
+def all_silent(context, times):
+    bench = context.bench
+    for _ in range(times):
+        for server in bench.engine.book.server_by_id.values():
+            outcome = OrderUnknown('cut off')
+            bench.engine.looked(server, bench.now_ms, bench.now_ms, outcome)
+        bench.now_ms += LEASE_OVER_MS
+        bench.decide()
+        bench.look()
+        bench.decide()
+
+
+@when(
+    'its connections break {span_ms:d} ms after the start,'
+    ' and its server turns out to have crashed'
+)
+def break_and_crash(context, span_ms):
+    bench = context.bench
+    run = runs_of_job(bench)[-1]
+    server = bench.engine.book.server_by_id[run.server_id]
+    bench.now_ms = run.since_ms + span_ms
+    outcome = OrderUnknown('connection reset', broken=True)
+    bench.engine.looked(server, run.since_ms, bench.now_ms, outcome)
+    bench.now_ms += BACK_MS
+    bench.crash(run.server_id)
+
+
+@then('its task is {known} of a crash')
+def suspected(context, known):
+    job = context.bench.engine.book.job_by_id[JOB]
+    task = job.steps_by_occurrence[0][0].tasks[0]
+    assert task.crashes == int(known == 'suspected'), task.crashes
 
 
 @then('its task has {count:d} runs')
--- a/waxwingford/scheduling/tests/crashes.feature
+++ b/waxwingford/scheduling/tests/crashes.feature
@@ -107,3 +107,23 @@
     And a job of 1 task whose server has crashed, and short tasks on another one
     When 3 s pass in the engine, in which a short task comes each 100 ms
     Then its task runs
+
+  Scenario: most servers fall silent at once
+    # Guards against suspecting tasks of what the way to their servers, or the owner, did.
+    Given an engine with 4 servers of 8 cores
+    When a job of 1 task is submitted
+    And all servers are silent until their leases are over, 5 times
+    Then its caller is told running
+    And its task is not suspected of a crash
+
+  Scenario Outline: connections tell when a server crashed
+    # Guards against suspecting all that was started since the last answer of a server.
+    Given an engine with 4 servers of 8 cores
+    When a job of 1 task is submitted
+    And its connections break <span_ms> ms after the start, and its server turns out to have crashed
+    Then its task is <known> of a crash
+
+    Examples:
+      | span_ms | known         |
+      | 20      | suspected     |
+      | 400     | not suspected |
