Weigh what speaks against a task, and give nobody up for a shared crash

Change: evidence is weighed. 2 for a server that crashed, has lost its registration, or was silent while few others were; 1 while many were. From 2 on a task starts alone, with 4 it is given up if the server is known to have crashed and nothing else began there, else with 8. Clearing a suspect is stored with the next batch.

--- a/waxwingford/scheduling/_crashes.py
+++ b/waxwingford/scheduling/_crashes.py
@@ -16,25 +16,29 @@
 #: A server has outlived a start when it answers so long after it, by its clock, in
 #: ms. It bounds how long a suspect keeps others from its server.
 OUTLIVED_MS = 300
-#: Crashes after which a task is given up: when the last server is known to have
-#: crashed, as another incarnation has answered, and when it was only silent until
-#: its leases were over, as one that is cut off would be.
-MOST_CRASHES = 2
-MOST_SILENCES = 4
-#: A server that falls silent counts as crashed only if so small a share of all is
-#: silent with it.
+#: Evidence against a task when a server was lost just after it had started it, and
+#: when many servers were silent at that time: then the way to them may have been cut,
+#: or the owner could not extend their leases.
+CRASH_EVIDENCE = 2
+SILENCE_EVIDENCE = 1
+#: Servers are many from this share of all on.
 MOST_SILENT_SHARE = 0.125
+#: Evidence from which on a task is a suspect, and starts alone.
+SUSPECT_EVIDENCE = 2
+#: Evidence with which a task is given up: when the last server is known to have
+#: crashed, as another incarnation has answered, and nothing else can have been the
+#: cause; and otherwise. A silent server may have been cut off, and what an owner knew
+#: when it died need not all be stored.
+SURE_EVIDENCE = 4
+UNSURE_EVIDENCE = 8
 
 
-def find_suspects(book: Book, server: Server) -> list[Run]:
+def find_suspects(server: Server) -> list[Run]:
     """List the runs that may have made a server crash.
 
-    :param book: of the shard.
     :param server: that was lost.
     :returns: those that it isn't known to have outlived, and that may have begun.
     """
-    if not server.run_by_key or not (server.gone or _is_rare(book)):
-        return []
     return [
         run
         for run in map(server.run_by_key.__getitem__, server.fresh)
@@ -49,25 +53,30 @@
     :param server: that was lost.
     :param suspects: runs that may have made it crash.
     """
-    most = MOST_CRASHES if server.gone else MOST_SILENCES
+    if not suspects:
+        return
+    alone = len(_causes(book, suspects)) == 1
+    most = SURE_EVIDENCE if server.gone and alone else UNSURE_EVIDENCE
+    down = server.gone or not server.listed or _is_rare(book)
+    evidence = CRASH_EVIDENCE if down else SILENCE_EVIDENCE
     for run in suspects:
         found = book.find(run.key)
         if found is None:
             continue
         task, step = found
-        task.crashes += 1
+        task.evidence += evidence
         book.mark(step)
         book.notes.add(
             'task.suspected',
             task.key,
             run=run.key.run,
             server=run.server_id,
-            crashes=task.crashes,
+            evidence=task.evidence,
             suspects=len(suspects),
             replaced=server.gone,
         )
-        if task.crashes >= most:
-            book.notes.add('task.given_up', task.key, crashes=task.crashes)
+        if task.evidence >= most:
+            book.notes.add('task.given_up', task.key, evidence=task.evidence)
             book.finish(step.job, JobPhase.failed)
 
 
@@ -88,17 +97,26 @@
         if found is not None:
             task, step = found
             book.outlived_by_name[step.name] = step
-            if task.crashes:
-                book.notes.add('task.cleared', key.task, crashes=task.crashes)
-                task.crashes = 0
+            if task.evidence:
+                book.notes.add('task.cleared', key.task, evidence=task.evidence)
+                task.evidence = 0
+                book.mark(step)
 
 
-def _is_rare(book: Book) -> bool:
-    """Tell whether few servers are silent.
+def _is_suspected(task: Task) -> bool:
+    return task.evidence >= SUSPECT_EVIDENCE
 
-    Where many are, the way to them is cut, or this owner could not extend their
-    leases: that tells nothing about tasks.
-    """
+
+def _causes(book: Book, suspects: list[Run]) -> set[TaskKey]:
+    found_by_key = {run.key: book.find(run.key) for run in suspects}
+    return {
+        cause_of(key.task, found[1])
+        for key, found in found_by_key.items()
+        if found is not None
+    }
+
+
+def _is_rare(book: Book) -> bool:
     servers = book.server_by_id.values()
     silent = sum(server.failing_ms is not None for server in servers)
     return silent <= max(1, len(servers) * MOST_SILENT_SHARE)
@@ -133,8 +151,8 @@
     :returns: whether it is, or another member of its gang.
     """
     if step.spec.gang:
-        return any(member.crashes for member in step.tasks)
-    return task.crashes > 0
+        return any(_is_suspected(member) for member in step.tasks)
+    return _is_suspected(task)
 
 
 def cause_of(key: TaskKey, step: Step) -> TaskKey:
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -185,7 +185,7 @@
         def cost(server: Server) -> float:
             return self._cost(task, step, server, now_ms)
 
-        own = task.avoided or task.crashes
+        own = task.avoided or task.evidence
         if step.spec.fills or turn.queue.advised or own:
             # Fills choose among a few servers, others with each task; what an
             # advised step may use, what a task avoids and what it may crash is
@@ -307,7 +307,7 @@
         if server.entry.server_id in task.avoided:
             cost += AVOIDED_COST
         cost += BLAME_COST * server.blame
-        if task.crashes:
+        if task.evidence:
             cost += LOST_RUN_COST * len(server.run_by_key)
         if spec.fills:
             cost += HARM_COST * self._admission.excess(step, server, now_ms)
--- a/waxwingford/scheduling/_rows.py
+++ b/waxwingford/scheduling/_rows.py
@@ -35,7 +35,7 @@
     done: bool
     checkpoint: str = ''
     runs: tuple[tuple[int, str], ...] = ()
-    crashes: int = 0
+    evidence: int = 0
     #: Whether the servers of its runs are known to have outlived their start.
     outlived: bool = False
 
@@ -108,7 +108,7 @@
         task.done,
         task.checkpoint,
         runs,
-        task.crashes,
+        task.evidence,
         all(run.outlived for run in task.run_by_number.values()),
     )
 
@@ -126,7 +126,7 @@
         task = step.tasks[row.index]
         task.last_run = row.last_run
         task.failures = row.failures
-        task.crashes = row.crashes
+        task.evidence = row.evidence
         task.done = row.done
         task.checkpoint = row.checkpoint
         task.run_by_number = {
--- a/waxwingford/scheduling/_settle.py
+++ b/waxwingford/scheduling/_settle.py
@@ -164,7 +164,7 @@
                 replaced=server.gone,
                 runs=len(server.run_by_key),
             )
-        suspects = crashes.find_suspects(self._book, server)
+        suspects = crashes.find_suspects(server)
         for run in list(server.run_by_key.values()):
             self._settle(server, run, None, run.checkpoint, now_ms)
         crashes.count_crash(self._book, server, suspects)
@@ -297,7 +297,7 @@
         step.job.idle_ms = now_ms
         if kind is not None:
             # Its server has lived on to tell how it ended.
-            task.crashes = 0
+            task.evidence = 0
         task.checkpoint = checkpoint or task.checkpoint
         if step.spec.gang:
             gangs.share_checkpoint(step, task.checkpoint)
--- a/waxwingford/scheduling/_state.py
+++ b/waxwingford/scheduling/_state.py
@@ -95,8 +95,7 @@
     :ivar key: its name.
     :ivar last_run: highest number of a run so far.
     :ivar failures: recorded runs that failed.
-    :ivar crashes: servers that crashed just after they had started it, since one
-        last lived on; a task that has any is a suspect.
+    :ivar evidence: that it crashes its servers, see ``SUSPECT_EVIDENCE``.
     :ivar done: whether a run ended as done.
     :ivar checkpoint: to resume from.
     :ivar run_by_number: runs that may be present.
@@ -109,7 +108,7 @@
     key: TaskKey
     last_run: int = 0
     failures: int = 0
-    crashes: int = 0
+    evidence: int = 0
     done: bool = False
     checkpoint: str = ''
     run_by_number: dict[int, Run] = dataclasses.field(default_factory=dict)
--- a/waxwingford/shard/tests/crashes.feature
+++ b/waxwingford/shard/tests/crashes.feature
@@ -50,3 +50,4 @@
       | 2    |
       | 3    |
       | 4    |
+      | 37   |
