Look at suspects once for a list of servers, and at outlived starts with looks only

Cause: each answer to a start went through all fresh runs of its server, so a round of starts took as many steps as their square; and a call for each server asked whether it was reserved.

Change: starts that were outlived are looked for with looks; reserved servers are left out of a list in one go.

--- a/waxwingford/scheduling/_crashes.py
+++ b/waxwingford/scheduling/_crashes.py
@@ -103,10 +103,6 @@
                 book.mark(step)
 
 
-def _is_suspected(task: Task) -> bool:
-    return task.evidence >= SUSPECT_EVIDENCE
-
-
 def _causes(book: Book, suspects: list[Run]) -> set[TaskKey]:
     found_by_key = {run.key: book.find(run.key) for run in suspects}
     return {
@@ -151,8 +147,8 @@
     :returns: whether it is, or another member of its gang.
     """
     if step.spec.gang:
-        return any(_is_suspected(member) for member in step.tasks)
-    return _is_suspected(task)
+        return any(one.evidence >= SUSPECT_EVIDENCE for one in step.tasks)
+    return task.evidence >= SUSPECT_EVIDENCE
 
 
 def cause_of(key: TaskKey, step: Step) -> TaskKey:
--- a/waxwingford/scheduling/_isolation.py
+++ b/waxwingford/scheduling/_isolation.py
@@ -48,25 +48,20 @@
             else:
                 server.reserved_for = None
 
-    def admits(self, server: Server, task: Task, step: Step) -> bool:
-        """Tell whether a task may start on a server now.
+    def admitting(
+        self, servers: list[Server], task: Task, step: Step
+    ) -> list[Server]:
+        """Leave out the servers on which a task may not start now.
 
-        :param server: with room for it.
+        :param servers: with room for it.
         :param task: which.
         :param step: its step.
-        :returns: whether nothing that is to be kept apart would start together.
+        :returns: those on which nothing would start beside a suspect.
         """
         if not is_suspect(task, step):
-            return server.reserved_for is None
+            return [one for one in servers if one.reserved_for is None]
         cause = cause_of(task.key, step)
-        if server.reserved_for is None:
-            open_to_it = self._reserved < self._most_reserved
-        else:
-            open_to_it = server.reserved_for == cause
-        return open_to_it and all(
-            cause_of(key.task, server.step_by_run[key]) == cause
-            for key in server.fresh
-        )
+        return [one for one in servers if self._takes_alone(one, cause)]
 
     def reserve(
         self,
@@ -106,6 +101,16 @@
             server.reserved_for = cause_of(task.key, step)
             self._reserved += 1
 
+    def _takes_alone(self, server: Server, cause: TaskKey) -> bool:
+        if server.reserved_for is None:
+            open_to_it = self._reserved < self._most_reserved
+        else:
+            open_to_it = server.reserved_for == cause
+        return open_to_it and all(
+            cause_of(key.task, server.step_by_run[key]) == cause
+            for key in server.fresh
+        )
+
     def _is_needed(self, server: Server, cause: TaskKey) -> bool:
         if cause in self._book.ready_by_key:
             return True
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -270,11 +270,8 @@
     def _fitting(
         self, turn: Waiting, usable: list[Server], now_ms: int
     ) -> list[Server]:
-        return [
-            server
-            for server in self._able(turn, usable, now_ms)
-            if self._isolation.admits(server, turn.task, turn.step)
-        ]
+        able = self._able(turn, usable, now_ms)
+        return self._isolation.admitting(able, turn.task, turn.step)
 
     def _able(
         self, turn: Waiting, usable: list[Server], now_ms: int
--- a/waxwingford/scheduling/_settle.py
+++ b/waxwingford/scheduling/_settle.py
@@ -96,7 +96,6 @@
                 server.enter(run, RunPhase.present, now_ms)
                 run.moved_ms = now_ms
                 run.began_clock_ms = clock_ms
-                crashes.clear_outlived(self._book, server)
             case OrderDenied(denial):
                 self._refused(server, run, now_ms, denial)
             case ServerReplaced():
