--- a/waxwingford/scheduling/_settle.py
+++ b/waxwingford/scheduling/_settle.py
@@ -16,7 +16,6 @@
     blame_server,
 )
 from waxwingford.scheduling._book import Book
-from waxwingford.scheduling._notes import NoteBook
 from waxwingford.scheduling._runners import (
     Denial,
     EndKind,
@@ -32,6 +31,11 @@
     RunningReport,
     ServerReplaced,
 )
+from waxwingford.scheduling._server_notes import (
+    note_awaited,
+    note_run,
+    note_silent,
+)
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._state import JobPhase, Run, RunPhase, Step, Task
 from waxwingford.scheduling._stops import STOP_AGAIN_MS
@@ -45,9 +49,6 @@
 UNHEALTHY_BAR_MS = 1500
 #: A server that refused for want of room gets no starts for this, in ms.
 NO_ROOM_BAR_MS = 300
-#: Silence after which it is noted that the leases of a server are waited out,
-#: in ms: a connection that was reset is there again within 200 ms.
-NOTE_AWAITED_MS = 1000
 
 
 class Settler:
@@ -78,7 +79,7 @@
                 self.drop_lost(server, now_ms)
             case OrderDenied() | OrderNotSent() | OrderUnknown():
                 reason = str(outcome)
-                _note_silent(self._book.notes, server, sent_ms, reason)
+                note_silent(self._book.notes, server, sent_ms, reason)
                 _note_broken(server, outcome, now_ms)
 
     def start_answered(
@@ -110,13 +111,13 @@
                 # Nothing is on its way, so there is no lease to wait out. No
                 # pause either: the server gets no start before it has answered
                 # a look, so the task goes elsewhere.
-                _note_silent(self._book.notes, server, now_ms, reason)
-                _note_run(self._book.notes, 'run.not_sent', run, reason)
+                note_silent(self._book.notes, server, now_ms, reason)
+                note_run(self._book.notes, 'run.not_sent', run, reason)
                 self._settle(server, run, None, '', now_ms)
             case OrderUnknown(reason):
                 _note_broken(server, outcome, now_ms)
                 server.enter(run, RunPhase.doubtful, now_ms)
-                _note_run(self._book.notes, 'run.doubtful', run, reason)
+                note_run(self._book.notes, 'run.doubtful', run, reason)
 
     def stop_answered(
         self, server: Server, key: RunKey, now_ms: int, outcome: OrderOutcome
@@ -157,7 +158,7 @@
         :param now_ms: steady time.
         """
         if not server.lapsed(now_ms):
-            _note_awaited(self._book.notes, server, now_ms)
+            note_awaited(self._book.notes, server, now_ms)
             return
         if server.run_by_key:
             self._book.notes.add(
@@ -256,7 +257,7 @@
                 server.refused_until_ms = now_ms + NO_ROOM_BAR_MS
             case _:
                 pass
-        _note_run(self._book.notes, 'run.refused', run, denial.value)
+        note_run(self._book.notes, 'run.refused', run, denial.value)
         found = self._book.find(run.key)
         self._settle(server, run, None, '', now_ms)
         if found is not None:
@@ -365,60 +366,9 @@
     return min(LONGEST_PAUSE_MS, REFUSED_PAUSE_MS << task.invalid_starts)
 
 
-def _note_run(notes: NoteBook, event: str, run: Run, reason: str) -> None:
-    notes.add(
-        event,
-        run.key.task,
-        run=run.key.run,
-        server=run.server_id,
-        reason=reason,
-    )
-
-
 def _note_broken(
     server: Server, outcome: LookOutcome | OrderOutcome, now_ms: int
 ) -> None:
     if isinstance(outcome, OrderUnknown) and outcome.broken:
         first_ms = now_ms if server.broke_ms is None else server.broke_ms
         server.broke_ms = first_ms
-
-
-def _note_silent(
-    notes: NoteBook, server: Server, since_ms: int, reason: str
-) -> None:
-    """Note once that a server doesn't answer; it gets no starts until it does.
-
-    :param notes: of the shard.
-    :param server: that doesn't answer.
-    :param since_ms: steady time.
-    :param reason: what happened to the call.
-    """
-    if server.failing_ms is None:
-        server.failing_ms = since_ms
-        notes.add('server.silent', server.entry.server_id, reason=reason)
-
-
-def _note_awaited(notes: NoteBook, server: Server, now_ms: int) -> None:
-    """Note once that the tasks of a server wait for its leases to end.
-
-    They stand still for seconds, and no other line tells why.
-
-    :param notes: of the shard.
-    :param server: that doesn't answer.
-    :param now_ms: steady time.
-    """
-    since_ms = server.failing_ms
-    silent_ms = NOTE_AWAITED_MS if since_ms is None else now_ms - since_ms
-    if server.awaited or not server.run_by_key or silent_ms < NOTE_AWAITED_MS:
-        return
-    server.awaited = True
-    runs = server.run_by_key.values()
-    notes.add(
-        'server.awaited',
-        server.entry.server_id,
-        runs=len(runs),
-        inherited=sum(run.phase is RunPhase.inherited for run in runs),
-        registered=server.listed,
-        draining=server.listed and server.entry.draining,
-        left_ms=int(server.lease_left_ms(now_ms)),
-    )
