--- a/waxwingford/scheduler/_logs.py
+++ b/waxwingford/scheduler/_logs.py
@@ -25,7 +25,7 @@
 #: Bytes that wait for a reader at most; what doesn't fit is counted.
 MOST_WAITING_BYTES = _KIB * _KIB // 4
 #: Events that come with each run; all others are never summarised.
-FREQUENT = ('run.', 'job.', 'request.')
+FREQUENT = ('run.', 'job.', 'task.', 'request.')
 _SUMMARY_EVERY_S = 1
 _PROCESS_BITS = 24
 
