Keep how long a task has waited when the owner changes

What callers saw: a lasting task that has lost its run waits for 2 s before it goes first, and those began anew with each change of owner; left open by the postmortem on lasting tasks.

Cause: the row of a step said nothing of a task that waits.

Change: the row has since when it waits, by the calendar clock of the owner; the next one counts from there, between 0 and 60 s, as clocks differ. Only the order of turns depends on it.

The scenario "how long a lasting task has waited outlives its owner" failed before (0.0 s after 2 s and two changes of owner).

--- a/waxwingford/scheduling/_book.py
+++ b/waxwingford/scheduling/_book.py
@@ -42,6 +42,7 @@
     :ivar notes: decisions for the logs.
     :ivar advice: tickets for steps of advised queues.
     :ivar withheld: servers whose leases are not extended now.
+    :ivar wall_ahead_ms: Unix time less steady time, as of the newest decision.
     :ivar outlived_by_name: steps with starts that were outlived, to be stored.
     """
 
@@ -55,6 +56,7 @@
         self.orders: list[Order] = []
         self.advice = AdviceBook()
         self.withheld: set[str] = set()
+        self.wall_ahead_ms = 0
         self.notes = NoteBook()
         self.outlived_by_name: dict[str, Step] = {}
         self._dirty_by_name: dict[str, Step] = {}
@@ -145,7 +147,7 @@
         payload_by_key: dict[str, bytes | None] = {}
         for name, step in self._dirty_by_name.items():
             if step.job.ended is None:
-                payload_by_key[name] = encode_step(step)
+                payload_by_key[name] = encode_step(step, self.wall_ahead_ms)
         shown = [
             (step.job, JobPhase.running)
             for step in self._dirty_by_name.values()
--- a/waxwingford/scheduling/_engine.py
+++ b/waxwingford/scheduling/_engine.py
@@ -147,12 +147,13 @@
             self._harm.restore(harm)
         self.inheritance.restore(rows)
 
-    def inherit(self, now_ms: int) -> None:
+    def inherit(self, now_ms: int, wall_ms: int) -> None:
         """Take the rows over, once all jobs are known.
 
         :param now_ms: steady time.
+        :param wall_ms: Unix time.
         """
-        self.inheritance.apply(now_ms)
+        self.inheritance.apply(now_ms, wall_ms)
         self._stirred.update(self.book.job_by_id)
 
     def register(self, entries: Iterable[ServerEntry], now_ms: int) -> None:
@@ -218,6 +219,7 @@
         :param wall_ms: Unix time, for jobs that are due at a time.
         :param place: whether tasks may be placed now.
         """
+        self.book.wall_ahead_ms = wall_ms - now_ms
         if now_ms - self._tended_ms >= TEND_EVERY_MS:
             self._tended_ms = now_ms
             for server in list(self.book.server_by_id.values()):
--- a/waxwingford/scheduling/_inheritance.py
+++ b/waxwingford/scheduling/_inheritance.py
@@ -64,16 +64,17 @@
             else:
                 self._row_by_key[key] = raw
 
-    def apply(self, now_ms: int) -> None:
+    def apply(self, now_ms: int, wall_ms: int) -> None:
         """Put the kept rows into their jobs, once all jobs are known.
 
         :param now_ms: steady time.
+        :param wall_ms: Unix time.
         """
         for key, raw in self._row_by_key.items():
             name = step_name(key)
             job = self._book.job_by_id.get(name.job_id)
             if job is not None:
-                apply_step(job, name, raw, now_ms)
+                apply_step(job, name, raw, now_ms, wall_ms)
                 if job.ended is None:
                     job.shown = JobPhase.running
         self._row_by_key.clear()
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -339,7 +339,8 @@
     for task in step.tasks:
         waits = not (task.done or task.run_by_number)
         if waits and task.key not in book.ready_by_key:
-            task.waiting_ms = now_ms
+            # A former owner may have stored that it waits already.
+            task.waiting_ms = task.waiting_ms or now_ms
             book.ready_by_key[task.key] = task
 
 
--- a/waxwingford/scheduling/_rows.py
+++ b/waxwingford/scheduling/_rows.py
@@ -28,6 +28,11 @@
 FORMER_HARM_KEY = 'harm'
 
 
+#: Longest time that a task is taken to have waited under former owners, in ms: by
+#: when they wrote that it waits, and clocks of VMs differ.
+MOST_WAITED_MS = 60_000
+
+
 class _TaskRow(msgspec.Struct, array_like=True, omit_defaults=True):
     index: int
     last_run: int
@@ -38,6 +43,8 @@
     evidence: int = 0
     #: Whether the servers of its runs are known to have outlived their start.
     outlived: bool = False
+    #: Since when the task waits for a server, Unix ms; 0 if it doesn't.
+    waits_since_ms: int = 0
 
 
 _rows_encoder = msgspec.msgpack.Encoder()
@@ -86,18 +93,20 @@
     return _spec_decoder.decode(raw)
 
 
-def encode_step(step: Step) -> bytes:
+def encode_step(step: Step, wall_ahead_ms: int) -> bytes:
     """Write a step's row.
 
     :param step: the step.
+    :param wall_ahead_ms: Unix time less steady time.
     :returns: its bytes.
     """
     return _rows_encoder.encode(
-        [_task_row(task) for task in step.tasks if task.last_run]
+        [_task_row(task, wall_ahead_ms) for task in step.tasks if task.last_run]
     )
 
 
-def _task_row(task: Task) -> _TaskRow:
+def _task_row(task: Task, wall_ahead_ms: int) -> _TaskRow:
+    waits = not (task.done or task.run_by_number)
     runs = tuple(
         (number, run.server_id) for number, run in task.run_by_number.items()
     )
@@ -110,16 +119,20 @@
         runs,
         task.evidence,
         all(run.outlived for run in task.run_by_number.values()),
+        task.waiting_ms + wall_ahead_ms if waits else 0,
     )
 
 
-def apply_step(job: Job, name: StepName, raw: bytes, now_ms: int) -> None:
+def apply_step(
+    job: Job, name: StepName, raw: bytes, now_ms: int, wall_ms: int
+) -> None:
     """Put a step's row into the state of its job.
 
     :param job: the job.
     :param name: which step.
     :param raw: the row.
     :param now_ms: steady time, from when inherited runs are counted.
+    :param wall_ms: Unix time.
     """
     step = job.begin(name.occurrence)[name.index]
     for row in _rows_decoder.decode(raw):
@@ -127,6 +140,9 @@
         task.last_run = row.last_run
         task.failures = row.failures
         task.evidence = row.evidence
+        if row.waits_since_ms:
+            waited_ms = max(0, wall_ms - row.waits_since_ms)
+            task.waiting_ms = now_ms - min(waited_ms, MOST_WAITED_MS)
         task.done = row.done
         task.checkpoint = row.checkpoint
         task.run_by_number = {
--- a/waxwingford/scheduling/tests/engine_bench.py
+++ b/waxwingford/scheduling/tests/engine_bench.py
@@ -32,6 +32,7 @@
 
     def __init__(self, count, cores):
         self.now_ms = 100_000
+        self.wall_ahead_ms = 10_000_000
         self.rows = {}
         self.engine = new_engine(7, self.now_ms)
         self.entries = []
@@ -48,7 +49,7 @@
 
     @property
     def wall_ms(self):
-        return self.now_ms + 1_000_000
+        return self.now_ms + self.wall_ahead_ms
 
     def add(self, cores, labels=('r1',)):
         server_id = f's{len(self.entries)}'
--- a/waxwingford/scheduling/tests/interfering_servers.py
+++ b/waxwingford/scheduling/tests/interfering_servers.py
@@ -99,7 +99,7 @@
         self.engine.restore(dict(self.rows))
         for spec in self.spec_by_job.values():
             self.engine.submit(spec, self.now_ms)
-        self.engine.inherit(self.now_ms)
+        self.engine.inherit(self.now_ms, self.now_ms)
         self.engine.register(self.entries, self.now_ms)
 
     def submit(self, job_id, *steps, queue=QUEUE):
--- a/waxwingford/scheduling/tests/succession.feature
+++ b/waxwingford/scheduling/tests/succession.feature
@@ -119,3 +119,25 @@
     When the owner changes
     And 1 s pass in the engine
     Then no stop is ordered
+
+  Scenario: how long a lasting task has waited outlives its owner
+    # Guards against a lasting task that waits its 2 s anew with each change of owner.
+    Given an engine with 1 servers of 8 cores
+    And a lasting job of 1 task that runs
+    When its run is stopped, with no server left to take it
+    And 1 s pass in the engine
+    And the owner changes
+    And 1 s pass in the engine
+    And the owner changes
+    Then it has waited for 2 to 3 s
+
+  Scenario: a clock that was set back makes nobody wait for less than nothing
+    # Guards against waits that are negative, or hours long, as clocks of VMs differ.
+    Given an engine with 1 servers of 8 cores
+    And a lasting job of 1 task that runs
+    When its run is stopped, with no server left to take it
+    And 1 s pass in the engine
+    And the owner changes to one whose clock is 5000 s behind
+    Then it has waited for 0 to 1 s
+    When the owner changes to one whose clock is 5000 s ahead
+    Then it has waited for 0 to 61 s
--- a/waxwingford/scheduling/tests/succession_steps.py
+++ b/waxwingford/scheduling/tests/succession_steps.py
@@ -11,6 +11,37 @@
     step,
 )
 
+MS_IN_S = 1000
+
+
+@when('the owner changes to one whose clock is {behind_s:d} s behind')
+def change_behind(context, behind_s):
+    context.bench.wall_ahead_ms -= behind_s * MS_IN_S
+    owner_changes(context)
+
+
+@when('the owner changes to one whose clock is {ahead_s:d} s ahead')
+def change_ahead(context, ahead_s):
+    # Ahead of the time by which the row was written.
+    context.bench.wall_ahead_ms += 2 * ahead_s * MS_IN_S
+    owner_changes(context)
+
+
+@when('its run is stopped, with no server left to take it')
+def stopped_without_server(context):
+    bench = context.bench
+    bench.drain(context.run.server_id)
+    bench.end(context.run, EndKind.stopped)
+
+
+@then('it has waited for {least_s:d} to {most_s:d} s')
+def has_waited(context, least_s, most_s):
+    bench = context.bench
+    bench.decide()
+    task = bench.engine.book.ready_by_key[context.run.key.task]
+    waited_s = (bench.now_ms - task.waiting_ms) / MS_IN_S
+    assert least_s <= waited_s <= most_s, waited_s
+
 
 @when('the owner changes')
 def owner_changes(context):
@@ -20,7 +51,7 @@
     engine.restore(dict(bench.rows))
     for job in former.book.job_by_id.values():
         engine.submit(job.spec, bench.now_ms)
-    engine.inherit(bench.now_ms)
+    engine.inherit(bench.now_ms, bench.wall_ms)
     bench.engine = engine
     bench.register()
 
@@ -105,7 +136,7 @@
     bench.ends[server_id].append(end)
     task.done = True
     task.run_by_number.clear()
-    row = encode_step(job.steps_by_occurrence[0][0])
+    row = encode_step(job.steps_by_occurrence[0][0], 0)
     bench.rows[f'{JOB}.0.0'] = row
 
 
--- a/waxwingford/shard/_owner.py
+++ b/waxwingford/shard/_owner.py
@@ -296,7 +296,7 @@
     async def _take_over(
         self, rows: dict[str, bytes], ledger: LeaseLedger
     ) -> None:
-        now_ms = steady_ms()
+        now_ms, wall_ms = steady_ms(), _clock.wall_ms()
         # After the claim: any job that the journal names is in it then.
         read = await self._intake.restore(self.over)
         if not (read or self.over.is_set()):
@@ -311,7 +311,7 @@
         self._engine.configure(self._terms)
         self._engine.restore(rows)
         self._intake.hand_over(self._engine)
-        self._engine.inherit(now_ms)
+        self._engine.inherit(now_ms, wall_ms)
         driver_ports = DriverPorts(
             self._ports.runners,
             lambda: self._beats.proven,
