Go on with what can be read of the store where a record can't be

What callers would see: nothing is scheduled any more.

It ended the takeover of each owner, or a daemon's standing by, one after the other, for as long as the record stood there.

Change: a job that can't be read is left out. A job of which a row or the end can't be read is held: what runs of it, or is done, is not known, and to start its tasks might run them twice. An owner of which the heartbeat can't be read is taken for one that says nothing of leases, so that all are waited out. What was learned of fills is learned anew. `record.unreadable` tells each record once, 100 at most.

--- a/waxwingford/scheduling/_engine.py
+++ b/waxwingford/scheduling/_engine.py
@@ -144,7 +144,10 @@
         rows.pop(FORMER_HARM_KEY, None)
         harm = rows.pop(HARM_KEY, None)
         if harm is not None:
-            self._harm.restore(harm)
+            try:
+                self._harm.restore(harm)
+            except ValueError as error:
+                self.book.notes.add_unreadable(HARM_KEY, error)
         self.inheritance.restore(rows)
 
     def inherit(self, now_ms: int, wall_ms: int) -> None:
--- a/waxwingford/scheduling/_inheritance.py
+++ b/waxwingford/scheduling/_inheritance.py
@@ -51,6 +51,7 @@
         )
         self._book = book
         self._row_by_key: dict[str, bytes] = {}
+        self._held_ids: set[str] = set()
 
     def restore(self, payload_by_key: dict[str, bytes]) -> None:
         """Keep the rows of the store for the jobs that are still to come.
@@ -59,8 +60,7 @@
         """
         for key, raw in payload_by_key.items():
             if key.startswith(ENDED_PREFIX):
-                job_id = key.removeprefix(ENDED_PREFIX)
-                self._book.end_by_job[job_id] = decode_end(raw)
+                self._restore_end(key, raw)
             else:
                 self._row_by_key[key] = raw
 
@@ -71,17 +71,46 @@
         :param wall_ms: Unix time.
         """
         for key, raw in self._row_by_key.items():
-            name = step_name(key)
-            job = self._book.job_by_id.get(name.job_id)
-            if job is not None:
-                apply_step(job, name, raw, now_ms, wall_ms)
-                if job.ended is None:
-                    job.shown = JobPhase.running
+            try:
+                self._apply_row(key, raw, now_ms, wall_ms)
+            except ValueError as error:
+                self._hold(key, error)
         self._row_by_key.clear()
+        for job_id in self._held_ids & self._book.job_by_id.keys():
+            self._book.job_by_id[job_id].held = True
         for job in self._book.job_by_id.values():
             self._recount(job)
             self._find_orphans(job)
 
+    def _restore_end(self, key: str, raw: bytes) -> None:
+        job_id = key.removeprefix(ENDED_PREFIX)
+        try:
+            self._book.end_by_job[job_id] = decode_end(raw)
+        except ValueError as error:
+            self._hold(key, error)
+
+    def _apply_row(
+        self, key: str, raw: bytes, now_ms: int, wall_ms: int
+    ) -> None:
+        name = step_name(key)
+        job = self._book.job_by_id.get(name.job_id)
+        if job is not None:
+            apply_step(job, name, raw, now_ms, wall_ms)
+            if job.ended is None:
+                job.shown = JobPhase.running
+
+    def _hold(self, key: str, error: ValueError) -> None:
+        """Start nothing more of a job of which a row can't be read.
+
+        What it says of runs and ends is not known: a task that runs, or is done,
+        would be started once more.
+
+        :param key: of the row.
+        :param error: what is wrong with it.
+        """
+        self._held_ids.add(key.removeprefix(ENDED_PREFIX).partition('.')[0])
+        self._book.notes.add_unreadable(key, error)
+
     def adopt(self, server: Server) -> None:
         """Give a server the runs that are recorded on it.
 
--- a/waxwingford/scheduling/_notes.py
+++ b/waxwingford/scheduling/_notes.py
@@ -2,6 +2,9 @@
 
 from typing import NamedTuple
 
+#: Records that are noted as unreadable, at most.
+MOST_UNREADABLE = 100
+
 
 class Note(NamedTuple):
     """One decision or change of belief.
@@ -22,6 +25,7 @@
     def __init__(self) -> None:
         """Start empty."""
         self._notes: list[Note] = []
+        self._unreadable: set[str] = set()
 
     def add(self, event: str, subject: object, **inputs: object) -> None:
         """Note a decision or a change of belief.
@@ -32,6 +36,20 @@
         """
         self._notes.append(Note(event, str(subject), inputs))
 
+    def add_unreadable(self, key: str, error: Exception) -> None:
+        """Note once that a record can't be read, of so many at most.
+
+        Another version may have written it, or it was cut short; it is read again
+        and again.
+
+        :param key: of the record.
+        :param error: what is wrong with it.
+        """
+        known = key in self._unreadable
+        if not known and len(self._unreadable) < MOST_UNREADABLE:
+            self._unreadable.add(key)
+            self.add('record.unreadable', key, reason=str(error))
+
     def take(self) -> list[Note]:
         """Take what was noted.
 
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -73,7 +73,7 @@
         :param now_ms: steady time.
         :param wall_ms: Unix time, for jobs that are due at a time.
         """
-        if job.ended is not None:
+        if job.ended is not None or job.held:
             return
         for occurrence in range(_due(job, wall_ms)):
             steps = job.begin(occurrence)
--- a/waxwingford/scheduling/_rows.py
+++ b/waxwingford/scheduling/_rows.py
@@ -133,9 +133,15 @@
     :param raw: the row.
     :param now_ms: steady time, from when inherited runs are counted.
     :param wall_ms: Unix time.
+    :raises ValueError: if the row can't be read, or doesn't fit the job.
     """
+    rows = _rows_decoder.decode(raw)
+    if name.index >= len(job.spec.steps):
+        raise ValueError(f'step {name.index} of a job with fewer steps')
     step = job.begin(name.occurrence)[name.index]
-    for row in _rows_decoder.decode(raw):
+    if any(row.index >= len(step.tasks) for row in rows):
+        raise ValueError('a task beyond the last one of its step')
+    for row in rows:
         task = step.tasks[row.index]
         task.last_run = row.last_run
         task.failures = row.failures
--- a/waxwingford/scheduling/_state.py
+++ b/waxwingford/scheduling/_state.py
@@ -170,6 +170,7 @@
     :ivar idle_ms: when it last had a run, steady time.
     :ivar shown: phase that callers may be told: nothing that isn't stored.
     :ivar ended: final phase that was decided, ``None`` before.
+    :ivar held: whether nothing of it is started, as a row of it can't be read.
     :ivar started: whether a run was ever stored.
     :ivar known_ms: when it became known, steady time.
     :ivar occurrences_left: repetitions that have not ended.
@@ -185,6 +186,7 @@
     )
     shown: JobPhase = JobPhase.queued
     ended: JobPhase | None = None
+    held: bool = False
     started: bool = False
     occurrences_left: int = 1
 
--- a/waxwingford/shard/_intake_reader.py
+++ b/waxwingford/shard/_intake_reader.py
@@ -113,6 +113,9 @@
         if record.payload is None:
             continue
         if record.key.startswith(JOB_PREFIX):
-            engine.submit(decode_spec(record.payload), now_ms)
+            try:
+                engine.submit(decode_spec(record.payload), now_ms)
+            except ValueError as error:
+                engine.book.notes.add_unreadable(record.key, error)
         elif record.key.startswith(CANCEL_PREFIX):
             engine.cancel(record.key.removeprefix(CANCEL_PREFIX))
--- a/waxwingford/shard/_journal.py
+++ b/waxwingford/shard/_journal.py
@@ -7,8 +7,10 @@
 
 import asyncio
 import dataclasses
+import functools
 import random
 
+import logbook
 import msgspec
 
 from waxwingford.shard._log_port import (
@@ -105,6 +107,12 @@
 
 ClaimOutcome = Claimed | ClaimFailed | ClaimOvertaken
 
+#: Stands for a record that can't be read. It says nothing of leases, so that all
+#: are waited out.
+UNKNOWN_OWNER = OwnerRecord('', 0, '')
+MOST_OWNERS_KEPT = 4
+
+_log = logbook.Logger('shard')
 _owner_decoder = msgspec.msgpack.Decoder(OwnerRecord)
 _encoder = msgspec.msgpack.Encoder()
 
@@ -122,9 +130,20 @@
     """Read an owner's record.
 
     :param raw: as ``encode_owner`` wrote it, ``None`` if there is none.
-    :returns: the record, ``None`` if there is none.
+    :returns: the record, ``None`` if there is none; one that can't be read is that
+        of an owner of which nothing is known.
     """
-    return None if raw is None else _owner_decoder.decode(raw)
+    return None if raw is None else _decode_owner(raw)
+
+
+@functools.lru_cache(maxsize=MOST_OWNERS_KEPT)
+def _decode_owner(raw: bytes) -> OwnerRecord:
+    # Kept, as the newest one is read again until there is another.
+    try:
+        return _owner_decoder.decode(raw)
+    except msgspec.MsgspecError as error:
+        _log.error('owner not read', extra={'reason': str(error)})
+        return UNKNOWN_OWNER
 
 
 def next_epoch(former: int) -> int:
--- a/waxwingford/shard/_store_view.py
+++ b/waxwingford/shard/_store_view.py
@@ -47,7 +47,7 @@
         rows = self._journal.payload_by_key
         ended = rows.get(ENDED_PREFIX + job_id)
         if ended is not None:
-            return JobKnown(decode_end(ended))
+            return _ended_as(ended)
         stored = self._intake.payload_by_key
         if JOB_PREFIX + job_id not in stored:
             return JobNotKnown()
@@ -82,7 +82,7 @@
             if key.startswith(JOB_PREFIX)
             and key.removeprefix(JOB_PREFIX) not in settled
         )
-        return sum(decode_spec(raw).queue == queue for raw in waiting)
+        return sum(_queue_of(raw) == queue for raw in waiting)
 
     async def _catch_up(self) -> bool:
         async with self._lock:
@@ -91,3 +91,22 @@
                 if not isinstance(await mirror.reach_end(), CaughtUp):
                     return False
         return True
+
+
+def _ended_as(raw: bytes) -> JobAnswer:
+    try:
+        return JobKnown(decode_end(raw))
+    except ValueError as error:
+        return NotAnswered(f'its end can not be read: {error}')
+
+
+def _queue_of(raw: bytes) -> str:
+    """Read the queue of a job.
+
+    :param raw: its record in the intake.
+    :returns: the name, empty if the record can't be read; its owner tells of it.
+    """
+    try:
+        return decode_spec(raw).queue
+    except ValueError:
+        return ''
