Read on behind a record whose key can't be read

What callers would see: servers that come are not used, and those that leave are, for as long as one record of another writer stands in the topic.

Cause: a record without a key, or with a key that isn't text, made the whole read an answer that isn't understood; the next read began at the same place.

--- a/waxwingford/platform/_store.py
+++ b/waxwingford/platform/_store.py
@@ -278,17 +278,25 @@
         place += _LENGTH.size
         body = raw[place : place + length]
         place += length
-        key_end = 1 + body[0]
-        records.append(
-            StoredRecord(
-                from_offset + len(records),
-                body[1:key_end].decode(),
-                body[key_end:] or None,
-            )
-        )
+        records.append(_record(from_offset + len(records), body))
     return RecordsRead(tuple(records), from_offset + len(records), end)
 
 
+def _record(offset: int, body: bytes) -> StoredRecord:
+    """Take a record apart.
+
+    Others write to some topics: one record without a key, or with one that isn't
+    text, must not keep those behind it from being read.
+
+    :param offset: its place in the topic.
+    :param body: length of the key, key, content.
+    :returns: the record; without a key, one that drops the empty key.
+    """
+    key_end = 1 + body[0] if body else 0
+    key = body[1:key_end].decode(errors='replace')
+    return StoredRecord(offset, key, body[key_end:] or None)
+
+
 def _refused(answer: Answer) -> StoreRefused | StoreUnknown:
     reason = f'status {answer.status}'
     if answer.status in _REFUSALS:
