Check the rows of a server's answer to a look, also by type

What callers would see: the owner ends, and its successor after it, with a server whose list has a row in another form.

Cause: rows were taken apart by position, and what stands in them was used as it came: AttributeError where a task's name isn't text, and comparisons of text with numbers later. Such an answer is one that isn't understood now.

--- a/waxwingford/platform/_workers.py
+++ b/waxwingford/platform/_workers.py
@@ -45,13 +45,27 @@
     reason: str = ''
 
 
+class _RunningRow(msgspec.Struct, array_like=True):
+    task: str
+    run: int
+    checkpoint: str | None
+    percent: float
+    # Of its last half second: the tail in ms, or the cpu in use.
+    figure: float | None = None
+
+
+class _EndRow(msgspec.Struct, array_like=True):
+    number: int
+    task: str
+    run: int
+    kind: str
+    checkpoint: str | None = None
+
+
 class _LookBody(msgspec.Struct, rename='kebab'):
     clock_ms: int
-    # Rows of task, run, checkpoint, percent and a figure of its last half
-    # second, the tail in ms or the cpu in use.
-    running: list[list[str | float | int | None]]
-    # Rows of number, task, run, how it ended, checkpoint.
-    ended_runs: list[list[str | int | None]]
+    running: list[_RunningRow]
+    ended_runs: list[_EndRow]
 
 
 _order_decoder = msgspec.json.Decoder(_OrderBody)
@@ -224,16 +238,19 @@
     return OrderDenied(_DENIAL_BY_REASON.get(reason, Denial.invalid))
 
 
-def _running(row: list) -> RunningReport:
-    task, run, checkpoint, percent, *figures = row
-    figure = figures[0] if figures else 0
+def _running(row: _RunningRow) -> RunningReport:
     return RunningReport(
-        RunKey(task_key(task), run), checkpoint or '', percent, figure or 0
+        RunKey(task_key(row.task), row.run),
+        row.checkpoint or '',
+        row.percent,
+        row.figure or 0,
     )
 
 
-def _ended(row: list) -> EndReport:
-    number, task, run, kind, checkpoint = row
+def _ended(row: _EndRow) -> EndReport:
     return EndReport(
-        number, RunKey(task_key(task), run), EndKind(kind), checkpoint or ''
+        row.number,
+        RunKey(task_key(row.task), row.run),
+        EndKind(row.kind),
+        row.checkpoint or '',
     )
