Take registrations whole or not at all, and tell of bad ones seldom

What callers would see: starts on servers that nobody offers, and logs that are full of one entry.

Cause: a registration with a state that isn't known counted as ready, one without capacity as a server with none, and any text as an address. What can't be read was logged with each reading, 2.5 times a second; a configuration that can't be read 10 times a second.

Change: an entry names a server only if all of it is as it has to be. The former configuration stays in force, as before.

The registration of 'a registration names its rack' gets the capacity that each has to have; nothing else of it changed.

--- a/waxwingford/platform/_adapter.py
+++ b/waxwingford/platform/_adapter.py
@@ -1,6 +1,7 @@
 """The adapter as the product sees it: ports and a server for clients."""
 
 import asyncio
+import functools
 from collections.abc import Callable
 
 import logbook
@@ -13,13 +14,12 @@
 from waxwingford.platform._records import (
     Configuration,
     decode_configuration,
-    decode_registration,
 )
+from waxwingford.platform._registrations import Registrations
 from waxwingford.platform._store import PlatformLog
 from waxwingford.platform._workers import PlatformWorkers
 from waxwingford.scheduling import ServerEntry, Terms
 from waxwingford.shard import (
-    CatchUp,
     CaughtUp,
     Mirror,
     ShardDesk,
@@ -52,7 +52,9 @@
         self.log = PlatformLog(self._calls, store_address)
         self.runners = PlatformWorkers(self._calls)
         self._servers = Mirror(self.log, _SERVERS_TOPIC)
+        self._registrations = Registrations()
         self._entry: Entry | None = None
+        self._in_force: Configuration | None = None
         self._runner: web.ServerRunner | None = None
 
     async def entries(self) -> tuple[ServerEntry, ...] | None:
@@ -62,8 +64,7 @@
         """
         if not isinstance(await self._servers.catch_up(), CaughtUp):
             return None
-        found = map(_entry_of, self._servers.payload_by_key.items())
-        return tuple(entry for entry in found if entry is not None)
+        return self._registrations.read(self._servers.payload_by_key)
 
     async def follow_terms(
         self, apply: Callable[[Terms], None], failed: Callable[[], None]
@@ -74,21 +75,26 @@
         :param failed: called when it can't be read.
         """
         mirror = Mirror(self.log, _CONFIG_TOPIC)
-        version = -1
         while True:
             read = await mirror.catch_up(CONFIG_WAIT_MS)
             raw = mirror.payload_by_key.get(_CONFIG_KEY)
             if not isinstance(read, CaughtUp):
                 failed()
-            configuration = _configuration_of(read, raw)
-            if configuration is None:
+            if raw is None or not isinstance(read, CaughtUp):
                 await asyncio.sleep(FAILED_PAUSE_S)
                 continue
-            if configuration.terms.version > version:
-                version = configuration.terms.version
-                self._entry.configuration = configuration
-                _log.info('configuration', extra={'version': version})
-            apply(configuration.terms)
+            self._put_in_force(_configuration_of(raw))
+            if self._in_force is not None:
+                apply(self._in_force.terms)
+
+    def _put_in_force(self, configuration: Configuration | None) -> None:
+        if configuration is None:
+            return
+        version = configuration.terms.version
+        if self._in_force is None or version > self._in_force.terms.version:
+            self._in_force = configuration
+            self._entry.configuration = configuration
+            _log.info('configuration', extra={'version': version})
 
     async def serve(self, desk: ShardDesk, endpoint: str) -> None:
         """Answer clients.
@@ -116,9 +122,9 @@
         await self._calls.close()
 
 
-def _configuration_of(read: CatchUp, raw: bytes | None) -> Configuration | None:
-    if raw is None or not isinstance(read, CaughtUp):
-        return None
+@functools.lru_cache(maxsize=1)
+def _configuration_of(raw: bytes) -> Configuration | None:
+    # Kept, as the newest one is read twice a second until there is another.
     try:
         return decode_configuration(raw)
     except msgspec.MsgspecError as error:
@@ -127,18 +133,6 @@
         return None
 
 
-def _entry_of(item: tuple[str, bytes]) -> ServerEntry | None:
-    server_id, raw = item
-    try:
-        return decode_registration(server_id, raw)
-    except msgspec.MsgspecError as error:
-        _log.warning(
-            'registration not read',
-            extra={'server': server_id, 'reason': error},
-        )
-        return None
-
-
 @scheduler_platforms.register('waxwingford.platform')
 def open_platform(store_address: str, advice_address: str) -> UsersPlatform:
     """Open the adapter.
--- a/waxwingford/platform/_records.py
+++ b/waxwingford/platform/_records.py
@@ -1,12 +1,18 @@
 """What operators and workers write to the store: configuration, registrations."""
 
 import re
+from typing import Annotated, Literal
 
 import msgspec
 
 from waxwingford.ports import Resources
 from waxwingford.scheduling import QueueTerms, ServerEntry, StepSpec, Terms
 
+_MOST_PORT = 65_535
+_MOST_AMOUNT = 1_000_000_000
+_Amount = Annotated[int, msgspec.Meta(ge=0, le=_MOST_AMOUNT)]
+# IP number and port.
+_Endpoint = Annotated[str, msgspec.Meta(pattern=r'^[0-9.]+:[0-9]{1,5}$')]
 # Among a worker's labels the one of this form names its rack.
 _RACK = re.compile(r'r\d+(-\d+)*')
 
@@ -40,17 +46,17 @@
 
 class _Capacity(msgspec.Struct, rename='kebab', frozen=True):
     # Thousandths of a core.
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: _Amount = 0
+    mem_mb: _Amount = 0
+    gpu: _Amount = 0
 
 
 class _Beat(msgspec.Struct):
-    service: str
-    address: str
+    service: Annotated[str, msgspec.Meta(min_length=1)]
+    address: _Endpoint
     zone: str
-    state: str
-    capacity: _Capacity = _Capacity()
+    state: Literal['ready', 'draining']
+    capacity: _Capacity
     labels: list[str] = []
 
 
@@ -175,9 +181,13 @@
     :param server_id: its key.
     :param raw: as it lies in the store.
     :returns: the registration.
-    :raises msgspec.MsgspecError: if it can't be read.
+    :raises ValueError: if it can't be read, or names no server as it stands.
     """
     beat = _beat_decoder.decode(raw)
+    if not 0 < int(beat.address.rpartition(':')[2]) <= _MOST_PORT:
+        raise ValueError(
+            f'{beat.address}: expected a port of 1 to {_MOST_PORT}'
+        )
     return ServerEntry(
         server_id,
         beat.address,
--- a/waxwingford/platform/tests/adapter_steps.py
+++ b/waxwingford/platform/tests/adapter_steps.py
@@ -383,6 +383,7 @@
         'address': '127.0.0.1:1',
         'zone': 'z',
         'state': 'ready',
+        'capacity': {'cpu': 8000, 'mem-mb': 16000},
         'labels': labels.split(),
     }
     raw = json.dumps(body).encode()
