--- a/waxwingford/scheduling/_loads.py
+++ b/waxwingford/scheduling/_loads.py
@@ -24,10 +24,6 @@
 _SLOPE_FADES_S = 2.0
 #: Time over which the usual headroom is averaged, in seconds: a swing or so.
 _USUAL_S = 10.0
-#: Lowest headroom of a swing as a share of the usual one, before it was seen,
-#: and time in which the lowest one that was seen is forgotten, in seconds.
-_EXPECTED_LOW_SHARE = 0.65
-_LOW_FADES_S = 25.0
 #: Longest step of the filter, in seconds: after more than that without a
 #: sample nothing is known but the usual headroom.
 _LONGEST_S = 5.0
@@ -41,7 +37,6 @@
     what servers list is late by about as long as a change of pace takes.
 
     :ivar usual: mean over a swing.
-    :ivar low: lowest of late.
     """
 
     def __init__(self, now_ms: int) -> None:
@@ -50,7 +45,6 @@
         :param now_ms: steady time.
         """
         self.usual = EXPECTED_HEADROOM
-        self.low = EXPECTED_HEADROOM * _EXPECTED_LOW_SHARE
         self._at_ms = now_ms
         self._level = EXPECTED_HEADROOM
         self._slope: float = 0
@@ -92,7 +86,6 @@
             self._predict(span_s)
         self._at_ms = now_ms
         self.usual += (self._level - self.usual) * min(1, span_s / _USUAL_S)
-        self.low += (self.usual - self.low) * min(1, span_s / _LOW_FADES_S)
 
     def _restart(self) -> None:
         self._level = self.usual
@@ -162,4 +155,3 @@
         self._level_variance -= level_gain**2 / variance
         self._covariance -= level_gain * slope_gain / variance
         self._slope_variance -= slope_gain**2 / variance
-        self.low = min(self.low, self._level)
--- a/waxwingford/scheduling/_moving.py
+++ b/waxwingford/scheduling/_moving.py
@@ -9,7 +9,7 @@
 import itertools
 
 from waxwingford.scheduling._book import Book
-from waxwingford.scheduling._harm import fill_runs
+from waxwingford.scheduling._occupants import fill_runs
 from waxwingford.scheduling._placing import Placer
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._state import Run, RunPhase, Step
--- a/waxwingford/scheduling/_pacing.py
+++ b/waxwingford/scheduling/_pacing.py
@@ -7,14 +7,14 @@
 """
 
 from waxwingford.scheduling._book import Book
-from waxwingford.scheduling._harm import (
-    HarmModel,
+from waxwingford.scheduling._harm import HarmModel
+from waxwingford.scheduling._loads import Load
+from waxwingford.scheduling._occupants import (
     fill_runs,
     full_share,
     serving_runs,
     serving_steps,
 )
-from waxwingford.scheduling._loads import Load
 from waxwingford.scheduling._orders import Pace
 from waxwingford.scheduling._runners import OrderOutcome, OrderTaken
 from waxwingford.scheduling._servers import Server
