--- a/waxwingford/platform/tests/adapter_steps.py
+++ b/waxwingford/platform/tests/adapter_steps.py
@@ -6,15 +6,13 @@
 import socket
 import struct
 
-from aiohttp import ClientSession, web
+from aiohttp import web
 from behave import given, then, when
 
 from waxwingford.platform import _store
 from waxwingford.platform._advice import AdviceService
 from waxwingford.platform._calls import Calls
-from waxwingford.platform._entry import Entry
 from waxwingford.platform._records import (
-    decode_configuration,
     decode_registration,
     decode_submission,
 )
@@ -28,11 +26,8 @@
     TaskKey,
 )
 from waxwingford.shard import (
-    CancelNotKnown,
     Fence,
-    JobNotKnown,
     KeyedRecord,
-    Stored,
 )
 
 HOST = '127.0.0.1'
@@ -233,130 +228,6 @@
     assert shown == text, (shown, text)
 
 
-class FrailWorker:
-    """Answers some calls, then does to connections what its fate says."""
-
-    def __init__(self, fate):
-        self.starts = 0
-        self.calls_left = 0
-        self.moved_to = deserted()
-        self.close = self.reset
-        match fate:
-            case 'leaves after an earlier call':
-                self.calls_left = 1
-                self.close = self.part
-            case 'resets a kept connection and leaves':
-                self.calls_left = 2
-            case 'never answers':
-                self.close = self.hang
-            case 'sends callers on to where nobody listens':
-                self.close = self.send_on
-
-    async def serve(self):
-        self.server = await asyncio.start_server(self.talk, HOST, 0)
-        return f'{HOST}:{self.server.sockets[0].getsockname()[1]}'
-
-    async def talk(self, reader, writer):
-        self.writer = writer
-        while head := await self.head(reader):
-            length = int(head.split(b'Content-Length: ')[1].split(b'\r\n')[0])
-            await reader.readexactly(length)
-            self.starts += b'/api/run-start' in head
-            self.calls_left -= 1
-            if self.calls_left > 0 or self.close == self.part:
-                self.answer('200 OK', '')
-            if self.calls_left <= 0:
-                return await self.close()
-
-    async def head(self, reader):
-        try:
-            return await reader.readuntil(b'\r\n\r\n')
-        except (asyncio.IncompleteReadError, ConnectionError):
-            return b''
-
-    def answer(self, status, headers):
-        body = b'{"clock-ms":7,"running":[],"ended-runs":[]}'
-        length = f'Content-Length: {len(body)}'
-        head = f'HTTP/1.1 {status}\r\n{headers}{length}\r\n\r\n'
-        self.writer.write(head.encode() + body)
-
-    async def reset(self):
-        self.server.close()
-        sock = self.writer.get_extra_info('socket')
-        sock.setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
-        )
-        self.writer.close()
-
-    async def part(self):
-        self.server.close()
-        self.writer.close()
-
-    async def hang(self):
-        """Keep the connection, and say nothing."""
-
-    async def send_on(self):
-        place = f'Location: http://{self.moved_to}/\r\n'
-        self.answer('307 Temporary Redirect', place)
-
-
-@given('a worker that {fate}')
-def frail_worker(context, fate):
-    context.worker = FrailWorker(fate)
-    context.address = None
-    match fate:
-        case 'nobody runs any more':
-            context.address = deserted()
-        case 'lets connections hang':
-            context.address = full_listener(context)
-
-
-def full_listener(context):
-    """Listen where the queue of new connections is full.
-
-    :param context: of the scenario, ends it.
-    :returns: its address.
-    """
-    listener = socket.create_server((HOST, 0), backlog=0)
-    context.add_cleanup(listener.close)
-    for _ in range(3):
-        caller = socket.socket()
-        context.add_cleanup(caller.close)
-        caller.setblocking(False)
-        caller.connect_ex(listener.getsockname())
-    return f'{HOST}:{listener.getsockname()[1]}'
-
-
-async def start_at_frail(worker, address):
-    calls = Calls()
-    way = PlatformWorkers(calls)
-    where = Address('i-1', address or await worker.serve())
-    try:
-        if worker.calls_left:
-            await way.look(where, LookOrder(7, 0, None, 0))
-            # Until a connection that the worker has closed is seen as closed.
-            await asyncio.sleep(0.05)
-        return await way.start(where, StartOrder(RUN, 'payload', 100, 7))
-    finally:
-        await calls.close()
-
-
-@then(
-    'a start is known as "{name}", and {count:d} starts have come to it',
-)
-def start_known(context, name, count):
-    work = start_at_frail(context.worker, context.address)
-    outcome = asyncio.run(work)
-    assert context.worker.starts == count, context.worker.starts
-    assert type(outcome).__name__ == name, outcome
-
-
-@then('the connection of a start is known to have {been}')
-def connection_known(context, been):
-    outcome = asyncio.run(start_at_frail(context.worker, context.address))
-    assert outcome.broken == (been == 'broken'), outcome
-
-
 @then('the look lists a run and an end')
 def looked(context):
     order = LookOrder(7, 4, 100, 0)
@@ -439,55 +310,3 @@
     flags = (step.saves, step.gang, step.one_rack, step.copies, step.lasting)
     assert all((*flags, step.fills))
     assert context.submission.repeat_count == 3
-
-
-class EmptyDesk:
-    """Takes everything and knows nothing."""
-
-    async def submit(self, spec, until_s):
-        return Stored()
-
-    async def cancel(self, job_id, until_s):
-        return CancelNotKnown()
-
-    async def phase(self, job_id):
-        return JobNotKnown()
-
-    async def pending(self, queue):
-        return 4
-
-
-@given('an entry with one queue, whose desk knows nothing')
-def entry(context):
-    context.entry = Entry(EmptyDesk())
-    raw = json.dumps(CONFIGURATION).encode()
-    context.entry.configuration = decode_configuration(raw)
-
-
-@given('an entry without a configuration')
-def bare_entry(context):
-    context.entry = Entry(EmptyDesk())
-
-
-@when('a client sends {method} to {path} with "{body}"')
-@when('a client sends {method} to {path} with ""')
-def send(context, method, path, body=''):
-    async def _work(calls, address):
-        async with ClientSession() as session:
-            url = f'http://{address}{path}'
-            async with session.request(method, url, data=body) as response:
-                return response.status, dict(response.headers)
-
-    found = asyncio.run(serve(context.entry.handle, _work))
-    context.status = found[0]
-    context.headers = found[1]
-
-
-@then('the client is answered {status:d}')
-def answered(context, status):
-    assert context.status == status, context.status
-
-
-@then('is told when to come back')
-def come_back(context):
-    assert context.headers['Retry-After'] == '1'
