--- /dev/null
+++ b/waxwingford/shard/tests/lost_servers_steps.py
@@ -0,0 +1,127 @@
+"""Steps for servers that leave, vanish, or are cut off."""
+
+import msgspec
+from behave import then, when
+
+from waxwingford.shard._beats import OWNERS_TOPIC
+from waxwingford.shard._journal import (
+    decode_owner,
+)
+from waxwingford.shard.tests.shard_steps import kill_owner
+
+
+@when('the owner is cut off from all servers but one')
+def cut_most(context):
+    context.first_owner = context.shard.owners[0]
+    names = list(context.shard.servers.server_by_id)[1:]
+    context.shard.servers.cut |= {
+        (context.first_owner.daemon_id, name) for name in names
+    }
+
+
+@when('a server with tasks leaves and the owner is killed')
+def leave_and_kill(context):
+    shard = context.shard
+    context.left_s = shard.loop.time()
+    context.left_server = shard.running(context.jobs[-1])[0]
+    shard.servers.server_by_id[context.left_server].crash()
+    kill_owner(context)
+
+
+@when(
+    '{count:d} idle servers are no more,'
+    ' which shows after {connect_s:g} s of a call'
+)
+def idle_vanish(context, count, connect_s):
+    servers = context.shard.servers.server_by_id.values()
+    idle = [server for server in servers if not server.run_by_task]
+    for server in idle[:count]:
+        server.vanish(connect_s)
+
+
+@when('the next {count:d} starts are not sent')
+def not_sent(context, count):
+    for server in context.shard.servers.server_by_id.values():
+        server.starts_unsent = count
+
+
+@when('{span_s:g} s have passed since the server left')
+def since_left(context, span_s):
+    shard = context.shard
+    shard.run(context.left_s + span_s - shard.loop.time())
+
+
+@when('the server is reached for {span_s:g} s, just after a heartbeat')
+def reached_again(context, span_s):
+    shard = context.shard
+    cut = set(shard.servers.cut)
+    beats = shard.store.topic(OWNERS_TOPIC).records
+    known = len(beats)
+    while len(beats) == known:
+        shard.run(0.001)
+    silent = decode_owner(beats[-1].payload).silent
+    assert set(silent) == {server_id for _, server_id in cut}, silent
+    shard.servers.cut.clear()
+    shard.run(span_s)
+    shard.servers.cut |= cut
+
+
+@when('each order to a server takes {span_s:g} s')
+def slow_orders(context, span_s):
+    context.shard.servers.order_s = span_s
+
+
+@when(
+    'the owner loses the store, the others lose that server, and one more comes'
+)
+def part_ways(context):
+    shard = context.shard
+    owner_id = shard.owners[0].daemon_id
+    shard.store.silent.add(owner_id)
+    server_id = next(iter(shard.servers.server_by_id))
+    shard.servers.cut |= {
+        (daemon.daemon_id, server_id)
+        for daemon in shard.daemons
+        if daemon.daemon_id != owner_id
+    }
+    shard.servers.add(1)
+
+
+@when('a server with tasks is cut off from all daemons but the owner')
+def cut_from_others(context):
+    shard = context.shard
+    server_id = shard.running(context.jobs[-1])[0]
+    shard.servers.cut |= {
+        (daemon.daemon_id, server_id)
+        for daemon in shard.daemons
+        if not daemon.owns
+    }
+
+
+@then('one line tells that the server is awaited, with what is left')
+def awaited_told(context):
+    lines = [msgspec.json.decode(line) for line in context.shard.lines]
+    awaited = [line for line in lines if line['event'] == 'server.awaited']
+    assert len(awaited) == 1, awaited
+    assert awaited[0]['subject'] == context.left_server
+    assert awaited[0]['runs'] > 0
+    assert awaited[0]['inherited'] == awaited[0]['runs']
+    assert awaited[0]['left_ms'] > 0
+    assert not awaited[0]['registered']
+
+
+@when('a server with tasks is cut off')
+def cut_server(context):
+    context.left_s = context.shard.loop.time()
+    server_id = context.shard.running(context.jobs[-1])[0]
+    context.shard.servers.cut |= {
+        (daemon.daemon_id, server_id) for daemon in context.shard.daemons
+    }
+
+
+@then('all {count:d} tasks of the job run on servers that are not cut off')
+def run_elsewhere(context, count):
+    servers = context.shard.servers
+    cut = {server_id for _, server_id in servers.cut}
+    there = context.shard.running(context.jobs[-1])
+    assert sum(one not in cut for one in there) == count, (there, cut)
