Look at a reserved server often only while a start there isn't outlived

On a quiet shard a server that had outlived a suspect was looked at every 85 ms from then on: 57 looks in 5 s in virtual time, 5 are usual. Looks are priced, and keep the owner's processor busy.

Cause: a reservation is taken back in a round of placing, and there is none while nothing waits.

The scenario of crashes.feature failed before (57 looks, 8 allowed).

--- a/waxwingford/shard/_drivers.py
+++ b/waxwingford/shard/_drivers.py
@@ -218,7 +218,7 @@
         server = self.server
         if server.looked_ms < 0 or server.failing_ms is not None:
             return 0
-        if server.reserved_for is not None:
+        if server.reserved_for is not None and server.fresh:
             return DOUBT_WAIT_MS
         if server.strangers or any(map(_open, server.run_by_key.values())):
             return DOUBT_WAIT_MS
--- a/waxwingford/shard/tests/crashes.feature
+++ b/waxwingford/shard/tests/crashes.feature
@@ -51,3 +51,12 @@
       | 3    |
       | 4    |
       | 37   |
+
+  Scenario: a server that has outlived a suspect is looked at as seldom as others
+    # Guards against looks each tenth of a second for as long as nothing else is placed.
+    Given a shard with 3 daemons and 3 servers
+    When a job of 1 tasks of 30 s is submitted
+    And 0.1 s pass
+    And the server of the job crashes by itself
+    And 8 s pass
+    Then the server of the job is looked at at most 8 times in 5 s
--- a/waxwingford/shard/tests/crashes_steps.py
+++ b/waxwingford/shard/tests/crashes_steps.py
@@ -96,9 +96,7 @@
     shard = context.shard
     for _ in range(times):
         shard.run(span_s)
-        names = shard.running(context.jobs[-1])
-        server = shard.servers.server_by_id[names[0]]
-        shard.call(functools.partial(crash_for_a_while, server))
+        crash_of_job(context)
 
 
 @when(
@@ -143,6 +141,27 @@
     assert set(phases.values()) == {'failed'}, phases
 
 
+@when('the server of the job crashes by itself')
+def crash_of_job(context):
+    server = server_of(context)
+    context.shard.call(functools.partial(crash_for_a_while, server))
+
+
+def server_of(context):
+    names = context.shard.running(context.jobs[-1])
+    return context.shard.servers.server_by_id[names[0]]
+
+
+@then(
+    'the server of the job is looked at at most {most:d} times in {span_s:d} s'
+)
+def looked_at(context, most, span_s):
+    server = server_of(context)
+    before = server.looks
+    context.shard.run(span_s)
+    assert 0 < server.looks - before <= most, server.looks - before
+
+
 @then('at most {most:d} servers have crashed under it')
 def crashed_at_most(context, most):
     assert 0 < crashes_of(context) <= most, (
--- a/waxwingford/shard/tests/servers_way.py
+++ b/waxwingford/shard/tests/servers_way.py
@@ -65,6 +65,7 @@
 
     async def _look(self, address, order):
         server = self._fleet.server_by_id[address.server_id]
+        server.looks += 1
         if server.replaced and await self._reaches_successor(server):
             return ServerReplaced()
         if server.connect_s is not None:
--- a/waxwingford/shard/tests/virtual_servers.py
+++ b/waxwingford/shard/tests/virtual_servers.py
@@ -77,6 +77,8 @@
         self.starts_unsent = 0
         self.fails = False
         self.hangs = False
+        #: Looks that daemons have sent.
+        self.looks = 0
         #: Whether another incarnation answers at its address.
         self.replaced = False
 
