Let a task back on the server that was reserved for it when it is no suspect any more

Cause: a suspect whose run ends by itself is cleared, and waits again; its server stays reserved for as long as it waits, and only suspects were let on reserved servers.

--- a/waxwingford/scheduling/_isolation.py
+++ b/waxwingford/scheduling/_isolation.py
@@ -58,9 +58,11 @@
         :param step: its step.
         :returns: those on which nothing would start beside a suspect.
         """
-        if not is_suspect(task, step):
-            return [one for one in servers if one.reserved_for is None]
         cause = cause_of(task.key, step)
+        if not is_suspect(task, step):
+            # It may have been one until now, and still have a server reserved.
+            free_for_it = (None, cause)
+            return [one for one in servers if one.reserved_for in free_for_it]
         return [one for one in servers if self._takes_alone(one, cause)]
 
     def reserve(
--- a/waxwingford/scheduling/tests/crashes.feature
+++ b/waxwingford/scheduling/tests/crashes.feature
@@ -137,3 +137,11 @@
       | span_ms | known         |
       | 20      | suspected     |
       | 400     | not suspected |
+
+  Scenario: a suspect fails before its server has outlived it
+    # Guards against a server that stays reserved for a task that is no suspect any more.
+    Given an engine with 1 servers of 8 cores
+    When a job of 1 task is submitted
+    And the server of the task crashes 1 time, each time at once
+    And the server lists the run as failed
+    Then its task has 3 runs
