--- a/waxwingford/scheduling/_crashes.py
+++ b/waxwingford/scheduling/_crashes.py
@@ -21,7 +21,7 @@
 #: or the owner could not extend their leases.
 CRASH_EVIDENCE = 2
 SILENCE_EVIDENCE = 1
-#: Servers are many from this share of all on.
+#: Silent servers are many when they are a larger share of all than this.
 MOST_SILENT_SHARE = 0.125
 #: Evidence from which on a task is a suspect, and starts alone.
 SUSPECT_EVIDENCE = 2
@@ -46,8 +46,10 @@
     ]
 
 
-def count_crash(book: Book, server: Server, suspects: list[Run]) -> None:
-    """Count a crash against each task that may have caused it.
+def add_evidence(book: Book, server: Server, suspects: list[Run]) -> None:
+    """Weigh the loss of a server against each task that may have caused it.
+
+    A job fails with the first of its tasks for which that is enough.
 
     :param book: of the shard.
     :param server: that was lost.
@@ -56,8 +58,8 @@
     if not suspects:
         return
     alone = len(_causes(book, suspects)) == 1
-    most = SURE_EVIDENCE if server.gone and alone else UNSURE_EVIDENCE
-    down = server.gone or not server.listed or _is_rare(book)
+    enough = SURE_EVIDENCE if server.gone and alone else UNSURE_EVIDENCE
+    down = server.gone or not server.listed or _few_are_silent(book)
     evidence = CRASH_EVIDENCE if down else SILENCE_EVIDENCE
     for run in suspects:
         found = book.find(run.key)
@@ -75,7 +77,7 @@
             suspects=len(suspects),
             replaced=server.gone,
         )
-        if task.evidence >= most:
+        if task.evidence >= enough:
             book.notes.add('task.given_up', task.key, evidence=task.evidence)
             book.finish(step.job, JobPhase.failed)
 
@@ -112,7 +114,7 @@
     }
 
 
-def _is_rare(book: Book) -> bool:
+def _few_are_silent(book: Book) -> bool:
     servers = book.server_by_id.values()
     silent = sum(server.failing_ms is not None for server in servers)
     return silent <= max(1, len(servers) * MOST_SILENT_SHARE)
--- a/waxwingford/scheduling/_isolation.py
+++ b/waxwingford/scheduling/_isolation.py
@@ -61,8 +61,8 @@
         cause = cause_of(task.key, step)
         if not is_suspect(task, step):
             # It may have been one until now, and still have a server reserved.
-            free_for_it = (None, cause)
-            return [one for one in servers if one.reserved_for in free_for_it]
+            open_to_it = (None, cause)
+            return [one for one in servers if one.reserved_for in open_to_it]
         return [one for one in servers if self._takes_alone(one, cause)]
 
     def reserve(
@@ -105,10 +105,10 @@
 
     def _takes_alone(self, server: Server, cause: TaskKey) -> bool:
         if server.reserved_for is None:
-            open_to_it = self._reserved < self._most_reserved
+            may_have_it = self._reserved < self._most_reserved
         else:
-            open_to_it = server.reserved_for == cause
-        return open_to_it and all(
+            may_have_it = server.reserved_for == cause
+        return may_have_it and all(
             cause_of(key.task, server.step_by_run[key]) == cause
             for key in server.fresh
         )
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -101,7 +101,7 @@
         unplaced: list[Waiting] = []
         full_steps: set[str] = set()
         for turn in turns:
-            if not self._try(turn, usable, full_steps, now_ms):
+            if not self._place_one(turn, usable, full_steps, now_ms):
                 unplaced.append(turn)
                 if turn.overdue:
                     self._keep_room(turn, usable)
@@ -133,7 +133,7 @@
             and server_id not in self._book.withheld
         ]
 
-    def _try(
+    def _place_one(
         self,
         turn: Waiting,
         usable: list[Server],
@@ -168,7 +168,7 @@
     ) -> bool:
         if self._seat(turn, usable, now_ms):
             return True
-        able = self._able(turn, usable, now_ms)
+        able = self._with_room(turn, usable, now_ms)
         self._changed += self._isolation.reserve(
             turn.task, turn.step, able, self._holds.room
         )
@@ -185,8 +185,8 @@
         def cost(server: Server) -> float:
             return self._cost(task, step, server, now_ms)
 
-        own = task.avoided or task.evidence
-        if step.spec.fills or turn.queue.advised or own:
+        differs = task.avoided or task.evidence
+        if step.spec.fills or turn.queue.advised or differs:
             # Fills choose among a few servers, others with each task; what an
             # advised step may use, what a task avoids and what it may crash is
             # its own matter.
@@ -270,10 +270,10 @@
     def _fitting(
         self, turn: Waiting, usable: list[Server], now_ms: int
     ) -> list[Server]:
-        able = self._able(turn, usable, now_ms)
+        able = self._with_room(turn, usable, now_ms)
         return self._isolation.admitting(able, turn.task, turn.step)
 
-    def _able(
+    def _with_room(
         self, turn: Waiting, usable: list[Server], now_ms: int
     ) -> list[Server]:
         step = turn.step
--- a/waxwingford/scheduling/_settle.py
+++ b/waxwingford/scheduling/_settle.py
@@ -172,7 +172,7 @@
         for run in list(server.run_by_key.values()):
             note_lost(self._book, server, run)
             self._settle(server, run, None, run.checkpoint, now_ms)
-        crashes.count_crash(self._book, server, suspects)
+        crashes.add_evidence(self._book, server, suspects)
 
     def _listed(
         self, server: Server, sent_ms: int, now_ms: int, looked: Looked
