--- a/waxwingford/scheduling/tests/crash_steps.py
+++ b/waxwingford/scheduling/tests/crash_steps.py
@@ -13,6 +13,7 @@
     JOB,
     QUEUE,
     SECOND,
+    pass_leases,
     step,
 )
 from waxwingford.scheduling.tests.fault_steps import answer_start
@@ -22,8 +23,6 @@
 SHORT_EVERY_MS = 100
 SHORT_AT_ONCE = 2
 MOST_ROUNDS = 10
-#: Longer than any lease, in ms.
-LEASE_OVER_MS = 6000
 #: Until a server that has crashed is there again, in ms.
 BACK_MS = 3000
 
@@ -102,12 +101,7 @@
 def silent_until_over(context, times):
     bench = context.bench
     for _ in range(times):
-        silent_id = runs_of_job(bench)[-1].server_id
-        server = bench.engine.book.server_by_id[silent_id]
-        outcome = OrderUnknown('cut off')
-        bench.engine.looked(server, bench.now_ms, bench.now_ms, outcome)
-        bench.now_ms += LEASE_OVER_MS
-        bench.decide()
+        pass_leases(bench, runs_of_job(bench)[-1].server_id)
         bench.decide()
         bench.look()
 
@@ -134,11 +128,7 @@
 def all_silent(context, times):
     bench = context.bench
     for _ in range(times):
-        for server in bench.engine.book.server_by_id.values():
-            outcome = OrderUnknown('cut off')
-            bench.engine.looked(server, bench.now_ms, bench.now_ms, outcome)
-        bench.now_ms += LEASE_OVER_MS
-        bench.decide()
+        pass_leases(bench, *bench.engine.book.server_by_id)
         bench.look()
         bench.decide()
 
@@ -207,7 +197,6 @@
     bench.register()
     bench.look()
     assert {run.server_id for run in bench.planned} == {'s0'}
-    context.tasks = count
 
 
 @when('that server crashes')
--- a/waxwingford/scheduling/tests/engine_bench.py
+++ b/waxwingford/scheduling/tests/engine_bench.py
@@ -10,6 +10,7 @@
     JobSpec,
     Looked,
     OrderTaken,
+    OrderUnknown,
     Pace,
     QueueTerms,
     RunningReport,
@@ -24,6 +25,8 @@
 SECOND = '00000000000000bb'
 THIRD = '00000000000000cc'
 LOOK_EVERY_MS = 250
+#: Longer than any lease, in ms.
+LEASE_OVER_MS = 6000
 QUEUE = QueueTerms('queue', 'service', 0, 3)
 
 
@@ -197,6 +200,20 @@
         return [one.key for one in self.orders if isinstance(one, Stop)]
 
 
+def pass_leases(bench, *server_ids):
+    """Let servers be silent until their leases are over.
+
+    :param bench: an engine with servers.
+    :param server_ids: which.
+    """
+    for server_id in server_ids:
+        server = bench.engine.book.server_by_id[server_id]
+        outcome = OrderUnknown('cut off')
+        bench.engine.looked(server, bench.now_ms, bench.now_ms, outcome)
+    bench.now_ms += LEASE_OVER_MS
+    bench.decide()
+
+
 def new_engine(token, now_ms):
     engine = Engine(token, 5000, InheritedLeases(now_ms, {}))
     engine.configure(Terms(1, {'queue': QUEUE}))
--- a/waxwingford/scheduling/tests/late_ends_steps.py
+++ b/waxwingford/scheduling/tests/late_ends_steps.py
@@ -2,12 +2,10 @@
 
 from behave import then, when
 
-from waxwingford.scheduling import EndKind, OrderUnknown
+from waxwingford.scheduling import EndKind
+from waxwingford.scheduling.tests.engine_bench import pass_leases
 from waxwingford.scheduling.tests.succession_steps import owner_changes
 
-#: Longer than any lease, in ms.
-LEASE_OVER_MS = 6000
-
 
 @when(
     'its server is silent until the lease is over,'
@@ -28,10 +26,7 @@
     bench = context.bench
     run = bench.planned[-1]
     server = bench.engine.book.server_by_id[run.server_id]
-    outcome = OrderUnknown('cut off')
-    bench.engine.looked(server, bench.now_ms, bench.now_ms, outcome)
-    bench.now_ms += LEASE_OVER_MS
-    bench.decide()
+    pass_leases(bench, run.server_id)
     assert run.key not in server.run_by_key
 
 
