Evaluate the servers of a best-effort step once in a round

What callers saw: on VMs of 0.069 cores the owner of 48 servers answers late, tasks that last stand still and accepted jobs aren't run.

Candidates were shared within a round for all steps but best-effort ones, which are most; the expected loss of a server was summed over its runs again for each serving step, and all runs of a job were listed for each question whether it has one.

Change: best-effort steps share a candidate queue as well, over the selection of servers that admission rotates; when it is used up the next selection is taken. Losses are summed by image once for each forecast.

--- a/waxwingford/scheduling/_admission.py
+++ b/waxwingford/scheduling/_admission.py
@@ -11,7 +11,7 @@
 from waxwingford.scheduling._colocated_runs import full_pace_share
 from waxwingford.scheduling._interference import InterferenceModel
 from waxwingford.scheduling._servers import Server
-from waxwingford.scheduling._shard_state import runs_of
+from waxwingford.scheduling._shard_state import has_runs
 from waxwingford.scheduling._state import Job, Step
 
 #: Share of its full speed at which a server must be able to run a task.
@@ -66,7 +66,7 @@
         :returns: candidate servers for ``admitting``.
         """
         servers = self._pool(service).servers
-        if self._any_server(best_effort, service, now_ms):
+        if self._any_server(_idle_ms(best_effort.job, now_ms), service):
             return servers
         key = service, best_effort.spec.image
         found = self._open_by_image.get(key)
@@ -96,13 +96,10 @@
         :param servers: servers with free resources for the task.
         :param now_ms: current monotonic time, in ms.
         """
-        if self._any_server(best_effort, service, now_ms):
+        idle_ms = _idle_ms(best_effort.job, now_ms)
+        if self._any_server(idle_ms, service):
             return servers
-        min_speed = (
-            MIN_SPEED_SHARE
-            if _idle_ms(best_effort.job, now_ms) < REDUCED_SPEED_AFTER_MS
-            else 0
-        )
+        min_speed = MIN_SPEED_SHARE if idle_ms < REDUCED_SPEED_AFTER_MS else 0
         return [
             server
             for server in servers
@@ -119,8 +116,7 @@
         allowance = self._model.allowance(server, best_effort, now_ms)
         return max(0, 1 - min(allowance) / full_pace_share(server, best_effort))
 
-    def _any_server(self, best_effort: Step, service: str, now_ms: int) -> bool:
-        idle_ms = _idle_ms(best_effort.job, now_ms)
+    def _any_server(self, idle_ms: int, service: str) -> bool:
         return (
             idle_ms >= ANY_SERVER_AFTER_MS and not self._pool(service).crowded
         )
@@ -150,7 +146,7 @@
 
 
 def _idle_ms(job: Job, now_ms: int) -> int:
-    return 0 if runs_of(job) else now_ms - job.last_run_ms
+    return 0 if has_runs(job) else now_ms - job.last_run_ms
 
 
 def _are_crowded(servers: list[Server]) -> bool:
--- a/waxwingford/scheduling/_candidates.py
+++ b/waxwingford/scheduling/_candidates.py
@@ -32,7 +32,7 @@
     ) -> None:
         """Evaluate all servers.
 
-        :param servers: servers that accept starts.
+        :param servers: servers that accept starts, or a selection of them.
         :param fit: function that keeps the servers with free resources for a
             task.
         :param cost: function that returns the cost of a task on a server; lower
@@ -58,7 +58,8 @@
             in order.
         """
         for server in dict.fromkeys(changed[self._changed_count :]):
-            self._update(server)
+            if server.entry.server_id in self._number_by_server:
+                self._update(server)
         self._changed_count = len(changed)
         while self._heap:
             first = self._heap[0]
--- a/waxwingford/scheduling/_colocated_runs.py
+++ b/waxwingford/scheduling/_colocated_runs.py
@@ -43,8 +43,9 @@
 
     :returns: share of the server's CPU, above 0.
     """
-    requested = max(1, step.spec.needs.processors_milli)
-    return EXPECTED_USE_SHARE * requested / cpu_capacity_milli(server)
+    requested = step.spec.needs.processors_milli or 1
+    capacity = server.entry.capacity.processors_milli or 1
+    return EXPECTED_USE_SHARE * requested / capacity
 
 
 def cpu_capacity_milli(server: Server) -> int:
--- a/waxwingford/scheduling/_interference.py
+++ b/waxwingford/scheduling/_interference.py
@@ -27,7 +27,7 @@
 from waxwingford.scheduling._headroom import HeadroomFilter
 from waxwingford.scheduling._samples import Observation, Sample, take_sample
 from waxwingford.scheduling._servers import Server
-from waxwingford.scheduling._state import Run, Step
+from waxwingford.scheduling._state import Step
 
 #: Age below which the tail latency of a serving task isn't sampled, in ms.
 WARM_UP_MS = 1500
@@ -227,9 +227,9 @@
             and now_ms - cached.at_ms < FORECAST_TTL_MS
         ):
             return cached
-        best_effort = best_effort_runs(server)
+        shares = _full_and_current_shares(server)
         headrooms = [
-            self._step_headroom(server, step, best_effort, now_ms)
+            self._step_headroom(step, shares, now_ms)
             for step in serving_steps(server)
         ]
         made = _ServerForecast(server.change_count, now_ms, headrooms, {})
@@ -238,20 +238,16 @@
 
     def _step_headroom(
         self,
-        server: Server,
         serving: Step,
-        best_effort_pairs: list[tuple[Run, Step]],
+        share_by_image: dict[str, tuple[float, float]],
         now_ms: int,
     ) -> _StepHeadroom:
         loss: float = 0
         current_loss: float = 0
-        for run, best_effort in best_effort_pairs:
-            run_loss = self.coefficient(serving, best_effort) * full_pace_share(
-                server, best_effort
-            )
-            loss += run_loss
-            pace = _FULL_PERCENT if run.pace is None else run.pace
-            current_loss += run_loss * pace / _FULL_PERCENT
+        for image, (full_share, current_share) in share_by_image.items():
+            mean = self._coefficient(serving.spec.image, image).mean
+            loss += mean * full_share
+            current_loss += mean * current_share
         step_filter = self.headroom_filter(serving, now_ms)
         least = min(
             step_filter.forecast(now_ms + horizon)
@@ -335,3 +331,22 @@
             for server_id, observation in self._observation_by_server.items()
             if now_ms - observation.at_ms < RETENTION_MS
         }
+
+
+def _full_and_current_shares(server: Server) -> dict[str, tuple[float, float]]:
+    """Sum the expected CPU use of a server's best-effort runs by image.
+
+    :returns: shares of the server's CPU with all runs at full pace, and at
+        their current paces.
+    """
+    shares: dict[str, tuple[float, float]] = {}
+    for run, step in best_effort_runs(server):
+        full_share = full_pace_share(server, step)
+        pace = _FULL_PERCENT if run.pace is None else run.pace
+        image = step.spec.image
+        full, current = shares.get(image, (0, 0))
+        shares[image] = (
+            full + full_share,
+            current + full_share * pace / _FULL_PERCENT,
+        )
+    return shares
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -89,7 +89,7 @@
         if not ranked:
             # Most rounds have nothing to place; don't scan all servers.
             return
-        usable = self._usable(now_ms)
+        usable = _usable_servers(self._state, now_ms)
         self._admission.begin(usable)
         self._isolation.begin(usable)
         self._evaluations = 0
@@ -118,17 +118,10 @@
         queue = self._state.queue_of(step.job)
         steps = step.job.steps_by_occurrence[step.occurrence]
         pending = rank_task(task, step, queue, remaining_work(steps), now_ms)
-        usable = self._usable(now_ms)
+        usable = _usable_servers(self._state, now_ms)
         self._admission.begin(usable)
-        return self._fitting(pending, usable, now_ms)
-
-    def _usable(self, now_ms: int) -> list[Server]:
-        return [
-            server
-            for server_id, server in self._state.server_by_id.items()
-            if _accepts_starts(server, now_ms)
-            and server_id not in self._state.withheld_servers
-        ]
+        pool = self._pool(pending, usable, now_ms)
+        return self._fitting(pending, pool, now_ms)
 
     def _place_one(
         self,
@@ -154,7 +147,8 @@
             # Placed in this round with the rest of its gang.
             return True
         if pending.step.spec.gang:
-            fitting = self._fitting(pending, usable, now_ms)
+            pool = self._pool(pending, usable, now_ms)
+            fitting = self._fitting(pending, pool, now_ms)
             return self._place_gang(pending, fitting, now_ms)
         server = self._choose_server(pending, usable, now_ms)
         if server is None:
@@ -167,7 +161,8 @@
     ) -> bool:
         if self._try_place(pending, usable, now_ms):
             return True
-        candidates = self._with_room(pending, usable, now_ms)
+        pool = self._pool(pending, usable, now_ms)
+        candidates = self._with_room(pending, pool, now_ms)
         self._changed += self._isolation.reserve(
             pending.task,
             pending.step,
@@ -188,16 +183,34 @@
             return self._cost(task, step, server, now_ms)
 
         task_specific = task.avoided_servers or task.crash_evidence
-        if step.spec.best_effort or pending.queue.advised or task_specific:
+        if pending.queue.advised or task_specific:
             # The candidates of these tasks can't be shared within the step:
-            # they depend on the task, its tickets or a rotating selection.
-            return min(fit(usable), key=cost, default=None)
+            # they depend on the task or its tickets.
+            pool = self._pool(pending, usable, now_ms)
+            return min(fit(pool), key=cost, default=None)
         candidates = self._candidates_by_step.get(step.name)
-        if candidates is None:
-            candidates = CandidateQueue(usable, fit, cost, len(self._changed))
-            self._candidates_by_step[step.name] = candidates
+        if candidates is not None:
+            best = candidates.best(self._changed)
+            if best is not None or not step.spec.best_effort:
+                return best
+        # The next selection of a best-effort step has other servers.
+        pool = self._pool(pending, usable, now_ms)
+        candidates = CandidateQueue(pool, fit, cost, len(self._changed))
+        self._candidates_by_step[step.name] = candidates
         return candidates.best(self._changed)
 
+    def _pool(
+        self, pending: PendingTask, usable: list[Server], now_ms: int
+    ) -> list[Server]:
+        """Select the servers to evaluate for a task."""
+        step = pending.step
+        if not step.spec.best_effort:
+            return usable
+        service = pending.queue.service
+        pool = self._admission.open_servers(step, service, now_ms)
+        self._evaluations += len(pool)
+        return pool
+
     def _reserve(self, pending: PendingTask, usable: list[Server]) -> None:
         if pending.step.spec.gang or pending.queue.advised:
             # A gang needs several servers, and the eligible servers of an
@@ -266,24 +279,20 @@
         return ranked_tasks(self._state, now_ms, with_best_effort)
 
     def _fitting(
-        self, pending: PendingTask, usable: list[Server], now_ms: int
+        self, pending: PendingTask, servers: list[Server], now_ms: int
     ) -> list[Server]:
-        with_room = self._with_room(pending, usable, now_ms)
+        with_room = self._with_room(pending, servers, now_ms)
         return self._isolation.admitting(with_room, pending.task, pending.step)
 
     def _with_room(
-        self, pending: PendingTask, usable: list[Server], now_ms: int
+        self, pending: PendingTask, servers: list[Server], now_ms: int
     ) -> list[Server]:
         step = pending.step
         service = pending.queue.service
-        pool = usable
-        if step.spec.best_effort:
-            pool = self._admission.open_servers(step, service, now_ms)
-            self._evaluations += len(pool)
         takes = step.spec.reserved_resources
         fitting = [
             server
-            for server in eligible(step, service, pool)
+            for server in eligible(step, service, servers)
             if fits_resources(takes, self._reservations.available(server))
         ]
         if step.spec.best_effort:
@@ -345,6 +354,15 @@
             state.pending_by_key[task.key] = task
 
 
+def _usable_servers(state: ShardState, now_ms: int) -> list[Server]:
+    return [
+        server
+        for server_id, server in state.server_by_id.items()
+        if _accepts_starts(server, now_ms)
+        and server_id not in state.withheld_servers
+    ]
+
+
 def _accepts_starts(server: Server, now_ms: int) -> bool:
     if not server.is_available or server.unknown_runs:
         return False
--- a/waxwingford/scheduling/_shard_state.py
+++ b/waxwingford/scheduling/_shard_state.py
@@ -271,3 +271,10 @@
         for task in step.tasks
         for run in task.run_by_number.values()
     ]
+
+
+def has_runs(job: Job) -> bool:
+    """Tell whether a job has a run that may be present on a server."""
+    return any(
+        task.run_by_number for step in steps_of(job) for task in step.tasks
+    )
--- a/waxwingford/scheduling/tests/large_fleet.feature
+++ b/waxwingford/scheduling/tests/large_fleet.feature
@@ -15,6 +15,19 @@
       | 270     | 40    |
       | 270     | 160   |
 
+  Scenario Outline: a wide best-effort step beside serving tasks
+    # Guards against evaluating all open servers for each best-effort task.
+    Given an engine with <servers> servers of 32 cores
+    And a serving task runs on each server
+    When a job with a step of <tasks> best-effort tasks is submitted
+    Then the round took at most 100 calls for each server and task
+
+    Examples:
+      | servers | tasks |
+      | 48      | 40    |
+      | 48      | 160   |
+      | 270     | 160   |
+
   Scenario: tasks that don't fit while servers have many runs
     Given an engine with 270 servers of 4 cores
     And each server runs 20 best-effort tasks
--- a/waxwingford/scheduling/tests/large_fleet_steps.py
+++ b/waxwingford/scheduling/tests/large_fleet_steps.py
@@ -68,6 +68,26 @@
     assert len(used) == servers, len(used)
 
 
+@given('a serving task runs on each server')
+def run_serving_tasks(context):
+    harness = context.harness
+    count = len(harness.entries)
+    serving = job(
+        1, count, 8, long_running=True, target_ms=30, max_per_server=1
+    )
+    submit(harness, [serving])
+    harness.decide()
+    assert len(harness.planned_runs) == count, len(harness.planned_runs)
+
+
+@when('a job with a step of {tasks:d} best-effort tasks is submitted')
+def submit_best_effort_step(context, tasks):
+    submit(context.harness, [job(7, tasks, best_effort=True, image='archive')])
+    decide_counted(context)
+    context.task_count = tasks
+    assert len(context.harness.planned_runs) > len(context.harness.entries)
+
+
 @when('a job with a step of {tasks:d} urgent tasks is submitted')
 def submit_wide_step(context, tasks):
     submit(context.harness, [job(7, tasks)])
