Count a timeout only after the sockets were read once more

Cause: an event loop that runs late handles its expired timers before it reads its sockets, so a response that has long arrived is discarded and its connection closed.

Change: connections of our own pool over httptools; an expired timeout waits until the loop has read its sockets once more. A request that got no connection in time is NotSent, as nothing of it was written, and bodies over 8 MiB are refused. Nothing else of the outcomes changed: the adapter's scenarios pass unchanged.

Tests that failed before: 'the event loop runs late while a response arrives' (NoResponse for a response that came after 60 of 150 ms), 'all connections to an address are in use', 'a response is malformed -- a body too large'.

--- a/waxwingford/platform/_http_client.py
+++ b/waxwingford/platform/_http_client.py
@@ -3,17 +3,15 @@
 import asyncio
 import dataclasses
 from collections.abc import Mapping
+from urllib import parse as url_parse
 
-import aiohttp
 import msgspec
 
-#: Maximum number of connections to one address: a long poll, concurrent
-#: orders, and a spare for a connection that no longer responds.
-CONNECTIONS_PER_ADDRESS = 6
-#: Timeout for opening a connection, in seconds: many round trips within a
-#: region, and below the 1 s after which the kernel retransmits a lost SYN.
-CONNECT_TIMEOUT_S = 0.5
-KEEP_ALIVE_S = 20.0
+from waxwingford.platform._http_connections import (
+    ConnectFailedError,
+    ConnectionBrokenError,
+    ConnectionPool,
+)
 
 _json_encoder = msgspec.json.Encoder()
 
@@ -59,16 +57,20 @@
 
 
 class HttpClient:
-    """Sends HTTP requests over pooled connections."""
+    """Sends HTTP requests over pooled connections.
+
+    It follows no redirects, as the first server may have processed the request
+    before the second one fails.
+    """
 
     def __init__(self) -> None:
-        """Create the client; the session is opened by the first request."""
-        self._session: aiohttp.ClientSession | None = None
+        self._pool_by_address: dict[str, ConnectionPool] = {}
 
     async def close(self) -> None:
-        """Close all connections."""
-        if self._session is not None:
-            await self._session.close()
+        """Close all idle connections."""
+        for pool in self._pool_by_address.values():
+            pool.close()
+        self._pool_by_address.clear()
 
     async def get(
         self,
@@ -82,9 +84,8 @@
         :param address: IP address and port of the server.
         :param timeout_s: timeout for the complete response, in seconds.
         """
-        return await self._request(
-            'GET', address, path, query, None, {}, timeout_s
-        )
+        head = _encode_head('GET', address, path, query, {})
+        return await self._request(address, head, timeout_s, repeatable=True)
 
     async def post(
         self,
@@ -99,9 +100,17 @@
         :param address: IP address and port of the server.
         :param timeout_s: timeout for the complete response, in seconds.
         """
-        return await self._request(
-            'POST', address, path, query, body, {}, timeout_s
+        head = _encode_head(
+            'POST',
+            address,
+            path,
+            query,
+            {
+                'Content-Type': 'application/octet-stream',
+                'Content-Length': str(len(body)),
+            },
         )
+        return await self._request(address, head + body, timeout_s)
 
     async def post_json(
         self,
@@ -118,64 +127,64 @@
         :param headers: headers in addition to the content type.
         :param timeout_s: timeout for the complete response, in seconds.
         """
-        all_headers = {'Content-Type': 'application/json', **headers}
         body = _json_encoder.encode(content)
-        return await self._request(
-            'POST', address, path, {}, body, all_headers, timeout_s
+        head = _encode_head(
+            'POST',
+            address,
+            path,
+            {},
+            {
+                'Content-Type': 'application/json',
+                'Content-Length': str(len(body)),
+                **headers,
+            },
         )
+        return await self._request(address, head + body, timeout_s)
 
     async def _request(
         self,
-        method: str,
         address: str,
-        path: str,
-        query: Mapping[str, str],
-        body: bytes | None,
-        headers: Mapping[str, str],
+        request: bytes,
         timeout_s: float,
+        repeatable: bool = False,
     ) -> RequestOutcome:
-        timeout = aiohttp.ClientTimeout(
-            total=timeout_s, sock_connect=CONNECT_TIMEOUT_S
-        )
+        deadline_s = asyncio.get_running_loop().time() + timeout_s
+        pool = self._pool_by_address.get(address)
+        if pool is None:
+            pool = ConnectionPool(address)
+            self._pool_by_address[address] = pool
+        try:
+            connection, reused = await pool.acquire(deadline_s)
+        except ConnectFailedError as error:
+            return NotSent(str(error))
         try:
-            async with self._get_session().request(
-                method,
-                f'http://{address}{path}',
-                params=query or None,
-                data=body,
-                headers=headers,
-                timeout=timeout,
-                allow_redirects=False,
-            ) as response:
-                return HttpResponse(response.status, await response.read())
-        except (
-            aiohttp.ClientConnectorError,
-            aiohttp.ConnectionTimeoutError,
-        ) as error:
-            # Only raised before the request is written; later failures, also
-            # on a reused connection, raise other types. aiohttp retries only
-            # idempotent requests. Redirects are disabled, as the first server
-            # may have processed the request before the second one fails.
-            return NotSent(f'{type(error).__name__}: {error}')
-        except asyncio.TimeoutError as error:
-            return NoResponse(f'{type(error).__name__}: {error}')
-        except (aiohttp.ClientError, OSError) as error:
-            return NoResponse(
-                f'{type(error).__name__}: {error}', connection_closed=True
-            )
-
-    def _get_session(self) -> aiohttp.ClientSession:
-        if self._session is None:
-            connector = aiohttp.TCPConnector(
-                limit=0,
-                limit_per_host=CONNECTIONS_PER_ADDRESS,
-                keepalive_timeout=KEEP_ALIVE_S,
-                use_dns_cache=False,
-            )
-            self._session = aiohttp.ClientSession(
-                connector=connector,
-                cookie_jar=aiohttp.DummyCookieJar(),
-                auto_decompress=False,
-                skip_auto_headers=('User-Agent', 'Accept-Encoding', 'Accept'),
-            )
-        return self._session
+            return HttpResponse(*await connection.send(request, deadline_s))
+        except TimeoutError:
+            return NoResponse('TimeoutError: no response in time')
+        except ConnectionBrokenError as error:
+            if not (repeatable and reused) or error.response_begun:
+                return NoResponse(
+                    f'ConnectionBrokenError: {error}', connection_closed=True
+                )
+        finally:
+            pool.release(connection)
+        # The server may close an idle connection just when it is used again.
+        left_s = deadline_s - asyncio.get_running_loop().time()
+        return await self._request(address, request, left_s)
+
+
+def _encode_head(
+    method: str,
+    address: str,
+    path: str,
+    query: Mapping[str, str],
+    headers: Mapping[str, str],
+) -> bytes:
+    target = f'{path}?{url_parse.urlencode(query)}' if query else path
+    lines = [
+        f'{method} {target} HTTP/1.1',
+        f'Host: {address}',
+        *(f'{name}: {value}' for name, value in headers.items()),
+        '\r\n',
+    ]
+    return '\r\n'.join(lines).encode()
