Limit what an overloaded owner starts, and refuse what it can't start in time

Cause: the only brake was a threshold on the lag of the event loop, above which nothing at all was started. Below it a whole step was started at once; its starts queued up in the event loop for longer than their timeout, were doubted, stopped and repeated. Nothing told callers. A server whose answers lay unread was taken for silent, and its runs were settled when its leases were over though it listed them as done: those tasks ran twice.

Change: starts in progress are limited by a window that follows the lag of the event loop and the VM's cores, so that some tasks, the most urgent first, always start. What the window leaves is a backlog; with the measured rate of starts it tells how long a new task would wait. Urgent jobs are refused above 1 s, the users' bound is 1.5 s; best-effort ones above 3 s. Heartbeats carry that, so that each daemon refuses at once; it asks first whether the job is known, as a refusal has to be true. Silence counts only while the owner reads answers in time. Decisions are made less often, and failed polls repeated sooner, while the event loop is late.

--- a/waxwingford/platform/_client_api.py
+++ b/waxwingford/platform/_client_api.py
@@ -30,7 +30,7 @@
 #: Part of the timeout reserved for the transfer of the response, in ms.
 RESPONSE_MARGIN_MS = 150
 #: Value of the ``Retry-After`` header of a rejected request, in seconds.
-RETRY_AFTER_S = '1'
+RETRY_AFTER_S = 1
 _MS_PER_S = 1000
 _JOB_ID = re.compile('[0-9a-f]{16}')
 _JSON_CONTENT_TYPE = 'application/json'
@@ -163,8 +163,8 @@
     match outcome:
         case Stored():
             return _json_response({})
-        case NotStored():
-            return _retry_later(HTTPStatus.SERVICE_UNAVAILABLE)
+        case NotStored(_, retry_after_s):
+            return _retry_later(HTTPStatus.SERVICE_UNAVAILABLE, retry_after_s)
         case MayBeStored():
             return _empty_response(HTTPStatus.GATEWAY_TIMEOUT)
 
@@ -179,5 +179,9 @@
     return web.Response(status=status)
 
 
-def _retry_later(status: int) -> web.Response:
-    return web.Response(status=status, headers={'Retry-After': RETRY_AFTER_S})
+def _retry_later(
+    status: int, retry_after_s: int = RETRY_AFTER_S
+) -> web.Response:
+    return web.Response(
+        status=status, headers={'Retry-After': str(retry_after_s)}
+    )
--- a/waxwingford/scheduling/__init__.py
+++ b/waxwingford/scheduling/__init__.py
@@ -20,6 +20,7 @@
     StartOrder,
     TaskKey,
 )
+from waxwingford.scheduling._backlog import Backlog, Decision
 from waxwingford.scheduling._engine import Engine
 from waxwingford.scheduling._notes import Note
 from waxwingford.scheduling._orders import Batch, Order, Pace, Start, Stop
@@ -36,7 +37,9 @@
 
 __all__ = (
     'Address',
+    'Backlog',
     'Batch',
+    'Decision',
     'ENDED_PREFIX',
     'RefusalReason',
     'EndKind',
--- a/waxwingford/scheduling/_engine.py
+++ b/waxwingford/scheduling/_engine.py
@@ -13,6 +13,7 @@
     OrderOutcome,
     PollOutcome,
 )
+from waxwingford.scheduling._backlog import Decision
 from waxwingford.scheduling._crashes import mark_outlived
 from waxwingford.scheduling._interference import InterferenceModel
 from waxwingford.scheduling._lease_withholding import LeaseWithholding
@@ -85,6 +86,7 @@
         self._migrator = Migrator(self.state, self._placer)
         self._cancelled: set[str] = set()
         self._maintained_ms = 0
+        self._timely = True
         self._interference_stored_ms = 0
         self._outlived_marked_ms = 0
         self._jobs_to_release: dict[str, Job] = {}
@@ -204,13 +206,22 @@
         ) and self.pacer.needs_frequent_polls(server):
             self.pacer.adjust_paces(server, now_ms)
 
-    def decide(self, now_ms: int, wall_ms: int, place: bool = True) -> None:
+    def decide(
+        self,
+        now_ms: int,
+        wall_ms: int,
+        max_starts: float = math.inf,
+        timely: bool = True,
+    ) -> Decision:
         """Check servers and runs, release due steps and place tasks.
 
         :param now_ms: current monotonic time, in ms.
         :param wall_ms: current Unix time, in ms, for timed jobs.
-        :param place: whether tasks may be placed now.
+        :param max_starts: number of runs that may be planned now.
+        :param timely: whether answers of servers are read in time, so that
+            silence means that they don't answer.
         """
+        self._timely = timely
         self.state.wall_offset_ms = wall_ms - now_ms
         if now_ms - self._maintained_ms >= MAINTENANCE_INTERVAL_MS:
             self._maintained_ms = now_ms
@@ -225,8 +236,7 @@
         self._jobs_to_release = {}
         for job in to_release.values():
             self._placer.release_tasks(job, now_ms, wall_ms)
-        if place:
-            self._placer.place(now_ms)
+        return self._placer.place(now_ms, max_starts)
 
     def take_batch(self) -> Batch:
         """Remove and return everything that has to be stored."""
@@ -262,10 +272,7 @@
 
     def _maintain(self, server: Server, now_ms: int) -> None:
         decay_penalty(server, now_ms)
-        unreachable = (
-            server.failing_since_ms is not None or not server.entry.endpoint
-        )
-        if server.replaced or unreachable:
+        if _may_be_lost(server, self._timely):
             self.settler.settle_expired(server, now_ms)
         runs = server.run_by_key.values()
         for run, step in _stalled_runs(server):
@@ -292,6 +299,20 @@
             self.state.server_by_id.pop(server.entry.server_id, None)
 
 
+def _may_be_lost(server: Server, timely: bool) -> bool:
+    """Whether the runs of a server are settled once its leases have expired.
+
+    The answers of a server that seems silent to an overloaded owner may be
+    unread, and list its runs as done.
+
+    :param timely: whether answers of servers are read in time.
+    """
+    unreachable = (
+        server.failing_since_ms is not None or not server.entry.endpoint
+    )
+    return server.replaced or (unreachable and timely)
+
+
 def _may_need_stop(run: Run) -> bool:
     return run.stopping or run.phase is RunPhase.unresolved
 
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -4,6 +4,7 @@
 from waxwingford.scheduling import _gangs as gangs
 from waxwingford.scheduling._admission import BestEffortAdmission
 from waxwingford.scheduling._backend_client import RunKey
+from waxwingford.scheduling._backlog import Backlog, Decision, count_backlog
 from waxwingford.scheduling._candidates import CandidateQueue
 from waxwingford.scheduling._crashes import is_suspect
 from waxwingford.scheduling._eligibility import eligible
@@ -54,6 +55,8 @@
     """Places pending tasks on the servers of a shard."""
 
     def __init__(self, state: ShardState, model: InterferenceModel) -> None:
+        self._placed = 0
+        self._backlog = Backlog()
         self._state = state
         self._admission = BestEffortAdmission(model)
         self._best_effort_ms = 0
@@ -79,16 +82,37 @@
                 if step.unfinished and _is_unblocked(step, steps):
                     _make_pending(self._state, step, now_ms)
 
-    def place(self, now_ms: int) -> None:
+    def place(self, now_ms: int, max_starts: float) -> Decision:
         """Plan a run of each pending task that fits on a server.
 
         :param now_ms: current monotonic time, in ms.
+        :param max_starts: runs after which the round ends; a gang is planned
+            as a whole.
+        """
+        self._placed = 0
+        if max_starts <= 0:
+            return Decision(0, self._backlog)
+        with_best_effort = now_ms >= self._best_effort_due_ms
+        if with_best_effort:
+            self._best_effort_ms = now_ms
+        ranked = ranked_tasks(self._state, now_ms, with_best_effort)
+        tried = self._place_ranked(ranked, now_ms, max_starts)
+        self._backlog = count_backlog(
+            ranked[tried:], self._backlog, with_best_effort
+        )
+        return Decision(self._placed, self._backlog)
+
+    def _place_ranked(
+        self, ranked: list[PendingTask], now_ms: int, max_starts: float
+    ) -> int:
+        """Plan runs of tasks in the given order.
+
+        :returns: number of tasks that were tried.
         """
         self._reservations.begin(now_ms)
-        ranked = self._ranked(now_ms)
         if not ranked:
             # Most rounds have nothing to place; don't scan all servers.
-            return
+            return 0
         usable = _usable_servers(self._state, now_ms)
         self._admission.begin(usable)
         self._isolation.begin(usable)
@@ -97,7 +121,11 @@
         self._changed.clear()
         unplaced: list[PendingTask] = []
         full_steps: set[str] = set()
+        tried = 0
         for pending in ranked:
+            if self._placed >= max_starts:
+                break
+            tried += 1
             if not self._place_one(pending, usable, full_steps, now_ms):
                 unplaced.append(pending)
                 if pending.overdue:
@@ -109,6 +137,7 @@
             )
             self._best_effort_due_ms = now_ms + interval_ms
             self._report.update(unplaced, usable, now_ms)
+        return tried
 
     def find_servers(self, task: Task, step: Step, now_ms: int) -> list[Server]:
         """Find the servers on which a task would be placed if it were pending.
@@ -262,6 +291,7 @@
         self._state.plan(run, step)
         self._changed.append(server)
         self._report.count_placed(step)
+        self._placed += 1
         self._state.notes.add(
             'run.planned',
             task.key,
@@ -272,12 +302,6 @@
             terms=self._state.terms.version,
         )
 
-    def _ranked(self, now_ms: int) -> list[PendingTask]:
-        with_best_effort = now_ms >= self._best_effort_due_ms
-        if with_best_effort:
-            self._best_effort_ms = now_ms
-        return ranked_tasks(self._state, now_ms, with_best_effort)
-
     def _fitting(
         self, pending: PendingTask, servers: list[Server], now_ms: int
     ) -> list[Server]:
--- a/waxwingford/scheduling/_servers.py
+++ b/waxwingford/scheduling/_servers.py
@@ -54,6 +54,7 @@
     :ivar recent_starts: runs that the server isn't known to have outlived yet.
     :ivar reserved_for: task suspected of crashing servers that is to start
         alone here, ``None`` for none.
+    :ivar unsent: runs whose start was not sent yet.
     :ivar unanswered: runs whose start was sent and not confirmed.
     :ivar used: resources reserved by runs, without the CPU of best-effort runs.
     :ivar free_resources: capacity less ``used``.
@@ -95,6 +96,7 @@
     step_by_run: dict[RunKey, Step] = dataclasses.field(default_factory=dict)
     recent_starts: set[RunKey] = dataclasses.field(default_factory=set)
     reserved_for: TaskKey | None = None
+    unsent: set[RunKey] = dataclasses.field(default_factory=set)
     unanswered: set[RunKey] = dataclasses.field(default_factory=set)
     used: Resources = Resources(0, 0, 0)
     free_resources: Resources = dataclasses.field(init=False)
@@ -155,11 +157,14 @@
         self.step_by_run[run.key] = step
         if not run.outlived:
             self.recent_starts.add(run.key)
+        if run.phase is RunPhase.planned:
+            self.unsent.add(run.key)
         self._count(step, 1)
 
     def remove(self, key: RunKey) -> None:
         """Remove a run, if present, and release its resources."""
         if self.run_by_key.pop(key, None) is not None:
+            self.unsent.discard(key)
             self.unanswered.discard(key)
             self.recent_starts.discard(key)
             self._count(self.step_by_run.pop(key), -1)
@@ -170,6 +175,7 @@
         :param now_ms: current monotonic time, in ms.
         """
         run.enter(phase, now_ms)
+        self.unsent.discard(run.key)
         if phase in _UNANSWERED:
             self.unanswered.add(run.key)
         else:
--- a/waxwingford/scheduling/_shard_state.py
+++ b/waxwingford/scheduling/_shard_state.py
@@ -236,6 +236,13 @@
             if not job.started and job.ended is None
         )
 
+    def count_starts_in_progress(self) -> int:
+        """Count the runs that are planned and not known to have started."""
+        return sum(
+            len(server.unsent) + len(server.unanswered)
+            for server in self.server_by_id.values()
+        )
+
     def queue_of(self, job: Job) -> QueueTerms:
         """Find the settings of a job's queue.
 
--- a/waxwingford/shard/_drivers.py
+++ b/waxwingford/shard/_drivers.py
@@ -41,6 +41,8 @@
 NORMAL_LAG_S = 0.02
 LAG_BACKOFF_FACTOR = 12
 MAX_LAG_BACKOFF_S = 1.4
+#: The same maximum after a failed poll.
+MAX_RETRY_BACKOFF_S = 0.3
 #: Longest time between polls of an idle server, in seconds. Each poll reads the
 #: server's clock, and the first lease after a pause is shortened by the possible
 #: drift since then.
@@ -228,9 +230,11 @@
     async def _pause(self) -> None:
         if self.server.failing_since_ms is not None:
             # A poll also fails if its answer is read too late; an immediate
-            # retry would add to the load of the event loop.
+            # retry would add to the load of the event loop. The lease of the
+            # server isn't extended before it has answered.
+            backoff_s = _lag_backoff_s(self._loop_lag_s())
             await asyncio.sleep(
-                RETRY_DELAY_MS / MS_PER_S + _lag_backoff_s(self._loop_lag_s())
+                RETRY_DELAY_MS / MS_PER_S + min(backoff_s, MAX_RETRY_BACKOFF_S)
             )
             return
         deadline_s = asyncio.get_running_loop().time() + MAX_STORE_WAIT_S
--- a/waxwingford/shard/_frontend.py
+++ b/waxwingford/shard/_frontend.py
@@ -65,7 +65,7 @@
         :param deadline_s: loop time at which the caller's request times out.
         """
         started_ms = monotonic_ms()
-        outcome = await self._store(JobRow(encode_spec(spec)), deadline_s)
+        outcome = await self._submit(spec, deadline_s)
         self._record_request('request.submit', spec.job_id, outcome, started_ms)
         return outcome
 
@@ -111,12 +111,12 @@
 
         :returns: number of jobs, ``None`` if neither owner nor store answers.
         """
-        count = self.local_pending(queue)
-        reported = self._member.reported_pending
-        if count is None and reported is not None:
-            return reported.get(queue, 0)
+        counts = self._member.load_report.pending_by_queue
+        if counts is not None:
+            return counts.get(queue, 0)
+        count = None
         record = self._member.owner_record
-        if count is None and record is not None:
+        if record is not None:
             count = await self._link.pending(record.endpoint, queue)
         if count is None:
             count = await self._view.pending(queue)
@@ -135,7 +135,7 @@
         :returns: number of jobs, ``None`` if another daemon is the owner.
         """
         owner = self._member.owner
-        counts = None if owner is None else owner.pending_by_queue()
+        counts = None if owner is None else owner.load_report().pending_by_queue
         return None if counts is None else counts.get(queue, 0)
 
     async def store_directly(
@@ -151,6 +151,15 @@
             owner.apply_stored(row)
         return outcome
 
+    async def _submit(self, spec: JobSpec, deadline_s: float) -> IntakeOutcome:
+        retry_after_s = self._member.load_report.retry_after.of(spec)
+        if not retry_after_s:
+            return await self._store(JobRow(encode_spec(spec)), deadline_s)
+        if isinstance(await self.phase(spec.job_id), JobKnown):
+            # An earlier attempt has stored it, so a refusal would be untrue.
+            return Stored()
+        return NotStored('the owner is overloaded', retry_after_s)
+
     async def _cancel(
         self, job_id: str, deadline_s: float
     ) -> IntakeOutcome | CancelNotKnown | NotAnswered:
--- a/waxwingford/shard/_heartbeats.py
+++ b/waxwingford/shard/_heartbeats.py
@@ -2,10 +2,12 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import NamedTuple
 
 import logbook
 import msgspec
 
+from waxwingford.shard._admission_control import RetryAfter
 from waxwingford.shard._journal import (
     OWNER_KEY,
     Deposed,
@@ -25,6 +27,19 @@
 _log = logbook.Logger('shard')
 
 
+class LoadReport(NamedTuple):
+    """Fields of a heartbeat about jobs, see ``OwnerRecord``."""
+
+    pending_by_queue: dict[str, int] | None = None
+    urgent_retry_s: int = 0
+    best_effort_retry_s: int = 0
+
+    @property
+    def retry_after(self) -> RetryAfter:
+        """Classes of jobs that are refused."""
+        return RetryAfter(self.urgent_retry_s, self.best_effort_retry_s)
+
+
 class Heartbeats:
     """Sends the heartbeats of one epoch."""
 
@@ -34,15 +49,14 @@
         record: OwnerRecord,
         since_boot_ms: Callable[[], int],
         ledger: LeaseLedger,
-        report_pending: Callable[[], dict[str, int] | None],
+        report_load: Callable[[], LoadReport],
     ) -> None:
         """Create a sender; ``run`` sends the heartbeats.
 
         :param record: record of the owner, completed in each heartbeat.
         :param since_boot_ms: clock in ms that includes time in suspension.
-        :param report_pending: counts the jobs that have not started, by queue.
         """
-        self._report_pending = report_pending
+        self._report_load = report_load
         self._since_boot_ms = since_boot_ms
         self._ledger = ledger
         self._writer = EpochWriter(log, OWNERS_TOPIC, record.epoch)
@@ -111,7 +125,7 @@
         record = msgspec.structs.replace(
             record,
             beat=self._heartbeat_count,
-            pending_by_queue=self._report_pending(),
+            **self._report_load()._asdict(),
             **report._asdict(),
         )
         row = KeyedRecord(OWNER_KEY, encode_owner(record))
--- a/waxwingford/shard/_intake.py
+++ b/waxwingford/shard/_intake.py
@@ -35,9 +35,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NotStored:
-    """The row is not stored and will not be."""
+    """The row is not stored and will not be.
+
+    :ivar retry_after_s: time in seconds after which the caller should try again.
+    """
 
     reason: str
+    retry_after_s: int = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/waxwingford/shard/_journal.py
+++ b/waxwingford/shard/_journal.py
@@ -56,6 +56,9 @@
         its next heartbeat; ``None`` once it may extend leases.
     :ivar cores: processor of its VM, in reference cores; 0 if unknown.
     :ivar pending_by_queue: jobs that have not started; ``None`` if unknown.
+    :ivar urgent_retry_s: time in seconds for which jobs without best-effort tasks
+        are refused, 0 if they are accepted.
+    :ivar best_effort_retry_s: the same for jobs with best-effort tasks.
     :ivar read_to: offset up to which it had read heartbeats of previous owners
         when it computed ``rest_ms``; ``None`` if no later one is possible.
     """
@@ -72,6 +75,8 @@
     read_to: int | None = None
     cores: float = 0
     pending_by_queue: dict[str, int] | None = None
+    urgent_retry_s: int = 0
+    best_effort_retry_s: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/waxwingford/shard/_loop_lag.py
+++ b/waxwingford/shard/_loop_lag.py
@@ -6,6 +6,7 @@
 
 import asyncio
 
+from waxwingford.shard._admission_control import RetryAfter
 from waxwingford.shard._clocks import MS_PER_S, monotonic_ms
 from waxwingford.shard._observer import Observer
 
@@ -58,13 +59,17 @@
         self._cores = cores
         self._logged_ms = -LOG_INTERVAL_MS
 
-    def log_overload(self, epoch: int, lag: LoopLag) -> None:
+    def log_overload(
+        self, epoch: int, lag: LoopLag, retry_after: RetryAfter
+    ) -> None:
         """Log an event if the owner is overloaded and none was logged recently.
 
         :param epoch: epoch of the owner.
+        :param retry_after: classes of jobs that it refuses.
         """
         now_ms = monotonic_ms()
-        if lag.acceptable or now_ms - self._logged_ms < LOG_INTERVAL_MS:
+        overloaded = any(retry_after) or not lag.acceptable
+        if not overloaded or now_ms - self._logged_ms < LOG_INTERVAL_MS:
             return
         self._logged_ms = now_ms
         self._observer.record_event(
@@ -72,4 +77,5 @@
             epoch=epoch,
             late_ms=int(lag.mean_s * MS_PER_S),
             cores=self._cores,
+            refuses_s=retry_after,
         )
--- a/waxwingford/shard/_member.py
+++ b/waxwingford/shard/_member.py
@@ -7,6 +7,7 @@
 
 from waxwingford.scheduling import Terms
 from waxwingford.shard._clocks import MS_PER_S, monotonic_ms
+from waxwingford.shard._heartbeats import LoadReport
 from waxwingford.shard._journal import (
     Claimed,
     ClaimFailed,
@@ -37,8 +38,8 @@
 #: first: a VM that is too weak for the shard would serve it late.
 WEAKER_VM_RATIO = 1.25
 WEAKER_VM_DELAY_MS = 400
-#: Greatest age of a heartbeat, in ms, whose counts of jobs are reported to callers.
-MAX_PENDING_AGE_MS = 1000
+#: Greatest age of a heartbeat, in ms, whose report of the load is used.
+MAX_REPORT_AGE_MS = 1000
 #: Delay after a failed read or claim, in seconds.
 RETRY_DELAY_S = 0.15
 
@@ -99,15 +100,21 @@
         return self._watch.record
 
     @property
-    def reported_pending(self) -> dict[str, int] | None:
-        """Counts of jobs that have not started, as reported by the owner.
+    def load_report(self) -> LoadReport:
+        """Jobs that wait and classes that are refused, as the owner reports.
 
-        :returns: number of jobs by queue, ``None`` if there is no recent count.
+        :returns: report, empty if there is no recent one.
         """
+        if self.owner is not None:
+            return self.owner.load_report()
         record = self._watch.record
-        if record is None or self._watch.silent_ms > MAX_PENDING_AGE_MS:
-            return None
-        return record.pending_by_queue
+        if record is None or self._watch.silent_ms > MAX_REPORT_AGE_MS:
+            return LoadReport()
+        return LoadReport(
+            record.pending_by_queue,
+            record.urgent_retry_s,
+            record.best_effort_retry_s,
+        )
 
     @property
     def knows_owner(self) -> bool:
--- a/waxwingford/shard/_owner.py
+++ b/waxwingford/shard/_owner.py
@@ -12,7 +12,7 @@
 from waxwingford.shard._clocks import boottime_ms, monotonic_ms
 from waxwingford.shard._commits import Committer
 from waxwingford.shard._drivers import DriverPorts
-from waxwingford.shard._heartbeats import Heartbeats
+from waxwingford.shard._heartbeats import Heartbeats, LoadReport
 from waxwingford.shard._intake import CancelRow, IntakeRow, JobRow
 from waxwingford.shard._intake_cleaner import IntakeCleaner
 from waxwingford.shard._intake_reader import IntakeReader
@@ -40,11 +40,13 @@
     NotAnswered,
 )
 from waxwingford.shard._server_drivers import RegistrationSource, ServerDrivers
+from waxwingford.shard._start_control import StartControl
 from waxwingford.shard._ticket_requests import AdviceClient, TicketRequester
 
 MAX_DECISION_INTERVAL_S = 0.1
 #: Delay of a decision after an event, in seconds, so that one decision and one
-#: append cover a burst of answers from servers.
+#: append cover a burst of answers from servers. It grows with the lag of the event
+#: loop, so that an overloaded owner decides on more events at once.
 DECISION_DELAY_S = 0.003
 #: Interval between reads of the server registrations, in seconds.
 REGISTRATION_INTERVAL_S = 0.4
@@ -95,6 +97,7 @@
     :ivar cut_off: whether it stopped because it could not reach most servers
         or could not read the intake.
     :ivar epoch: epoch of its appends; its fencing token at servers.
+    :ivar start_control: limits starts, and refuses jobs under overload.
     """
 
     def __init__(
@@ -114,6 +117,7 @@
         self._decision_due = asyncio.Event()
         self._heartbeats: Heartbeats | None = None
         self._loop_lag = LoopLag()
+        self.start_control = StartControl(settings.cores, self._loop_lag)
         self._overload_log = OverloadLog(ports.observer, settings.cores)
 
     async def claim(
@@ -153,7 +157,7 @@
             record,
             self._ports.since_boot_ms,
             ledger,
-            self.pending_by_queue,
+            self.load_report,
         )
         # Not before the claim: a resignation after a failed claim would depose
         # the daemon whose claim succeeded.
@@ -206,12 +210,10 @@
             found = self._engine.state.phase(job_id)
         return JobNotKnown() if found is None else JobKnown(found)
 
-    def pending_by_queue(self) -> dict[str, int] | None:
-        """Count the jobs that have not started.
-
-        :returns: number of jobs by queue, ``None`` during the takeover.
-        """
-        return self._engine.state.pending_by_queue() if self.ready else None
+    def load_report(self) -> LoadReport:
+        """Report the jobs that wait and the classes that are refused."""
+        pending = self._engine.state.pending_by_queue() if self.ready else None
+        return LoadReport(pending, *self.start_control.retry_after)
 
     async def resign(
         self, reason: str = 'resigned', cut_off: bool = False
@@ -366,13 +368,18 @@
             except TimeoutError:
                 # Leases expire and repetitions become due without an event.
                 self._decision_due.set()
-            await asyncio.sleep(DECISION_DELAY_S)
-            self._overload_log.log_overload(self.epoch, self._loop_lag)
+            await asyncio.sleep(
+                max(
+                    DECISION_DELAY_S,
+                    min(self._loop_lag.mean_s, MAX_DECISION_INTERVAL_S),
+                )
+            )
+            self._overload_log.log_overload(
+                self.epoch, self._loop_lag, self.start_control.retry_after
+            )
             self._decision_due.clear()
-            self._engine.decide(
-                monotonic_ms(),
-                _clock.wall_ms(),
-                place=self._loop_lag.acceptable,
+            self.start_control.decide(
+                self._engine, monotonic_ms(), _clock.wall_ms()
             )
             self._fleet.send_orders()
             self._observer.record_notes(self._engine.state.notes.take())
--- /dev/null
+++ b/waxwingford/shard/_start_control.py
@@ -0,0 +1,39 @@
+"""Decides no more than the owner's processor carries out in time."""
+
+from waxwingford.scheduling import Engine
+from waxwingford.shard._admission_control import AdmissionControl, RetryAfter
+from waxwingford.shard._loop_lag import LoopLag
+from waxwingford.shard._start_window import StartWindow
+
+
+class StartControl:
+    """Limits starts in progress, and refuses jobs that would wait for long."""
+
+    def __init__(self, cores: float, lag: LoopLag) -> None:
+        """Start with a small window and all jobs accepted.
+
+        :param cores: processor capacity of the owner's VM, in reference cores.
+        """
+        self._lag = lag
+        self._window = StartWindow(cores, lag)
+        self._admission = AdmissionControl()
+
+    @property
+    def retry_after(self) -> RetryAfter:
+        """Classes of jobs that are refused at present."""
+        return self._admission.retry_after
+
+    def decide(self, engine: Engine, now_ms: int, wall_ms: int) -> None:
+        """Make a decision within the limit of starts in progress.
+
+        :param now_ms: current monotonic time, in ms.
+        :param wall_ms: current Unix time, in ms.
+        """
+        in_progress = engine.state.count_starts_in_progress()
+        decision = engine.decide(
+            now_ms,
+            wall_ms,
+            self._window.room(in_progress, now_ms),
+            timely=self._lag.acceptable,
+        )
+        self._admission.update(decision, self._window.exhausted, now_ms)
--- /dev/null
+++ b/waxwingford/shard/_start_window.py
@@ -0,0 +1,67 @@
+"""Limits the starts in progress to what the owner's processor handles in time."""
+
+from waxwingford.shard._loop_lag import LoopLag
+
+#: Smallest window, so that tasks go on to start on any VM.
+MIN_STARTS = 2
+INITIAL_STARTS = 16
+#: Largest window for each reference core of the owner's VM.
+STARTS_PER_CORE = 200
+#: Lag of the event loop below which the window grows, and above which it shrinks,
+#: in seconds.
+LOW_LAG_S = 0.07
+HIGH_LAG_S = 0.13
+GROWTH_FACTOR = 1.3
+SHRINK_FACTOR = 0.75
+#: Share of the window that must be in use for it to grow: until then nothing is
+#: known about more starts at a time.
+USED_SHARE = 0.5
+#: Time between two changes of the window, in ms: the lag follows with a delay.
+CHANGE_INTERVAL_MS = 200
+
+
+class StartWindow:
+    """Number of starts that may be in progress at a time.
+
+    A start is in progress from its placement until its server has answered. Without
+    a limit, starts queue up behind each other in an overloaded event loop for longer
+    than their timeout; they are then doubted, stopped and repeated, which is more
+    work than the starts themselves.
+
+    :ivar exhausted: whether the smallest window is too large for the owner.
+    """
+
+    def __init__(self, cores: float, lag: LoopLag) -> None:
+        """Start with a small window.
+
+        :param cores: processor capacity of the owner's VM, in reference cores.
+        """
+        self._max_starts = max(MIN_STARTS, cores * STARTS_PER_CORE)
+        self._starts = min(self._max_starts, INITIAL_STARTS)
+        self._lag = lag
+        self._changed_ms = 0
+
+    @property
+    def exhausted(self) -> bool:
+        """Whether the owner is overloaded although it starts next to nothing."""
+        return self._starts <= MIN_STARTS and not self._lag.acceptable
+
+    def room(self, in_progress: int, now_ms: int) -> int:
+        """Adapt the window and compute how many starts may be added.
+
+        :param in_progress: starts in progress.
+        :param now_ms: current monotonic time, in ms.
+        """
+        if now_ms - self._changed_ms >= CHANGE_INTERVAL_MS:
+            self._changed_ms = now_ms
+            self._adapt(in_progress)
+        return max(0, int(self._starts) - in_progress)
+
+    def _adapt(self, in_progress: int) -> None:
+        lag_s = self._lag.mean_s
+        if lag_s > HIGH_LAG_S:
+            # A part of the window that wasn't used didn't cause the lag.
+            used = min(self._starts, in_progress)
+            self._starts = max(MIN_STARTS, used * SHRINK_FACTOR)
+        elif lag_s < LOW_LAG_S and in_progress >= self._starts * USED_SHARE:
+            self._starts = min(self._max_starts, self._starts * GROWTH_FACTOR)
--- a/waxwingford/shard/tests/overload.feature
+++ b/waxwingford/shard/tests/overload.feature
@@ -17,6 +17,30 @@
       | 10      | 1       |
       | 10      | 0.5     |
 
+  Scenario Outline: more jobs are submitted than the owner can start
+    # Guards against jobs that are accepted and not run, and against callers that
+    # are held until their deadline instead of being refused at once.
+    Given a shard with 4 daemons and 48 servers
+    And a long-running task runs on each server
+    And each call to a server takes <work_ms> ms of the daemon's processor
+    When urgent jobs of 24 tasks are submitted for 20 s, one every <every_s> s
+    Then the owner has never changed
+    And no run has lost its lease
+    And some submissions were refused, each within 250 ms and with a time to come back
+    And every accepted job is completed 15 s later
+
+    Examples:
+      | work_ms | every_s |
+      | 10      | 0.5     |
+      | 12      | 0.5     |
+      | 12      | 0.25    |
+
+  Scenario: callers ask for the number of waiting jobs
+    # Guards against a call to the owner for each of these questions.
+    Given a shard with 4 daemons and 4 servers
+    When a daemon that stands by is asked 20 times for the number of waiting jobs
+    Then it has called the owner for none of them
+
   Scenario Outline: the owner is killed and few of the standbys are on strong VMs
     # Guards against a successor on a weak VM while a standby on a strong VM is left.
     Given a shard with a strong owner, 1 more strong daemon and <weak> weak ones
--- a/waxwingford/shard/tests/overload_steps.py
+++ b/waxwingford/shard/tests/overload_steps.py
@@ -3,13 +3,15 @@
 import asyncio
 import itertools
 import json
+import re
 
 from behave import given, then, when
 
 from waxwingford.scheduling import EndKind
-from waxwingford.shard import Stored
+from waxwingford.shard import ShardFrontend, Stored
 from waxwingford.shard.tests.virtual_shard import (
     MS_PER_S,
+    VirtualOwnerLink,
     VirtualShard,
     step,
 )
@@ -82,6 +84,76 @@
     assert len(seconds) == len(set(seconds)), seconds
 
 
+@then(
+    'some submissions were refused, each within {most_ms:d} ms and with a time'
+    ' to come back'
+)
+def check_refusals(context, most_ms):
+    lines = [json.loads(line) for line in context.shard.lines]
+    answers = [line for line in lines if line['event'] == 'request.submit']
+    refusals = [
+        line for line in answers if line['outcome'].startswith('NotStored')
+    ]
+    assert refusals, len(answers)
+    for line in refusals:
+        seconds = re.search(r'retry_after_s=(\d+)', line['outcome'])
+        assert int(seconds.group(1)) >= 1, line
+        assert line['took_ms'] <= most_ms, line
+    others = {line['outcome'] for line in answers if line not in refusals}
+    assert others == {'Stored()'}, others
+
+
+@then('every accepted job is completed {span_s:d} s later')
+def check_completed(context, span_s):
+    shard = context.shard
+    shard.run(span_s)
+    lines = [json.loads(line) for line in shard.lines]
+    accepted = {
+        line['subject']
+        for line in lines
+        if line['event'] == 'request.submit' and line['outcome'] == 'Stored()'
+    }
+    completed = {
+        line['subject']
+        for line in lines
+        if line['event'] == 'job.ended' and line['phase'] == 'completed'
+    }
+    # The long-running job never ends.
+    assert len(accepted - completed) == 1, len(accepted - completed)
+
+
+@when(
+    'a daemon that stands by is asked {times:d} times for the number of waiting'
+    ' jobs'
+)
+def ask_pending(context, times):
+    shard = context.shard
+    shard.run(2)
+    standby = next(one for one in shard.daemons if not one.owns)
+    link = VirtualOwnerLink(shard)
+    context.calls = []
+
+    async def _pending(endpoint, queue):
+        context.calls.append(queue)
+
+    link.pending = _pending
+    standby.frontend = ShardFrontend(
+        standby.log, standby.member, link, standby.observer
+    )
+
+    async def _ask():
+        for _ in range(times):
+            assert await standby.frontend.pending('queue') == 0
+            await asyncio.sleep(0.1)
+
+    shard.run_until(_ask())
+
+
+@then('it has called the owner for none of them')
+def check_no_calls(context):
+    assert not context.calls, len(context.calls)
+
+
 @given(
     'a shard with a strong owner, {strong:d} more strong daemon and'
     ' {weak:d} weak ones'
