Let the window of starts grow to 600 for each core

Cause: at 200 the window of a VM of 0.069 cores held 13 starts at most, and the owner used 0.05 of its 0.069 cores while it refused jobs.

--- a/waxwingford/shard/_start_window.py
+++ b/waxwingford/shard/_start_window.py
@@ -6,7 +6,7 @@
 MIN_STARTS = 2
 INITIAL_STARTS = 16
 #: Largest window for each reference core of the owner's VM.
-STARTS_PER_CORE = 200
+STARTS_PER_CORE = 600
 #: Lag of the event loop below which the window grows, and above which it shrinks,
 #: in seconds.
 LOW_LAG_S = 0.07
