Count a start without an answer as weak evidence against its task

Its first start was never answered, its server crashed with a fifth of the fleet; the second server crashed 137 ms after the second start. Each counted as a full crash, and the job was given up.

Cause: evidence didn't ask whether the run is known to have begun. A start that times out on a connection that stays open was probably sent to a server that had crashed already.

Change: such a run counts half as much, so the job of the case survives, and its task starts alone next. A broken connection or an accepted start count as before; four such losses end the job, within the limit of starts after the third crash.

Test that failed before: 'a start without an answer is weak evidence' (job failed). The other two new scenarios hold with and without it, and guard the reverse.

--- a/waxwingford/scheduling/_crashes.py
+++ b/waxwingford/scheduling/_crashes.py
@@ -16,9 +16,9 @@
 OUTLIVED_MS = 300
 #: Evidence added when a server is lost right after it started the task; less if
 #: many servers are silent, as in a partition or if the owner couldn't extend
-#: their leases.
+#: their leases, and if the server gave no sign that it had begun the run.
 CRASH_EVIDENCE = 2
-SILENCE_EVIDENCE = 1
+WEAK_EVIDENCE = 1
 #: Share of silent servers above which the smaller evidence is added.
 MAX_SILENT_SHARE = 0.125
 #: Evidence at which a task becomes a suspect and starts alone.
@@ -62,13 +62,13 @@
     server_failed = (
         server.replaced or not server.registered or _few_are_silent(state)
     )
-    evidence = CRASH_EVIDENCE if server_failed else SILENCE_EVIDENCE
     for run in suspects:
         found = state.find(run.key)
         if found is None:
             continue
         task, step = found
-        task.crash_evidence += evidence
+        strong = server_failed and _may_have_begun(run)
+        task.crash_evidence += CRASH_EVIDENCE if strong else WEAK_EVIDENCE
         state.mark(step)
         state.notes.add(
             'task.suspected',
@@ -110,6 +110,15 @@
                 state.mark(step)
 
 
+def _may_have_begun(run: Run) -> bool:
+    """Whether a run may have begun before its server was lost.
+
+    A start that times out on an open connection was probably sent to a server
+    that had crashed already.
+    """
+    return run.started_server_clock_ms is not None or not run.unconfirmed
+
+
 def _possible_causes(state: ShardState, suspects: list[Run]) -> set[TaskKey]:
     found_by_key = {run.key: state.find(run.key) for run in suspects}
     return {
--- a/waxwingford/scheduling/_settle.py
+++ b/waxwingford/scheduling/_settle.py
@@ -106,6 +106,7 @@
                 self._settle(server, run, None, '', now_ms)
             case OrderOutcomeUnknown(reason):
                 _note_connection_lost(server, outcome, now_ms)
+                run.unconfirmed = not outcome.connection_lost
                 server.enter(run, RunPhase.unresolved, now_ms)
                 note_run(self._state.notes, 'run.doubtful', run, reason)
 
--- a/waxwingford/scheduling/_state.py
+++ b/waxwingford/scheduling/_state.py
@@ -61,6 +61,8 @@
     :ivar adopted: whether a previous owner started the run.
     :ivar started_server_clock_ms: server clock when the server accepted the
         start order or first listed the run; ``None`` before.
+    :ivar unconfirmed: whether the start timed out on an open connection, so that
+        the server may not have begun the run.
     :ivar outlived: whether the server is known to have stayed up for
         ``OUTLIVED_MS`` after the start.
     """
@@ -82,6 +84,7 @@
     stop_acknowledged_ms: int = 0
     adopted: bool = False
     started_server_clock_ms: int | None = None
+    unconfirmed: bool = False
     outlived: bool = False
 
     def enter(self, phase: RunPhase, now_ms: int) -> None:
--- a/waxwingford/scheduling/tests/crash_steps.py
+++ b/waxwingford/scheduling/tests/crash_steps.py
@@ -94,6 +94,18 @@
         harness.crash(runs_of_job(harness)[-1].server_id)
 
 
+@when(
+    'the server of the task crashes {times:d} times,'
+    ' each time before it answers'
+)
+def crashes_before_answer(context, times):
+    harness = context.harness
+    for _ in range(times):
+        run = runs_of_job(harness)[-1]
+        answer_start(harness, run, OrderOutcomeUnknown('time-out'))
+        harness.crash(run.server_id, accept=False)
+
+
 @when('the server of the task is silent until its lease expires {times:d} time')
 @when(
     'the server of the task is silent until its lease expires {times:d} times'
--- a/waxwingford/scheduling/tests/crashes.feature
+++ b/waxwingford/scheduling/tests/crashes.feature
@@ -92,6 +92,32 @@
     When a job of 1 task is submitted whose start another incarnation refuses, 3 times
     Then the job is reported as running
 
+  Scenario: a start without an answer is weak evidence
+    # Guards against failing the job of a task that may not have begun on a server
+    # that crashed together with others.
+    Given an engine with 4 servers of 8 cores
+    When a job of 1 task is submitted whose start has no answer
+    And the server of the task crashes 1 time, each time at once
+    And the server of the task crashes 1 time, each time at once
+    Then the job is reported as running
+
+  Scenario: a start without an answer that broke its connection is a crash
+    # Guards against a task that crashes its servers before they answer, and is
+    # started again and again.
+    Given an engine with 4 servers of 8 cores
+    When a job of 1 task is submitted whose start breaks the connection
+    And the server of the task crashes 1 time, each time at once
+    And the server of the task crashes 1 time, each time at once
+    Then the job is reported as failed
+
+  Scenario: starts without an answer on servers that crash
+    # Guards against a task that silently crashes its servers, and is started again
+    # and again.
+    Given an engine with 8 servers of 8 cores
+    When a job of 1 task is submitted whose start has no answer
+    And the server of the task crashes 4 times, each time before it answers
+    Then the job is reported as failed
+
   Scenario: suspects that started together are restarted apart
     # Guards against failing the job of a task that always restarts beside the real cause.
     Given an engine with 4 servers of 8 cores
--- a/waxwingford/scheduling/tests/fault_steps.py
+++ b/waxwingford/scheduling/tests/fault_steps.py
@@ -54,6 +54,13 @@
     submit_unanswered(context, OrderNotSent('no connection'))
 
 
+@when('a job of 1 task is submitted whose start breaks the connection')
+def submit_broken(context):
+    submit_unanswered(
+        context, OrderOutcomeUnknown('connection reset', connection_lost=True)
+    )
+
+
 @when('a job of 1 task is submitted whose start has no answer')
 def submit_unknown(context):
     submit_unanswered(context, OrderOutcomeUnknown('time-out'))
