Refuse jobs only while the event loop is late

A backlog also forms while the store is slow, as starts wait for their records. By reading: a window that begins with 16 starts then lets through a few starts a second, and the owner would refuse jobs though it is idle. Jobs are refused from the moment on at which the lag keeps the window from growing, until the backlog is short again; the window has no upper limit of its own any more. The log of overload moves to the control of starts.

--- a/waxwingford/shard/_admission_control.py
+++ b/waxwingford/shard/_admission_control.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from waxwingford.scheduling import Backlog, Decision, JobSpec
+from waxwingford.shard._start_window import StartWindow
 
 #: Longest wait of a new task that is accepted, in seconds.
 MAX_URGENT_WAIT_S = 1.0
@@ -59,21 +60,24 @@
         self._measured_ms = 0
         self._limited = False
 
-    def update(self, decision: Decision, exhausted: bool, now_ms: int) -> None:
+    def update(
+        self, decision: Decision, window: StartWindow, now_ms: int
+    ) -> None:
         """Apply the outcome of a decision.
 
         :param decision: latest decision, its backlog left by the limit of
             starts in progress.
-        :param exhausted: whether the owner is overloaded though it starts nothing.
+        :param window: limit of the starts in progress.
         :param now_ms: current monotonic time, in ms.
         """
-        if exhausted:
+        if window.exhausted:
             self.retry_after = RetryAfter(
                 EXHAUSTED_RETRY_AFTER_S, EXHAUSTED_RETRY_AFTER_S
             )
         elif any(decision.backlog):
             self._measure_rate(decision.placed, now_ms)
-            if self._rate_per_s:
+            refuses = any(self.retry_after)
+            if self._rate_per_s and (refuses or window.limited_by_lag):
                 self.retry_after = self._predict(decision.backlog)
         else:
             self.retry_after = RetryAfter()
--- a/waxwingford/shard/_owner.py
+++ b/waxwingford/shard/_owner.py
@@ -30,7 +30,7 @@
 )
 from waxwingford.shard._lease_bounds import LeaseLedger, Predecessor
 from waxwingford.shard._log_port import SharedLog
-from waxwingford.shard._loop_lag import LoopLag, OverloadLog
+from waxwingford.shard._loop_lag import LoopLag
 from waxwingford.shard._mirror import CaughtUp, Mirror
 from waxwingford.shard._observer import Observer
 from waxwingford.shard._peers import (
@@ -117,8 +117,9 @@
         self._decision_due = asyncio.Event()
         self._heartbeats: Heartbeats | None = None
         self._loop_lag = LoopLag()
-        self.start_control = StartControl(settings.cores, self._loop_lag)
-        self._overload_log = OverloadLog(ports.observer, settings.cores)
+        self.start_control = StartControl(
+            settings.cores, self._loop_lag, ports.observer
+        )
 
     async def claim(
         self, predecessor: Predecessor, highest_epoch: int
@@ -374,9 +375,6 @@
                     min(self._loop_lag.mean_s, MAX_DECISION_INTERVAL_S),
                 )
             )
-            self._overload_log.log_overload(
-                self.epoch, self._loop_lag, self.start_control.retry_after
-            )
             self._decision_due.clear()
             self.start_control.decide(
                 self._engine, monotonic_ms(), _clock.wall_ms()
--- a/waxwingford/shard/_start_control.py
+++ b/waxwingford/shard/_start_control.py
@@ -3,19 +3,22 @@
 from waxwingford.scheduling import Engine
 from waxwingford.shard._admission_control import AdmissionControl, RetryAfter
 from waxwingford.shard._loop_lag import LoopLag
+from waxwingford.shard._observer import Observer
+from waxwingford.shard._overload_log import OverloadLog
 from waxwingford.shard._start_window import StartWindow
 
 
 class StartControl:
     """Limits starts in progress, and refuses jobs that would wait for long."""
 
-    def __init__(self, cores: float, lag: LoopLag) -> None:
-        """Start with a small window and all jobs accepted.
+    def __init__(self, cores: float, lag: LoopLag, observer: Observer) -> None:
+        """Start with the initial window and all jobs accepted.
 
         :param cores: processor capacity of the owner's VM, in reference cores.
         """
         self._lag = lag
-        self._window = StartWindow(cores, lag)
+        self._overload_log = OverloadLog(observer, cores)
+        self._window = StartWindow(lag)
         self._admission = AdmissionControl()
 
     @property
@@ -36,4 +39,7 @@
             self._window.room(in_progress, now_ms),
             timely=self._lag.acceptable,
         )
-        self._admission.update(decision, self._window.exhausted, now_ms)
+        self._admission.update(decision, self._window, now_ms)
+        self._overload_log.log_overload(
+            engine.orders.token, self._lag, self.retry_after
+        )
--- a/waxwingford/shard/_start_window.py
+++ b/waxwingford/shard/_start_window.py
@@ -5,8 +5,6 @@
 #: Smallest window, so that tasks go on to start on any VM.
 MIN_STARTS = 2
 INITIAL_STARTS = 16
-#: Largest window for each reference core of the owner's VM.
-STARTS_PER_CORE = 600
 #: Lag of the event loop below which the window grows, and above which it shrinks,
 #: in seconds.
 LOW_LAG_S = 0.07
@@ -31,16 +29,20 @@
     :ivar exhausted: whether the smallest window is too large for the owner.
     """
 
-    def __init__(self, cores: float, lag: LoopLag) -> None:
-        """Start with a small window.
-
-        :param cores: processor capacity of the owner's VM, in reference cores.
-        """
-        self._max_starts = max(MIN_STARTS, cores * STARTS_PER_CORE)
-        self._starts = min(self._max_starts, INITIAL_STARTS)
+    def __init__(self, lag: LoopLag) -> None:
+        """Start with the initial window."""
+        self._starts: float = INITIAL_STARTS
         self._lag = lag
         self._changed_ms = 0
 
+    @property
+    def limited_by_lag(self) -> bool:
+        """Whether the lag of the event loop keeps the window from growing.
+
+        Otherwise starts wait for something else, for example for a slow store.
+        """
+        return self._lag.mean_s >= LOW_LAG_S
+
     @property
     def exhausted(self) -> bool:
         """Whether the owner is overloaded although it starts next to nothing."""
@@ -64,4 +66,4 @@
             used = min(self._starts, in_progress)
             self._starts = max(MIN_STARTS, used * SHRINK_FACTOR)
         elif lag_s < LOW_LAG_S and in_progress >= self._starts * USED_SHARE:
-            self._starts = min(self._max_starts, self._starts * GROWTH_FACTOR)
+            self._starts *= GROWTH_FACTOR
--- a/waxwingford/shard/tests/overload_steps.py
+++ b/waxwingford/shard/tests/overload_steps.py
@@ -7,10 +7,12 @@
 
 from behave import given, then, when
 
+from waxwingford.metrics import Metrics
 from waxwingford.scheduling import EndKind
 from waxwingford.shard import NotStored, ShardFrontend, Stored
 from waxwingford.shard._admission_control import RetryAfter
 from waxwingford.shard._loop_lag import LoopLag
+from waxwingford.shard._observer import Observer
 from waxwingford.shard._start_control import StartControl
 from waxwingford.shard.tests.virtual_shard import (
     MS_PER_S,
@@ -152,7 +154,7 @@
     retry_after = RetryAfter(3, 3)
 
     def __init__(self):
-        super().__init__(1, LoopLag())
+        super().__init__(1, LoopLag(), Observer(Metrics()))
 
 
 def standbys(context):
