Limit the size of chunked responses

What callers saw: nothing yet; a backend server that sends chunks without end fills the memory of the daemon, which then restarts and drops its requests.

Cause: the limit of 8 MiB was compared with Content-Length only. Change: parts are counted as they come, and the connection is closed at the limit. Test that failed before: 'A chunked response exceeds the size limit': the server could send all of its 64 MiB.

--- a/waxwingford/adapters/_sessions.py
+++ b/waxwingford/adapters/_sessions.py
@@ -181,12 +181,17 @@
         )
     if length is not None and length > _MAX_RESPONSE_BYTES:
         return NoResponse('response exceeds the size limit', truncated=True)
-    body = await response.read()
+    body = bytearray()
+    async for part in response.content.iter_any():
+        body += part
+        if len(body) > _MAX_RESPONSE_BYTES:
+            response.close()
+            return NoResponse('response exceeds the size limit', truncated=True)
     if length is not None and len(body) != length:
         return NoResponse(
             'response is shorter than its Content-Length', truncated=True
         )
-    return CompleteResponse(response.status, response.headers, body)
+    return CompleteResponse(response.status, response.headers, bytes(body))
 
 
 def _classify_error(
--- a/waxwingford/adapters/tests/outcomes.feature
+++ b/waxwingford/adapters/tests/outcomes.feature
@@ -20,6 +20,13 @@
       | responds to another request                | ServiceOutcomeUnknown |
       | states that it did not run another request | ServiceOutcomeUnknown |
 
+  # Guards against a response without a length that fills the memory of the daemon.
+  Scenario: A chunked response exceeds the size limit
+    Given a server that sends chunks of 1 MiB without end
+    When a service request is sent with a deadline of 5000 ms
+    Then its outcome is "ServiceOutcomeUnknown"
+    And the server could send at most 16 MiB
+
   # Guards against passing on the response to another request, or part of one.
   Scenario Outline: Discarded responses are counted
     Given a server that <server>
--- a/waxwingford/adapters/tests/outcomes_steps.py
+++ b/waxwingford/adapters/tests/outcomes_steps.py
@@ -151,6 +151,39 @@
     start_scripted_server(context, f'{head}{BODY}'.encode())
 
 
+class EndlessServer(ScriptedServer):
+    """Sends chunks until the connection is closed."""
+
+    chunk = b'100000\r\n%b\r\n' % bytes(1 << 20)
+
+    def __init__(self):
+        super().__init__()
+        self.sent_chunks = 0
+
+    async def _serve(self, reader, writer):
+        self._writers.append(writer)
+        await self._read_request(reader)
+        head = f'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n{MATCHING_ID}'
+        writer.write(f'{head}\r\n'.encode())
+        with contextlib.suppress(ConnectionError):
+            while self.sent_chunks < 64:
+                writer.write(self.chunk)
+                await writer.drain()
+                self.sent_chunks += 1
+
+
+@given('a server that sends chunks of 1 MiB without end')
+def sends_chunks(context):
+    context.scripted = EndlessServer()
+    use_fixture(adapters_on_loop, context)
+    context.port = context.loop_runner.run(context.scripted.start())
+
+
+@then('the server could send at most {most:d} MiB')
+def check_sent(context, most):
+    assert context.scripted.sent_chunks <= most, context.scripted.sent_chunks
+
+
 @given('a server that responds to another request')
 def responds_to_another(context):
     start_scripted_server(context, http_response(headers=OTHER_ID))
