--- a/waxwingford/records/_snapshot.py
+++ b/waxwingford/records/_snapshot.py
@@ -6,6 +6,7 @@
 
 import zlib
 
+import logbook
 import msgspec
 import xxhash
 
@@ -91,6 +92,7 @@
     payload: bytes
 
 
+_log = logbook.Logger('records')
 _encoder = msgspec.msgpack.Encoder()
 _body_decoder = msgspec.msgpack.Decoder(_SnapshotBody)
 _chunk_decoder = msgspec.msgpack.Decoder(SnapshotChunk)
@@ -179,7 +181,8 @@
 
     :param compressed: concatenated payloads of all chunks.
     :returns: the state, with all its pending tasks marked as newly pending.
-    :raises msgspec.DecodeError: if the data is not a snapshot.
+    :raises ValueError: if the data is not a snapshot, or has values that this
+        version doesn't know.
     :raises zlib.error: if the data cannot be decompressed.
     """
     decompressed = zlib.decompressobj().decompress(
@@ -278,7 +281,12 @@
             return
         try:
             state = restore(compressed)
-        except (msgspec.DecodeError, zlib.error, IndexError):
+        except (zlib.error, IndexError, ValueError) as error:
+            # A later version may write stages that this one doesn't know.
+            _log.warning(
+                'snapshot not read',
+                extra={'covers': chunk.covers_offset, 'reason': str(error)},
+            )
             return
         if state.next_offset == chunk.covers_offset:
             self.newest = state
--- a/waxwingford/records/tests/fold.feature
+++ b/waxwingford/records/tests/fold.feature
@@ -118,3 +118,9 @@
   Scenario: A snapshot cannot cover more than the state it contains
     Given a state with tasks in every stage
     Then a snapshot that covers one more offset is rejected
+
+  # Guards against a rolling restart of two versions that stops the reader of the
+  # older one.
+  Scenario: A snapshot of a later version is ignored
+    Given a snapshot, and a newer one with a task stage of a later version
+    Then the assembler returns the older snapshot
--- a/waxwingford/records/tests/fold_steps.py
+++ b/waxwingford/records/tests/fold_steps.py
@@ -56,6 +56,7 @@
     return (AttemptKey(task_id, int(attempt)),)
 
 
+UNKNOWN_STAGE = 99
 RECORD_BUILDERS = {
     'accept': lambda job_id, count: JobAccepted(job_spec(job_id, int(count))),
     'accept-lost-after': lambda job_id, count: JobAccepted(
@@ -231,6 +232,21 @@
     context.assembler.add(b'no chunk')
 
 
+@given('a snapshot, and a newer one with a task stage of a later version')
+def add_later_version(context):
+    context.domain_state = DomainState()
+    state = context.domain_state
+    context.assembler = SnapshotAssembler()
+    apply_records(context, 'a', parse_record('accept qadri.first 1'))
+    context.offsets = [state.next_offset]
+    chunks = encode_snapshot(state, state.next_offset)
+    state.jobs_by_id['qadri.first'].tasks[0].stage = UNKNOWN_STAGE
+    apply_records(context, 'a', parse_record('accept qadri.later 1'))
+    chunks += encode_snapshot(state, state.next_offset)
+    for chunk in chunks:
+        context.assembler.add(chunk)
+
+
 @when('the missing chunk is added with a corrupt payload')
 def add_corrupt_chunk(context):
     fields = msgspec.msgpack.decode(context.missing)
