Count a key state of a later version as unreachable

What callers saw: nothing yet; in a rolling restart of two versions a request with an idempotency key would get 500, as its lookup at the peers ended with ValueError.

Cause: the reply was decoded outside the try block of the call. Change: a state that can't be read proves nothing, as when the peer isn't reached; a log line names it. Test that failed before: 'Recall gets a state that this version doesn't know' (ValueError: 'half seen' is not a valid KeyLookupState).

--- a/waxwingford/peers/_clients.py
+++ b/waxwingford/peers/_clients.py
@@ -4,6 +4,7 @@
 import ssl
 from collections.abc import Iterable
 
+import logbook
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
@@ -33,6 +34,7 @@
 FETCH_TIMEOUT_MS = 2000
 #: Delay before a caller retries after a failed call, in milliseconds.
 _RETRY_AFTER_MS = 1000
+_log = logbook.Logger('peers')
 _CALL_ERRORS = (
     GRPCError,
     StreamTerminatedError,
@@ -126,7 +128,8 @@
         """Query the state of an idempotency key at the peer.
 
         :param message: member, key, digest of the request body and asker.
-        :returns: state of the key, ``unreachable`` if the call failed.
+        :returns: state of the key, ``unreachable`` if the call failed or its
+            reply can't be read.
         """
         try:
             reply = await self._stub.Recall(
@@ -134,7 +137,20 @@
             )
         except _CALL_ERRORS:
             return KeyLookupAnswer(KeyLookupState.unreachable, 0)
-        return _convert.recall_from_wire(reply)
+        try:
+            return _convert.recall_from_wire(reply)
+        except ValueError as error:
+            # A later version may know more states; none proves that the request
+            # has not run.
+            _log.warning(
+                'key state not read',
+                extra={
+                    'peer': self.address.daemon_id,
+                    'state': reply.state,
+                    'reason': str(error),
+                },
+            )
+            return KeyLookupAnswer(KeyLookupState.unreachable, 0)
 
     async def fetch_bundle(self, after_version: int) -> PeerBundleAnswer:
         """Fetch the bundle in force at the peer.
--- a/waxwingford/peers/tests/peers.feature
+++ b/waxwingford/peers/tests/peers.feature
@@ -37,3 +37,10 @@
     And another peer that is not running
     When the key "k1" is recalled from both peers
     Then the recalled states are "never_seen, unreachable"
+
+  # Guards against a peer of a later version that stops the lookup of a key, and so
+  # the request that waits for it.
+  Scenario: Recall gets a state that this version doesn't know
+    Given a peer daemon that knows keys in a later state
+    When the key "k1" is recalled from both peers
+    Then the recalled states are "unreachable"
--- a/waxwingford/peers/tests/peers_steps.py
+++ b/waxwingford/peers/tests/peers_steps.py
@@ -59,6 +59,20 @@
         await stream.send_message(wire.ForwardReply(request_id='other'))
 
 
+class LaterVersionService(PeerService):
+    """Replies with a key state of a later version."""
+
+    async def Recall(self, stream):
+        await stream.recv_message()
+        await stream.send_message(wire.RecallReply(state='half seen'))
+
+
+SERVICE_BY_BEHAVIOUR = {
+    'replies with another request id': MismatchedReplyService,
+    'knows keys in a later state': LaterVersionService,
+}
+
+
 def make_heartbeat(name, *, draining=False):
     return PeerHeartbeat(name, 'i1', 'd1', 1, {}, {}, draining)
 
@@ -103,9 +117,7 @@
     if behaviour == 'is not running':
         return
     holder = []
-    service_class = PeerService
-    if behaviour == 'replies with another request id':
-        service_class = MismatchedReplyService
+    service_class = SERVICE_BY_BEHAVIOUR.get(behaviour, PeerService)
     service = service_class(
         FakeRequestHandler(behaviour, holder),
         lambda own: own,
@@ -164,6 +176,19 @@
     assert found == states.split(', '), found
 
 
+@when('a heartbeat is sent to the peer "{name}"')
+def send_heartbeat(context, name):
+    context.answer = call_peers(
+        context,
+        lambda links: links.beat(name, make_heartbeat('a'), CALL_TIMEOUT_MS),
+    )
+
+
+@then('no heartbeat is received')
+def check_no_heartbeat(context):
+    assert context.answer is None, context.answer
+
+
 @given('{domains:d} failure domains with {daemons:d} daemons each')
 def create_domains(context, domains, daemons):
     context.fleet = [
