Send no heartbeat to a peer that is not configured

What callers saw: nothing yet. Cause: PeerClients.beat looked the peer up without a check; its one caller takes targets from the same settings, so the KeyError needs a list of targets that differs from the list of clients. Change: a log line and no heartbeat, as for a peer that can't be reached. Test that failed before: 'A heartbeat is sent to a peer that is not configured' (KeyError: 'z').

--- a/waxwingford/peers/_clients.py
+++ b/waxwingford/peers/_clients.py
@@ -281,11 +281,14 @@
         :param own: heartbeat of this daemon.
         :param timeout_ms: call timeout, in milliseconds.
         :returns: heartbeat of the peer and the round trip in milliseconds, or
-            None if the call failed.
-        :raises KeyError: if the peer is not configured.
+            None if the call failed or the peer is not configured.
         """
+        client = self.client_by_id.get(peer_id)
+        if client is None:
+            _log.warning('peer not configured', extra={'peer': peer_id})
+            return None
         sent_ms = self._clock.monotonic_ms()
-        reply = await self.client_by_id[peer_id].exchange(own, timeout_ms)
+        reply = await client.exchange(own, timeout_ms)
         if reply is None:
             return None
         return reply, float(self._clock.monotonic_ms() - sent_ms)
--- a/waxwingford/peers/tests/peers.feature
+++ b/waxwingford/peers/tests/peers.feature
@@ -44,3 +44,9 @@
     Given a peer daemon that knows keys in a later state
     When the key "k1" is recalled from both peers
     Then the recalled states are "unreachable"
+
+  # Guards against a daemon whose heartbeats stop when its list of peers changes.
+  Scenario: A heartbeat is sent to a peer that is not configured
+    Given a peer daemon that answers
+    When a heartbeat is sent to the peer "z"
+    Then no heartbeat is received
