Match ids whole when a history is selected, and read lines without a process

What operators saw: `waxwingford explain` of job a showed the events of job ab, a filter for task:a those of task:ab, and lines of the daemon of the request path were skipped.

Cause: ids were compared by their beginning, or looked for within a text; lines without `sequence` were taken for no log lines. That daemon writes an incarnation and names the subject by its type; its lines are numbered in their order now.

Tests that failed before: 'Jobs whose ids begin alike are told apart', 'Log lines of the daemon of the request path', 'A filter takes no subject that only begins alike'.

--- a/waxwingford/commands/explain.py
+++ b/waxwingford/commands/explain.py
@@ -11,6 +11,7 @@
     print_error,
 )
 from waxwingford.timeline import (
+    concerns,
     merge_events,
     parse_log_events,
     render_text,
@@ -39,7 +40,7 @@
         print_error(f'{error.filename}: {error.strerror}, expected a log file')
         return ExitCode.usage
     merged = select_job_events(merge_events(parse_log_events(lines)), args.id)
-    if not any(event.subject.startswith(args.id) for event in merged):
+    if not any(concerns(event, args.id) for event in merged):
         print_error(f'{args.id}: not found in the log files')
         return ExitCode.findings
     print_answer(args, merged, render_text(merged))
--- a/waxwingford/timeline/__init__.py
+++ b/waxwingford/timeline/__init__.py
@@ -1,7 +1,11 @@
 """Timeline of events of all processes: recording, merging and rendering."""
 
 from waxwingford.timeline._events import Event, EventId, Timeline
-from waxwingford.timeline._from_logs import parse_log_events, select_job_events
+from waxwingford.timeline._from_logs import (
+    concerns,
+    parse_log_events,
+    select_job_events,
+)
 from waxwingford.timeline._merge import (
     PlacedEvent,
     filter_events,
@@ -19,6 +23,7 @@
     'Timeline',
     'select_job_events',
     'parse_log_events',
+    'concerns',
     'filter_events',
     'lease_bars',
     'merge_events',
--- a/waxwingford/timeline/_from_logs.py
+++ b/waxwingford/timeline/_from_logs.py
@@ -1,5 +1,6 @@
 """Conversion of log lines of scheduler daemons into timeline events."""
 
+import collections
 import datetime
 from collections.abc import Iterable, Iterator
 from typing import Any
@@ -31,6 +32,10 @@
     'started',
     'stopping',
 )
+#: Fields in which the daemon of the request path names a subject, by its type.
+_SUBJECT_TYPES = ('job', 'task', 'request', 'server')
+#: Characters that follow a job id in the ids of its tasks.
+_TASK_SEPARATORS = './'
 _MS_IN_S = 1000
 _decoder = msgspec.json.Decoder(dict[str, Any])
 
@@ -47,6 +52,7 @@
     """
     cause_by_key: dict[tuple[str, str, int], dict[str, Any]] = {}
     entries = [fields for line in lines if (fields := _parse_fields(line))]
+    _number(entries)
     for fields in entries:
         key = _effect_key(fields)
         if key is not None:
@@ -59,6 +65,15 @@
             yield _make_event(fields, _event_id(cause))
 
 
+def _number(entries: list[dict[str, Any]]) -> None:
+    """Number the lines that have no number, by process."""
+    count_by_process: collections.Counter[str] = collections.Counter()
+    for fields in entries:
+        if not fields['sequence']:
+            count_by_process[fields['process']] += 1
+            fields['sequence'] = count_by_process[fields['process']]
+
+
 def _is_cause_in_progress(
     fields: dict[str, Any], cause: dict[str, Any]
 ) -> bool:
@@ -86,22 +101,31 @@
         daemons; in the same order.
     """
     all_events = list(events)
+    concerned = [event for event in all_events if concerns(event, job_id)]
     server_ids = {
         word.removeprefix('server=')
-        for event in all_events
-        if event.subject.startswith(job_id)
+        for event in concerned
         for word in event.detail.split()
         if word.startswith('server=')
     }
     return [
         event
         for event in all_events
-        if event.subject.startswith(job_id)
+        if concerns(event, job_id)
         or event.subject in server_ids
         or event.kind.startswith(_GLOBAL_EVENT_PREFIXES)
     ]
 
 
+def concerns(event: Event, job_id: str) -> bool:
+    """Tell whether an event is one of a job or of its tasks.
+
+    :param job_id: id of a job, or of one of its tasks.
+    """
+    name, rest = event.subject[: len(job_id)], event.subject[len(job_id) :]
+    return name == job_id and (not rest or rest[0] in _TASK_SEPARATORS)
+
+
 def _parse_fields(line: str) -> dict[str, Any] | None:
     start = line.find('{')
     if start < 0:
@@ -110,9 +134,28 @@
         fields = _decoder.decode(line[start:])
     except msgspec.MsgspecError:
         return None
+    if 'incarnation' in fields:
+        return _from_request_path(fields)
     return fields if 'event' in fields and 'sequence' in fields else None
 
 
+def _from_request_path(fields: dict[str, Any]) -> dict[str, Any] | None:
+    """Complete a line of the daemon of the request path.
+
+    It names the subject by its type, and its process by an incarnation; the
+    lines of an incarnation are in order.
+    """
+    if 'event' not in fields or 'daemon' not in fields:
+        return None
+    subjects = (fields[name] for name in _SUBJECT_TYPES if name in fields)
+    return {
+        **fields,
+        'process': fields['incarnation'],
+        'subject': next(subjects, ''),
+        'sequence': 0,
+    }
+
+
 def _event_id(fields: dict[str, Any]) -> EventId:
     return EventId(fields['daemon'], fields['process'], fields['sequence'])
 
--- a/waxwingford/timeline/_merge.py
+++ b/waxwingford/timeline/_merge.py
@@ -1,6 +1,7 @@
 """Merge of the events of many daemons into one timeline in causal order."""
 
 import itertools
+import re
 from collections import deque
 from collections.abc import Iterable, Iterator, Sequence
 from typing import NamedTuple
@@ -135,10 +136,16 @@
         for event in events
         if event.subject in subjects
         or event.kind.startswith('fault.')
-        or any(subject in event.detail for subject in subjects)
+        or any(_names(event.detail, subject) for subject in subjects)
     ]
 
 
+def _names(detail: str, subject: str) -> bool:
+    """Tell whether a detail names a subject, not one that contains its name."""
+    found = rf'(?<![\w./-]){re.escape(subject)}(?![\w/-]|\.\w)'
+    return re.search(found, detail) is not None
+
+
 def render_text(merged: Sequence[Event]) -> str:
     """Format a timeline as text.
 
--- a/waxwingford/timeline/tests/logs.feature
+++ b/waxwingford/timeline/tests/logs.feature
@@ -39,3 +39,21 @@
       | run.planned    |
       | run.settled    |
       | request.submit |
+
+  Scenario: Jobs whose ids begin alike are told apart
+    # Guards against a history with the tasks of another job.
+    Given log lines of a job, its task and a job with a longer id
+    When the history of the job is built
+    Then the history consists of, in this order
+      | event       |
+      | job.known   |
+      | run.planned |
+
+  Scenario: Log lines of the daemon of the request path
+    # Guards against a history without the lines that lack a process and a number.
+    Given log lines of a daemon that names its incarnation and no process
+    When the history of the job is built
+    Then the history consists of, in this order
+      | event          |
+      | job.accepted   |
+      | task.claimed   |
--- a/waxwingford/timeline/tests/logs_steps.py
+++ b/waxwingford/timeline/tests/logs_steps.py
@@ -53,6 +53,39 @@
     ]
 
 
+@given('log lines of a job, its task and a job with a longer id')
+def similar_log_lines(context):
+    context.log_lines = [
+        log_line('first', 1, 10, 'job.known', subject=JOB),
+        log_line('first', 2, 11, 'run.planned', subject=TASK, run=1),
+        log_line('first', 3, 12, 'job.known', subject=f'{JOB}bb'),
+        log_line(
+            'first', 4, 13, 'run.planned', subject=f'{JOB}bb.0.0.0', run=1
+        ),
+    ]
+
+
+@given('log lines of a daemon that names its incarnation and no process')
+def request_path_log_lines(context):
+    lines = [
+        {'event': 'job.accepted', 'job': JOB},
+        {'event': 'task.claimed', 'task': f'{JOB}/0', 'detail': 'attempt 1'},
+        {'event': 'task.claimed', 'task': f'{JOB}bb/0', 'detail': 'attempt 1'},
+    ]
+    context.log_lines = [
+        json.dumps(
+            {
+                'time': '2026-03-08T01:00:01.000',
+                'daemon': 'entry',
+                'incarnation': 'i1',
+                'part': 'events',
+                **line,
+            }
+        )
+        for line in lines
+    ]
+
+
 @given('log lines of an owner that logs the submission after reading the job')
 def late_submission_log_lines(context):
     context.log_lines = [
--- a/waxwingford/timeline/tests/timeline.feature
+++ b/waxwingford/timeline/tests/timeline.feature
@@ -18,3 +18,9 @@
     Given a daemon "a" and a daemon "b" whose wall clock is 0 ms behind
     When "a" acquires a lease, loses it 40 ms later and acquires it again
     Then there are 2 lease bars and the timeline can be plotted
+
+  Scenario: A filter takes no subject that only begins alike
+    # Guards against the events of other tasks in the history of one.
+    Given events of "task:a", "task:ab" and a server whose detail names "task:a"
+    When the events are filtered for "task:a"
+    Then the events of "task:a" and of the server are left
--- a/waxwingford/timeline/tests/timeline_steps.py
+++ b/waxwingford/timeline/tests/timeline_steps.py
@@ -9,6 +9,7 @@
 from waxwingford.kernel import ManualClock
 from waxwingford.timeline import (
     Timeline,
+    filter_events,
     lease_bars,
     merge_events,
     place_events,
@@ -106,3 +107,26 @@
         path = pathlib.Path(directory, 'line.svg')
         plot_timeline(merged, str(path))
         assert '<svg' in path.read_text(encoding='utf-8')
+
+
+@given(
+    'events of "{first}", "{second}" and a server whose detail names "{named}"'
+)
+def similar_subjects(context, first, second, named):
+    line = Timeline('a', 'i1', ManualClock(START_MS), RING_CAPACITY)
+    line.note('tick', first)
+    line.note('tick', second)
+    line.note('tick', 'server:s1', f'runs {second}, {second}/1')
+    line.note('tick', 'server:s2', f'runs {named}, others')
+    context.events = line.since(0)
+
+
+@when('the events are filtered for "{subject}"')
+def filter_for(context, subject):
+    context.filtered = filter_events(context.events, frozenset((subject,)))
+
+
+@then('the events of "{subject}" and of the server are left')
+def check_filtered(context, subject):
+    found = [event.subject for event in context.filtered]
+    assert found == [subject, 'server:s2'], found
