Forget repeated jobs that have ended

Cause: they were never removed from the list of jobs that may have a repetition due. Test that failed before: 'a repeated job that has ended is forgotten'.

--- a/waxwingford/scheduling/_engine.py
+++ b/waxwingford/scheduling/_engine.py
@@ -234,8 +234,10 @@
                 mark_outlived(self.state)
         to_release = {**self._jobs_to_release, **self._timed_job_by_id}
         self._jobs_to_release = {}
-        for job in to_release.values():
+        for job_id, job in to_release.items():
             self._placer.release_tasks(job, now_ms, wall_ms)
+            if job.ended is not None:
+                self._timed_job_by_id.pop(job_id, None)
         return self._placer.place(now_ms, max_starts)
 
     def take_batch(self) -> Batch:
--- a/waxwingford/scheduling/tests/engine.feature
+++ b/waxwingford/scheduling/tests/engine.feature
@@ -310,3 +310,11 @@
     And all servers answer a poll
     And the server lists the next run as failed
     Then the job is reported as running
+
+  Scenario: a repeated job that has ended is forgotten
+    # Guards against a decision that takes longer with each repeated job of the day.
+    Given an engine with 1 servers of 8 cores
+    When a job is submitted that is due in 0 s, twice, 1 s apart
+    And 1 s pass in the engine
+    And the repeated job is cancelled
+    Then no decision looks at the job any more
--- a/waxwingford/scheduling/tests/engine_steps.py
+++ b/waxwingford/scheduling/tests/engine_steps.py
@@ -366,3 +366,16 @@
     assert len(halt_orders(context.harness, image)) == 2, (
         context.harness.pace_orders
     )
+
+
+@when('the repeated job is cancelled')
+def cancel_repeated_job(context):
+    context.harness.engine.cancel(JOB)
+    for run in context.harness.planned_runs:
+        context.harness.end(run, EndKind.stopped)
+    context.harness.decide()
+
+
+@then('no decision looks at the job any more')
+def check_forgotten(context):
+    assert not context.harness.engine._timed_job_by_id
