Keep a configuration that is read before clients are served

What operators saw: nothing yet, as the daemon listens before it reads; in the other order it would end with an AttributeError. Change: the configuration is kept, and handed over when serving begins. Test that failed before: 'the configuration is followed before clients are served'.

--- a/waxwingford/platform/_adapter.py
+++ b/waxwingford/platform/_adapter.py
@@ -93,7 +93,8 @@
             or version > self._configuration.terms.version
         ):
             self._configuration = configuration
-            self._client_api.configuration = configuration
+            if self._client_api is not None:
+                self._client_api.configuration = configuration
             _log.info('configuration', extra={'version': version})
 
     async def serve(self, frontend: ShardFrontend, endpoint: str) -> None:
@@ -102,6 +103,7 @@
         :param endpoint: IP address and port to listen on.
         """
         self._client_api = ClientApi(frontend)
+        self._client_api.configuration = self._configuration
         self._runner = web.ServerRunner(
             web.Server(self._client_api.handle, access_log=None)
         )
--- a/waxwingford/platform/tests/foreign.feature
+++ b/waxwingford/platform/tests/foreign.feature
@@ -65,3 +65,10 @@
       | no key                 |
       | no bytes               |
       | a key of invalid UTF-8 |
+
+  Scenario: the configuration is followed before clients are served
+    # Guards against a daemon that ends if the store answers before it listens.
+    Given a store with a valid configuration
+    When the configuration is followed for 0.2 s, and clients are served then
+    Then the previous configuration stays in force
+    And clients are served by it
--- a/waxwingford/platform/tests/foreign_steps.py
+++ b/waxwingford/platform/tests/foreign_steps.py
@@ -326,6 +326,35 @@
     asyncio.run(follow())
 
 
+@when(
+    'the configuration is followed for {span_s:g} s, and clients are served then'
+)
+def follow_before_serving(context, span_s):
+    context.versions = []
+
+    async def follow():
+        platform = UsersPlatform('127.0.0.1:1', '')
+        platform.log = context.store
+        task = asyncio.create_task(
+            platform.follow_configuration(
+                lambda terms: context.versions.append(terms.version),
+                lambda: None,
+            )
+        )
+        await asyncio.sleep(span_s)
+        await platform.serve(None, '127.0.0.1:0')
+        context.served = platform._client_api.configuration
+        task.cancel()
+        await platform.close()
+
+    asyncio.run(follow())
+
+
+@then('clients are served by it')
+def check_served(context):
+    assert context.served.terms.version == CONFIGURATION['version']
+
+
 @then('the previous configuration stays in force')
 def check_versions(context):
     assert set(context.versions) == {CONFIGURATION['version']}
