--- a/waxwingford/entry/_headers.py
+++ b/waxwingford/entry/_headers.py
@@ -147,7 +147,10 @@
     valid = is_decimal and len(given) <= _MAX_DIGITS and int(given) >= minimum
     if not given or valid:
         return ''
-    return f'{name} is {given!r}, expected an integer >= {minimum}'
+    return (
+        f'{name} is {given!r}, expected an integer >= {minimum} with at most'
+        f' {_MAX_DIGITS} digits'
+    )
 
 
 def _choice_error(
--- a/waxwingford/entry/tests/entry.feature
+++ b/waxwingford/entry/tests/entry.feature
@@ -33,8 +33,15 @@
       | Waxwingford-Idempotent  | yes       |
       | Waxwingford-Attempt     | 0         |
       | Waxwingford-Age-Ms      | 1e3       |
+      | Waxwingford-Age-Ms      | 1000000000 |
       | Idempotency-Key         | a,b twice |
 
+  # Guards against a reason that names a bound which the value keeps.
+  Scenario: The reason for a number that is too long names the limit
+    When a request has the header "Waxwingford-Deadline-Ms" with the value "1000000000"
+    Then the status is 400 and the outcome header is "rejected"
+    And the reason names "at most 9 digits"
+
   # Guards against serving a member that may not use the service.
   Scenario: A service of another member is not found
     When member "qadri" sends a request to service "gifts"
