Remove a step that never ran, and a second sort, from test code

The step 'an engine with ...' was defined twice; the definition in engine_steps.py is the one that ran. VirtualStore.newest sorted its rows twice; keys are unique, so the order is the same.

--- a/waxwingford/scheduling/tests/large_fleet_steps.py
+++ b/waxwingford/scheduling/tests/large_fleet_steps.py
@@ -7,7 +7,7 @@
 
 from waxwingford.ports import Resources
 from waxwingford.scheduling import EndKind, JobSpec, StepSpec
-from waxwingford.scheduling.tests.engine_harness import QUEUE, EngineHarness
+from waxwingford.scheduling.tests.engine_harness import QUEUE
 
 MS_IN_S = 1000
 PACKAGE = 'waxwingford.scheduling'
@@ -45,12 +45,6 @@
         harness.engine.submit(one, harness.now_ms)
 
 
-@given('an engine with {servers:d} servers of {cores:d} cores')
-def create_engine(context, servers, cores):
-    context.harness = EngineHarness(servers, cores)
-    context.task_count = 0
-
-
 @given('each server runs {count:d} best-effort tasks')
 def run_best_effort(context, count):
     harness = context.harness
--- a/waxwingford/shard/tests/virtual_store.py
+++ b/waxwingford/shard/tests/virtual_store.py
@@ -185,11 +185,13 @@
             for offset, (key, payload) in enumerate(stored.records)
         }
         rows = sorted(
-            row
-            for row in newest.values()
-            if row.payload is not None and row.key > after_key
+            (
+                row
+                for row in newest.values()
+                if row.payload is not None and row.key > after_key
+            ),
+            key=lambda row: row.key,
         )
-        rows.sort(key=lambda row: row.key)
         page = tuple(rows[:PAGE_SIZE])
         return NewestPage(page, len(rows) > PAGE_SIZE, len(stored.records))
 
