Start a part of each job that waits while starts are limited

Cause: among jobs of a priority the smaller one comes first, and with few starts at a time there was always a smaller one. The backlog, by which jobs are refused, counted no tasks of later steps, so more was accepted than could be worked off.

Change: while a round has to leave tasks, a job without a run for 2 s comes before others of its priority; it has a run then, and its turn again if it is left without one. The backlog includes the later steps of the jobs in it.

--- a/waxwingford/scheduling/_backlog.py
+++ b/waxwingford/scheduling/_backlog.py
@@ -4,11 +4,14 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from waxwingford.scheduling._state import Step
 from waxwingford.scheduling._task_order import PendingTask
 
 
 class Backlog(NamedTuple):
-    """Pending tasks that a round left because of its limit of starts.
+    """Tasks that a round left because of its limit of starts.
+
+    Tasks of later steps of the same jobs are included.
 
     :ivar urgent: tasks that aren't best-effort.
     """
@@ -35,9 +38,19 @@
     :param before: backlog after the round before.
     :param with_best_effort: whether the round looked at best-effort tasks.
     """
-    by_kind = collections.Counter(
-        pending.step.spec.best_effort for pending in left
-    )
+    by_kind: collections.Counter[bool] = collections.Counter()
+    last_steps: dict[tuple[str, int], Step] = {}
+    for pending in left:
+        step = pending.step
+        by_kind[step.spec.best_effort] += 1
+        job = step.job.spec.job_id, step.occurrence
+        last = last_steps.setdefault(job, step)
+        if step.index > last.index:
+            last_steps[job] = step
+    for step in last_steps.values():
+        steps = step.job.steps_by_occurrence[step.occurrence]
+        for later in steps[step.index + 1 :]:
+            by_kind[later.spec.best_effort] += later.unfinished
     return Backlog(
         by_kind[False],
         by_kind[True] if with_best_effort else before.best_effort,
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -95,7 +95,9 @@
         with_best_effort = now_ms >= self._best_effort_due_ms
         if with_best_effort:
             self._best_effort_ms = now_ms
-        ranked = ranked_tasks(self._state, now_ms, with_best_effort)
+        ranked = ranked_tasks(
+            self._state, now_ms, with_best_effort, any(self._backlog)
+        )
         tried = self._place_ranked(ranked, now_ms, max_starts)
         self._backlog = count_backlog(
             ranked[tried:], self._backlog, with_best_effort
--- a/waxwingford/scheduling/_task_order.py
+++ b/waxwingford/scheduling/_task_order.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from waxwingford.scheduling._shard_state import ShardState
+from waxwingford.scheduling._shard_state import ShardState, has_runs
 from waxwingford.scheduling._specs import QueueTerms
 from waxwingford.scheduling._state import Job, Step, Task
 
@@ -11,10 +11,15 @@
 EXPIRED_FACTOR = 3
 #: Pending time after which a long-running task comes before all others, in ms.
 OVERDUE_MS = 2000
+#: Time without a run after which a job comes before others of its priority while
+#: starts are limited, in ms.
+STARVED_MS = 2000
 #: Share of a service's CPU in use by long-running tasks from which on new ones
 #: don't become overdue, so that they can't take the rest from short tasks.
 #: Tasks that have run before are exempt.
 MAX_LONG_RUNNING_SHARE = 0.85
+#: Lower than the other classes of lateness.
+_STARVED = -1
 #: Lower than every priority.
 _OVERDUE_RANK = -1
 
@@ -53,6 +58,7 @@
     work: int,
     now_ms: int,
     deferred: bool = False,
+    limited: bool = False,
 ) -> PendingTask:
     """Compute the place of a task in the order.
 
@@ -65,6 +71,8 @@
     :param work: remaining work of the repetition, see ``remaining_work``.
     :param now_ms: current monotonic time, in ms.
     :param deferred: whether a long-running task can't become overdue.
+    :param limited: whether starts are limited, so that large jobs could wait for
+        ever; those without a run for ``STARVED_MS`` then come first.
     """
     job = step.job
     long_running = step.spec.long_running
@@ -78,7 +86,7 @@
     rank = (
         queue.priority,
         2 if step.spec.best_effort else int(long_running),
-        0 if long_running else _lateness(job, queue, now_ms),
+        0 if long_running else _lateness(job, queue, now_ms, limited),
         job.received_ms if long_running else work,
         task.key.index,
     )
@@ -86,17 +94,19 @@
 
 
 def ranked_tasks(
-    state: ShardState, now_ms: int, with_best_effort: bool
+    state: ShardState, now_ms: int, with_best_effort: bool, limited: bool
 ) -> list[PendingTask]:
     """List the pending tasks in the order in which they are placed.
 
     :param now_ms: current monotonic time, in ms.
+    :param limited: whether the round before had to leave tasks.
     """
-    return sorted(_pending_tasks(state, now_ms, with_best_effort), key=_rank)
+    ranked = _pending_tasks(state, now_ms, with_best_effort, limited)
+    return sorted(ranked, key=_rank)
 
 
 def _pending_tasks(
-    state: ShardState, now_ms: int, with_best_effort: bool
+    state: ShardState, now_ms: int, with_best_effort: bool, limited: bool
 ) -> Iterator[PendingTask]:
     # Thousands of tasks of some hundred steps may be pending, so the rank is
     # computed once per step where its tasks differ by index only.
@@ -114,7 +124,7 @@
         if first is not None:
             yield _rank_sibling(first, task)
             continue
-        first = _rank_first(state, full, task, now_ms)
+        first = _rank_first(state, full, task, now_ms, limited)
         if first is None:
             continue
         if not first.step.spec.long_running:
@@ -123,7 +133,11 @@
 
 
 def _rank_first(
-    state: ShardState, full: '_FullServices', task: Task, now_ms: int
+    state: ShardState,
+    full: '_FullServices',
+    task: Task,
+    now_ms: int,
+    limited: bool,
 ) -> PendingTask | None:
     job = state.job_by_id.get(task.key.job_id)
     if job is None or job.ended is not None:
@@ -135,7 +149,7 @@
     queue = state.queue_of(job)
     new = step.spec.long_running and not task.last_run
     deferred = new and queue.service in full
-    return rank_task(task, step, queue, work, now_ms, deferred)
+    return rank_task(task, step, queue, work, now_ms, deferred, limited)
 
 
 class _FullServices:
@@ -180,7 +194,10 @@
     return pending.rank
 
 
-def _lateness(job: Job, queue: QueueTerms, now_ms: int) -> int:
+def _lateness(job: Job, queue: QueueTerms, now_ms: int, limited: bool) -> int:
+    starved = limited and now_ms - job.last_run_ms >= STARVED_MS
+    if starved and not has_runs(job):
+        return _STARVED
     objective_ms = queue.stretch * job.critical_path_ms + queue.target_ms
     age_ms = now_ms - job.received_ms
     if age_ms <= objective_ms:
--- a/waxwingford/scheduling/tests/engine_harness.py
+++ b/waxwingford/scheduling/tests/engine_harness.py
@@ -1,6 +1,7 @@
 """Engine with simulated servers, for steps."""
 
 import collections
+import math
 
 from waxwingford.ports import Resources
 from waxwingford.scheduling import (
@@ -35,6 +36,7 @@
 
     def __init__(self, count, cores):
         self.now_ms = 100_000
+        self.max_starts = math.inf
         self.wall_offset_ms = 10_000_000
         self.rows = {}
         self.engine = new_engine(7, self.now_ms)
@@ -117,7 +119,7 @@
 
     def decide(self, accept=True):
         self.now_ms += 50
-        self.engine.decide(self.now_ms, self.wall_ms)
+        self.engine.decide(self.now_ms, self.wall_ms, self.max_starts)
         batch = self.engine.take_batch()
         store_rows(self.rows, batch.payload_by_key)
         for start in self.engine.stored(batch):
--- a/waxwingford/scheduling/tests/large_fleet.feature
+++ b/waxwingford/scheduling/tests/large_fleet.feature
@@ -35,6 +35,16 @@
     And another placement round runs
     Then the round took at most 60 calls for each server and task
 
+  Scenario: a wide best-effort job beside many small ones, with few starts at a time
+    # Guards against an accepted job that an overloaded owner never starts, as
+    # smaller jobs arrive all the time.
+    Given an engine with 20 servers of 32 cores
+    And each decision may start 4 tasks
+    When a best-effort job of 80 tasks is submitted
+    And for 8 s, a best-effort job of 8 tasks arrives with each decision
+    Then a task of the wide job was started within 4 s
+    And the backlog includes the later steps of jobs
+
   Scenario: urgent tasks on servers that are full of long-running tasks
     # Guards against new long-running tasks, once overdue, taking all resources
     # that become free from short urgent ones.
--- a/waxwingford/scheduling/tests/large_fleet_steps.py
+++ b/waxwingford/scheduling/tests/large_fleet_steps.py
@@ -1,8 +1,10 @@
 """Steps for placement rounds on large fleets."""
 
 import collections
+import itertools
 import sys
 
+import msgspec
 from behave import given, then, when
 
 from waxwingford.ports import Resources
@@ -159,3 +161,56 @@
     ]
     assert len(new) == context.task_count, len(new)
     assert not long_running, long_running
+
+
+@given('each decision may start {count:d} tasks')
+def limit_starts(context, count):
+    context.harness.max_starts = count
+
+
+@when('a best-effort job of {tasks:d} tasks is submitted')
+def submit_wide_best_effort(context, tasks):
+    context.wide = job(7, tasks, best_effort=True, image='archive')
+    submit(context.harness, [job(6, 8, best_effort=True), context.wide])
+    context.submitted_ms = context.harness.now_ms
+
+
+@when(
+    'for {span_s:d} s, a best-effort job of {tasks:d} tasks arrives with each'
+    ' decision'
+)
+def submit_small_continuously(context, span_s, tasks):
+    harness = context.harness
+    until_ms = harness.now_ms + span_s * MS_IN_S
+    for number in itertools.count(100):
+        if harness.now_ms >= until_ms:
+            break
+        submit(harness, [job(number, tasks, best_effort=True)])
+        harness.decide()
+
+
+@then('a task of the wide job was started within {span_s:d} s')
+def check_wide_started(context, span_s):
+    waited_ms = [
+        run.planned_ms - context.submitted_ms
+        for run in context.harness.planned_runs
+        if run.key.task.job_id == context.wide.job_id
+    ]
+    assert waited_ms and min(waited_ms) <= span_s * MS_IN_S, waited_ms
+
+
+@then('the backlog includes the later steps of jobs')
+def check_later_steps(context):
+    harness = context.harness
+    steps = (
+        job(8, 10, best_effort=True).steps[0],
+        job(8, 30, best_effort=True, after=(0,)).steps[0],
+    )
+    before = harness.engine.decide(harness.now_ms + 100, 0, 1).backlog
+    spec = job(8, 1)
+    harness.engine.submit(
+        msgspec.structs.replace(spec, steps=steps), harness.now_ms
+    )
+    after = harness.engine.decide(harness.now_ms + 200, 0, 1).backlog
+    added = after.best_effort - before.best_effort
+    assert added == 10 + 30 - 1, (before, after)
