Skip registrations whose id can't be sent in a header

Found on reading the diff: the client library raised ValueError for an id with a line break, which ended the ownership of the shard; the client that replaced it would send the rest of the id as headers.

Test that failed before: 'a registration whose id can't be sent to the server is skipped'.

--- a/waxwingford/platform/_records.py
+++ b/waxwingford/platform/_records.py
@@ -174,9 +174,11 @@
 
     :param server_id: id of the worker, the key of the record.
     :param raw: JSON as stored by the worker.
-    :raises ValueError: if it is no valid registration, or its port is out of
-        range.
+    :raises ValueError: if it is no valid registration, its port is out of
+        range, or its id can't be sent in a header.
     """
+    if not (server_id.isascii() and server_id.isprintable()):
+        raise ValueError(f'id {server_id!r}: expected printable ASCII')
     registration = _registration_decoder.decode(raw)
     if not 0 < int(registration.address.rpartition(':')[2]) <= _MAX_PORT:
         raise ValueError(
--- a/waxwingford/platform/tests/foreign.feature
+++ b/waxwingford/platform/tests/foreign.feature
@@ -25,6 +25,13 @@
       | is a list                                  |
       | is invalid UTF-8                           |
 
+  Scenario: a registration whose id can't be sent to the server is skipped
+    # Guards against an id with a line break, which would add headers to each order.
+    Given a registration under an id with a line break beside a valid one
+    When the registrations are read
+    Then only the other registration is returned
+    And one invalid registration is logged
+
   Scenario: log lines about an invalid registration are bounded
     # Guards against a log flooded by a single invalid registration.
     Given registrations of two servers, one of which has no state
--- a/waxwingford/platform/tests/foreign_steps.py
+++ b/waxwingford/platform/tests/foreign_steps.py
@@ -113,6 +113,16 @@
     }
 
 
+@given('a registration under an id with a line break beside a valid one')
+def create_broken_id(context):
+    capture_log(context)
+    context.registrations = Registrations()
+    context.raw_by_id = {
+        OTHER_ID: encode(ENTRY),
+        'i-1\r\nX-Other: 1': encode(ENTRY),
+    }
+
+
 @when('the registrations are read')
 @when('the registrations are read {count:d} times')
 def read(context, count=1):
