--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -12,6 +12,7 @@
 from waxwingford.scheduling._isolation import Isolation
 from waxwingford.scheduling._pending_report import PendingReport
 from waxwingford.scheduling._reservations import Reservations
+from waxwingford.scheduling._server_costs import ServerCosts
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._shard_state import ShardState
 from waxwingford.scheduling._state import Job, Run, RunPhase, Step, Task
@@ -22,25 +23,6 @@
     remaining_work,
 )
 
-#: Costs of a server, in units of its whole CPU.
-#: The server isn't on the rack of the task's data.
-REMOTE_DATA_COST = 0.5
-#: The task has failed, stalled or been throttled there.
-AVOIDED_COST = 4.0
-#: Per unit of the server's penalty for failed runs.
-PENALTY_COST = 0.5
-#: The whole CPU need of a best-effort task exceeds the server's allowance.
-INTERFERENCE_COST = 3.0
-#: Per image that serves there already: best-effort tasks suit a server with one
-#: image more often than one with several.
-OTHER_IMAGE_COST = 1.0
-#: Per run that would be lost if a task that may crash the server does so.
-LOST_RUN_COST = 2.0
-#: Share of its requested CPU that a task is assumed to use; the rest is
-#: available to best-effort tasks.
-ASSUMED_USE_SHARE = 0.6
-#: Weight of the CPU requested by best-effort runs in the cost of other tasks.
-BEST_EFFORT_WEIGHT = 0.15
 #: Shortest time between two rounds that place best-effort tasks, in ms.
 BEST_EFFORT_INTERVAL_MS = 40
 #: Servers evaluated for best-effort tasks per ms; the interval grows
@@ -59,6 +41,7 @@
         self._backlog = Backlog()
         self._state = state
         self._admission = BestEffortAdmission(model)
+        self._costs = ServerCosts(self._admission)
         self._best_effort_ms = 0
         self._best_effort_due_ms = 0
         self._evaluations = 0
@@ -211,7 +194,7 @@
             return self._fitting(pending, servers, now_ms)
 
         def cost(server: Server) -> float:
-            return self._cost(task, step, server, now_ms)
+            return self._costs.cost(task, step, server, now_ms)
 
         task_specific = task.avoided_servers or task.crash_evidence
         if pending.queue.advised or task_specific:
@@ -327,26 +310,6 @@
             return self._state.tickets.allowed(step, fitting, now_ms)
         return fitting
 
-    def _cost(
-        self, task: Task, step: Step, server: Server, now_ms: int
-    ) -> float:
-        spec = step.spec
-        cost = _utilisation_cost(step, server)
-        if spec.near_rack and spec.near_rack != server.entry.rack:
-            cost += REMOTE_DATA_COST
-        if server.entry.server_id in task.avoided_servers:
-            cost += AVOIDED_COST
-        cost += PENALTY_COST * server.penalty
-        if task.crash_evidence:
-            cost += LOST_RUN_COST * len(server.run_by_key)
-        if spec.best_effort:
-            cost += INTERFERENCE_COST * self._admission.excess(
-                step, server, now_ms
-            )
-        elif spec.target_ms:
-            cost += OTHER_IMAGE_COST * _count_other_images(spec.image, server)
-        return cost
-
 
 def _count_due(job: Job, wall_ms: int) -> int:
     """Count the repetitions of a job that are due.
@@ -395,39 +358,3 @@
     if server.no_starts_until_ms > now_ms:
         return False
     return len(server.unanswered) < MAX_UNANSWERED_STARTS
-
-
-def _utilisation_cost(step: Step, server: Server) -> float:
-    """Compute the cost of a server's CPU utilisation with one more task.
-
-    For a best-effort task it is the CPU requested by all best-effort runs, as a
-    share of what other runs leave idle.
-
-    :returns: cost, from 0 to 1 if the CPU suffices, more otherwise.
-    """
-    needs_milli = step.spec.needs.processors_milli
-    capacity_milli = max(1, server.entry.capacity.processors_milli)
-    if step.spec.target_ms:
-        # Best fit: concentrates serving tasks, so that best-effort tasks find
-        # servers without them.
-        return (
-            server.free_resources.processors_milli - needs_milli
-        ) / capacity_milli
-    if not step.spec.best_effort:
-        used_milli = server.used.processors_milli + needs_milli
-        return (
-            used_milli + BEST_EFFORT_WEIGHT * server.best_effort_milli
-        ) / capacity_milli
-    idle_milli = (
-        capacity_milli - ASSUMED_USE_SHARE * server.used.processors_milli
-    )
-    return (server.best_effort_milli + needs_milli) / max(1, idle_milli)
-
-
-def _count_other_images(image: str, server: Server) -> int:
-    images = {
-        step.spec.image
-        for step in server.step_by_run.values()
-        if step.spec.target_ms
-    }
-    return len(images - {image})
--- /dev/null
+++ b/waxwingford/scheduling/_server_costs.py
@@ -0,0 +1,97 @@
+"""Cost of a task on each server that fits it; the cheapest one is chosen."""
+
+from waxwingford.scheduling._admission import BestEffortAdmission
+from waxwingford.scheduling._servers import Server
+from waxwingford.scheduling._state import Step, Task
+
+#: Costs of a server, in units of its whole CPU.
+#: The server isn't on the rack of the task's data.
+REMOTE_DATA_COST = 0.5
+#: The task has failed, stalled or been throttled there.
+AVOIDED_COST = 4.0
+#: Per unit of the server's penalty for failed runs.
+PENALTY_COST = 0.5
+#: The whole CPU need of a best-effort task exceeds the server's allowance.
+INTERFERENCE_COST = 3.0
+#: Per image that serves there already: best-effort tasks suit a server with one
+#: image more often than one with several.
+OTHER_IMAGE_COST = 1.0
+#: Per run that would be lost if a task that may crash the server does so.
+LOST_RUN_COST = 2.0
+#: Share of its requested CPU that a task is assumed to use; the rest is
+#: available to best-effort tasks.
+ASSUMED_USE_SHARE = 0.6
+#: Weight of the CPU requested by best-effort runs in the cost of other tasks.
+BEST_EFFORT_WEIGHT = 0.15
+
+
+class ServerCosts:
+    """Compares servers for a task."""
+
+    def __init__(self, admission: BestEffortAdmission) -> None:
+        """Use the forecast of a placement round.
+
+        :param admission: forecasts the interference of best-effort tasks.
+        """
+        self._admission = admission
+
+    def cost(
+        self, task: Task, step: Step, server: Server, now_ms: int
+    ) -> float:
+        """Compute the cost of a task on a server with free resources for it.
+
+        :param now_ms: current monotonic time, in ms.
+        :returns: cost; lower is better.
+        """
+        spec = step.spec
+        cost = _utilisation_cost(step, server)
+        if spec.near_rack and spec.near_rack != server.entry.rack:
+            cost += REMOTE_DATA_COST
+        if server.entry.server_id in task.avoided_servers:
+            cost += AVOIDED_COST
+        cost += PENALTY_COST * server.penalty
+        if task.crash_evidence:
+            cost += LOST_RUN_COST * len(server.run_by_key)
+        if spec.best_effort:
+            cost += INTERFERENCE_COST * self._admission.excess(
+                step, server, now_ms
+            )
+        elif spec.target_ms:
+            cost += OTHER_IMAGE_COST * _count_other_images(spec.image, server)
+        return cost
+
+
+def _utilisation_cost(step: Step, server: Server) -> float:
+    """Compute the cost of a server's CPU utilisation with one more task.
+
+    For a best-effort task it is the CPU requested by all best-effort runs, as a
+    share of what other runs leave idle.
+
+    :returns: cost, from 0 to 1 if the CPU suffices, more otherwise.
+    """
+    needs_milli = step.spec.needs.processors_milli
+    capacity_milli = max(1, server.entry.capacity.processors_milli)
+    if step.spec.target_ms:
+        # Best fit: concentrates serving tasks, so that best-effort tasks find
+        # servers without them.
+        return (
+            server.free_resources.processors_milli - needs_milli
+        ) / capacity_milli
+    if not step.spec.best_effort:
+        used_milli = server.used.processors_milli + needs_milli
+        return (
+            used_milli + BEST_EFFORT_WEIGHT * server.best_effort_milli
+        ) / capacity_milli
+    idle_milli = (
+        capacity_milli - ASSUMED_USE_SHARE * server.used.processors_milli
+    )
+    return (server.best_effort_milli + needs_milli) / max(1, idle_milli)
+
+
+def _count_other_images(image: str, server: Server) -> int:
+    images = {
+        step.spec.image
+        for step in server.step_by_run.values()
+        if step.spec.target_ms
+    }
+    return len(images - {image})
