--- a/waxwingford/shard/tests/overload.feature
+++ b/waxwingford/shard/tests/overload.feature
@@ -35,6 +35,22 @@
       | 12      | 0.5     |
       | 12      | 0.25    |
 
+  Scenario Outline: a backlog of tasks with the event loop on time and late
+    # Guards against refusals because of a slow store, which the owner has time for,
+    # and against a time to come back that doesn't follow the backlog.
+    Given an owner whose event loop is <lag_ms> ms late
+    When its decisions start 2 tasks each 0.1 s and leave <left> for 3 s
+    Then callers are told to come back after <urgent> and <best_effort> s
+
+    Examples:
+      | lag_ms | left                 | urgent | best_effort |
+      | 10     | 400 urgent tasks     | 0      | 0           |
+      | 100    | 400 urgent tasks     | 10     | 10          |
+      | 100    | 100 urgent tasks     | 5      | 4           |
+      | 100    | 100 best-effort ones | 0      | 4           |
+      | 100    | 10 urgent tasks      | 0      | 0           |
+      | 400    | 0 urgent tasks       | 5      | 5           |
+
   Scenario: an accepted job is submitted again while the owner refuses jobs
     # Guards against a refusal that says of an accepted job that it doesn't run.
     Given a shard with 4 daemons and 4 servers
--- a/waxwingford/shard/tests/overload_steps.py
+++ b/waxwingford/shard/tests/overload_steps.py
@@ -8,12 +8,13 @@
 from behave import given, then, when
 
 from waxwingford.metrics import Metrics
-from waxwingford.scheduling import EndKind
+from waxwingford.scheduling import Backlog, Decision, EndKind
 from waxwingford.shard import NotStored, ShardFrontend, Stored
-from waxwingford.shard._admission_control import RetryAfter
+from waxwingford.shard._admission_control import AdmissionControl, RetryAfter
 from waxwingford.shard._loop_lag import LoopLag
 from waxwingford.shard._observer import Observer
 from waxwingford.shard._start_control import StartControl
+from waxwingford.shard._start_window import StartWindow
 from waxwingford.shard.tests.virtual_shard import (
     MS_PER_S,
     VirtualOwnerLink,
@@ -127,6 +128,33 @@
     assert len(accepted - completed) == 1, len(accepted - completed)
 
 
+@given('an owner whose event loop is {lag_ms:d} ms late')
+def late_event_loop(context, lag_ms):
+    context.lag = LoopLag()
+    context.lag.mean_s = lag_ms / MS_PER_S
+
+
+@when(
+    'its decisions start {placed:d} tasks each {interval_s:g} s and leave'
+    ' {left:d} {kind} for {span_s:g} s'
+)
+def leave_backlog(context, placed, interval_s, left, kind, span_s):
+    window = StartWindow(context.lag)
+    admission = AdmissionControl()
+    urgent = kind == 'urgent tasks'
+    backlog = Backlog(left * urgent, left * (not urgent))
+    for number in range(int(span_s / interval_s)):
+        now_ms = int(number * interval_s * MS_PER_S)
+        window.room(placed, now_ms)
+        admission.update(Decision(placed, backlog), window, now_ms)
+    context.retry_after = admission.retry_after
+
+
+@then('callers are told to come back after {urgent:d} and {best_effort:d} s')
+def check_retry_after(context, urgent, best_effort):
+    assert context.retry_after == (urgent, best_effort), context.retry_after
+
+
 @given('a job was submitted through one daemon')
 def submit_one(context):
     context.shard.run(2)
