Refuse to restate an older bundle than the log has signed

What callers saw: nothing yet. Once the log has dropped the last restatement, an operator could restate any bundle that was ever signed: with versions 7 to 9 retained, version 4 was published, and daemons that start then would take its entitlements.

Cause: a restatement was allowed whenever the retained entries prove no bundle; nothing compared it with the signed records among them. Change: it is refused if a retained record of a higher version is signed by every member. What a bundle that nobody retains says can't be checked: the signatures of all members are all there is then.

Test that failed before: 'Operators can't restate an older version than the log has signed' (Published version 4).

--- a/waxwingford/bundles/_baseline.py
+++ b/waxwingford/bundles/_baseline.py
@@ -67,12 +67,15 @@
     :ivar next_offset: offset of the head.
     :ivar from_start: whether the stream was read from its first entry, so
         that an empty chain means that no bundle was published.
+    :ivar newest_signed: highest version that a retained record proves to be
+        signed by every member, 0 for none; it need not be in force.
     """
 
     chain: BundleChain
     as_of: int
     next_offset: int
     from_start: bool
+    newest_signed: int
 
 
 def fold_window(window: Window, key_by_member: Mapping[str, str]) -> FoldResult:
@@ -100,20 +103,26 @@
     )
 
 
-def has_newer_signed_version(
-    window: Window, key_by_member: Mapping[str, str], version: int
-) -> bool:
-    """Check for fully signed versions newer than the result of the fold.
+def newest_signed_version(
+    window: Window, key_by_member: Mapping[str, str]
+) -> int:
+    """Find the highest version that is signed by every member.
 
     :param key_by_member: pinned public keys, base64.
-    :param version: version that the fold reached.
+    :returns: version, 0 if no record of the window is signed by all.
     """
-    return any(
-        not signature_fault(
-            key_by_member, record.digest, record.signature_by_member
-        )
-        for record in _records(window)
-        if record.version > version
+    newest_first = sorted(
+        _records(window), key=lambda record: record.version, reverse=True
+    )
+    return next(
+        (
+            record.version
+            for record in newest_first
+            if not signature_fault(
+                key_by_member, record.digest, record.signature_by_member
+            )
+        ),
+        0,
     )
 
 
@@ -152,13 +161,17 @@
         is_complete = window.start <= window.oldest_offset
         is_settled = chain.version and (
             window_entries >= _MAX_WINDOW_ENTRIES
-            or not has_newer_signed_version(
-                window, key_by_member, chain.version
-            )
+            or newest_signed_version(window, key_by_member) <= chain.version
         )
         if is_complete or is_settled:
             from_start = window.start == 0
-            return RecoveredChain(chain, as_of, window.next_offset, from_start)
+            return RecoveredChain(
+                chain,
+                as_of,
+                window.next_offset,
+                from_start,
+                newest_signed_version(window, key_by_member),
+            )
         window_entries *= _WINDOW_GROWTH
     return probe
 
--- a/waxwingford/bundles/_publish.py
+++ b/waxwingford/bundles/_publish.py
@@ -147,6 +147,13 @@
     proved = recovered.chain.current is not None or recovered.from_start
     if proved == restate:
         return PublishRefused(_PROOF_RETAINED if restate else _PROOF_LOST)
+    if restate and recovered.newest_signed > record.version:
+        # New daemons would take the restated bundle for the newest one.
+        return PublishRefused(
+            f'version {record.version} is older than version'
+            f' {recovered.newest_signed}, which the log retains: version'
+            f' {recovered.newest_signed} is signed by every member'
+        )
     fault = _dry_run(recovered, record)
     if fault:
         return PublishRefused(fault)
--- a/waxwingford/bundles/tests/reader.feature
+++ b/waxwingford/bundles/tests/reader.feature
@@ -123,6 +123,14 @@
     When a bundle reader starts and reads
     Then its bundles in force were "4"
 
+  # Guards against an operator who puts old entitlements in force for new daemons,
+  # once the log has dropped the restatement of the newest bundle.
+  Scenario: Operators can't restate an older version than the log has signed
+    Given the log holds bundle versions 1 to 9
+    When the log drops the entries before version 7
+    And version 4 is restated by operators
+    Then publishing is refused with "version 9 is signed by every member"
+
   Scenario: A losing publisher is told which version won
     Given the log holds bundle versions 1 to 3
     When a competing version 4 is appended between read and append
--- a/waxwingford/bundles/tests/reader_steps.py
+++ b/waxwingford/bundles/tests/reader_steps.py
@@ -282,6 +282,12 @@
     context.outcomes = [publish_body(rig, rig.log, body) for _ in range(2)]
 
 
+@when('the log drops the entries before version {version:d}')
+def drop_before(context, version):
+    # Version 1 has offset 0.
+    context.rig.core.truncate(CONFIG_STREAM, version - 1)
+
+
 @when('version 4 is restated by operators')
 def restate_by_operators(context):
     body = context.rig.bodies[3]
