Let waiting jobs come first only while the owner's processor is the limit

A round also leaves tasks while starts wait for the store or for servers' answers. Jobs that had waited for 2 s then came before smaller ones on any fleet. The order changes now only while the lag of the event loop limits the starts; the scenario of the wide job holds unchanged.

--- a/waxwingford/scheduling/_engine.py
+++ b/waxwingford/scheduling/_engine.py
@@ -212,6 +212,7 @@
         wall_ms: int,
         max_starts: float = math.inf,
         timely: bool = True,
+        overloaded: bool = False,
     ) -> Decision:
         """Check servers and runs, release due steps and place tasks.
 
@@ -220,6 +221,7 @@
         :param max_starts: number of runs that may be planned now.
         :param timely: whether answers of servers are read in time, so that
             silence means that they don't answer.
+        :param overloaded: whether the owner's processor limits the starts.
         """
         self._timely = timely
         self.state.wall_offset_ms = wall_ms - now_ms
@@ -238,7 +240,7 @@
             self._placer.release_tasks(job, now_ms, wall_ms)
             if job.ended is not None:
                 self._timed_job_by_id.pop(job_id, None)
-        return self._placer.place(now_ms, max_starts)
+        return self._placer.place(now_ms, max_starts, overloaded)
 
     def take_batch(self) -> Batch:
         """Remove and return everything that has to be stored."""
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -65,12 +65,15 @@
                 if step.unfinished and _is_unblocked(step, steps):
                     _make_pending(self._state, step, now_ms)
 
-    def place(self, now_ms: int, max_starts: float) -> Decision:
+    def place(
+        self, now_ms: int, max_starts: float, overloaded: bool
+    ) -> Decision:
         """Plan a run of each pending task that fits on a server.
 
         :param now_ms: current monotonic time, in ms.
         :param max_starts: runs after which the round ends; a gang is planned
             as a whole.
+        :param overloaded: whether the owner's processor limits the starts.
         """
         self._placed = 0
         if max_starts <= 0:
@@ -79,7 +82,10 @@
         if with_best_effort:
             self._best_effort_ms = now_ms
         ranked = ranked_tasks(
-            self._state, now_ms, with_best_effort, any(self._backlog)
+            self._state,
+            now_ms,
+            with_best_effort,
+            limited=overloaded and any(self._backlog),
         )
         tried = self._place_ranked(ranked, now_ms, max_starts)
         self._backlog = count_backlog(
--- a/waxwingford/scheduling/_task_order.py
+++ b/waxwingford/scheduling/_task_order.py
@@ -71,8 +71,9 @@
     :param work: remaining work of the repetition, see ``remaining_work``.
     :param now_ms: current monotonic time, in ms.
     :param deferred: whether a long-running task can't become overdue.
-    :param limited: whether starts are limited, so that large jobs could wait for
-        ever; those without a run for ``STARVED_MS`` then come first.
+    :param limited: whether the owner's processor limits the starts, so that large
+        jobs could wait for ever; those without a run for ``STARVED_MS`` then come
+        first.
     """
     job = step.job
     long_running = step.spec.long_running
@@ -99,7 +100,7 @@
     """List the pending tasks in the order in which they are placed.
 
     :param now_ms: current monotonic time, in ms.
-    :param limited: whether the round before had to leave tasks.
+    :param limited: whether an overloaded owner left tasks in the round before.
     """
     ranked = _pending_tasks(state, now_ms, with_best_effort, limited)
     return sorted(ranked, key=_rank)
--- a/waxwingford/scheduling/tests/engine_harness.py
+++ b/waxwingford/scheduling/tests/engine_harness.py
@@ -119,7 +119,12 @@
 
     def decide(self, accept=True):
         self.now_ms += 50
-        self.engine.decide(self.now_ms, self.wall_ms, self.max_starts)
+        self.engine.decide(
+            self.now_ms,
+            self.wall_ms,
+            self.max_starts,
+            overloaded=self.max_starts < math.inf,
+        )
         batch = self.engine.take_batch()
         store_rows(self.rows, batch.payload_by_key)
         for start in self.engine.stored(batch):
