Keep the precedence of waiting jobs for 5 s after the event loop was late

Accepted best-effort jobs had started nothing 17 s after the traffic, with most of the servers' room free.

Cause: the lag of an overloaded owner falls below the limit with each decision that starts little, and the precedence of jobs that had waited for 2 s fell with it, so smaller jobs went first again.

Change: starts count as limited for 5 s after the lag last kept the window from growing. The row of 3 s of 'the event loop is on time again after it was late' failed before, as precedence ended with the lag.

--- a/waxwingford/shard/_start_control.py
+++ b/waxwingford/shard/_start_control.py
@@ -38,7 +38,7 @@
             wall_ms,
             self._window.room(in_progress, now_ms),
             timely=self._lag.acceptable,
-            overloaded=self._window.limited_by_lag,
+            overloaded=self._window.recently_limited(now_ms),
         )
         self._admission.update(decision, self._window, now_ms)
         self._overload_log.log_overload(
--- a/waxwingford/shard/_start_window.py
+++ b/waxwingford/shard/_start_window.py
@@ -14,6 +14,8 @@
 #: Share of the window that must be in use for it to grow: until then nothing is
 #: known about more starts at a time.
 USED_SHARE = 0.5
+#: Time for which starts count as limited after the event loop was late, in ms.
+RECENT_LAG_MS = 5000
 #: Time between two changes of the window, in ms: the lag follows with a delay.
 CHANGE_INTERVAL_MS = 200
 
@@ -34,6 +36,7 @@
         self._starts: float = INITIAL_STARTS
         self._lag = lag
         self._changed_ms = 0
+        self._late_ms = -RECENT_LAG_MS
 
     @property
     def limited_by_lag(self) -> bool:
@@ -48,12 +51,24 @@
         """Whether the owner is overloaded although it starts next to nothing."""
         return self._starts <= MIN_STARTS and not self._lag.acceptable
 
+    def recently_limited(self, now_ms: int) -> bool:
+        """Whether the lag has kept the window from growing recently.
+
+        The lag falls as soon as fewer starts are in progress, while the backlog
+        is still there.
+
+        :param now_ms: current monotonic time, in ms.
+        """
+        return now_ms - self._late_ms < RECENT_LAG_MS
+
     def room(self, in_progress: int, now_ms: int) -> int:
         """Adapt the window and compute how many starts may be added.
 
         :param in_progress: starts in progress.
         :param now_ms: current monotonic time, in ms.
         """
+        if self.limited_by_lag:
+            self._late_ms = now_ms
         if now_ms - self._changed_ms >= CHANGE_INTERVAL_MS:
             self._changed_ms = now_ms
             self._adapt(in_progress)
--- a/waxwingford/shard/tests/overload.feature
+++ b/waxwingford/shard/tests/overload.feature
@@ -51,6 +51,18 @@
       | 100    | 10 urgent tasks      | 0      | 0           |
       | 400    | 0 urgent tasks       | 5      | 5           |
 
+  Scenario Outline: the event loop is on time again after it was late
+    # Guards against a job that waits for ever as the lag of an overloaded owner falls
+    # with each decision.
+    Given an owner whose event loop is 100 ms late
+    When it is on time again for <span_s> s
+    Then jobs that have waited <come> first
+
+    Examples:
+      | span_s | come      |
+      | 3      | come      |
+      | 6      | don't come |
+
   Scenario: an accepted job is submitted again while the owner refuses jobs
     # Guards against a refusal that says of an accepted job that it doesn't run.
     Given a shard with 4 daemons and 4 servers
--- a/waxwingford/shard/tests/overload_steps.py
+++ b/waxwingford/shard/tests/overload_steps.py
@@ -150,6 +150,25 @@
     context.retry_after = admission.retry_after
 
 
+@when('it is on time again for {span_s:d} s')
+def on_time_again(context, span_s):
+    context.window = StartWindow(context.lag)
+    context.window.room(0, 0)
+    context.lag.mean_s = 0
+    context.now_ms = span_s * MS_PER_S
+    context.window.room(0, context.now_ms)
+
+
+@then("jobs that have waited don't come first")
+def check_not_first(context):
+    assert not context.window.recently_limited(context.now_ms)
+
+
+@then('jobs that have waited come first')
+def check_first(context):
+    assert context.window.recently_limited(context.now_ms)
+
+
 @then('callers are told to come back after {urgent:d} and {best_effort:d} s')
 def check_retry_after(context, urgent, best_effort):
     assert context.retry_after == (urgent, best_effort), context.retry_after
