Select as many servers as a best-effort step has tasks

That this is the cause is concluded from the code, not shown yet; fleets of up to 24 servers are unaffected.

--- a/waxwingford/scheduling/_admission.py
+++ b/waxwingford/scheduling/_admission.py
@@ -24,8 +24,9 @@
 #: Share of a service's CPU in use by tasks that aren't best-effort from which
 #: on ``ANY_SERVER_AFTER_MS`` doesn't apply.
 CROWDED_SHARE = 0.6
-#: Maximum number of servers considered for one task; the selection rotates.
-MAX_CANDIDATES = 24
+#: Number of servers considered for a step, or one for each of its tasks if that is
+#: more; the selection rotates.
+MIN_CANDIDATES = 24
 
 
 class _Pool(NamedTuple):
@@ -77,11 +78,14 @@
                 if min(self._model.allowance(server, best_effort, now_ms)) > 0
             ]
             self._open_by_image[key] = found
-        if len(found) <= MAX_CANDIDATES:
+        # The selection serves all tasks of the step, which should not crowd on
+        # few servers of a large fleet.
+        count = max(MIN_CANDIDATES, best_effort.unfinished)
+        if len(found) <= count:
             return found
-        self._offset = (self._offset + MAX_CANDIDATES) % len(found)
+        self._offset = (self._offset + count) % len(found)
         rotated = itertools.chain(found[self._offset :], found)
-        return list(itertools.islice(rotated, MAX_CANDIDATES))
+        return list(itertools.islice(rotated, count))
 
     def admitting(
         self,
