Log restarts of servers under their id, and ends that are skipped

No line told which start of a server listed a run, nor that an end of a run that is present was skipped because its number had been processed before. The time of a server's start is read from registrations and lists of runs; nothing is decided by it yet. A registration whose start is no whole number names no server; without one the start is unknown, as in records from before the term.

--- a/waxwingford/platform/_records.py
+++ b/waxwingford/platform/_records.py
@@ -11,6 +11,7 @@
 _MAX_PORT = 65_535
 _MAX_AMOUNT = 1_000_000_000
 _Amount = Annotated[int, msgspec.Meta(ge=0, le=_MAX_AMOUNT)]
+_UnixMs = Annotated[int, msgspec.Meta(ge=0)]
 # IP address and port.
 _Endpoint = Annotated[str, msgspec.Meta(pattern=r'^[0-9.]+:[0-9]{1,5}$')]
 # The first label of this form is the name of the worker's rack.
@@ -58,6 +59,8 @@
     state: Literal['ready', 'draining']
     capacity: _Capacity
     labels: list[str] = []
+    # Unix time in ms at which the worker started.
+    born: _UnixMs = 0
 
 
 class QueuePath(msgspec.Struct, frozen=True):
@@ -197,6 +200,7 @@
         ),
         registration.state == 'draining',
         next(filter(_RACK.fullmatch, registration.labels), ''),
+        registration.born,
     )
 
 
--- a/waxwingford/platform/_workers.py
+++ b/waxwingford/platform/_workers.py
@@ -71,6 +71,8 @@
     clock_ms: int
     running: list[_RunningRow]
     ended_runs: list[_EndRow]
+    # Unix time in ms at which the worker started.
+    born: int = 0
 
 
 _order_decoder = msgspec.json.Decoder(_OrderBody)
@@ -218,6 +220,7 @@
         body.clock_ms,
         tuple(map(_running_report, body.running)),
         tuple(map(_end_report, body.ended_runs)),
+        body.born,
     )
 
 
--- a/waxwingford/platform/tests/adapter.feature
+++ b/waxwingford/platform/tests/adapter.feature
@@ -86,6 +86,23 @@
     When the worker answers 200 with {"clock-ms":9,"running":[["00000000000000aa.0.1.2",3,"c1",41,12]],"ended-runs":[[5,"00000000000000aa.0.1.1",1,"done",""]]}
     Then a poll returns a running and an ended run
 
+  Scenario Outline: the time of a worker's start
+    # Guards against taking a worker that has restarted under its id for the former one.
+    Given a fake platform on loopback
+    When the worker answers 200 with {"clock-ms":9,"running":[],"ended-runs":[]<field>}
+    Then a poll returns <start> as the start of the worker
+
+    Examples:
+      | field                  | start         |
+      | ,"born":1767225600123  | 1767225600123 |
+      |                        | 0             |
+
+  Scenario: a list of runs whose start is no whole number
+    # Guards against counting ends of an incarnation that isn't known.
+    Given a fake platform on loopback
+    When the worker answers 200 with {"clock-ms":9,"running":[],"ended-runs":[],"born":"x"}
+    Then a poll has an unknown outcome
+
   Scenario Outline: outcome of an advice request by response
     # Guards against an unhandled decoding error that ends the ownership.
     Given a fake platform on loopback
--- a/waxwingford/platform/tests/adapter_steps.py
+++ b/waxwingford/platform/tests/adapter_steps.py
@@ -20,6 +20,7 @@
 from waxwingford.scheduling import (
     Address,
     EndKind,
+    OrderOutcomeUnknown,
     PollOrder,
     RunKey,
     StartOrder,
@@ -240,16 +241,31 @@
 
 @then('a poll returns a running and an ended run')
 def check_poll(context):
-    order = PollOrder(7, 4, 100, 0)
-    result = call_worker(
-        context, lambda workers, address: workers.poll(address, order)
-    )
+    result = poll_worker(context)
     assert result.running[0].run == RUN
     assert result.running[0].measured_value == 12
     assert result.ended[0].kind is EndKind.done
     assert result.clock_ms == 9
 
 
+@then('a poll returns {started_ms:d} as the start of the worker')
+def check_start_of_worker(context, started_ms):
+    assert poll_worker(context).started_ms == started_ms
+
+
+@then('a poll has an unknown outcome')
+def check_poll_not_read(context):
+    outcome = poll_worker(context)
+    assert isinstance(outcome, OrderOutcomeUnknown), outcome
+
+
+def poll_worker(context):
+    order = PollOrder(7, 4, 100, 0)
+    return call_worker(
+        context, lambda workers, address: workers.poll(address, order)
+    )
+
+
 @then('the advice is "{name}"')
 def check_advice(context, name):
     async def _call(http_client, address):
--- a/waxwingford/platform/tests/foreign.feature
+++ b/waxwingford/platform/tests/foreign.feature
@@ -21,6 +21,9 @@
       | has a text as capacity                     |
       | has negative memory                        |
       | has numbers as labels                      |
+      | has a text as start                        |
+      | has a fraction as start                    |
+      | has a negative start                       |
       | is truncated                               |
       | is a list                                  |
       | is invalid UTF-8                           |
--- a/waxwingford/scheduling/_backend_client.py
+++ b/waxwingford/scheduling/_backend_client.py
@@ -194,11 +194,14 @@
     :ivar clock_ms: server clock at the time of the answer, in ms.
     :ivar running: runs that are present.
     :ivar ended: ends that were not acknowledged yet.
+    :ivar started_ms: Unix time in ms at which the server started, 0 if it
+        doesn't say.
     """
 
     clock_ms: int
     running: tuple[RunningReport, ...]
     ended: tuple[EndReport, ...]
+    started_ms: int = 0
 
 
 OrderOutcome = (
--- a/waxwingford/scheduling/_server_notes.py
+++ b/waxwingford/scheduling/_server_notes.py
@@ -1,5 +1,6 @@
 """Notes about runs and about servers that don't answer."""
 
+from waxwingford.scheduling._backend_client import EndReport, PollResult
 from waxwingford.scheduling._notes import NoteBuffer
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._state import Run, RunPhase
@@ -60,3 +61,34 @@
         draining=server.registered and server.entry.draining,
         left_ms=int(server.lease_left_ms(now_ms)),
     )
+
+
+def note_restart(notes: NoteBuffer, server: Server, answer: PollResult) -> None:
+    """Note that another start of the server lists its runs than before."""
+    former_ms = server.listed_started_ms
+    server.listed_started_ms = answer.started_ms
+    if former_ms and answer.started_ms != former_ms:
+        notes.add(
+            'server.restarted',
+            server.entry.server_id,
+            started_ms=answer.started_ms,
+            former_started_ms=former_ms,
+            registered_ms=server.entry.started_ms,
+            runs=len(server.run_by_key),
+            processed_end=server.processed_end,
+            clock_ms=answer.clock_ms,
+            former_clock_ms=server.latest_clock_ms,
+        )
+
+
+def note_skipped_end(notes: NoteBuffer, server: Server, end: EndReport) -> None:
+    """Note an end of a present run that is skipped as already processed."""
+    notes.add(
+        'run.end_skipped',
+        end.run.task,
+        run=end.run.run,
+        server=server.entry.server_id,
+        how=end.kind.value,
+        number=end.number,
+        processed_end=server.processed_end,
+    )
--- a/waxwingford/scheduling/_servers.py
+++ b/waxwingford/scheduling/_servers.py
@@ -29,6 +29,8 @@
     :ivar capacity: total resources.
     :ivar draining: whether it is about to shut down.
     :ivar rack: rack of its VM, empty if unknown.
+    :ivar started_ms: Unix time in ms at which the server started, 0 if it
+        doesn't say.
     """
 
     server_id: str
@@ -39,6 +41,7 @@
     capacity: Resources
     draining: bool
     rack: str = ''
+    started_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -87,6 +90,8 @@
     :ivar penalty: decaying score of runs that failed or made no progress.
     :ivar penalty_updated_ms: time at which this score last decayed.
     :ivar change_count: number of runs added or removed so far.
+    :ivar listed_started_ms: time of the server's start in its latest answer to
+        a poll, as Unix time in ms, 0 for none.
     :ivar awaited: whether the wait for the end of its leases was noted.
     """
 
@@ -119,6 +124,7 @@
     penalty: float = 0
     penalty_updated_ms: int = 0
     change_count: int = 0
+    listed_started_ms: int = 0
     awaited: bool = False
 
     def __post_init__(self) -> None:
--- a/waxwingford/scheduling/_settle.py
+++ b/waxwingford/scheduling/_settle.py
@@ -32,8 +32,10 @@
 )
 from waxwingford.scheduling._server_notes import (
     note_awaited,
+    note_restart,
     note_run,
     note_silent,
+    note_skipped_end,
 )
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._shard_state import ShardState
@@ -163,6 +165,7 @@
     def _apply_listing(
         self, server: Server, sent_ms: int, now_ms: int, answer: PollResult
     ) -> None:
+        note_restart(self._state.notes, server, answer)
         server.update_clock(answer.clock_ms, now_ms)
         if server.failing_since_ms is not None:
             self._state.notes.add(
@@ -259,6 +262,8 @@
 
     def _apply_end(self, server: Server, end: EndReport, now_ms: int) -> None:
         if end.number <= server.processed_end:
+            if end.run in server.run_by_key:
+                note_skipped_end(self._state.notes, server, end)
             return
         server.processed_end = end.number
         self._state.acknowledge_end(server.entry.server_id, end.number)
