Test servers that restart under their id, failing on this code

Simulated servers restart in place: same id and address, a later start time; runs, ends, clock, fencing token and stops are forgotten. Calls on the way reach the next incarnation, registrations may be older than the restart, and the owner may change at the same moment. A limit on starts after failed runs is checked for all simulated shards. Acknowledged ends stay forgotten when a later poll names a lower one, as the platform says.

--- a/waxwingford/shard/tests/crashing_tasks.py
+++ b/waxwingford/shard/tests/crashing_tasks.py
@@ -23,6 +23,8 @@
     def __init__(self, fleet):
         self.tasks = set()
         self.crashes = collections.Counter()
+        #: How a server crashes and comes back.
+        self.crash = crash_and_restart
         self._fleet = fleet
         self._starts_after_limit = collections.Counter()
 
@@ -46,7 +48,7 @@
     def _crash_server(self, server, key):
         if server.up and key.task in server.run_by_task:
             self.crashes[key.task] += 1
-            crash_and_restart(server)
+            self.crash(server)
 
 
 def crash_and_restart(server):
--- a/waxwingford/shard/tests/virtual_server_client.py
+++ b/waxwingford/shard/tests/virtual_server_client.py
@@ -36,7 +36,7 @@
         if self._daemon_id in self._fleet.store.silent:
             return None
         return tuple(
-            server.entry
+            server.outdated_entry or server.entry
             for server in self._fleet.server_by_id.values()
             if server.registered
         )
@@ -131,13 +131,23 @@
         if not server.up:
             return ServerReplaced()
         if self._fleet.random.random() < self._fleet.late_share:
-            delay_s = self._fleet.random.uniform(2, 12)
+            delay_s = self._fleet.random.uniform(*self._fleet.late_range_s)
             asyncio.get_running_loop().call_later(
-                delay_s, _apply_late, server, order_method, order_args
+                delay_s,
+                _apply_late,
+                self._fleet,
+                address.server_id,
+                order_method,
+                order_args,
             )
             await asyncio.sleep(TIMEOUT_S)
             return OrderOutcomeUnknown('late')
         await asyncio.sleep(self._fleet.order_delay_s)
+        # The next incarnation carries the order out if the server has restarted
+        # under its id meanwhile.
+        server = self._fleet.server_by_id[address.server_id]
+        if not server.up:
+            return OrderOutcomeUnknown('reset', connection_lost=True)
         return order_method(server, *order_args)
 
     async def _connect(self, server):
@@ -174,6 +184,7 @@
     return OrderNotSent('no connection')
 
 
-def _apply_late(server, order_method, order_args):
+def _apply_late(fleet, server_id, order_method, order_args):
+    server = fleet.server_by_id[server_id]
     if server.up:
         order_method(server, *order_args)
--- a/waxwingford/shard/tests/virtual_servers.py
+++ b/waxwingford/shard/tests/virtual_servers.py
@@ -24,6 +24,7 @@
 )
 from waxwingford.shard._intake import INTAKE_TOPIC, JOB_PREFIX
 from waxwingford.shard._journal import JOURNAL_TOPIC
+from waxwingford.shard.tests.attempt_limit import AttemptLimit
 from waxwingford.shard.tests.capacities import CapacityHistory, exceeds
 from waxwingford.shard.tests.crashing_tasks import CrashingTasks
 
@@ -32,6 +33,8 @@
 MAX_LEASE_MS = 6000
 STOP_DURATION_S = 0.3
 MS_PER_S = 1000
+#: Unix time in ms at which the loop's clock starts, unless it is changed.
+EPOCH_MS = 1_700_000_000_000
 
 
 def step_key(task):
@@ -57,6 +60,10 @@
         #: Whether starts that exceed the capacity are refused.
         self.enforces_capacity = True
         self.clock_offset_ms = clock_offset_ms
+        #: Unix time in ms at which this incarnation started.
+        self.started_ms = fleet.epoch_ms + fleet.loop_ms()
+        #: Registration that is stored instead of the current one, if any.
+        self.outdated_entry = None
         self.up = True
         self.registered = True
         self.draining = False
@@ -95,11 +102,11 @@
             frozenset(('rack',)),
             self.capacity,
             self.draining,
+            started_ms=self.started_ms,
         )
 
     def clock_ms(self):
-        loop_s = asyncio.get_running_loop().time()
-        return int(loop_s * MS_PER_S) + self.clock_offset_ms
+        return self.fleet.loop_ms() + self.clock_offset_ms
 
     def check_lease(self):
         if self.clock_ms() >= self.lease_until_ms:
@@ -124,6 +131,8 @@
         self.ends.append(EndReport(len(self.ends) + 1, run.key, kind, ''))
         if kind is EndKind.done:
             self.fleet.mark_done(run.key.task)
+        elif kind is EndKind.failed:
+            self.fleet.attempts.on_failure(self, self.ends[-1])
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -213,8 +222,9 @@
             self.clock_ms(),
             tuple(map(self.report, self.run_by_task.values())),
             tuple(
-                end for end in self.ends if end.number > order.acknowledged_end
+                end for end in self.ends if end.number > self.acknowledged_end
             ),
+            self.started_ms,
         )
 
     def report(self, run):
@@ -230,12 +240,17 @@
 
     def __init__(self, store, seed):
         self.store = store
+        self.loop = asyncio.get_event_loop()
         self.random = random.Random(seed)
         self.server_by_id = {}
         #: Pairs of ids of a daemon and a server that can't reach each other.
         self.cut = set()
         #: Share of orders that get no answer and take effect seconds later.
         self.late_share = 0
+        #: Bounds of the delay of such orders, in seconds.
+        self.late_range_s = (2, 12)
+        #: Unix time in ms at which the loop's clock started.
+        self.epoch_ms = EPOCH_MS
         self.order_delay_s = 0
         #: Processor time of the daemon before and after each call, in seconds.
         self.call_cpu_s = 0
@@ -244,6 +259,7 @@
         self.violations = []
         self.starts = collections.Counter()
         self.crashing = CrashingTasks(self)
+        self.attempts = AttemptLimit(self)
         self.cancelled_at_s_by_job = {}
         #: Validity of tickets, in ms; 0 if starts need no ticket.
         self.ticket_validity_ms = 0
@@ -252,6 +268,9 @@
         self.starts_without_ticket = []
         self.job_by_id = {}
 
+    def loop_ms(self):
+        return int(self.loop.time() * MS_PER_S)
+
     def add(self, count, cores=8, clock_offset_ms=0):
         capacity = Resources(cores * 1000, cores * 4000, 0)
         for _ in range(count):
@@ -324,6 +343,7 @@
                     f'{key}: started before step {index} was done'
                 )
         self.crashing.check_start(key)
+        self.attempts.check_start(key)
         if exceeds(server.needs_with(task), server.capacities.upper_bound()):
             self.violations.append(
                 f'{key}: takes {server.server_id} over its capacity'
@@ -362,3 +382,4 @@
             if server.void_end_number < end.number <= number
             and end.kind is EndKind.done
         }
+        self.attempts.on_acknowledged(server, number)
--- a/waxwingford/shard/tests/virtual_shard.py
+++ b/waxwingford/shard/tests/virtual_shard.py
@@ -146,14 +146,18 @@
 class VirtualShard:
     """Daemons, a store and backend servers in virtual time."""
 
-    def __init__(self, seed=0, daemons=3, servers=4, cores=None):
+    def __init__(
+        self, seed=0, daemons=3, servers=4, cores=None, clock_offset_ms=None
+    ):
         random.seed(seed)
         self.loop = VirtualLoop()
         asyncio.set_event_loop(self.loop)
         self.random = random.Random(seed)
         self.store = VirtualStore(seed)
         self.servers = VirtualServers(self.store, seed)
-        self.servers.add(servers, clock_offset_ms=seed % 1000)
+        if clock_offset_ms is None:
+            clock_offset_ms = seed % 1000
+        self.servers.add(servers, clock_offset_ms=clock_offset_ms)
         self.job_count = 0
         self.lines = []
         self.daemons = []
