--- a/waxwingford/platform/_http_client.py
+++ b/waxwingford/platform/_http_client.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from urllib import parse as url_parse
 
 import msgspec
 
 from waxwingford.platform._http_connections import (
     ConnectFailedError,
+    Connection,
     ConnectionBrokenError,
     ConnectionPool,
 )
@@ -21,10 +22,17 @@
     """A complete response.
 
     :ivar body: undecoded response body.
+    :ivar connection: connection on which it came.
     """
 
     status: int
     body: bytes
+    connection: Connection | None = None
+
+    def note_peer(self, peer: object) -> None:
+        """Note which process has sent the response."""
+        if self.connection is not None:
+            self.connection.peer = peer
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -127,24 +135,35 @@
         :param headers: headers in addition to the content type.
         :param timeout_s: timeout for the complete response, in seconds.
         """
-        body = _json_encoder.encode(content)
-        head = _encode_head(
-            'POST',
-            address,
-            path,
-            {},
-            {
-                'Content-Type': 'application/json',
-                'Content-Length': str(len(body)),
-                **headers,
-            },
-        )
-        return await self._request(address, head + body, timeout_s)
+        request = _encode_json_post(address, path, content, headers)
+        return await self._request(address, request, timeout_s)
+
+    async def post_json_to_peer(
+        self,
+        address: str,
+        path: str,
+        content_for: Callable[[object], object],
+        headers: Mapping[str, str],
+        timeout_s: float,
+    ) -> RequestOutcome:
+        """Send a POST request whose content depends on who receives it.
+
+        :param address: IP address and port of the server.
+        :param content_for: function that returns the content for the peer that
+            was noted for the connection, ``None`` if none was.
+        :param headers: headers in addition to the content type.
+        :param timeout_s: timeout for the complete response, in seconds.
+        """
+
+        def encode(peer: object) -> bytes:
+            return _encode_json_post(address, path, content_for(peer), headers)
+
+        return await self._request(address, encode, timeout_s)
 
     async def _request(
         self,
         address: str,
-        request: bytes,
+        request: bytes | Callable[[object], bytes],
         timeout_s: float,
         repeatable: bool = False,
     ) -> RequestOutcome:
@@ -161,8 +180,11 @@
         if loop.time() >= deadline_s:
             pool.release(connection)
             return NotSent('TimeoutError: no connection was free in time')
+        content = request(connection.peer) if callable(request) else request
         try:
-            return HttpResponse(*await connection.send(request, deadline_s))
+            return HttpResponse(
+                *await connection.send(content, deadline_s), connection
+            )
         except TimeoutError:
             return NoResponse('TimeoutError: no response in time')
         except ConnectionBrokenError as error:
@@ -191,3 +213,21 @@
         '\r\n',
     ]
     return '\r\n'.join(lines).encode()
+
+
+def _encode_json_post(
+    address: str, path: str, content: object, headers: Mapping[str, str]
+) -> bytes:
+    body = _json_encoder.encode(content)
+    head = _encode_head(
+        'POST',
+        address,
+        path,
+        {},
+        {
+            'Content-Type': 'application/json',
+            'Content-Length': str(len(body)),
+            **headers,
+        },
+    )
+    return head + body
--- a/waxwingford/platform/_http_connections.py
+++ b/waxwingford/platform/_http_connections.py
@@ -72,10 +72,13 @@
     """A connection that carries one request at a time.
 
     :ivar closed: whether it can't carry another request.
+    :ivar peer: process at the other end as noted by the user of the connection,
+        ``None`` if it isn't known. No connection outlasts that process.
     """
 
     def __init__(self) -> None:
         self.closed = False
+        self.peer: object = None
         self.idle_since_s: float = 0
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
--- a/waxwingford/platform/_workers.py
+++ b/waxwingford/platform/_workers.py
@@ -9,6 +9,7 @@
     HttpResponse,
     NoResponse,
     NotSent,
+    RequestOutcome,
 )
 from waxwingford.scheduling import (
     Address,
@@ -75,6 +76,13 @@
     born: int = 0
 
 
+_CheckedOutcome = (
+    HttpResponse
+    | OrderRefused
+    | ServerReplaced
+    | OrderNotSent
+    | OrderOutcomeUnknown
+)
 _order_decoder = msgspec.json.Decoder(_OrderBody)
 _poll_decoder = msgspec.json.Decoder(_PollBody)
 
@@ -136,22 +144,36 @@
         :param order: lease, last acknowledged end, and long-poll time.
         :returns: the running and ended runs, or the reason why there are none.
         """
-        content = {
-            'fence': order.fencing_token,
-            'ack-cursor': order.acknowledged_end,
-        }
+        content: dict[str, object] = {'fence': order.fencing_token}
         if order.lease_until_ms is not None:
             content['deadline-ms'] = order.lease_until_ms
         if order.wait_ms:
             content['wait-ms'] = order.wait_ms
-        timeout_s = order.wait_ms / _MS_PER_S + POLL_TIMEOUT_S
-        response = await self._post(address, '/api/hold', content, timeout_s)
+        addressee = (address.server_id, order.started_ms)
+
+        def content_for(peer: object) -> dict[str, object]:
+            known = peer == addressee
+            content['ack-cursor'] = order.acknowledged_end if known else 0
+            return content
+
+        response = _check_outcome(
+            await self._http_client.post_json_to_peer(
+                address.endpoint,
+                '/api/hold',
+                content_for,
+                _headers(address),
+                order.wait_ms / _MS_PER_S + POLL_TIMEOUT_S,
+            )
+        )
         if not isinstance(response, HttpResponse):
             return response
         try:
-            return _poll_result(_poll_decoder.decode(response.body))
+            body = _poll_decoder.decode(response.body)
+            answer = _poll_result(body, content['ack-cursor'])
         except (msgspec.MsgspecError, ValueError) as error:
             return OrderOutcomeUnknown(f'response not decoded: {error}')
+        response.note_peer((address.server_id, answer.started_ms))
+        return answer
 
     async def _send_order(
         self, address: Address, path: str, content: dict[str, object]
@@ -167,24 +189,12 @@
         path: str,
         content: dict[str, object],
         timeout_s: float,
-    ) -> (
-        HttpResponse
-        | OrderRefused
-        | ServerReplaced
-        | OrderNotSent
-        | OrderOutcomeUnknown
-    ):
-        headers = {'X-Expect-Instance': address.server_id}
-        outcome = await self._http_client.post_json(
-            address.endpoint, path, content, headers, timeout_s
+    ) -> _CheckedOutcome:
+        return _check_outcome(
+            await self._http_client.post_json(
+                address.endpoint, path, content, _headers(address), timeout_s
+            )
         )
-        match outcome:
-            case NotSent(reason):
-                return OrderNotSent(reason)
-            case NoResponse(reason, connection_closed):
-                return OrderOutcomeUnknown(reason, connection_closed)
-            case HttpResponse():
-                return _check_status(outcome)
 
 
 def parse_task_key(name: str) -> TaskKey:
@@ -197,6 +207,20 @@
     return TaskKey(job_id, int(occurrence), int(step), int(index))
 
 
+def _headers(address: Address) -> dict[str, str]:
+    return {'X-Expect-Instance': address.server_id}
+
+
+def _check_outcome(outcome: RequestOutcome) -> _CheckedOutcome:
+    match outcome:
+        case NotSent(reason):
+            return OrderNotSent(reason)
+        case NoResponse(reason, connection_closed):
+            return OrderOutcomeUnknown(reason, connection_closed)
+        case HttpResponse():
+            return _check_status(outcome)
+
+
 def _check_status(
     response: HttpResponse,
 ) -> HttpResponse | OrderRefused | ServerReplaced | OrderOutcomeUnknown:
@@ -215,12 +239,13 @@
             return OrderOutcomeUnknown(f'status {response.status}')
 
 
-def _poll_result(body: _PollBody) -> PollResult:
+def _poll_result(body: _PollBody, acknowledged_end: int) -> PollResult:
     return PollResult(
         body.clock_ms,
         tuple(map(_running_report, body.running)),
         tuple(map(_end_report, body.ended_runs)),
         body.born,
+        acknowledged_end,
     )
 
 
--- a/waxwingford/platform/tests/adapter.feature
+++ b/waxwingford/platform/tests/adapter.feature
@@ -103,6 +103,17 @@
     When the worker answers 200 with {"clock-ms":9,"running":[],"ended-runs":[],"born":"x"}
     Then a poll has an unknown outcome
 
+  Scenario: ends are acknowledged to the incarnation that has listed them only
+    # Guards against a new incarnation that discards ends which nobody has read.
+    Given a worker, restarting in place after 3 polls
+    When it is polled 6 times, acknowledging end 7 of the first incarnation
+    Then the polls have acknowledged 0, 7, 7, 0, 0, 0
+
+  Scenario: ends are acknowledged to a new incarnation once it has listed its runs
+    Given a worker, restarting in place after 1 polls
+    When it is polled 3 times, acknowledging end 7 of the second incarnation
+    Then the polls have acknowledged 0, 0, 7
+
   Scenario Outline: outcome of an advice request by response
     # Guards against an unhandled decoding error that ends the ownership.
     Given a fake platform on loopback
--- a/waxwingford/platform/tests/foreign_steps.py
+++ b/waxwingford/platform/tests/foreign_steps.py
@@ -249,6 +249,10 @@
     async def post_json(self, *_):
         return HttpResponse(200, self._body)
 
+    async def post_json_to_peer(self, address, path, content_for, *_):
+        assert content_for(None)
+        return HttpResponse(200, self._body)
+
     async def get(self, *_):
         return HttpResponse(200, self._body)
 
--- a/waxwingford/scheduler/_daemon.py
+++ b/waxwingford/scheduler/_daemon.py
@@ -168,6 +168,7 @@
                 int(settings.bounds.longest_lease_ms * LEASE_FRACTION),
             ),
             settings.vm.cores,
+            settings.bounds.longest_lease_ms,
         )
         ports = OwnerPorts(
             self._platform.log,
--- a/waxwingford/scheduling/__init__.py
+++ b/waxwingford/scheduling/__init__.py
@@ -21,7 +21,8 @@
     TaskKey,
 )
 from waxwingford.scheduling._backlog import Backlog, Decision
-from waxwingford.scheduling._engine import Engine
+from waxwingford.scheduling._engine import MAX_LEASE_MS, Engine
+from waxwingford.scheduling._incarnations import Incarnation
 from waxwingford.scheduling._notes import Note
 from waxwingford.scheduling._orders import Batch, Order, Pace, Start, Stop
 from waxwingford.scheduling._recovery import InheritedLeases
@@ -45,8 +46,10 @@
     'EndKind',
     'EndReport',
     'Engine',
+    'Incarnation',
     'InheritedLeases',
     'JobPhase',
+    'MAX_LEASE_MS',
     'JobSpec',
     'PollOrder',
     'PollOutcome',
--- a/waxwingford/scheduling/_backend_client.py
+++ b/waxwingford/scheduling/_backend_client.py
@@ -114,17 +114,21 @@
 
     :ivar fencing_token: fencing token of the shard's owner.
     :ivar acknowledged_end: highest acknowledged end; the server may discard the
-        ends up to this number.
+        ends up to this number. It is sent only on a connection on which this
+        incarnation has listed its runs: on any other, the next one may answer,
+        and would discard ends that nobody has read.
     :ivar lease_until_ms: new end of the lease in ms of the server's clock;
         ``None`` leaves the lease unchanged.
     :ivar wait_ms: time in ms for which the server may delay its answer until
         a run ends.
+    :ivar started_ms: start time of the incarnation, 0 if it is unknown.
     """
 
     fencing_token: int
     acknowledged_end: int
     lease_until_ms: int | None
     wait_ms: int
+    started_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -196,12 +200,15 @@
     :ivar ended: ends that were not acknowledged yet.
     :ivar started_ms: Unix time in ms at which the server started, 0 if it
         doesn't say.
+    :ivar acknowledged_end: end up to which the poll has acknowledged, 0 if
+        none was sent.
     """
 
     clock_ms: int
     running: tuple[RunningReport, ...]
     ended: tuple[EndReport, ...]
     started_ms: int = 0
+    acknowledged_end: int = 0
 
 
 OrderOutcome = (
--- a/waxwingford/scheduling/_crashes.py
+++ b/waxwingford/scheduling/_crashes.py
@@ -6,6 +6,8 @@
 fails; if the server stays up, the suspect is cleared.
 """
 
+from typing import NamedTuple
+
 from waxwingford.scheduling._backend_client import TaskKey
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._shard_state import ShardState
@@ -31,6 +33,17 @@
 UNCONFIRMED_FAIL_EVIDENCE = 8
 
 
+class Loss(NamedTuple):
+    """Loss of a server.
+
+    :ivar crashed: whether another incarnation proves that it has crashed.
+    :ivar single_cause: whether one task alone may have caused it.
+    """
+
+    crashed: bool
+    single_cause: bool
+
+
 def find_suspects(server: Server) -> list[Run]:
     """List the runs that may have crashed a server.
 
@@ -44,8 +57,19 @@
     ]
 
 
+def has_single_cause(state: ShardState, suspects: list[Run]) -> bool:
+    """Whether one task, or one gang, is the only suspect."""
+    found_by_key = {run.key: state.find(run.key) for run in suspects}
+    causes = {
+        suspect_key(key.task, found[1])
+        for key, found in found_by_key.items()
+        if found is not None
+    }
+    return len(causes) == 1
+
+
 def add_evidence(
-    state: ShardState, server: Server, suspects: list[Run]
+    state: ShardState, server: Server, suspects: list[Run], loss: Loss
 ) -> None:
     """Add evidence to the tasks that may have crashed a server.
 
@@ -53,14 +77,13 @@
     """
     if not suspects:
         return
-    single_cause = len(_possible_causes(state, suspects)) == 1
     fail_evidence = (
         CONFIRMED_FAIL_EVIDENCE
-        if server.replaced and single_cause
+        if loss.crashed and loss.single_cause
         else UNCONFIRMED_FAIL_EVIDENCE
     )
     server_failed = (
-        server.replaced or not server.registered or _few_are_silent(state)
+        loss.crashed or not server.registered or _few_are_silent(state)
     )
     for run in suspects:
         found = state.find(run.key)
@@ -77,7 +100,7 @@
             server=run.server_id,
             evidence=task.crash_evidence,
             suspects=len(suspects),
-            replaced=server.replaced,
+            replaced=loss.crashed,
         )
         if task.crash_evidence >= fail_evidence:
             state.notes.add(
@@ -119,15 +142,6 @@
     return run.started_server_clock_ms is not None or not run.unconfirmed
 
 
-def _possible_causes(state: ShardState, suspects: list[Run]) -> set[TaskKey]:
-    found_by_key = {run.key: state.find(run.key) for run in suspects}
-    return {
-        suspect_key(key.task, found[1])
-        for key, found in found_by_key.items()
-        if found is not None
-    }
-
-
 def _few_are_silent(state: ShardState) -> bool:
     servers = state.server_by_id.values()
     silent = sum(server.failing_since_ms is not None for server in servers)
--- a/waxwingford/scheduling/_engine.py
+++ b/waxwingford/scheduling/_engine.py
@@ -57,6 +57,8 @@
 #: would suspect the latest starts on a server that crashes along with the
 #: owner.
 MARK_OUTLIVED_INTERVAL_MS = 200
+#: Longest lease that servers accept unless it is configured, in ms.
+MAX_LEASE_MS = 10_000
 #: Progress of a long-running task that is ready, in percent.
 READY_PERCENT = 100
 _NOTHING = Resources(0, 0, 0)
@@ -66,18 +68,24 @@
     """Makes the decisions of one owner of a shard."""
 
     def __init__(
-        self, token: int, lease_ms: int, inherited: InheritedLeases
+        self,
+        token: int,
+        lease_ms: int,
+        inherited: InheritedLeases,
+        max_lease_ms: int = MAX_LEASE_MS,
     ) -> None:
         """Create an engine without jobs or servers.
 
         :param token: fencing token of the owner.
         :param lease_ms: length of the leases granted to servers, in ms.
+        :param max_lease_ms: longest lease that a server accepts, in ms.
         """
         self.state = ShardState()
         self.orders = OrderFactory(self.state, token, lease_ms)
         self.recovery = StateRecovery(self.state)
         self._inherited_leases = inherited
         self.settler = Settler(self.state)
+        self.settler.restarts.max_lease_ms = max_lease_ms
         self._stopper = Stopper(self.state)
         self.lease_withholding = LeaseWithholding(self.state)
         self._harm = InterferenceModel()
@@ -161,9 +169,10 @@
             if server is None:
                 self._add(entry, now_ms)
             else:
-                server.register(entry)
+                self.settler.restarts.registered(server, entry, now_ms)
         for server_id, server in self.state.server_by_id.items():
-            server.registered = server_id in entry_by_id
+            if server_id not in entry_by_id:
+                server.registered = False
         for server_id in list(self.recovery.orphans_by_server):
             self._add_unlisted(server_id, now_ms)
         self.pacer.count()
@@ -176,7 +185,7 @@
         :param sent_ms: monotonic time in ms at which the poll was sent.
         :param now_ms: current monotonic time, in ms.
         """
-        self.settler.poll_answered(server, sent_ms, now_ms, outcome)
+        server = self.settler.poll_answered(server, sent_ms, now_ms, outcome)
         if server.polled_ms != sent_ms:
             return
         self._harm.learn(server, now_ms)
@@ -276,6 +285,8 @@
 
     def _maintain(self, server: Server, now_ms: int) -> None:
         decay_penalty(server, now_ms)
+        if server.starts_in_doubt:
+            self.settler.restarts.forget_old_doubts(server, now_ms)
         if _may_be_lost(server, self._timely):
             self.settler.settle_expired(server, now_ms)
         runs = server.run_by_key.values()
@@ -291,7 +302,7 @@
             )
             found = self.state.find(run.key)
             if found is not None:
-                found[0].avoided_servers.add(server.entry.server_id)
+                found[0].avoided.add(server.incarnation)
             if not step.spec.long_running:
                 penalize_server(server, STALLED_RUN_PENALTY, now_ms)
         if server.entry.draining and server.registered:
--- a/waxwingford/scheduling/_interference.py
+++ b/waxwingford/scheduling/_interference.py
@@ -25,6 +25,7 @@
     share_by_image,
 )
 from waxwingford.scheduling._headroom import HeadroomFilter
+from waxwingford.scheduling._incarnations import Incarnation
 from waxwingford.scheduling._samples import Observation, Sample, take_sample
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._state import Step
@@ -103,8 +104,8 @@
             tuple[str, str], InterferenceCoefficient
         ] = {}
         self._filter_by_step: dict[str, HeadroomFilter] = {}
-        self._observation_by_server: dict[str, Observation] = {}
-        self._forecast_by_server: dict[str, _ServerForecast] = {}
+        self._observation_by_server: dict[Incarnation, Observation] = {}
+        self._forecast_by_server: dict[Incarnation, _ServerForecast] = {}
         self._evicted_ms = 0
 
     def learn(self, server: Server, now_ms: int) -> None:
@@ -113,9 +114,9 @@
         :param server: server with the reported figures applied.
         :param now_ms: current monotonic time, in ms.
         """
-        server_id = server.entry.server_id
-        self._forecast_by_server.pop(server_id, None)
-        previous = self._observation_by_server.get(server_id)
+        incarnation = server.incarnation
+        self._forecast_by_server.pop(incarnation, None)
+        previous = self._observation_by_server.get(incarnation)
         if (
             previous is not None
             and now_ms - previous.at_ms < MIN_SAMPLE_INTERVAL_MS
@@ -127,7 +128,7 @@
             {run.key: run.measured_value for run, _ in serving},
             share_by_image(server),
         )
-        self._observation_by_server[server_id] = current
+        self._observation_by_server[incarnation] = current
         if previous is None:
             return
         for run, step in serving:
@@ -219,8 +220,8 @@
 
         :param now_ms: current monotonic time, in ms.
         """
-        server_id = server.entry.server_id
-        cached = self._forecast_by_server.get(server_id)
+        incarnation = server.incarnation
+        cached = self._forecast_by_server.get(incarnation)
         if (
             cached is not None
             and cached.change_count == server.change_count
@@ -233,7 +234,7 @@
             for step in serving_steps(server)
         ]
         made = _ServerForecast(server.change_count, now_ms, headrooms, {})
-        self._forecast_by_server[server_id] = made
+        self._forecast_by_server[incarnation] = made
         return made
 
     def _step_headroom(
@@ -327,8 +328,8 @@
             if now_ms - step_filter.updated_ms < RETENTION_MS
         }
         self._observation_by_server = {
-            server_id: observation
-            for server_id, observation in self._observation_by_server.items()
+            incarnation: observation
+            for incarnation, observation in self._observation_by_server.items()
             if now_ms - observation.at_ms < RETENTION_MS
         }
 
--- a/waxwingford/scheduling/_migration.py
+++ b/waxwingford/scheduling/_migration.py
@@ -77,7 +77,7 @@
         ]
         if not better:
             return False
-        found[0].avoided_servers.add(run.server_id)
+        found[0].avoided.add(run.incarnation)
         run.stopping = True
         self._state.notes.add(
             'run.moved',
--- a/waxwingford/scheduling/_order_factory.py
+++ b/waxwingford/scheduling/_order_factory.py
@@ -43,7 +43,11 @@
         if extend and answers and server.run_by_key and not withheld:
             lease_until_ms = server.grant_lease(now_ms, self.lease_ms)
         return PollOrder(
-            self.token, server.acknowledged_end, lease_until_ms, wait_ms
+            self.token,
+            server.next_acknowledgement,
+            lease_until_ms,
+            wait_ms,
+            server.incarnation.started_ms,
         )
 
     def start(self, run: Run, now_ms: int) -> StartOrder | None:
@@ -74,7 +78,7 @@
             run.stopping = True
             return None
         step = server.step_by_run[run.key]
-        ticket = self._state.tickets.ticket(step, run.server_id, now_ms)
+        ticket = self._state.tickets.ticket(step, run.incarnation, now_ms)
         if self._state.queue_of(job).advised and not ticket:
             # The ticket has expired and the server would refuse the start. The
             # task is placed again with a new ticket.
--- a/waxwingford/scheduling/_orders.py
+++ b/waxwingford/scheduling/_orders.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from waxwingford.scheduling._backend_client import RunKey
+from waxwingford.scheduling._incarnations import Incarnation
 from waxwingford.scheduling._state import Job, JobPhase, Run
 
 
@@ -41,10 +42,10 @@
 class EndAcknowledgement(NamedTuple):
     """An end to acknowledge to its server once the batch is stored.
 
-    :ivar number: sequence number of the end.
+    :ivar number: sequence number of the end at this incarnation.
     """
 
-    server_id: str
+    incarnation: Incarnation
     number: int
 
 
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -153,7 +153,7 @@
         if is_suspect(pending.task, pending.step):
             return self._place_isolated(pending, usable, now_ms)
         name = pending.step.name
-        if name in full_steps and not pending.task.avoided_servers:
+        if name in full_steps and not pending.task.avoided:
             return False
         if self._try_place(pending, usable, now_ms):
             return True
@@ -202,7 +202,7 @@
         def cost(server: Server) -> float:
             return self._costs.cost(task, step, server, now_ms)
 
-        task_specific = task.avoided_servers or task.crash_evidence
+        task_specific = task.avoided or task.crash_evidence
         if pending.queue.advised or task_specific:
             # The candidates of these tasks can't be shared within the step:
             # they depend on the task or its tickets.
@@ -268,7 +268,7 @@
         key = RunKey(task.key, task.last_run)
         run = Run(
             key,
-            server.entry.server_id,
+            server.incarnation,
             RunPhase.planned,
             now_ms,
             now_ms,
--- /dev/null
+++ b/waxwingford/scheduling/_restarts.py
@@ -0,0 +1,241 @@
+"""Restarts of backend servers in place, under the id that they had.
+
+The next incarnation holds and knows nothing of the former one: its runs are
+gone, its ends are numbered anew, its clock starts anew, and it has seen no
+fencing token and no stop. So the state of the former incarnation is dropped as
+a whole. Only starts that the next incarnation may have received, or may still
+receive, are handed on.
+"""
+
+import math
+
+from waxwingford.scheduling import _crashes as crashes
+from waxwingford.scheduling._backend_client import RunKey
+from waxwingford.scheduling._orders import Stop
+from waxwingford.scheduling._run_settlement import RunSettlement
+from waxwingford.scheduling._server_notes import note_restart
+from waxwingford.scheduling._servers import (
+    CLOCK_DRIFT,
+    InPlaceCrash,
+    Server,
+    ServerEntry,
+)
+from waxwingford.scheduling._shard_state import ShardState
+from waxwingford.scheduling._state import Run, RunPhase
+
+#: Longest time after which a start without an answer is still expected to be
+#: carried out, in ms.
+MAX_START_DELAY_MS = 15_000
+
+
+class Restarts:
+    """Tells incarnations of servers apart and hands starts on.
+
+    :ivar max_lease_ms: longest lease that a server grants, in ms; longer ones
+        are shortened.
+    """
+
+    def __init__(self, state: ShardState, settlement: RunSettlement) -> None:
+        self.max_lease_ms = 0
+        self._state = state
+        self._settlement = settlement
+
+    def registered(
+        self, server: Server, entry: ServerEntry, now_ms: int
+    ) -> None:
+        """Apply a newer registration of a known server.
+
+        A registration may be older than the newest poll. An unknown start time
+        that is greater proves a restart; one that is smaller may be outdated,
+        or the time of day went back, so the next poll decides.
+
+        :param now_ms: current monotonic time, in ms.
+        """
+        server.registered = True
+        if server.polled_ms < 0:
+            server.incarnation = entry.incarnation
+        if _is_current(server, entry):
+            server.unverified = False
+            server.register(entry)
+        elif not _is_outdated(server, entry):
+            later = entry.started_ms > server.incarnation.started_ms
+            if later or server.replaced:
+                self._succeed(server, entry, now_ms)
+            else:
+                server.unverified = True
+
+    def answered_by(
+        self, server: Server, started_ms: int, now_ms: int
+    ) -> Server:
+        """Find the incarnation that answered a poll, the newest one.
+
+        :param started_ms: start time in the answer, 0 if it has none.
+        :param now_ms: current monotonic time, in ms.
+        """
+        server.unverified = False
+        if started_ms not in {0, server.incarnation.started_ms}:
+            entry = server.entry._replace(started_ms=started_ms)
+            return self._succeed(server, entry, now_ms)
+        if server.polled_ms < 0:
+            suspects = _inherited_suspects(server)
+            single_cause = crashes.has_single_cause(self._state, suspects)
+            server.crash = InPlaceCrash(tuple(suspects), single_cause)
+        return server
+
+    def note_listed(self, server: Server, run: Run) -> None:
+        """Note that a server lists a run as present."""
+        run.begun = True
+        if run.incarnation != server.incarnation:
+            run.incarnation = server.incarnation
+            found = self._state.find(run.key)
+            if found is not None:
+                self._state.mark(found[1])
+
+    def judge_crash(self, server: Server, known: set[RunKey]) -> None:
+        """Suspect the tasks that may have crashed the former incarnation.
+
+        :param server: server that has just listed its runs.
+        :param known: runs in that list, present or ended, which the crash has
+            spared.
+        """
+        if server.crash is None:
+            return
+        suspects = [
+            run for run in server.crash.suspects if run.key not in known
+        ]
+        crashes.add_evidence(
+            self._state,
+            server,
+            suspects,
+            crashes.Loss(crashed=True, single_cause=server.crash.single_cause),
+        )
+        server.crash = None
+
+    def forget_old_doubts(self, server: Server, now_ms: int) -> None:
+        """Forget starts in doubt that can't be on their way any more.
+
+        :param now_ms: current monotonic time, in ms.
+        """
+        server.starts_in_doubt = {
+            key: since_ms
+            for key, since_ms in server.starts_in_doubt.items()
+            if now_ms - since_ms < MAX_START_DELAY_MS
+        }
+
+    def _succeed(
+        self, former: Server, entry: ServerEntry, now_ms: int
+    ) -> Server:
+        """Replace a server by its next incarnation.
+
+        :param entry: registration of the next incarnation, as far as known.
+        :param now_ms: current monotonic time, in ms.
+        :returns: the next incarnation.
+        """
+        server = Server(
+            entry,
+            former.registered,
+            superseded=former.superseded | {former.incarnation.started_ms},
+        )
+        server.superseded -= {entry.started_ms}
+        note_restart(self._state.notes, former, server)
+        former.replaced = True
+        former.registered = False
+        self._state.server_by_id[entry.server_id] = server
+        suspects = [
+            run
+            for run in crashes.find_suspects(former)
+            if run.incarnation != server.incarnation
+        ]
+        single_cause = crashes.has_single_cause(self._state, suspects)
+        for run in list(former.run_by_key.values()):
+            if run.phase is RunPhase.planned or run.begun:
+                self._settlement.settle(
+                    former, run, None, run.checkpoint, now_ms
+                )
+            else:
+                self._hand_on(former, run, server, now_ms)
+        self._bound_leases(former, server, now_ms)
+        crashes.add_evidence(
+            self._state,
+            former,
+            [run for run in suspects if run.begun],
+            crashes.Loss(crashed=True, single_cause=single_cause),
+        )
+        unknown = tuple(run for run in suspects if not run.begun)
+        if unknown:
+            server.crash = InPlaceCrash(unknown, single_cause)
+        self._stop_doubtful(former, server, now_ms)
+        return server
+
+    def _hand_on(
+        self, former: Server, run: Run, server: Server, now_ms: int
+    ) -> None:
+        """Hand on a run that the next incarnation may have, or may still get.
+
+        Its first list of runs settles the run, or tells that it is present.
+
+        :param now_ms: current monotonic time, in ms.
+        """
+        step = former.step_by_run[run.key]
+        former.remove(run.key)
+        run.started_server_clock_ms = None
+        run.stop_sent_ms = 0
+        run.stop_acknowledged_ms = 0
+        server.add(run, step)
+        if run.phase is RunPhase.sent:
+            run.unconfirmed = True
+            server.enter(run, RunPhase.unresolved, now_ms)
+
+    def _bound_leases(
+        self, former: Server, server: Server, now_ms: int
+    ) -> None:
+        """Bound the lease that orders to the former incarnation have granted.
+
+        They name an end by its clock, which may be long after any lease by the
+        clock of the next one.
+
+        :param now_ms: current monotonic time, in ms.
+        """
+        server.inherited_lease_until_ms = former.inherited_lease_until_ms
+        # Any earlier one was answered by the former incarnation.
+        if server.run_by_key or former.lease_sent_ms > former.polled_ms:
+            longest_ms = math.ceil(self.max_lease_ms * (1 + CLOCK_DRIFT))
+            server.inherited_lease_until_ms = max(
+                server.inherited_lease_until_ms, now_ms + longest_ms
+            )
+
+    def _stop_doubtful(
+        self, former: Server, server: Server, now_ms: int
+    ) -> None:
+        """Stop starts that are settled: the next incarnation knows no stop.
+
+        :param now_ms: current monotonic time, in ms.
+        """
+        self.forget_old_doubts(former, now_ms)
+        server.starts_in_doubt = former.starts_in_doubt
+        server_id = server.entry.server_id
+        self._state.orders.extend(
+            Stop(server_id, key) for key in server.starts_in_doubt
+        )
+
+
+def _is_current(server: Server, entry: ServerEntry) -> bool:
+    unknown = not server.incarnation.started_ms
+    return unknown or entry.incarnation == server.incarnation
+
+
+def _is_outdated(server: Server, entry: ServerEntry) -> bool:
+    """Whether an entry is of a former incarnation, or of another writer."""
+    return not entry.started_ms or entry.started_ms in server.superseded
+
+
+def _inherited_suspects(server: Server) -> list[Run]:
+    """List the runs of previous owners that a crash may have ended.
+
+    :param server: server that has just answered its first poll.
+    """
+    return [
+        run
+        for run in crashes.find_suspects(server)
+        if run.incarnation.started_ms and run.incarnation != server.incarnation
+    ]
--- a/waxwingford/scheduling/_rows.py
+++ b/waxwingford/scheduling/_rows.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from waxwingford.scheduling._backend_client import RunKey
+from waxwingford.scheduling._incarnations import Incarnation, parse_incarnation
 from waxwingford.scheduling._specs import JobSpec
 from waxwingford.scheduling._state import (
     Job,
@@ -39,6 +40,7 @@
     failures: int
     done: bool
     checkpoint: str = ''
+    #: Numbers and incarnations of servers, as text.
     runs: tuple[tuple[int, str], ...] = ()
     crash_evidence: int = 0
     #: Whether the servers of all runs are known to have outlived the starts.
@@ -115,7 +117,8 @@
 def _task_row(task: Task, wall_offset_ms: int) -> _TaskRow:
     waits = not (task.done or task.run_by_number)
     runs = tuple(
-        (number, run.server_id) for number, run in task.run_by_number.items()
+        (number, str(run.incarnation))
+        for number, run in task.run_by_number.items()
     )
     return _TaskRow(
         task.key.index,
@@ -162,8 +165,10 @@
         task.done = row.done
         task.checkpoint = row.checkpoint
         task.run_by_number = {
-            number: _inherited_run(task, number, server_id, now_ms)
-            for number, server_id in row.runs
+            number: _inherited_run(
+                task, number, parse_incarnation(text), now_ms
+            )
+            for number, text in row.runs
         }
         for run in task.run_by_number.values():
             run.outlived = row.outlived
@@ -171,10 +176,12 @@
     step.unfinished = sum(not task.done for task in step.tasks)
 
 
-def _inherited_run(task: Task, number: int, server_id: str, now_ms: int) -> Run:
+def _inherited_run(
+    task: Task, number: int, incarnation: Incarnation, now_ms: int
+) -> Run:
     run = Run(
         RunKey(task.key, number),
-        server_id,
+        incarnation,
         RunPhase.inherited,
         now_ms,
         now_ms,
--- /dev/null
+++ b/waxwingford/scheduling/_run_settlement.py
@@ -0,0 +1,129 @@
+"""Settlement of single runs, and what their ends mean for tasks and jobs."""
+
+from waxwingford.scheduling import _gangs as gangs
+from waxwingford.scheduling._backend_client import EndKind
+from waxwingford.scheduling._penalties import (
+    FAILED_RUN_PENALTY,
+    SUCCESS_PENALTY_FACTOR,
+    penalize_server,
+)
+from waxwingford.scheduling._servers import Server
+from waxwingford.scheduling._shard_state import ShardState
+from waxwingford.scheduling._state import JobPhase, Run, RunPhase, Step, Task
+
+
+class RunSettlement:
+    """Settles runs, and applies their ends to the state of a shard."""
+
+    def __init__(self, state: ShardState) -> None:
+        self._state = state
+
+    def settle(
+        self,
+        server: Server,
+        run: Run,
+        kind: EndKind | None,
+        checkpoint: str,
+        now_ms: int,
+    ) -> None:
+        """Settle a run, so that its task may start again.
+
+        :param kind: how it ended, ``None`` if it isn't present without an end.
+        :param checkpoint: checkpoint to resume from, empty to keep the former.
+        :param now_ms: current monotonic time, in ms.
+        """
+        server.remove(run.key)
+        if kind is None and run.phase is RunPhase.unresolved:
+            server.starts_in_doubt[run.key] = now_ms
+        self._state.notes.add(
+            'run.settled',
+            run.key.task,
+            run=run.key.run,
+            server=run.server_id,
+            how='absent' if kind is None else kind.value,
+            was=run.phase.value,
+            for_ms=now_ms - run.planned_ms,
+            outlived_ms=server.outlived_ms(run),
+        )
+        found = self._state.find(run.key)
+        if found is None:
+            return
+        task, step = found
+        task.run_by_number.pop(run.key.run, None)
+        step.job.last_run_ms = now_ms
+        if kind is not None:
+            # The server has survived the run, so the task didn't crash it.
+            task.crash_evidence = 0
+        task.checkpoint = checkpoint or task.checkpoint
+        if step.spec.gang:
+            gangs.share_checkpoint(step, task.checkpoint)
+            if kind is not EndKind.done:
+                gangs.stop_other_members(step, run.key.run)
+        self._state.mark(step)
+        self.apply_end_kind(server, task, step, kind, now_ms)
+        _requeue(self._state, task, step, now_ms)
+
+    def apply_end_kind(
+        self,
+        server: Server,
+        task: Task,
+        step: Step,
+        kind: EndKind | None,
+        now_ms: int,
+    ) -> None:
+        """Apply how a run ended to its task and job.
+
+        :param kind: how it ended, ``None`` if that isn't known.
+        :param now_ms: current monotonic time, in ms.
+        """
+        match kind:
+            case EndKind.done:
+                server.penalty *= SUCCESS_PENALTY_FACTOR
+                self._apply_done(task, step)
+            case EndKind.failed:
+                self._apply_failure(server, task, step, now_ms)
+            case _:
+                pass
+
+    def _apply_done(self, task: Task, step: Step) -> None:
+        if task.done or step.spec.long_running:
+            return
+        # A gang is done as soon as one of its members is.
+        ended = step.tasks if step.spec.gang else [task]
+        for one in ended:
+            one.done = True
+            self._state.pending_by_key.pop(one.key, None)
+        step.unfinished -= len(ended)
+        for other in task.run_by_number.values():
+            other.stopping = True
+        if not step.unfinished:
+            self._finish_occurrence(step)
+
+    def _finish_occurrence(self, step: Step) -> None:
+        job = step.job
+        steps = job.steps_by_occurrence[step.occurrence]
+        if any(other.unfinished for other in steps):
+            return
+        job.occurrences_left -= 1
+        if not job.occurrences_left:
+            self._state.finish(job, JobPhase.completed)
+
+    def _apply_failure(
+        self, server: Server, task: Task, step: Step, now_ms: int
+    ) -> None:
+        task.failures += 1
+        task.avoided.add(server.incarnation)
+        penalize_server(server, FAILED_RUN_PENALTY, now_ms)
+        if step.spec.long_running or task.done:
+            return
+        failed = step.tasks if step.spec.gang else [task]
+        failures = sum(one.failures for one in failed)
+        if failures >= self._state.queue_of(step.job).most_attempts:
+            self._state.finish(step.job, JobPhase.failed)
+
+
+def _requeue(state: ShardState, task: Task, step: Step, now_ms: int) -> None:
+    if task.done or task.run_by_number or step.job.ended is not None:
+        return
+    task.pending_since_ms = now_ms
+    state.pending_by_key[task.key] = task
--- a/waxwingford/scheduling/_server_costs.py
+++ b/waxwingford/scheduling/_server_costs.py
@@ -47,7 +47,7 @@
         cost = _utilisation_cost(step, server)
         if spec.near_rack and spec.near_rack != server.entry.rack:
             cost += REMOTE_DATA_COST
-        if server.entry.server_id in task.avoided_servers:
+        if server.incarnation in task.avoided:
             cost += AVOIDED_COST
         cost += PENALTY_COST * server.penalty
         if task.crash_evidence:
--- a/waxwingford/scheduling/_server_notes.py
+++ b/waxwingford/scheduling/_server_notes.py
@@ -1,6 +1,6 @@
 """Notes about runs and about servers that don't answer."""
 
-from waxwingford.scheduling._backend_client import EndReport, PollResult
+from waxwingford.scheduling._backend_client import EndReport
 from waxwingford.scheduling._notes import NoteBuffer
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._state import Run, RunPhase
@@ -63,22 +63,20 @@
     )
 
 
-def note_restart(notes: NoteBuffer, server: Server, answer: PollResult) -> None:
-    """Note that another start of the server lists its runs than before."""
-    former_ms = server.listed_started_ms
-    server.listed_started_ms = answer.started_ms
-    if former_ms and answer.started_ms != former_ms:
-        notes.add(
-            'server.restarted',
-            server.entry.server_id,
-            started_ms=answer.started_ms,
-            former_started_ms=former_ms,
-            registered_ms=server.entry.started_ms,
-            runs=len(server.run_by_key),
-            processed_end=server.processed_end,
-            clock_ms=answer.clock_ms,
-            former_clock_ms=server.latest_clock_ms,
-        )
+def note_restart(notes: NoteBuffer, former: Server, server: Server) -> None:
+    """Note that a server has restarted in place.
+
+    :param former: former incarnation.
+    """
+    notes.add(
+        'server.restarted',
+        server.entry.server_id,
+        started_ms=server.incarnation.started_ms,
+        former_started_ms=former.incarnation.started_ms,
+        runs=len(former.run_by_key),
+        processed_end=former.processed_end,
+        silent=former.failing_since_ms is not None,
+    )
 
 
 def note_skipped_end(notes: NoteBuffer, server: Server, end: EndReport) -> None:
--- a/waxwingford/scheduling/_servers.py
+++ b/waxwingford/scheduling/_servers.py
@@ -10,6 +10,7 @@
     subtract_resources,
 )
 from waxwingford.scheduling._backend_client import Address, RunKey, TaskKey
+from waxwingford.scheduling._incarnations import Incarnation
 from waxwingford.scheduling._state import Run, RunPhase, Step
 
 #: Maximum relative drift between the clocks of a server and of the owner. The
@@ -21,7 +22,7 @@
 class ServerEntry(NamedTuple):
     """Registration of a backend server.
 
-    :ivar server_id: identifier of the incarnation.
+    :ivar server_id: identifier, the same after a restart in place.
     :ivar endpoint: IP address and port.
     :ivar service: service whose tasks it runs.
     :ivar failure_domain: failure domain of its VM.
@@ -43,15 +44,43 @@
     rack: str = ''
     started_ms: int = 0
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """Incarnation that the registration names."""
+        return Incarnation(self.server_id, self.started_ms)
+
+
+class InPlaceCrash(NamedTuple):
+    """Crash of the former incarnation of a server that restarted in place.
+
+    :ivar suspects: runs that may have caused it, or may be present now.
+    :ivar single_cause: whether one task alone may have caused it.
+    """
+
+    suspects: tuple[Run, ...]
+    single_cause: bool
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Server:
-    """A backend server, its runs and its lease.
+    """An incarnation of a backend server, its runs and its lease.
+
+    A restart in place makes a new object: nothing here outlasts an incarnation
+    but what ``Restarts`` hands on.
 
     Times are monotonic times of the owner in milliseconds unless stated
     otherwise.
 
     :ivar entry: newest registration.
+    :ivar incarnation: incarnation to which everything here belongs.
+    :ivar superseded: start times of former incarnations, which may still be
+        registered.
+    :ivar crash: what is known of the crash of the former incarnation until
+        this one has listed its runs, ``None`` for nothing.
+    :ivar starts_in_doubt: starts without an answer whose runs are settled, with
+        the time in ms. Another incarnation may still carry them out.
+    :ivar unverified: whether the registration names an incarnation of which it
+        isn't known whether it is the newest.
     :ivar run_by_key: runs that may be present.
     :ivar step_by_run: steps of these runs.
     :ivar recent_starts: runs that the server isn't known to have outlived yet.
@@ -71,8 +100,10 @@
     :ivar latest_clock_ms: server clock in its latest answer, in ms.
     :ivar lease_until_ms: end of the longest lease that was sent, in ms of the
         server's clock.
+    :ivar lease_sent_ms: time at which a lease was last sent, -1 for never.
     :ivar processed_end: highest sequence number of a processed end.
     :ivar acknowledged_end: highest sequence number of a stored end.
+    :ivar forgotten_end: highest number that an answered poll has acknowledged.
     :ivar polled_ms: time at which the newest answered poll was sent, -1 for
         none.
     :ivar failing_since_ms: time since which calls have failed, ``None`` if it
@@ -90,8 +121,6 @@
     :ivar penalty: decaying score of runs that failed or made no progress.
     :ivar penalty_updated_ms: time at which this score last decayed.
     :ivar change_count: number of runs added or removed so far.
-    :ivar listed_started_ms: time of the server's start in its latest answer to
-        a poll, as Unix time in ms, 0 for none.
     :ivar awaited: whether the wait for the end of its leases was noted.
     """
 
@@ -111,8 +140,10 @@
     clock_updated_ms: int = 0
     latest_clock_ms: int = 0
     lease_until_ms: int = 0
+    lease_sent_ms: int = -1
     processed_end: int = 0
     acknowledged_end: int = 0
+    forgotten_end: int = 0
     polled_ms: int = -1
     failing_since_ms: int | None = None
     connection_lost_ms: int | None = None
@@ -124,10 +155,15 @@
     penalty: float = 0
     penalty_updated_ms: int = 0
     change_count: int = 0
-    listed_started_ms: int = 0
     awaited: bool = False
+    incarnation: Incarnation = dataclasses.field(init=False)
+    superseded: frozenset[int] = frozenset()
+    crash: InPlaceCrash | None = None
+    starts_in_doubt: dict[RunKey, int] = dataclasses.field(default_factory=dict)
+    unverified: bool = False
 
     def __post_init__(self) -> None:
+        self.incarnation = self.entry.incarnation
         self._update_room()
 
     @property
@@ -152,7 +188,7 @@
         return answers and not leaves
 
     def register(self, entry: ServerEntry) -> None:
-        """Apply a newer registration."""
+        """Apply a newer registration of this incarnation."""
         self.entry = entry
         self.registered = True
         self._update_room()
@@ -198,6 +234,16 @@
         # Answers on different connections may arrive out of order.
         self.latest_clock_ms = max(self.latest_clock_ms, clock_ms)
 
+    @property
+    def next_acknowledgement(self) -> int:
+        """Highest number of an end that the next poll acknowledges, 0 for none.
+
+        Each end is acknowledged once: the next incarnation numbers its ends
+        anew, and a repeated number would be taken for one of its own.
+        """
+        pending = self.acknowledged_end > self.forgotten_end
+        return self.acknowledged_end if pending else 0
+
     def outlived_ms(self, run: Run) -> int | None:
         """Time for which the server is known to have stayed up since a start.
 
@@ -223,6 +269,7 @@
         drift_ms = math.ceil((now_ms - self.clock_updated_ms) * CLOCK_DRIFT)
         until_ms = now_ms + ahead_ms - drift_ms + length_ms
         self.lease_until_ms = max(self.lease_until_ms, until_ms)
+        self.lease_sent_ms = now_ms
         return until_ms
 
     def leases_expired(self, now_ms: int) -> bool:
--- a/waxwingford/scheduling/_settle.py
+++ b/waxwingford/scheduling/_settle.py
@@ -8,9 +8,7 @@
 """
 
 from waxwingford.scheduling import _crashes as crashes
-from waxwingford.scheduling import _gangs as gangs
 from waxwingford.scheduling._backend_client import (
-    EndKind,
     EndReport,
     OrderAccepted,
     OrderNotSent,
@@ -25,21 +23,17 @@
     ServerReplaced,
 )
 from waxwingford.scheduling._late_ends import note_lost, take_late_end
-from waxwingford.scheduling._penalties import (
-    FAILED_RUN_PENALTY,
-    SUCCESS_PENALTY_FACTOR,
-    penalize_server,
-)
+from waxwingford.scheduling._restarts import Restarts
+from waxwingford.scheduling._run_settlement import RunSettlement
 from waxwingford.scheduling._server_notes import (
     note_awaited,
-    note_restart,
     note_run,
     note_silent,
     note_skipped_end,
 )
-from waxwingford.scheduling._servers import Server
+from waxwingford.scheduling._servers import CLOCK_DRIFT, Server
 from waxwingford.scheduling._shard_state import ShardState
-from waxwingford.scheduling._state import JobPhase, Run, RunPhase, Step, Task
+from waxwingford.scheduling._state import Run, RunPhase, Task
 from waxwingford.scheduling._stops import STOP_RETRY_INTERVAL_MS
 
 #: Delay before a task is placed again after a refused start, in ms.
@@ -49,6 +43,8 @@
 MAX_RETRY_DELAY_MS = 2000
 #: Time without starts for a server that refused one as unhealthy, in ms.
 UNHEALTHY_BACKOFF_MS = 1500
+#: Longest time for which the answer to an order may be on its way, in ms.
+MAX_ANSWER_AGE_MS = 300
 #: Time without starts for a server that refused one for lack of room, in ms.
 NO_ROOM_BACKOFF_MS = 300
 
@@ -58,17 +54,24 @@
 
     def __init__(self, state: ShardState) -> None:
         self._state = state
+        self._settlement = RunSettlement(state)
+        self.restarts = Restarts(state, self._settlement)
 
     def poll_answered(
         self, server: Server, sent_ms: int, now_ms: int, outcome: PollOutcome
-    ) -> None:
+    ) -> Server:
         """Apply the outcome of a poll.
 
         :param sent_ms: monotonic time in ms at which the poll was sent.
         :param now_ms: current monotonic time, in ms.
+        :returns: incarnation that answered, or the given one.
         """
+        if server.replaced:
+            # An answer that was on its way when the restart was found.
+            return server
         match outcome:
-            case PollResult():
+            case PollResult(started_ms=started_ms):
+                server = self.restarts.answered_by(server, started_ms, now_ms)
                 self._apply_listing(server, sent_ms, now_ms, outcome)
             case ServerReplaced():
                 server.replaced = True
@@ -77,6 +80,7 @@
                 reason = str(outcome)
                 note_silent(self._state.notes, server, sent_ms, reason)
                 _note_connection_lost(server, outcome, now_ms)
+        return server
 
     def start_answered(
         self, server: Server, run: Run, now_ms: int, outcome: OrderOutcome
@@ -89,23 +93,25 @@
             return
         match outcome:
             case OrderAccepted(clock_ms):
-                server.update_clock(clock_ms, now_ms)
                 server.enter(run, RunPhase.present, now_ms)
                 run.progress_changed_ms = now_ms
-                run.started_server_clock_ms = clock_ms
+                if _matches_clock(server, clock_ms, now_ms):
+                    server.update_clock(clock_ms, now_ms)
+                    run.started_server_clock_ms = clock_ms
+                    run.begun = True
             case OrderRefused(reason):
                 self._apply_refusal(server, run, now_ms, reason)
             case ServerReplaced():
                 server.replaced = True
                 # The other incarnation refused it, so it never began.
-                self._settle(server, run, None, '', now_ms)
+                self._settlement.settle(server, run, None, '', now_ms)
                 self.settle_expired(server, now_ms)
             case OrderNotSent(reason):
                 # There is no lease to wait for, and no retry delay is needed:
                 # the server gets no starts until it answers a poll.
                 note_silent(self._state.notes, server, now_ms, reason)
                 note_run(self._state.notes, 'run.not_sent', run, reason)
-                self._settle(server, run, None, '', now_ms)
+                self._settlement.settle(server, run, None, '', now_ms)
             case OrderOutcomeUnknown(reason):
                 _note_connection_lost(server, outcome, now_ms)
                 run.unconfirmed = not outcome.connection_lost
@@ -138,7 +144,7 @@
         """
         for run in list(server.run_by_key.values()):
             if run.phase is RunPhase.planned and run.stopping:
-                self._settle(server, run, None, '', now_ms)
+                self._settlement.settle(server, run, None, '', now_ms)
 
     def settle_expired(self, server: Server, now_ms: int) -> None:
         """Settle all runs of a server once its leases have expired.
@@ -157,15 +163,16 @@
                 runs=len(server.run_by_key),
             )
         suspects = crashes.find_suspects(server)
+        single_cause = crashes.has_single_cause(self._state, suspects)
         for run in list(server.run_by_key.values()):
             note_lost(self._state, server, run)
-            self._settle(server, run, None, run.checkpoint, now_ms)
-        crashes.add_evidence(self._state, server, suspects)
+            self._settlement.settle(server, run, None, run.checkpoint, now_ms)
+        loss = crashes.Loss(server.replaced, single_cause)
+        crashes.add_evidence(self._state, server, suspects, loss)
 
     def _apply_listing(
         self, server: Server, sent_ms: int, now_ms: int, answer: PollResult
     ) -> None:
-        note_restart(self._state.notes, server, answer)
         server.update_clock(answer.clock_ms, now_ms)
         if server.failing_since_ms is not None:
             self._state.notes.add(
@@ -182,6 +189,8 @@
         for report in answer.running:
             self._apply_running(server, report, now_ms)
         crashes.clear_outlived(self._state, server)
+        ended = {end.run for end in answer.ended}
+        self.restarts.judge_crash(server, listed | ended)
         for run in list(server.run_by_key.values()):
             if run.key not in listed:
                 self._apply_absence(server, run, sent_ms, now_ms)
@@ -218,6 +227,7 @@
             run.percent = report.percent
             run.progress_changed_ms = now_ms
         server.enter(run, RunPhase.present, now_ms)
+        self.restarts.note_listed(server, run)
         if run.started_server_clock_ms is None:
             run.started_server_clock_ms = server.latest_clock_ms
         run.checkpoint = report.checkpoint or run.checkpoint
@@ -230,9 +240,17 @@
             case RunPhase.inherited:
                 # The server has seen the new fencing token, so it refuses any
                 # delayed start of the previous owner.
-                self._settle(server, run, None, run.checkpoint, now_ms)
+                self._settlement.settle(
+                    server, run, None, run.checkpoint, now_ms
+                )
             case RunPhase.present if sent_ms > run.phase_since_ms:
-                run.stopping = True
+                if run.incarnation == server.incarnation:
+                    run.stopping = True
+                else:
+                    # Accepted by the former incarnation.
+                    self._settlement.settle(
+                        server, run, None, run.checkpoint, now_ms
+                    )
             case _:
                 pass
         stopped = (
@@ -240,7 +258,7 @@
         )
         if stopped and run.key in server.run_by_key:
             # The server refuses a stopped run even if its start arrives later.
-            self._settle(server, run, None, run.checkpoint, now_ms)
+            self._settlement.settle(server, run, None, run.checkpoint, now_ms)
 
     def _apply_refusal(
         self, server: Server, run: Run, now_ms: int, reason: RefusalReason
@@ -254,7 +272,7 @@
                 pass
         note_run(self._state.notes, 'run.refused', run, reason.value)
         found = self._state.find(run.key)
-        self._settle(server, run, None, '', now_ms)
+        self._settlement.settle(server, run, None, '', now_ms)
         if found is not None:
             task = found[0]
             task.not_before_ms = now_ms + _refused_retry_delay_ms(task)
@@ -266,112 +284,34 @@
                 note_skipped_end(self._state.notes, server, end)
             return
         server.processed_end = end.number
-        self._state.acknowledge_end(server.entry.server_id, end.number)
+        self._state.acknowledge_end(server.incarnation, end.number)
         server.unknown_runs.pop(end.run, None)
         run = server.run_by_key.get(end.run)
         if run is not None:
-            self._settle(server, run, end.kind, end.checkpoint, now_ms)
+            self._settlement.settle(
+                server, run, end.kind, end.checkpoint, now_ms
+            )
             return
         late_end = take_late_end(self._state, server, end)
         if late_end is not None:
-            self._apply_end_kind(server, *late_end, end.kind, now_ms)
-
-    def _settle(
-        self,
-        server: Server,
-        run: Run,
-        kind: EndKind | None,
-        checkpoint: str,
-        now_ms: int,
-    ) -> None:
-        server.remove(run.key)
-        self._state.notes.add(
-            'run.settled',
-            run.key.task,
-            run=run.key.run,
-            server=run.server_id,
-            how='absent' if kind is None else kind.value,
-            was=run.phase.value,
-            for_ms=now_ms - run.planned_ms,
-            outlived_ms=server.outlived_ms(run),
-        )
-        found = self._state.find(run.key)
-        if found is None:
-            return
-        task, step = found
-        task.run_by_number.pop(run.key.run, None)
-        step.job.last_run_ms = now_ms
-        if kind is not None:
-            # The server has survived the run, so the task didn't crash it.
-            task.crash_evidence = 0
-        task.checkpoint = checkpoint or task.checkpoint
-        if step.spec.gang:
-            gangs.share_checkpoint(step, task.checkpoint)
-            if kind is not EndKind.done:
-                gangs.stop_other_members(step, run.key.run)
-        self._state.mark(step)
-        self._apply_end_kind(server, task, step, kind, now_ms)
-        _requeue(self._state, task, step, now_ms)
+            self._settlement.apply_end_kind(server, *late_end, end.kind, now_ms)
 
-    def _apply_end_kind(
-        self,
-        server: Server,
-        task: Task,
-        step: Step,
-        kind: EndKind | None,
-        now_ms: int,
-    ) -> None:
-        match kind:
-            case EndKind.done:
-                server.penalty *= SUCCESS_PENALTY_FACTOR
-                self._apply_done(task, step)
-            case EndKind.failed:
-                self._apply_failure(server, task, step, now_ms)
-            case _:
-                pass
-
-    def _apply_done(self, task: Task, step: Step) -> None:
-        if task.done or step.spec.long_running:
-            return
-        # A gang is done as soon as one of its members is.
-        ended = step.tasks if step.spec.gang else [task]
-        for one in ended:
-            one.done = True
-            self._state.pending_by_key.pop(one.key, None)
-        step.unfinished -= len(ended)
-        for other in task.run_by_number.values():
-            other.stopping = True
-        if not step.unfinished:
-            self._finish_occurrence(step)
 
-    def _finish_occurrence(self, step: Step) -> None:
-        job = step.job
-        steps = job.steps_by_occurrence[step.occurrence]
-        if any(other.unfinished for other in steps):
-            return
-        job.occurrences_left -= 1
-        if not job.occurrences_left:
-            self._state.finish(job, JobPhase.completed)
-
-    def _apply_failure(
-        self, server: Server, task: Task, step: Step, now_ms: int
-    ) -> None:
-        task.failures += 1
-        task.avoided_servers.add(server.entry.server_id)
-        penalize_server(server, FAILED_RUN_PENALTY, now_ms)
-        if step.spec.long_running or task.done:
-            return
-        failed = step.tasks if step.spec.gang else [task]
-        failures = sum(one.failures for one in failed)
-        if failures >= self._state.queue_of(step.job).most_attempts:
-            self._state.finish(step.job, JobPhase.failed)
+def _matches_clock(server: Server, clock_ms: int, now_ms: int) -> bool:
+    """Whether a reading may be of the clock of this incarnation.
 
+    The clock of the next incarnation starts anew, and answers to orders don't
+    tell which incarnation gave them.
 
-def _requeue(state: ShardState, task: Task, step: Step, now_ms: int) -> None:
-    if task.done or task.run_by_number or step.job.ended is not None:
-        return
-    task.pending_since_ms = now_ms
-    state.pending_by_key[task.key] = task
+    :param clock_ms: server clock in the answer to an order, in ms.
+    :param now_ms: monotonic time in ms at which the answer arrived.
+    """
+    if server.clock_offset_ms is None:
+        return False
+    elapsed_ms = now_ms - server.clock_updated_ms
+    expected_ms = now_ms + server.clock_offset_ms
+    tolerance_ms = MAX_ANSWER_AGE_MS + elapsed_ms * CLOCK_DRIFT
+    return abs(clock_ms - expected_ms) <= tolerance_ms
 
 
 def _refused_retry_delay_ms(task: Task) -> int:
--- a/waxwingford/scheduling/_shard_state.py
+++ b/waxwingford/scheduling/_shard_state.py
@@ -8,6 +8,7 @@
 import collections
 
 from waxwingford.scheduling._backend_client import RunKey
+from waxwingford.scheduling._incarnations import Incarnation
 from waxwingford.scheduling._notes import NoteBuffer
 from waxwingford.scheduling._orders import (
     Batch,
@@ -42,7 +43,8 @@
     :ivar terms: settings of the queues in force.
     :ivar job_by_id: jobs that have not ended, or may still have runs.
     :ivar final_phase_by_job: stored final phases of ended jobs.
-    :ivar server_by_id: backend servers by id of their incarnation.
+    :ivar server_by_id: current incarnations of the backend servers, by server
+        id.
     :ivar pending_by_key: tasks that wait for a server.
     :ivar orders: orders that can be sent without storing a record first.
     :ivar interference_row: learned interference of best-effort tasks, to be
@@ -112,13 +114,13 @@
         self.mark(step)
         self._pending_starts.append(Start(run.server_id, run))
 
-    def acknowledge_end(self, server_id: str, number: int) -> None:
+    def acknowledge_end(self, incarnation: Incarnation, number: int) -> None:
         """Acknowledge an end to its server once the next batch is stored.
 
         :param number: sequence number of the end.
         """
         self._pending_acknowledgements.append(
-            EndAcknowledgement(server_id, number)
+            EndAcknowledgement(incarnation, number)
         )
 
     def finish(self, job: Job, phase: JobPhase) -> None:
@@ -181,8 +183,8 @@
         :returns: starts to send now.
         """
         for end in batch.ends:
-            server = self.server_by_id.get(end.server_id)
-            if server is not None:
+            server = self.server_by_id.get(end.incarnation.server_id)
+            if server is not None and server.incarnation == end.incarnation:
                 server.acknowledged_end = max(
                     server.acknowledged_end, end.number
                 )
--- a/waxwingford/scheduling/_state.py
+++ b/waxwingford/scheduling/_state.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from waxwingford.scheduling._backend_client import RunKey, TaskKey
+from waxwingford.scheduling._incarnations import Incarnation
 from waxwingford.scheduling._specs import JobSpec, StepSpec
 
 
@@ -41,7 +42,8 @@
     Times are monotonic times of the owner in milliseconds unless stated
     otherwise.
 
-    :ivar server_id: incarnation of the server.
+    :ivar incarnation: incarnation of the server to which the start was sent,
+        or the one that listed the run.
     :ivar phase_since_ms: time at which the run entered its phase.
     :ivar planned_ms: time at which the run was placed.
     :ivar checkpoint: newest checkpoint that the server listed.
@@ -65,10 +67,12 @@
         the server may not have begun the run.
     :ivar outlived: whether the server is known to have stayed up for
         ``OUTLIVED_MS`` after the start.
+    :ivar begun: whether the incarnation is known to have begun the run, as it
+        has listed it, or accepted its start by its own clock.
     """
 
     key: RunKey
-    server_id: str
+    incarnation: Incarnation
     phase: RunPhase
     phase_since_ms: int
     planned_ms: int
@@ -86,6 +90,12 @@
     started_server_clock_ms: int | None = None
     unconfirmed: bool = False
     outlived: bool = False
+    begun: bool = False
+
+    @property
+    def server_id(self) -> str:
+        """Identifier of the server."""
+        return self.incarnation.server_id
 
     def enter(self, phase: RunPhase, now_ms: int) -> None:
         """Set the phase and when it was entered.
@@ -108,7 +118,7 @@
     :ivar done: whether a run completed.
     :ivar checkpoint: checkpoint to resume from, empty for none.
     :ivar run_by_number: runs that may be present on a server.
-    :ivar avoided_servers: servers on which the task failed or made no progress.
+    :ivar avoided: incarnations on which the task failed or made no progress.
     :ivar lost_runs: numbers of runs that were given up before their server
         listed an end; it may list one later.
     :ivar invalid_starts: start orders that servers rejected as invalid.
@@ -128,7 +138,7 @@
     done: bool = False
     checkpoint: str = ''
     run_by_number: dict[int, Run] = dataclasses.field(default_factory=dict)
-    avoided_servers: set[str] = dataclasses.field(default_factory=set)
+    avoided: set[Incarnation] = dataclasses.field(default_factory=set)
     lost_runs: list[int] = dataclasses.field(default_factory=list)
     invalid_starts: int = 0
     not_before_ms: int = 0
--- a/waxwingford/scheduling/_tickets.py
+++ b/waxwingford/scheduling/_tickets.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 from waxwingford.scheduling import _gangs as gangs
+from waxwingford.scheduling._incarnations import Incarnation
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._state import Step
 
@@ -53,27 +54,33 @@
 class StepTickets:
     """Tickets of one step.
 
-    :ivar ticket_by_server: tickets of eligible servers, by server id.
+    :ivar ticket_by_server: tickets of eligible servers, by incarnation: a
+        ticket is void once its server has restarted.
     :ivar refused: servers that may never run the step.
     :ivar checked_ms: monotonic time in ms of the latest check whether a gang
         needs more tickets.
     """
 
-    ticket_by_server: dict[str, Ticket] = dataclasses.field(
+    ticket_by_server: dict[Incarnation, Ticket] = dataclasses.field(
         default_factory=dict
     )
-    refused: set[str] = dataclasses.field(default_factory=set)
+    refused: set[Incarnation] = dataclasses.field(default_factory=set)
     checked_ms: float = -math.inf
 
 
 class TicketRequest(NamedTuple):
     """Request to the advice service.
 
-    :ivar server_ids: candidate servers.
+    :ivar servers: candidate servers.
     """
 
     step: Step
-    server_ids: tuple[str, ...]
+    servers: tuple[Incarnation, ...]
+
+    @property
+    def server_ids(self) -> tuple[str, ...]:
+        """Identifiers of the candidate servers."""
+        return tuple(server.server_id for server in self.servers)
 
 
 class TicketBook:
@@ -97,12 +104,12 @@
         allowed = [
             server
             for server in servers
-            if _may_plan(tickets, server.entry.server_id, now_ms)
+            if _may_plan(tickets, server.incarnation, now_ms)
         ]
         possible = [
             server
             for server in servers
-            if server.entry.server_id not in tickets.refused
+            if server.incarnation not in tickets.refused
         ]
         if step.spec.gang and len(allowed) < len(possible):
             self._request_for_gang(step, allowed, possible, now_ms)
@@ -110,7 +117,7 @@
             self._request(step, possible, set(), now_ms)
         return allowed
 
-    def ticket(self, step: Step, server_id: str, now_ms: int) -> str:
+    def ticket(self, step: Step, incarnation: Incarnation, now_ms: int) -> str:
         """Find a ticket that is still valid when a start arrives.
 
         :param step: step of an advised queue.
@@ -120,7 +127,7 @@
         tickets = self._tickets_by_step.get(step.name)
         if tickets is None:
             return ''
-        ticket = tickets.ticket_by_server.get(server_id)
+        ticket = tickets.ticket_by_server.get(incarnation)
         valid = ticket is not None and now_ms < ticket.until_ms
         return ticket.text if valid else ''
 
@@ -141,7 +148,7 @@
     ) -> None:
         """Apply a response of the service.
 
-        :param text_by_server: tickets of the eligible servers.
+        :param text_by_server: tickets of the eligible servers, by server id.
         :param sent_ms: monotonic time in ms at which the request was sent.
         :param validity_ms: validity of the tickets, in ms.
         :param now_ms: monotonic time in ms at which the response arrived.
@@ -155,13 +162,15 @@
             PLANNING_MARGIN_MS,
             MAX_PLANNING_MARGIN_SHARE * (until_ms - now_ms),
         )
-        tickets.ticket_by_server.update(
-            (server_id, Ticket(text, until_ms, until_ms - margin_ms))
-            for server_id, text in text_by_server.items()
-        )
+        for server in request.servers:
+            text = text_by_server.get(server.server_id)
+            if text is None:
+                tickets.refused.add(server)
+            else:
+                tickets.ticket_by_server[server] = Ticket(
+                    text, until_ms, until_ms - margin_ms
+                )
         tickets.checked_ms = -math.inf
-        requested = set(request.server_ids)
-        tickets.refused |= requested - text_by_server.keys()
         # Placement rounds during the call have queued the same request again.
         self._request_by_step.pop(request.step.name, None)
 
@@ -198,7 +207,7 @@
         assignments = gangs.assign_members(step, possible, _free_resources)
         if assignments or not allowed:
             assigned = {
-                assignment.server.entry.server_id
+                assignment.server.incarnation
                 for assignment in assignments or ()
             }
             self._request(step, possible, assigned, now_ms)
@@ -207,7 +216,7 @@
         self,
         step: Step,
         possible: list[Server],
-        assigned: set[str],
+        assigned: set[Incarnation],
         now_ms: int,
     ) -> None:
         """Queue a request, replacing a pending one of the same step.
@@ -218,24 +227,24 @@
         :param now_ms: current monotonic time, in ms.
         """
         tickets = self._tickets_by_step[step.name]
-        server_ids = [server.entry.server_id for server in possible]
+        incarnations = [server.incarnation for server in possible]
         held = {
-            server_id
-            for server_id in server_ids
-            if _may_plan(tickets, server_id, now_ms)
+            incarnation
+            for incarnation in incarnations
+            if _may_plan(tickets, incarnation, now_ms)
         }
         requested = [
-            server_id
-            for server_id in server_ids
-            if server_id in assigned or server_id not in held
+            incarnation
+            for incarnation in incarnations
+            if incarnation in assigned or incarnation not in held
         ]
         # Assigned servers first, then those without a usable ticket; in each
         # group formerly eligible ones first.
         requested.sort(
-            key=lambda server_id: (
-                server_id not in assigned,
-                server_id in held,
-                server_id not in tickets.ticket_by_server,
+            key=lambda incarnation: (
+                incarnation not in assigned,
+                incarnation in held,
+                incarnation not in tickets.ticket_by_server,
             )
         )
         limit = min(
@@ -246,6 +255,8 @@
             self._request_by_step[step.name] = request
 
 
-def _may_plan(tickets: StepTickets, server_id: str, now_ms: int) -> bool:
-    ticket = tickets.ticket_by_server.get(server_id)
+def _may_plan(
+    tickets: StepTickets, incarnation: Incarnation, now_ms: int
+) -> bool:
+    ticket = tickets.ticket_by_server.get(incarnation)
     return ticket is not None and now_ms < ticket.plan_until_ms
--- a/waxwingford/shard/_drivers.py
+++ b/waxwingford/shard/_drivers.py
@@ -91,7 +91,6 @@
         self._on_answer = ports.on_answer
         self._wake_event = asyncio.Event()
         self._order_slots = asyncio.Semaphore(MAX_CONCURRENT_ORDERS)
-        self._acked_end = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self._on_task_done = ports.on_task_done
         self._loop_lag_s = ports.loop_lag_s
@@ -193,11 +192,13 @@
             outcome = await self._backend_client.poll(
                 self.server.address, order
             )
-            if isinstance(outcome, PollResult):
-                self._acked_end = order.acknowledged_end
             self._engine.poll_answered(
                 self.server, sent_ms, monotonic_ms(), outcome
             )
+            if isinstance(outcome, PollResult) and not self.server.replaced:
+                self.server.forgotten_end = max(
+                    self.server.forgotten_end, outcome.acknowledged_end
+                )
             self._on_answer()
             await self._pause()
 
@@ -207,8 +208,11 @@
             return
         # A poll acknowledges the end reports of the one before. Without it an
         # idle server would keep its last reports.
-        has_unacked_ends = self._acked_end < server.acknowledged_end
-        if not (server.run_by_key or server.unknown_runs or has_unacked_ends):
+        has_runs = server.run_by_key or server.unknown_runs
+        # A restart must be found before the next incarnation carries out a start
+        # that counts as never begun.
+        restart_matters = server.unverified or server.starts_in_doubt
+        if not (has_runs or server.next_acknowledgement or restart_matters):
             await self._wait_for_wake(IDLE_POLL_INTERVAL_S)
 
     def _wait_ms(self) -> int:
--- a/waxwingford/shard/_owner.py
+++ b/waxwingford/shard/_owner.py
@@ -7,7 +7,13 @@
 import logbook
 
 from waxwingford.kernel import SystemClock
-from waxwingford.scheduling import BackendClient, Engine, Terms, decode_spec
+from waxwingford.scheduling import (
+    MAX_LEASE_MS,
+    BackendClient,
+    Engine,
+    Terms,
+    decode_spec,
+)
 from waxwingford.shard._claims import Claim
 from waxwingford.shard._clocks import boottime_ms, monotonic_ms
 from waxwingford.shard._commits import Committer
@@ -63,6 +69,8 @@
     """Identity and settings of an owner.
 
     :ivar endpoint: IP address and port at which it answers other daemons.
+    :ivar lease_ms: length of the leases that it grants, in ms.
+    :ivar max_lease_ms: longest lease that servers accept, in ms.
     :ivar cores: processor of its VM, in reference cores.
     """
 
@@ -71,6 +79,7 @@
     endpoint: str
     lease_ms: int
     cores: float
+    max_lease_ms: int = MAX_LEASE_MS
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -287,7 +296,10 @@
         if self.stopped.is_set():
             return
         self._engine = Engine(
-            self.epoch, self._settings.lease_ms, ledger.inherited
+            self.epoch,
+            self._settings.lease_ms,
+            ledger.inherited,
+            self._settings.max_lease_ms,
         )
         self._engine.configure(self._terms)
         self._engine.restore(rows)
--- a/waxwingford/shard/_server_drivers.py
+++ b/waxwingford/shard/_server_drivers.py
@@ -77,15 +77,14 @@
         if entries is None:
             return
         self._engine.register(entries, monotonic_ms())
-        for server_id, server in self._engine.state.server_by_id.items():
-            has_driver = server_id in self._driver_by_server
-            if not has_driver and server.entry.endpoint:
-                self._driver_by_server[server_id] = ServerDriver(
-                    server, self._engine, self._ports
-                )
+        self._update_drivers()
+        for driver in self._driver_by_server.values():
+            if driver.server.unverified:
+                driver.wake()
 
     def send_orders(self) -> None:
-        """Send orders that need no stored record, and close unused drivers."""
+        """Send orders that need no stored record, and update the drivers."""
+        self._update_drivers()
         for order in self._engine.state.take_orders():
             driver = self._driver_by_server.get(order.server_id)
             match order:
@@ -93,9 +92,6 @@
                     driver.stop(key)
                 case Pace() if driver is not None:
                     driver.pace(order)
-        for server_id in list(self._driver_by_server):
-            if server_id not in self._engine.state.server_by_id:
-                self._driver_by_server.pop(server_id).close()
 
     def send_starts(self, batch: Batch, starts: list[Start]) -> None:
         """Send the starts of a stored batch, and resume polls that wait for it.
@@ -107,7 +103,7 @@
             if driver is not None:
                 driver.start(start.run)
         for end in batch.ends:
-            driver = self._driver_by_server.get(end.server_id)
+            driver = self._driver_by_server.get(end.incarnation.server_id)
             if driver is not None:
                 driver.wake()
 
@@ -116,3 +112,16 @@
         for driver in self._driver_by_server.values():
             driver.close()
         self._driver_by_server.clear()
+
+    def _update_drivers(self) -> None:
+        """Keep one driver for the current incarnation of each server."""
+        server_by_id = self._engine.state.server_by_id
+        for server_id, driver in list(self._driver_by_server.items()):
+            if server_by_id.get(server_id) is not driver.server:
+                self._driver_by_server.pop(server_id).close()
+        for server_id, server in server_by_id.items():
+            has_driver = server_id in self._driver_by_server
+            if not has_driver and server.entry.endpoint:
+                self._driver_by_server[server_id] = ServerDriver(
+                    server, self._engine, self._ports
+                )
--- a/waxwingford/shard/tests/attempt_limit.py
+++ b/waxwingford/shard/tests/attempt_limit.py
@@ -43,7 +43,8 @@
         self._check()
 
     def _check(self):
-        excess, self._excess_starts = self._excess_starts, []
+        excess = self._excess_starts
+        self._excess_starts = []
         for start in excess:
             key, failures, attempts = start
             if len(failures & self._acknowledged) >= attempts:
--- a/waxwingford/shard/tests/restarting_servers.py
+++ b/waxwingford/shard/tests/restarting_servers.py
@@ -8,7 +8,9 @@
 DOWN_S = 0.7
 
 
-def restart_in_place(server, down_s=DOWN_S, registered_after_s=0, clock_ms=0):
+def restart_in_place(
+    server, down_s=DOWN_S, registered_after_s=0, clock_ms=0, resets=True
+):
     """Crash a server and start it again under its id.
 
     The next incarnation holds and knows nothing of the former one, and its
@@ -17,8 +19,12 @@
     :param registered_after_s: time from its start to its first registration;
         until then, the one of the former incarnation is stored.
     :param clock_ms: its clock at the start, in ms.
+    :param resets: whether the crash resets open connections.
     """
+    server.resets = resets
     server.stop_responding(connect_timeout_s=0)
+    if resets:
+        server.changed.set()
     asyncio.get_running_loop().call_later(
         down_s, _start_again, server, registered_after_s, clock_ms
     )
--- a/waxwingford/shard/tests/restarts.feature
+++ b/waxwingford/shard/tests/restarts.feature
@@ -164,3 +164,21 @@
       | 4    |
       | 5    |
       | 6    |
+
+  Scenario Outline: random faults with servers that lose late orders when they restart
+    # Guards against running tasks twice, losing jobs, or starting tasks beyond their
+    # attempts when servers restart under their ids beside other faults.
+    When a shard whose servers restart in place and lose late orders is simulated for 60 s with seed <seed>
+    Then all jobs are completed
+    And no invariant was violated
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 4    |
+      | 5    |
+      | 6    |
+      | 7    |
+      | 8    |
--- a/waxwingford/shard/tests/restarts_steps.py
+++ b/waxwingford/shard/tests/restarts_steps.py
@@ -16,6 +16,7 @@
 MS_PER_S = 1000
 RESTART_PROBABILITY = 0.2
 OUTDATED_PROBABILITY = 0.5
+RESET_PROBABILITY = 0.7
 
 
 @given(
@@ -87,7 +88,20 @@
     ' with seed {seed:d}'
 )
 def simulate_restarts(context, span_s, seed):
+    simulate_random_faults(context, span_s, seed, late_orders_survive=True)
+
+
+@when(
+    'a shard whose servers restart in place and lose late orders is simulated'
+    ' for {span_s:d} s with seed {seed:d}'
+)
+def simulate_losing_orders(context, span_s, seed):
+    simulate_random_faults(context, span_s, seed, late_orders_survive=False)
+
+
+def simulate_random_faults(context, span_s, seed, late_orders_survive):
     shard = start_faulty_shard(context, seed)
+    shard.servers.late_orders_survive = late_orders_survive
     while shard.loop.time() < span_s:
         if shard.random.random() < RESTART_PROBABILITY:
             restart_some(shard)
@@ -105,10 +119,11 @@
     outdated = shard.random.random() < OUTDATED_PROBABILITY
     late_s = shard.random.uniform(0.1, 3) if outdated else 0
     clock_ms = shard.random.choice((0, 1000, 5_000_000))
+    resets = shard.random.random() < RESET_PROBABILITY
     for server in shard.random.sample(up, min(count, len(up))):
         shard.call(
             functools.partial(
-                restart_in_place, server, down_s, late_s, clock_ms
+                restart_in_place, server, down_s, late_s, clock_ms, resets
             )
         )
 
--- a/waxwingford/shard/tests/virtual_server_client.py
+++ b/waxwingford/shard/tests/virtual_server_client.py
@@ -30,6 +30,8 @@
     def __init__(self, fleet: VirtualServers, daemon_id: str):
         self._fleet = fleet
         self._daemon_id = daemon_id
+        #: Incarnation at the other end of the connection for polls, by server.
+        self._peer_by_server = {}
 
     async def entries(self):
         await asyncio.sleep(ANSWER_S)
@@ -68,9 +70,12 @@
     async def _poll(self, address, order):
         server = self._fleet.server_by_id[address.server_id]
         server.poll_count += 1
+        peer = self._peer_by_server.pop(address.server_id, None)
         failure = await self._connect(server)
         if failure is not None:
             return failure
+        if peer is not server or order.started_ms != server.started_ms:
+            order = order._replace(acknowledged_end=0)
         end_count = len(server.ends)
         answer = server.poll(order)
         if (
@@ -84,12 +89,25 @@
                 )
             except TimeoutError:
                 end_count = len(server.ends)
-            if not await self._is_reachable(server):
-                return OrderOutcomeUnknown('cut')
+            failure = await self._lost_connection(server)
+            if failure is not None:
+                return failure
             if end_count != len(server.ends) or server.run_by_task:
                 answer = server.poll(order)
+        self._peer_by_server[address.server_id] = server
         return answer
 
+    async def _lost_connection(self, server):
+        """Find what became of a call that was in progress.
+
+        :returns: its outcome if the server can't answer any more, otherwise
+            ``None``.
+        """
+        if server.resets and not self._is_partitioned(server):
+            return OrderOutcomeUnknown('reset', connection_lost=True)
+        reachable = await self._is_reachable(server)
+        return None if reachable else OrderOutcomeUnknown('cut')
+
     async def advise(self, step_name, server_ids):
         await asyncio.sleep(
             ADVICE_BASE_S + ADVICE_PER_SERVER_S * len(server_ids)
@@ -135,8 +153,7 @@
             asyncio.get_running_loop().call_later(
                 delay_s,
                 _apply_late,
-                self._fleet,
-                address.server_id,
+                server,
                 order_method,
                 order_args,
             )
@@ -184,7 +201,8 @@
     return OrderNotSent('no connection')
 
 
-def _apply_late(fleet, server_id, order_method, order_args):
-    server = fleet.server_by_id[server_id]
+def _apply_late(server, order_method, order_args):
+    if server.fleet.late_orders_survive:
+        server = server.fleet.server_by_id[server.server_id]
     if server.up:
         order_method(server, *order_args)
--- a/waxwingford/shard/tests/virtual_servers.py
+++ b/waxwingford/shard/tests/virtual_servers.py
@@ -80,6 +80,8 @@
         #: Time until a connection attempt fails, in seconds; ``None`` if connections
         #: succeed.
         self.connect_timeout_s = None
+        #: Whether calls in progress end at once when it stops responding.
+        self.resets = False
         #: Number of starts from now on that fail before they are sent.
         self.starts_to_fail = 0
         self.fails = False
@@ -225,6 +227,7 @@
                 end for end in self.ends if end.number > self.acknowledged_end
             ),
             self.started_ms,
+            order.acknowledged_end,
         )
 
     def report(self, run):
@@ -247,6 +250,9 @@
         self.cut = set()
         #: Share of orders that get no answer and take effect seconds later.
         self.late_share = 0
+        #: Whether such orders outlast the incarnation that they were sent to, as
+        #: on their way; otherwise they are lost with it.
+        self.late_orders_survive = True
         #: Bounds of the delay of such orders, in seconds.
         self.late_range_s = (2, 12)
         #: Unix time in ms at which the loop's clock started.
