Suspect no task of a loss that came with many others

Callers lost sound jobs when racks or fifths of the servers fell twice: each loss right after a start counted as a crash by the task, whatever else fell at that moment. With restarts in place more of these losses are seen.

Servers whose connections close within 0.5 s of each other were lost together. If at least two others, and an eighth of the servers, had begun nothing of the task's job, the loss doesn't count (task.excused); with a single other one it counts half. Losses of tasks that were there at an earlier loss excuse nobody, so tasks that crash their servers at the same moments don't hide each other.

--- a/waxwingford/scheduling/_crashes.py
+++ b/waxwingford/scheduling/_crashes.py
@@ -6,9 +6,11 @@
 fails; if the server stays up, the suspect is cleared.
 """
 
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from waxwingford.scheduling._backend_client import TaskKey
+from waxwingford.scheduling._losses import Loss
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._shard_state import ShardState
 from waxwingford.scheduling._state import JobPhase, Run, RunPhase, Step, Task
@@ -18,11 +20,14 @@
 OUTLIVED_MS = 300
 #: Evidence added when a server is lost right after it started the task; less if
 #: many servers are silent, as in a partition or if the owner couldn't extend
-#: their leases, and if the server gave no sign that it had begun the run.
+#: their leases, if the server gave no sign that it had begun the run, or if another
+#: server was lost together with it; none if more were.
 CRASH_EVIDENCE = 2
 WEAK_EVIDENCE = 1
-#: Share of silent servers above which the smaller evidence is added.
+#: Share of silent servers above which the smaller evidence is added, and of
+#: servers lost together with one above which none is.
 MAX_SILENT_SHARE = 0.125
+MIN_COMPANIONS = 2
 #: Evidence at which a task becomes a suspect and starts alone.
 SUSPECT_EVIDENCE = 2
 #: Evidence at which the job fails. The lower value applies if another
@@ -33,15 +38,29 @@
 UNCONFIRMED_FAIL_EVIDENCE = 8
 
 
-class Loss(NamedTuple):
-    """Loss of a server.
+class Crash(NamedTuple):
+    """Loss of a server as evidence against tasks.
 
-    :ivar crashed: whether another incarnation proves that it has crashed.
-    :ivar single_cause: whether one task alone may have caused it.
+    :ivar proven: whether another incarnation proves that it has crashed.
+    :ivar causes: number of tasks or gangs that may have caused it.
     """
 
-    crashed: bool
-    single_cause: bool
+    loss: Loss
+    proven: bool
+    causes: int
+
+
+def record_loss(
+    state: ShardState, server: Server, suspects: list[Run], now_ms: int
+) -> Crash:
+    """Record the loss of a server.
+
+    :param suspects: runs that may have crashed it.
+    :param now_ms: current monotonic time, in ms.
+    """
+    loss = _describe_loss(state, server, suspects)
+    state.crash_records.losses.add(loss, now_ms)
+    return Crash(loss, server.replaced, _count_causes(state, suspects))
 
 
 def find_suspects(server: Server) -> list[Run]:
@@ -57,40 +76,35 @@
     ]
 
 
-def has_single_cause(state: ShardState, suspects: list[Run]) -> bool:
-    """Whether one task, or one gang, is the only suspect."""
-    found_by_key = {run.key: state.find(run.key) for run in suspects}
-    causes = {
-        suspect_key(key.task, found[1])
-        for key, found in found_by_key.items()
-        if found is not None
-    }
-    return len(causes) == 1
-
-
 def add_evidence(
-    state: ShardState, server: Server, suspects: list[Run], loss: Loss
+    state: ShardState,
+    server: Server,
+    suspects: Sequence[Run],
+    crash: Crash,
+    now_ms: int,
 ) -> None:
     """Add evidence to the tasks that may have crashed a server.
 
     A job fails as soon as the evidence against one of its tasks suffices.
+
+    :param now_ms: current monotonic time, in ms.
     """
     if not suspects:
         return
-    fail_evidence = (
-        CONFIRMED_FAIL_EVIDENCE
-        if loss.crashed and loss.single_cause
-        else UNCONFIRMED_FAIL_EVIDENCE
-    )
-    server_failed = (
-        loss.crashed or not server.registered or _few_are_silent(state)
-    )
+    seeming = _seeming_losses(state)
+    failed = crash.proven or not server.registered or _few_are_silent(state)
     for run in suspects:
         found = state.find(run.key)
         if found is None:
             continue
         task, step = found
-        strong = server_failed and _may_have_begun(run)
+        companions = state.crash_records.losses.count_companions(
+            crash.loss, task.key.job_id, seeming
+        )
+        if companions >= _many_companions(state):
+            _excuse(state, task, run, companions)
+            continue
+        strong = failed and not companions and _may_have_begun(run)
         task.crash_evidence += CRASH_EVIDENCE if strong else WEAK_EVIDENCE
         state.mark(step)
         state.notes.add(
@@ -100,13 +114,42 @@
             server=run.server_id,
             evidence=task.crash_evidence,
             suspects=len(suspects),
-            replaced=loss.crashed,
+            replaced=crash.proven,
         )
-        if task.crash_evidence >= fail_evidence:
-            state.notes.add(
-                'task.given_up', task.key, evidence=task.crash_evidence
-            )
-            state.finish(step.job, JobPhase.failed)
+        _give_up_crashing(state, task, step, crash)
+
+
+def _many_companions(state: ShardState) -> float:
+    return max(MIN_COMPANIONS, len(state.server_by_id) * MAX_SILENT_SHARE)
+
+
+def _excuse(state: ShardState, task: Task, run: Run, companions: int) -> None:
+    """Note that a loss doesn't speak against a task.
+
+    :param companions: number of servers lost together with that of the run.
+    """
+    task.excused_losses += 1
+    state.notes.add(
+        'task.excused',
+        task.key,
+        run=run.key.run,
+        server=run.server_id,
+        evidence=task.crash_evidence,
+        companions=companions,
+    )
+
+
+def _give_up_crashing(
+    state: ShardState, task: Task, step: Step, crash: Crash
+) -> None:
+    fail_evidence = (
+        CONFIRMED_FAIL_EVIDENCE
+        if crash.proven and crash.causes == 1
+        else UNCONFIRMED_FAIL_EVIDENCE
+    )
+    if task.crash_evidence >= fail_evidence:
+        state.notes.add('task.given_up', task.key, evidence=task.crash_evidence)
+        state.finish(step.job, JobPhase.failed)
 
 
 def clear_outlived(state: ShardState, server: Server) -> None:
@@ -124,13 +167,46 @@
         found = state.find(key)
         if found is not None:
             task, step = found
-            state.outlived_step_by_name[step.name] = step
+            state.crash_records.outlived_step_by_name[step.name] = step
             if task.crash_evidence:
                 state.notes.add(
                     'task.cleared', key.task, evidence=task.crash_evidence
                 )
                 task.crash_evidence = 0
                 state.mark(step)
+            task.excused_losses = 0
+
+
+def _seeming_losses(state: ShardState) -> list[Loss]:
+    return [
+        _describe_loss(state, server, find_suspects(server))
+        for server in state.server_by_id.values()
+        if server.failing_since_ms is not None
+    ]
+
+
+def _describe_loss(
+    state: ShardState, server: Server, suspects: list[Run]
+) -> Loss:
+    found_tasks = [state.find(run.key) for run in suspects]
+    tasks = [found[0] for found in found_tasks if found is not None]
+    return Loss(
+        server.entry.server_id,
+        server.connection_lost_ms,
+        frozenset(task.key.job_id for task in tasks),
+        any(task.crash_evidence or task.excused_losses for task in tasks),
+    )
+
+
+def _count_causes(state: ShardState, suspects: list[Run]) -> int:
+    """Count the suspects; the members of a gang count as one."""
+    found_by_key = {run.key: state.find(run.key) for run in suspects}
+    causes = {
+        suspect_key(key.task, found[1])
+        for key, found in found_by_key.items()
+        if found is not None
+    }
+    return max(1, len(causes))
 
 
 def _may_have_begun(run: Run) -> bool:
@@ -161,9 +237,9 @@
 
 def mark_outlived(state: ShardState) -> None:
     """Mark the steps with newly outlived starts to be stored."""
-    for step in state.outlived_step_by_name.values():
+    for step in state.crash_records.outlived_step_by_name.values():
         state.mark(step)
-    state.outlived_step_by_name.clear()
+    state.crash_records.outlived_step_by_name.clear()
 
 
 def is_suspect(task: Task, step: Step) -> bool:
--- /dev/null
+++ b/waxwingford/scheduling/_losses.py
@@ -0,0 +1,78 @@
+"""Losses of servers, and which of them came together.
+
+Servers that close their connections at the same moment were lost for one reason,
+such as a failed rack. If some of them had begun nothing that explains their loss,
+this reason is no task.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+#: Longest time between losses that came together, in ms. It allows for an event
+#: loop that reads its sockets late.
+TOGETHER_MS = 500
+#: Time for which losses are kept, in ms.
+KEPT_MS = 20_000
+
+
+class Loss(NamedTuple):
+    """Loss of a server.
+
+    :ivar closed_ms: monotonic time in ms at which its connections were closed,
+        ``None`` if they weren't.
+    :ivar job_ids: jobs of the runs that had just begun there.
+    :ivar explained: whether one of these runs is of a task that was there at an
+        earlier loss.
+    """
+
+    server_id: str
+    closed_ms: int | None
+    job_ids: frozenset[str]
+    explained: bool
+
+
+class LossHistory:
+    """Recent losses of servers."""
+
+    def __init__(self) -> None:
+        self._losses: list[Loss] = []
+
+    def add(self, loss: Loss, now_ms: int) -> None:
+        """Add a loss and forget old ones.
+
+        :param now_ms: current monotonic time, in ms.
+        """
+        if loss.closed_ms is not None:
+            self._losses = [
+                one for one in self._losses if now_ms - one.closed_ms < KEPT_MS
+            ]
+            self._losses.append(loss)
+
+    def count_companions(
+        self, loss: Loss, job_id: str, seeming: Iterable[Loss]
+    ) -> int:
+        """Count the servers lost together with one, without a job's doing.
+
+        :param job_id: job of a run that had just begun on the lost server.
+        :param seeming: losses of servers that don't answer at present.
+        """
+        # What had begun on a server is known until its loss is settled, so the
+        # recorded one counts.
+        loss_by_server = {
+            other.server_id: other
+            for other in (*seeming, *self._losses)
+            if _came_together(loss, other)
+        }
+        return sum(
+            not other.explained and job_id not in other.job_ids
+            for other in loss_by_server.values()
+        )
+
+
+def _came_together(loss: Loss, other: Loss) -> bool:
+    if loss.closed_ms is None or other.closed_ms is None:
+        return False
+    return (
+        loss.server_id != other.server_id
+        and abs(loss.closed_ms - other.closed_ms) <= TOGETHER_MS
+    )
--- a/waxwingford/scheduling/_restarts.py
+++ b/waxwingford/scheduling/_restarts.py
@@ -77,9 +77,7 @@
             entry = server.entry._replace(started_ms=started_ms)
             return self._succeed(server, entry, now_ms)
         if server.polled_ms < 0:
-            suspects = _inherited_suspects(server)
-            single_cause = crashes.has_single_cause(self._state, suspects)
-            server.crash = InPlaceCrash(tuple(suspects), single_cause)
+            self._suspect(server, _inherited_suspects(server), now_ms)
         return server
 
     def note_listed(self, server: Server, run: Run) -> None:
@@ -91,24 +89,27 @@
             if found is not None:
                 self._state.mark(found[1])
 
-    def judge_crash(self, server: Server, known: set[RunKey]) -> None:
+    def judge_crash(
+        self, server: Server, known: set[RunKey], now_ms: int
+    ) -> None:
         """Suspect the tasks that may have crashed the former incarnation.
 
         :param server: server that has just listed its runs.
         :param known: runs in that list, present or ended, which the crash has
             spared.
+        :param now_ms: current monotonic time, in ms.
         """
         if server.crash is None:
             return
         suspects = [
             run for run in server.crash.suspects if run.key not in known
         ]
-        crashes.add_evidence(
-            self._state,
-            server,
-            suspects,
-            crashes.Loss(crashed=True, single_cause=server.crash.single_cause),
+        crash = crashes.Crash(
+            server.crash.loss,
+            proven=True,
+            causes=server.crash.causes,
         )
+        crashes.add_evidence(self._state, server, suspects, crash, now_ms)
         server.crash = None
 
     def forget_old_doubts(self, server: Server, now_ms: int) -> None:
@@ -122,6 +123,15 @@
             if now_ms - since_ms < MAX_START_DELAY_MS
         }
 
+    def _suspect(
+        self, server: Server, suspects: list[Run], now_ms: int
+    ) -> None:
+        if suspects:
+            crash = crashes.record_loss(self._state, server, suspects, now_ms)
+            server.crash = InPlaceCrash(
+                crash.loss, tuple(suspects), crash.causes
+            )
+
     def _succeed(
         self, former: Server, entry: ServerEntry, now_ms: int
     ) -> Server:
@@ -146,7 +156,7 @@
             for run in crashes.find_suspects(former)
             if run.incarnation != server.incarnation
         ]
-        single_cause = crashes.has_single_cause(self._state, suspects)
+        crash = crashes.record_loss(self._state, former, suspects, now_ms)
         for run in list(former.run_by_key.values()):
             if run.phase is RunPhase.planned or run.begun:
                 self._settlement.settle(
@@ -155,15 +165,11 @@
             else:
                 self._hand_on(former, run, server, now_ms)
         self._bound_leases(former, server, now_ms)
-        crashes.add_evidence(
-            self._state,
-            former,
-            [run for run in suspects if run.begun],
-            crashes.Loss(crashed=True, single_cause=single_cause),
-        )
+        begun = [run for run in suspects if run.begun]
+        crashes.add_evidence(self._state, former, begun, crash, now_ms)
         unknown = tuple(run for run in suspects if not run.begun)
         if unknown:
-            server.crash = InPlaceCrash(unknown, single_cause)
+            server.crash = InPlaceCrash(crash.loss, unknown, crash.causes)
         self._stop_doubtful(former, server, now_ms)
         return server
 
--- a/waxwingford/scheduling/_servers.py
+++ b/waxwingford/scheduling/_servers.py
@@ -11,6 +11,7 @@
 )
 from waxwingford.scheduling._backend_client import Address, RunKey, TaskKey
 from waxwingford.scheduling._incarnations import Incarnation
+from waxwingford.scheduling._losses import Loss
 from waxwingford.scheduling._state import Run, RunPhase, Step
 
 #: Maximum relative drift between the clocks of a server and of the owner. The
@@ -54,11 +55,12 @@
     """Crash of the former incarnation of a server that restarted in place.
 
     :ivar suspects: runs that may have caused it, or may be present now.
-    :ivar single_cause: whether one task alone may have caused it.
+    :ivar causes: number of tasks or gangs that may have caused it.
     """
 
+    loss: Loss
     suspects: tuple[Run, ...]
-    single_cause: bool
+    causes: int
 
 
 @dataclasses.dataclass(slots=True, eq=False)
--- a/waxwingford/scheduling/_settle.py
+++ b/waxwingford/scheduling/_settle.py
@@ -162,13 +162,15 @@
                 replaced=server.replaced,
                 runs=len(server.run_by_key),
             )
-        suspects = crashes.find_suspects(server)
-        single_cause = crashes.has_single_cause(self._state, suspects)
+            suspects = crashes.find_suspects(server)
+            crash = crashes.record_loss(self._state, server, suspects, now_ms)
+            self._settle_lost(server, now_ms)
+            crashes.add_evidence(self._state, server, suspects, crash, now_ms)
+
+    def _settle_lost(self, server: Server, now_ms: int) -> None:
         for run in list(server.run_by_key.values()):
             note_lost(self._state, server, run)
             self._settlement.settle(server, run, None, run.checkpoint, now_ms)
-        loss = crashes.Loss(server.replaced, single_cause)
-        crashes.add_evidence(self._state, server, suspects, loss)
 
     def _apply_listing(
         self, server: Server, sent_ms: int, now_ms: int, answer: PollResult
@@ -190,7 +192,7 @@
             self._apply_running(server, report, now_ms)
         crashes.clear_outlived(self._state, server)
         ended = {end.run for end in answer.ended}
-        self.restarts.judge_crash(server, listed | ended)
+        self.restarts.judge_crash(server, listed | ended, now_ms)
         for run in list(server.run_by_key.values()):
             if run.key not in listed:
                 self._apply_absence(server, run, sent_ms, now_ms)
--- a/waxwingford/scheduling/_shard_state.py
+++ b/waxwingford/scheduling/_shard_state.py
@@ -9,6 +9,7 @@
 
 from waxwingford.scheduling._backend_client import RunKey
 from waxwingford.scheduling._incarnations import Incarnation
+from waxwingford.scheduling._losses import LossHistory
 from waxwingford.scheduling._notes import NoteBuffer
 from waxwingford.scheduling._orders import (
     Batch,
@@ -37,6 +38,18 @@
 INITIAL_TERMS = Terms(0, {})
 
 
+class CrashRecords:
+    """What is known of lost servers and outlived starts.
+
+    :ivar losses: recent losses of servers.
+    :ivar outlived_step_by_name: steps with newly outlived starts, to be stored.
+    """
+
+    def __init__(self) -> None:
+        self.losses = LossHistory()
+        self.outlived_step_by_name: dict[str, Step] = {}
+
+
 class ShardState:
     """State of a shard in its owner's memory.
 
@@ -50,11 +63,11 @@
     :ivar interference_row: learned interference of best-effort tasks, to be
         stored with the next batch; ``None`` for no change.
     :ivar notes: decisions to be logged.
+    :ivar crash_records: what is known of lost servers and outlived starts.
     :ivar tickets: tickets for steps of advised queues.
     :ivar withheld_servers: servers whose leases are currently not extended.
     :ivar wall_offset_ms: offset of Unix time from monotonic time at the latest
         decision, in ms.
-    :ivar outlived_step_by_name: steps with newly outlived starts, to be stored.
     """
 
     def __init__(self) -> None:
@@ -68,7 +81,7 @@
         self.withheld_servers: set[str] = set()
         self.wall_offset_ms = 0
         self.notes = NoteBuffer()
-        self.outlived_step_by_name: dict[str, Step] = {}
+        self.crash_records = CrashRecords()
         self._dirty_step_by_name: dict[str, Step] = {}
         self._pending_job_ends: list[tuple[Job, JobPhase]] = []
         self._pending_starts: list[Start] = []
--- a/waxwingford/scheduling/_state.py
+++ b/waxwingford/scheduling/_state.py
@@ -115,6 +115,8 @@
     :ivar failures: number of runs that failed.
     :ivar crash_evidence: evidence that the task crashes its servers, see
         ``SUSPECT_EVIDENCE``.
+    :ivar excused_losses: losses of its servers right after its start that came
+        together with those of many others.
     :ivar done: whether a run completed.
     :ivar checkpoint: checkpoint to resume from, empty for none.
     :ivar run_by_number: runs that may be present on a server.
@@ -135,6 +137,7 @@
     last_run: int = 0
     failures: int = 0
     crash_evidence: int = 0
+    excused_losses: int = 0
     done: bool = False
     checkpoint: str = ''
     run_by_number: dict[int, Run] = dataclasses.field(default_factory=dict)
--- a/waxwingford/scheduling/tests/crash_steps.py
+++ b/waxwingford/scheduling/tests/crash_steps.py
@@ -4,6 +4,7 @@
 
 from waxwingford.scheduling import (
     EndKind,
+    JobPhase,
     JobSpec,
     OrderOutcomeUnknown,
     ServerReplaced,
@@ -23,6 +24,9 @@
 SHORT_TASK_INTERVAL_MS = 100
 MAX_SHORT_RUNS = 2
 MAX_ROUNDS = 10
+#: Rounds in which suspects start on reserved servers, shorter than it takes to
+#: outlive a start.
+ROUNDS_TO_START_SUSPECTS = 3
 #: Time until a crashed server answers again, in ms.
 RESTART_MS = 3000
 
@@ -162,6 +166,83 @@
     harness.crash(run.server_id)
 
 
+def lose_together(harness, server_ids):
+    """Crash servers at the same moment; other incarnations come in their place."""
+    servers = [
+        harness.engine.state.server_by_id[server_id] for server_id in server_ids
+    ]
+    closed = OrderOutcomeUnknown('connection reset', connection_lost=True)
+    for outcome, after_ms in ((closed, 2), (ServerReplaced(), RESTART_MS)):
+        harness.now_ms += after_ms
+        for server in servers:
+            harness.engine.poll_answered(
+                server, harness.now_ms, harness.now_ms, outcome
+            )
+    harness.entries = [
+        entry._replace(server_id=f'{entry.server_id}+')
+        if entry.server_id in server_ids
+        else entry
+        for entry in harness.entries
+    ]
+    harness.register()
+    harness.poll()
+
+
+@when(
+    'the server of the task and {count:d} other are lost at the same moment,'
+    ' {times:d} times'
+)
+@when(
+    'the server of the task and {count:d} others are lost at the same moment,'
+    ' {times:d} times'
+)
+def lose_with_others(context, count, times):
+    harness = context.harness
+    for _ in range(times):
+        own = runs_of_job(harness)[-1].server_id
+        others = [
+            entry.server_id
+            for entry in harness.entries
+            if entry.server_id != own
+        ]
+        lose_together(harness, [own, *others[:count]])
+        harness.decide()
+
+
+@when('{count:d} jobs of 1 task each are submitted')
+def submit_jobs_of_one_task(context, count):
+    harness = context.harness
+    context.job_ids = [f'{0xD000 + number:016x}' for number in range(count)]
+    for job_id in context.job_ids:
+        # Each task fills a server, so that no two of them share one.
+        steps = (step(cores=8),)
+        spec = JobSpec(job_id, 'queue', 'payload', steps, terms=QUEUE)
+        harness.engine.submit(spec, harness.now_ms)
+    harness.decide()
+
+
+@when('the servers of all of them are lost at the same moment, {times:d} times')
+def lose_servers_of_all(context, times):
+    harness = context.harness
+    for _ in range(times):
+        lost = [
+            server_id
+            for server_id, server in harness.engine.state.server_by_id.items()
+            if server.run_by_key
+        ]
+        lose_together(harness, lost)
+        for _ in range(ROUNDS_TO_START_SUSPECTS):
+            harness.decide()
+
+
+@then('all of these jobs have failed')
+def all_have_failed(context):
+    phases = context.harness.engine.state.final_phase_by_job
+    assert {phases.get(one) for one in context.job_ids} == {JobPhase.failed}, (
+        phases
+    )
+
+
 @then('its task is {known} of a crash')
 def task_is_suspected(context, known):
     job = context.harness.engine.state.job_by_id[JOB]
--- a/waxwingford/scheduling/tests/crashes.feature
+++ b/waxwingford/scheduling/tests/crashes.feature
@@ -152,6 +152,35 @@
     When all servers are silent until their leases expire, 4 times
     Then the job is reported as running
 
+  Scenario: servers are lost together with that of a task
+    # Guards against failing a job whose servers fell with their racks.
+    Given an engine with 8 servers of 8 cores
+    When a job of 1 task is submitted
+    And the server of the task and 3 others are lost at the same moment, 3 times
+    Then its task is not suspected of a crash
+    And the job is reported as running
+
+  Scenario: a server is lost together with one other
+    # Guards against clearing a task by a chance coincidence.
+    Given an engine with 8 servers of 8 cores
+    When a job of 1 task is submitted
+    And the server of the task and 1 other are lost at the same moment, 3 times
+    Then its task is suspected of a crash
+    And the job is reported as running
+
+  Scenario Outline: several tasks crash their servers at the same moment each time
+    # Guards against tasks that excuse each other for ever.
+    Given an engine with 16 servers of 8 cores
+    When <count> jobs of 1 task each are submitted
+    And the servers of all of them are lost at the same moment, 4 times
+    Then all of these jobs have failed
+
+    Examples:
+      | count |
+      | 2     |
+      | 3     |
+      | 4     |
+
   Scenario Outline: the closing of connections tells when a server crashed
     # Guards against suspecting every start since the last answer of a server.
     Given an engine with 4 servers of 8 cores
