Start labelled tasks on a restarted server only once it is registered

A server that restarts in place may come back as another kind of VM. A list of its runs tells the restart up to seconds before its registration does, and a task that requires a label was started by the labels of the former incarnation. Tasks without a label start at once.

A registration with a smaller start time that was never seen makes the owner poll its server at once, as the time of day may have gone back. Once a poll has denied it, it counts as outdated; before, an idle server was polled with each read of registrations for as long as it stayed.

--- a/waxwingford/scheduling/_eligibility.py
+++ b/waxwingford/scheduling/_eligibility.py
@@ -15,7 +15,7 @@
     label = step.spec.label
     if server.entry.service != service:
         return False
-    return not label or label in server.entry.labels
+    return not label or (server.described and label in server.entry.labels)
 
 
 def eligible(step: Step, service: str, servers: list[Server]) -> list[Server]:
--- a/waxwingford/scheduling/_restarts.py
+++ b/waxwingford/scheduling/_restarts.py
@@ -55,14 +55,13 @@
         if server.polled_ms < 0:
             server.incarnation = entry.incarnation
         if _is_current(server, entry):
-            server.unverified = False
             server.register(entry)
         elif not _is_outdated(server, entry):
             later = entry.started_ms > server.incarnation.started_ms
             if later or server.replaced:
                 self._succeed(server, entry, now_ms)
             else:
-                server.unverified = True
+                server.claimed_ms = entry.started_ms
 
     def answered_by(
         self, server: Server, started_ms: int, now_ms: int
@@ -72,10 +71,14 @@
         :param started_ms: start time in the answer, 0 if it has none.
         :param now_ms: current monotonic time, in ms.
         """
-        server.unverified = False
         if started_ms not in {0, server.incarnation.started_ms}:
             entry = server.entry._replace(started_ms=started_ms)
-            return self._succeed(server, entry, now_ms)
+            server = self._succeed(server, entry, now_ms)
+            server.described = False
+            return server
+        if server.claimed_ms:
+            server.superseded |= {server.claimed_ms}
+            server.claimed_ms = 0
         if server.polled_ms < 0:
             self._suspect(server, _inherited_suspects(server), now_ms)
         return server
@@ -94,13 +97,11 @@
     ) -> None:
         """Suspect the tasks that may have crashed the former incarnation.
 
-        :param server: server that has just listed its runs.
+        :param server: server that has restarted and has just listed its runs.
         :param known: runs in that list, present or ended, which the crash has
             spared.
         :param now_ms: current monotonic time, in ms.
         """
-        if server.crash is None:
-            return
         suspects = [
             run for run in server.crash.suspects if run.key not in known
         ]
--- a/waxwingford/scheduling/_servers.py
+++ b/waxwingford/scheduling/_servers.py
@@ -81,8 +81,10 @@
         this one has listed its runs, ``None`` for nothing.
     :ivar starts_in_doubt: starts without an answer whose runs are settled, with
         the time in ms. Another incarnation may still carry them out.
-    :ivar unverified: whether the registration names an incarnation of which it
-        isn't known whether it is the newest.
+    :ivar claimed_ms: start time in a registration of which only the next poll
+        tells whether it is the newest, 0 for none.
+    :ivar described: whether the registration is of this incarnation, which may
+        have other labels than the former one.
     :ivar run_by_key: runs that may be present.
     :ivar step_by_run: steps of these runs.
     :ivar recent_starts: runs that the server isn't known to have outlived yet.
@@ -162,7 +164,8 @@
     superseded: frozenset[int] = frozenset()
     crash: InPlaceCrash | None = None
     starts_in_doubt: dict[RunKey, int] = dataclasses.field(default_factory=dict)
-    unverified: bool = False
+    claimed_ms: int = 0
+    described: bool = True
 
     def __post_init__(self) -> None:
         self.incarnation = self.entry.incarnation
@@ -193,6 +196,7 @@
         """Apply a newer registration of this incarnation."""
         self.entry = entry
         self.registered = True
+        self.described = True
         self._update_room()
 
     def add(self, run: Run, step: Step) -> None:
--- a/waxwingford/scheduling/_settle.py
+++ b/waxwingford/scheduling/_settle.py
@@ -191,8 +191,9 @@
         for report in answer.running:
             self._apply_running(server, report, now_ms)
         crashes.clear_outlived(self._state, server)
-        ended = {end.run for end in answer.ended}
-        self.restarts.judge_crash(server, listed | ended, now_ms)
+        if server.crash is not None:
+            ended = {end.run for end in answer.ended}
+            self.restarts.judge_crash(server, listed | ended, now_ms)
         for run in list(server.run_by_key.values()):
             if run.key not in listed:
                 self._apply_absence(server, run, sent_ms, now_ms)
--- a/waxwingford/scheduling/tests/engine.feature
+++ b/waxwingford/scheduling/tests/engine.feature
@@ -184,6 +184,30 @@
     When its run fails 10 times, 1 s apart
     Then it runs again within 1.3 s each time
 
+  Scenario: a server that has restarted in place gets labelled tasks once it is registered
+    # Guards against starting a task on a server that came back without its label.
+    Given an engine with 1 servers of 8 cores
+    And a running long-running job of 1 task that requires the label
+    When the server restarts in place and answers a poll
+    And 2 s pass in the engine
+    Then its task has 1 runs
+    When the server is registered without the label
+    And 2 s pass in the engine
+    Then its task has 1 runs
+    When the server is registered with the label
+    And 1 s pass in the engine
+    Then its task has 2 runs
+
+  Scenario: a registration that is older than a restart in place
+    # Guards against polling an idle server without a pause for an outdated registration.
+    Given an engine with 1 servers of 8 cores
+    When the server restarts in place and answers a poll
+    And a registration with an earlier, unknown start is read
+    Then the server is to be polled at once
+    When all servers answer a poll
+    And a registration with an earlier, unknown start is read
+    Then the server is not to be polled at once
+
   Scenario: the last server with room for a long-running task is not excluded after failures
     # Guards against counting servers full of other long-running tasks as alternatives.
     Given an engine with 2 servers of 8 cores
--- a/waxwingford/scheduling/tests/engine_harness.py
+++ b/waxwingford/scheduling/tests/engine_harness.py
@@ -48,6 +48,8 @@
         self.figure_by_image = {}
         self.pace_by_image = {}
         self.stalled = False
+        #: Start time in lists of runs, as Unix time in ms, 0 for none.
+        self.started_ms = 0
         self.unknown_runs = []
         self.pace_orders = []
         for _ in range(count):
@@ -167,6 +169,7 @@
                 self.now_ms,
                 tuple(running + self.unknown_runs),
                 tuple(self.ends[server_id]),
+                self.started_ms,
             )
             self.engine.poll_answered(server, sent_ms, self.now_ms, answer)
 
--- /dev/null
+++ b/waxwingford/scheduling/tests/restart_steps.py
@@ -0,0 +1,55 @@
+"""Steps for servers of an engine that restart in place."""
+
+from behave import then, when
+
+from waxwingford.scheduling import PollResult
+
+STARTED_MS = 1_700_000_000_000
+#: Start in a registration that was written before the restart.
+EARLIER_MS = STARTED_MS - 60_000
+
+
+def only_server(harness):
+    return next(iter(harness.engine.state.server_by_id.values()))
+
+
+@when('the server restarts in place and answers a poll')
+def restart_and_answer(context):
+    harness = context.harness
+    harness.started_ms = STARTED_MS
+    sent_ms = harness.now_ms
+    harness.now_ms += 2
+    answer = PollResult(harness.now_ms, (), (), STARTED_MS)
+    harness.engine.poll_answered(
+        only_server(harness), sent_ms, harness.now_ms, answer
+    )
+
+
+@when('the server is registered {with_label} the label')
+def register_restarted(context, with_label):
+    harness = context.harness
+    labels = frozenset(('r1',) if with_label == 'with' else ())
+    harness.entries = [
+        entry._replace(labels=labels, started_ms=STARTED_MS)
+        for entry in harness.entries
+    ]
+    harness.register()
+
+
+@when('a registration with an earlier, unknown start is read')
+def read_outdated(context):
+    harness = context.harness
+    harness.entries = [
+        entry._replace(started_ms=EARLIER_MS) for entry in harness.entries
+    ]
+    harness.register()
+
+
+@then('the server is to be polled at once')
+def check_polled_at_once(context):
+    assert only_server(context.harness).claimed_ms == EARLIER_MS
+
+
+@then('the server is not to be polled at once')
+def check_polled_as_usual(context):
+    assert not only_server(context.harness).claimed_ms
--- a/waxwingford/shard/_drivers.py
+++ b/waxwingford/shard/_drivers.py
@@ -211,7 +211,7 @@
         has_runs = server.run_by_key or server.unknown_runs
         # A restart must be found before the next incarnation carries out a start
         # that counts as never begun.
-        restart_matters = server.unverified or server.starts_in_doubt
+        restart_matters = server.claimed_ms or server.starts_in_doubt
         if not (has_runs or server.next_acknowledgement or restart_matters):
             await self._wait_for_wake(IDLE_POLL_INTERVAL_S)
 
--- a/waxwingford/shard/_server_drivers.py
+++ b/waxwingford/shard/_server_drivers.py
@@ -79,7 +79,7 @@
         self._engine.register(entries, monotonic_ms())
         self._update_drivers()
         for driver in self._driver_by_server.values():
-            if driver.server.unverified:
+            if driver.server.claimed_ms:
                 driver.wake()
 
     def send_orders(self) -> None:
