Ask for enough servers where a simulated rack is gone for good

The listed storm, rack_gone with 8 servers, ended with unfinished tasks. The case takes 8 servers away for good, so none was left (8 of 8 lost, counted in the simulation); no rule is broken. The command refuses fewer than 12 with that reason; the check of unfinished tasks is as it was.

--- a/waxwingford_bench/storms/__main__.py
+++ b/waxwingford_bench/storms/__main__.py
@@ -228,10 +228,18 @@
     show = format_json if options.json else format_row
     seeds = range(options.seed, options.seed + options.runs)
     names = options.case or case_by_name
+    server_counts = options.servers or [48]
+    for name, servers in itertools.product(names, server_counts):
+        least = case_by_name[name].min_servers
+        if servers < least:
+            parser.error(
+                f'--servers {servers}: expected at least {least} for {name},'
+                ' as the servers left have to finish the accepted jobs'
+            )
     # A garbage collection walks the memory of all daemons and servers, and its
     # time would be counted for the daemon that runs; collect between runs.
     gc.disable()
-    plays = itertools.product(names, options.servers or [48], seeds)
+    plays = itertools.product(names, server_counts, seeds)
     for name, servers, seed in plays:
         _print_line(show(run_case(name, seed, servers, make_pauses(seed))))
         gc.collect()
--- a/waxwingford_bench/storms/cases.py
+++ b/waxwingford_bench/storms/cases.py
@@ -6,6 +6,7 @@
 from waxwingford_bench.storms.domain import StormDomain
 
 _RACK_SERVERS = 8
+_MIN_SERVERS_WITHOUT_RACK = 12
 _RACK_DOWN_MS = 60_000
 _RACK_GONE_MS = 180_000
 _DAEMONS_DOWN_MS = 10_000
@@ -23,11 +24,14 @@
     :ivar begin: injects the fault.
     :ivar end: removes the fault.
     :ivar duration_ms: time between the two, in milliseconds.
+    :ivar min_servers: smallest number of servers of which enough are left to
+        finish the accepted jobs in time.
     """
 
     begin: FaultAction
     end: FaultAction
     duration_ms: int
+    min_servers: int = 1
 
 
 def _fail_rack(domain: StormDomain) -> None:
@@ -88,7 +92,9 @@
 
 case_by_name = {
     'rack_lost': Case(_fail_rack, _restore_rack, _RACK_DOWN_MS),
-    'rack_gone': Case(_fail_rack, _leave_failed, _RACK_GONE_MS),
+    'rack_gone': Case(
+        _fail_rack, _leave_failed, _RACK_GONE_MS, _MIN_SERVERS_WITHOUT_RACK
+    ),
     'half_of_daemons': Case(_kill_half, _restart, _DAEMONS_DOWN_MS),
     'all_daemons': Case(_kill_all, _restart, _RESTART_DELAY_MS),
     'log_away': Case(_fail_log, _restore_log, _LOG_OUTAGE_MS),
--- a/waxwingford_bench/tests/commands.feature
+++ b/waxwingford_bench/tests/commands.feature
@@ -26,3 +26,8 @@
       | module                              | file            |
       | waxwingford_bench.whole_path.fleet  | deployment.toml |
       | waxwingford_bench.capacity.__main__ | bundle.toml     |
+
+  Scenario: a simulated fault that leaves no server
+    # Guards against taking tasks that no server is left for as lost.
+    When the module "waxwingford_bench.storms" is started with the arguments "--case rack_gone --servers 8"
+    Then the command is rejected with "--servers 8: expected at least 12 for rack_gone"
--- a/waxwingford_bench/tests/commands_steps.py
+++ b/waxwingford_bench/tests/commands_steps.py
@@ -19,6 +19,22 @@
     )
 
 
+@when('the module "{module}" is started with the arguments "{arguments}"')
+def start_with_arguments(context, module, arguments):
+    context.finished = subprocess.run(
+        (sys.executable, '-m', module, *arguments.split()),
+        capture_output=True,
+        text=True,
+        timeout=TIMEOUT_S,
+    )
+
+
+@then('the command is rejected with "{message}"')
+def check_rejected(context, message):
+    assert context.finished.returncode == 2, context.finished
+    assert message in context.finished.stderr, context.finished.stderr
+
+
 @then('it prints its usage')
 def check_usage(context):
     assert context.finished.returncode == 0, context.finished.stderr
