--- a/waxwingford/scheduling/tests/restart_steps.py
+++ b/waxwingford/scheduling/tests/restart_steps.py
@@ -1,8 +1,11 @@
 """Steps for servers of an engine that restart in place."""
 
 from behave import then, when
+from hypothesis import given as drawn
+from hypothesis import strategies
 
-from waxwingford.scheduling import PollResult
+from waxwingford.scheduling import Incarnation, PollResult
+from waxwingford.scheduling._incarnations import parse_incarnation
 
 STARTED_MS = 1_700_000_000_000
 #: Start in a registration that was written before the restart.
@@ -53,3 +56,18 @@
 @then('the server is not to be polled at once')
 def check_polled_as_usual(context):
     assert not only_server(context.harness).claimed_ms
+
+
+@then('each incarnation is read back from its text')
+def check_read_back(context):
+    @drawn(strategies.text(min_size=1), strategies.integers(min_value=0))
+    def check(server_id, started_ms):
+        incarnation = Incarnation(server_id, started_ms)
+        assert parse_incarnation(str(incarnation)) == incarnation
+
+    check()
+
+
+@then('the text "{text}" is read as an unknown start of "{server_id}"')
+def check_earlier_version(context, text, server_id):
+    assert parse_incarnation(text) == Incarnation(server_id)
--- a/waxwingford/scheduling/tests/succession.feature
+++ b/waxwingford/scheduling/tests/succession.feature
@@ -117,3 +117,10 @@
     Then it has waited for 0 to 1 s
     When the owner changes to one whose clock is 5000 s ahead
     Then it has waited for 0 to 61 s
+
+  Scenario: incarnations are read back from rows
+    # Guards against adopting runs under another server, and against rows of earlier
+    # versions that hold back their jobs.
+    Then each incarnation is read back from its text
+    And the text "i-7f3a91c2" is read as an unknown start of "i-7f3a91c2"
+    And the text "i-1@x" is read as an unknown start of "i-1@x"
