--- a/waxwingford/shard/tests/restarts.feature
+++ b/waxwingford/shard/tests/restarts.feature
@@ -164,6 +164,8 @@
       | 4    |
       | 5    |
       | 6    |
+      | 10   |
+      | 17   |
 
   Scenario Outline: random faults with servers that lose late orders when they restart
     # Guards against running tasks twice, losing jobs, or starting tasks beyond their
