Repeat stops at the next incarnation until it takes them

Starts in doubt whose runs are settled are stopped again at the next incarnation of their server, as it knows no stop. It is repeated now like any other stop.

--- a/waxwingford/scheduling/_engine.py
+++ b/waxwingford/scheduling/_engine.py
@@ -307,7 +307,8 @@
                 penalize_server(server, STALLED_RUN_PENALTY, now_ms)
         if server.entry.draining and server.registered:
             _stop_movable_runs(server)
-        if server.unknown_runs or any(map(_may_need_stop, runs)):
+        owes_stops = server.unknown_runs or server.stops_owed
+        if owes_stops or any(map(_may_need_stop, runs)):
             self.settler.settle_unsent(server, now_ms)
             self._stopper.order_due(server, now_ms)
         if not server.registered and not server.run_by_key:
--- a/waxwingford/scheduling/_restarts.py
+++ b/waxwingford/scheduling/_restarts.py
@@ -220,9 +220,10 @@
         """
         self.forget_old_doubts(former, now_ms)
         server.starts_in_doubt = former.starts_in_doubt
+        server.stops_owed = dict.fromkeys(server.starts_in_doubt, now_ms)
         server_id = server.entry.server_id
         self._state.orders.extend(
-            Stop(server_id, key) for key in server.starts_in_doubt
+            Stop(server_id, key) for key in server.stops_owed
         )
 
 
--- a/waxwingford/scheduling/_servers.py
+++ b/waxwingford/scheduling/_servers.py
@@ -81,6 +81,9 @@
         this one has listed its runs, ``None`` for nothing.
     :ivar starts_in_doubt: starts without an answer whose runs are settled, with
         the time in ms. Another incarnation may still carry them out.
+    :ivar stops_owed: starts in doubt at the former incarnation that this one
+        hasn't been told to refuse, with the time in ms at which their stop was
+        last sent.
     :ivar claimed_ms: start time in a registration of which only the next poll
         tells whether it is the newest, 0 for none.
     :ivar described: whether the registration is of this incarnation, which may
@@ -164,6 +167,7 @@
     superseded: frozenset[int] = frozenset()
     crash: InPlaceCrash | None = None
     starts_in_doubt: dict[RunKey, int] = dataclasses.field(default_factory=dict)
+    stops_owed: dict[RunKey, int] = dataclasses.field(default_factory=dict)
     claimed_ms: int = 0
     described: bool = True
 
--- a/waxwingford/scheduling/_settle.py
+++ b/waxwingford/scheduling/_settle.py
@@ -129,6 +129,7 @@
         match outcome:
             case OrderAccepted():
                 server.unknown_runs.pop(key, None)
+                server.stops_owed.pop(key, None)
                 if run is not None and not run.stop_acknowledged_ms:
                     run.stop_acknowledged_ms = now_ms
             case ServerReplaced():
--- a/waxwingford/scheduling/_stops.py
+++ b/waxwingford/scheduling/_stops.py
@@ -26,10 +26,11 @@
         for run in server.run_by_key.values():
             if _wants_stop(run, now_ms):
                 self._stop(server, run, now_ms)
-        for key, sent_ms in server.unknown_runs.items():
-            if now_ms - sent_ms >= STOP_RETRY_INTERVAL_MS:
-                server.unknown_runs[key] = now_ms
-                self._state.orders.append(Stop(server.entry.server_id, key))
+        for sent_ms_by_run in (server.unknown_runs, server.stops_owed):
+            for key, sent_ms in sent_ms_by_run.items():
+                if now_ms - sent_ms >= STOP_RETRY_INTERVAL_MS:
+                    sent_ms_by_run[key] = now_ms
+                    self._state.orders.append(Stop(server.entry.server_id, key))
 
     def _stop(self, server: Server, run: Run, now_ms: int) -> None:
         last_ms = run.stop_sent_ms
