--- a/waxwingford/scheduling/_crashes.py
+++ b/waxwingford/scheduling/_crashes.py
@@ -7,10 +7,9 @@
 """
 
 from collections.abc import Sequence
-from typing import NamedTuple
 
 from waxwingford.scheduling._backend_client import TaskKey
-from waxwingford.scheduling._losses import Loss
+from waxwingford.scheduling._losses import Crash, Loss
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._shard_state import ShardState
 from waxwingford.scheduling._state import JobPhase, Run, RunPhase, Step, Task
@@ -38,18 +37,6 @@
 UNCONFIRMED_FAIL_EVIDENCE = 8
 
 
-class Crash(NamedTuple):
-    """Loss of a server as evidence against tasks.
-
-    :ivar proven: whether another incarnation proves that it has crashed.
-    :ivar causes: number of tasks or gangs that may have caused it.
-    """
-
-    loss: Loss
-    proven: bool
-    causes: int
-
-
 def record_loss(
     state: ShardState, server: Server, suspects: list[Run], now_ms: int
 ) -> Crash:
@@ -81,13 +68,10 @@
     server: Server,
     suspects: Sequence[Run],
     crash: Crash,
-    now_ms: int,
 ) -> None:
     """Add evidence to the tasks that may have crashed a server.
 
     A job fails as soon as the evidence against one of its tasks suffices.
-
-    :param now_ms: current monotonic time, in ms.
     """
     if not suspects:
         return
--- a/waxwingford/scheduling/_engine.py
+++ b/waxwingford/scheduling/_engine.py
@@ -84,8 +84,7 @@
         self.orders = OrderFactory(self.state, token, lease_ms)
         self.recovery = StateRecovery(self.state)
         self._inherited_leases = inherited
-        self.settler = Settler(self.state)
-        self.settler.restarts.max_lease_ms = max_lease_ms
+        self.settler = Settler(self.state, max_lease_ms)
         self._stopper = Stopper(self.state)
         self.lease_withholding = LeaseWithholding(self.state)
         self._harm = InterferenceModel()
--- a/waxwingford/scheduling/_losses.py
+++ b/waxwingford/scheduling/_losses.py
@@ -31,6 +31,18 @@
     explained: bool
 
 
+class Crash(NamedTuple):
+    """Loss of a server as evidence against tasks.
+
+    :ivar proven: whether another incarnation proves that it has crashed.
+    :ivar causes: number of tasks or gangs that may have caused it.
+    """
+
+    loss: Loss
+    proven: bool
+    causes: int
+
+
 class LossHistory:
     """Recent losses of servers."""
 
--- a/waxwingford/scheduling/_restarts.py
+++ b/waxwingford/scheduling/_restarts.py
@@ -11,12 +11,12 @@
 
 from waxwingford.scheduling import _crashes as crashes
 from waxwingford.scheduling._backend_client import RunKey
+from waxwingford.scheduling._losses import Crash
 from waxwingford.scheduling._orders import Stop
 from waxwingford.scheduling._run_settlement import RunSettlement
 from waxwingford.scheduling._server_notes import note_restart
 from waxwingford.scheduling._servers import (
     CLOCK_DRIFT,
-    InPlaceCrash,
     Server,
     ServerEntry,
 )
@@ -29,14 +29,17 @@
 
 
 class Restarts:
-    """Tells incarnations of servers apart and hands starts on.
+    """Tells incarnations of servers apart and hands starts on."""
 
-    :ivar max_lease_ms: longest lease that a server grants, in ms; longer ones
-        are shortened.
-    """
+    def __init__(
+        self, state: ShardState, settlement: RunSettlement, max_lease_ms: int
+    ) -> None:
+        """Start without any known restart.
 
-    def __init__(self, state: ShardState, settlement: RunSettlement) -> None:
-        self.max_lease_ms = 0
+        :param max_lease_ms: longest lease that a server accepts, in ms; longer
+            ones are shortened.
+        """
+        self._max_lease_ms = max_lease_ms
         self._state = state
         self._settlement = settlement
 
@@ -80,7 +83,7 @@
             server.superseded |= {server.claimed_ms}
             server.claimed_ms = 0
         if server.polled_ms < 0:
-            self._suspect(server, _inherited_suspects(server), now_ms)
+            self._suspect_inherited(server, now_ms)
         return server
 
     def note_listed(self, server: Server, run: Run) -> None:
@@ -93,25 +96,20 @@
                 self._state.mark(found[1])
 
     def judge_crash(
-        self, server: Server, known: set[RunKey], now_ms: int
+        self, server: Server, crash: Crash, known: set[RunKey]
     ) -> None:
         """Suspect the tasks that may have crashed the former incarnation.
 
         :param server: server that has restarted and has just listed its runs.
         :param known: runs in that list, present or ended, which the crash has
             spared.
-        :param now_ms: current monotonic time, in ms.
         """
         suspects = [
-            run for run in server.crash.suspects if run.key not in known
+            run for run in server.crash_suspects if run.key not in known
         ]
-        crash = crashes.Crash(
-            server.crash.loss,
-            proven=True,
-            causes=server.crash.causes,
-        )
-        crashes.add_evidence(self._state, server, suspects, crash, now_ms)
+        crashes.add_evidence(self._state, server, suspects, crash)
         server.crash = None
+        server.crash_suspects = ()
 
     def forget_old_doubts(self, server: Server, now_ms: int) -> None:
         """Forget starts in doubt that can't be on their way any more.
@@ -124,15 +122,6 @@
             if now_ms - since_ms < MAX_START_DELAY_MS
         }
 
-    def _suspect(
-        self, server: Server, suspects: list[Run], now_ms: int
-    ) -> None:
-        if suspects:
-            crash = crashes.record_loss(self._state, server, suspects, now_ms)
-            server.crash = InPlaceCrash(
-                crash.loss, tuple(suspects), crash.causes
-            )
-
     def _succeed(
         self, former: Server, entry: ServerEntry, now_ms: int
     ) -> Server:
@@ -167,13 +156,29 @@
                 self._hand_on(former, run, server, now_ms)
         self._bound_leases(former, server, now_ms)
         begun = [run for run in suspects if run.begun]
-        crashes.add_evidence(self._state, former, begun, crash, now_ms)
-        unknown = tuple(run for run in suspects if not run.begun)
-        if unknown:
-            server.crash = InPlaceCrash(crash.loss, unknown, crash.causes)
+        crashes.add_evidence(self._state, former, begun, crash)
+        server.crash = crash
+        server.crash_suspects = tuple(run for run in suspects if not run.begun)
         self._stop_doubtful(former, server, now_ms)
         return server
 
+    def _suspect_inherited(self, server: Server, now_ms: int) -> None:
+        """Suspect the runs of previous owners on a former incarnation.
+
+        :param server: server that has just answered its first poll.
+        :param now_ms: current monotonic time, in ms.
+        """
+        suspects = [
+            run
+            for run in crashes.find_suspects(server)
+            if run.incarnation.started_ms
+            and run.incarnation != server.incarnation
+        ]
+        if suspects:
+            crash = crashes.record_loss(self._state, server, suspects, now_ms)
+            server.crash = crash._replace(proven=True)
+            server.crash_suspects = tuple(suspects)
+
     def _hand_on(
         self, former: Server, run: Run, server: Server, now_ms: int
     ) -> None:
@@ -206,7 +211,7 @@
         server.inherited_lease_until_ms = former.inherited_lease_until_ms
         # Any earlier one was answered by the former incarnation.
         if server.run_by_key or former.lease_sent_ms > former.polled_ms:
-            longest_ms = math.ceil(self.max_lease_ms * (1 + CLOCK_DRIFT))
+            longest_ms = math.ceil(self._max_lease_ms * (1 + CLOCK_DRIFT))
             server.inherited_lease_until_ms = max(
                 server.inherited_lease_until_ms, now_ms + longest_ms
             )
@@ -235,15 +240,3 @@
 def _is_outdated(server: Server, entry: ServerEntry) -> bool:
     """Whether an entry is of a former incarnation, or of another writer."""
     return not entry.started_ms or entry.started_ms in server.superseded
-
-
-def _inherited_suspects(server: Server) -> list[Run]:
-    """List the runs of previous owners that a crash may have ended.
-
-    :param server: server that has just answered its first poll.
-    """
-    return [
-        run
-        for run in crashes.find_suspects(server)
-        if run.incarnation.started_ms and run.incarnation != server.incarnation
-    ]
--- a/waxwingford/scheduling/_servers.py
+++ b/waxwingford/scheduling/_servers.py
@@ -11,7 +11,7 @@
 )
 from waxwingford.scheduling._backend_client import Address, RunKey, TaskKey
 from waxwingford.scheduling._incarnations import Incarnation
-from waxwingford.scheduling._losses import Loss
+from waxwingford.scheduling._losses import Crash
 from waxwingford.scheduling._state import Run, RunPhase, Step
 
 #: Maximum relative drift between the clocks of a server and of the owner. The
@@ -51,18 +51,6 @@
         return Incarnation(self.server_id, self.started_ms)
 
 
-class InPlaceCrash(NamedTuple):
-    """Crash of the former incarnation of a server that restarted in place.
-
-    :ivar suspects: runs that may have caused it, or may be present now.
-    :ivar causes: number of tasks or gangs that may have caused it.
-    """
-
-    loss: Loss
-    suspects: tuple[Run, ...]
-    causes: int
-
-
 @dataclasses.dataclass(slots=True, eq=False)
 class Server:
     """An incarnation of a backend server, its runs and its lease.
@@ -77,8 +65,9 @@
     :ivar incarnation: incarnation to which everything here belongs.
     :ivar superseded: start times of former incarnations, which may still be
         registered.
-    :ivar crash: what is known of the crash of the former incarnation until
-        this one has listed its runs, ``None`` for nothing.
+    :ivar crash: crash of the former incarnation, until this one has listed its
+        runs; ``None`` for none.
+    :ivar crash_suspects: runs that may have caused it, or may be present now.
     :ivar starts_in_doubt: starts without an answer whose runs are settled, with
         the time in ms. Another incarnation may still carry them out.
     :ivar stops_owed: starts in doubt at the former incarnation that this one
@@ -165,7 +154,8 @@
     awaited: bool = False
     incarnation: Incarnation = dataclasses.field(init=False)
     superseded: frozenset[int] = frozenset()
-    crash: InPlaceCrash | None = None
+    crash: Crash | None = None
+    crash_suspects: tuple[Run, ...] = ()
     starts_in_doubt: dict[RunKey, int] = dataclasses.field(default_factory=dict)
     stops_owed: dict[RunKey, int] = dataclasses.field(default_factory=dict)
     claimed_ms: int = 0
--- a/waxwingford/scheduling/_settle.py
+++ b/waxwingford/scheduling/_settle.py
@@ -50,12 +50,19 @@
 
 
 class Settler:
-    """Applies outcomes of polls and orders to the state of a shard."""
+    """Applies outcomes of polls and orders to the state of a shard.
 
-    def __init__(self, state: ShardState) -> None:
+    :ivar restarts: restarts of servers in place.
+    """
+
+    def __init__(self, state: ShardState, max_lease_ms: int) -> None:
+        """Create a settler.
+
+        :param max_lease_ms: longest lease that a server accepts, in ms.
+        """
         self._state = state
         self._settlement = RunSettlement(state)
-        self.restarts = Restarts(state, self._settlement)
+        self.restarts = Restarts(state, self._settlement, max_lease_ms)
 
     def poll_answered(
         self, server: Server, sent_ms: int, now_ms: int, outcome: PollOutcome
@@ -166,7 +173,7 @@
             suspects = crashes.find_suspects(server)
             crash = crashes.record_loss(self._state, server, suspects, now_ms)
             self._settle_lost(server, now_ms)
-            crashes.add_evidence(self._state, server, suspects, crash, now_ms)
+            crashes.add_evidence(self._state, server, suspects, crash)
 
     def _settle_lost(self, server: Server, now_ms: int) -> None:
         for run in list(server.run_by_key.values()):
@@ -194,7 +201,7 @@
         crashes.clear_outlived(self._state, server)
         if server.crash is not None:
             ended = {end.run for end in answer.ended}
-            self.restarts.judge_crash(server, listed | ended, now_ms)
+            self.restarts.judge_crash(server, server.crash, listed | ended)
         for run in list(server.run_by_key.values()):
             if run.key not in listed:
                 self._apply_absence(server, run, sent_ms, now_ms)
