--- a/waxwingford/scheduling/_backend_client.py
+++ b/waxwingford/scheduling/_backend_client.py
@@ -80,10 +80,10 @@
 
 
 class Address(NamedTuple):
-    """Address of one incarnation of a backend server.
+    """Address of a backend server.
 
-    :ivar server_id: identifier of the incarnation; any other incarnation at the
-        endpoint refuses the order.
+    :ivar server_id: identifier of the server; a server with another one at the
+        endpoint refuses the order, its own next incarnation doesn't.
     :ivar endpoint: IP address and port.
     """
 
--- a/waxwingford/scheduling/_recovery.py
+++ b/waxwingford/scheduling/_recovery.py
@@ -29,7 +29,8 @@
     def until(self, server_id: str) -> int:
         """Latest end of the leases on a server.
 
-        :param server_id: identifier of the incarnation.
+        :param server_id: identifier of the server; the bound holds for all of its
+            incarnations.
         :returns: monotonic time in ms from which on no run of a previous owner
             is active there.
         """
