Log the bytes of each kind of call, by direction

Nothing told how full a daemon's link is, so three causes of the weak owner could not be told apart.

--- a/waxwingford/platform/_adapter.py
+++ b/waxwingford/platform/_adapter.py
@@ -42,6 +42,7 @@
 
     def __init__(self, store_address: str, advice_address: str) -> None:
         self._http_client = HttpClient()
+        self.traffic_by_call = self._http_client.traffic.by_call
         self.advice_client = PlatformAdviceClient(
             self._http_client, advice_address
         )
--- a/waxwingford/platform/_http_client.py
+++ b/waxwingford/platform/_http_client.py
@@ -13,6 +13,7 @@
     ConnectionBrokenError,
     ConnectionPool,
 )
+from waxwingford.platform._traffic import Traffic, name_call
 
 _json_encoder = msgspec.json.Encoder()
 
@@ -69,9 +70,12 @@
 
     It follows no redirects, as the first server may have processed the request
     before the second one fails.
+
+    :ivar traffic: bytes of all calls.
     """
 
     def __init__(self) -> None:
+        self.traffic = Traffic()
         self._pool_by_address: dict[str, ConnectionPool] = {}
 
     async def close(self) -> None:
@@ -93,7 +97,10 @@
         :param timeout_s: timeout for the complete response, in seconds.
         """
         head = _encode_head('GET', address, path, query, {})
-        return await self._request(address, head, timeout_s, repeatable=True)
+        call = name_call(path, query)
+        return await self._request(
+            call, address, head, timeout_s, repeatable=True
+        )
 
     async def post(
         self,
@@ -118,7 +125,8 @@
                 'Content-Length': str(len(body)),
             },
         )
-        return await self._request(address, head + body, timeout_s)
+        call = name_call(path, query)
+        return await self._request(call, address, head + body, timeout_s)
 
     async def post_json(
         self,
@@ -136,7 +144,8 @@
         :param timeout_s: timeout for the complete response, in seconds.
         """
         request = _encode_json_post(address, path, content, headers)
-        return await self._request(address, request, timeout_s)
+        call = name_call(path, {})
+        return await self._request(call, address, request, timeout_s)
 
     async def post_json_to_peer(
         self,
@@ -158,10 +167,19 @@
         def encode(peer: object) -> bytes:
             return _encode_json_post(address, path, content_for(peer), headers)
 
-        return await self._request(address, encode, timeout_s)
+        call = name_call(path, {})
+        return await self._request(call, address, encode, timeout_s)
+
+    def _pool_of(self, address: str) -> ConnectionPool:
+        pool = self._pool_by_address.get(address)
+        if pool is None:
+            pool = ConnectionPool(address)
+            self._pool_by_address[address] = pool
+        return pool
 
     async def _request(
         self,
+        call: str,
         address: str,
         request: bytes | Callable[[object], bytes],
         timeout_s: float,
@@ -169,10 +187,7 @@
     ) -> RequestOutcome:
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + timeout_s
-        pool = self._pool_by_address.get(address)
-        if pool is None:
-            pool = ConnectionPool(address)
-            self._pool_by_address[address] = pool
+        pool = self._pool_of(address)
         try:
             connection, reused = await pool.acquire(deadline_s)
         except ConnectFailedError as error:
@@ -193,9 +208,12 @@
                     f'ConnectionBrokenError: {error}', connection_closed=True
                 )
         finally:
+            self.traffic.count(call, len(content), connection.received_bytes)
             pool.release(connection)
         # The server may close an idle connection just when it is used again.
-        return await self._request(address, request, deadline_s - loop.time())
+        return await self._request(
+            call, address, request, deadline_s - loop.time()
+        )
 
 
 def _encode_head(
--- a/waxwingford/platform/_http_connections.py
+++ b/waxwingford/platform/_http_connections.py
@@ -72,12 +72,14 @@
     """A connection that carries one request at a time.
 
     :ivar closed: whether it can't carry another request.
+    :ivar received_bytes: size of the response to the newest request so far.
     :ivar peer: process at the other end as noted by the user of the connection,
         ``None`` if it isn't known. No connection outlasts that process.
     """
 
     def __init__(self) -> None:
         self.closed = False
+        self.received_bytes = 0
         self.peer: object = None
         self.idle_since_s: float = 0
         self._transport: asyncio.Transport | None = None
@@ -97,6 +99,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse a part of a response."""
         self._response_begun = True
+        self.received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -131,6 +134,7 @@
         :raises TimeoutError: if the response isn't complete by then.
         """
         self._body.clear()
+        self.received_bytes = 0
         self._response_begun = False
         self._response = asyncio.get_running_loop().create_future()
         self._transport.write(request)
--- a/waxwingford/scheduler/_daemon.py
+++ b/waxwingford/scheduler/_daemon.py
@@ -8,6 +8,7 @@
 from waxwingford.kernel import load_plugins
 from waxwingford.metrics import Metrics
 from waxwingford.scheduler._readiness import ReadinessServer
+from waxwingford.scheduler._traffic_log import TrafficLog
 from waxwingford.scheduling import Terms
 from waxwingford.settings import SchedulerSettings
 from waxwingford.shard import (
@@ -92,6 +93,9 @@
                 )
             ),
             asyncio.create_task(self._member.stand_by()),
+            asyncio.create_task(
+                TrafficLog(self._platform.traffic_by_call, self._observer).run()
+            ),
         ]
         for task in tasks:
             task.add_done_callback(self._on_task_done)
--- a/waxwingford/scheduler/tests/daemon_steps.py
+++ b/waxwingford/scheduler/tests/daemon_steps.py
@@ -25,6 +25,7 @@
     def __init__(self, address, advice_address):
         self.log = None
         self.backend_client = None
+        self.traffic_by_call = {}
 
 
 scheduler_platforms.register(ADAPTER)(FakePlatform)
--- a/waxwingford/shard/__init__.py
+++ b/waxwingford/shard/__init__.py
@@ -39,6 +39,7 @@
     serve_queries,
 )
 from waxwingford.shard._platform_port import (
+    CallTraffic,
     SchedulerPlatform,
     scheduler_platforms,
 )
@@ -50,6 +51,7 @@
 )
 
 __all__ = (
+    'CallTraffic',
     'TicketsIssued',
     'AdviceClient',
     'TicketsUnavailable',
--- a/waxwingford/shard/_platform_port.py
+++ b/waxwingford/shard/_platform_port.py
@@ -1,7 +1,7 @@
 """Interface of the scheduler to a platform, and the registry of adapters."""
 
-from collections.abc import Callable
-from typing import Protocol
+from collections.abc import Callable, Mapping
+from typing import NamedTuple, Protocol
 
 from waxwingford.kernel import Registry
 from waxwingford.scheduling import BackendClient, Terms
@@ -11,15 +11,30 @@
 from waxwingford.shard._ticket_requests import AdviceClient
 
 
+class CallTraffic(NamedTuple):
+    """Traffic of one kind of call.
+
+    :ivar calls: requests sent, with those that got no response.
+    :ivar sent_bytes: bytes of the requests, without those of TCP and IP.
+    :ivar received_bytes: bytes of the responses, also incomplete ones.
+    """
+
+    calls: int = 0
+    sent_bytes: int = 0
+    received_bytes: int = 0
+
+
 class SchedulerPlatform(RegistrationSource, Protocol):
     """Adapter to a platform.
 
     :ivar log: shared log that stores the shards.
+    :ivar traffic_by_call: totals of calls to the platform, by kind of call.
     """
 
     log: SharedLog
     backend_client: BackendClient
     advice_client: AdviceClient
+    traffic_by_call: Mapping[str, CallTraffic]
 
     async def follow_configuration(
         self, apply: Callable[[Terms], None], failed: Callable[[], None]
