Serve callers, readiness and metrics with httptools

A start of the scheduler daemon imported aiohttp with its client for three small ports. waxwingford/http_server reads requests with httptools, on which the client of the adapter stands already, with limits on head, body and time, and answers in order. Entry daemon, command line and stand-ins go on with aiohttp.

What differs: no text in 400, 413 and 500 of the server itself, CONNECT is answered 400, header lines of more than 8 KiB are read (32 KiB for the whole head), a connection is closed after a request to upgrade it. Bodies in gzip and deflate are read as before.

The step for requests of clients of platform/tests/adapter.feature calls the new server instead of aiohttp's; its scenarios are unchanged.

--- /dev/null
+++ b/waxwingford/http_server/_reader.py
@@ -0,0 +1,193 @@
+"""Reads requests from the bytes of a connection."""
+
+import asyncio
+import zlib
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import NamedTuple
+from urllib import parse as url_parse
+
+import httptools
+
+from waxwingford.http_server._messages import Request
+
+_KIB = 1024
+_VERSIONS = frozenset(('1.0', '1.1'))
+_ENCODINGS = frozenset(('gzip', 'deflate'))
+#: Makes zlib accept its own header and that of gzip.
+_ANY_HEADER = 32
+_ZLIB_METHOD_MASK = 0xF
+_ZLIB_METHOD = 8
+
+
+class ServerLimits(NamedTuple):
+    """Limits on what one connection may use.
+
+    :ivar head_bytes: largest request line with its headers.
+    :ivar body_bytes: largest body.
+    :ivar request_s: time for a request to arrive, in seconds.
+    :ivar idle_s: time without a request after which a connection is closed, in
+        seconds. Longer than load balancers keep theirs, so that none sends a
+        request on a connection that is being closed.
+    """
+
+    head_bytes: int = 32_768
+    body_bytes: int = _KIB * _KIB
+    request_s: float = 60
+    idle_s: float = 3630
+
+
+class ReaderEvents(NamedTuple):
+    """Callbacks of a reader.
+
+    :ivar begun: a request has begun.
+    :ivar awaiting_body: the client waits before it sends the body.
+    :ivar complete: a request is complete.
+    :ivar refused: no further request is read, and the status of the response
+        that says why.
+    """
+
+    begun: Callable[[], None]
+    awaiting_body: Callable[[], None]
+    complete: Callable[[Request], None]
+    refused: Callable[[HTTPStatus], None]
+
+
+class RequestReader:
+    """Parser of the requests of one connection.
+
+    :ivar receiving: whether a request has begun and isn't complete.
+    :ivar ended: whether the client has asked for another protocol, so that no
+        further request can be read.
+    """
+
+    def __init__(self, limits: ServerLimits, events: ReaderEvents) -> None:
+        """Create a reader."""
+        self.receiving = False
+        self.ended = False
+        self._limits = limits
+        self._events = events
+        self._parser = httptools.HttpRequestParser(self)
+        self._url = bytearray()
+        self._header_by_name: dict[str, str] = {}
+        self._body = bytearray()
+        self._head_bytes = 0
+        self._in_head = False
+        self._request: Request | None = None
+
+    def feed(self, data: bytes) -> None:
+        """Parse a part of a request; nothing is read after a refusal."""
+        if self.ended:
+            return
+        was_in_head = self._in_head
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            # The request is answered as if it asked for no other protocol.
+            self.ended = True
+            return
+        except httptools.HttpParserError:
+            self.refuse(HTTPStatus.BAD_REQUEST)
+            return
+        if was_in_head and self._in_head:
+            # Callbacks are called for complete headers only.
+            self._head_bytes += len(data)
+            self._check_head()
+
+    def refuse(self, status: HTTPStatus) -> None:
+        """Read no further request, and have a response sent that says why."""
+        if not self.ended:
+            self.ended = True
+            self.receiving = False
+            self._events.refused(status)
+
+    def on_message_begin(self) -> None:
+        """Start a request."""
+        self._url.clear()
+        self._body.clear()
+        self._header_by_name = {}
+        self._head_bytes = 0
+        self._in_head = True
+        if not self.ended:
+            self.receiving = True
+            self._events.begun()
+
+    def on_url(self, part: bytes) -> None:
+        """Collect a part of the URL."""
+        self._url += part
+
+    def on_header(self, name: bytes, text: bytes) -> None:
+        """Collect a header."""
+        self._head_bytes += len(name) + len(text)
+        key = name.decode('latin-1').lower()
+        if key == 'host' and key in self._header_by_name:
+            self.refuse(HTTPStatus.BAD_REQUEST)
+        self._header_by_name.setdefault(key, text.decode('latin-1').strip())
+
+    def on_headers_complete(self) -> None:
+        """Check the head, and let a client send the body that waits for it."""
+        self._in_head = False
+        self._head_bytes += len(self._url)
+        self._check_head()
+        version = self._parser.get_http_version()
+        if version not in _VERSIONS:
+            self.refuse(HTTPStatus.BAD_REQUEST)
+        length = self._header_by_name.get('content-length', '')
+        self._check_body(int(length) if length.isdecimal() else 0)
+        path = httptools.parse_url(bytes(self._url)).path or b'/'
+        self._request = Request(
+            self._parser.get_method().decode(),
+            url_parse.unquote(path.decode('latin-1')),
+            self._header_by_name,
+            asyncio.get_running_loop().time(),
+            self._parser.should_keep_alive(),
+            version,
+        )
+        expected = self._header_by_name.get('expect', '').lower()
+        if expected == '100-continue' and not self.ended:
+            self._events.awaiting_body()
+
+    def on_body(self, part: bytes) -> None:
+        """Collect a part of the body."""
+        if not self.ended:
+            self._body += part
+            self._check_body(len(self._body))
+
+    def on_message_complete(self) -> None:
+        """Hand over the request."""
+        if self.ended:
+            return
+        try:
+            self._request.body = self._decode_body()
+        except zlib.error:
+            self.refuse(HTTPStatus.BAD_REQUEST)
+        self._check_body(len(self._request.body))
+        self._body.clear()
+        if not self.ended:
+            self.receiving = False
+            self._events.complete(self._request)
+
+    def _decode_body(self) -> bytes:
+        encoding = self._header_by_name.get('content-encoding', '').lower()
+        if encoding not in _ENCODINGS or not self._body:
+            return bytes(self._body)
+        has_header = (
+            encoding == 'gzip'
+            or self._body[0] & _ZLIB_METHOD_MASK == _ZLIB_METHOD
+        )
+        decoder = zlib.decompressobj(
+            zlib.MAX_WBITS | _ANY_HEADER if has_header else -zlib.MAX_WBITS
+        )
+        # One byte more than permitted tells that the body is too large.
+        body = decoder.decompress(self._body, self._limits.body_bytes + 1)
+        if not decoder.eof and len(body) <= self._limits.body_bytes:
+            raise zlib.error('incomplete body')
+        return body
+
+    def _check_head(self) -> None:
+        if self._head_bytes > self._limits.head_bytes:
+            self.refuse(HTTPStatus.BAD_REQUEST)
+
+    def _check_body(self, size_bytes: int) -> None:
+        if size_bytes > self._limits.body_bytes:
+            self.refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
--- a/waxwingford/platform/_adapter.py
+++ b/waxwingford/platform/_adapter.py
@@ -6,8 +6,8 @@
 
 import logbook
 import msgspec
-from aiohttp import web
 
+from waxwingford.http_server import HttpServer
 from waxwingford.platform._advice import PlatformAdviceClient
 from waxwingford.platform._client_api import ClientApi
 from waxwingford.platform._http_client import HttpClient
@@ -52,7 +52,7 @@
         self._registrations = Registrations()
         self._client_api: ClientApi | None = None
         self._configuration: Configuration | None = None
-        self._runner: web.ServerRunner | None = None
+        self._server: HttpServer | None = None
 
     async def entries(self) -> tuple[ServerEntry, ...] | None:
         """Read the registrations of all backend servers.
@@ -105,12 +105,8 @@
         """
         self._client_api = ClientApi(frontend)
         self._client_api.configuration = self._configuration
-        self._runner = web.ServerRunner(
-            web.Server(self._client_api.handle, access_log=None)
-        )
-        await self._runner.setup()
-        host, port = endpoint.rsplit(':', 1)
-        await web.TCPSite(self._runner, host, int(port)).start()
+        self._server = HttpServer(self._client_api.handle)
+        await self._server.serve(endpoint)
 
     def start_draining(self) -> None:
         """Close each client connection after its next response."""
@@ -119,8 +115,8 @@
 
     async def close(self) -> None:
         """Complete open requests, then close all connections."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        if self._server is not None:
+            await self._server.close()
         await self._http_client.close()
 
 
--- a/waxwingford/platform/_client_api.py
+++ b/waxwingford/platform/_client_api.py
@@ -1,12 +1,11 @@
 """HTTP API for clients: submission, state, cancellation and count of jobs."""
 
-import asyncio
 import re
 from http import HTTPStatus
 
 import msgspec
-from aiohttp import web
 
+from waxwingford.http_server import Request, Response
 from waxwingford.platform._records import (
     Configuration,
     QueuePath,
@@ -44,7 +43,7 @@
         self.closing = False
         self._frontend = frontend
 
-    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def handle(self, request: Request) -> Response:
         """Handle one request.
 
         :returns: the response, with status 503 until a configuration is set.
@@ -52,10 +51,10 @@
         response = await self._dispatch(request)
         if self.closing:
             # Makes the client reconnect, and so reach another daemon.
-            response.force_close()
+            response.close = True
         return response
 
-    async def _dispatch(self, request: web.BaseRequest) -> web.Response:
+    async def _dispatch(self, request: Request) -> Response:
         if self.configuration is None:
             return _retry_later(HTTPStatus.SERVICE_UNAVAILABLE)
         path = self._match_path(request)
@@ -69,8 +68,8 @@
         return await self._dispatch_job(request, path, job_id)
 
     async def _dispatch_job(
-        self, request: web.BaseRequest, path: QueuePath, job_id: str
-    ) -> web.Response:
+        self, request: Request, path: QueuePath, job_id: str
+    ) -> Response:
         match request.method:
             case 'POST':
                 return await self._submit(request, path, job_id)
@@ -82,18 +81,15 @@
                 return _empty_response(HTTPStatus.METHOD_NOT_ALLOWED)
 
     async def _submit(
-        self, request: web.BaseRequest, path: QueuePath, job_id: str
-    ) -> web.Response:
+        self, request: Request, path: QueuePath, job_id: str
+    ) -> Response:
         deadline_s = _deadline_s(request, path)
-        raw = await request.read()
-        if len(raw) > self.configuration.body_bytes:
+        if len(request.body) > self.configuration.body_bytes:
             return _empty_response(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
         try:
-            submission = decode_submission(raw)
+            submission = decode_submission(request.body)
         except msgspec.MsgspecError as error:
-            return web.Response(
-                status=HTTPStatus.BAD_REQUEST, text=f'{error}\n'
-            )
+            return Response(HTTPStatus.BAD_REQUEST, f'{error}\n'.encode())
         terms = self.configuration.terms.queue_by_name[path.queue]
         spec = JobSpec(
             job_id,
@@ -108,8 +104,8 @@
         return _store_response(await self._frontend.submit(spec, deadline_s))
 
     async def _cancel(
-        self, request: web.BaseRequest, path: QueuePath, job_id: str
-    ) -> web.Response:
+        self, request: Request, path: QueuePath, job_id: str
+    ) -> Response:
         outcome = await self._frontend.cancel(
             job_id, _deadline_s(request, path)
         )
@@ -121,7 +117,7 @@
             case _:
                 return _store_response(outcome)
 
-    async def _get_phase(self, job_id: str) -> web.Response:
+    async def _get_phase(self, job_id: str) -> Response:
         match await self._frontend.phase(job_id):
             case JobKnown(phase):
                 return _json_response({'state': phase.value})
@@ -130,7 +126,7 @@
             case _:
                 return _retry_later(HTTPStatus.SERVICE_UNAVAILABLE)
 
-    async def _count_pending(self, path: QueuePath) -> web.Response:
+    async def _count_pending(self, path: QueuePath) -> Response:
         count = await self._frontend.pending(path.queue)
         return (
             _retry_later(HTTPStatus.SERVICE_UNAVAILABLE)
@@ -138,8 +134,8 @@
             else _json_response({'pending': count})
         )
 
-    def _match_path(self, request: web.BaseRequest) -> QueuePath | None:
-        host = request.headers.get('Host', '').partition(':')[0]
+    def _match_path(self, request: Request) -> QueuePath | None:
+        host = request.header_by_name.get('host', '').partition(':')[0]
         return next(
             (
                 path
@@ -150,16 +146,16 @@
         )
 
 
-def _deadline_s(request: web.BaseRequest, path: QueuePath) -> float:
-    requested = request.headers.get('X-Deadline-Ms', '')
+def _deadline_s(request: Request, path: QueuePath) -> float:
+    requested = request.header_by_name.get('x-deadline-ms', '')
     limit_ms = int(requested) if requested.isdecimal() else DEFAULT_DEADLINE_MS
     if path.timeout_ms:
         limit_ms = min(limit_ms, path.timeout_ms)
     remaining_ms = max(0, limit_ms - RESPONSE_MARGIN_MS)
-    return asyncio.get_running_loop().time() + remaining_ms / _MS_PER_S
+    return request.received_s + remaining_ms / _MS_PER_S
 
 
-def _store_response(outcome: IntakeOutcome) -> web.Response:
+def _store_response(outcome: IntakeOutcome) -> Response:
     match outcome:
         case Stored():
             return _json_response({})
@@ -169,19 +165,15 @@
             return _empty_response(HTTPStatus.GATEWAY_TIMEOUT)
 
 
-def _json_response(content: object) -> web.Response:
-    return web.Response(
+def _json_response(content: object) -> Response:
+    return Response(
         body=msgspec.json.encode(content), content_type=_JSON_CONTENT_TYPE
     )
 
 
-def _empty_response(status: int) -> web.Response:
-    return web.Response(status=status)
+def _empty_response(status: int) -> Response:
+    return Response(status)
 
 
-def _retry_later(
-    status: int, retry_after_s: int = RETRY_AFTER_S
-) -> web.Response:
-    return web.Response(
-        status=status, headers={'Retry-After': str(retry_after_s)}
-    )
+def _retry_later(status: int, retry_after_s: int = RETRY_AFTER_S) -> Response:
+    return Response(status, header_by_name={'Retry-After': str(retry_after_s)})
--- a/waxwingford/platform/tests/client_api_steps.py
+++ b/waxwingford/platform/tests/client_api_steps.py
@@ -6,14 +6,12 @@
 from aiohttp import ClientSession
 from behave import given, then, when
 
+from waxwingford.http_server import HttpServer
 from waxwingford.platform._client_api import ClientApi
 from waxwingford.platform._records import (
     decode_configuration,
 )
-from waxwingford.platform.tests.adapter_steps import (
-    CONFIGURATION,
-    run_with_server,
-)
+from waxwingford.platform.tests.adapter_steps import CONFIGURATION, HOST
 from waxwingford.shard import (
     CancelNotKnown,
     JobNotKnown,
@@ -52,15 +50,19 @@
 @when('a client sends {method} to {path} with "{body}"')
 @when('a client sends {method} to {path} with ""')
 def send_request(context, method, path, body=''):
-    async def _call(http_client, address):
-        async with ClientSession() as session:
-            url = f'http://{address}{path}'
-            async with session.request(method, url, data=body) as response:
-                return response.status, dict(response.headers)
-
-    result = asyncio.run(run_with_server(context.client_api.handle, _call))
-    context.status = result[0]
-    context.headers = result[1]
+    async def _call():
+        server = HttpServer(context.client_api.handle)
+        await server.serve(f'{HOST}:0')
+        url = f'http://{server.addresses[0]}{path}'
+        async with (
+            ClientSession() as session,
+            session.request(method, url, data=body) as response,
+        ):
+            context.status = response.status
+            context.headers = dict(response.headers)
+        await server.close()
+
+    asyncio.run(_call())
 
 
 @then('the client gets status {status:d}')
--- a/waxwingford/scheduler/_readiness.py
+++ b/waxwingford/scheduler/_readiness.py
@@ -1,13 +1,12 @@
 """HTTP server for readiness probes and metrics."""
 
 from collections.abc import Callable
+from http import HTTPStatus
 
-from aiohttp import web
+from waxwingford.http_server import HttpServer, Request, Response
 
 #: Path of the metrics; any other path is a readiness probe.
 METRICS_PATH = '/metrics'
-_READY = 200
-_NOT_READY = 503
 
 
 class ReadinessServer:
@@ -26,27 +25,22 @@
         """
         self._not_ready_reason = not_ready_reason
         self._render_metrics = render_metrics
-        self._backend_client: list[web.ServerRunner] = []
+        self._server = HttpServer(self._answer)
 
     async def serve(self, endpoint: str) -> None:
         """Listen on one more endpoint.
 
         :param endpoint: IP address and port.
         """
-        runner = web.ServerRunner(web.Server(self._answer, access_log=None))
-        self._backend_client.append(runner)
-        await runner.setup()
-        host, port = endpoint.rsplit(':', 1)
-        await web.TCPSite(runner, host, int(port)).start()
+        await self._server.serve(endpoint)
 
     async def close(self) -> None:
         """Stop listening on all endpoints."""
-        for runner in self._backend_client:
-            await runner.cleanup()
+        await self._server.close()
 
-    async def _answer(self, request: web.BaseRequest) -> web.Response:
+    async def _answer(self, request: Request) -> Response:
         if request.path == METRICS_PATH:
-            return web.Response(text=self._render_metrics())
-        not_ready_reason = self._not_ready_reason()
-        status = _NOT_READY if not_ready_reason else _READY
-        return web.Response(status=status, text=not_ready_reason)
+            return Response(body=self._render_metrics().encode())
+        reason = self._not_ready_reason()
+        status = HTTPStatus.SERVICE_UNAVAILABLE if reason else HTTPStatus.OK
+        return Response(status, reason.encode())
