Check the scheduler daemon's settings with msgspec

pydantic and the model of the entry daemon's settings were imported at each start of the scheduler daemon, for a file of 15 keys. Its settings are msgspec structs now, read by settings/_tables.py, which reports all problems as before: same file, key, value and expectation. Entry daemon, bundles and commands keep pydantic.

--- a/waxwingford/scheduler/_logs.py
+++ b/waxwingford/scheduler/_logs.py
@@ -15,7 +15,7 @@
 import logbook
 import msgspec
 
-from waxwingford.settings import Logging
+from waxwingford.settings import SchedulerLogging
 
 #: Lines per second above which frequent events are summarised, to limit the CPU
 #: time spent on logging.
@@ -88,7 +88,10 @@
     """Rate-limited logbook handler that writes one JSON object per line."""
 
     def __init__(
-        self, settings: Logging, daemon_id: str, writer: NonBlockingWriter
+        self,
+        settings: SchedulerLogging,
+        daemon_id: str,
+        writer: NonBlockingWriter,
     ):
         super().__init__(level=settings.level.upper())
         self._daemon_id = daemon_id
@@ -159,7 +162,7 @@
 
 
 def make_log_handler(
-    settings: Logging, daemon_id: str, descriptor: int
+    settings: SchedulerLogging, daemon_id: str, descriptor: int
 ) -> logbook.Handler:
     """Create the log handler of a daemon.
 
--- a/waxwingford/settings/_load.py
+++ b/waxwingford/settings/_load.py
@@ -4,17 +4,15 @@
 import dataclasses
 import json
 import pathlib
-import tomllib
 from collections.abc import Iterator
 
 from pydantic import BaseModel, ValidationError
 
+from waxwingford.settings._documents import read_document
 from waxwingford.settings._model import Settings, Tls
-from waxwingford.settings._problems import Problem, problems_from_error
-from waxwingford.settings._scheduler import SchedulerSettings
+from waxwingford.settings._problem import Problem, SettingsInvalid
+from waxwingford.settings._problems import problems_from_error
 
-#: Table that occurs only in the settings of a scheduler daemon.
-_SCHEDULER_TABLE = 'store'
 _WILDCARD_ADDRESSES = frozenset(('0.0.0.0', '::'))
 
 
@@ -28,16 +26,6 @@
     settings: Settings
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SettingsInvalid:
-    """Result of loading an invalid settings file.
-
-    :ivar problems: all problems found in the file.
-    """
-
-    problems: tuple[Problem, ...]
-
-
 def load_toml(
     path: str | pathlib.Path, model: type[BaseModel]
 ) -> BaseModel | tuple[Problem, ...]:
@@ -48,25 +36,16 @@
         types of the model.
     :returns: the validated model, or all problems found.
     """
-    file = str(path)
-    try:
-        document = tomllib.loads(pathlib.Path(path).read_text('utf-8'))
-    except OSError as error:
-        reason = f'expected a readable file: {error.strerror}'
-        return (Problem(file, '(whole file)', 'nothing', reason),)
-    except UnicodeDecodeError:
-        return (Problem(file, '(whole file)', 'bytes', 'expected UTF-8 text'),)
-    except tomllib.TOMLDecodeError as error:
-        return (
-            Problem(file, '(whole file)', 'text', f'expected TOML: {error}'),
-        )
+    document = read_document(path)
+    if not isinstance(document, dict):
+        return document
     try:
         # Strict validation accepts an array for a tuple only in JSON input.
         return model.model_validate_json(
             json.dumps(document, default=str), strict=True
         )
     except ValidationError as error:
-        return problems_from_error(file, model, error)
+        return problems_from_error(str(path), model, error)
 
 
 def load_settings(path: str | pathlib.Path) -> SettingsLoaded | SettingsInvalid:
@@ -84,34 +63,6 @@
     return SettingsLoaded(_resolve_tls_paths(pathlib.Path(path).parent, loaded))
 
 
-def load_scheduler_settings(
-    path: str | pathlib.Path,
-) -> SchedulerSettings | SettingsInvalid:
-    """Load the settings of a scheduler daemon.
-
-    :param path: path of the TOML file.
-    :returns: the settings, or all problems found in the file.
-    """
-    loaded = load_toml(path, SchedulerSettings)
-    if isinstance(loaded, SchedulerSettings):
-        return loaded
-    return SettingsInvalid(loaded)
-
-
-def is_scheduler_settings(path: str | pathlib.Path) -> bool:
-    """Check whether a file holds the settings of a scheduler daemon.
-
-    :param path: path of the TOML file.
-    :returns: whether the file has a table that only a scheduler daemon has;
-        False if the file cannot be read or parsed.
-    """
-    try:
-        document = tomllib.loads(pathlib.Path(path).read_text('utf-8'))
-    except (OSError, ValueError):
-        return False
-    return _SCHEDULER_TABLE in document
-
-
 def _resolve_tls_paths(directory: pathlib.Path, settings: Settings) -> Settings:
     if settings.tls is None:
         return settings
--- a/waxwingford/settings/_model.py
+++ b/waxwingford/settings/_model.py
@@ -5,27 +5,14 @@
 
 import base64
 import binascii
-import ipaddress
 from typing import Annotated
 from urllib.parse import urlsplit
 
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field
 
-_KEY_BYTES = 32
-
-
-def validate_ip_address(host: str) -> str:
-    """Check that a host is an IP address; daemons do not resolve host names.
+from waxwingford.settings._addresses import validate_ip_address
 
-    :param host: value from the settings file.
-    :returns: the unchanged value.
-    :raises ValueError: if the value is not an IPv4 or IPv6 address.
-    """
-    try:
-        ipaddress.ip_address(host)
-    except ValueError:
-        raise ValueError('an IP address, not a host name') from None
-    return host
+_KEY_BYTES = 32
 
 
 def _validate_service_url(url: str) -> str:
--- a/waxwingford/settings/_problems.py
+++ b/waxwingford/settings/_problems.py
@@ -1,39 +1,24 @@
-"""Human-readable problems of a settings file or a bundle file."""
+"""Problems of a file, from the errors of pydantic."""
 
-import difflib
 import types
 from collections.abc import Iterable
-from typing import NamedTuple, get_args
+from typing import get_args
 
 from pydantic import BaseModel, ValidationError
 
-_MAX_VALUE_CHARACTERS = 80
+from waxwingford.settings._problem import (
+    KEY_REQUIRED,
+    MISSING_VALUE,
+    WHOLE_FILE,
+    Problem,
+    format_value,
+    suggest_key,
+)
+
 _UNKNOWN_KEY_ERROR = 'extra_forbidden'
 _MISSING_KEY_ERROR = 'missing'
 
 
-class Problem(NamedTuple):
-    """Problem of a single key, or of the whole file.
-
-    :ivar file: path of the file as given by the caller.
-    :ivar key: dotted key, for example ``leases.control_ms``.
-    :ivar value: representation of the invalid value, truncated.
-    :ivar expected: description of a valid value.
-    """
-
-    file: str
-    key: str
-    value: str
-    expected: str
-
-    def __str__(self) -> str:
-        """Format the problem as a single line.
-
-        :returns: ``file: key: got value, expected ...``.
-        """
-        return f'{self.file}: {self.key}: got {self.value}, {self.expected}'
-
-
 def problems_from_error(
     file: str, model: type[BaseModel], error: ValidationError
 ) -> tuple[Problem, ...]:
@@ -47,7 +32,7 @@
     return tuple(
         Problem(
             file,
-            '.'.join(map(str, detail['loc'])) or '(whole file)',
+            '.'.join(map(str, detail['loc'])) or WHOLE_FILE,
             _format_input(detail),
             _describe_expected(model, detail),
         )
@@ -57,16 +42,13 @@
 
 def _format_input(detail) -> str:
     if detail['type'] == _MISSING_KEY_ERROR:
-        return 'nothing'
-    text = repr(detail['input'])
-    if len(text) <= _MAX_VALUE_CHARACTERS:
-        return text
-    return f'{text[:_MAX_VALUE_CHARACTERS]}...'
+        return MISSING_VALUE
+    return format_value(detail['input'])
 
 
 def _describe_expected(model: type[BaseModel], detail) -> str:
     if detail['type'] == _MISSING_KEY_ERROR:
-        return 'expected a value: the key is required'
+        return KEY_REQUIRED
     if detail['type'] == _UNKNOWN_KEY_ERROR:
         return _suggest_key(model, detail['loc'])
     message = detail['msg']
@@ -80,11 +62,7 @@
     section: type[BaseModel] | None = model
     for parent in parents:
         section = _section_model(section, parent)
-    known_keys = sorted(section.model_fields) if section else []
-    matches = difflib.get_close_matches(str(key), known_keys, n=1, cutoff=0)
-    if not matches:
-        return 'expected no such key'
-    return f'expected a known key; the nearest is {matches[0]}'
+    return suggest_key(str(key), section.model_fields if section else ())
 
 
 def _section_model(
--- a/waxwingford/settings/_scheduler.py
+++ b/waxwingford/settings/_scheduler.py
@@ -1,35 +1,39 @@
 """Model of the settings file of a scheduler daemon."""
 
+import os
 from typing import Annotated
 
-from pydantic import AfterValidator, Field
+import msgspec
 
-from waxwingford.settings._model import (
-    IpAddress,
-    Logging,
-    Millis,
-    Port,
-    StrictModel,
+from waxwingford.settings._addresses import (
+    validate_endpoint,
     validate_ip_address,
 )
+from waxwingford.settings._documents import read_document
+from waxwingford.settings._problem import SettingsInvalid
+from waxwingford.settings._tables import read_tables
 
+#: Table that occurs only in the settings of a scheduler daemon.
+_SCHEDULER_TABLE = 'store'
 _MAX_PORT = 65_535
 _MAX_NAME_LENGTH = 128
-
-
-def _validate_endpoint(text: str) -> str:
-    host, separator, port = text.rpartition(':')
-    if not separator or not port.isdecimal() or int(port) > _MAX_PORT:
-        raise ValueError('ADDRESS:PORT')
-    validate_ip_address(host)
-    return text
-
-
-Endpoint = Annotated[str, AfterValidator(_validate_endpoint)]
-PlainName = Annotated[str, Field(min_length=1, max_length=_MAX_NAME_LENGTH)]
-
-
-class SchedulerIdentity(StrictModel):
+_MS_PER_DAY = 86_400_000
+
+Text = Annotated[str, msgspec.Meta()]
+Endpoint = Annotated[str, msgspec.Meta(extra={'validate': validate_endpoint})]
+IpAddress = Annotated[
+    str, msgspec.Meta(extra={'validate': validate_ip_address})
+]
+PlainName = Annotated[
+    str, msgspec.Meta(min_length=1, max_length=_MAX_NAME_LENGTH)
+]
+Port = Annotated[int, msgspec.Meta(ge=0, le=_MAX_PORT)]
+Millis = Annotated[int, msgspec.Meta(ge=1, le=_MS_PER_DAY)]
+PositiveNumber = Annotated[float, msgspec.Meta(gt=0)]
+Share = Annotated[float, msgspec.Meta(gt=0, le=1)]
+
+
+class SchedulerIdentity(msgspec.Struct, frozen=True):
     """Identity of the daemon."""
 
     daemon_id: PlainName
@@ -37,7 +41,7 @@
     region: PlainName
 
 
-class SchedulerListen(StrictModel):
+class SchedulerListen(msgspec.Struct, frozen=True):
     """Addresses that the daemon listens on.
 
     :ivar host: IP address for the ports of peers and metrics.
@@ -54,7 +58,7 @@
     metrics_port: Port | None = None
 
 
-class SchedulerStore(StrictModel):
+class SchedulerStore(msgspec.Struct, frozen=True):
     """Shared log that stores the scheduler's state, and its adapter.
 
     :ivar adapter: name of the plug-in module that connects to the platform.
@@ -68,7 +72,7 @@
     advice_address: Endpoint | None = None
 
 
-class SchedulerBounds(StrictModel):
+class SchedulerBounds(msgspec.Struct, frozen=True):
     """Guarantees of the platform that the scheduler relies on.
 
     :ivar longest_lease_ms: longest lease that the platform permits, in
@@ -77,18 +81,18 @@
     """
 
     longest_lease_ms: Millis
-    stop_grace_s: Annotated[float, Field(gt=0)]
+    stop_grace_s: PositiveNumber
 
 
-class SchedulerVm(StrictModel):
+class SchedulerVm(msgspec.Struct, frozen=True):
     """CPU of the daemon's VM.
 
     :ivar core_share: share of one core.
     :ivar core_speed: speed of that core relative to a reference core.
     """
 
-    core_share: Annotated[float, Field(gt=0, le=1)] = 1
-    core_speed: Annotated[float, Field(gt=0)] = 1
+    core_share: Share = 1
+    core_speed: PositiveNumber = 1
 
     @property
     def cores(self) -> float:
@@ -99,7 +103,16 @@
         return self.core_share * self.core_speed
 
 
-class SchedulerSettings(StrictModel):
+class SchedulerLogging(msgspec.Struct, frozen=True):
+    """Format of log lines."""
+
+    form: Annotated[str, msgspec.Meta(pattern='^(json|text)$')] = 'json'
+    level: Annotated[
+        str, msgspec.Meta(pattern='^(debug|info|warning|error)$')
+    ] = 'info'
+
+
+class SchedulerSettings(msgspec.Struct, frozen=True):
     """Settings file of a scheduler daemon."""
 
     identity: SchedulerIdentity
@@ -107,4 +120,31 @@
     store: SchedulerStore
     bounds: SchedulerBounds
     vm: SchedulerVm = SchedulerVm()
-    logging: Logging = Logging()
+    logging: SchedulerLogging = SchedulerLogging()
+
+
+def load_scheduler_settings(
+    path: str | os.PathLike[str],
+) -> SchedulerSettings | SettingsInvalid:
+    """Load the settings of a scheduler daemon.
+
+    :param path: path of the TOML file.
+    :returns: the settings, or all problems found in the file.
+    """
+    document = read_document(path)
+    if isinstance(document, dict):
+        loaded = read_tables(str(path), document, SchedulerSettings)
+        if isinstance(loaded, SchedulerSettings):
+            return loaded
+        return SettingsInvalid(loaded)
+    return SettingsInvalid(document)
+
+
+def is_scheduler_settings(path: str | os.PathLike[str]) -> bool:
+    """Check whether a file holds the settings of a scheduler daemon.
+
+    :param path: path of the TOML file.
+    :returns: whether the file has a table that only a scheduler daemon has;
+        False if the file cannot be read or parsed.
+    """
+    return _SCHEDULER_TABLE in read_document(path)
--- a/waxwingford/settings/tests/settings.feature
+++ b/waxwingford/settings/tests/settings.feature
@@ -28,6 +28,49 @@
       | peers.1.hosst                    | "127.0.0.1"    | peers.1.hosst                    | the nearest is host                   |
       | tls.key_file                     | "absent.pem"   | tls.key_file                     | an existing file, as an absolute path |
 
+  Scenario: The settings of a scheduler daemon are loaded
+    # Guards against defaults and numbers that change with the library that reads
+    # them.
+    Given the settings of a scheduler daemon
+    Then they are loaded with a core share of 1.0, a grace of 6.0 s and level "info"
+
+  Scenario Outline: A problem of a scheduler daemon's settings names what is expected
+    # Guards against messages that name another key or nothing to correct.
+    Given the settings of a scheduler daemon
+    When settings key "<key>" is set to <value>
+    Then the only problem of the scheduler daemon is at "<place>", got <got>, and expects "<expected>"
+
+    Examples:
+      | key                     | value            | place                   | got        | expected                                        |
+      | identity.daemon_id      | 7                | identity.daemon_id      | 7          | a valid string                                  |
+      | identity.daemon_id      | ""               | identity.daemon_id      | ''         | String should have at least 1 character         |
+      | identity.regoin         | "r"              | identity.regoin         | 'r'        | a known key; the nearest is region              |
+      | identty                 | {}               | identty                 | {}         | a known key; the nearest is identity            |
+      | listen                  | {}               | listen.host             | nothing    | a value: the key is required                    |
+      | listen                  | 7                | listen                  | 7          | an object                                       |
+      | listen.host             | "localhost"      | listen.host             | 'localhost' | an IP address, not a host name                 |
+      | listen.callers          | "127.0.0.1"      | listen.callers          | '127.0.0.1' | ADDRESS:PORT                                   |
+      | listen.callers          | "127.0.0.1:65536" | listen.callers         | '127.0.0.1:65536' | ADDRESS:PORT                             |
+      | listen.callers          | "host:1"         | listen.callers          | 'host:1'   | an IP address, not a host name                  |
+      | listen.peers_port       | "1"              | listen.peers_port       | '1'        | a valid integer                                 |
+      | listen.peers_port       | 1.0              | listen.peers_port       | 1.0        | a valid integer                                 |
+      | listen.peers_port       | true             | listen.peers_port       | True       | a valid integer                                 |
+      | listen.metrics_port     | 65536            | listen.metrics_port     | 65536      | less than or equal to 65535                     |
+      | bounds.longest_lease_ms | 0                | bounds.longest_lease_ms | 0          | greater than or equal to 1                      |
+      | bounds.stop_grace_s     | 0                | bounds.stop_grace_s     | 0          | greater than 0                                  |
+      | bounds.stop_grace_s     | "6"              | bounds.stop_grace_s     | '6'        | a valid number                                  |
+      | vm.core_share           | 1.5              | vm.core_share           | 1.5        | less than or equal to 1                         |
+      | logging.level           | "loud"           | logging.level           | 'loud'     | String should match pattern '^(debug\|info\|warning\|error)$' |
+      | logging.level           | "info\n"         | logging.level           | 'info\n'   | String should match pattern '^(debug\|info\|warning\|error)$' |
+
+  Scenario: All problems of a scheduler daemon's settings are reported at once
+    # Guards against a start for each problem of a file.
+    Given the settings of a scheduler daemon
+    When settings key "vm.core_share" is set to 0
+    And settings key "store.address" is set to "x"
+    And settings key "bounds" is set to {}
+    Then the problems of the scheduler daemon are at "store.address, bounds.longest_lease_ms, bounds.stop_grace_s, vm.core_share"
+
   Scenario Outline: Which TLS connections a daemon accepts
     Given certificates of two daemons from one authority
     When <client> calls the <alpn> port of the first daemon at <host>
