Import what only an owner needs while the daemon serves callers

A start imported engine, drivers, grpclib and protobuf before the daemon listened. They are imported in a thread now, while readiness and callers are served; the port for other daemons opens then. Until then the member makes no claim: it waits, reads the heartbeats once more, and claims if the shard still has no owner.

The packages scheduling, shard and ports import a module when a name of it is first used. What a daemon that stands by needs is split from what the owner needs: _job_answers, _load_report, _advice_port, _owner_ports, _owner_link.

--- a/waxwingford/kernel/_mailbox.py
+++ b/waxwingford/kernel/_mailbox.py
@@ -1,19 +1,18 @@
 """Bounded mailboxes between asyncio tasks; posting never blocks."""
 
 import asyncio
-import dataclasses
 from typing import Generic, TypeVar
 
+import msgspec
+
 Message = TypeVar('Message')
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Posted:
+class Posted(msgspec.Struct, frozen=True):
     """The message was queued."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class MailboxFull:
+class MailboxFull(msgspec.Struct, frozen=True):
     """The message was not queued, since the mailbox is full.
 
     :ivar capacity: maximum number of queued messages.
--- a/waxwingford/platform/_http_client.py
+++ b/waxwingford/platform/_http_client.py
@@ -1,7 +1,6 @@
 """HTTP client for the platform's store, workers and services."""
 
 import asyncio
-import dataclasses
 from collections.abc import Callable, Mapping
 from urllib import parse as url_parse
 
@@ -18,8 +17,7 @@
 _json_encoder = msgspec.json.Encoder()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class HttpResponse:
+class HttpResponse(msgspec.Struct, frozen=True):
     """A complete response.
 
     :ivar body: undecoded response body.
@@ -36,8 +34,7 @@
             self.connection.peer = peer
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class NoResponse:
+class NoResponse(msgspec.Struct, frozen=True):
     """No complete response; the server may have processed the request.
 
     :ivar reason: error type and message.
@@ -49,8 +46,7 @@
     connection_closed: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class NotSent:
+class NotSent(msgspec.Struct, frozen=True):
     """No connection could be opened, so no byte of the request was sent.
 
     Proves to callers that the server has not processed the request and never
--- a/waxwingford/scheduler/_daemon.py
+++ b/waxwingford/scheduler/_daemon.py
@@ -1,27 +1,26 @@
 """Life cycle of the scheduler daemon: start, readiness, graceful stop."""
 
 import asyncio
+import gc
 import signal
+from typing import TYPE_CHECKING
 
 import logbook
 
+from waxwingford import shard
 from waxwingford.kernel import load_plugins
 from waxwingford.metrics import Metrics
 from waxwingford.scheduler._readiness import ReadinessServer
 from waxwingford.scheduler._traffic_log import TrafficLog
 from waxwingford.scheduling import Terms
 from waxwingford.settings import SchedulerSettings
-from waxwingford.shard import (
-    Observer,
-    Owner,
-    OwnerLink,
-    OwnerPorts,
-    OwnerSettings,
-    ShardFrontend,
-    ShardMember,
-    scheduler_platforms,
-    serve_queries,
-)
+
+if TYPE_CHECKING:
+    from grpclib.server import Server
+
+#: Modules, with their libraries, that a daemon needs to own the shard and to answer
+#: other daemons. They are imported while it serves callers.
+OWNER_MODULES = ('waxwingford.shard._owner', 'waxwingford.shard._peers')
 
 #: Duration of a lease as a fraction of the maximum that servers grant, so that
 #: servers never shorten it.
@@ -47,22 +46,25 @@
     def __init__(self, settings: SchedulerSettings) -> None:
         """Assemble the daemon; nothing is started yet."""
         load_plugins([settings.store.adapter])
-        open_platform = scheduler_platforms.get(settings.store.adapter)
+        open_platform = shard.scheduler_platforms.get(settings.store.adapter)
         self._settings = settings
         self._platform = open_platform(
             settings.store.address, settings.store.advice_address or ''
         )
-        self._observer = Observer(Metrics())
-        self._member = ShardMember(
+        self._observer = shard.Observer(Metrics())
+        self._can_own = asyncio.Event()
+        self._queries: Server | None = None
+        self._member = shard.ShardMember(
             settings.identity.daemon_id,
             settings.identity.failure_domain,
             self._platform.log,
             self._make_owner,
             self._observer,
             settings.vm.cores,
+            self._can_own,
         )
-        self._link = OwnerLink()
-        self._frontend = ShardFrontend(
+        self._link = shard.OwnerLink()
+        self._frontend = shard.ShardFrontend(
             self._platform.log, self._member, self._link, self._observer
         )
         self._readiness = ReadinessServer(
@@ -82,9 +84,6 @@
         await self._readiness.serve(listen.readiness)
         if listen.metrics_port:
             await self._readiness.serve(f'{listen.host}:{listen.metrics_port}')
-        queries = await serve_queries(
-            self._frontend, listen.host, listen.peers_port
-        )
         await self._platform.serve(self._frontend, listen.callers)
         tasks = [
             asyncio.create_task(
@@ -93,6 +92,7 @@
                 )
             ),
             asyncio.create_task(self._member.stand_by()),
+            asyncio.create_task(self._prepare_to_own()),
             asyncio.create_task(
                 TrafficLog(self._platform.traffic_by_call, self._observer).run()
             ),
@@ -102,7 +102,17 @@
         _log.info('started', extra={'store': self._settings.store.address})
         await self._stopping.wait()
         await self._stop(tasks)
-        queries.close()
+
+    async def _prepare_to_own(self) -> None:
+        """Import what an owner needs, and answer other daemons."""
+        await asyncio.to_thread(load_plugins, OWNER_MODULES)
+        # Modules are never freed, see ``main``.
+        gc.freeze()
+        self._can_own.set()
+        listen = self._settings.listen
+        self._queries = await shard.serve_queries(
+            self._frontend, listen.host, listen.peers_port
+        )
 
     def _on_task_done(self, task: asyncio.Task[None]) -> None:
         # A failed task stops the daemon, so that the supervisor restarts it.
@@ -123,6 +133,8 @@
         self._member.close()
         self._link.close()
         await self._readiness.close()
+        if self._queries is not None:
+            self._queries.close()
         _log.info('stopped')
 
     def _log_reload(self) -> None:
@@ -160,10 +172,10 @@
             return 'the shard has no owner yet'
         return ''
 
-    def _make_owner(self, terms: Terms) -> Owner:
+    def _make_owner(self, terms: Terms) -> 'shard.Owner':
         settings = self._settings
         listen = settings.listen
-        owner_settings = OwnerSettings(
+        owner_settings = shard.OwnerSettings(
             settings.identity.daemon_id,
             settings.identity.failure_domain,
             f'{listen.host}:{listen.peers_port}',
@@ -174,11 +186,11 @@
             settings.vm.cores,
             settings.bounds.longest_lease_ms,
         )
-        ports = OwnerPorts(
+        ports = shard.OwnerPorts(
             self._platform.log,
             self._platform.backend_client,
             self._platform,
             self._platform.advice_client,
             self._observer,
         )
-        return Owner(owner_settings, ports, terms)
+        return shard.Owner(owner_settings, ports, terms)
--- a/waxwingford/scheduling/__init__.py
+++ b/waxwingford/scheduling/__init__.py
@@ -1,83 +1,72 @@
-"""Scheduling decisions of a shard, free of I/O."""
+"""Scheduling decisions of a shard, free of I/O.
 
-from waxwingford.scheduling._backend_client import (
-    Address,
-    BackendClient,
-    EndKind,
-    EndReport,
-    OrderAccepted,
-    OrderNotSent,
-    OrderOutcome,
-    OrderOutcomeUnknown,
-    OrderRefused,
-    PollOrder,
-    PollOutcome,
-    PollResult,
-    RefusalReason,
-    RunKey,
-    RunningReport,
-    ServerReplaced,
-    StartOrder,
-    TaskKey,
-)
-from waxwingford.scheduling._backlog import Backlog, Decision
-from waxwingford.scheduling._engine import MAX_LEASE_MS, Engine
-from waxwingford.scheduling._incarnations import Incarnation
-from waxwingford.scheduling._notes import Note
-from waxwingford.scheduling._orders import Batch, Order, Pace, Start, Stop
-from waxwingford.scheduling._recovery import InheritedLeases
-from waxwingford.scheduling._rows import (
-    ENDED_PREFIX,
-    decode_end,
-    decode_spec,
-    encode_spec,
-)
-from waxwingford.scheduling._servers import Server, ServerEntry
-from waxwingford.scheduling._specs import JobSpec, QueueTerms, StepSpec, Terms
-from waxwingford.scheduling._state import JobPhase, Run, RunPhase
+Modules are imported when a name of them is first used: a daemon that does not own
+the shard needs few of them.
+"""
+
+from waxwingford._lazy import lazy_names
 
-__all__ = (
-    'Address',
-    'Backlog',
-    'Batch',
-    'Decision',
-    'ENDED_PREFIX',
-    'RefusalReason',
-    'EndKind',
-    'EndReport',
-    'Engine',
-    'Incarnation',
-    'InheritedLeases',
-    'JobPhase',
-    'MAX_LEASE_MS',
-    'JobSpec',
-    'PollOrder',
-    'PollOutcome',
-    'PollResult',
-    'Note',
-    'Order',
-    'OrderRefused',
-    'OrderNotSent',
-    'OrderOutcome',
-    'OrderAccepted',
-    'OrderOutcomeUnknown',
-    'Pace',
-    'QueueTerms',
-    'Run',
-    'RunKey',
-    'RunPhase',
-    'RunningReport',
-    'Server',
-    'ServerEntry',
-    'ServerReplaced',
-    'Start',
-    'StartOrder',
-    'StepSpec',
-    'Stop',
-    'TaskKey',
-    'BackendClient',
-    'Terms',
-    'decode_end',
-    'decode_spec',
-    'encode_spec',
+__all__, __getattr__ = lazy_names(
+    __name__,
+    {
+        '_backend_client': (
+            'Address',
+            'BackendClient',
+            'EndKind',
+            'EndReport',
+            'OrderAccepted',
+            'OrderNotSent',
+            'OrderOutcome',
+            'OrderOutcomeUnknown',
+            'OrderRefused',
+            'PollOrder',
+            'PollOutcome',
+            'PollResult',
+            'RefusalReason',
+            'RunKey',
+            'RunningReport',
+            'ServerReplaced',
+            'StartOrder',
+            'TaskKey',
+        ),
+        '_backlog': (
+            'Backlog',
+            'Decision',
+        ),
+        '_engine': (
+            'MAX_LEASE_MS',
+            'Engine',
+        ),
+        '_incarnations': ('Incarnation',),
+        '_notes': ('Note',),
+        '_orders': (
+            'Batch',
+            'Order',
+            'Pace',
+            'Start',
+            'Stop',
+        ),
+        '_recovery': ('InheritedLeases',),
+        '_rows': (
+            'ENDED_PREFIX',
+            'decode_end',
+            'decode_spec',
+            'encode_spec',
+        ),
+        '_servers': (
+            'Server',
+            'ServerEntry',
+        ),
+        '_specs': (
+            'JobSpec',
+            'QueueTerms',
+            'StepSpec',
+            'Terms',
+        ),
+        '_state': (
+            'JobPhase',
+            'Run',
+            'RunPhase',
+        ),
+    },
 )
--- a/waxwingford/scheduling/_backend_client.py
+++ b/waxwingford/scheduling/_backend_client.py
@@ -6,10 +6,11 @@
 out, or may be carried out seconds later.
 """
 
-import dataclasses
 import enum
 from typing import NamedTuple, Protocol
 
+import msgspec
+
 
 class TaskKey(NamedTuple):
     """Identifier of a task.
@@ -131,8 +132,7 @@
     started_ms: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class OrderAccepted:
+class OrderAccepted(msgspec.Struct, frozen=True):
     """The order was carried out.
 
     :ivar clock_ms: server clock at the time of the answer, in ms.
@@ -153,20 +153,17 @@
     invalid = 'invalid'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class OrderRefused:
+class OrderRefused(msgspec.Struct, frozen=True):
     """The order was not carried out and won't be."""
 
     reason: RefusalReason
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ServerReplaced:
+class ServerReplaced(msgspec.Struct, frozen=True):
     """Another incarnation answers at the address; the addressed one is gone."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class OrderNotSent:
+class OrderNotSent(msgspec.Struct, frozen=True):
     """The order was never transmitted, so it won't be carried out.
 
     Applies only if no connection was opened: an order that was written may
@@ -178,8 +175,7 @@
     reason: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class OrderOutcomeUnknown:
+class OrderOutcomeUnknown(msgspec.Struct, frozen=True):
     """No complete answer arrived; the order may still be carried out.
 
     :ivar reason: error of the call.
@@ -191,8 +187,7 @@
     connection_lost: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PollResult:
+class PollResult(msgspec.Struct, frozen=True):
     """Answer of a server to a poll.
 
     :ivar clock_ms: server clock at the time of the answer, in ms.
--- a/waxwingford/shard/__init__.py
+++ b/waxwingford/shard/__init__.py
@@ -1,98 +1,70 @@
-"""Shards: their stored intake and journal, owner election and queries."""
+"""Shards: their stored intake and journal, owner election and queries.
 
-from waxwingford.shard._frontend import CancelNotKnown, ShardFrontend
-from waxwingford.shard._intake import (
-    Intake,
-    IntakeOutcome,
-    MayBeStored,
-    NotStored,
-    Stored,
-)
-from waxwingford.shard._log_port import (
-    Appended,
-    AppendEndMismatch,
-    AppendFenced,
-    AppendOutcome,
-    AppendOutOfOrder,
-    Fence,
-    KeyedRecord,
-    NewestOutcome,
-    NewestPage,
-    ReadOutcome,
-    RecordsExpired,
-    RecordsRead,
-    SharedLog,
-    StoredRecord,
-    StoreOutcomeUnknown,
-    StoreRefused,
-)
-from waxwingford.shard._member import ShardMember
-from waxwingford.shard._mirror import CatchUpOutcome, CaughtUp, Mirror
-from waxwingford.shard._observer import Observer
-from waxwingford.shard._owner import Owner, OwnerPorts, OwnerSettings
-from waxwingford.shard._peers import (
-    JobAnswer,
-    JobKnown,
-    JobNotKnown,
-    NotAnswered,
-    OwnerLink,
-    serve_queries,
-)
-from waxwingford.shard._platform_port import (
-    CallTraffic,
-    SchedulerPlatform,
-    scheduler_platforms,
-)
-from waxwingford.shard._server_drivers import RegistrationSource
-from waxwingford.shard._ticket_requests import (
-    AdviceClient,
-    TicketsIssued,
-    TicketsUnavailable,
-)
+Modules are imported when a name of them is first used: a daemon that does not own
+the shard needs few of them.
+"""
+
+from waxwingford._lazy import lazy_names
 
-__all__ = (
-    'CallTraffic',
-    'TicketsIssued',
-    'AdviceClient',
-    'TicketsUnavailable',
-    'AppendEndMismatch',
-    'AppendFenced',
-    'AppendOutOfOrder',
-    'AppendOutcome',
-    'Appended',
-    'CancelNotKnown',
-    'CatchUpOutcome',
-    'CaughtUp',
-    'Fence',
-    'Intake',
-    'IntakeOutcome',
-    'JobAnswer',
-    'JobKnown',
-    'JobNotKnown',
-    'KeyedRecord',
-    'MayBeStored',
-    'Mirror',
-    'NewestOutcome',
-    'NewestPage',
-    'NotAnswered',
-    'NotStored',
-    'Observer',
-    'Owner',
-    'OwnerLink',
-    'OwnerPorts',
-    'OwnerSettings',
-    'ReadOutcome',
-    'RecordsExpired',
-    'RecordsRead',
-    'SchedulerPlatform',
-    'RegistrationSource',
-    'ShardFrontend',
-    'ShardMember',
-    'SharedLog',
-    'StoreRefused',
-    'StoreOutcomeUnknown',
-    'Stored',
-    'StoredRecord',
-    'scheduler_platforms',
-    'serve_queries',
+__all__, __getattr__ = lazy_names(
+    __name__,
+    {
+        '_advice_port': (
+            'AdviceClient',
+            'TicketsIssued',
+            'TicketsUnavailable',
+        ),
+        '_frontend': (
+            'CancelNotKnown',
+            'ShardFrontend',
+        ),
+        '_intake': (
+            'Intake',
+            'IntakeOutcome',
+            'MayBeStored',
+            'NotStored',
+            'Stored',
+        ),
+        '_job_answers': (
+            'JobAnswer',
+            'JobKnown',
+            'JobNotKnown',
+            'NotAnswered',
+        ),
+        '_log_port': (
+            'Appended',
+            'AppendEndMismatch',
+            'AppendFenced',
+            'AppendOutcome',
+            'AppendOutOfOrder',
+            'Fence',
+            'KeyedRecord',
+            'NewestOutcome',
+            'NewestPage',
+            'ReadOutcome',
+            'RecordsExpired',
+            'RecordsRead',
+            'SharedLog',
+            'StoredRecord',
+            'StoreOutcomeUnknown',
+            'StoreRefused',
+        ),
+        '_member': ('ShardMember',),
+        '_mirror': (
+            'CatchUpOutcome',
+            'CaughtUp',
+            'Mirror',
+        ),
+        '_observer': ('Observer',),
+        '_owner': ('Owner',),
+        '_owner_ports': ('OwnerPorts', 'OwnerSettings'),
+        '_owner_link': ('OwnerLink',),
+        '_peers': ('serve_queries',),
+        '_platform_port': (
+            'CallTraffic',
+            'SchedulerPlatform',
+            'scheduler_platforms',
+            'RegistrationSource',
+        ),
+    },
 )
--- a/waxwingford/shard/_admission_control.py
+++ b/waxwingford/shard/_admission_control.py
@@ -7,9 +7,9 @@
 """
 
 import math
-from typing import NamedTuple
 
-from waxwingford.scheduling import Backlog, Decision, JobSpec
+from waxwingford.scheduling import Backlog, Decision
+from waxwingford.shard._load_report import RetryAfter
 from waxwingford.shard._start_window import StartWindow
 
 #: Longest wait of a new task that is accepted, in seconds.
@@ -31,22 +31,6 @@
 _MS_PER_S = 1000
 
 
-class RetryAfter(NamedTuple):
-    """Times after which callers may submit jobs again, 0 for at once.
-
-    :ivar urgent_s: time in seconds for jobs without best-effort tasks.
-    :ivar best_effort_s: time in seconds for jobs with best-effort tasks.
-    """
-
-    urgent_s: int = 0
-    best_effort_s: int = 0
-
-    def of(self, spec: JobSpec) -> int:
-        """Return the time for a job, in seconds."""
-        best_effort = any(step.best_effort for step in spec.steps)
-        return self.best_effort_s if best_effort else self.urgent_s
-
-
 class AdmissionControl:
     """Predicts the wait of new tasks.
 
--- a/waxwingford/shard/_frontend.py
+++ b/waxwingford/shard/_frontend.py
@@ -1,7 +1,8 @@
 """Serves callers on any daemon of a shard, whether or not it is the owner."""
 
 import asyncio
-import dataclasses
+
+import msgspec
 
 from waxwingford.scheduling import JobPhase, JobSpec, encode_spec
 from waxwingford.shard._clocks import monotonic_ms
@@ -15,16 +16,16 @@
     NotStored,
     Stored,
 )
-from waxwingford.shard._log_port import SharedLog
-from waxwingford.shard._member import IntakeRoute, ShardMember
-from waxwingford.shard._observer import Observer
-from waxwingford.shard._peers import (
+from waxwingford.shard._job_answers import (
     JobAnswer,
     JobKnown,
     JobNotKnown,
     NotAnswered,
-    OwnerLink,
 )
+from waxwingford.shard._log_port import SharedLog
+from waxwingford.shard._member import IntakeRoute, ShardMember
+from waxwingford.shard._observer import Observer
+from waxwingford.shard._owner_link import OwnerLink
 from waxwingford.shard._store_view import StoreView
 
 #: Share of the caller's remaining time that the owner is given to store a row.
@@ -37,8 +38,7 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CancelNotKnown:
+class CancelNotKnown(msgspec.Struct, frozen=True):
     """The job to cancel does not exist."""
 
 
--- a/waxwingford/shard/_heartbeats.py
+++ b/waxwingford/shard/_heartbeats.py
@@ -2,23 +2,22 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import NamedTuple
 
 import logbook
 import msgspec
 
-from waxwingford.shard._admission_control import RetryAfter
 from waxwingford.shard._journal import (
     OWNER_KEY,
+    OWNERS_TOPIC,
     Deposed,
     EpochWriter,
     OwnerRecord,
     encode_owner,
 )
 from waxwingford.shard._lease_bounds import MAX_PROOF_AGE_MS, LeaseLedger
+from waxwingford.shard._load_report import LoadReport
 from waxwingford.shard._log_port import Appended, KeyedRecord, SharedLog
 
-OWNERS_TOPIC = 'owners'
 HEARTBEAT_INTERVAL_S = 0.4
 #: Longest wait for a resignation to be stored, in seconds. Long enough for two
 #: appends to a slow store, and shorter than the grace period of a planned stop.
@@ -27,19 +26,6 @@
 _log = logbook.Logger('shard')
 
 
-class LoadReport(NamedTuple):
-    """Fields of a heartbeat about jobs, see ``OwnerRecord``."""
-
-    pending_by_queue: dict[str, int] | None = None
-    urgent_retry_s: int = 0
-    best_effort_retry_s: int = 0
-
-    @property
-    def retry_after(self) -> RetryAfter:
-        """Classes of jobs that are refused."""
-        return RetryAfter(self.urgent_retry_s, self.best_effort_retry_s)
-
-
 class Heartbeats:
     """Sends the heartbeats of one epoch."""
 
--- a/waxwingford/shard/_intake.py
+++ b/waxwingford/shard/_intake.py
@@ -5,7 +5,8 @@
 """
 
 import asyncio
-import dataclasses
+
+import msgspec
 
 from waxwingford.scheduling import decode_spec
 from waxwingford.shard._log_port import (
@@ -28,13 +29,11 @@
 _CANCEL_PAYLOAD = b'1'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Stored:
+class Stored(msgspec.Struct, frozen=True):
     """The row is stored durably."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class NotStored:
+class NotStored(msgspec.Struct, frozen=True):
     """The row is not stored and will not be.
 
     :ivar retry_after_s: time in seconds after which the caller should try again.
@@ -44,8 +43,7 @@
     retry_after_s: int = 1
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class MayBeStored:
+class MayBeStored(msgspec.Struct, frozen=True):
     """The row may or may not be stored."""
 
     reason: str
@@ -54,8 +52,7 @@
 IntakeOutcome = Stored | NotStored | MayBeStored
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class JobRow:
+class JobRow(msgspec.Struct, frozen=True):
     """A job to append to the intake.
 
     :ivar raw: job spec, encoded by ``encode_spec``.
@@ -64,8 +61,7 @@
     raw: bytes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CancelRow:
+class CancelRow(msgspec.Struct, frozen=True):
     """A cancellation to append to the intake."""
 
     job_id: str
@@ -74,8 +70,7 @@
 IntakeRow = JobRow | CancelRow
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class _PendingRow:
+class _PendingRow(msgspec.Struct, eq=False):
     record: KeyedRecord
     deadline_s: float
     future: asyncio.Future[IntakeOutcome]
--- a/waxwingford/shard/_journal.py
+++ b/waxwingford/shard/_journal.py
@@ -6,9 +6,9 @@
 """
 
 import asyncio
-import dataclasses
 import functools
 import random
+from typing import NamedTuple
 
 import logbook
 import msgspec
@@ -27,6 +27,7 @@
 )
 
 JOURNAL_TOPIC = 'journal'
+OWNERS_TOPIC = 'owners'
 #: Key of the record that names the owner, in the journal and in heartbeats.
 OWNER_KEY = 'owner'
 #: Low bits of an epoch that are random, so that daemons that claim at the same
@@ -79,25 +80,36 @@
     best_effort_retry_s: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Deposed:
+class Predecessor(NamedTuple):
+    """Newest heartbeat that a daemon had read when it claimed.
+
+    :ivar record: the heartbeat, ``None`` if there never was one.
+    :ivar read_ms: monotonic time at which it was read, in ms.
+    :ivar end: offset after the last heartbeat that was read.
+    :ivar offset: offset of the newest heartbeat, -1 if there never was one.
+    """
+
+    record: OwnerRecord | None
+    read_ms: int
+    end: int
+    offset: int
+
+
+class Deposed(msgspec.Struct, frozen=True):
     """The store refused an append because another daemon owns the shard."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Claimed:
+class Claimed(msgspec.Struct, frozen=True):
     """The shard belongs to this daemon."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClaimFailed:
+class ClaimFailed(msgspec.Struct, frozen=True):
     """The claim was rejected, or its outcome is unknown."""
 
     reason: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClaimOvertaken:
+class ClaimOvertaken(msgspec.Struct, frozen=True):
     """Another daemon has claimed the shard since the claim was decided."""
 
     epoch: int
--- a/waxwingford/shard/_lease_bounds.py
+++ b/waxwingford/shard/_lease_bounds.py
@@ -11,7 +11,7 @@
 
 from waxwingford.scheduling import Engine, InheritedLeases
 from waxwingford.shard._clocks import monotonic_ms
-from waxwingford.shard._journal import OwnerRecord
+from waxwingford.shard._journal import Predecessor
 
 #: Greatest age of the newest proof of ownership, in ms, at which leases are
 #: extended. With the lease it outlasts most outages of the store. A successor
@@ -33,21 +33,6 @@
 FIRST_POLL_TIMEOUT_S = 0.06
 
 
-class Predecessor(NamedTuple):
-    """Newest heartbeat that a daemon had read when it claimed.
-
-    :ivar record: the heartbeat, ``None`` if there never was one.
-    :ivar read_ms: monotonic time at which it was read, in ms.
-    :ivar end: offset after the last heartbeat that was read.
-    :ivar offset: offset of the newest heartbeat, -1 if there never was one.
-    """
-
-    record: OwnerRecord | None
-    read_ms: int
-    end: int
-    offset: int
-
-
 class LeaseReport(NamedTuple):
     """Fields of a heartbeat that describe leases, see ``OwnerRecord``."""
 
--- a/waxwingford/shard/_log_port.py
+++ b/waxwingford/shard/_log_port.py
@@ -4,9 +4,10 @@
 later. Only a retry with the same sequence number, or a read, resolves it.
 """
 
-import dataclasses
 from typing import NamedTuple, Protocol
 
+import msgspec
+
 
 class KeyedRecord(NamedTuple):
     """A record to append to a topic that is compacted by key.
@@ -46,8 +47,7 @@
     expected_end: int | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Appended:
+class Appended(msgspec.Struct, frozen=True):
     """The records are stored.
 
     :ivar end: offset after the last appended record.
@@ -56,13 +56,11 @@
     end: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class AppendFenced:
+class AppendFenced(msgspec.Struct, frozen=True):
     """Not appended: the topic has seen a higher epoch."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class AppendOutOfOrder:
+class AppendOutOfOrder(msgspec.Struct, frozen=True):
     """Not appended: the sequence number is not the next one.
 
     :ivar expected: the sequence number that the store expects next.
@@ -71,8 +69,7 @@
     expected: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class AppendEndMismatch:
+class AppendEndMismatch(msgspec.Struct, frozen=True):
     """Not appended: the topic does not end at the required offset.
 
     :ivar end: offset at which the topic ends.
@@ -81,8 +78,7 @@
     end: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StoreRefused:
+class StoreRefused(msgspec.Struct, frozen=True):
     """The store refused the call and changed nothing.
 
     :ivar reason: error text of the store.
@@ -91,8 +87,7 @@
     reason: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StoreOutcomeUnknown:
+class StoreOutcomeUnknown(msgspec.Struct, frozen=True):
     """The call got no complete answer and may have been or may be applied.
 
     :ivar reason: error that ended the call.
@@ -101,8 +96,7 @@
     reason: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RecordsRead:
+class RecordsRead(msgspec.Struct, frozen=True):
     """Records from the requested offset on.
 
     :ivar records: the records in offset order.
@@ -114,8 +108,7 @@
     end: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RecordsExpired:
+class RecordsExpired(msgspec.Struct, frozen=True):
     """The requested records are past their retention.
 
     :ivar first: oldest offset that is retained.
@@ -124,8 +117,7 @@
     first: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class NewestPage:
+class NewestPage(msgspec.Struct, frozen=True):
     """A page of the newest records; several pages form no snapshot.
 
     :ivar records: newest record of each key of the page, in key order.
--- a/waxwingford/shard/_member.py
+++ b/waxwingford/shard/_member.py
@@ -4,22 +4,25 @@
 import enum
 import random
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from waxwingford.scheduling import Terms
 from waxwingford.shard._clocks import MS_PER_S, monotonic_ms
-from waxwingford.shard._heartbeats import LoadReport
 from waxwingford.shard._journal import (
     Claimed,
     ClaimFailed,
     ClaimOvertaken,
     OwnerRecord,
+    Predecessor,
 )
-from waxwingford.shard._lease_bounds import Predecessor
+from waxwingford.shard._load_report import LoadReport
 from waxwingford.shard._log_port import SharedLog
 from waxwingford.shard._observer import Observer
-from waxwingford.shard._owner import Owner
 from waxwingford.shard._watch import OwnerWatch
 
+if TYPE_CHECKING:
+    from waxwingford.shard._owner import Owner
+
 #: Greatest random delay of a claim, in ms, if the owner resigned or there never
 #: was one.
 UNOWNED_JITTER_MS = 60
@@ -68,16 +71,19 @@
         daemon_id: str,
         failure_domain: str,
         log: SharedLog,
-        make_owner: Callable[[Terms], Owner],
+        make_owner: Callable[[Terms], 'Owner'],
         observer: Observer,
         cores: float,
+        can_own: asyncio.Event | None = None,
     ) -> None:
         """Create a member; ``stand_by`` starts it.
 
         :param make_owner: creates an owner that has not claimed yet.
         :param cores: processor of this daemon's VM, in reference cores.
+        :param can_own: set once an owner can be created; by default it can be.
         """
         self._cores = cores
+        self._can_own = can_own
         self.terms = Terms(0, {})
         self.owner: Owner | None = None
         self._daemon_id = daemon_id
@@ -167,7 +173,7 @@
         if self.owner is not None and self.owner.stopped.is_set():
             self._release_owner(self.owner)
 
-    def _release_owner(self, owner: Owner) -> None:
+    def _release_owner(self, owner: 'Owner') -> None:
         if owner.cut_off:
             self._cooldown_until_ms = monotonic_ms() + CUT_OFF_COOLDOWN_MS
         self.owner = None
@@ -180,10 +186,15 @@
         watch = self._watch
         previous = watch.record
         delay_ms = self._claim_delay_ms()
-        if delay_ms:
+        starting = self._can_own is not None and not self._can_own.is_set()
+        if starting:
+            await self._can_own.wait()
+        if delay_ms or starting:
             await asyncio.sleep(delay_ms / MS_PER_S)
             if not await watch.read(wait=False) or watch.record != previous:
                 return
+            if not self._may_claim():
+                return
         if not watch.unowned:
             self._observer.record_event(
                 'owner.lost',
--- a/waxwingford/shard/_mirror.py
+++ b/waxwingford/shard/_mirror.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import msgspec
+
 from waxwingford.shard._log_port import (
     NewestPage,
     RecordsExpired,
@@ -13,8 +15,7 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CaughtUp:
+class CaughtUp(msgspec.Struct, frozen=True):
     """The copy has advanced; ``Mirror.behind`` tells whether to the end.
 
     :ivar changed: records applied since the previous call.
--- a/waxwingford/shard/_owner.py
+++ b/waxwingford/shard/_owner.py
@@ -1,27 +1,30 @@
 """Owner of a shard: stores decisions of its engine, then carries them out."""
 
 import asyncio
-import dataclasses
-from collections.abc import Callable, Coroutine
+from collections.abc import Coroutine
 
 import logbook
 
 from waxwingford.kernel import SystemClock
 from waxwingford.scheduling import (
-    MAX_LEASE_MS,
-    BackendClient,
     Engine,
     Terms,
     decode_spec,
 )
 from waxwingford.shard._claims import Claim
-from waxwingford.shard._clocks import boottime_ms, monotonic_ms
+from waxwingford.shard._clocks import monotonic_ms
 from waxwingford.shard._commits import Committer
 from waxwingford.shard._drivers import DriverPorts
-from waxwingford.shard._heartbeats import Heartbeats, LoadReport
+from waxwingford.shard._heartbeats import Heartbeats
 from waxwingford.shard._intake import CancelRow, IntakeRow, JobRow
 from waxwingford.shard._intake_cleaner import IntakeCleaner
 from waxwingford.shard._intake_reader import IntakeReader
+from waxwingford.shard._job_answers import (
+    JobAnswer,
+    JobKnown,
+    JobNotKnown,
+    NotAnswered,
+)
 from waxwingford.shard._journal import (
     JOURNAL_TOPIC,
     OWNER_KEY,
@@ -31,23 +34,18 @@
     ClaimOvertaken,
     EpochWriter,
     OwnerRecord,
+    Predecessor,
     decode_owner,
     next_epoch,
 )
-from waxwingford.shard._lease_bounds import LeaseLedger, Predecessor
-from waxwingford.shard._log_port import SharedLog
+from waxwingford.shard._lease_bounds import LeaseLedger
+from waxwingford.shard._load_report import LoadReport
 from waxwingford.shard._loop_lag import LoopLag
 from waxwingford.shard._mirror import CaughtUp, Mirror
-from waxwingford.shard._observer import Observer
-from waxwingford.shard._peers import (
-    JobAnswer,
-    JobKnown,
-    JobNotKnown,
-    NotAnswered,
-)
-from waxwingford.shard._server_drivers import RegistrationSource, ServerDrivers
+from waxwingford.shard._owner_ports import OwnerPorts, OwnerSettings
+from waxwingford.shard._server_drivers import ServerDrivers
 from waxwingford.shard._start_control import StartControl
-from waxwingford.shard._ticket_requests import AdviceClient, TicketRequester
+from waxwingford.shard._ticket_requests import TicketRequester
 
 MAX_DECISION_INTERVAL_S = 0.1
 #: Delay of a decision after an event, in seconds, so that one decision and one
@@ -64,40 +62,6 @@
 _clock = SystemClock()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class OwnerSettings:
-    """Identity and settings of an owner.
-
-    :ivar endpoint: IP address and port at which it answers other daemons.
-    :ivar lease_ms: length of the leases that it grants, in ms.
-    :ivar max_lease_ms: longest lease that servers accept, in ms.
-    :ivar cores: processor of its VM, in reference cores.
-    """
-
-    daemon_id: str
-    failure_domain: str
-    endpoint: str
-    lease_ms: int
-    cores: float
-    max_lease_ms: int = MAX_LEASE_MS
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class OwnerPorts:
-    """Ports through which an owner acts.
-
-    :ivar directory: registrations of backend servers.
-    :ivar since_boot_ms: clock in ms that includes time in suspension.
-    """
-
-    log: SharedLog
-    backend_client: BackendClient
-    directory: RegistrationSource
-    advice_client: AdviceClient
-    observer: Observer
-    since_boot_ms: Callable[[], int] = boottime_ms
-
-
 class Owner:
     """Owns a shard from its claim until it is deposed or resigns.
 
--- /dev/null
+++ b/waxwingford/shard/_owner_ports.py
@@ -0,0 +1,45 @@
+"""Identity, settings and ports of an owner."""
+
+import dataclasses
+from collections.abc import Callable
+
+from waxwingford.scheduling import MAX_LEASE_MS, BackendClient
+from waxwingford.shard._advice_port import AdviceClient
+from waxwingford.shard._clocks import boottime_ms
+from waxwingford.shard._log_port import SharedLog
+from waxwingford.shard._observer import Observer
+from waxwingford.shard._platform_port import RegistrationSource
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnerSettings:
+    """Identity and settings of an owner.
+
+    :ivar endpoint: IP address and port at which it answers other daemons.
+    :ivar lease_ms: length of the leases that it grants, in ms.
+    :ivar max_lease_ms: longest lease that servers accept, in ms.
+    :ivar cores: processor of its VM, in reference cores.
+    """
+
+    daemon_id: str
+    failure_domain: str
+    endpoint: str
+    lease_ms: int
+    cores: float
+    max_lease_ms: int = MAX_LEASE_MS
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnerPorts:
+    """Ports through which an owner acts.
+
+    :ivar directory: registrations of backend servers.
+    :ivar since_boot_ms: clock in ms that includes time in suspension.
+    """
+
+    log: SharedLog
+    backend_client: BackendClient
+    directory: RegistrationSource
+    advice_client: AdviceClient
+    observer: Observer
+    since_boot_ms: Callable[[], int] = boottime_ms
--- a/waxwingford/shard/_peers.py
+++ b/waxwingford/shard/_peers.py
@@ -1,7 +1,6 @@
 """Calls between the daemons of a shard: phases and counts of jobs, and storing."""
 
 import asyncio
-import dataclasses
 from typing import Protocol
 
 from grpclib.client import Channel
@@ -20,6 +19,12 @@
     NotStored,
     Stored,
 )
+from waxwingford.shard._job_answers import (
+    JobAnswer,
+    JobKnown,
+    JobNotKnown,
+    NotAnswered,
+)
 from waxwingford.shard.queries_grpc import ShardQueriesBase, ShardQueriesStub
 
 #: Timeout of a query to the owner, in seconds: a few times what a busy owner
@@ -36,28 +41,6 @@
 _CALL_ERRORS = (GRPCError, StreamTerminatedError, asyncio.TimeoutError, OSError)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class JobKnown:
-    """The job is stored."""
-
-    phase: JobPhase
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class JobNotKnown:
-    """The store has no such job."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class NotAnswered:
-    """It could not be determined whether the job is stored."""
-
-    reason: str
-
-
-JobAnswer = JobKnown | JobNotKnown | NotAnswered
-
-
 class QueryHandler(Protocol):
     """Local handler of calls by other daemons."""
 
@@ -124,8 +107,8 @@
         )
 
 
-class OwnerLink:
-    """Connection to the daemon that owns the shard."""
+class OwnerCalls:
+    """Calls to the daemon that owns the shard, over one connection."""
 
     def __init__(self) -> None:
         self._endpoint = ''
--- a/waxwingford/shard/_platform_port.py
+++ b/waxwingford/shard/_platform_port.py
@@ -4,11 +4,10 @@
 from typing import NamedTuple, Protocol
 
 from waxwingford.kernel import Registry
-from waxwingford.scheduling import BackendClient, Terms
+from waxwingford.scheduling import BackendClient, ServerEntry, Terms
+from waxwingford.shard._advice_port import AdviceClient
 from waxwingford.shard._frontend import ShardFrontend
 from waxwingford.shard._log_port import SharedLog
-from waxwingford.shard._server_drivers import RegistrationSource
-from waxwingford.shard._ticket_requests import AdviceClient
 
 
 class CallTraffic(NamedTuple):
@@ -24,6 +23,17 @@
     received_bytes: int = 0
 
 
+class RegistrationSource(Protocol):
+    """Source of the registrations of backend servers."""
+
+    async def entries(self) -> tuple[ServerEntry, ...] | None:
+        """Read all registrations.
+
+        :returns: the registrations, ``None`` if they can't be read at present.
+        """
+        ...
+
+
 class SchedulerPlatform(RegistrationSource, Protocol):
     """Adapter to a platform.
 
--- a/waxwingford/shard/_server_drivers.py
+++ b/waxwingford/shard/_server_drivers.py
@@ -1,17 +1,15 @@
 """Drivers of all backend servers that the owner of a shard uses."""
 
-from typing import Protocol
-
 from waxwingford.scheduling import (
     Batch,
     Engine,
     Pace,
-    ServerEntry,
     Start,
     Stop,
 )
 from waxwingford.shard._clocks import monotonic_ms
 from waxwingford.shard._drivers import DriverPorts, ServerDriver
+from waxwingford.shard._platform_port import RegistrationSource
 
 #: An owner is cut off if more than half of the servers that have tasks have not
 #: answered for this time, in ms, which is shorter than a lease. With fewer servers
@@ -20,17 +18,6 @@
 UNREACHABLE_AFTER_MS = 1200
 
 
-class RegistrationSource(Protocol):
-    """Source of the registrations of backend servers."""
-
-    async def entries(self) -> tuple[ServerEntry, ...] | None:
-        """Read all registrations.
-
-        :returns: the registrations, ``None`` if they can't be read at present.
-        """
-        ...
-
-
 class ServerDrivers:
     """Keeps a driver for each backend server that the engine knows."""
 
--- a/waxwingford/shard/_store_view.py
+++ b/waxwingford/shard/_store_view.py
@@ -13,15 +13,15 @@
     INTAKE_TOPIC,
     JOB_PREFIX,
 )
-from waxwingford.shard._journal import JOURNAL_TOPIC
-from waxwingford.shard._log_port import SharedLog
-from waxwingford.shard._mirror import CaughtUp, Mirror
-from waxwingford.shard._peers import (
+from waxwingford.shard._job_answers import (
     JobAnswer,
     JobKnown,
     JobNotKnown,
     NotAnswered,
 )
+from waxwingford.shard._journal import JOURNAL_TOPIC
+from waxwingford.shard._log_port import SharedLog
+from waxwingford.shard._mirror import CaughtUp, Mirror
 
 
 class StoreView:
--- a/waxwingford/shard/_ticket_requests.py
+++ b/waxwingford/shard/_ticket_requests.py
@@ -1,13 +1,16 @@
 """Requests tickets from the advice service, one request at a time."""
 
 import asyncio
-import dataclasses
 from collections.abc import Callable
-from typing import Protocol
 
 import logbook
 
 from waxwingford.scheduling import Engine
+from waxwingford.shard._advice_port import (
+    AdviceClient,
+    TicketsIssued,
+    TicketsUnavailable,
+)
 from waxwingford.shard._clocks import monotonic_ms
 
 RETRY_DELAY_S = 0.2
@@ -15,38 +18,6 @@
 _log = logbook.Logger('shard')
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class TicketsIssued:
-    """Answer of the advice service.
-
-    :ivar ticket_by_server: start ticket of each eligible server.
-    """
-
-    ticket_by_server: dict[str, str]
-    validity_ms: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class TicketsUnavailable:
-    """The advice service gave no answer."""
-
-    reason: str
-
-
-class AdviceClient(Protocol):
-    """Client of the advice service."""
-
-    async def advise(
-        self, step_name: str, server_ids: tuple[str, ...]
-    ) -> TicketsIssued | TicketsUnavailable:
-        """Ask which servers may run a step.
-
-        :param server_ids: ids of the candidate servers.
-        :returns: tickets of the eligible servers, or why there is no answer.
-        """
-        ...
-
-
 class TicketRequester:
     """Passes requests of the engine to the advice service, and answers back."""
 
--- a/waxwingford/shard/_watch.py
+++ b/waxwingford/shard/_watch.py
@@ -3,9 +3,13 @@
 import random
 
 from waxwingford.shard._clocks import monotonic_ms
-from waxwingford.shard._heartbeats import OWNERS_TOPIC
-from waxwingford.shard._journal import OWNER_KEY, OwnerRecord, decode_owner
-from waxwingford.shard._lease_bounds import Predecessor
+from waxwingford.shard._journal import (
+    OWNER_KEY,
+    OWNERS_TOPIC,
+    OwnerRecord,
+    Predecessor,
+    decode_owner,
+)
 from waxwingford.shard._log_port import SharedLog
 from waxwingford.shard._mirror import CaughtUp, Mirror
 
--- a/waxwingford/shard/tests/claims.feature
+++ b/waxwingford/shard/tests/claims.feature
@@ -82,3 +82,23 @@
       | the topic's end | its retries are never applied either      | fails   | 0      |
       | duplicates      | its daemon is stopped                     | fails   | 0      |
       | the topic's end | its daemon is stopped                     | fails   | 0      |
+
+  Scenario: a daemon that can't own yet
+    # Guards against a claim by a daemon that is still starting: the shard would
+    # have an owner that does nothing.
+    Given a shard of 1 daemons, the first of which can't own it yet
+    When 5 s pass
+    Then nobody has claimed the shard
+    When the first daemon can own the shard
+    And 2 s pass
+    Then there is one owner
+
+  Scenario: another daemon claims while a daemon can't own yet
+    # Guards against a claim for a loss of the owner that is over.
+    Given a shard of 2 daemons, the first of which can't own it yet
+    When 5 s pass
+    Then there is one owner
+    When the first daemon can own the shard
+    And 5 s pass
+    Then there is one owner
+    And the second daemon alone has claimed the shard
--- a/waxwingford/shard/tests/lease_bounds_steps.py
+++ b/waxwingford/shard/tests/lease_bounds_steps.py
@@ -3,8 +3,8 @@
 import msgspec
 from behave import given, then, when
 
-from waxwingford.shard._journal import OwnerRecord
-from waxwingford.shard._lease_bounds import Predecessor, bound_leases
+from waxwingford.shard._journal import OwnerRecord, Predecessor
+from waxwingford.shard._lease_bounds import bound_leases
 
 MS_PER_S = 1000
 
--- a/waxwingford/shard/tests/lost_servers_steps.py
+++ b/waxwingford/shard/tests/lost_servers_steps.py
@@ -3,8 +3,8 @@
 import msgspec
 from behave import then, when
 
-from waxwingford.shard._heartbeats import OWNERS_TOPIC
 from waxwingford.shard._journal import (
+    OWNERS_TOPIC,
     decode_owner,
 )
 from waxwingford.shard.tests.shard_steps import kill_owner
--- a/waxwingford/shard/tests/owner_change_steps.py
+++ b/waxwingford/shard/tests/owner_change_steps.py
@@ -5,15 +5,15 @@
 from behave import then, when
 
 from waxwingford.shard import KeyedRecord
-from waxwingford.shard._heartbeats import OWNERS_TOPIC
 from waxwingford.shard._intake import INTAKE_TOPIC
 from waxwingford.shard._journal import (
     JOURNAL_TOPIC,
     OWNER_KEY,
+    OWNERS_TOPIC,
     ClaimFailed,
+    Predecessor,
     decode_owner,
 )
-from waxwingford.shard._lease_bounds import Predecessor
 from waxwingford.shard.tests.shard_steps import kill_owner
 from waxwingford.shard.tests.virtual_shard import TERMS
 
--- a/waxwingford_bench/tests/commands.feature
+++ b/waxwingford_bench/tests/commands.feature
@@ -11,6 +11,7 @@
       | waxwingford_bench.capacity         |
       | waxwingford_bench.recovery         |
       | waxwingford_bench.random_run       |
+      | waxwingford_bench.start_cost       |
       | waxwingford_bench.storms           |
       | waxwingford_bench.whole_path       |
       | waxwingford_bench.bundles.rollout  |
