--- a/waxwingford/settings/_problem.py
+++ b/waxwingford/settings/_problem.py
@@ -53,7 +53,7 @@
 def suggest_key(unknown: str, known_keys: Iterable[str]) -> str:
     """Describe what is expected in place of an unknown key."""
     # Imported here, as it is large and only invalid files need it.
-    import difflib  # noqa: PLC0415
+    import difflib
 
     matches = difflib.get_close_matches(
         unknown, sorted(known_keys), n=1, cutoff=0
--- a/waxwingford/settings/_scheduler.py
+++ b/waxwingford/settings/_scheduler.py
@@ -19,7 +19,6 @@
 _MAX_NAME_LENGTH = 128
 _MS_PER_DAY = 86_400_000
 
-Text = Annotated[str, msgspec.Meta()]
 Endpoint = Annotated[str, msgspec.Meta(extra={'validate': validate_endpoint})]
 IpAddress = Annotated[
     str, msgspec.Meta(extra={'validate': validate_ip_address})
