Play links with a rate and a queue in virtual time, and list what fails

The link of a daemon carried any number of bytes at once in the harness, so nothing showed what an owner does when its calls wait in its own link for longer than their timeouts.

--- a/waxwingford/shard/tests/virtual_servers.py
+++ b/waxwingford/shard/tests/virtual_servers.py
@@ -263,6 +263,9 @@
         self.done = set()
         self.acknowledged_done = set()
         self.violations = []
+        #: Starts of tasks of which a run has ended as done, whether or not the owner
+        #: knows of that end.
+        self.starts_after_done = []
         self.starts = collections.Counter()
         self.crashing = CrashingTasks(self)
         self.attempts = AttemptLimit(self)
@@ -320,6 +323,8 @@
     def check_start(self, server, key):
         task = key.task
         self.starts[task] += 1
+        if task in self.done:
+            self.starts_after_done.append(key)
         stored = [row[0] for row in self.store.topic(JOURNAL_TOPIC).records]
         if step_key(task) not in stored:
             self.violations.append(f'{key}: started without a stored record')
--- a/waxwingford/shard/tests/virtual_shard.py
+++ b/waxwingford/shard/tests/virtual_shard.py
@@ -21,6 +21,11 @@
     ShardMember,
 )
 from waxwingford.shard._clocks import monotonic_ms
+from waxwingford.shard.tests.virtual_link import (
+    LinkedServerClient,
+    LinkedStoreClient,
+    VirtualLink,
+)
 from waxwingford.shard.tests.virtual_server_client import VirtualServerClient
 from waxwingford.shard.tests.virtual_servers import VirtualServers
 from waxwingford.shard.tests.virtual_store import (
@@ -95,6 +100,11 @@
         self.cores = cores
         self.log = VirtualStoreClient(shard.store, daemon_id)
         self.servers = VirtualServerClient(shard.servers, daemon_id)
+        self.link = None
+        if shard.link_bytes_per_s is not None:
+            self.link = VirtualLink(shard.link_bytes_per_s)
+            self.log = LinkedStoreClient(self.log, self.link)
+            self.servers = LinkedServerClient(self.servers, self.link)
         self.observer = RecordingObserver(daemon_id, shard.lines)
         self.start()
 
@@ -147,9 +157,17 @@
     """Daemons, a store and backend servers in virtual time."""
 
     def __init__(
-        self, seed=0, daemons=3, servers=4, cores=None, clock_offset_ms=None
+        self,
+        seed=0,
+        daemons=3,
+        servers=4,
+        cores=None,
+        clock_offset_ms=None,
+        link_bytes_per_s=None,
     ):
         random.seed(seed)
+        #: Rate of each daemon's link, ``None`` for links without any limit.
+        self.link_bytes_per_s = link_bytes_per_s
         self.loop = VirtualLoop()
         asyncio.set_event_loop(self.loop)
         self.random = random.Random(seed)
@@ -193,10 +211,10 @@
             daemon for daemon in self.daemons if daemon.alive and daemon.owns
         ]
 
-    def new_spec(self, steps, **more):
+    def new_spec(self, steps, payload='', **more):
         self.job_count += 1
         job_id = f'{self.job_count:016x}'
-        return JobSpec(job_id, 'queue', '', steps, terms=QUEUE, **more)
+        return JobSpec(job_id, 'queue', payload, steps, terms=QUEUE, **more)
 
     def submit(self, steps, daemon=None, **more):
         spec = self.new_spec(steps, **more)
