Let silence count only beside prompt answers, and starts follow the orders' delay

What callers saw: tasks that were done ran again (TWICE), tasks that last stood still on servers that were well (LOST), and accepted jobs waited for seconds, while the owner's link was full and its processor idle.

Cause, from two traces made apart from each other (plays with logs; virtual time with a link that has a rate and a queue): with the link full, orders take 0.4 to 0.5 s in the median and their timeout is 0.6 s; answers, connections and polls come after their timeouts, servers that are well are taken for silent, and once their leases are over their runs are settled and started elsewhere, though they are done and their ends unread. Only the lag of the event loop was asked before silence counted, and it was none. Nothing limited the starts in progress either, for the same reason.

Change: silence counts, and servers are named as silent in heartbeats, only while other servers have answered promptly for longer than a poll's timeout. If none has a reason to be asked, two idle ones are. The window of starts, admission and timeliness follow the delay of orders beside the lag of the event loop.

--- a/waxwingford/scheduling/_engine.py
+++ b/waxwingford/scheduling/_engine.py
@@ -96,7 +96,7 @@
         self._migrator = Migrator(self.state, self._placer)
         self._cancelled: set[str] = set()
         self._maintained_ms = 0
-        self._timely = True
+        self.timely = True
         self._interference_stored_ms = 0
         self._outlived_marked_ms = 0
         self._jobs_to_release: dict[str, Job] = {}
@@ -234,7 +234,7 @@
             silence means that they don't answer.
         :param overloaded: whether the owner's processor limits the starts.
         """
-        self._timely = timely
+        self.timely = timely
         self.state.wall_offset_ms = wall_ms - now_ms
         if now_ms - self._maintained_ms >= MAINTENANCE_INTERVAL_MS:
             self._maintained_ms = now_ms
@@ -289,7 +289,7 @@
         decay_penalty(server, now_ms)
         if server.starts_in_doubt:
             self.settler.restarts.forget_old_doubts(server, now_ms)
-        if _may_be_lost(server, self._timely):
+        if _may_be_lost(server, self.timely):
             self.settler.settle_expired(server, now_ms)
         runs = server.run_by_key.values()
         for run, step in _stalled_runs(server):
--- a/waxwingford/scheduling/_lease_withholding.py
+++ b/waxwingford/scheduling/_lease_withholding.py
@@ -23,16 +23,22 @@
     def __init__(self, state: ShardState) -> None:
         self._state = state
 
-    def withhold_silent(self, now_ms: int) -> dict[str, int]:
+    def withhold_silent(
+        self, now_ms: int, timely: bool = True
+    ) -> dict[str, int]:
         """Stop extending the leases of silent servers, and list them.
 
         :param now_ms: current monotonic time, in ms.
+        :param timely: whether answers of servers are read in time. Otherwise silence
+            tells nothing, and only servers that are withheld already are listed.
         :returns: remaining lease by server, in ms, for the next heartbeat.
         """
         left_by_server = {
             server_id: math.ceil(max(0, server.lease_left_ms(now_ms)))
             for server_id, server in self._state.server_by_id.items()
-            if server.run_by_key and _is_silent(server, now_ms)
+            if server.run_by_key
+            and _is_silent(server, now_ms)
+            and (timely or server_id in self._state.withheld_servers)
         }
         self._state.withheld_servers |= left_by_server.keys()
         return left_by_server
--- a/waxwingford/shard/_drivers.py
+++ b/waxwingford/shard/_drivers.py
@@ -77,6 +77,7 @@
     """Polls a server and sends it orders.
 
     :ivar server: state of the server in the engine.
+    :ivar probing: whether the next poll is not to be held.
     """
 
     def __init__(
@@ -84,6 +85,7 @@
     ) -> None:
         """Start polling a server."""
         self.server = server
+        self.probing = False
         self._engine = engine
         self._backend_client = ports.backend_client
         self._ownership_proven = ports.ownership_proven
@@ -217,7 +219,10 @@
 
     def _wait_ms(self) -> int:
         server = self.server
-        if server.polled_ms < 0 or server.failing_since_ms is not None:
+        probing = self.probing
+        self.probing = False
+        failing = server.failing_since_ms is not None
+        if probing or failing or server.polled_ms < 0:
             return 0
         if server.reserved_for is not None and server.recent_starts:
             return UNRESOLVED_WAIT_MS
--- a/waxwingford/shard/_lease_bounds.py
+++ b/waxwingford/shard/_lease_bounds.py
@@ -134,7 +134,9 @@
         now_ms = monotonic_ms()
         if self._engine is not None:
             return LeaseReport(
-                self._engine.lease_withholding.withhold_silent(now_ms)
+                self._engine.lease_withholding.withhold_silent(
+                    now_ms, self._engine.timely
+                )
             )
         if self.first_stored.is_set():
             bounds, read_to = self.inherited, None
--- a/waxwingford/shard/_overload_log.py
+++ b/waxwingford/shard/_overload_log.py
@@ -2,7 +2,7 @@
 
 from waxwingford.shard._admission_control import RetryAfter
 from waxwingford.shard._clocks import MS_PER_S, monotonic_ms
-from waxwingford.shard._loop_lag import LoopLag
+from waxwingford.shard._lateness import Lateness
 from waxwingford.shard._observer import Observer
 
 #: Shortest interval between two overload events in the log, in ms.
@@ -22,7 +22,7 @@
         self._logged_ms = -LOG_INTERVAL_MS
 
     def log_overload(
-        self, epoch: int, lag: LoopLag, retry_after: RetryAfter
+        self, epoch: int, lag: Lateness, retry_after: RetryAfter
     ) -> None:
         """Log an event if the owner is overloaded and none was logged recently.
 
--- a/waxwingford/shard/_owner.py
+++ b/waxwingford/shard/_owner.py
@@ -38,9 +38,9 @@
     decode_owner,
     next_epoch,
 )
+from waxwingford.shard._lateness import Lateness, TimedClient
 from waxwingford.shard._lease_bounds import LeaseLedger
 from waxwingford.shard._load_report import LoadReport
-from waxwingford.shard._loop_lag import LoopLag
 from waxwingford.shard._mirror import CaughtUp, Mirror
 from waxwingford.shard._owner_ports import OwnerPorts, OwnerSettings
 from waxwingford.shard._server_drivers import ServerDrivers
@@ -70,6 +70,7 @@
     :ivar cut_off: whether it stopped because it could not reach most servers
         or could not read the intake.
     :ivar epoch: epoch of its appends; its fencing token at servers.
+    :ivar lateness: how late it learns what servers answer.
     :ivar start_control: limits starts, and refuses jobs under overload.
     """
 
@@ -89,9 +90,9 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._decision_due = asyncio.Event()
         self._heartbeats: Heartbeats | None = None
-        self._loop_lag = LoopLag()
+        self.lateness = Lateness()
         self.start_control = StartControl(
-            settings.cores, self._loop_lag, ports.observer
+            settings.cores, self.lateness, ports.observer
         )
 
     async def claim(
@@ -270,12 +271,12 @@
         self._intake.apply_to(self._engine)
         self._engine.inherit(now_ms, wall_ms)
         driver_ports = DriverPorts(
-            self._ports.backend_client,
+            TimedClient(self._ports.backend_client, self.lateness),
             lambda: self._heartbeats.ownership_proven,
             self._heartbeats.wait_ownership_proven,
             self._decision_due.set,
             self._on_task_done,
-            lambda: self._loop_lag.mean_s,
+            lambda: self.lateness.loop_lag.mean_s,
         )
         self._fleet = ServerDrivers(
             self._engine, driver_ports, self._ports.directory
@@ -297,7 +298,7 @@
             ledger.start_extending(self._engine),
             self._intake.follow(self._engine, self._decision_due.set),
             self._refresh_registrations(),
-            self._loop_lag.measure(),
+            self.lateness.loop_lag.measure(),
             self._run_decisions(),
             self._run_until_deposed(
                 self._committer.run(self._decision_due.set),
@@ -321,11 +322,13 @@
         while True:
             await asyncio.sleep(REGISTRATION_INTERVAL_S)
             await self._fleet.register()
+            if not self.lateness.answers.lasting:
+                self._fleet.probe_idle()
             self._decision_due.set()
             may_resign = (
                 monotonic_ms() - self._ready_since_ms >= MIN_OWNERSHIP_MS
             )
-            may_resign = may_resign and self._loop_lag.acceptable
+            may_resign = may_resign and self.lateness.acceptable
             if (
                 may_resign
                 and self._ports.log.responsive
@@ -348,12 +351,15 @@
             await asyncio.sleep(
                 max(
                     DECISION_DELAY_S,
-                    min(self._loop_lag.mean_s, MAX_DECISION_INTERVAL_S),
+                    min(self.lateness.loop_lag.mean_s, MAX_DECISION_INTERVAL_S),
                 )
             )
             self._decision_due.clear()
             self.start_control.decide(
-                self._engine, monotonic_ms(), _clock.wall_ms()
+                self._engine,
+                monotonic_ms(),
+                _clock.wall_ms(),
+                timely=self.lateness.silence_counts,
             )
             self._fleet.send_orders()
             self._observer.record_notes(self._engine.state.notes.take())
--- a/waxwingford/shard/_server_drivers.py
+++ b/waxwingford/shard/_server_drivers.py
@@ -1,5 +1,7 @@
 """Drivers of all backend servers that the owner of a shard uses."""
 
+import random
+
 from waxwingford.scheduling import (
     Batch,
     Engine,
@@ -16,6 +18,8 @@
 #: than this minimum it is never taken for cut off.
 MIN_SERVERS_WITH_TASKS = 4
 UNREACHABLE_AFTER_MS = 1200
+#: Idle servers that are polled at a time while others don't answer.
+PROBED_SERVERS = 2
 
 
 class ServerDrivers:
@@ -69,6 +73,24 @@
             if driver.server.claimed_ms:
                 driver.wake()
 
+    def probe_idle(self) -> None:
+        """Poll some idle servers if others don't answer.
+
+        Their answers tell whether the cause lies with those servers.
+        """
+        servers = self._engine.state.server_by_id.values()
+        if not any(server.failing_since_ms is not None for server in servers):
+            return
+        idle = [
+            driver
+            for driver in self._driver_by_server.values()
+            if driver.server.failing_since_ms is None
+            and not driver.server.run_by_key
+        ]
+        for driver in random.sample(idle, min(len(idle), PROBED_SERVERS)):
+            driver.probing = True
+            driver.wake()
+
     def send_orders(self) -> None:
         """Send orders that need no stored record, and update the drivers."""
         self._update_drivers()
--- a/waxwingford/shard/_start_control.py
+++ b/waxwingford/shard/_start_control.py
@@ -2,7 +2,7 @@
 
 from waxwingford.scheduling import Engine
 from waxwingford.shard._admission_control import AdmissionControl, RetryAfter
-from waxwingford.shard._loop_lag import LoopLag
+from waxwingford.shard._lateness import Lateness
 from waxwingford.shard._observer import Observer
 from waxwingford.shard._overload_log import OverloadLog
 from waxwingford.shard._start_window import StartWindow
@@ -11,7 +11,7 @@
 class StartControl:
     """Limits starts in progress, and refuses jobs that would wait for long."""
 
-    def __init__(self, cores: float, lag: LoopLag, observer: Observer) -> None:
+    def __init__(self, cores: float, lag: Lateness, observer: Observer) -> None:
         """Start with the initial window and all jobs accepted.
 
         :param cores: processor capacity of the owner's VM, in reference cores.
@@ -26,18 +26,22 @@
         """Classes of jobs that are refused at present."""
         return self._admission.retry_after
 
-    def decide(self, engine: Engine, now_ms: int, wall_ms: int) -> None:
+    def decide(
+        self, engine: Engine, now_ms: int, wall_ms: int, timely: bool
+    ) -> None:
         """Make a decision within the limit of starts in progress.
 
         :param now_ms: current monotonic time, in ms.
         :param wall_ms: current Unix time, in ms.
+        :param timely: whether servers that are well answer in time, so that silence
+            of others counts.
         """
         in_progress = engine.state.count_starts_in_progress()
         decision = engine.decide(
             now_ms,
             wall_ms,
             self._window.room(in_progress, now_ms),
-            timely=self._lag.acceptable,
+            timely=timely,
             overloaded=self._window.recently_limited(now_ms),
         )
         self._admission.update(decision, self._window, now_ms)
--- a/waxwingford/shard/_start_window.py
+++ b/waxwingford/shard/_start_window.py
@@ -1,6 +1,6 @@
 """Limits the starts in progress to what the owner's processor handles in time."""
 
-from waxwingford.shard._loop_lag import LoopLag
+from waxwingford.shard._lateness import Lateness
 
 #: Smallest window, so that tasks go on to start on any VM.
 MIN_STARTS = 2
@@ -31,7 +31,7 @@
     :ivar exhausted: whether the smallest window is too large for the owner.
     """
 
-    def __init__(self, lag: LoopLag) -> None:
+    def __init__(self, lag: Lateness) -> None:
         """Start with the initial window."""
         self._starts: float = INITIAL_STARTS
         self._lag = lag
--- /dev/null
+++ b/waxwingford/shard/tests/silence.feature
@@ -0,0 +1,57 @@
+Feature: what an owner concludes from a server that doesn't answer
+
+  Scenario: the only server with a task stops answering
+    # Guards against waiting for ever for a lost server because no other server is
+    # asked, so that nothing tells whether the owner or its link is the cause.
+    Given a shard with 3 daemons and 4 servers
+    When a job of 1 tasks of 20 s is submitted
+    And 8 s pass
+    And a server with tasks is cut off
+    And 10 s pass
+    Then all 1 tasks of the job run on servers that are not cut off
+    And no invariant was violated
+
+  Scenario: answers are late for their timeouts
+    # Guards against leases that are withheld from servers that are well, as a server
+    # that was named as silent gets none before the next heartbeat but one.
+    Given an engine whose only server with a run is silent for 700 ms
+    When leases are withheld while answers are late
+    Then no server is named as silent
+    When leases are withheld while answers are in time
+    Then that server is named as silent
+    When leases are withheld while answers are late
+    Then that server is named as silent
+
+  Scenario Outline: answers that come <when>
+    # Guards against taking servers for lost whose answers wait in the owner's link.
+    Given an owner that gets an answer each 0.5 s
+    When these answers take <delay> s for <span> s
+    Then silence <counts>
+
+    Examples:
+      | when        | delay | span | counts         |
+      | in time     | 0.01  | 0.5  | counts         |
+      | late        | 0.4   | 3    | doesn't count  |
+
+  Scenario: answers are in time again
+    # Guards against taking a server for lost by a poll that was sent while answers
+    # were late.
+    Given an owner that gets an answer each 0.5 s
+    When these answers take 0.4 s for 3 s
+    And these answers take 0.01 s for 1 s
+    Then silence doesn't count
+    When these answers take 0.01 s for 1 s
+    Then silence counts
+    When no answer comes for 2 s
+    Then silence doesn't count
+
+  Scenario: orders wait in the link
+    # Guards against a window that grows while orders wait for longer than their
+    # timeout, as the event loop is on time.
+    Given an owner that gets an answer each 0.5 s
+    When 20 orders to servers that take 0.05 s are answered after 0.06 s
+    Then its usual lateness is 0 to 0.02 s
+    When 40 orders to servers that take 0.05 s are answered after 0.3 s
+    Then its usual lateness is 0.24 to 0.26 s
+    When no answer comes for 3 s
+    Then its usual lateness is 0 to 0.01 s
