Have daemons that stand by carry out calls for an owner that can't make them all

Cause: the owner's outgoing link. Starts have to carry the payload, so only more senders help. Ruled out: the lists in answers to polls (46 to 75 KB a second come in).

Change: package relays. A daemon that stands by connects to the owner and carries out starts, stops, paces and polls in its place, under the owner's token; it gets the payload of a job once. They are used while more than a quarter of the link would be needed, or the event loop is late. No proof of who decides changes: a call by way of a relay has the outcomes that any call has.

--- /dev/null
+++ b/waxwingford/relays/_messages.py
@@ -0,0 +1,215 @@
+"""Messages between the owner of a shard and a relay.
+
+A frame is a MessagePack list of messages.  The payload of a job is sent to a relay
+once, ahead of the first start that needs it.
+"""
+
+import msgspec
+
+from waxwingford.relays._frames import FrameError
+from waxwingford.scheduling import (
+    Address,
+    EndReport,
+    OrderAccepted,
+    OrderNotSent,
+    OrderOutcome,
+    OrderOutcomeUnknown,
+    OrderRefused,
+    PollOrder,
+    PollOutcome,
+    PollResult,
+    RefusalReason,
+    RunKey,
+    RunningReport,
+    ServerReplaced,
+)
+
+
+class Hello(msgspec.Struct, tag='h', array_like=True):
+    """First message of a relay."""
+
+    daemon_id: str
+
+
+class Leaving(msgspec.Struct, tag='l', array_like=True):
+    """The relay is about to stop; it answers the calls that it has."""
+
+
+class Payload(msgspec.Struct, tag='y', array_like=True):
+    """Payload of a job, for the starts of its tasks."""
+
+    job_id: str
+    payload: str
+
+
+class StartCall(msgspec.Struct, tag='s', array_like=True):
+    """A ``StartOrder`` without the payload."""
+
+    number: int
+    address: Address
+    run: RunKey
+    lease_until_ms: int
+    fencing_token: int
+    checkpoint: str = ''
+    ticket: str = ''
+
+
+class StopCall(msgspec.Struct, tag='x', array_like=True):
+    """An order to stop a run."""
+
+    number: int
+    address: Address
+    run: RunKey
+    fencing_token: int
+
+
+class PaceCall(msgspec.Struct, tag='c', array_like=True):
+    """An order to limit the speed of a run."""
+
+    number: int
+    address: Address
+    run: RunKey
+    percent: int
+    fencing_token: int
+
+
+class PollCall(msgspec.Struct, tag='p', array_like=True):
+    """A poll."""
+
+    number: int
+    address: Address
+    order: PollOrder
+
+
+class Accepted(msgspec.Struct, tag='a', array_like=True):
+    """See ``OrderAccepted``."""
+
+    number: int
+    clock_ms: int
+
+
+class Polled(msgspec.Struct, tag='o', array_like=True):
+    """See ``PollResult``."""
+
+    number: int
+    clock_ms: int
+    running: tuple[RunningReport, ...]
+    ended: tuple[EndReport, ...]
+    started_ms: int
+    acknowledged_end: int
+
+
+class Refused(msgspec.Struct, tag='r', array_like=True):
+    """See ``OrderRefused``."""
+
+    number: int
+    reason: RefusalReason
+
+
+class Replaced(msgspec.Struct, tag='g', array_like=True):
+    """See ``ServerReplaced``."""
+
+    number: int
+
+
+class NotSent(msgspec.Struct, tag='n', array_like=True):
+    """See ``OrderNotSent``."""
+
+    number: int
+    reason: str
+
+
+class OutcomeUnknown(msgspec.Struct, tag='u', array_like=True):
+    """See ``OrderOutcomeUnknown``."""
+
+    number: int
+    reason: str
+    connection_lost: bool = False
+
+
+Call = StartCall | StopCall | PaceCall | PollCall
+Answer = Accepted | Polled | Refused | Replaced | NotSent | OutcomeUnknown
+OwnerMessage = Payload | Call
+RelayMessage = Hello | Leaving | Answer
+Outcome = OrderOutcome | PollOutcome
+
+_encoder = msgspec.msgpack.Encoder()
+_owner_decoder = msgspec.msgpack.Decoder(list[OwnerMessage])
+_relay_decoder = msgspec.msgpack.Decoder(list[RelayMessage])
+
+
+def encode_frame(messages: list[OwnerMessage] | list[RelayMessage]) -> bytes:
+    """Encode messages into one frame."""
+    return _encoder.encode(messages)
+
+
+def decode_owner_frame(frame: bytes) -> list[OwnerMessage]:
+    """Decode a frame of the owner.
+
+    :raises FrameError: if the frame is malformed.
+    """
+    try:
+        return _owner_decoder.decode(frame)
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise FrameError(f'frame not decoded: {error}') from error
+
+
+def decode_relay_frame(frame: bytes) -> list[RelayMessage]:
+    """Decode a frame of a relay.
+
+    :raises FrameError: if the frame is malformed.
+    """
+    try:
+        return _relay_decoder.decode(frame)
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise FrameError(f'frame not decoded: {error}') from error
+
+
+def encode_outcome(number: int, outcome: Outcome) -> Answer:
+    """Convert the outcome of a call to a message.
+
+    :param number: number of the call.
+    """
+    match outcome:
+        case PollResult():
+            return Polled(
+                number,
+                outcome.clock_ms,
+                outcome.running,
+                outcome.ended,
+                outcome.started_ms,
+                outcome.acknowledged_end,
+            )
+        case OrderAccepted(clock_ms):
+            return Accepted(number, clock_ms)
+        case OrderRefused(reason):
+            return Refused(number, reason)
+        case ServerReplaced():
+            return Replaced(number)
+        case OrderNotSent(reason):
+            return NotSent(number, reason)
+        case OrderOutcomeUnknown(reason, connection_lost):
+            return OutcomeUnknown(number, reason, connection_lost)
+
+
+def decode_outcome(answer: Answer) -> Outcome:
+    """Convert a message to the outcome of a call."""
+    match answer:
+        case Polled():
+            return PollResult(
+                answer.clock_ms,
+                answer.running,
+                answer.ended,
+                answer.started_ms,
+                answer.acknowledged_end,
+            )
+        case Accepted():
+            return OrderAccepted(answer.clock_ms)
+        case Refused():
+            return OrderRefused(answer.reason)
+        case Replaced():
+            return ServerReplaced()
+        case NotSent():
+            return OrderNotSent(answer.reason)
+        case OutcomeUnknown():
+            return OrderOutcomeUnknown(answer.reason, answer.connection_lost)
--- a/waxwingford/scheduler/_daemon.py
+++ b/waxwingford/scheduler/_daemon.py
@@ -1,6 +1,7 @@
 """Life cycle of the scheduler daemon: start, readiness, graceful stop."""
 
 import asyncio
+import dataclasses
 import gc
 import signal
 from typing import TYPE_CHECKING
@@ -10,6 +11,13 @@
 from waxwingford import shard
 from waxwingford.kernel import load_plugins
 from waxwingford.metrics import Metrics
+from waxwingford.relays import (
+    LoadSample,
+    Relay,
+    RelayDemand,
+    RelayingClient,
+    RelayPool,
+)
 from waxwingford.scheduler._readiness import ReadinessServer
 from waxwingford.scheduler._traffic_log import TrafficLog
 from waxwingford.scheduling import Terms
@@ -64,6 +72,17 @@
             self._can_own,
         )
         self._link = shard.OwnerLink()
+        self._relays = RelayPool()
+        self._relaying_client = RelayingClient(
+            self._platform.backend_client,
+            self._relays,
+            RelayDemand(settings.vm.link_mbps, self._sample_load),
+        )
+        self._relay = Relay(
+            settings.identity.daemon_id,
+            self._platform.backend_client,
+            self._relay_endpoint,
+        )
         self._frontend = shard.ShardFrontend(
             self._platform.log, self._member, self._link, self._observer
         )
@@ -85,6 +104,8 @@
         if listen.metrics_port:
             await self._readiness.serve(f'{listen.host}:{listen.metrics_port}')
         await self._platform.serve(self._frontend, listen.callers)
+        if listen.relays_port:
+            await self._relays.serve(listen.host, listen.relays_port)
         tasks = [
             asyncio.create_task(
                 self._platform.follow_configuration(
@@ -92,9 +113,11 @@
                 )
             ),
             asyncio.create_task(self._member.stand_by()),
+            asyncio.create_task(self._relays.run()),
+            asyncio.create_task(self._relay.run()),
             asyncio.create_task(self._prepare_to_own()),
             asyncio.create_task(
-                TrafficLog(self._platform.traffic_by_call, self._observer).run()
+                TrafficLog(self._count_traffic, self._observer).run()
             ),
         ]
         for task in tasks:
@@ -124,6 +147,7 @@
     async def _stop(self, tasks: list[asyncio.Task[None]]) -> None:
         _log.info('stopping')
         self._platform.start_draining()
+        self._relay.leave()
         await self._member.resign()
         grace_s = self._settings.bounds.stop_grace_s
         await asyncio.sleep(min(STOP_DELAY_S, grace_s * GRACE_FRACTION))
@@ -132,6 +156,8 @@
             task.cancel()
         self._member.close()
         self._link.close()
+        self._relay.close()
+        self._relays.close()
         await self._readiness.close()
         if self._queries is not None:
             self._queries.close()
@@ -172,6 +198,29 @@
             return 'the shard has no owner yet'
         return ''
 
+    def _count_traffic(self) -> dict[str, shard.CallTraffic]:
+        to_relays = self._relays.traffic
+        to_owner = self._relay.traffic
+        return {
+            **self._platform.traffic_by_call,
+            'relays': shard.CallTraffic(*dataclasses.astuple(to_relays)),
+            'owner': shard.CallTraffic(*dataclasses.astuple(to_owner)),
+        }
+
+    def _sample_load(self) -> LoadSample:
+        sent_bytes = sum(
+            traffic.sent_bytes for traffic in self._count_traffic().values()
+        )
+        owner = self._member.owner
+        lag_s = 0 if owner is None else owner.lateness.loop_lag.mean_s
+        return LoadSample(sent_bytes, self._relaying_client.spared_bytes, lag_s)
+
+    def _relay_endpoint(self) -> str:
+        record = self._member.owner_record
+        if self._member.owner is not None or record is None:
+            return ''
+        return '' if record.resigned else record.relay_endpoint
+
     def _make_owner(self, terms: Terms) -> 'shard.Owner':
         settings = self._settings
         listen = settings.listen
@@ -185,10 +234,15 @@
             ),
             settings.vm.cores,
             settings.bounds.longest_lease_ms,
+            relay_endpoint=(
+                f'{listen.host}:{listen.relays_port}'
+                if listen.relays_port
+                else ''
+            ),
         )
         ports = shard.OwnerPorts(
             self._platform.log,
-            self._platform.backend_client,
+            self._relaying_client,
             self._platform,
             self._platform.advice_client,
             self._observer,
--- a/waxwingford/scheduler/_traffic_log.py
+++ b/waxwingford/scheduler/_traffic_log.py
@@ -1,7 +1,7 @@
 """Log and metrics of the bytes that a daemon exchanges with its platform."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from waxwingford.shard import CallTraffic, Observer
 
@@ -13,13 +13,15 @@
     """Logs and counts the traffic by kind of call."""
 
     def __init__(
-        self, traffic_by_call: Mapping[str, CallTraffic], observer: Observer
+        self,
+        count_traffic: Callable[[], Mapping[str, CallTraffic]],
+        observer: Observer,
     ) -> None:
         """Start without a report.
 
-        :param traffic_by_call: totals, which grow meanwhile.
+        :param count_traffic: returns the totals by kind of call.
         """
-        self._total_by_call = traffic_by_call
+        self._count_traffic = count_traffic
         self._reported_by_call: dict[str, CallTraffic] = {}
         self._observer = observer
 
@@ -32,12 +34,13 @@
     def report(self) -> None:
         """Report the traffic since the previous report."""
         before = self._reported_by_call
+        total_by_call = self._count_traffic()
         recent_by_call = {
             call: _subtract(total, before.get(call, CallTraffic()))
-            for call, total in self._total_by_call.items()
+            for call, total in total_by_call.items()
             if total != before.get(call)
         }
-        self._reported_by_call = dict(self._total_by_call)
+        self._reported_by_call = dict(total_by_call)
         for call, traffic in recent_by_call.items():
             for name, amount in traffic._asdict().items():
                 self._observer.metrics.count(f'{name}_total', amount, call=call)
--- a/waxwingford/scheduler/tests/logs_steps.py
+++ b/waxwingford/scheduler/tests/logs_steps.py
@@ -26,12 +26,14 @@
     'listen.front': '10.1.0.13:8161',
     'listen.ready': '10.1.0.13:8167',
     'internal-ports.0': '7720',
+    'internal-ports.1': '7735',
     'platform.address': '10.200.1.7:8169',
     'advice': '10.200.1.9:8169',
     'bounds.max-hold-ms': '6000',
     'bounds.grace-s': '6',
     'limits.cpu-share': '0.717',
     'limits.cores': '3',
+    'limits.link-mbps': '1000.0',
 }
 READ_BYTES = 1 << 20
 # The buffer of the writer holds four times the 64 KiB of a pipe.
--- a/waxwingford/scheduler/tests/traffic_steps.py
+++ b/waxwingford/scheduler/tests/traffic_steps.py
@@ -21,7 +21,7 @@
     context.traffic.count(CALL, sent, received)
     context.metrics = Metrics()
     context.traffic_log = TrafficLog(
-        context.traffic.by_call, Observer(context.metrics)
+        lambda: context.traffic.by_call, Observer(context.metrics)
     )
 
 
--- a/waxwingford/settings/_scheduler.py
+++ b/waxwingford/settings/_scheduler.py
@@ -47,6 +47,8 @@
     :ivar callers: address and port for callers.
     :ivar readiness: address and port of the readiness check.
     :ivar peers_port: port for queries of other daemons.
+    :ivar relays_port: port for daemons that carry out calls for the owner, None to
+        accept none.
     :ivar metrics_port: port for metrics, None to serve none there.
     """
 
@@ -54,6 +56,7 @@
     callers: Endpoint
     readiness: Endpoint
     peers_port: Port
+    relays_port: Port | None = None
     metrics_port: Port | None = None
 
 
@@ -84,14 +87,16 @@
 
 
 class SchedulerVm(msgspec.Struct, frozen=True):
-    """CPU of the daemon's VM.
+    """CPU and network link of the daemon's VM.
 
     :ivar core_share: share of one core.
     :ivar core_speed: speed of that core relative to a reference core.
+    :ivar link_mbps: rate of the link in each direction, in Mbit/s; 0 if unknown.
     """
 
     core_share: Share = 1
     core_speed: PositiveNumber = 1
+    link_mbps: Annotated[float, msgspec.Meta(ge=0)] = 0
 
     @property
     def cores(self) -> float:
--- a/waxwingford/shard/_journal.py
+++ b/waxwingford/shard/_journal.py
@@ -60,6 +60,8 @@
     :ivar urgent_retry_s: time in seconds for which jobs without best-effort tasks
         are refused, 0 if they are accepted.
     :ivar best_effort_retry_s: the same for jobs with best-effort tasks.
+    :ivar relay_endpoint: IP address and port at which it accepts relays, empty if
+        it accepts none.
     :ivar read_to: offset up to which it had read heartbeats of previous owners
         when it computed ``rest_ms``; ``None`` if no later one is possible.
     """
@@ -78,6 +80,7 @@
     pending_by_queue: dict[str, int] | None = None
     urgent_retry_s: int = 0
     best_effort_retry_s: int = 0
+    relay_endpoint: str = ''
 
 
 class Predecessor(NamedTuple):
--- a/waxwingford/shard/_owner.py
+++ b/waxwingford/shard/_owner.py
@@ -117,6 +117,7 @@
             self._settings.endpoint,
             failure_domain=self._settings.failure_domain,
             cores=self._settings.cores,
+            relay_endpoint=self._settings.relay_endpoint,
         )
         if self.stopped.is_set():
             return ClaimFailed('owner stopped before the claim')
--- a/waxwingford/shard/_owner_ports.py
+++ b/waxwingford/shard/_owner_ports.py
@@ -16,6 +16,8 @@
     """Identity and settings of an owner.
 
     :ivar endpoint: IP address and port at which it answers other daemons.
+    :ivar relay_endpoint: IP address and port at which it accepts relays, empty if
+        it accepts none.
     :ivar lease_ms: length of the leases that it grants, in ms.
     :ivar max_lease_ms: longest lease that servers accept, in ms.
     :ivar cores: processor of its VM, in reference cores.
@@ -27,6 +29,7 @@
     lease_ms: int
     cores: float
     max_lease_ms: int = MAX_LEASE_MS
+    relay_endpoint: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/waxwingford/shard/tests/shard_steps.py
+++ b/waxwingford/shard/tests/shard_steps.py
@@ -231,9 +231,9 @@
     shard.run(RECOVERY_S)
 
 
-def start_faulty_shard(context, seed):
+def start_faulty_shard(context, seed, relays=False):
     """Start a shard in which some orders and appends fail."""
-    context.shard = VirtualShard(seed, daemons=4, servers=6)
+    context.shard = VirtualShard(seed, daemons=4, servers=6, relays=relays)
     context.add_cleanup(context.shard.close)
     context.jobs = []
     shard = context.shard
--- a/waxwingford/shard/tests/virtual_server_client.py
+++ b/waxwingford/shard/tests/virtual_server_client.py
@@ -30,6 +30,7 @@
     def __init__(self, fleet: VirtualServers, daemon_id: str):
         self._fleet = fleet
         self._daemon_id = daemon_id
+        self.start_count = 0
         #: Incarnation at the other end of the connection for polls, by server.
         self._peer_by_server = {}
 
@@ -44,6 +45,7 @@
         )
 
     async def start(self, address, order):
+        self.start_count += 1
         server = self._fleet.server_by_id[address.server_id]
         if server.starts_to_fail:
             server.starts_to_fail -= 1
--- a/waxwingford/shard/tests/virtual_shard.py
+++ b/waxwingford/shard/tests/virtual_shard.py
@@ -9,6 +9,8 @@
 
 from waxwingford.metrics import Metrics
 from waxwingford.ports import Resources
+from waxwingford.relays import Relay, RelayingClient, RelayPool
+from waxwingford.relays.tests.virtual_links import VirtualNetwork
 from waxwingford.routing.tests.virtual_loop import VirtualLoop, end_loop
 from waxwingford.scheduling import JobSpec, QueueTerms, StepSpec, Terms
 from waxwingford.shard import (
@@ -91,6 +93,15 @@
         return await self.frontend(endpoint).store_directly(row, deadline_s)
 
 
+class AlwaysRelayed:
+    """Demand of an owner that uses relays whatever its load."""
+
+    needed = True
+
+    def update(self, now_s):
+        """Do nothing."""
+
+
 class VirtualDaemon:
     """Daemon that may be killed and started again."""
 
@@ -105,6 +116,8 @@
             self.link = VirtualLink(shard.link_bytes_per_s)
             self.log = LinkedStoreClient(self.log, self.link)
             self.servers = LinkedServerClient(self.servers, self.link)
+        self.backend_client = self.servers
+        self.relay_tasks = ()
         self.observer = RecordingObserver(daemon_id, shard.lines)
         self.start()
 
@@ -121,10 +134,40 @@
             self.log, self.member, VirtualOwnerLink(self.shard), self.observer
         )
         self.member.configure(TERMS)
+        if self.shard.network is not None:
+            self._start_relay(self.shard.network)
         self.task = asyncio.ensure_future(self.member.stand_by())
         self.alive = True
 
+    def _start_relay(self, network):
+        self.pool = RelayPool()
+        self.relay = Relay(
+            self.daemon_id,
+            self.servers,
+            self._relay_endpoint,
+            network.connector(self.daemon_id),
+        )
+        network.listen(f'{self.daemon_id}:1', self.pool.make_connection)
+        self.backend_client = RelayingClient(
+            self.servers, self.pool, AlwaysRelayed()
+        )
+        self.relay_tasks = (
+            asyncio.ensure_future(self.pool.run()),
+            asyncio.ensure_future(self.relay.run()),
+        )
+
+    def _relay_endpoint(self):
+        record = self.member.owner_record
+        if self.member.owner is not None or record is None:
+            return ''
+        return record.relay_endpoint
+
     def kill(self):
+        for task in self.relay_tasks:
+            task.cancel()
+        if self.shard.network is not None:
+            self.relay.close()
+            self.shard.network.reset(self.daemon_id)
         self.alive = False
         self.task.cancel()
         self.member.close()
@@ -136,10 +179,11 @@
             self.daemon_id,
             LEASE_MS,
             self.cores,
+            relay_endpoint=f'{self.daemon_id}:1',
         )
         ports = OwnerPorts(
             self.log,
-            self.servers,
+            self.backend_client,
             self.servers,
             self.servers,
             self.observer,
@@ -163,6 +207,7 @@
         servers=4,
         cores=None,
         clock_offset_ms=None,
+        relays=False,
         link_bytes_per_s=None,
     ):
         random.seed(seed)
@@ -178,6 +223,7 @@
         self.servers.add(servers, clock_offset_ms=clock_offset_ms)
         self.job_count = 0
         self.lines = []
+        self.network = VirtualNetwork() if relays else None
         self.daemons = []
         equal_cores = itertools.repeat(1, daemons)
         self.run_until(self._start(equal_cores if cores is None else cores))
