--- a/waxwingford/scheduler/_daemon.py
+++ b/waxwingford/scheduler/_daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import gc
+import importlib
 import signal
 from typing import TYPE_CHECKING
 
@@ -48,6 +49,12 @@
 _log = logbook.Logger('daemon')
 
 
+def import_owner_modules() -> None:
+    """Import what a daemon needs to own the shard, with its libraries."""
+    for module in OWNER_MODULES:
+        importlib.import_module(module)
+
+
 class SchedulerDaemon:
     """A daemon: API for clients, membership in the shard, readiness."""
 
@@ -128,7 +135,7 @@
 
     async def _prepare_to_own(self) -> None:
         """Import what an owner needs, and answer other daemons."""
-        await asyncio.to_thread(load_plugins, OWNER_MODULES)
+        await asyncio.to_thread(import_owner_modules)
         # Modules are never freed, see ``main``.
         gc.freeze()
         self._can_own.set()
--- a/waxwingford/scheduler/tests/start_steps.py
+++ b/waxwingford/scheduler/tests/start_steps.py
@@ -12,7 +12,6 @@
 from aiohttp import ClientSession
 from behave import given, then, when
 
-from waxwingford.kernel import load_plugins
 from waxwingford.scheduler import _daemon
 from waxwingford.scheduler.tests.logs_steps import (
     load_settings,
@@ -33,7 +32,7 @@
 
 
 @when('the modules of a daemon that serves callers are imported')
-def import_modules(context):
+def measure_start(context):
     context.start = start_cost.measure_start(start_cost.SERVING_MODULES)
 
 
@@ -116,14 +115,18 @@
     text = text.replace('metrics_port = 9464', '')
     context.imported = threading.Event()
 
-    def import_when_told(modules):
+    import_modules = _daemon.import_owner_modules
+
+    def import_when_told():
         assert context.imported.wait(TIMEOUT_S)
-        load_plugins(modules)
+        import_modules()
 
     context.runner = asyncio.Runner()
     context.add_cleanup(stop_daemon, context)
     context.daemon = _daemon.SchedulerDaemon(load_settings(text))
-    context.patch = mock.patch.object(_daemon, 'load_plugins', import_when_told)
+    context.patch = mock.patch.object(
+        _daemon, 'import_owner_modules', import_when_told
+    )
     context.patch.start()
     context.add_cleanup(context.patch.stop)
 
--- a/waxwingford_bench/start_cost.py
+++ b/waxwingford_bench/start_cost.py
@@ -14,6 +14,8 @@
 import sys
 from typing import NamedTuple
 
+from waxwingford.scheduler._daemon import OWNER_MODULES
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 #: Modules that are imported before a daemon serves callers.
 SERVING_MODULES = (
@@ -21,8 +23,6 @@
     'waxwingford.scheduler._daemon',
     'waxwingford.platform',
 )
-#: Modules that are imported while it serves.
-OWNER_MODULES = ('waxwingford.shard._owner', 'waxwingford.shard._peers')
 _US_PER_MS = 1000
 _MS_PER_S = 1000
 _IMPORT_LINE = re.compile(r'import time:\s+(\d+) \|\s+(\d+) \|\s+(\S+)')
