Test the lease that a start to a former incarnation grants

Nothing failed without Restarts._bound_leases. A start that names the end of its lease by the clock of the former incarnation grants the next one the longest lease; if that falls silent before it is polled, its runs may go on for this long.

Shown: without the call of _bound_leases the scenario fails ('started on s1, also runs on s0'), with it it passes.

--- a/waxwingford/shard/tests/restarts.feature
+++ b/waxwingford/shard/tests/restarts.feature
@@ -116,6 +116,19 @@
     Then all 4 tasks of the job run
     And no invariant was violated
 
+  Scenario: a start with a lease by a former clock arrives after a restart in place
+    # Guards against settling a run whose server falls silent before the lease ends that
+    # its start has granted.
+    Given a shard with 3 daemons and 4 servers whose clocks are 3000 s ahead
+    When orders are carried out 0.9 s late
+    And a long-running job is submitted
+    And 0.1 s pass
+    And server s0 restarts in place and is cut off
+    And orders are carried out at once
+    And 12 s pass
+    Then all 4 tasks of the job run on servers that are not cut off
+    And no invariant was violated
+
   Scenario: a start that was stopped arrives after a restart in place
     # Guards against forgetting the stop of a start that may still arrive: the next
     # incarnation knows no stop.
--- a/waxwingford/shard/tests/restarts_steps.py
+++ b/waxwingford/shard/tests/restarts_steps.py
@@ -56,8 +56,16 @@
 
 @when('a server with tasks restarts in place and is cut off')
 def restart_and_cut(context):
-    shard = context.shard
-    server_id = shard.running(context.jobs[-1])[0]
+    server_id = context.shard.running(context.jobs[-1])[0]
+    cut_off_after_restart(context.shard, server_id)
+
+
+@when('server {server_id} restarts in place and is cut off')
+def restart_one_and_cut(context, server_id):
+    cut_off_after_restart(context.shard, server_id)
+
+
+def cut_off_after_restart(shard, server_id):
     server = shard.servers.server_by_id[server_id]
     shard.call(functools.partial(restart_in_place, server))
     shard.servers.cut |= {
