Test that a poll of a former incarnation changes nothing afterwards

Nothing failed without the check for a replaced server in Settler.poll_answered. An answer for the object of a former incarnation would replace the object of the next one by an empty one, and the owner would lose the runs there. The drivers cancel such polls; the engine doesn't rely on it.

Shown: without the check the scenario fails ('its task runs'), with it it passes.

--- a/waxwingford/scheduling/tests/engine.feature
+++ b/waxwingford/scheduling/tests/engine.feature
@@ -208,6 +208,18 @@
     And a registration with an earlier, unknown start is read
     Then the server is not to be polled at once
 
+  Scenario: a poll of a former incarnation is answered by the next one
+    # Guards against dropping the runs of an incarnation that is known already.
+    Given an engine with 1 servers of 8 cores
+    When the server restarts in place and answers a poll
+    And a job of 1 task is submitted
+    And a registration with a later start is read
+    And all servers answer a poll
+    And 1 s pass in the engine
+    And the next incarnation answers a poll of the former one
+    Then its task has 2 runs
+    And its task runs
+
   Scenario: the last server with room for a long-running task is not excluded after failures
     # Guards against counting servers full of other long-running tasks as alternatives.
     Given an engine with 2 servers of 8 cores
--- a/waxwingford/scheduling/tests/restart_steps.py
+++ b/waxwingford/scheduling/tests/restart_steps.py
@@ -10,6 +10,7 @@
 STARTED_MS = 1_700_000_000_000
 #: Start in a registration that was written before the restart.
 EARLIER_MS = STARTED_MS - 60_000
+LATER_MS = STARTED_MS + 60_000
 
 
 def only_server(harness):
@@ -48,6 +49,26 @@
     harness.register()
 
 
+@when('a registration with a later start is read')
+def read_later(context):
+    harness = context.harness
+    context.former = only_server(harness)
+    harness.started_ms = LATER_MS
+    harness.entries = [
+        entry._replace(started_ms=LATER_MS) for entry in harness.entries
+    ]
+    harness.register()
+
+
+@when('the next incarnation answers a poll of the former one')
+def answer_former_poll(context):
+    harness = context.harness
+    answer = PollResult(harness.now_ms, (), (), LATER_MS)
+    harness.engine.poll_answered(
+        context.former, harness.now_ms, harness.now_ms + 2, answer
+    )
+
+
 @then('the server is to be polled at once')
 def check_polled_at_once(context):
     assert only_server(context.harness).claimed_ms == EARLIER_MS
