Test that a run accepted by a former incarnation needs no stop

Nothing failed if _apply_absence stopped such a run instead of settling it: both are safe, but the stop costs an order and another poll, and holds the task for the rest of a lease if the server falls silent before it is answered.

Shown: with the stop in place of the settlement the scenario fails ('the former run is settled without a stop'), without it it passes.

--- a/waxwingford/scheduling/tests/engine.feature
+++ b/waxwingford/scheduling/tests/engine.feature
@@ -220,6 +220,15 @@
     Then its task has 2 runs
     And its task runs
 
+  Scenario: a start that a former incarnation has accepted
+    # Guards against a task that waits for the stop of a run that ended with its server.
+    Given an engine with 1 servers of 8 cores
+    When the server restarts in place and answers a poll
+    And a job of 1 task is submitted whose start is accepted late
+    And a registration with a later start is read
+    And the next incarnation answers a poll and lists no runs
+    Then the former run is settled without a stop
+
   Scenario: the last server with room for a long-running task is not excluded after failures
     # Guards against counting servers full of other long-running tasks as alternatives.
     Given an engine with 2 servers of 8 cores
--- a/waxwingford/scheduling/tests/restart_steps.py
+++ b/waxwingford/scheduling/tests/restart_steps.py
@@ -4,13 +4,22 @@
 from hypothesis import given as drawn
 from hypothesis import strategies
 
-from waxwingford.scheduling import Incarnation, PollResult
+from waxwingford.scheduling import (
+    Incarnation,
+    JobSpec,
+    OrderAccepted,
+    PollResult,
+)
 from waxwingford.scheduling._incarnations import parse_incarnation
+from waxwingford.scheduling.tests.engine_harness import JOB, QUEUE, step
+from waxwingford.scheduling.tests.fault_steps import answer_start
 
 STARTED_MS = 1_700_000_000_000
 #: Start in a registration that was written before the restart.
 EARLIER_MS = STARTED_MS - 60_000
 LATER_MS = STARTED_MS + 60_000
+#: Age of an answer to a start whose clock may be that of another incarnation, in ms.
+LATE_ANSWER_MS = 400
 
 
 def only_server(harness):
@@ -60,6 +69,28 @@
     harness.register()
 
 
+@when('a job of 1 task is submitted whose start is accepted late')
+def accept_late(context):
+    harness = context.harness
+    spec = JobSpec(JOB, 'queue', 'payload', (step(),), terms=QUEUE)
+    harness.engine.submit(spec, harness.now_ms)
+    harness.decide(accept=False)
+    accepted = OrderAccepted(harness.now_ms)
+    harness.now_ms += LATE_ANSWER_MS
+    answer_start(harness, harness.planned_runs[0], accepted)
+
+
+@when('the next incarnation answers a poll and lists no runs')
+def list_no_runs(context):
+    harness = context.harness
+    sent_ms = harness.now_ms
+    harness.now_ms += 2
+    answer = PollResult(harness.now_ms, (), (), LATER_MS)
+    harness.engine.poll_answered(
+        only_server(harness), sent_ms, harness.now_ms, answer
+    )
+
+
 @when('the next incarnation answers a poll of the former one')
 def answer_former_poll(context):
     harness = context.harness
@@ -69,6 +100,14 @@
     )
 
 
+@then('the former run is settled without a stop')
+def check_settled(context):
+    harness = context.harness
+    assert not only_server(harness).run_by_key
+    harness.decide()
+    assert not harness.stops(), harness.stops()
+
+
 @then('the server is to be polled at once')
 def check_polled_at_once(context):
     assert only_server(context.harness).claimed_ms == EARLIER_MS
