--- a/waxwingford/scheduling/tests/engine_harness.py
+++ b/waxwingford/scheduling/tests/engine_harness.py
@@ -50,6 +50,8 @@
         self.stalled = False
         #: Start time in lists of runs, as Unix time in ms, 0 for none.
         self.started_ms = 0
+        #: The same of servers that have restarted since, by id.
+        self.started_ms_by_server = {}
         self.unknown_runs = []
         self.pace_orders = []
         for _ in range(count):
@@ -169,7 +171,7 @@
                 self.now_ms,
                 tuple(running + self.unknown_runs),
                 tuple(self.ends[server_id]),
-                self.started_ms,
+                self.started_ms_by_server.get(server_id, self.started_ms),
             )
             self.engine.poll_answered(server, sent_ms, self.now_ms, answer)
 
--- a/waxwingford/scheduling/tests/restart_steps.py
+++ b/waxwingford/scheduling/tests/restart_steps.py
@@ -8,11 +8,14 @@
     Incarnation,
     JobSpec,
     OrderAccepted,
+    OrderOutcomeUnknown,
     PollResult,
 )
 from waxwingford.scheduling._incarnations import parse_incarnation
+from waxwingford.scheduling._stops import UNCONFIRMED_START_TIMEOUT_MS
 from waxwingford.scheduling.tests.engine_harness import JOB, QUEUE, step
 from waxwingford.scheduling.tests.fault_steps import answer_start
+from waxwingford.scheduling.tests.succession_steps import change_owner
 
 STARTED_MS = 1_700_000_000_000
 #: Start in a registration that was written before the restart.
@@ -20,6 +23,7 @@
 LATER_MS = STARTED_MS + 60_000
 #: Age of an answer to a start whose clock may be that of another incarnation, in ms.
 LATE_ANSWER_MS = 400
+MAX_ROUNDS = 10
 
 
 def only_server(harness):
@@ -91,6 +95,100 @@
     )
 
 
+@when('all servers answer a poll and tell when they started')
+def tell_starts(context):
+    harness = context.harness
+    for entry in list(harness.entries):
+        register_start(harness, entry.server_id, STARTED_MS)
+    harness.started_ms = STARTED_MS
+    harness.register()
+    harness.poll()
+
+
+def register_start(harness, server_id, started_ms):
+    harness.entries = [
+        entry._replace(started_ms=started_ms)
+        if entry.server_id == server_id
+        else entry
+        for entry in harness.entries
+    ]
+
+
+@when('the server of the task restarts in place and lists no runs')
+def restart_task_server(context):
+    harness = context.harness
+    restart_server_of(harness, harness.planned_runs[-1])
+    list_nothing(harness, harness.planned_runs[-1])
+
+
+def restart_server_of(harness, run):
+    started_ms = STARTED_MS + harness.now_ms
+    harness.started_ms_by_server[run.server_id] = started_ms
+    register_start(harness, run.server_id, started_ms)
+
+
+def list_nothing(harness, run):
+    """Let the server of a run answer a poll without any runs."""
+    sent_ms = harness.now_ms
+    harness.now_ms += 2
+    started_ms = harness.started_ms_by_server[run.server_id]
+    answer = PollResult(harness.now_ms, (), (), started_ms)
+    server = harness.engine.state.server_by_id[run.server_id]
+    harness.engine.poll_answered(server, sent_ms, harness.now_ms, answer)
+
+
+@when(
+    'its task starts again, and its server restarts in place while the owner changes'
+)
+def restart_while_owner_changes(context):
+    harness = context.harness
+    decide_until_planned(harness, 2)
+    run = harness.planned_runs[-1]
+    restart_server_of(harness, run)
+    change_owner(context)
+    list_nothing(harness, run)
+    harness.decide()
+
+
+def decide_until_planned(harness, count, accept=True):
+    for _ in range(MAX_ROUNDS):
+        if len(harness.planned_runs) < count:
+            harness.decide(accept)
+    assert len(harness.planned_runs) == count, harness.planned_runs
+
+
+@when(
+    'a job of 1 task is submitted, {times:d} starts of which break the connection'
+    ' to a server that restarts in place'
+)
+def break_connections(context, times):
+    harness = context.harness
+    spec = JobSpec(JOB, 'queue', 'payload', (step(),), terms=QUEUE)
+    harness.engine.submit(spec, harness.now_ms)
+    broken = OrderOutcomeUnknown('connection reset', connection_lost=True)
+    for number in range(times):
+        decide_until_planned(harness, number + 1, accept=False)
+        run = harness.planned_runs[number]
+        answer_start(harness, run, broken)
+        restart_server_of(harness, run)
+        list_nothing(harness, run)
+        stop_at_next_incarnation(harness, run)
+    harness.decide()
+
+
+def stop_at_next_incarnation(harness, run):
+    harness.now_ms += UNCONFIRMED_START_TIMEOUT_MS
+    harness.decide()
+    harness.engine.settler.stop_answered(
+        harness.engine.state.server_by_id[run.server_id],
+        run.key,
+        harness.now_ms,
+        OrderAccepted(harness.now_ms),
+    )
+    harness.now_ms += 1
+    list_nothing(harness, run)
+
+
 @when('the next incarnation answers a poll of the former one')
 def answer_former_poll(context):
     harness = context.harness
