--- a/waxwingford/scheduling/tests/crashes.feature
+++ b/waxwingford/scheduling/tests/crashes.feature
@@ -121,17 +121,15 @@
   Scenario: starts that break their connections to servers that restart in place
     # Guards against a task that crashes its servers before they answer, and is
     # started again and again when they keep their ids.
-    Given an engine with 4 servers of 8 cores
-    When all servers answer a poll and tell when they started
-    And a job of 1 task is submitted, 2 starts of which break the connection to a server that restarts in place
+    Given an engine with 4 servers of 8 cores that tell when they started
+    When a job of 1 task is submitted, 2 starts of which break the connection to a server that restarts in place
     Then the job is reported as failed
 
   Scenario: a restart in place counts if the owner changes before it is found
     # Guards against ignoring crashes after starts by a previous owner when servers keep
     # their ids.
-    Given an engine with 4 servers of 8 cores
-    When all servers answer a poll and tell when they started
-    And a job of 1 task is submitted
+    Given an engine with 4 servers of 8 cores that tell when they started
+    When a job of 1 task is submitted
     And the server of the task restarts in place and lists no runs
     And its task starts again, and its server restarts in place while the owner changes
     Then the job is reported as failed
--- a/waxwingford/scheduling/tests/engine_harness.py
+++ b/waxwingford/scheduling/tests/engine_harness.py
@@ -34,7 +34,7 @@
 class EngineHarness:
     """Engine with simulated servers whose answers the steps control."""
 
-    def __init__(self, count, cores):
+    def __init__(self, count, cores, started_ms=0):
         self.now_ms = 100_000
         self.max_starts = math.inf
         self.wall_offset_ms = 10_000_000
@@ -48,8 +48,8 @@
         self.figure_by_image = {}
         self.pace_by_image = {}
         self.stalled = False
-        #: Start time in lists of runs, as Unix time in ms, 0 for none.
-        self.started_ms = 0
+        #: Start time that servers tell, as Unix time in ms, 0 for none.
+        self.started_ms = started_ms
         #: The same of servers that have restarted since, by id.
         self.started_ms_by_server = {}
         self.unknown_runs = []
@@ -74,6 +74,7 @@
                 capacity,
                 draining=False,
                 rack='r1',
+                started_ms=self.started_ms,
             )
         )
         self.register()
--- a/waxwingford/scheduling/tests/restart_steps.py
+++ b/waxwingford/scheduling/tests/restart_steps.py
@@ -1,6 +1,6 @@
 """Steps for servers of an engine that restart in place."""
 
-from behave import then, when
+from behave import given, then, when
 from hypothesis import given as drawn
 from hypothesis import strategies
 
@@ -13,7 +13,12 @@
 )
 from waxwingford.scheduling._incarnations import parse_incarnation
 from waxwingford.scheduling._stops import UNCONFIRMED_START_TIMEOUT_MS
-from waxwingford.scheduling.tests.engine_harness import JOB, QUEUE, step
+from waxwingford.scheduling.tests.engine_harness import (
+    JOB,
+    QUEUE,
+    EngineHarness,
+    step,
+)
 from waxwingford.scheduling.tests.fault_steps import answer_start
 from waxwingford.scheduling.tests.succession_steps import change_owner
 
@@ -95,14 +100,11 @@
     )
 
 
-@when('all servers answer a poll and tell when they started')
-def tell_starts(context):
-    harness = context.harness
-    for entry in list(harness.entries):
-        register_start(harness, entry.server_id, STARTED_MS)
-    harness.started_ms = STARTED_MS
-    harness.register()
-    harness.poll()
+@given(
+    'an engine with {count:d} servers of {cores:d} cores that tell when they started'
+)
+def create_engine_with_starts(context, count, cores):
+    context.harness = EngineHarness(count, cores, STARTED_MS)
 
 
 def register_start(harness, server_id, started_ms):
