--- /dev/null
+++ b/waxwingford_bench/owner_cost/__init__.py
@@ -0,0 +1,1 @@
+"""Measured processor time of the owner of a shard."""
