Keep the serving and the best-effort runs of each server

Polls, placement, migration and changes of pace listed them by a pass over all runs of a server, several times per poll and for each candidate of a best-effort task. Each server now keeps both, in the order of its runs, where runs are added and removed; a server without serving tasks needs no forecast at all, and the two forecasts of a serving step are computed once instead of one of them twice.

The simulated shard compares both with a recount, including the order.

--- a/waxwingford/scheduling/_colocated_runs.py
+++ b/waxwingford/scheduling/_colocated_runs.py
@@ -14,11 +14,7 @@
 
 def serving_runs(server: Server) -> list[tuple[Run, Step]]:
     """List the runs that have a tail latency target."""
-    return [
-        (server.run_by_key[key], step)
-        for key, step in server.step_by_run.items()
-        if step.spec.target_ms
-    ]
+    return list(server.serving.values())
 
 
 def serving_steps(server: Server) -> list[Step]:
@@ -26,16 +22,12 @@
 
     :returns: steps, each of them once.
     """
-    return list(dict.fromkeys(step for _, step in serving_runs(server)))
+    return list(dict.fromkeys([step for _, step in server.serving.values()]))
 
 
 def best_effort_runs(server: Server) -> list[tuple[Run, Step]]:
     """List the runs that use only CPU left idle by other runs."""
-    return [
-        (server.run_by_key[key], step)
-        for key, step in server.step_by_run.items()
-        if step.spec.best_effort
-    ]
+    return list(server.best_effort.values())
 
 
 def full_pace_share(server: Server, step: Step) -> float:
@@ -64,7 +56,7 @@
     """
     shares: dict[str, float] = {}
     capacity = cpu_capacity_milli(server)
-    for run, step in best_effort_runs(server):
+    for run, step in server.best_effort.values():
         if run.phase is RunPhase.present:
             image = step.spec.image
             shares[image] = shares.get(image, 0) + run.measured_value / capacity
--- a/waxwingford/scheduling/_interference.py
+++ b/waxwingford/scheduling/_interference.py
@@ -18,7 +18,6 @@
     InterferenceTerm,
 )
 from waxwingford.scheduling._colocated_runs import (
-    best_effort_runs,
     full_pace_share,
     serving_runs,
     serving_steps,
@@ -82,6 +81,9 @@
     start: float
 
 
+_UNLIMITED = Allowance(math.inf, math.inf)
+
+
 class _ServerForecast(NamedTuple):
     """Cached headroom forecast of a server.
 
@@ -186,6 +188,8 @@
         :param now_ms: current monotonic time, in ms.
         :returns: shares of the server's CPU, negative if it is overcommitted.
         """
+        if not server.serving:
+            return _UNLIMITED
         forecast = self._forecast(server, now_ms)
         image = best_effort.spec.image
         found = forecast.allowance_by_image.get(image)
@@ -250,15 +254,13 @@
             loss += mean * full_share
             current_loss += mean * current_share
         step_filter = self.headroom_filter(serving, now_ms)
-        least = min(
+        soon, late = (
             step_filter.forecast(now_ms + horizon)
             for horizon in FORECAST_HORIZONS_MS
         )
-        at_current_pace = (
-            step_filter.forecast(now_ms + FORECAST_HORIZONS_MS[0])
-            - current_loss
+        return _StepHeadroom(
+            serving, min(soon, late) - loss, soon - current_loss
         )
-        return _StepHeadroom(serving, least - loss, at_current_pace)
 
     def headroom_filter(self, serving: Step, now_ms: int) -> HeadroomFilter:
         """Return the headroom estimate of a serving step.
@@ -341,7 +343,7 @@
         their current paces.
     """
     shares: dict[str, tuple[float, float]] = {}
-    for run, step in best_effort_runs(server):
+    for run, step in server.best_effort.values():
         full_share = full_pace_share(server, step)
         pace = _FULL_PERCENT if run.pace is None else run.pace
         image = step.spec.image
--- a/waxwingford/scheduling/_pacing.py
+++ b/waxwingford/scheduling/_pacing.py
@@ -65,10 +65,11 @@
         Includes slowed runs without a serving task beside them, which would
         otherwise never be sped up again.
         """
-        best_effort = best_effort_runs(server)
-        if any(run.pace != FULL_PERCENT for run, _ in best_effort):
-            return True
-        return bool(best_effort and serving_runs(server))
+        if not server.best_effort:
+            return False
+        return bool(server.serving) or any(
+            run.pace != FULL_PERCENT for run, _ in server.best_effort.values()
+        )
 
     def adjust_paces(self, server: Server, now_ms: int) -> None:
         """Compute paces after a poll and order those that changed.
--- a/waxwingford/scheduling/_server_costs.py
+++ b/waxwingford/scheduling/_server_costs.py
@@ -89,9 +89,5 @@
 
 
 def _count_other_images(image: str, server: Server) -> int:
-    images = {
-        step.spec.image
-        for step in server.step_by_run.values()
-        if step.spec.target_ms
-    }
+    images = {step.spec.image for _, step in server.serving.values()}
     return len(images - {image})
--- a/waxwingford/scheduling/_servers.py
+++ b/waxwingford/scheduling/_servers.py
@@ -79,6 +79,8 @@
         have other labels than the former one.
     :ivar run_by_key: runs that may be present.
     :ivar step_by_run: steps of these runs.
+    :ivar serving: runs with a tail latency target, and their steps.
+    :ivar best_effort: best-effort runs, and their steps.
     :ivar recent_starts: runs that the server isn't known to have outlived yet.
     :ivar reserved_for: task suspected of crashing servers that is to start
         alone here, ``None`` for none.
@@ -125,6 +127,12 @@
     registered: bool = True
     run_by_key: dict[RunKey, Run] = dataclasses.field(default_factory=dict)
     step_by_run: dict[RunKey, Step] = dataclasses.field(default_factory=dict)
+    serving: dict[RunKey, tuple[Run, Step]] = dataclasses.field(
+        default_factory=dict
+    )
+    best_effort: dict[RunKey, tuple[Run, Step]] = dataclasses.field(
+        default_factory=dict
+    )
     recent_starts: set[RunKey] = dataclasses.field(default_factory=set)
     reserved_for: TaskKey | None = None
     unsent: set[RunKey] = dataclasses.field(default_factory=set)
@@ -199,6 +207,10 @@
         """Add a run and reserve its resources."""
         self.run_by_key[run.key] = run
         self.step_by_run[run.key] = step
+        if step.spec.target_ms:
+            self.serving[run.key] = run, step
+        if step.spec.best_effort:
+            self.best_effort[run.key] = run, step
         if not run.outlived:
             self.recent_starts.add(run.key)
         if run.phase is RunPhase.planned:
@@ -211,6 +223,8 @@
             self.unsent.discard(key)
             self.unanswered.discard(key)
             self.recent_starts.discard(key)
+            self.serving.pop(key, None)
+            self.best_effort.pop(key, None)
             self._count(self.step_by_run.pop(key), -1)
 
     def enter(self, run: Run, phase: RunPhase, now_ms: int) -> None:
--- a/waxwingford/shard/tests/derived_state.py
+++ b/waxwingford/shard/tests/derived_state.py
@@ -16,10 +16,28 @@
 
 
 def _kept(server):
-    return {'starts_in_progress': server.starts_in_progress}
+    return {
+        'starts_in_progress': server.starts_in_progress,
+        'serving': list(server.serving.items()),
+        'best_effort': list(server.best_effort.items()),
+    }
 
 
 def _recount(server):
+    runs = [
+        (key, (server.run_by_key[key], step))
+        for key, step in server.step_by_run.items()
+    ]
     return {
         'starts_in_progress': len(server.unsent) + len(server.unanswered),
+        'serving': [
+            (key, (run, step))
+            for key, (run, step) in runs
+            if step.spec.target_ms
+        ],
+        'best_effort': [
+            (key, (run, step))
+            for key, (run, step) in runs
+            if step.spec.best_effort
+        ],
     }
