Drop calls that a relay gets too late, and keep relays in use

Found by the same review, each shown by a run unless said: * a start that a relay got 30 s late began on a server that had restarted in place, beside the newer run (scenario of relayed.feature, failed before). Each frame carries the owner's clock; calls over 1.5 s older than the quickest frame are not carried out; * an answer that can't be encoded left the outbox of a relay full for ever; * a malformed address in a heartbeat ended every daemon that stood by; * a payload that a relay had evicted was taken for a server without a connection. The relay says that it misses the payload, and gets the call again with it.

--- a/waxwingford/relays/_messages.py
+++ b/waxwingford/relays/_messages.py
@@ -35,6 +35,16 @@
     """The relay is about to stop; it answers the calls that it has."""
 
 
+class Sent(msgspec.Struct, tag='t', array_like=True):
+    """First message of each frame of the owner.
+
+    :ivar sent_ms: owner's clock since its boot, which also advances while it is
+        suspended, in ms.
+    """
+
+    sent_ms: int
+
+
 class Payload(msgspec.Struct, tag='y', array_like=True):
     """Payload of a job, for the starts of its tasks."""
 
@@ -119,6 +129,12 @@
     reason: str
 
 
+class PayloadMissing(msgspec.Struct, tag='m', array_like=True):
+    """The relay doesn't have the payload of a start, which it has not sent."""
+
+    number: int
+
+
 class OutcomeUnknown(msgspec.Struct, tag='u', array_like=True):
     """See ``OrderOutcomeUnknown``."""
 
@@ -129,8 +145,8 @@
 
 Call = StartCall | StopCall | PaceCall | PollCall
 Answer = Accepted | Polled | Refused | Replaced | NotSent | OutcomeUnknown
-OwnerMessage = Payload | Call
-RelayMessage = Hello | Leaving | Answer
+OwnerMessage = Sent | Payload | Call
+RelayMessage = Hello | Leaving | PayloadMissing | Answer
 Outcome = OrderOutcome | PollOutcome
 
 _encoder = msgspec.msgpack.Encoder()
--- a/waxwingford/relays/_pool.py
+++ b/waxwingford/relays/_pool.py
@@ -4,19 +4,22 @@
 import functools
 import hashlib
 import itertools
+from collections.abc import Callable
 from typing import NamedTuple
 
+from waxwingford.relays._clocks import boottime_ms
 from waxwingford.relays._frames import FrameConnection, FrameTraffic
 from waxwingford.relays._messages import (
     Answer,
     Call,
     Hello,
     Leaving,
-    NotSent,
     Outcome,
     OwnerMessage,
     Payload,
+    PayloadMissing,
     PollCall,
+    Sent,
     StartCall,
     decode_outcome,
     decode_relay_frame,
@@ -31,6 +34,11 @@
 REINSTATEMENT_S = 1.0
 #: Time in seconds after which the connection of one that doesn't is closed.
 MAX_SILENCE_S = 10.0
+#: Jobs whose payload a relay is taken to have, at most.
+MAX_KNOWN_JOBS = 4096
+#: Time in seconds after which a connection is closed on which no relay has said who
+#: it is.
+MAX_ANONYMOUS_S = 5.0
 #: Bytes that may wait to be sent to a relay for it to get more calls.
 MAX_UNSENT_BYTES = 65_536
 
@@ -43,6 +51,8 @@
 class _Pending(NamedTuple):
     future: asyncio.Future[Outcome]
     deadline_s: float
+    call: Call
+    payload: str
 
 
 class RelayLink:
@@ -51,12 +61,20 @@
     :ivar daemon_id: daemon of the relay, empty until it has said so.
     """
 
-    def __init__(self, connection: FrameConnection) -> None:
-        """Use a connection that the relay has opened."""
+    def __init__(
+        self, connection: FrameConnection, since_boot_ms: Callable[[], int]
+    ) -> None:
+        """Use a connection that the relay has opened.
+
+        :param since_boot_ms: clock in ms that includes time in suspension.
+        """
+        self._now_ms = since_boot_ms
         self.daemon_id = ''
         self._connection = connection
         self._leaving = False
         self._usable_from_s: float = 0
+        now_s = asyncio.get_running_loop().time()
+        self._anonymous_until_s = now_s + MAX_ANONYMOUS_S
         self._silent_since_s: float | None = None
         self._pending_by_number: dict[int, _Pending] = {}
         self._known_jobs: set[str] = set()
@@ -91,13 +109,11 @@
         :returns: its outcome; unknown if the relay doesn't answer in time.
         """
         loop = asyncio.get_running_loop()
-        if isinstance(call, StartCall):
-            self._introduce(call.run.task.job_id, payload)
         future: asyncio.Future[Outcome] = loop.create_future()
         self._pending_by_number[call.number] = _Pending(
-            future, loop.time() + timeout_s
+            future, loop.time() + timeout_s, call, payload
         )
-        self._post(call)
+        self._send(call, payload)
         self._orders += not isinstance(call, PollCall)
         try:
             return await future
@@ -121,9 +137,13 @@
                 case Hello(daemon_id):
                     self.daemon_id = daemon_id
                     changed = True
+                    # The relay compares the age of later frames with this one.
+                    self._flush()
                 case Leaving():
                     self._leaving = True
                     changed = True
+                case PayloadMissing(number):
+                    self._send_again(number)
                 case _:
                     self._resolve(message)
         return changed
@@ -145,23 +165,32 @@
                 pending.future.set_result(late)
                 if self._silent_since_s is None:
                     self._silent_since_s = now_s
-        if self._is_gone(now_s):
+        anonymous = not self.daemon_id and now_s > self._anonymous_until_s
+        if anonymous or self._is_gone(now_s):
             self._connection.abort()
 
     def _is_gone(self, now_s: float) -> bool:
         since_s = self._silent_since_s
         return since_s is not None and now_s - since_s > MAX_SILENCE_S
 
-    def _introduce(self, job_id: str, payload: str) -> None:
-        if job_id not in self._known_jobs:
-            self._known_jobs.add(job_id)
-            self._post(Payload(job_id, payload))
+    def _send(self, call: Call, payload: str) -> None:
+        if isinstance(call, StartCall):
+            job_id = call.run.task.job_id
+            if len(self._known_jobs) >= MAX_KNOWN_JOBS:
+                self._known_jobs.clear()
+            if job_id not in self._known_jobs:
+                self._known_jobs.add(job_id)
+                self._post(Payload(job_id, payload))
+        self._post(call)
+
+    def _send_again(self, number: int) -> None:
+        pending = self._pending_by_number.get(number)
+        if pending is not None and isinstance(pending.call, StartCall):
+            self._known_jobs.discard(pending.call.run.task.job_id)
+            self._send(pending.call, pending.payload)
 
     def _resolve(self, answer: Answer) -> None:
         pending = self._pending_by_number.get(answer.number)
-        if isinstance(answer, NotSent):
-            # Its payloads may have been evicted.
-            self._known_jobs.clear()
         if pending is not None and not pending.future.done():
             pending.future.set_result(decode_outcome(answer))
 
@@ -171,8 +200,9 @@
         self._outbox.append(message)
 
     def _flush(self) -> None:
-        self._connection.send(encode_frame(self._outbox))
+        messages = [Sent(self._now_ms()), *self._outbox]
         self._outbox = []
+        self._connection.send(encode_frame(messages))
 
 
 class RelayPool:
@@ -181,8 +211,12 @@
     :ivar traffic: bytes exchanged with relays.
     """
 
-    def __init__(self) -> None:
-        """Create an empty pool."""
+    def __init__(self, since_boot_ms: Callable[[], int] = boottime_ms) -> None:
+        """Create an empty pool.
+
+        :param since_boot_ms: clock in ms that includes time in suspension.
+        """
+        self._now_ms = since_boot_ms
         self.traffic = FrameTraffic()
         self._link_by_connection: dict[FrameConnection, RelayLink] = {}
         self._usable: tuple[RelayLink, ...] = ()
@@ -268,13 +302,23 @@
         connection = FrameConnection(
             self._receive, self._on_closed, self.traffic
         )
-        self._link_by_connection[connection] = RelayLink(connection)
+        self._link_by_connection[connection] = RelayLink(
+            connection, self._now_ms
+        )
         return connection
 
     def _receive(self, connection: FrameConnection, frame: bytes) -> None:
-        if self._link_by_connection[connection].receive(frame):
+        link = self._link_by_connection[connection]
+        if link.receive(frame):
+            self._close_former(link)
             self.refresh()
 
+    def _close_former(self, newest: RelayLink) -> None:
+        """Close connections of former processes of a relay."""
+        for link in tuple(self._link_by_connection.values()):
+            if link is not newest and link.daemon_id == newest.daemon_id:
+                link.close()
+
     def _on_closed(self, connection: FrameConnection) -> None:
         self._link_by_connection.pop(connection).close()
         self.refresh()
--- a/waxwingford/relays/_relay.py
+++ b/waxwingford/relays/_relay.py
@@ -6,6 +6,7 @@
 
 import logbook
 
+from waxwingford.relays._clocks import boottime_ms
 from waxwingford.relays._frames import FrameConnection, FrameTraffic
 from waxwingford.relays._messages import (
     Answer,
@@ -15,8 +16,10 @@
     NotSent,
     PaceCall,
     Payload,
+    PayloadMissing,
     PollCall,
     RelayMessage,
+    Sent,
     StartCall,
     StopCall,
     decode_owner_frame,
@@ -31,6 +34,12 @@
 CONNECT_TIMEOUT_S = 1.0
 #: Time for which answers are collected into one frame, in seconds.
 ANSWER_DELAY_S = 0.004
+#: Age above which a call is not carried out any more, in ms: the owner has given it
+#: up, and a start that arrives long after that may begin on the next incarnation of
+#: its server.
+MAX_CALL_AGE_MS = 1500
+#: Drift of the clocks of two VMs, as a fraction.
+MAX_CLOCK_DRIFT = 0.02
 #: Payloads that a relay keeps, in bytes.
 MAX_PAYLOAD_BYTES = 4_000_000
 
@@ -68,6 +77,33 @@
 ]
 
 
+class FrameAge:
+    """Tells how long frames were on their way, without synchronised clocks.
+
+    The frame with the least difference between the clocks was on its way for the
+    shortest time; others are compared with it.
+    """
+
+    def __init__(self) -> None:
+        self._least_ms: float | None = None
+        self._updated_ms = 0
+
+    def measure(self, sent_ms: int, now_ms: int) -> float:
+        """Estimate the age of a frame, in ms.
+
+        :param sent_ms: sender's clock when it was sent, in ms.
+        :param now_ms: own clock, in ms.
+        """
+        difference_ms = now_ms - sent_ms
+        if self._least_ms is None:
+            self._least_ms = difference_ms
+        # A clock that is slower than the other one must not age all frames.
+        drift_ms = (now_ms - self._updated_ms) * MAX_CLOCK_DRIFT
+        self._least_ms = min(difference_ms, self._least_ms + drift_ms)
+        self._updated_ms = now_ms
+        return difference_ms - self._least_ms
+
+
 class Relay:
     """Offers itself to the owner of the shard, and carries out its calls.
 
@@ -83,21 +119,25 @@
         backend_client: BackendClient,
         owner_endpoint: Callable[[], str],
         connect: Connector | None = None,
+        since_boot_ms: Callable[[], int] = boottime_ms,
     ) -> None:
         """Create a relay; ``run`` connects it.
 
         :param owner_endpoint: returns the address at which the owner accepts
             relays, empty if there is none or this daemon owns the shard.
         :param connect: opens connections, TCP by default.
+        :param since_boot_ms: clock in ms that includes time in suspension.
         """
         self.traffic = FrameTraffic()
         self._hello = Hello(daemon_id)
         self._backend_client = backend_client
         self._owner_endpoint = owner_endpoint
         self._connect_to = connect
+        self._now_ms = since_boot_ms
         self._connection: FrameConnection | None = None
         self._endpoint = ''
         self._payloads = PayloadCache(MAX_PAYLOAD_BYTES)
+        self._frame_age = FrameAge()
         self._outbox: list[RelayMessage] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._leaving = False
@@ -124,10 +164,10 @@
             task.cancel()
 
     async def _connect(self, endpoint: str) -> None:
-        host, port = endpoint.rsplit(':', 1)
         loop = asyncio.get_running_loop()
         connect = self._connect_to or loop.create_connection
         try:
+            host, port = endpoint.rsplit(':', 1)
             _, connection = await asyncio.wait_for(
                 connect(
                     lambda: FrameConnection(
@@ -138,7 +178,7 @@
                 ),
                 CONNECT_TIMEOUT_S,
             )
-        except OSError as error:
+        except (OSError, ValueError, OverflowError) as error:
             # The owner may be starting, or gone; heartbeats tell who follows.
             _log.info(
                 'owner not reached',
@@ -149,6 +189,7 @@
         self._endpoint = endpoint
         # Payloads are counted by connection, as the owner may be another one.
         self._payloads = PayloadCache(MAX_PAYLOAD_BYTES)
+        self._frame_age = FrameAge()
         connection.send(encode_frame([self._hello]))
 
     def _disconnect(self) -> None:
@@ -156,16 +197,22 @@
             self._connection.abort()
         self._connection = None
         self._endpoint = ''
+        self._outbox = []
 
     def _on_closed(self, connection: FrameConnection) -> None:
         if connection is self._connection:
             self._disconnect()
 
     def _receive(self, connection: FrameConnection, frame: bytes) -> None:
+        age_ms: float = 0
         for message in decode_owner_frame(frame):
             match message:
+                case Sent(sent_ms):
+                    age_ms = self._frame_age.measure(sent_ms, self._now_ms())
                 case Payload(job_id, payload):
                     self._payloads.add(job_id, payload)
+                case _ if age_ms > MAX_CALL_AGE_MS:
+                    self._post(NotSent(message.number, 'relayed too late'))
                 case _:
                     task = asyncio.create_task(self._answer(message))
                     self._tasks.add(task)
@@ -178,11 +225,11 @@
             # Calls of another owner have numbers of their own.
             self._post(answer)
 
-    async def _carry_out(self, call: Call) -> Answer:
+    async def _carry_out(self, call: Call) -> Answer | PayloadMissing:
         if isinstance(call, StartCall):
             payload = self._payloads.find(call.run.task.job_id)
             if payload is None:
-                return NotSent(call.number, 'payload not known to the relay')
+                return PayloadMissing(call.number)
             work = self._backend_client.start(
                 call.address, _start_order(call, payload)
             )
@@ -207,9 +254,10 @@
         self._outbox.append(message)
 
     def _flush(self) -> None:
-        if self._connection is not None:
-            self._connection.send(encode_frame(self._outbox))
+        messages = self._outbox
         self._outbox = []
+        if self._connection is not None and messages:
+            self._connection.send(encode_frame(messages))
 
     def _on_task_done(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
