Update the drivers of servers only when the servers have changed

Each decision compared the drivers with all servers one by one, though servers come and go rarely. The list of servers is compared as a whole now, by identity; as long as a server has no address, all are looked at as before.

--- a/waxwingford/shard/_server_drivers.py
+++ b/waxwingford/shard/_server_drivers.py
@@ -36,6 +36,8 @@
         self._ports = ports
         self._directory = directory
         self._driver_by_server: dict[str, ServerDriver] = {}
+        # Servers at the latest update, empty if one had no address.
+        self._updated_servers: list[Server] = []
 
     @property
     def cut_off(self) -> bool:
@@ -122,10 +124,14 @@
         for driver in self._driver_by_server.values():
             driver.close()
         self._driver_by_server.clear()
+        self._updated_servers = []
 
     def _update_drivers(self) -> None:
         """Keep one driver for the current incarnation of each server."""
         server_by_id = self._engine.state.server_by_id
+        servers = list(server_by_id.values())
+        if servers == self._updated_servers:
+            return
         for server_id, driver in list(self._driver_by_server.items()):
             if server_by_id.get(server_id) is not driver.server:
                 self._driver_by_server.pop(server_id).close()
@@ -135,6 +141,8 @@
                 self._driver_by_server[server_id] = ServerDriver(
                     server, self._engine, self._ports
                 )
+        complete = len(self._driver_by_server) == len(servers)
+        self._updated_servers = servers if complete else []
 
 
 def _seems_lost(server: Server) -> bool:
