Check all servers and runs with fewer calls

Every maintenance round called a function for each run of all servers, and each placement round one function and two properties for each server. The conditions and their order are the same, without the calls.

--- a/waxwingford/scheduling/_engine.py
+++ b/waxwingford/scheduling/_engine.py
@@ -291,7 +291,6 @@
             self.settler.restarts.forget_old_doubts(server, now_ms)
         if _may_be_lost(server, self.timely):
             self.settler.settle_expired(server, now_ms)
-        runs = server.run_by_key.values()
         for run, step in _stalled_runs(server):
             run.stopping = True
             self.state.notes.add(
@@ -310,7 +309,7 @@
         if server.entry.draining and server.registered:
             _stop_movable_runs(server)
         owes_stops = server.unknown_runs or server.stops_owed
-        if owes_stops or any(map(_may_need_stop, runs)):
+        if owes_stops or _may_need_stops(server):
             self.settler.settle_unsent(server, now_ms)
             self._stopper.order_due(server, now_ms)
         if not server.registered and not server.run_by_key:
@@ -331,19 +330,25 @@
     return server.replaced or (unreachable and timely)
 
 
-def _may_need_stop(run: Run) -> bool:
-    return run.stopping or run.phase is RunPhase.unresolved
+def _may_need_stops(server: Server) -> bool:
+    # A loop, as a call for each run of all servers takes several times as long.
+    unresolved = RunPhase.unresolved
+    for run in server.run_by_key.values():
+        if run.stopping or run.phase is unresolved:
+            return True
+    return False
 
 
 def _stalled_runs(server: Server) -> Iterator[tuple[Run, Step]]:
+    changed_before_ms = server.polled_ms - STALLED_RUN_TIMEOUT_MS
     for key, run in server.run_by_key.items():
         # The cheapest and most selective checks come first.
-        stalled_ms = server.polled_ms - run.progress_changed_ms
         if (
-            stalled_ms <= STALLED_RUN_TIMEOUT_MS
+            run.progress_changed_ms >= changed_before_ms
             or run.phase is not RunPhase.present
         ):
             continue
+        stalled_ms = server.polled_ms - run.progress_changed_ms
         step = server.step_by_run[key]
         exempt = run.stopping or run.pace != FULL_PERCENT
         if not exempt and stalled_ms > _stall_timeout_ms(run, step):
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -351,17 +351,17 @@
 
 
 def _usable_servers(state: ShardState, now_ms: int) -> list[Server]:
+    # Few calls, as each round checks all servers.
+    available = [
+        server
+        for server in state.server_by_id.values()
+        if server.is_available and not server.unknown_runs
+    ]
     return [
         server
-        for server_id, server in state.server_by_id.items()
-        if _accepts_starts(server, now_ms)
-        and server_id not in state.withheld_servers
+        for server in available
+        if server.refusal_backoff_until_ms <= now_ms
+        and server.excluded_until_ms <= now_ms
+        and len(server.unanswered) < MAX_UNANSWERED_STARTS
+        and server.entry.server_id not in state.withheld_servers
     ]
-
-
-def _accepts_starts(server: Server, now_ms: int) -> bool:
-    if not server.is_available or server.unknown_runs:
-        return False
-    if server.no_starts_until_ms > now_ms:
-        return False
-    return len(server.unanswered) < MAX_UNANSWERED_STARTS
