Keep the encoded row of a task while what it is computed from stays the same

The latest row of a task is now kept together with all the values that it is computed from, and used again only if these are equal.

--- a/waxwingford/scheduling/_rows.py
+++ b/waxwingford/scheduling/_rows.py
@@ -50,6 +50,20 @@
     lost_runs: list[int] = []
 
 
+class _RowInputs(NamedTuple):
+    # Everything from which the row of a task is encoded. Each run is a number,
+    # the incarnation of its server, and whether that has outlived the start.
+    index: int
+    last_run: int
+    failures: int
+    done: bool
+    checkpoint: str
+    runs: tuple[tuple[int, Incarnation, bool], ...]
+    crash_evidence: int
+    waits_since_ms: int
+    lost_runs: tuple[int, ...]
+
+
 _encoder = msgspec.msgpack.Encoder()
 _rows_decoder = msgspec.msgpack.Decoder(list[_TaskRow])
 _spec_decoder = msgspec.msgpack.Decoder(JobSpec)
@@ -106,31 +120,53 @@
 
 
 def _encode_task(task: Task, wall_offset_ms: int) -> msgspec.Raw:
-    row = msgspec.Raw(_encoder.encode(_task_row(task, wall_offset_ms)))
+    # The rows of wide steps are written again with each of their tasks.
+    inputs = _row_inputs(task, wall_offset_ms)
+    latest = task.latest_row
+    if latest is not None and latest[0] == inputs:
+        return latest[1]
+    row = msgspec.Raw(_encoder.encode(_task_row(inputs)))
     if task.done and not (task.run_by_number or task.lost_runs):
-        # Nothing changes such a task, and the rows of wide steps are written
-        # again with each of their tasks.
+        # Nothing changes such a task.
         task.final_row = row
+        task.latest_row = None
+    else:
+        task.latest_row = inputs, row
     return row
 
 
-def _task_row(task: Task, wall_offset_ms: int) -> _TaskRow:
+def _row_inputs(task: Task, wall_offset_ms: int) -> _RowInputs:
     waits = not (task.done or task.run_by_number)
-    runs = tuple(
-        (number, str(run.incarnation))
+    runs = [
+        (number, run.incarnation, run.outlived)
         for number, run in task.run_by_number.items()
-    )
-    return _TaskRow(
+    ]
+    return _RowInputs(
         task.key.index,
         task.last_run,
         task.failures,
         task.done,
         task.checkpoint,
-        runs,
+        tuple(runs),
         task.crash_evidence,
-        all(run.outlived for run in task.run_by_number.values()),
         task.pending_since_ms + wall_offset_ms if waits else 0,
-        task.lost_runs,
+        tuple(task.lost_runs),
+    )
+
+
+def _task_row(inputs: _RowInputs) -> _TaskRow:
+    runs = [(number, str(server)) for number, server, _ in inputs.runs]
+    return _TaskRow(
+        inputs.index,
+        inputs.last_run,
+        inputs.failures,
+        inputs.done,
+        inputs.checkpoint,
+        tuple(runs),
+        inputs.crash_evidence,
+        all([outlived for _, _, outlived in inputs.runs]),
+        inputs.waits_since_ms,
+        list(inputs.lost_runs),
     )
 
 
--- a/waxwingford/scheduling/_state.py
+++ b/waxwingford/scheduling/_state.py
@@ -131,6 +131,7 @@
     :ivar best_effort: whether the task uses only CPU that other tasks leave
         idle.
     :ivar final_row: encoded row of a done task that can't change any more.
+    :ivar latest_row: latest encoded row, and what it was encoded from.
     """
 
     key: TaskKey
@@ -148,6 +149,7 @@
     pending_since_ms: int = 0
     best_effort: bool = False
     final_row: msgspec.Raw | None = None
+    latest_row: tuple[tuple[object, ...], msgspec.Raw] | None = None
 
 
 @dataclasses.dataclass(slots=True, eq=False)
