Compute the name of a step once, and skip phases that stay the same

The name was formatted four times for each start, and each answer to a poll set the phase of every listed run again. A run that is present was never counted as a start in progress, which the simulated shard now checks.

--- a/waxwingford/scheduling/_settle.py
+++ b/waxwingford/scheduling/_settle.py
@@ -237,7 +237,8 @@
             # seconds.
             run.percent = report.percent
             run.progress_changed_ms = now_ms
-        server.enter(run, RunPhase.present, now_ms)
+        if run.phase is not RunPhase.present:
+            server.enter(run, RunPhase.present, now_ms)
         self.restarts.note_listed(server, run)
         if run.started_server_clock_ms is None:
             run.started_server_clock_ms = server.latest_clock_ms
--- a/waxwingford/scheduling/_state.py
+++ b/waxwingford/scheduling/_state.py
@@ -160,6 +160,8 @@
     :ivar index: index of the step in the job.
     :ivar tasks: tasks in the order of their index.
     :ivar unfinished: number of tasks that are not done.
+    :ivar name: key of the step's row in the store: job id, repetition and index,
+        joined by dots.
     """
 
     job: 'Job'
@@ -168,14 +170,10 @@
     index: int
     tasks: list[Task]
     unfinished: int
+    name: str = dataclasses.field(init=False)
 
-    @property
-    def name(self) -> str:
-        """Key of the step's row in the store.
-
-        :returns: job id, repetition and index, joined by dots.
-        """
-        return f'{self.job.spec.job_id}.{self.occurrence}.{self.index}'
+    def __post_init__(self) -> None:
+        self.name = f'{self.job.spec.job_id}.{self.occurrence}.{self.index}'
 
     def runs_per_server(self) -> dict[str, int]:
         """Count the runs of this step on each server.
--- a/waxwingford/shard/tests/derived_state.py
+++ b/waxwingford/shard/tests/derived_state.py
@@ -1,5 +1,7 @@
 """Recounts of what an engine keeps up to date where its state changes."""
 
+from waxwingford.scheduling import RunPhase
+
 
 def find_differences(state):
     """Compare derived values of the servers of a shard with a recount.
@@ -17,6 +19,8 @@
 
 def _kept(server):
     return {
+        # Runs that would be counted as starts although they have an answer.
+        'answered_starts': [],
         'starts_in_progress': server.starts_in_progress,
         'serving': list(server.serving.items()),
         'best_effort': list(server.best_effort.items()),
@@ -28,7 +32,13 @@
         (key, (server.run_by_key[key], step))
         for key, step in server.step_by_run.items()
     ]
+    answered = (RunPhase.present, RunPhase.inherited)
     return {
+        'answered_starts': [
+            key
+            for key in (*server.unsent, *server.unanswered)
+            if server.run_by_key[key].phase in answered
+        ],
         'starts_in_progress': len(server.unsent) + len(server.unanswered),
         'serving': [
             (key, (run, step))
