Compute the losses of a best-effort step once for each setting of paces

Each run looked up the coefficients of its step with every serving step on the server. Runs of one step share them now; the order of the look-ups, in which new coefficients are stored, and all sums stay the same.

--- a/waxwingford/scheduling/_pacing.py
+++ b/waxwingford/scheduling/_pacing.py
@@ -169,42 +169,48 @@
     ) -> None:
         self._model = model
         self._server = server
-        self._available_by_step = {
-            step: _least_forecast(model.headroom_filter(step, now_ms), now_ms)
+        self._serving = serving_steps(server)
+        self._available = [
+            _least_forecast(model.headroom_filter(step, now_ms), now_ms)
             - MIN_HEADROOM
-            for step in serving_steps(server)
-        }
+            for step in self._serving
+        ]
+        self._losses_by_step: dict[Step, list[float]] = {}
 
     def reserve(self, best_effort: Step) -> None:
         """Subtract the full use of a run that is about to start."""
-        needed = full_pace_share(self._server, best_effort)
-        for step in self._available_by_step:
-            loss = needed * self._model.coefficient(step, best_effort)
-            self._available_by_step[step] -= loss
+        self._subtract(best_effort, 1)
 
     def allocate(self, best_effort: Step) -> int:
         """Allocate to a run as much of the remaining headroom as it needs.
 
         :returns: pace that the run may have, in percent.
         """
-        needed = full_pace_share(self._server, best_effort)
-        loss_by_step = {
-            step: needed * self._model.coefficient(step, best_effort)
-            for step in self._available_by_step
-        }
-        share = min(
-            (
-                max(0, self._available_by_step[step]) / loss
-                for step, loss in loss_by_step.items()
-                if loss
-            ),
-            default=1,
-        )
-        share = min(1, share)
-        for step, loss in loss_by_step.items():
-            self._available_by_step[step] -= loss * share
+        losses = self._losses(best_effort)
+        share: float = 1
+        for available, loss in zip(self._available, losses, strict=True):
+            if loss:
+                share = min(share, max(0, available) / loss)
+        self._subtract(best_effort, share)
         return int(share * FULL_PERCENT)
 
+    def _subtract(self, best_effort: Step, share: float) -> None:
+        losses = self._losses(best_effort)
+        for index, loss in enumerate(losses):
+            self._available[index] -= loss * share
+
+    def _losses(self, best_effort: Step) -> list[float]:
+        # Many runs on a server may be of one step.
+        losses = self._losses_by_step.get(best_effort)
+        if losses is None:
+            needed = full_pace_share(self._server, best_effort)
+            losses = [
+                needed * self._model.coefficient(step, best_effort)
+                for step in self._serving
+            ]
+            self._losses_by_step[best_effort] = losses
+        return losses
+
 
 def _least_forecast(step_filter: HeadroomFilter, now_ms: int) -> float:
     return min(
