--- a/waxwingford/scheduling/_rows.py
+++ b/waxwingford/scheduling/_rows.py
@@ -137,17 +137,16 @@
 
 def _row_inputs(task: Task, wall_offset_ms: int) -> _RowInputs:
     waits = not (task.done or task.run_by_number)
-    runs = [
-        (number, run.incarnation, run.outlived)
-        for number, run in task.run_by_number.items()
-    ]
+    runs: tuple[tuple[int, Incarnation, bool], ...] = ()
+    for number, run in task.run_by_number.items():
+        runs = (*runs, (number, run.incarnation, run.outlived))
     return _RowInputs(
         task.key.index,
         task.last_run,
         task.failures,
         task.done,
         task.checkpoint,
-        tuple(runs),
+        runs,
         task.crash_evidence,
         task.pending_since_ms + wall_offset_ms if waits else 0,
         tuple(task.lost_runs),
