--- a/waxwingford/scheduling/_backlog.py
+++ b/waxwingford/scheduling/_backlog.py
@@ -1,7 +1,7 @@
 """Outcome of a decision: what was placed, and what its limit of starts left."""
 
 import collections
-from collections.abc import Iterable
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from waxwingford.scheduling._state import Step
@@ -31,13 +31,15 @@
 
 
 def count_backlog(
-    left: Iterable[PendingTask], before: Backlog, with_best_effort: bool
+    left: Sequence[PendingTask], before: Backlog, with_best_effort: bool
 ) -> Backlog:
     """Count the tasks that a round left.
 
     :param before: backlog after the round before.
     :param with_best_effort: whether the round looked at best-effort tasks.
     """
+    if not left:
+        return Backlog(0, 0 if with_best_effort else before.best_effort)
     by_kind: collections.Counter[bool] = collections.Counter()
     last_steps: dict[tuple[str, int], Step] = {}
     for pending in left:
