Give up tasks later while servers are lost by themselves

Callers lost sound jobs: two losses of servers right after a start of the task failed its job, however often servers were lost on which nothing had begun.

Cause: the judgement looked at other servers only where they fell at the same moment as that of the task. And most of these jobs were failed by an owner that had just taken over and knew of no other loss.

A loss of a server on which nothing had just begun can have no task as its cause. Servers that drained, and servers that tasks may have crashed, don't count, so crashing tasks don't hide each other, which a judgement by likelihood had to be dropped for.

Evidence: on the code before, the scenarios 'a task is lost while servers are lost by themselves' and 'the next owner knows that servers are lost by themselves' fail.

--- a/waxwingford/scheduling/_crashes.py
+++ b/waxwingford/scheduling/_crashes.py
@@ -23,10 +23,11 @@
 #: server was lost together with it; none if more were.
 CRASH_EVIDENCE = 2
 WEAK_EVIDENCE = 1
-#: Share of silent servers above which the smaller evidence is added, and of
-#: servers lost together with one above which none is.
+#: Share of silent servers above which the smaller evidence is added, of servers
+#: lost together with one above which none is, and of servers lost by themselves
+#: above which more is needed.
 MAX_SILENT_SHARE = 0.125
-MIN_COMPANIONS = 2
+MIN_MANY_LOSSES = 2
 #: Evidence at which a task becomes a suspect and starts alone.
 SUSPECT_EVIDENCE = 2
 #: Evidence at which the job fails. The lower value applies if another
@@ -34,6 +35,8 @@
 #: server may only be unreachable, or what a previous owner knew last may be
 #: lost.
 CONFIRMED_FAIL_EVIDENCE = 4
+#: The same while servers are lost by themselves as well.
+UNSETTLED_FAIL_EVIDENCE = 5
 UNCONFIRMED_FAIL_EVIDENCE = 8
 
 
@@ -46,8 +49,17 @@
     :param now_ms: current monotonic time, in ms.
     """
     loss = _describe_loss(state, server, suspects)
-    state.crash_records.losses.add(loss, now_ms)
-    return Crash(loss, server.replaced, _count_causes(state, suspects))
+    losses = state.crash_records.losses
+    losses.add(loss, now_ms)
+    wall_ms = now_ms + state.wall_offset_ms
+    if not (suspects or server.entry.draining):
+        losses.add_uncaused(wall_ms)
+    return Crash(
+        loss,
+        server.replaced,
+        _count_causes(state, suspects),
+        losses.count_uncaused(wall_ms),
+    )
 
 
 def find_suspects(server: Server) -> list[Run]:
@@ -85,7 +97,7 @@
         companions = state.crash_records.losses.count_companions(
             crash.loss, task.key.job_id, seeming
         )
-        if companions >= _many_companions(state):
+        if companions >= _many_losses(state):
             _excuse(state, task, run, companions)
             continue
         strong = failed and not companions and _may_have_begun(run)
@@ -103,8 +115,8 @@
         _give_up_crashing(state, task, step, crash)
 
 
-def _many_companions(state: ShardState) -> float:
-    return max(MIN_COMPANIONS, len(state.server_by_id) * MAX_SILENT_SHARE)
+def _many_losses(state: ShardState) -> float:
+    return max(MIN_MANY_LOSSES, len(state.server_by_id) * MAX_SILENT_SHARE)
 
 
 def _excuse(state: ShardState, task: Task, run: Run, companions: int) -> None:
@@ -126,16 +138,19 @@
 def _give_up_crashing(
     state: ShardState, task: Task, step: Step, crash: Crash
 ) -> None:
-    fail_evidence = (
-        CONFIRMED_FAIL_EVIDENCE
-        if crash.proven and crash.causes == 1
-        else UNCONFIRMED_FAIL_EVIDENCE
-    )
-    if task.crash_evidence >= fail_evidence:
+    if task.crash_evidence >= _fail_evidence(state, crash):
         state.notes.add('task.given_up', task.key, evidence=task.crash_evidence)
         state.finish(step.job, JobPhase.failed)
 
 
+def _fail_evidence(state: ShardState, crash: Crash) -> int:
+    if not crash.proven or crash.causes > 1:
+        return UNCONFIRMED_FAIL_EVIDENCE
+    if crash.others_uncaused >= _many_losses(state):
+        return UNSETTLED_FAIL_EVIDENCE
+    return CONFIRMED_FAIL_EVIDENCE
+
+
 def clear_outlived(state: ShardState, server: Server) -> None:
     """Clear the suspicion of tasks whose start a server has outlived.
 
--- a/waxwingford/scheduling/_engine.py
+++ b/waxwingford/scheduling/_engine.py
@@ -31,6 +31,7 @@
 from waxwingford.scheduling._recovery import InheritedLeases, StateRecovery
 from waxwingford.scheduling._rows import (
     INTERFERENCE_KEY,
+    LOSSES_KEY,
     OBSOLETE_INTERFERENCE_KEY,
 )
 from waxwingford.scheduling._servers import Server, ServerEntry
@@ -148,6 +149,12 @@
                 self._harm.restore(harm)
             except ValueError as error:
                 self.state.notes.add_unreadable(INTERFERENCE_KEY, error)
+        losses = rows.pop(LOSSES_KEY, None)
+        if losses is not None:
+            try:
+                self.state.crash_records.losses.restore(losses)
+            except ValueError as error:
+                self.state.notes.add_unreadable(LOSSES_KEY, error)
         self.recovery.restore(rows)
 
     def inherit(self, now_ms: int, wall_ms: int) -> None:
@@ -156,6 +163,7 @@
         :param now_ms: current monotonic time, in ms.
         :param wall_ms: current Unix time, in ms.
         """
+        self.state.wall_offset_ms = wall_ms - now_ms
         self.recovery.apply(now_ms, wall_ms)
         self._jobs_to_release.update(self.state.job_by_id)
 
--- a/waxwingford/scheduling/_losses.py
+++ b/waxwingford/scheduling/_losses.py
@@ -2,17 +2,25 @@
 
 Servers that close their connections at the same moment were lost for one reason,
 such as a failed rack. If some of them had begun nothing that explains their loss,
-this reason is no task.
+this reason is no task. Nor is one the reason for the loss of a server on which
+nothing had just begun. The times of such losses are stored, so that the next
+owner knows how often servers are lost by themselves.
 """
 
 from collections.abc import Iterable
 from typing import NamedTuple
 
+import msgspec
+
 #: Longest time between losses that came together, in ms. It allows for an event
 #: loop that reads its sockets late.
 TOGETHER_MS = 500
 #: Time for which losses are kept, in ms.
 KEPT_MS = 20_000
+#: Largest number of times of losses without a cause that are kept.
+MAX_KEPT_TIMES = 32
+
+_times_decoder = msgspec.msgpack.Decoder(list[int])
 
 
 class Loss(NamedTuple):
@@ -36,18 +44,26 @@
 
     :ivar proven: whether another incarnation proves that it has crashed.
     :ivar causes: number of tasks or gangs that may have caused it.
+    :ivar others_uncaused: number of recent losses of servers on which nothing
+        had just begun.
     """
 
     loss: Loss
     proven: bool
     causes: int
+    others_uncaused: int
 
 
 class LossHistory:
-    """Recent losses of servers."""
+    """Recent losses of servers.
+
+    :ivar changed: whether the times of losses without a cause are to be stored.
+    """
 
     def __init__(self) -> None:
         self._losses: list[Loss] = []
+        self._uncaused_ms: list[int] = []
+        self.changed = False
 
     def add(self, loss: Loss, now_ms: int) -> None:
         """Add a loss and forget old ones.
@@ -60,6 +76,34 @@
             ]
             self._losses.append(loss)
 
+    def add_uncaused(self, wall_ms: int) -> None:
+        """Add the loss of a server on which nothing had just begun.
+
+        :param wall_ms: current Unix time, in ms.
+        """
+        self._uncaused_ms = [*self._uncaused_ms, wall_ms][-MAX_KEPT_TIMES:]
+        self.changed = True
+
+    def count_uncaused(self, wall_ms: int) -> int:
+        """Count the recent losses of servers on which nothing had just begun.
+
+        :param wall_ms: current Unix time, in ms. Those of previous owners may be
+            later by their clocks.
+        """
+        return sum(abs(wall_ms - one) < KEPT_MS for one in self._uncaused_ms)
+
+    def encode(self) -> bytes:
+        """Serialise the times of losses without a cause for the store."""
+        return msgspec.msgpack.encode(self._uncaused_ms)
+
+    def restore(self, raw: bytes) -> None:
+        """Load these times as stored by a previous owner.
+
+        :param raw: bytes returned by ``encode``.
+        :raises ValueError: if the bytes are malformed.
+        """
+        self._uncaused_ms = _times_decoder.decode(raw)
+
     def count_companions(
         self, loss: Loss, job_id: str, seeming: Iterable[Loss]
     ) -> int:
--- a/waxwingford/scheduling/_rows.py
+++ b/waxwingford/scheduling/_rows.py
@@ -24,6 +24,8 @@
 ENDED_PREFIX = 'ended/'
 #: Key of the learned interference of best-effort tasks.
 INTERFERENCE_KEY = 'effects'
+#: Key of the times at which servers were lost without a task as a cause.
+LOSSES_KEY = 'losses'
 #: Key used by older versions, which store these values in another unit. They
 #: must not be read: they would make harmful pairs of images look harmless.
 OBSOLETE_INTERFERENCE_KEY = 'harm'
@@ -248,6 +250,7 @@
 __all__ = (
     'ENDED_PREFIX',
     'INTERFERENCE_KEY',
+    'LOSSES_KEY',
     'StepKey',
     'apply_step_row',
     'decode_end',
--- a/waxwingford/scheduling/_settle.py
+++ b/waxwingford/scheduling/_settle.py
@@ -82,6 +82,8 @@
                 self._apply_listing(server, sent_ms, now_ms, outcome)
             case ServerReplaced():
                 server.replaced = True
+                if not server.run_by_key:
+                    crashes.record_loss(self._state, server, [], now_ms)
                 self.settle_expired(server, now_ms)
             case OrderRefused() | OrderNotSent() | OrderOutcomeUnknown():
                 reason = str(outcome)
--- a/waxwingford/scheduling/_shard_state.py
+++ b/waxwingford/scheduling/_shard_state.py
@@ -20,6 +20,7 @@
 from waxwingford.scheduling._rows import (
     ENDED_PREFIX,
     INTERFERENCE_KEY,
+    LOSSES_KEY,
     encode_end,
     encode_step_row,
 )
@@ -93,7 +94,7 @@
         """Whether a batch has to be stored.
 
         :returns: whether rows of jobs, starts or acknowledgements are pending;
-            ``interference_row`` alone waits for the next of these.
+            ``interference_row`` or losses alone wait for the next of these.
         """
         return bool(
             self._dirty_step_by_name
@@ -177,6 +178,10 @@
         if self.interference_row is not None:
             payload_by_key[INTERFERENCE_KEY] = self.interference_row
             self.interference_row = None
+        losses = self.crash_records.losses
+        if losses.changed:
+            payload_by_key[LOSSES_KEY] = losses.encode()
+            losses.changed = False
         batch = Batch(
             payload_by_key,
             self._pending_starts,
--- a/waxwingford/scheduling/tests/crash_steps.py
+++ b/waxwingford/scheduling/tests/crash_steps.py
@@ -78,6 +78,30 @@
     return [run for run in harness.planned_runs if run.key.task.job_id == JOB]
 
 
+def idle_server(harness):
+    servers = harness.engine.state.server_by_id
+    return next(
+        server_id
+        for server_id, server in reversed(servers.items())
+        if not server.run_by_key
+    )
+
+
+@when('{count:d} servers without runs crash')
+def idle_servers_crash(context, count):
+    for _ in range(count):
+        context.harness.crash(idle_server(context.harness))
+
+
+@when('{count:d} servers without runs crash after they have drained')
+def drained_servers_crash(context, count):
+    for _ in range(count):
+        server_id = idle_server(context.harness)
+        context.harness.drain(server_id)
+        context.harness.crash(server_id, back=False)
+
+
+@when('the server of the task crashes {times:d} times, each time at once')
 @when('the server of the task crashes {times:d} time, each time at once')
 def crashes_at_once(context, times):
     crashes_after(context, times, 0)
--- a/waxwingford/scheduling/tests/crashes.feature
+++ b/waxwingford/scheduling/tests/crashes.feature
@@ -184,6 +184,48 @@
     Then its task is suspected of a crash
     And the job is reported as running
 
+  Scenario: a task is lost while servers are lost by themselves
+    # Guards against failing a sound job where servers crash often.
+    Given an engine with 6 servers of 8 cores
+    When a job of 1 task is submitted
+    And the server of the task crashes 1 time, each time at once
+    And 2 servers without runs crash
+    And the server of the task crashes 1 time, each time at once
+    Then the job is reported as running
+    When the server of the task crashes 1 time, each time at once
+    Then the job is reported as failed
+
+  Scenario: the next owner knows that servers are lost by themselves
+    # Guards against failing a sound job where owners are lost with servers.
+    Given an engine with 6 servers of 8 cores
+    When a job of 1 task is submitted
+    And 2 servers without runs crash
+    And the server of the task crashes 1 time, each time at once
+    And the owner changes
+    And the server of the task crashes 1 time, each time at once
+    Then the job is reported as running
+    When the server of the task crashes 1 time, each time at once
+    Then the job is reported as failed
+
+  Scenario: servers that were lost by themselves long ago
+    # Guards against starting a crashing task more often than needed.
+    Given an engine with 6 servers of 8 cores
+    When 1 s pass in the engine
+    And 2 servers without runs crash
+    And 21 s pass in the engine
+    And a job of 1 task is submitted
+    And the server of the task crashes 2 times, each time at once
+    Then the job is reported as failed
+
+  Scenario: servers that were drained are lost
+    # Guards against taking servers that shut down as planned for crashed ones.
+    Given an engine with 6 servers of 8 cores
+    When 1 s pass in the engine
+    And 2 servers without runs crash after they have drained
+    And a job of 1 task is submitted
+    And the server of the task crashes 2 times, each time at once
+    Then the job is reported as failed
+
   Scenario Outline: several tasks crash their servers at the same moment each time
     # Guards against tasks that excuse each other for ever.
     Given an engine with 16 servers of 8 cores
--- a/waxwingford/shard/tests/records.feature
+++ b/waxwingford/shard/tests/records.feature
@@ -25,6 +25,8 @@
       | journal | ended/00000000000000ff  | of another type |
       | journal | effects                 | truncated       |
       | journal | effects                 | of another type |
+      | journal | losses                  | truncated       |
+      | journal | losses                  | of another type |
       | journal | something else          | truncated       |
 
   Scenario Outline: the row of a step can't be decoded
