Count ends of starts that were stopped without an answer

A start without an answer was stopped and settled; its server restarted in place, and the next incarnation, which knows no stop, carried the start out. Its end was read and acknowledged, but counted for no run: only runs of lost servers are kept for late ends.

Such starts are kept as well.

--- a/waxwingford/scheduling/_late_ends.py
+++ b/waxwingford/scheduling/_late_ends.py
@@ -24,7 +24,8 @@
     may_be_listed = not server.replaced and run.phase is not RunPhase.planned
     if found is not None and may_be_listed:
         task = found[0]
-        task.lost_runs = [*task.lost_runs, run.key.run][-MAX_LOST_RUNS:]
+        others = [one for one in task.lost_runs if one != run.key.run]
+        task.lost_runs = [*others, run.key.run][-MAX_LOST_RUNS:]
 
 
 def take_late_end(
--- a/waxwingford/scheduling/_run_settlement.py
+++ b/waxwingford/scheduling/_run_settlement.py
@@ -2,6 +2,7 @@
 
 from waxwingford.scheduling import _gangs as gangs
 from waxwingford.scheduling._backend_client import EndKind
+from waxwingford.scheduling._late_ends import note_lost
 from waxwingford.scheduling._penalties import (
     FAILED_RUN_PENALTY,
     SUCCESS_PENALTY_FACTOR,
@@ -35,6 +36,8 @@
         server.remove(run.key)
         if kind is None and run.phase is RunPhase.unresolved:
             server.starts_in_doubt[run.key] = now_ms
+            # Another incarnation may carry it out, and list its end.
+            note_lost(self._state, server, run)
         self._state.notes.add(
             'run.settled',
             run.key.task,
--- a/waxwingford/scheduling/tests/engine.feature
+++ b/waxwingford/scheduling/tests/engine.feature
@@ -229,6 +229,24 @@
     And the next incarnation answers a poll and lists no runs
     Then the former run is settled without a stop
 
+  Scenario: a start that was stopped ends as done after a restart in place
+    # Guards against repeating a task whose stopped start was carried out by the next
+    # incarnation, which knows no stop.
+    Given an engine with 1 servers of 8 cores that tell when they started
+    When a job of 1 task is submitted whose start has no answer
+    And the start is stopped, and its server lists no runs
+    Then its task has 2 runs
+    When its server restarts in place and lists the first run as done
+    Then the job is reported as completed
+
+  Scenario: stopped starts that fail after a restart in place count as attempts
+    # Guards against exceeding the number of attempts.
+    Given an engine with 1 servers of 8 cores that tell when they started
+    When a job of 1 task is submitted whose start has no answer
+    And the start is stopped, and its server lists no runs
+    And its server restarts in place and lists the first run as failed
+    Then the task has failed 1 times
+
   Scenario: the last server with room for a long-running task is not excluded after failures
     # Guards against counting servers full of other long-running tasks as alternatives.
     Given an engine with 2 servers of 8 cores
--- a/waxwingford/scheduling/tests/restart_steps.py
+++ b/waxwingford/scheduling/tests/restart_steps.py
@@ -5,6 +5,8 @@
 from hypothesis import strategies
 
 from waxwingford.scheduling import (
+    EndKind,
+    EndReport,
     Incarnation,
     JobSpec,
     OrderAccepted,
@@ -120,7 +122,7 @@
 def restart_task_server(context):
     harness = context.harness
     restart_server_of(harness, harness.planned_runs[-1])
-    list_nothing(harness, harness.planned_runs[-1])
+    list_no_run(harness, harness.planned_runs[-1])
 
 
 def restart_server_of(harness, run):
@@ -129,12 +131,16 @@
     register_start(harness, run.server_id, started_ms)
 
 
-def list_nothing(harness, run):
-    """Let the server of a run answer a poll without any runs."""
+def list_no_run(harness, run):
+    """Let the server of a run answer a poll without any run."""
     sent_ms = harness.now_ms
     harness.now_ms += 2
-    started_ms = harness.started_ms_by_server[run.server_id]
-    answer = PollResult(harness.now_ms, (), (), started_ms)
+    answer = PollResult(
+        harness.now_ms,
+        (),
+        tuple(harness.ends[run.server_id]),
+        harness.started_ms_by_server.get(run.server_id, harness.started_ms),
+    )
     server = harness.engine.state.server_by_id[run.server_id]
     harness.engine.poll_answered(server, sent_ms, harness.now_ms, answer)
 
@@ -148,7 +154,7 @@
     run = harness.planned_runs[-1]
     restart_server_of(harness, run)
     change_owner(context)
-    list_nothing(harness, run)
+    list_no_run(harness, run)
     harness.decide()
 
 
@@ -173,12 +179,12 @@
         run = harness.planned_runs[number]
         answer_start(harness, run, broken)
         restart_server_of(harness, run)
-        list_nothing(harness, run)
-        stop_at_next_incarnation(harness, run)
+        list_no_run(harness, run)
+        stop_start(harness, run)
     harness.decide()
 
 
-def stop_at_next_incarnation(harness, run):
+def stop_start(harness, run):
     harness.now_ms += UNCONFIRMED_START_TIMEOUT_MS
     harness.decide()
     harness.engine.settler.stop_answered(
@@ -188,7 +194,23 @@
         OrderAccepted(harness.now_ms),
     )
     harness.now_ms += 1
-    list_nothing(harness, run)
+    list_no_run(harness, run)
+
+
+@when('the start is stopped, and its server lists no runs')
+def stop_doubtful(context):
+    stop_start(context.harness, context.run)
+    context.harness.decide()
+
+
+@when('its server restarts in place and lists the first run as {how}')
+def end_after_restart(context, how):
+    harness = context.harness
+    restart_server_of(harness, context.run)
+    end = EndReport(1, context.run.key, EndKind(how), '')
+    harness.ends[context.run.server_id] = [end]
+    list_no_run(harness, context.run)
+    harness.decide()
 
 
 @when('the next incarnation answers a poll of the former one')
@@ -208,6 +230,12 @@
     assert not harness.stops(), harness.stops()
 
 
+@then('the task has failed {count:d} times')
+def check_failures(context, count):
+    found = context.harness.engine.state.find(context.run.key)
+    assert found[0].failures == count, found[0].failures
+
+
 @then('the server is to be polled at once')
 def check_polled_at_once(context):
     assert only_server(context.harness).claimed_ms == EARLIER_MS
--- a/waxwingford/shard/tests/restarts.feature
+++ b/waxwingford/shard/tests/restarts.feature
@@ -179,6 +179,7 @@
       | 6    |
       | 10   |
       | 17   |
+      | 71   |
 
   Scenario Outline: random faults with servers that lose late orders when they restart
     # Guards against running tasks twice, losing jobs, or starting tasks beyond their
