--- a/waxwingford/shard/tests/restarts.feature
+++ b/waxwingford/shard/tests/restarts.feature
@@ -198,3 +198,4 @@
       | 6    |
       | 7    |
       | 8    |
+      | 13   |
