--- a/waxwingford/shard/tests/restarts.feature
+++ b/waxwingford/shard/tests/restarts.feature
@@ -180,6 +180,7 @@
       | 10   |
       | 17   |
       | 71   |
+      | 20   |
 
   Scenario Outline: random faults with servers that lose late orders when they restart
     # Guards against running tasks twice, losing jobs, or starting tasks beyond their
