--- a/waxwingford/relays/_client.py
+++ b/waxwingford/relays/_client.py
@@ -122,17 +122,14 @@
             return None
         return self._pool.choose(address.server_id)
 
-    def forget_failures(self) -> None:
-        """Use relays again for servers whose last call had no answer."""
-        self._direct_until_s_by_server.clear()
-
     def _relays_needed(self, address: Address) -> bool:
         now_s = asyncio.get_running_loop().time()
         self._demand.update(now_s)
-        direct_until_s = self._direct_until_s_by_server.get(
-            address.server_id, 0
-        )
-        return self._demand.needed and now_s >= direct_until_s
+        direct_until_s = self._direct_until_s_by_server.get(address.server_id)
+        if direct_until_s is not None and now_s < direct_until_s:
+            return False
+        self._direct_until_s_by_server.pop(address.server_id, None)
+        return self._demand.needed
 
     async def _relay(
         self,
--- a/waxwingford/relays/tests/relays_steps.py
+++ b/waxwingford/relays/tests/relays_steps.py
@@ -20,6 +20,7 @@
     RelayPool,
 )
 from waxwingford.relays import _relay as relay_module
+from waxwingford.relays._client import DIRECT_AFTER_FAILURE_S
 from waxwingford.relays._frames import MAX_FRAME_BYTES, FrameError
 from waxwingford.relays._messages import (
     Payload,
@@ -257,8 +258,6 @@
     order = StartOrder(RUN, 'payload', 5000, 7, 'checkpoint', 'ticket')
 
     async def _call(client):
-        # The client avoids relays after a call without an answer.
-        context.client.forget_failures()
         return [
             await client.start(SERVER, order),
             await client.stop(SERVER, RUN, 7),
@@ -266,7 +265,6 @@
         ]
 
     async def _poll(client):
-        context.client.forget_failures()
         return [await client.poll(SERVER, POLL)]
 
     context.results = []
@@ -276,6 +274,8 @@
             fake.outcome = outcome
             fake.poll_outcome = POLL_RESULT if accepted else outcome
         for make in (_call, _poll):
+            # Relays are avoided for a while after a call without an answer.
+            pass_time(context, DIRECT_AFTER_FAILURE_S)
             context.results.append(
                 (
                     run(context, make(context.client)),
@@ -401,7 +401,6 @@
 @when('another task of the first job is started')
 def start_another(context):
     context.calls.clear()
-    context.client.forget_failures()
     context.order = start_order(context, 1, 'job 0')
     context.outcome = run(
         context, context.client.start(task_server(1), context.order)
--- a/waxwingford/shard/_start_control.py
+++ b/waxwingford/shard/_start_control.py
@@ -1,4 +1,4 @@
-"""Decides no more than the owner's processor carries out in time."""
+"""Decides no more than the owner's VM carries out in time."""
 
 from waxwingford.scheduling import Engine
 from waxwingford.shard._admission_control import AdmissionControl, RetryAfter
@@ -11,14 +11,16 @@
 class StartControl:
     """Limits starts in progress, and refuses jobs that would wait for long."""
 
-    def __init__(self, cores: float, lag: Lateness, observer: Observer) -> None:
+    def __init__(
+        self, cores: float, lateness: Lateness, observer: Observer
+    ) -> None:
         """Start with the initial window and all jobs accepted.
 
         :param cores: processor capacity of the owner's VM, in reference cores.
         """
-        self._lag = lag
+        self._lateness = lateness
         self._overload_log = OverloadLog(observer, cores)
-        self._window = StartWindow(lag)
+        self._window = StartWindow(lateness)
         self._admission = AdmissionControl()
 
     @property
@@ -47,5 +49,5 @@
         self._window.note_added(in_progress, decision.placed)
         self._admission.update(decision, self._window, now_ms)
         self._overload_log.log_overload(
-            engine.orders.token, self._lag, self.retry_after
+            engine.orders.token, self._lateness, self.retry_after
         )
--- a/waxwingford/shard/_start_window.py
+++ b/waxwingford/shard/_start_window.py
@@ -1,22 +1,22 @@
-"""Limits the starts in progress to what the owner's processor handles in time."""
+"""Limits the starts in progress to what the owner's VM handles in time."""
 
 from waxwingford.shard._lateness import Lateness
 
 #: Smallest window, so that tasks go on to start on any VM.
 MIN_STARTS = 2
 INITIAL_STARTS = 16
-#: Lag of the event loop below which the window grows, and above which it shrinks,
-#: in seconds.
-LOW_LAG_S = 0.07
-HIGH_LAG_S = 0.13
+#: Lateness of answers below which the window grows, and above which it shrinks, in
+#: seconds.
+LOW_LATENESS_S = 0.07
+HIGH_LATENESS_S = 0.13
 GROWTH_FACTOR = 1.15
 SHRINK_FACTOR = 0.75
 #: Share of the window that must be in use for it to grow: until then nothing is
 #: known about more starts at a time.
 USED_SHARE = 0.5
-#: Time for which starts count as limited after the event loop was late, in ms.
+#: Time for which starts count as limited after answers were late, in ms.
 RECENT_LAG_MS = 5000
-#: Time between two changes of the window, in ms: the lag follows with a delay.
+#: Time between two changes of the window, in ms: the lateness follows with a delay.
 CHANGE_INTERVAL_MS = 200
 
 
@@ -24,38 +24,38 @@
     """Number of starts that may be in progress at a time.
 
     A start is in progress from its placement until its server has answered. Without
-    a limit, starts queue up behind each other in an overloaded event loop for longer
-    than their timeout; they are then doubted, stopped and repeated, which is more
-    work than the starts themselves.
+    a limit, starts queue up behind each other in an overloaded event loop, or in a full
+    link, for longer than their timeout; they are then doubted, stopped and repeated,
+    which is more work than the starts themselves.
 
     :ivar exhausted: whether the smallest window is too large for the owner.
     """
 
-    def __init__(self, lag: Lateness) -> None:
+    def __init__(self, lateness: Lateness) -> None:
         """Start with the initial window."""
         self._starts: float = INITIAL_STARTS
-        self._lag = lag
+        self._lateness = lateness
         self._changed_ms = 0
         self._most_in_progress = 0
         self._late_ms = -RECENT_LAG_MS
 
     @property
     def limited_by_lag(self) -> bool:
-        """Whether the lag of the event loop keeps the window from growing.
+        """Whether late answers keep the window from growing.
 
         Otherwise starts wait for something else, for example for a slow store.
         """
-        return self._lag.mean_s >= LOW_LAG_S
+        return self._lateness.mean_s >= LOW_LATENESS_S
 
     @property
     def exhausted(self) -> bool:
         """Whether the owner is overloaded although it starts next to nothing."""
-        return self._starts <= MIN_STARTS and not self._lag.acceptable
+        return self._starts <= MIN_STARTS and not self._lateness.acceptable
 
     def recently_limited(self, now_ms: int) -> bool:
-        """Whether the lag has kept the window from growing recently.
+        """Whether late answers have kept the window from growing recently.
 
-        The lag falls as soon as fewer starts are in progress, while the backlog
+        The lateness falls as soon as fewer starts are in progress, while the backlog
         is still there.
 
         :param now_ms: current monotonic time, in ms.
@@ -91,10 +91,12 @@
         self._most_in_progress = max(self._most_in_progress, in_progress)
 
     def _adapt(self, in_progress: int) -> None:
-        lag_s = self._lag.mean_s
-        if lag_s > HIGH_LAG_S and in_progress:
-            # A part of the window that wasn't used didn't cause the lag.
+        late_s = self._lateness.mean_s
+        if late_s > HIGH_LATENESS_S and in_progress:
+            # A part of the window that wasn't used didn't cause it.
             used = min(self._starts, in_progress)
             self._starts = max(MIN_STARTS, used * SHRINK_FACTOR)
-        elif lag_s < LOW_LAG_S and in_progress >= self._starts * USED_SHARE:
+        elif (
+            late_s < LOW_LATENESS_S and in_progress >= self._starts * USED_SHARE
+        ):
             self._starts *= GROWTH_FACTOR
