--- a/review/tests/scene.py
+++ b/review/tests/scene.py
@@ -109,6 +109,10 @@
             if number == signal.SIGKILL:
                 self._process.wait()
 
+    def has_ended(self) -> bool:
+        """Tell whether the process has ended."""
+        return self._process is not None and self._process.poll() is not None
+
     async def is_ready(self) -> bool:
         """Ask for readiness, as the platform does."""
         answer = await request(self.ready, 'GET', '/api/ready')
