--- a/review/tests/workers.py
+++ b/review/tests/workers.py
@@ -121,9 +121,9 @@
         self.refuses_with = 0
         #: Fails all that it starts.
         self.fails = False
-        #: Called after each run that it has begun.
-        self.began: Callable[[Worker, Run], None] = _ignore
-        self._fleet = fleet
+        #: Called with each start that arrives; returns whether it has crashed.
+        self.start_arrives: Callable[[Worker], bool] = _ignore
+        self.fleet = fleet
         self._seq = itertools.count(1)
         self._reset()
 
@@ -144,7 +144,7 @@
         """Begin a life, under a new id and with nothing from before."""
         self._reset()
         self._service_port = HttpService(self._answer)
-        self.port = await self._service_port.serve(self._fleet.host, self.port)
+        self.port = await self._service_port.serve(self.fleet.host, self.port)
         self.up = True
         self.register()
 
@@ -156,23 +156,23 @@
             if run.timer is not None:
                 run.timer.cancel()
         self.run_by_task = {}
-        self._fleet.record(event='worker crashed', worker=self.id)
+        self.fleet.record(event='worker crashed', worker=self.id)
 
     async def leave(self, drain_s: float) -> None:
         """Drain, then exit as planned; nothing runs any more."""
         self.state = 'draining'
         self.register()
         await asyncio.sleep(drain_s)
-        self._fleet.workers.remove(self)
+        self.fleet.workers.remove(self)
         self.up = False
         self._service_port.crash()
-        self._fleet.store.put('servers', self.id, b'')
+        self.fleet.store.put('servers', self.id, b'')
 
     def register(self) -> None:
         """Write the registration."""
         entry = {
             'service': self.service,
-            'address': f'{self._fleet.host}:{self.port}',
+            'address': f'{self.fleet.host}:{self.port}',
             'zone': 'gulberg',
             'version': 'v1',
             'slots': 8,
@@ -183,7 +183,7 @@
             'clock-ms': self.clock_ms(),
             'seq': next(self._seq),
         }
-        self._fleet.store.put('servers', self.id, json.dumps(entry).encode())
+        self.fleet.store.put('servers', self.id, json.dumps(entry).encode())
 
     def clock_ms(self) -> int:
         """Read the steady clock of this life."""
@@ -198,8 +198,8 @@
             run.timer.cancel()
         number = len(self._ends) + 1
         self._ends.append([number, run.task, run.number, how, ''])
-        self._fleet.ends.append(End(run.task, run.number, how))
-        self._fleet.record(
+        self.fleet.ends.append(End(run.task, run.number, how))
+        self.fleet.record(
             event='run ended',
             worker=self.id,
             service=self.service,
@@ -209,22 +209,15 @@
         )
         self._changed.set()
         self._changed = asyncio.Event()
-        self._fleet.end_members(run, how)
+        self.fleet.end_members(run, how)
 
     async def _answer(self, call: Call) -> Answer:
         if call.header_by_name.get('x-expect-instance') not in {None, self.id}:
             return Answer(HTTPStatus.MISDIRECTED_REQUEST)
         self._check_lease()
         content = call.content()
-        if call.path == '/api/run-start' and self.refuses_with:
-            self._fleet.record(
-                event='start refused',
-                worker=self.id,
-                task=content['task'],
-                run=content['run-id'],
-                status=self.refuses_with,
-            )
-            return Answer(self.refuses_with)
+        if call.path == '/api/run-start' and not _takes_start(self, content):
+            return Answer(self.refuses_with or HTTPStatus.SERVICE_UNAVAILABLE)
         if content['fence'] < self._fence:
             return _deny(self, 'fence')
         self._fence = content['fence']
@@ -254,8 +247,8 @@
             return _deny(self, 'room')
         self._highest_by_task[task] = number
         self.run_by_task[task] = run
-        self._fleet.starts.append(Start(task, number, self.service, self.id))
-        self._fleet.record(
+        self.fleet.starts.append(Start(task, number, self.service, self.id))
+        self.fleet.record(
             event='run began',
             worker=self.id,
             service=self.service,
@@ -264,7 +257,6 @@
             fence=content['fence'],
         )
         self._let_work(run)
-        asyncio.get_running_loop().call_soon(self.began, self, run)
         return _accept(self)
 
     def _let_work(self, run: Run) -> None:
@@ -276,7 +268,7 @@
         if not gang:
             run.work(self)
             return
-        members = self._fleet.members_by_gang[
+        members = self.fleet.members_by_gang[
             run.task.rpartition('.')[0], run.number
         ]
         members.append((self, run))
@@ -340,8 +332,8 @@
                 self.end(run, 'lapsed')
 
 
-def _ignore(worker: Worker, run: Run) -> None:
-    pass
+def _ignore(worker: Worker) -> bool:
+    return False
 
 
 def _accept(worker: Worker) -> Answer:
@@ -353,3 +345,16 @@
         HTTPStatus.CONFLICT,
         {'clock-ms': worker.clock_ms(), 'reason': reason},
     )
+
+
+def _takes_start(worker: Worker, content: dict[str, object]) -> bool:
+    if worker.refuses_with:
+        worker.fleet.record(
+            event='start refused',
+            worker=worker.id,
+            task=content['task'],
+            run=content['run-id'],
+            status=worker.refuses_with,
+        )
+        return False
+    return not worker.start_arrives(worker)
