Give the owner's engine the newest configuration before each decision

Seen by callers: after a change of owner with a slow store, jobs ran at the service that a queue had before the newest configuration, or never.

Cause: Owner.configure passed a configuration to the engine only while the owner was ready. One that arrived while the takeover waited for the registrations was kept and never passed on.

--- a/waxwingford/shard/_owner.py
+++ b/waxwingford/shard/_owner.py
@@ -162,11 +162,9 @@
         return claimed
 
     def configure(self, terms: Terms) -> None:
-        """Apply a configuration."""
+        """Apply a configuration, from the next decision on."""
         self._terms = terms
-        if self.ready:
-            self._engine.configure(terms)
-            self._decision_due.set()
+        self._decision_due.set()
 
     def apply_stored(self, row: IntakeRow) -> None:
         """Apply a row that this daemon stored, before it is read back."""
@@ -364,6 +362,8 @@
                 )
             )
             self._decision_due.clear()
+            # Not when it arrives: the engine may not exist yet.
+            self._engine.configure(self._terms)
             self.start_control.decide(
                 self._engine,
                 monotonic_ms(),
--- /dev/null
+++ b/waxwingford/shard/tests/takeover_steps.py
@@ -0,0 +1,108 @@
+"""Steps for what arrives while a successor takes a shard over."""
+
+import asyncio
+
+from behave import then, when
+
+from waxwingford.scheduling import Terms
+from waxwingford.shard.tests.owner_change_steps import wait_for_claim
+from waxwingford.shard.tests.shard_steps import kill_owner
+from waxwingford.shard.tests.virtual_shard import QUEUE, TERMS, step
+
+SETTLE_S = 0.2
+
+
+def hold(read, reading, released):
+    """Delay the reads of registrations until they are released."""
+
+    async def _read():
+        reading.set()
+        await released.wait()
+        return await read()
+
+    return _read
+
+
+@when('the owner is killed, and its successor waits for the registrations')
+def hold_registrations(context):
+    shard = context.shard
+    reading, context.released = asyncio.Event(), asyncio.Event()
+    kill_owner(context)
+    for daemon in shard.living():
+        daemon.servers.entries = hold(
+            daemon.servers.entries, reading, context.released
+        )
+    context.successor = wait_for_claim(shard)
+    shard.run_until(reading.wait())
+    assert not context.successor.owns
+
+
+@when('the registrations arrive')
+def release_registrations(context):
+    context.shard.call(context.released.set)
+    context.shard.run(SETTLE_S)
+
+
+@when('a configuration moves the queue to another service')
+def move_queue(context):
+    queue = QUEUE._replace(service='other')
+    context.terms = Terms(TERMS.version + 1, {queue.name: queue})
+    for daemon in context.shard.living():
+        context.shard.call(
+            lambda member=daemon.member: member.configure(context.terms)
+        )
+
+
+@then('the owner uses that configuration')
+def check_terms(context):
+    owner = context.shard.owners[0].member.owner
+    assert owner._engine.state.terms == context.terms
+
+
+@then('nothing of the job was started')
+def check_nothing_started(context):
+    lines = [line for line in context.shard.lines if 'run.planned' in line]
+    assert not any(context.jobs[-1] in line for line in lines), lines
+
+
+@when('a job is submitted through that successor')
+def submit_through_successor(context):
+    job_id, _ = context.shard.submit((step(),), context.successor)
+    context.jobs = [*getattr(context, 'jobs', ()), job_id]
+
+
+@when('the job is cancelled through that successor')
+def cancel_through_successor(context):
+    context.shard.cancel(context.jobs[-1], context.successor)
+
+
+@when('{count:d} servers are added')
+def add_servers(context, count):
+    context.shard.call(lambda: context.shard.servers.add(count))
+
+
+@then('the owner polls all {count:d} servers')
+def check_all_polled(context, count):
+    engine = context.shard.owners[0].member.owner._engine
+    polled = [
+        server
+        for server in engine.state.server_by_id.values()
+        if server.polled_ms >= 0
+    ]
+    assert len(polled) == count, engine.state.server_by_id
+
+
+@when('that successor resigns')
+def resign_successor(context):
+    context.shard.run_until(context.successor.member.resign())
+
+
+@then('another daemon than that successor owns the shard')
+def check_other_owns(context):
+    assert context.shard.owners
+    assert context.successor not in context.shard.owners
+
+
+@then('that successor has polled no server')
+def check_no_poll(context):
+    assert not context.successor.servers.poll_count
--- a/waxwingford/shard/tests/virtual_server_client.py
+++ b/waxwingford/shard/tests/virtual_server_client.py
@@ -31,6 +31,7 @@
         self._fleet = fleet
         self._daemon_id = daemon_id
         self.start_count = 0
+        self.poll_count = 0
         #: Incarnation at the other end of the connection for polls, by server.
         self._peer_by_server = {}
 
@@ -62,6 +63,7 @@
         return OrderAccepted(0)
 
     async def poll(self, address, order):
+        self.poll_count += 1
         if self._fleet.call_cpu_s:
             timeout_s = order.wait_ms / MS_PER_S + TIMEOUT_S
             return await self._call_with_cpu_time(
