--- a/waxwingford/shard/tests/takeover_steps.py
+++ b/waxwingford/shard/tests/takeover_steps.py
@@ -26,7 +26,8 @@
 @when('the owner is killed, and its successor waits for the registrations')
 def hold_registrations(context):
     shard = context.shard
-    reading, context.released = asyncio.Event(), asyncio.Event()
+    reading = asyncio.Event()
+    context.released = asyncio.Event()
     kill_owner(context)
     for daemon in shard.living():
         daemon.servers.entries = hold(
@@ -47,16 +48,22 @@
 def move_queue(context):
     queue = QUEUE._replace(service='other')
     context.terms = Terms(TERMS.version + 1, {queue.name: queue})
-    for daemon in context.shard.living():
-        context.shard.call(
-            lambda member=daemon.member: member.configure(context.terms)
-        )
+    context.shard.call(
+        lambda: [
+            daemon.member.configure(context.terms)
+            for daemon in context.shard.living()
+        ]
+    )
+
+
+def owner_state(context):
+    owner = context.shard.owners[0].member.owner
+    return owner._engine.state
 
 
 @then('the owner uses that configuration')
 def check_terms(context):
-    owner = context.shard.owners[0].member.owner
-    assert owner._engine.state.terms == context.terms
+    assert owner_state(context).terms == context.terms
 
 
 @then('nothing of the job was started')
@@ -83,13 +90,9 @@
 
 @then('the owner polls all {count:d} servers')
 def check_all_polled(context, count):
-    engine = context.shard.owners[0].member.owner._engine
-    polled = [
-        server
-        for server in engine.state.server_by_id.values()
-        if server.polled_ms >= 0
-    ]
-    assert len(polled) == count, engine.state.server_by_id
+    servers = owner_state(context).server_by_id.values()
+    polled = [server for server in servers if server.polled_ms >= 0]
+    assert len(polled) == count, polled
 
 
 @when('that successor resigns')
