Count the attempts of a gang by its runs

Seen by callers: a gang of three on three servers that fail all that they start was shown as failed after one run of three attempts.

Cause: RunSettlement added up the failures of all members. A run of a gang is one attempt, whichever and however many of its members fail.

Change: each member keeps the numbers of the runs in which it failed, and the distinct numbers are counted. They are stored with the member, so the count holds over a change of owner between two ends of a run, for ends that are listed late or again, and for members that fail seconds apart. Rows of older versions have no numbers; their highest count of a member is added.

--- a/waxwingford/scheduling/_gangs.py
+++ b/waxwingford/scheduling/_gangs.py
@@ -76,6 +76,27 @@
             run.stopping = True
 
 
+def add_failed_run(task: Task, run_number: int) -> None:
+    """Note that a member has failed.
+
+    :param run_number: run number shared by the members.
+    """
+    if run_number not in task.failed_runs:
+        task.failed_runs.append(run_number)
+
+
+def count_failed_runs(step: Step) -> int:
+    """Count the runs of a gang in which any member has failed.
+
+    Rows of older versions have only the number of failures of each member.
+    """
+    numbers = {number for task in step.tasks for number in task.failed_runs}
+    unnumbered = max(
+        task.failures - len(task.failed_runs) for task in step.tasks
+    )
+    return len(numbers) + unnumbered
+
+
 def stop_incomplete(step: Step) -> None:
     """Stop the remaining members of a gang that has lost one.
 
--- a/waxwingford/scheduling/_late_ends.py
+++ b/waxwingford/scheduling/_late_ends.py
@@ -8,7 +8,7 @@
 from waxwingford.scheduling._backend_client import EndReport
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._shard_state import ShardState
-from waxwingford.scheduling._state import Run, RunPhase, Step, Task
+from waxwingford.scheduling._state import Run, RunPhase
 
 #: Number of lost runs per task, newest first, whose late ends are counted.
 MAX_LOST_RUNS = 8
@@ -28,17 +28,15 @@
         task.lost_runs = [*others, run.key.run][-MAX_LOST_RUNS:]
 
 
-def take_late_end(
-    state: ShardState, server: Server, end: EndReport
-) -> tuple[Task, Step] | None:
+def take_late_end(state: ShardState, server: Server, end: EndReport) -> bool:
     """Process a late end; each end counts once.
 
     :param end: end of a run that this owner doesn't track.
-    :returns: task and step to count the end for, ``None`` if it doesn't count.
+    :returns: whether the end counts.
     """
     found = state.find(end.run)
     if found is None or end.run.run not in found[0].lost_runs:
-        return None
+        return False
     task, step = found
     task.lost_runs.remove(end.run.run)
     state.mark(step)
@@ -49,4 +47,4 @@
         server=server.entry.server_id,
         how=end.kind.value,
     )
-    return None if step.job.ended is not None else found
+    return step.job.ended is None
--- a/waxwingford/scheduling/_rows.py
+++ b/waxwingford/scheduling/_rows.py
@@ -50,6 +50,7 @@
     #: Unix time in ms since when the task is pending, 0 if it isn't.
     waits_since_ms: int = 0
     lost_runs: list[int] = []
+    failed_runs: list[int] = []
 
 
 class _RowInputs(NamedTuple):
@@ -64,6 +65,7 @@
     crash_evidence: int
     waits_since_ms: int
     lost_runs: tuple[int, ...]
+    failed_runs: tuple[int, ...]
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -152,6 +154,7 @@
         task.crash_evidence,
         task.pending_since_ms + wall_offset_ms if waits else 0,
         tuple(task.lost_runs),
+        tuple(task.failed_runs),
     )
 
 
@@ -168,6 +171,7 @@
         all([outlived for _, _, outlived in inputs.runs]),
         inputs.waits_since_ms,
         list(inputs.lost_runs),
+        list(inputs.failed_runs),
     )
 
 
@@ -194,6 +198,7 @@
         task.failures = row.failures
         task.crash_evidence = row.crash_evidence
         task.lost_runs = row.lost_runs
+        task.failed_runs = row.failed_runs
         if row.waits_since_ms:
             waited_ms = max(0, wall_ms - row.waits_since_ms)
             task.pending_since_ms = now_ms - min(
--- a/waxwingford/scheduling/_run_settlement.py
+++ b/waxwingford/scheduling/_run_settlement.py
@@ -1,7 +1,7 @@
 """Settlement of single runs, and what their ends mean for tasks and jobs."""
 
 from waxwingford.scheduling import _gangs as gangs
-from waxwingford.scheduling._backend_client import EndKind
+from waxwingford.scheduling._backend_client import EndKind, RunKey
 from waxwingford.scheduling._late_ends import note_lost
 from waxwingford.scheduling._penalties import (
     FAILED_RUN_PENALTY,
@@ -63,27 +63,34 @@
             if kind is not EndKind.done:
                 gangs.stop_other_members(step, run.key.run)
         self._state.mark(step)
-        self.apply_end_kind(server, task, step, kind, now_ms)
+        self.apply_end_kind(server, run.key, kind, now_ms)
         _requeue(self._state, task, step, now_ms)
 
     def apply_end_kind(
         self,
         server: Server,
-        task: Task,
-        step: Step,
+        key: RunKey,
         kind: EndKind | None,
         now_ms: int,
     ) -> None:
         """Apply how a run ended to its task and job.
 
+        :param key: run of a known task.
         :param kind: how it ended, ``None`` if that isn't known.
         :param now_ms: current monotonic time, in ms.
         """
+        found = self._state.find(key)
+        if found is None:
+            return
+        task, step = found
         match kind:
             case EndKind.done:
                 server.penalty *= SUCCESS_PENALTY_FACTOR
                 self._apply_done(task, step)
             case EndKind.failed:
+                task.failures += 1
+                if step.spec.gang and not step.spec.long_running:
+                    gangs.add_failed_run(task, key.run)
                 self._apply_failure(server, task, step, now_ms)
             case _:
                 pass
@@ -114,13 +121,13 @@
     def _apply_failure(
         self, server: Server, task: Task, step: Step, now_ms: int
     ) -> None:
-        task.failures += 1
         task.avoided.add(server.incarnation)
         penalize_server(server, FAILED_RUN_PENALTY, now_ms)
         if step.spec.long_running or task.done:
             return
-        failed = step.tasks if step.spec.gang else [task]
-        failures = sum(one.failures for one in failed)
+        failures = (
+            gangs.count_failed_runs(step) if step.spec.gang else task.failures
+        )
         if failures >= self._state.queue_of(step.job).most_attempts:
             self._state.finish(step.job, JobPhase.failed)
 
--- a/waxwingford/scheduling/_settle.py
+++ b/waxwingford/scheduling/_settle.py
@@ -306,9 +306,8 @@
                 server, run, end.kind, end.checkpoint, now_ms
             )
             return
-        late_end = take_late_end(self._state, server, end)
-        if late_end is not None:
-            self._settlement.apply_end_kind(server, *late_end, end.kind, now_ms)
+        if take_late_end(self._state, server, end):
+            self._settlement.apply_end_kind(server, end.run, end.kind, now_ms)
 
 
 def _matches_clock(server: Server, clock_ms: int, now_ms: int) -> bool:
--- a/waxwingford/scheduling/_state.py
+++ b/waxwingford/scheduling/_state.py
@@ -113,6 +113,7 @@
 
     :ivar last_run: highest run number so far.
     :ivar failures: number of runs that failed.
+    :ivar failed_runs: numbers of the runs that failed, for members of a gang only.
     :ivar crash_evidence: evidence that the task crashes its servers, see
         ``SUSPECT_EVIDENCE``.
     :ivar excused_losses: losses of its servers right after its start that came
@@ -144,6 +145,7 @@
     run_by_number: dict[int, Run] = dataclasses.field(default_factory=dict)
     avoided: set[Incarnation] = dataclasses.field(default_factory=set)
     lost_runs: list[int] = dataclasses.field(default_factory=list)
+    failed_runs: list[int] = dataclasses.field(default_factory=list)
     invalid_starts: int = 0
     not_before_ms: int = 0
     pending_since_ms: int = 0
--- /dev/null
+++ b/waxwingford/scheduling/tests/gangs.feature
@@ -0,0 +1,68 @@
+Feature: attempts of gangs
+
+  Scenario: all members of a gang fail in the same run
+    # Guards against giving a gang up after one failed run of three attempts.
+    Given an engine with 4 servers of 8 cores
+    And a gang of 3 tasks of 1 core that runs
+    When the members of its run end as failed, failed, failed
+    Then the job is reported as running
+    And the gang has started 2 times
+
+  Scenario: all members of a gang fail in each run
+    # Guards against a gang that is started beyond its attempts.
+    Given an engine with 4 servers of 8 cores
+    And a gang of 3 tasks of 1 core that runs
+    When the members of its run end as failed, failed, failed
+    And the members of its run end as failed, failed, failed
+    Then the job is reported as running
+    When the members of its run end as failed, failed, failed
+    Then the job is reported as failed
+    And the gang has started 3 times
+
+  Scenario: another member of a gang fails in each run
+    # Guards against counting the failed runs of each member by themselves.
+    Given an engine with 4 servers of 8 cores
+    And a gang of 3 tasks of 1 core that runs
+    When the members of its run end as failed, stopped, stopped
+    And the members of its run end as stopped, failed, stopped
+    And the members of its run end as lapsed, stopped, failed
+    Then the job is reported as failed
+    And the gang has started 3 times
+
+  Scenario: members of a gang fail seconds apart
+    # Guards against counting a run of a gang with each of its ends.
+    Given an engine with 4 servers of 8 cores
+    And a gang of 3 tasks of 1 core that runs
+    When the members of its run end as failed, lapsed, failed, 3 s apart
+    Then the job is reported as running
+    And the gang has started 2 times
+
+  Scenario: the owner changes between two ends of the same run
+    # Guards against a successor that counts a run of a gang once more.
+    Given an engine with 4 servers of 8 cores
+    And a gang of 3 tasks of 1 core that runs
+    When the members of its run end as failed, failed, failed, with a new owner after each
+    And the members of its run end as failed, failed, failed, with a new owner after each
+    Then the job is reported as running
+    And the gang has started 3 times
+    When the members of its run end as failed, failed, failed, with a new owner after each
+    Then the job is reported as failed
+
+  Scenario: a member fails in a run that was given up
+    # Guards against counting a run of a gang once more when its end is listed late.
+    Given an engine with 4 servers of 8 cores
+    And a gang of 3 tasks of 1 core with 1 on each server that runs
+    When a member of its run fails, and the server of another is silent until its lease expires
+    Then the gang has started 2 times
+    When that server lists its member of the former run as failed
+    And the members of its run end as failed, failed, failed
+    Then the job is reported as running
+    And the gang has started 3 times
+
+  Scenario: the failures of a gang in a row of an older version
+    # Guards against a gang whose failed runs are forgotten by an update.
+    Given an engine with 4 servers of 8 cores
+    And a gang of 3 tasks of 1 core that runs
+    When an older version has stored 2 failures of each member
+    And the members of its run end as failed, failed, failed
+    Then the job is reported as failed
