Count a job as begun once a server has accepted or listed a run

Seen by callers: six jobs whose starts were all refused weren't given as pending by any daemon.

Cause: a job counted as begun as soon as a start was stored, which is before it is sent, and nothing took that back. The next owner and a daemon that reads the store counted the same way.

Change: the owner notes that a task has begun when its start is accepted, when a server lists the run, or when it lists its end. The row of a task says when that isn't known; a row of an older version doesn't say so and is read as before.

--- a/waxwingford/scheduling/__init__.py
+++ b/waxwingford/scheduling/__init__.py
@@ -52,6 +52,7 @@
             'decode_end',
             'decode_spec',
             'encode_spec',
+            'tells_begun',
         ),
         '_servers': (
             'Server',
--- a/waxwingford/scheduling/_rows.py
+++ b/waxwingford/scheduling/_rows.py
@@ -51,6 +51,9 @@
     waits_since_ms: int = 0
     lost_runs: list[int] = []
     failed_runs: list[int] = []
+    #: Whether no server is known to have accepted or listed a run. Rows of older
+    #: versions lack it: there, a run that was planned counts as begun.
+    unbegun: bool = False
 
 
 class _RowInputs(NamedTuple):
@@ -66,6 +69,7 @@
     waits_since_ms: int
     lost_runs: tuple[int, ...]
     failed_runs: tuple[int, ...]
+    unbegun: bool
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -155,6 +159,7 @@
         task.pending_since_ms + wall_offset_ms if waits else 0,
         tuple(task.lost_runs),
         tuple(task.failed_runs),
+        not task.begun,
     )
 
 
@@ -172,6 +177,7 @@
         inputs.waits_since_ms,
         list(inputs.lost_runs),
         list(inputs.failed_runs),
+        inputs.unbegun,
     )
 
 
@@ -214,10 +220,20 @@
         }
         for run in task.run_by_number.values():
             run.outlived = row.outlived
-        job.started = True
+        if not row.unbegun:
+            job.note_begun(task)
     step.unfinished = sum(not task.done for task in step.tasks)
 
 
+def tells_begun(raw: bytes) -> bool:
+    """Tell whether a step has begun by its row.
+
+    :param raw: bytes returned by ``encode_step_row``.
+    :raises ValueError: if the row is malformed.
+    """
+    return any(not row.unbegun for row in _rows_decoder.decode(raw))
+
+
 def _inherited_run(
     task: Task, number: int, incarnation: Incarnation, now_ms: int
 ) -> Run:
@@ -264,4 +280,5 @@
     'encode_spec',
     'encode_step_row',
     'parse_step_key',
+    'tells_begun',
 )
--- a/waxwingford/scheduling/_run_settlement.py
+++ b/waxwingford/scheduling/_run_settlement.py
@@ -83,6 +83,8 @@
         if found is None:
             return
         task, step = found
+        if kind is not None:
+            step.job.note_begun(task)
         match kind:
             case EndKind.done:
                 server.penalty *= SUCCESS_PENALTY_FACTOR
--- a/waxwingford/scheduling/_settle.py
+++ b/waxwingford/scheduling/_settle.py
@@ -102,6 +102,7 @@
             return
         match outcome:
             case OrderAccepted(clock_ms):
+                self._note_begun(run)
                 server.enter(run, RunPhase.present, now_ms)
                 run.progress_changed_ms = now_ms
                 if _matches_clock(server, clock_ms, now_ms):
@@ -240,6 +241,7 @@
             run.percent = report.percent
             run.progress_changed_ms = now_ms
         if run.phase is not RunPhase.present:
+            self._note_begun(run)
             server.enter(run, RunPhase.present, now_ms)
         self.restarts.note_listed(server, run)
         if run.started_server_clock_ms is None:
@@ -247,6 +249,12 @@
         run.checkpoint = report.checkpoint or run.checkpoint
         run.measured_value = report.measured_value
 
+    def _note_begun(self, run: Run) -> None:
+        found = self._state.find(run.key)
+        if found is not None:
+            task, step = found
+            step.job.note_begun(task)
+
     def _apply_absence(
         self, server: Server, run: Run, sent_ms: int, now_ms: int
     ) -> None:
--- a/waxwingford/scheduling/_shard_state.py
+++ b/waxwingford/scheduling/_shard_state.py
@@ -207,7 +207,6 @@
                     server.acknowledged_end, end.number
                 )
         for job, phase in batch.shown:
-            job.started = True
             if job.reported_phase in {JobPhase.queued, JobPhase.running}:
                 job.reported_phase = phase
             if job.ended is phase:
@@ -245,15 +244,15 @@
         return ended if job is None else job.reported_phase
 
     def pending_by_queue(self) -> dict[str, int]:
-        """Count the jobs that have not started.
+        """Count the jobs that have not begun.
 
-        :returns: number of jobs without any stored run, by queue; queues
-            without any are left out.
+        :returns: number of jobs of which no server has accepted or listed a run,
+            by queue; queues without any are left out.
         """
         return collections.Counter(
             job.spec.queue
             for job in self.job_by_id.values()
-            if not job.started and job.ended is None
+            if not job.begun and job.ended is None
         )
 
     def count_starts_in_progress(self) -> int:
--- a/waxwingford/scheduling/_state.py
+++ b/waxwingford/scheduling/_state.py
@@ -118,6 +118,7 @@
         ``SUSPECT_EVIDENCE``.
     :ivar excused_losses: losses of its servers right after its start that came
         together with those of many others.
+    :ivar begun: whether a server has accepted or listed a run.
     :ivar done: whether a run completed.
     :ivar checkpoint: checkpoint to resume from, empty for none.
     :ivar run_by_number: runs that may be present on a server.
@@ -140,6 +141,7 @@
     failures: int = 0
     crash_evidence: int = 0
     excused_losses: int = 0
+    begun: bool = False
     done: bool = False
     checkpoint: str = ''
     run_by_number: dict[int, Run] = dataclasses.field(default_factory=dict)
@@ -206,7 +208,7 @@
     :ivar ended: final phase that was decided, ``None`` before.
     :ivar blocked: whether no task is started because a row of the job is
         unreadable.
-    :ivar started: whether a run was ever stored.
+    :ivar begun: whether a server has accepted or listed a run of any task.
     :ivar occurrences_left: number of repetitions that have not ended.
     """
 
@@ -221,7 +223,7 @@
     reported_phase: JobPhase = JobPhase.queued
     ended: JobPhase | None = None
     blocked: bool = False
-    started: bool = False
+    begun: bool = False
     occurrences_left: int = 1
 
     def task(self, key: TaskKey) -> Task | None:
@@ -236,6 +238,11 @@
         tasks = steps[key.step].tasks
         return tasks[key.index] if 0 <= key.index < len(tasks) else None
 
+    def note_begun(self, task: Task) -> None:
+        """Note that a server has accepted or listed a run of a task."""
+        task.begun = True
+        self.begun = True
+
     def begin(self, occurrence: int) -> list[Step]:
         """Create the steps of a repetition unless they exist.
 
--- a/waxwingford/shard/_store_view.py
+++ b/waxwingford/shard/_store_view.py
@@ -7,6 +7,7 @@
     JobPhase,
     decode_end,
     decode_spec,
+    tells_begun,
 )
 from waxwingford.shard._intake import (
     CANCEL_PREFIX,
@@ -31,6 +32,7 @@
         self._intake = Mirror(log, INTAKE_TOPIC)
         self._journal = Mirror(log, JOURNAL_TOPIC)
         self._lock = asyncio.Lock()
+        self._begun_job_ids: set[str] = set()
 
     async def phase(self, job_id: str) -> JobAnswer:
         """Look up the phase of a job.
@@ -64,31 +66,42 @@
         return JOB_PREFIX + job_id in self._intake.payload_by_key
 
     async def pending(self, queue: str) -> int | None:
-        """Count the jobs of a queue that have not started.
+        """Count the jobs of a queue that have not begun.
 
         :returns: number of jobs, ``None`` if the store can't be read.
         """
         if not await self._catch_up():
             return None
         stored = self._intake.payload_by_key
-        started = (
-            key.partition('.')[0].removeprefix(ENDED_PREFIX)
-            for key in self._journal.payload_by_key
-        )
+        self._find_begun()
         cancelled = (
             key.removeprefix(CANCEL_PREFIX)
             for key in stored
             if key.startswith(CANCEL_PREFIX)
         )
-        started_or_cancelled = {*started, *cancelled}
+        not_waiting = {*self._begun_job_ids, *cancelled}
         waiting = (
             raw
             for key, raw in stored.items()
             if key.startswith(JOB_PREFIX)
-            and key.removeprefix(JOB_PREFIX) not in started_or_cancelled
+            and key.removeprefix(JOB_PREFIX) not in not_waiting
         )
         return sum(_queue_of(raw) == queue for raw in waiting)
 
+    def _find_begun(self) -> None:
+        """Update the jobs that have begun or ended, by the journal."""
+        rows = self._journal.payload_by_key
+        job_ids = {_job_id(key) for key in rows}
+        self._begun_job_ids &= job_ids
+        # Most rows are of jobs that are known to have begun: decoding them again
+        # with each question would delay what else this daemon serves.
+        begun = {
+            _job_id(key)
+            for key, raw in rows.items()
+            if _job_id(key) not in self._begun_job_ids and _is_begun(key, raw)
+        }
+        self._begun_job_ids |= begun
+
     async def _catch_up(self) -> bool:
         async with self._lock:
             # The intake last, so that it has every job that the journal names.
@@ -98,6 +111,21 @@
         return True
 
 
+def _job_id(key: str) -> str:
+    """Return the job of a row of the journal."""
+    return key.partition('.')[0].removeprefix(ENDED_PREFIX)
+
+
+def _is_begun(key: str, raw: bytes) -> bool:
+    if key.startswith(ENDED_PREFIX):
+        return True
+    try:
+        return tells_begun(raw)
+    except ValueError:
+        # As its owner does, which starts no more tasks of such a job.
+        return True
+
+
 def _final_phase(raw: bytes) -> JobAnswer:
     try:
         return JobKnown(decode_end(raw))
