Count only runs that are known to have begun against a task

Seen by callers: a sound job was shown as failed though no worker had begun a run of it, as two servers crashed at the moments at which its starts arrived.

Cause: a start whose connection broke, or that a former owner had recorded, counted like a run that had begun under a crash.

Change: evidence is added only for runs that a server has accepted or listed. What the server of a suspect has accepted is stored, so evidence outlives the owner.

The harness of the engine stores changes by answers at once, as the committer does.

--- a/waxwingford/scheduling/_crashes.py
+++ b/waxwingford/scheduling/_crashes.py
@@ -4,6 +4,10 @@
 began shortly before a crash are suspected. A suspect starts alone on its next
 server (see ``Isolation``). If that server crashes too, the job of the suspect
 fails; if the server stays up, the suspect is cleared.
+
+A server that crashes before it has answered a start may never have begun the run.
+Such a loss is no evidence, so that crashes of servers by themselves can't fail a
+job. After several of them the task starts alone and less and less often.
 """
 
 from collections.abc import Sequence
@@ -19,8 +23,7 @@
 OUTLIVED_MS = 300
 #: Evidence added when a server is lost right after it started the task; less if
 #: many servers are silent, as in a partition or if the owner couldn't extend
-#: their leases, if the server gave no sign that it had begun the run, or if another
-#: server was lost together with it; none if more were.
+#: their leases, or if another server was lost together with it; none if more were.
 CRASH_EVIDENCE = 2
 WEAK_EVIDENCE = 1
 #: Share of silent servers above which the smaller evidence is added, of servers
@@ -28,8 +31,14 @@
 #: above which more is needed.
 MAX_SILENT_SHARE = 0.125
 MIN_MANY_LOSSES = 2
-#: Evidence at which a task becomes a suspect and starts alone.
+#: Evidence, and number of starts lost without an answer, at which a task becomes a
+#: suspect and starts alone.
 SUSPECT_EVIDENCE = 2
+SUSPECT_LOST_STARTS = 2
+#: Delay before the start of a task that has become a suspect in this way is repeated,
+#: in ms; it doubles with each further one, up to the maximum.
+LOST_START_DELAY_MS = 125
+MAX_LOST_START_DELAY_MS = 2000
 #: Evidence at which the job fails. The lower value applies if another
 #: incarnation proves the crash and there is no other suspect. Otherwise the
 #: server may only be unreachable, or what a previous owner knew last may be
@@ -80,10 +89,13 @@
     server: Server,
     suspects: Sequence[Run],
     crash: Crash,
+    now_ms: int,
 ) -> None:
     """Add evidence to the tasks that may have crashed a server.
 
     A job fails as soon as the evidence against one of its tasks suffices.
+
+    :param now_ms: current monotonic time, in ms.
     """
     if not suspects:
         return
@@ -94,13 +106,16 @@
         if found is None:
             continue
         task, step = found
+        if not _has_begun(run):
+            _add_lost_start(state, task, run, now_ms)
+            continue
         companions = state.crash_records.losses.count_companions(
             crash.loss, task.key.job_id, seeming
         )
         if companions >= _many_losses(state):
             _excuse(state, task, run, companions)
             continue
-        strong = failed and not companions and _may_have_begun(run)
+        strong = failed and not companions
         task.crash_evidence += CRASH_EVIDENCE if strong else WEAK_EVIDENCE
         state.mark(step)
         state.notes.add(
@@ -115,6 +130,27 @@
         _give_up_crashing(state, task, step, crash)
 
 
+def _add_lost_start(
+    state: ShardState, task: Task, run: Run, now_ms: int
+) -> None:
+    """Count a start whose server was lost before it answered.
+
+    :param now_ms: current monotonic time, in ms.
+    """
+    task.lost_starts += 1
+    repeated = task.lost_starts - SUSPECT_LOST_STARTS
+    if repeated >= 0:
+        delay_ms = LOST_START_DELAY_MS << repeated
+        task.not_before_ms = now_ms + min(delay_ms, MAX_LOST_START_DELAY_MS)
+    state.notes.add(
+        'task.start_lost',
+        task.key,
+        run=run.key.run,
+        server=run.server_id,
+        lost_starts=task.lost_starts,
+    )
+
+
 def _many_losses(state: ShardState) -> float:
     return max(MIN_MANY_LOSSES, len(state.server_by_id) * MAX_SILENT_SHARE)
 
@@ -167,6 +203,7 @@
         if found is not None:
             task, step = found
             state.crash_records.outlived_step_by_name[step.name] = step
+            task.lost_starts = 0
             if task.crash_evidence:
                 state.notes.add(
                     'task.cleared', key.task, evidence=task.crash_evidence
@@ -208,13 +245,9 @@
     return max(1, len(causes))
 
 
-def _may_have_begun(run: Run) -> bool:
-    """Whether a run may have begun before its server was lost.
-
-    A start that times out on an open connection was probably sent to a server
-    that had crashed already.
-    """
-    return run.started_server_clock_ms is not None or not run.unconfirmed
+def _has_begun(run: Run) -> bool:
+    """Whether the owner, or a previous one, knows that a run has begun."""
+    return run.accepted or run.started_server_clock_ms is not None
 
 
 def _few_are_silent(state: ShardState) -> bool:
@@ -247,8 +280,15 @@
     :returns: whether the task or another member of its gang is suspected.
     """
     if step.spec.gang:
-        return any(one.crash_evidence >= SUSPECT_EVIDENCE for one in step.tasks)
-    return task.crash_evidence >= SUSPECT_EVIDENCE
+        return any(
+            one.crash_evidence >= SUSPECT_EVIDENCE
+            or one.lost_starts >= SUSPECT_LOST_STARTS
+            for one in step.tasks
+        )
+    return (
+        task.crash_evidence >= SUSPECT_EVIDENCE
+        or task.lost_starts >= SUSPECT_LOST_STARTS
+    )
 
 
 def suspect_key(key: TaskKey, step: Step) -> TaskKey:
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -203,7 +203,7 @@
         def cost(server: Server) -> float:
             return self._costs.cost(task, step, server, now_ms)
 
-        task_specific = task.avoided or task.crash_evidence
+        task_specific = task.avoided or task.may_crash
         if pending.queue.advised or task_specific:
             # The candidates of these tasks can't be shared within the step:
             # they depend on the task or its tickets.
--- a/waxwingford/scheduling/_restarts.py
+++ b/waxwingford/scheduling/_restarts.py
@@ -96,18 +96,19 @@
                 self._state.mark(found[1])
 
     def judge_crash(
-        self, server: Server, crash: Crash, known: set[RunKey]
+        self, server: Server, crash: Crash, known: set[RunKey], now_ms: int
     ) -> None:
         """Suspect the tasks that may have crashed the former incarnation.
 
         :param server: server that has restarted and has just listed its runs.
         :param known: runs in that list, present or ended, which the crash has
             spared.
+        :param now_ms: current monotonic time, in ms.
         """
         suspects = [
             run for run in server.crash_suspects if run.key not in known
         ]
-        crashes.add_evidence(self._state, server, suspects, crash)
+        crashes.add_evidence(self._state, server, suspects, crash, now_ms)
         server.crash = None
         server.crash_suspects = ()
 
@@ -156,7 +157,7 @@
                 self._hand_on(former, run, server, now_ms)
         self._bound_leases(former, server, now_ms)
         begun = [run for run in suspects if run.begun]
-        crashes.add_evidence(self._state, former, begun, crash)
+        crashes.add_evidence(self._state, former, begun, crash, now_ms)
         server.crash = crash
         server.crash_suspects = tuple(run for run in suspects if not run.begun)
         self._stop_doubtful(former, server, now_ms)
--- a/waxwingford/scheduling/_rows.py
+++ b/waxwingford/scheduling/_rows.py
@@ -54,17 +54,20 @@
     #: Whether no server is known to have accepted or listed a run. Rows of older
     #: versions lack it: there, a run that was planned counts as begun.
     unbegun: bool = False
+    #: Numbers of the accepted runs that aren't known to be outlived.
+    accepted_runs: list[int] = []
 
 
 class _RowInputs(NamedTuple):
     # Everything from which the row of a task is encoded. Each run is a number,
-    # the incarnation of its server, and whether that has outlived the start.
+    # the incarnation of its server, and whether that has outlived the start and
+    # is known to have accepted the run.
     index: int
     last_run: int
     failures: int
     done: bool
     checkpoint: str
-    runs: tuple[tuple[int, Incarnation, bool], ...]
+    runs: tuple[tuple[int, Incarnation, bool, bool], ...]
     crash_evidence: int
     waits_since_ms: int
     lost_runs: tuple[int, ...]
@@ -145,9 +148,10 @@
 
 def _row_inputs(task: Task, wall_offset_ms: int) -> _RowInputs:
     waits = not (task.done or task.run_by_number)
-    runs: tuple[tuple[int, Incarnation, bool], ...] = ()
+    runs: tuple[tuple[int, Incarnation, bool, bool], ...] = ()
     for number, run in task.run_by_number.items():
-        runs = (*runs, (number, run.incarnation, run.outlived))
+        facts = number, run.incarnation, run.outlived, run.accepted
+        runs = (*runs, facts)
     return _RowInputs(
         task.key.index,
         task.last_run,
@@ -164,7 +168,7 @@
 
 
 def _task_row(inputs: _RowInputs) -> _TaskRow:
-    runs = [(number, str(server)) for number, server, _ in inputs.runs]
+    runs = [(number, str(server)) for number, server, *_ in inputs.runs]
     return _TaskRow(
         inputs.index,
         inputs.last_run,
@@ -173,11 +177,16 @@
         inputs.checkpoint,
         tuple(runs),
         inputs.crash_evidence,
-        all([outlived for _, _, outlived in inputs.runs]),
+        all([outlived for _, _, outlived, _ in inputs.runs]),
         inputs.waits_since_ms,
         list(inputs.lost_runs),
         list(inputs.failed_runs),
         inputs.unbegun,
+        [
+            number
+            for number, _, outlived, accepted in inputs.runs
+            if accepted and not outlived
+        ],
     )
 
 
@@ -220,6 +229,7 @@
         }
         for run in task.run_by_number.values():
             run.outlived = row.outlived
+            run.accepted = run.key.run in row.accepted_runs
         if not row.unbegun:
             job.note_begun(task)
     step.unfinished = sum(not task.done for task in step.tasks)
--- a/waxwingford/scheduling/_run_settlement.py
+++ b/waxwingford/scheduling/_run_settlement.py
@@ -57,6 +57,7 @@
         if kind is not None:
             # The server has survived the run, so the task didn't crash it.
             task.crash_evidence = 0
+            task.lost_starts = 0
         task.checkpoint = checkpoint or task.checkpoint
         if step.spec.gang:
             gangs.share_checkpoint(step, task.checkpoint)
--- a/waxwingford/scheduling/_server_costs.py
+++ b/waxwingford/scheduling/_server_costs.py
@@ -50,7 +50,7 @@
         if server.incarnation in task.avoided:
             cost += AVOIDED_COST
         cost += PENALTY_COST * server.penalty
-        if task.crash_evidence:
+        if task.may_crash:
             cost += LOST_RUN_COST * len(server.run_by_key)
         if spec.best_effort:
             cost += INTERFERENCE_COST * self._admission.excess(
--- a/waxwingford/scheduling/_settle.py
+++ b/waxwingford/scheduling/_settle.py
@@ -102,7 +102,7 @@
             return
         match outcome:
             case OrderAccepted(clock_ms):
-                self._note_begun(run)
+                self._note_begun(server, run)
                 server.enter(run, RunPhase.present, now_ms)
                 run.progress_changed_ms = now_ms
                 if _matches_clock(server, clock_ms, now_ms):
@@ -176,7 +176,7 @@
             suspects = crashes.find_suspects(server)
             crash = crashes.record_loss(self._state, server, suspects, now_ms)
             self._settle_lost(server, now_ms)
-            crashes.add_evidence(self._state, server, suspects, crash)
+            crashes.add_evidence(self._state, server, suspects, crash, now_ms)
 
     def _settle_lost(self, server: Server, now_ms: int) -> None:
         for run in list(server.run_by_key.values()):
@@ -204,7 +204,9 @@
         crashes.clear_outlived(self._state, server)
         if server.crash is not None:
             ended = {end.run for end in answer.ended}
-            self.restarts.judge_crash(server, server.crash, listed | ended)
+            self.restarts.judge_crash(
+                server, server.crash, listed | ended, now_ms
+            )
         for run in list(server.run_by_key.values()):
             if run.key not in listed:
                 self._apply_absence(server, run, sent_ms, now_ms)
@@ -241,7 +243,7 @@
             run.percent = report.percent
             run.progress_changed_ms = now_ms
         if run.phase is not RunPhase.present:
-            self._note_begun(run)
+            self._note_begun(server, run)
             server.enter(run, RunPhase.present, now_ms)
         self.restarts.note_listed(server, run)
         if run.started_server_clock_ms is None:
@@ -249,11 +251,16 @@
         run.checkpoint = report.checkpoint or run.checkpoint
         run.measured_value = report.measured_value
 
-    def _note_begun(self, run: Run) -> None:
-        found = self._state.find(run.key)
-        if found is not None:
-            task, step = found
-            step.job.note_begun(task)
+    def _note_begun(self, server: Server, run: Run) -> None:
+        run.accepted = True
+        step = server.step_by_run[run.key]
+        task = step.tasks[run.key.task.index]
+        task.begun = True
+        step.job.begun = True
+        if task.crash_evidence or task.lost_starts:
+            # The next owner has to know what has begun on a server that is lost
+            # together with this owner.
+            self._state.mark(step)
 
     def _apply_absence(
         self, server: Server, run: Run, sent_ms: int, now_ms: int
--- a/waxwingford/scheduling/_state.py
+++ b/waxwingford/scheduling/_state.py
@@ -63,6 +63,7 @@
     :ivar adopted: whether a previous owner started the run.
     :ivar started_server_clock_ms: server clock when the server accepted the
         start order or first listed the run; ``None`` before.
+    :ivar accepted: whether a server is known to have accepted or listed the run.
     :ivar unconfirmed: whether the start timed out on an open connection, so that
         the server may not have begun the run.
     :ivar outlived: whether the server is known to have stayed up for
@@ -88,6 +89,7 @@
     stop_acknowledged_ms: int = 0
     adopted: bool = False
     started_server_clock_ms: int | None = None
+    accepted: bool = False
     unconfirmed: bool = False
     outlived: bool = False
     begun: bool = False
@@ -116,6 +118,8 @@
     :ivar failed_runs: numbers of the runs that failed, for members of a gang only.
     :ivar crash_evidence: evidence that the task crashes its servers, see
         ``SUSPECT_EVIDENCE``.
+    :ivar lost_starts: starts whose servers were lost before they answered, since a
+        run was last known to have begun.
     :ivar excused_losses: losses of its servers right after its start that came
         together with those of many others.
     :ivar begun: whether a server has accepted or listed a run.
@@ -140,6 +144,7 @@
     last_run: int = 0
     failures: int = 0
     crash_evidence: int = 0
+    lost_starts: int = 0
     excused_losses: int = 0
     begun: bool = False
     done: bool = False
@@ -155,6 +160,11 @@
     final_row: msgspec.Raw | None = None
     latest_row: tuple[tuple[object, ...], msgspec.Raw] | None = None
 
+    @property
+    def may_crash(self) -> bool:
+        """Whether servers were lost right after its starts."""
+        return bool(self.crash_evidence or self.lost_starts)
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Step:
--- a/waxwingford/scheduling/tests/engine_harness.py
+++ b/waxwingford/scheduling/tests/engine_harness.py
@@ -140,6 +140,7 @@
                 self.engine.settler.start_answered(
                     server, start.run, self.now_ms, OrderAccepted(self.now_ms)
                 )
+        self._store_changes()
         self.orders += self.engine.state.take_orders()
         for order in self.orders:
             if isinstance(order, Pace):
@@ -152,6 +153,13 @@
                 self.lowest_by_image[step.image] = self.lowest_percent
         self.orders = [one for one in self.orders if not isinstance(one, Pace)]
 
+    def _store_changes(self):
+        """Store what has changed by answers, as the committer does at once."""
+        if self.engine.state.dirty:
+            batch = self.engine.take_batch()
+            store_rows(self.rows, batch.payload_by_key)
+            self.engine.stored(batch)
+
     lowest_by_image: dict = {}
 
     def step_of(self, key):
