Refuse jobs that can't be scheduled, and set such rows aside

Seen by callers: a submission with a step that waits for itself was accepted with 200 and ended each owner that read it: 22 exits of 4 daemons in 20 s.

Cause: nothing checked a job, and the reader of the intake expected ValueError only. The class: rows of the store that are read by code that trusts them.

Change: one check (scheduling/_spec_checks.py) refuses a job at the door with 400, the field, its value and what is expected, and makes its row unreadable. A job whose row can't be used is stored as failed, told of once by each owner and counted. An unexpected exception is logged with the record's key and treated alike.

--- a/waxwingford/platform/_client_api.py
+++ b/waxwingford/platform/_client_api.py
@@ -10,11 +10,13 @@
     Configuration,
     QueuePath,
     decode_submission,
+    describe_fault,
 )
 from waxwingford.scheduling import JobSpec
 from waxwingford.shard import (
     CancelNotKnown,
     IntakeOutcome,
+    JobInvalid,
     JobKnown,
     JobNotKnown,
     MayBeStored,
@@ -101,7 +103,11 @@
             submission.repeat_count,
             terms,
         )
-        return _store_response(await self._frontend.submit(spec, deadline_s))
+        outcome = await self._frontend.submit(spec, deadline_s)
+        if isinstance(outcome, JobInvalid):
+            text = f'{describe_fault(outcome.fault)}\n'
+            return Response(HTTPStatus.BAD_REQUEST, text.encode())
+        return _store_response(outcome)
 
     async def _cancel(
         self, request: Request, path: QueuePath, job_id: str
--- a/waxwingford/platform/_records.py
+++ b/waxwingford/platform/_records.py
@@ -6,7 +6,13 @@
 import msgspec
 
 from waxwingford.ports import Resources
-from waxwingford.scheduling import QueueTerms, ServerEntry, StepSpec, Terms
+from waxwingford.scheduling import (
+    QueueTerms,
+    ServerEntry,
+    SpecFault,
+    StepSpec,
+    Terms,
+)
 
 _MAX_PORT = 65_535
 _MAX_AMOUNT = 1_000_000_000
@@ -132,6 +138,19 @@
         return tuple(map(_step_spec, self.steps))
 
 
+_NAME_BY_FIELD = {
+    'first_due_ms': 'start-at-ms',
+    'every_ms': 'interval-ms',
+    'times': 'repeat-count',
+    'processors_milli': 'cpu',
+    'memory_mb': 'mem-mb',
+    'accelerators': 'gpu',
+    'estimate_ms': 'estimate-ms',
+    'after': 'depends-on',
+    'max_per_server': 'anti-affinity',
+    'target_ms': 'target-ms',
+    'max_unavailable': 'max-unavailable',
+}
 _config_decoder = msgspec.json.Decoder(_Config)
 _registration_decoder = msgspec.json.Decoder(_Registration)
 _submission_decoder = msgspec.json.Decoder(Submission)
@@ -213,6 +232,12 @@
     return _submission_decoder.decode(raw)
 
 
+def describe_fault(fault: SpecFault) -> str:
+    """Describe a fault of a submission by the names that clients use."""
+    named = _NAME_BY_FIELD.get(fault.field, fault.field)
+    return str(fault._replace(field=named))
+
+
 def _step_spec(step: _Step) -> StepSpec:
     return StepSpec(
         step.count,
--- a/waxwingford/scheduling/__init__.py
+++ b/waxwingford/scheduling/__init__.py
@@ -54,6 +54,10 @@
             'encode_spec',
             'tells_begun',
         ),
+        '_spec_checks': (
+            'SpecFault',
+            'find_fault',
+        ),
         '_servers': (
             'Server',
             'ServerEntry',
--- a/waxwingford/scheduling/_crashes.py
+++ b/waxwingford/scheduling/_crashes.py
@@ -99,44 +99,60 @@
     """
     if not suspects:
         return
+    begun = [run for run in suspects if _has_begun(run)]
+    for run in suspects:
+        if run not in begun:
+            _add_lost_start(state, run, now_ms)
     seeming = _seeming_losses(state)
     failed = crash.proven or not server.registered or _few_are_silent(state)
-    for run in suspects:
-        found = state.find(run.key)
-        if found is None:
-            continue
-        task, step = found
-        if not _has_begun(run):
-            _add_lost_start(state, task, run, now_ms)
-            continue
+    for run in begun:
         companions = state.crash_records.losses.count_companions(
-            crash.loss, task.key.job_id, seeming
+            crash.loss, run.key.task.job_id, seeming
         )
-        if companions >= _many_losses(state):
-            _excuse(state, task, run, companions)
-            continue
         strong = failed and not companions
-        task.crash_evidence += CRASH_EVIDENCE if strong else WEAK_EVIDENCE
-        state.mark(step)
-        state.notes.add(
-            'task.suspected',
-            task.key,
-            run=run.key.run,
-            server=run.server_id,
-            evidence=task.crash_evidence,
-            suspects=len(suspects),
-            replaced=crash.proven,
-        )
-        _give_up_crashing(state, task, step, crash)
+        evidence = CRASH_EVIDENCE if strong else WEAK_EVIDENCE
+        if companions < _many_losses(state):
+            _add_evidence(state, run, evidence, crash, len(suspects))
+        else:
+            _excuse(state, run, companions)
 
 
-def _add_lost_start(
-    state: ShardState, task: Task, run: Run, now_ms: int
+def _add_evidence(
+    state: ShardState, run: Run, evidence: int, crash: Crash, suspects: int
 ) -> None:
+    """Add evidence to the task of a run, and fail its job if it suffices.
+
+    :param suspects: number of runs that may have caused the crash.
+    """
+    found = state.find(run.key)
+    if found is None:
+        return
+    task, step = found
+    task.crash_evidence += evidence
+    state.mark(step)
+    state.notes.add(
+        'task.suspected',
+        task.key,
+        run=run.key.run,
+        server=run.server_id,
+        evidence=task.crash_evidence,
+        suspects=suspects,
+        replaced=crash.proven,
+    )
+    if task.crash_evidence >= _fail_evidence(state, crash):
+        state.notes.add('task.given_up', task.key, evidence=task.crash_evidence)
+        state.finish(step.job, JobPhase.failed)
+
+
+def _add_lost_start(state: ShardState, run: Run, now_ms: int) -> None:
     """Count a start whose server was lost before it answered.
 
     :param now_ms: current monotonic time, in ms.
     """
+    found = state.find(run.key)
+    if found is None:
+        return
+    task = found[0]
     task.lost_starts += 1
     repeated = task.lost_starts - SUSPECT_LOST_STARTS
     if repeated >= 0:
@@ -155,11 +171,15 @@
     return max(MIN_MANY_LOSSES, len(state.server_by_id) * MAX_SILENT_SHARE)
 
 
-def _excuse(state: ShardState, task: Task, run: Run, companions: int) -> None:
-    """Note that a loss doesn't speak against a task.
+def _excuse(state: ShardState, run: Run, companions: int) -> None:
+    """Note that a loss doesn't speak against the task of a run.
 
     :param companions: number of servers lost together with that of the run.
     """
+    found = state.find(run.key)
+    if found is None:
+        return
+    task = found[0]
     task.excused_losses += 1
     state.notes.add(
         'task.excused',
@@ -171,14 +191,6 @@
     )
 
 
-def _give_up_crashing(
-    state: ShardState, task: Task, step: Step, crash: Crash
-) -> None:
-    if task.crash_evidence >= _fail_evidence(state, crash):
-        state.notes.add('task.given_up', task.key, evidence=task.crash_evidence)
-        state.finish(step.job, JobPhase.failed)
-
-
 def _fail_evidence(state: ShardState, crash: Crash) -> int:
     if not crash.proven or crash.causes > 1:
         return UNCONFIRMED_FAIL_EVIDENCE
--- a/waxwingford/scheduling/_engine.py
+++ b/waxwingford/scheduling/_engine.py
@@ -119,6 +119,15 @@
             self.cancel(spec.job_id)
         return True
 
+    def set_aside(self, job_id: str, key: str, error: Exception) -> None:
+        """Fail a stored job that can't be read, without starting anything of it.
+
+        :param key: key of its record, for the log.
+        :param error: why it can't be read.
+        """
+        self.state.fail_unread(job_id)
+        self.state.notes.add_unreadable(key, error)
+
     def cancel(self, job_id: str) -> None:
         """Apply a stored cancellation.
 
--- a/waxwingford/scheduling/_interference.py
+++ b/waxwingford/scheduling/_interference.py
@@ -166,9 +166,13 @@
         :param raw: bytes returned by ``encode``.
         :raises ValueError: if the bytes are malformed.
         """
+        rows = _decoder.decode(raw)
+        for *pair, mean, variance in rows:
+            if not (0 <= mean < math.inf and 0 < variance < math.inf):
+                raise ValueError(f'{pair}: mean {mean}, variance {variance}')
         self._coefficient_by_pair = {
             (serving, best_effort): InterferenceCoefficient(mean, variance)
-            for serving, best_effort, mean, variance in _decoder.decode(raw)
+            for serving, best_effort, mean, variance in rows
         }
 
     def coefficient(self, serving: Step, best_effort: Step) -> float:
--- a/waxwingford/scheduling/_rows.py
+++ b/waxwingford/scheduling/_rows.py
@@ -10,6 +10,7 @@
 
 from waxwingford.scheduling._backend_client import RunKey
 from waxwingford.scheduling._incarnations import Incarnation, parse_incarnation
+from waxwingford.scheduling._spec_checks import find_fault
 from waxwingford.scheduling._specs import JobSpec
 from waxwingford.scheduling._state import (
     Job,
@@ -111,9 +112,13 @@
     """Decode a job from the store.
 
     :param raw: bytes returned by ``encode_spec``.
-    :raises ValueError: if the bytes are malformed.
+    :raises ValueError: if the bytes are malformed, or the job can't be scheduled.
     """
-    return _spec_decoder.decode(raw)
+    spec = _spec_decoder.decode(raw)
+    fault = find_fault(spec)
+    if fault is not None:
+        raise ValueError(str(fault))
+    return spec
 
 
 def encode_step_row(step: Step, wall_offset_ms: int) -> bytes:
@@ -200,12 +205,16 @@
     :raises ValueError: if the row is malformed or doesn't match the job.
     """
     rows = _rows_decoder.decode(raw)
-    if step_key.index >= len(job.spec.steps):
+    if not 0 <= step_key.index < len(job.spec.steps):
         raise ValueError(
             f'step index {step_key.index} is out of range for the job'
         )
+    if not 0 <= step_key.occurrence < job.spec.occurrences:
+        raise ValueError(
+            f'repetition {step_key.occurrence} is out of range for the job'
+        )
     step = job.begin(step_key.occurrence)[step_key.index]
-    if any(row.index >= len(step.tasks) for row in rows):
+    if not all(0 <= row.index < len(step.tasks) for row in rows):
         raise ValueError('task index is out of range for the step')
     for row in rows:
         task = step.tasks[row.index]
--- a/waxwingford/scheduling/_shard_state.py
+++ b/waxwingford/scheduling/_shard_state.py
@@ -85,6 +85,7 @@
         self.crash_records = CrashRecords()
         self._dirty_step_by_name: dict[str, Step] = {}
         self._pending_job_ends: list[tuple[Job, JobPhase]] = []
+        self._unread_job_ids: set[str] = set()
         self._pending_starts: list[Start] = []
         self._pending_acknowledgements: list[EndAcknowledgement] = []
         self.interference_row: bytes | None = None
@@ -96,9 +97,10 @@
         :returns: whether rows of jobs, starts or acknowledgements are pending;
             ``interference_row`` or losses alone wait for the next of these.
         """
+        job_ends = self._pending_job_ends or self._unread_job_ids
         return bool(
             self._dirty_step_by_name
-            or self._pending_job_ends
+            or job_ends
             or self._pending_acknowledgements
             or self._pending_starts
         )
@@ -153,6 +155,13 @@
         for run in runs_of(job):
             run.stopping = True
 
+    def fail_unread(self, job_id: str) -> None:
+        """End a job whose record can't be read, unless it is known otherwise."""
+        if job_id in self.job_by_id or job_id in self.final_phase_by_job:
+            return
+        self.final_phase_by_job[job_id] = JobPhase.failed
+        self._unread_job_ids.add(job_id)
+
     def take_orders(self) -> list[Order]:
         """Remove and return the orders that need no record."""
         orders = self.orders
@@ -175,6 +184,8 @@
         for job, phase in self._pending_job_ends:
             payload_by_key[ENDED_PREFIX + job.spec.job_id] = encode_end(phase)
             shown.append((job, phase))
+        for job_id in self._unread_job_ids:
+            payload_by_key[ENDED_PREFIX + job_id] = encode_end(JobPhase.failed)
         if self.interference_row is not None:
             payload_by_key[INTERFERENCE_KEY] = self.interference_row
             self.interference_row = None
@@ -190,6 +201,7 @@
         )
         self._dirty_step_by_name = {}
         self._pending_job_ends = []
+        self._unread_job_ids = set()
         self._pending_starts = []
         self._pending_acknowledgements = []
         return batch
@@ -255,13 +267,6 @@
             if not job.begun and job.ended is None
         )
 
-    def count_starts_in_progress(self) -> int:
-        """Count the runs that are planned and not known to have started."""
-        # A list, as each decision counts them and a generator takes longer.
-        return sum(
-            [server.starts_in_progress for server in self.server_by_id.values()]
-        )
-
     def queue_of(self, job: Job) -> QueueTerms:
         """Find the settings of a job's queue.
 
--- a/waxwingford/scheduling/tests/engine_harness.py
+++ b/waxwingford/scheduling/tests/engine_harness.py
@@ -140,7 +140,7 @@
                 self.engine.settler.start_answered(
                     server, start.run, self.now_ms, OrderAccepted(self.now_ms)
                 )
-        self._store_changes()
+        store_changes(self.engine, self.rows)
         self.orders += self.engine.state.take_orders()
         for order in self.orders:
             if isinstance(order, Pace):
@@ -153,13 +153,6 @@
                 self.lowest_by_image[step.image] = self.lowest_percent
         self.orders = [one for one in self.orders if not isinstance(one, Pace)]
 
-    def _store_changes(self):
-        """Store what has changed by answers, as the committer does at once."""
-        if self.engine.state.dirty:
-            batch = self.engine.take_batch()
-            store_rows(self.rows, batch.payload_by_key)
-            self.engine.stored(batch)
-
     lowest_by_image: dict = {}
 
     def step_of(self, key):
@@ -236,6 +229,14 @@
     harness.decide()
 
 
+def store_changes(engine, rows):
+    """Store what has changed by answers, as the committer does at once."""
+    if engine.state.dirty:
+        batch = engine.take_batch()
+        store_rows(rows, batch.payload_by_key)
+        engine.stored(batch)
+
+
 def new_engine(token, now_ms):
     engine = Engine(token, 5000, InheritedLeases(now_ms, {}))
     engine.configure(Terms(1, {'queue': QUEUE}))
--- a/waxwingford/shard/__init__.py
+++ b/waxwingford/shard/__init__.py
@@ -21,6 +21,7 @@
         '_intake': (
             'Intake',
             'IntakeOutcome',
+            'JobInvalid',
             'MayBeStored',
             'NotStored',
             'Stored',
--- a/waxwingford/shard/_frontend.py
+++ b/waxwingford/shard/_frontend.py
@@ -4,13 +4,19 @@
 
 import msgspec
 
-from waxwingford.scheduling import JobPhase, JobSpec, encode_spec
+from waxwingford.scheduling import (
+    JobPhase,
+    JobSpec,
+    encode_spec,
+    find_fault,
+)
 from waxwingford.shard._clocks import monotonic_ms
 from waxwingford.shard._intake import (
     CancelRow,
     Intake,
     IntakeOutcome,
     IntakeRow,
+    JobInvalid,
     JobRow,
     MayBeStored,
     NotStored,
@@ -59,13 +65,21 @@
         self._view = StoreView(log)
         self._final_phase_by_job: dict[str, JobPhase] = {}
 
-    async def submit(self, spec: JobSpec, deadline_s: float) -> IntakeOutcome:
+    async def submit(
+        self, spec: JobSpec, deadline_s: float
+    ) -> IntakeOutcome | JobInvalid:
         """Store a job.
 
         :param deadline_s: loop time at which the caller's request times out.
+        :returns: whether it is stored, or why it can't be scheduled.
         """
         started_ms = monotonic_ms()
-        outcome = await self._submit(spec, deadline_s)
+        fault = find_fault(spec)
+        outcome: IntakeOutcome | JobInvalid
+        if fault is None:
+            outcome = await self._submit(spec, deadline_s)
+        else:
+            outcome = JobInvalid(fault)
         self._record_request('request.submit', spec.job_id, outcome, started_ms)
         return outcome
 
--- a/waxwingford/shard/_intake.py
+++ b/waxwingford/shard/_intake.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from waxwingford.scheduling import decode_spec
+from waxwingford.scheduling import SpecFault, decode_spec
 from waxwingford.shard._log_port import (
     Appended,
     AppendOutcome,
@@ -43,6 +43,12 @@
     retry_after_s: int = 1
 
 
+class JobInvalid(msgspec.Struct, frozen=True):
+    """The job can't be scheduled, so it is not stored."""
+
+    fault: SpecFault
+
+
 class MayBeStored(msgspec.Struct, frozen=True):
     """The row may or may not be stored."""
 
--- a/waxwingford/shard/_intake_reader.py
+++ b/waxwingford/shard/_intake_reader.py
@@ -1,8 +1,12 @@
 """Passes jobs and cancellations from the intake to the owner's engine."""
 
 import asyncio
+import functools
+import itertools
 from collections.abc import Callable, Iterable
 
+import logbook
+
 from waxwingford.scheduling import Engine, decode_spec
 from waxwingford.shard._clocks import MS_PER_S, monotonic_ms
 from waxwingford.shard._intake import (
@@ -21,6 +25,8 @@
 #: It is as long as standbys wait for a silent owner, and allows for one lost page.
 PAGE_TIMEOUT_MS = 4000
 
+_log = logbook.Logger('shard')
+
 
 class IntakeReader:
     """Reads the intake and follows what is appended to it."""
@@ -62,13 +68,11 @@
 
         :param engine: new engine.
         """
-        _apply(
-            engine,
-            (
-                StoredRecord(0, key, raw)
-                for key, raw in self._mirror.payload_by_key.items()
-            ),
+        records = itertools.starmap(
+            functools.partial(StoredRecord, 0),
+            self._mirror.payload_by_key.items(),
         )
+        apply_records(engine, records, monotonic_ms())
 
     async def follow(
         self, engine: Engine, on_change: Callable[[], None]
@@ -82,7 +86,7 @@
             if not isinstance(read, CaughtUp):
                 await asyncio.sleep(RETRY_DELAY_S)
             elif read.changed:
-                _apply(engine, read.changed)
+                apply_records(engine, read.changed, monotonic_ms())
                 on_change()
 
     async def read_to_end(self, engine: Engine) -> bool:
@@ -97,20 +101,37 @@
         mirror.follow_from(self._mirror.next_offset)
         read: CatchUpOutcome = await mirror.read_to_end()
         if isinstance(read, CaughtUp):
-            _apply(engine, read.changed)
+            apply_records(engine, read.changed, monotonic_ms())
             return True
         return False
 
 
-def _apply(engine: Engine, records: Iterable[StoredRecord]) -> None:
-    now_ms = monotonic_ms()
+def apply_records(
+    engine: Engine, records: Iterable[StoredRecord], now_ms: int
+) -> None:
+    """Apply records of the intake to an engine.
+
+    :param now_ms: current monotonic time, in ms.
+    """
     for record in records:
         if record.payload is None:
             continue
         if record.key.startswith(JOB_PREFIX):
-            try:
-                engine.submit(decode_spec(record.payload), now_ms)
-            except ValueError as error:
-                engine.state.notes.add_unreadable(record.key, error)
+            _apply_job(engine, record.key, record.payload, now_ms)
         elif record.key.startswith(CANCEL_PREFIX):
             engine.cancel(record.key.removeprefix(CANCEL_PREFIX))
+
+
+def _apply_job(engine: Engine, key: str, raw: bytes, now_ms: int) -> None:
+    """Submit a stored job, or set it aside.
+
+    No record may end an owner: each of its successors would end at it as well.
+    """
+    job_id = key.removeprefix(JOB_PREFIX)
+    try:
+        engine.submit(decode_spec(raw), now_ms)
+    except ValueError as error:
+        engine.set_aside(job_id, key, error)
+    except Exception as error:
+        _log.error('record not applied', extra={'record': key}, exc_info=error)
+        engine.set_aside(job_id, key, error)
--- a/waxwingford/shard/_start_control.py
+++ b/waxwingford/shard/_start_control.py
@@ -38,7 +38,9 @@
         :param timely: whether servers that are well answer in time, so that silence
             of others counts.
         """
-        in_progress = engine.state.count_starts_in_progress()
+        servers = engine.state.server_by_id.values()
+        # A list, as each decision counts them and a generator takes longer.
+        in_progress = sum([server.starts_in_progress for server in servers])
         decision = engine.decide(
             now_ms,
             wall_ms,
