Start nothing in failure domains that operators evacuate

Cause: no code read the record.

Change: the adapter reads the names of the domains from the operators' topic with each read of the configuration; they are part of the terms, which may now change without a new version. The engine takes servers of such domains for unavailable in all that it places, and a start that was placed before isn't sent. An owner that has read no configuration places nothing. What runs there goes on.

--- a/waxwingford/platform/_adapter.py
+++ b/waxwingford/platform/_adapter.py
@@ -14,6 +14,7 @@
 from waxwingford.platform._records import (
     Configuration,
     decode_configuration,
+    evacuated_domains,
 )
 from waxwingford.platform._registrations import Registrations
 from waxwingford.platform._store import PlatformLog
@@ -83,7 +84,9 @@
                 continue
             self._apply_configuration(_try_decode(raw))
             if self._configuration is not None:
-                apply(self._configuration.terms)
+                domains = evacuated_domains(mirror.payload_by_key)
+                terms = self._configuration.terms
+                apply(terms._replace(evacuated_domains=domains))
 
     def _apply_configuration(self, configuration: Configuration | None) -> None:
         if configuration is None:
--- a/waxwingford/platform/_records.py
+++ b/waxwingford/platform/_records.py
@@ -1,6 +1,7 @@
 """Formats of configurations, registrations and submissions."""
 
 import re
+from collections.abc import Iterable
 from typing import Annotated, Literal
 
 import msgspec
@@ -15,6 +16,7 @@
 )
 
 _MAX_PORT = 65_535
+_EVACUATION_PREFIX = 'evacuate/'
 _MAX_AMOUNT = 1_000_000_000
 _Amount = Annotated[int, msgspec.Meta(ge=0, le=_MAX_AMOUNT)]
 _UnixMs = Annotated[int, msgspec.Meta(ge=0)]
@@ -191,6 +193,19 @@
     )
 
 
+def evacuated_domains(keys: Iterable[str]) -> frozenset[str]:
+    """Find the failure domains under evacuation.
+
+    :param keys: keys of the operator's records; the value of such a record says
+        nothing.
+    """
+    return frozenset(
+        key.removeprefix(_EVACUATION_PREFIX)
+        for key in keys
+        if key.startswith(_EVACUATION_PREFIX)
+    )
+
+
 def decode_registration(server_id: str, raw: bytes) -> ServerEntry:
     """Decode a worker's registration.
 
--- a/waxwingford/scheduler/_daemon.py
+++ b/waxwingford/scheduler/_daemon.py
@@ -180,8 +180,13 @@
         if self._store_lost:
             self._store_lost = False
             _log.info('store regained', extra={'version': terms.version})
-        if terms.version > self._member.terms.version:
+        former = self._member.terms
+        if terms.supersedes(former):
             self._member.configure(terms)
+        if terms.evacuated_domains != former.evacuated_domains:
+            domains = sorted(terms.evacuated_domains)
+            self._observer.record_event('domains.evacuated', domains=domains)
+            self._observer.metrics.gauge('evacuated_domains', len(domains))
 
     def record_failed_read(self) -> None:
         """Record that a read of the configuration has failed."""
--- a/waxwingford/scheduling/_engine.py
+++ b/waxwingford/scheduling/_engine.py
@@ -102,6 +102,7 @@
         self._outlived_marked_ms = 0
         self._jobs_to_release: dict[str, Job] = {}
         self._timed_job_by_id: dict[str, Job] = {}
+        self._evacuated_domains: frozenset[str] = frozenset()
 
     def submit(self, spec: JobSpec, now_ms: int) -> bool:
         """Add a stored job; known jobs are ignored.
@@ -142,7 +143,7 @@
         self.state.finish(job, JobPhase.cancelled)
 
     def configure(self, terms: Terms) -> None:
-        """Apply settings of the queues unless newer ones are in force."""
+        """Apply what operators have set unless a newer version is in force."""
         if terms.version >= self.state.terms.version:
             self.state.terms = terms
 
@@ -253,6 +254,7 @@
         """
         self.timely = timely
         self.state.wall_offset_ms = wall_ms - now_ms
+        self._update_evacuated()
         if now_ms - self._maintained_ms >= MAINTENANCE_INTERVAL_MS:
             self._maintained_ms = now_ms
             for server in list(self.state.server_by_id.values()):
@@ -268,6 +270,9 @@
             self._placer.release_tasks(job, now_ms, wall_ms)
             if job.ended is not None:
                 self._timed_job_by_id.pop(job_id, None)
+        if not self.state.terms.version:
+            # Neither the services of the queues nor evacuations are known yet.
+            max_starts = 0
         return self._placer.place(now_ms, max_starts, overloaded)
 
     def take_batch(self) -> Batch:
@@ -286,6 +291,14 @@
             self._jobs_to_release[job.spec.job_id] = job
         return self.state.stored(batch)
 
+    def _update_evacuated(self) -> None:
+        domains = self.state.terms.evacuated_domains
+        if not (domains or self._evacuated_domains):
+            return
+        self._evacuated_domains = domains
+        for server in self.state.server_by_id.values():
+            server.evacuated = server.entry.failure_domain in domains
+
     def _add(self, entry: ServerEntry, now_ms: int) -> None:
         server = Server(entry)
         self.state.server_by_id[entry.server_id] = server
--- a/waxwingford/scheduling/_order_factory.py
+++ b/waxwingford/scheduling/_order_factory.py
@@ -72,6 +72,10 @@
             # restart of all its tasks elsewhere.
             run.stopping = True
             return None
+        if server.entry.failure_domain in self._state.terms.evacuated_domains:
+            # The evacuation began after the run was placed.
+            run.stopping = True
+            return None
         if not fits_resources(_NOTHING, server.free_resources):
             # The capacity has shrunk since the run was placed, and the server
             # may not check it.
--- a/waxwingford/scheduling/_servers.py
+++ b/waxwingford/scheduling/_servers.py
@@ -75,6 +75,7 @@
         last sent.
     :ivar claimed_ms: start time in a registration of which only the next poll
         tells whether it is the newest, 0 for none.
+    :ivar evacuated: whether nothing more is to start in its failure domain.
     :ivar described: whether the registration is of this incarnation, which may
         have other labels than the former one.
     :ivar run_by_key: runs that may be present.
@@ -169,6 +170,7 @@
     starts_in_doubt: dict[RunKey, int] = dataclasses.field(default_factory=dict)
     stops_owed: dict[RunKey, int] = dataclasses.field(default_factory=dict)
     claimed_ms: int = 0
+    evacuated: bool = False
     described: bool = True
 
     def __post_init__(self) -> None:
@@ -187,14 +189,14 @@
 
     @property
     def is_available(self) -> bool:
-        """Whether the server answers and isn't shutting down.
+        """Whether the server answers, isn't shutting down and isn't evacuated.
 
         :returns: whether tasks may be placed there, apart from
             ``no_starts_until_ms``.
         """
         answers = self.polled_ms >= 0 and self.failing_since_ms is None
         leaves = self.replaced or self.entry.draining or not self.registered
-        return answers and not leaves
+        return answers and not (leaves or self.evacuated)
 
     def register(self, entry: ServerEntry) -> None:
         """Apply a newer registration of this incarnation."""
--- a/waxwingford/scheduling/_specs.py
+++ b/waxwingford/scheduling/_specs.py
@@ -152,10 +152,22 @@
 
 
 class Terms(NamedTuple):
-    """Settings of all queues.
+    """What operators have set: the queues, and evacuations.
 
     :ivar version: version number, which increases with each configuration.
+    :ivar evacuated_domains: failure domains in which nothing more is to start.
+        They change without a new version.
     """
 
     version: int
     queue_by_name: dict[str, QueueTerms]
+    evacuated_domains: frozenset[str] = frozenset()
+
+    def supersedes(self, former: 'Terms') -> bool:
+        """Tell whether these terms replace others that were read before.
+
+        :param former: terms in force.
+        """
+        if self.version != former.version:
+            return self.version > former.version
+        return self.evacuated_domains != former.evacuated_domains
