--- a/waxwingford/scheduling/_engine.py
+++ b/waxwingford/scheduling/_engine.py
@@ -15,6 +15,7 @@
 )
 from waxwingford.scheduling._backlog import Decision
 from waxwingford.scheduling._crashes import mark_outlived
+from waxwingford.scheduling._evacuations import Evacuations
 from waxwingford.scheduling._interference import InterferenceModel
 from waxwingford.scheduling._lease_withholding import LeaseWithholding
 from waxwingford.scheduling._migration import Migrator
@@ -102,7 +103,7 @@
         self._outlived_marked_ms = 0
         self._jobs_to_release: dict[str, Job] = {}
         self._timed_job_by_id: dict[str, Job] = {}
-        self._evacuated_domains: frozenset[str] = frozenset()
+        self._evacuations = Evacuations(self.state)
 
     def submit(self, spec: JobSpec, now_ms: int) -> bool:
         """Add a stored job; known jobs are ignored.
@@ -254,7 +255,7 @@
         """
         self.timely = timely
         self.state.wall_offset_ms = wall_ms - now_ms
-        self._update_evacuated()
+        self._evacuations.update()
         if now_ms - self._maintained_ms >= MAINTENANCE_INTERVAL_MS:
             self._maintained_ms = now_ms
             for server in list(self.state.server_by_id.values()):
@@ -291,14 +292,6 @@
             self._jobs_to_release[job.spec.job_id] = job
         return self.state.stored(batch)
 
-    def _update_evacuated(self) -> None:
-        domains = self.state.terms.evacuated_domains
-        if not (domains or self._evacuated_domains):
-            return
-        self._evacuated_domains = domains
-        for server in self.state.server_by_id.values():
-            server.evacuated = server.entry.failure_domain in domains
-
     def _add(self, entry: ServerEntry, now_ms: int) -> None:
         server = Server(entry)
         self.state.server_by_id[entry.server_id] = server
