Evaluate a part of a large fleet for each step

Suspected cause: for each step all servers are evaluated, so placing 500 steps of 14 long-running tasks on 1,500 servers took 34 s of one core in a trial (virtual time); what comes last in the order isn't reached for that long, and heartbeats wait. Ruled out: a takeover at 300 servers in virtual time starts all that waits within a second.

Change: fleets of over 400 servers are looked at in turn, chunk by chunk, until a step has enough servers with room; best-effort steps look at the next 400 in each round. Smaller fleets are treated as before.

--- a/waxwingford/scheduling/_admission.py
+++ b/waxwingford/scheduling/_admission.py
@@ -10,6 +10,7 @@
 
 from waxwingford.scheduling._colocated_runs import full_pace_share
 from waxwingford.scheduling._interference import InterferenceModel
+from waxwingford.scheduling._server_selection import ServerSelection
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._shard_state import has_runs
 from waxwingford.scheduling._state import Job, Step
@@ -30,8 +31,9 @@
 
 
 class _Pool(NamedTuple):
-    # Servers of a service that accept starts, and whether they are crowded.
-    servers: list[Server]
+    # Servers of a service that accept starts, a part of them in a large fleet, and
+    # whether all of them are crowded.
+    window: list[Server]
     crowded: bool
 
 
@@ -41,6 +43,7 @@
     def __init__(self, model: InterferenceModel) -> None:
         self._model = model
         self._offset = 0
+        self._selection = ServerSelection()
         self._servers: list[Server] = []
         self._pool_by_service: dict[str, _Pool] = {}
         self._open_by_image: dict[tuple[str, str], list[Server]] = {}
@@ -66,7 +69,7 @@
         :param now_ms: current monotonic time, in ms.
         :returns: candidate servers for ``admitting``.
         """
-        servers = self._pool(service).servers
+        servers = self._pool(service).window
         if self._any_server(_idle_ms(best_effort.job, now_ms), service):
             return servers
         key = service, best_effort.spec.image
@@ -134,7 +137,8 @@
                 for server in self._servers
                 if server.entry.service == service
             ]
-            pool = _Pool(servers, _are_crowded(servers))
+            window = self._selection.window(servers)
+            pool = _Pool(window, _are_crowded(servers))
             self._pool_by_service[service] = pool
         return pool
 
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -13,6 +13,7 @@
 from waxwingford.scheduling._pending_report import PendingReport
 from waxwingford.scheduling._reservations import Reservations
 from waxwingford.scheduling._server_costs import ServerCosts
+from waxwingford.scheduling._server_selection import ServerSelection
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._shard_state import ShardState
 from waxwingford.scheduling._state import Job, Run, RunPhase, Step, Task
@@ -46,6 +47,7 @@
         self._best_effort_due_ms = 0
         self._evaluations = 0
         self._report = PendingReport(state.notes)
+        self._selection = ServerSelection()
         self._reservations = Reservations()
         self._isolation = Isolation(state)
         self._candidates_by_step: dict[str, CandidateQueue] = {}
@@ -225,9 +227,11 @@
     ) -> list[Server]:
         """Select the servers to evaluate for a task."""
         step = pending.step
-        if not step.spec.best_effort:
-            return usable
         service = pending.queue.service
+        if not step.spec.best_effort:
+            if step.spec.gang or pending.queue.advised:
+                return usable
+            return self._selection.with_room(step, service, usable)
         pool = self._admission.open_servers(step, service, now_ms)
         self._evaluations += len(pool)
         return pool
--- a/waxwingford/scheduling/tests/large_fleet.feature
+++ b/waxwingford/scheduling/tests/large_fleet.feature
@@ -54,3 +54,17 @@
     When a job with a step of 20 urgent tasks is submitted
     And the short tasks end
     Then the urgent tasks are planned, and no long-running one
+
+  Scenario Outline: many steps on a fleet of thousands of servers
+    # Guards against evaluating all servers for each of many steps, which blocks the
+    # owner for longer than its heartbeats last.
+    Given an engine with <servers> servers of 64 cores that registered together
+    When <jobs> jobs with a step of 14 long-running tasks are submitted
+    Then all of these tasks are planned
+    And the round took at most 900 calls for each of these tasks
+
+    Examples:
+      | servers | jobs |
+      | 300     | 20   |
+      | 1000    | 20   |
+      | 3000    | 20   |
--- a/waxwingford/scheduling/tests/large_fleet_steps.py
+++ b/waxwingford/scheduling/tests/large_fleet_steps.py
@@ -9,7 +9,7 @@
 
 from waxwingford.ports import Resources
 from waxwingford.scheduling import EndKind, JobSpec, StepSpec
-from waxwingford.scheduling.tests.engine_harness import QUEUE
+from waxwingford.scheduling.tests.engine_harness import QUEUE, EngineHarness
 
 MS_IN_S = 1000
 PACKAGE = 'waxwingford.scheduling'
@@ -47,6 +47,21 @@
         harness.engine.submit(one, harness.now_ms)
 
 
+@given(
+    'an engine with {count:d} servers of {cores:d} cores that registered together'
+)
+def start_large_fleet(context, count, cores):
+    harness = EngineHarness(1, cores)
+    first = harness.entries[0]
+    harness.entries = [
+        first._replace(server_id=f's{number}', endpoint=f's{number}:1')
+        for number in range(count)
+    ]
+    harness.register()
+    harness.poll()
+    context.harness = harness
+
+
 @given('each server runs {count:d} best-effort tasks')
 def run_best_effort(context, count):
     harness = context.harness
@@ -214,3 +229,32 @@
     after = harness.engine.decide(harness.now_ms + 200, 0, 1).backlog
     added = after.best_effort - before.best_effort
     assert added == 10 + 30 - 1, (before, after)
+
+
+@when(
+    '{count:d} jobs with a step of {tasks:d} long-running tasks are submitted'
+)
+def submit_many_long_running(context, count, tasks):
+    harness = context.harness
+    context.tasks = count * tasks
+    submit(
+        harness,
+        [
+            job(number, tasks, 13, long_running=True, image='a', target_ms=30)
+            for number in range(count)
+        ],
+    )
+    with CallCounter() as counted:
+        harness.engine.decide(harness.now_ms + 1, harness.wall_ms)
+    context.calls = counted.calls
+
+
+@then('all of these tasks are planned')
+def check_all_planned(context):
+    starts = context.harness.engine.take_batch().starts
+    assert len(starts) == context.tasks, len(starts)
+
+
+@then('the round took at most {most:d} calls for each of these tasks')
+def check_calls_per_task(context, most):
+    assert context.calls <= most * context.tasks, context.calls / context.tasks
