--- /dev/null
+++ b/waxwingford_bench/interference/_trial.py
@@ -0,0 +1,111 @@
+"""Plays an emulated day and tells what it was worth."""
+
+from typing import NamedTuple
+
+from waxwingford_bench.interference._cluster import FIRST_MS, EmulatedCluster
+from waxwingford_bench.interference._workload import (
+    BEST_EFFORT,
+    URGENT,
+    EmulatedJob,
+    Kind,
+    Workload,
+)
+
+#: Time before the first jobs arrive, in which the long-running ones start.
+WARM_UP_S = 6
+#: Time after the last arrival for which jobs may still complete.
+FINISH_S = 14
+#: Worth of a job that is late, as a share; later than the factor it has none.
+LATE_SHARE = 0.15
+LATE_FACTOR = 3
+#: Shares of a day's worth.
+BEST_EFFORT_WEIGHT = 0.56
+SERVING_WEIGHT = 0.36
+URGENT_WEIGHT = 0.08
+#: Factor of the time in which best-effort tasks push serving ones over the target.
+OVER_TARGET_FACTOR = 4
+
+
+class DayWorth(NamedTuple):
+    """Worth of a day, and its parts, each from 0 to 1.
+
+    :ivar in_time: share of the best-effort jobs that were in time, by number.
+    :ivar busy_cores: mean CPU of best-effort runs, in cores.
+    """
+
+    total: float
+    best_effort: float
+    urgent: float
+    serving: float
+    in_time: float
+    busy_cores: float
+
+
+def play(workload: Workload, seed: int, span_s: float = 34) -> DayWorth:
+    """Play a day.
+
+    :param span_s: time in which jobs arrive, in seconds.
+    """
+    cluster = EmulatedCluster(workload, seed)
+    for job in cluster.draw.serving():
+        cluster.submit(job)
+    _run_until(cluster, WARM_UP_S)
+    cluster.serving_ms = 0
+    cluster.over_ms = 0
+    jobs = cluster.draw.arrivals(span_s)
+    started_ms = cluster.now_ms
+    for job in jobs:
+        while cluster.now_ms < started_ms + job.arrival_ms:
+            cluster.tick()
+        cluster.submit(job)
+    _run_until(cluster, WARM_UP_S + span_s + FINISH_S)
+    worth_by_queue = {
+        kind.terms.name: _worth(cluster, jobs, kind, started_ms)
+        for kind in workload.kinds
+    }
+    over_share = cluster.over_ms / max(1, cluster.serving_ms)
+    best_effort, in_time = worth_by_queue[BEST_EFFORT.terms.name]
+    urgent, _ = worth_by_queue[URGENT.terms.name]
+    serving = 1 - OVER_TARGET_FACTOR * over_share
+    total = (
+        BEST_EFFORT_WEIGHT * best_effort
+        + URGENT_WEIGHT * urgent
+        + SERVING_WEIGHT * serving
+    )
+    busy = cluster.used_core_s / (span_s + FINISH_S)
+    return DayWorth(total, best_effort, urgent, serving, in_time, busy)
+
+
+def _run_until(cluster: EmulatedCluster, at_s: float) -> None:
+    while cluster.now_ms < FIRST_MS + at_s * 1000:
+        cluster.tick()
+
+
+def _worth(
+    cluster: EmulatedCluster,
+    jobs: list[EmulatedJob],
+    kind: Kind,
+    started_ms: int,
+) -> tuple[float, float]:
+    """Compute the worth of a kind of jobs, and the share that was in time."""
+    own = [job for job in jobs if job.kind is kind]
+    mean_work = sum(job.work for job in own) / max(1, len(own))
+    earned: float = 0
+    owed: float = 0
+    in_time = 0
+    for job in own:
+        worth = min(4, 0.3 + 0.7 * job.work / mean_work)
+        owed += worth
+        finished_ms = cluster.finished_ms_by_job.get(job.spec.job_id)
+        if finished_ms is None:
+            continue
+        took_ms = finished_ms - started_ms - job.arrival_ms
+        if took_ms <= job.objective_ms:
+            earned += worth
+            in_time += 1
+        elif took_ms <= LATE_FACTOR * job.objective_ms:
+            earned += LATE_SHARE * worth
+    return earned / max(owed, 1e-9), in_time / max(1, len(own))
+
+
+__all__ = ('DayWorth', 'play')
--- a/waxwingford_bench/tests/commands.feature
+++ b/waxwingford_bench/tests/commands.feature
@@ -10,6 +10,7 @@
       | waxwingford_bench.main             |
       | waxwingford_bench.capacity         |
       | waxwingford_bench.recovery         |
+      | waxwingford_bench.interference     |
       | waxwingford_bench.owner_cost       |
       | waxwingford_bench.random_run       |
       | waxwingford_bench.start_cost       |
