Order jobs by learned run times

Cause: order and lateness took declared run times at their word.

Test: run_times.feature, demand over supply with run times that are declared wrong.

--- a/waxwingford/scheduling/_engine.py
+++ b/waxwingford/scheduling/_engine.py
@@ -216,7 +216,7 @@
                 >= STORE_INTERFERENCE_INTERVAL_MS
             ):
                 self._interference_stored_ms = now_ms
-                self.state.interference_row = self._harm.encode()
+                self.state.learned.interference_row = self._harm.encode()
             self.pacer.adjust_paces(server, now_ms)
 
     def start_answered(
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -19,9 +19,9 @@
 from waxwingford.scheduling._state import Job, Run, RunPhase, Step, Task
 from waxwingford.scheduling._task_order import (
     PendingTask,
+    estimate_job,
     rank_task,
     ranked_tasks,
-    remaining_work,
 )
 
 #: Shortest time between two rounds that place best-effort tasks, in ms.
@@ -140,7 +140,8 @@
         """
         queue = self._state.queue_of(step.job)
         steps = step.job.steps_by_occurrence[step.occurrence]
-        pending = rank_task(task, step, queue, remaining_work(steps), now_ms)
+        estimate = estimate_job(steps, queue, self._state.learned.run_times)
+        pending = rank_task(task, step, queue, estimate, now_ms)
         usable = _usable_servers(self._state, now_ms)
         self._admission.begin(usable)
         pool = self._pool(pending, usable, now_ms)
--- /dev/null
+++ b/waxwingford/scheduling/_progress.py
@@ -0,0 +1,33 @@
+"""Run times that the progress of runs tells."""
+
+from waxwingford.scheduling._servers import Server
+from waxwingford.scheduling._shard_state import ShardState
+from waxwingford.scheduling._state import Run
+
+#: Progress of a step, in tasks, from which on its run time is learned.
+LEARNED_PROGRESS = 0.8
+_FULL_PERCENT = 100
+
+
+def observe_progress(
+    state: ShardState, server: Server, run: Run, percent: float, now_ms: int
+) -> None:
+    """Learn from the progress of a run since it was listed last.
+
+    :param run: run with the progress that was listed last.
+    :param percent: progress that is listed now.
+    :param now_ms: current monotonic time, in ms.
+    """
+    since_ms = run.listed_ms
+    run.listed_ms = now_ms
+    step = server.step_by_run[run.key]
+    if not since_ms or run.pace is None or step.spec.long_running:
+        return
+    known = step.progress >= LEARNED_PROGRESS
+    step.attained_ms += (now_ms - since_ms) * run.pace / _FULL_PERCENT
+    step.progress += max(0, percent - run.percent) / _FULL_PERCENT
+    observed_ms = step.observed_ms
+    if known or observed_ms is None or step.progress < LEARNED_PROGRESS:
+        return
+    queue = step.job.spec.queue
+    state.learned.run_times.learn(queue, step.spec.estimate_ms, observed_ms)
--- a/waxwingford/scheduling/_settle.py
+++ b/waxwingford/scheduling/_settle.py
@@ -23,6 +23,7 @@
     ServerReplaced,
 )
 from waxwingford.scheduling._late_ends import note_lost, take_late_end
+from waxwingford.scheduling._progress import observe_progress
 from waxwingford.scheduling._restarts import Restarts
 from waxwingford.scheduling._run_settlement import RunSettlement
 from waxwingford.scheduling._server_notes import (
@@ -236,6 +237,7 @@
                     server=server.entry.server_id,
                 )
             return
+        observe_progress(self._state, server, run, report.percent, now_ms)
         if run.phase is not RunPhase.present or report.percent != run.percent:
             # A run that is listed for the first time counts as having
             # progressed until now: a new owner may poll its server only after
--- a/waxwingford/scheduling/_shard_state.py
+++ b/waxwingford/scheduling/_shard_state.py
@@ -24,6 +24,7 @@
     encode_end,
     encode_step_row,
 )
+from waxwingford.scheduling._run_times import RunTimes
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._specs import JobSpec, QueueTerms, Terms
 from waxwingford.scheduling._state import (
@@ -51,6 +52,19 @@
         self.outlived_step_by_name: dict[str, Step] = {}
 
 
+class Learned:
+    """What was learned of tasks from their runs.
+
+    :ivar run_times: run times by queue.
+    :ivar interference_row: learned interference of best-effort tasks, to be
+        stored with the next batch; ``None`` for no change.
+    """
+
+    def __init__(self) -> None:
+        self.run_times = RunTimes()
+        self.interference_row: bytes | None = None
+
+
 class ShardState:
     """State of a shard in its owner's memory.
 
@@ -61,8 +75,7 @@
         id.
     :ivar pending_by_key: tasks that wait for a server.
     :ivar orders: orders that can be sent without storing a record first.
-    :ivar interference_row: learned interference of best-effort tasks, to be
-        stored with the next batch; ``None`` for no change.
+    :ivar learned: what was learned of tasks from their runs.
     :ivar notes: decisions to be logged.
     :ivar crash_records: what is known of lost servers and outlived starts.
     :ivar tickets: tickets for steps of advised queues.
@@ -79,6 +92,7 @@
         self.pending_by_key: dict[object, Task] = {}
         self.orders: list[Order] = []
         self.tickets = TicketBook()
+        self.learned = Learned()
         self.withheld_servers: set[str] = set()
         self.wall_offset_ms = 0
         self.notes = NoteBuffer()
@@ -88,14 +102,13 @@
         self._unread_job_ids: set[str] = set()
         self._pending_starts: list[Start] = []
         self._pending_acknowledgements: list[EndAcknowledgement] = []
-        self.interference_row: bytes | None = None
 
     @property
     def dirty(self) -> bool:
         """Whether a batch has to be stored.
 
         :returns: whether rows of jobs, starts or acknowledgements are pending;
-            ``interference_row`` or losses alone wait for the next of these.
+            learned interference or losses alone wait for the next of these.
         """
         job_ends = self._pending_job_ends or self._unread_job_ids
         return bool(
@@ -186,9 +199,9 @@
             shown.append((job, phase))
         for job_id in self._unread_job_ids:
             payload_by_key[ENDED_PREFIX + job_id] = encode_end(JobPhase.failed)
-        if self.interference_row is not None:
-            payload_by_key[INTERFERENCE_KEY] = self.interference_row
-            self.interference_row = None
+        if self.learned.interference_row is not None:
+            payload_by_key[INTERFERENCE_KEY] = self.learned.interference_row
+            self.learned.interference_row = None
         losses = self.crash_records.losses
         if losses.changed:
             payload_by_key[LOSSES_KEY] = losses.encode()
--- a/waxwingford/scheduling/_specs.py
+++ b/waxwingford/scheduling/_specs.py
@@ -126,25 +126,6 @@
     times: int = 0
     terms: QueueTerms = UNKNOWN_QUEUE
 
-    @property
-    def critical_path_ms(self) -> int:
-        """Estimated length of the critical path through the steps, in ms."""
-        step_end_ms: list[int] = []
-        for step in self.steps:
-            start_ms = max(
-                (step_end_ms[index] for index in step.after), default=0
-            )
-            step_end_ms.append(start_ms + step.estimate_ms)
-        return max(step_end_ms, default=0)
-
-    @property
-    def work(self) -> int:
-        """Estimated CPU time in thousandths of a core times milliseconds."""
-        return sum(
-            step.count * step.estimate_ms * step.needs.processors_milli
-            for step in self.steps
-        )
-
     @property
     def occurrences(self) -> int:
         """Number of repetitions, at least 1."""
--- a/waxwingford/scheduling/_state.py
+++ b/waxwingford/scheduling/_state.py
@@ -9,6 +9,9 @@
 from waxwingford.scheduling._incarnations import Incarnation
 from waxwingford.scheduling._specs import JobSpec, StepSpec
 
+#: Progress of a step, in tasks, from which on the run time of its tasks is known.
+MIN_OBSERVED_PROGRESS = 0.4
+
 
 class JobPhase(enum.Enum):
     """Life-cycle phase of a job as reported to its caller."""
@@ -48,6 +51,7 @@
     :ivar planned_ms: time at which the run was placed.
     :ivar checkpoint: newest checkpoint that the server listed.
     :ivar percent: progress that the server listed, in percent.
+    :ivar listed_ms: time at which it was last listed, 0 for never.
     :ivar progress_changed_ms: time at which the progress last changed.
     :ivar measured_value: tail latency or CPU usage that the server listed, see
         ``RunningReport.measured_value``.
@@ -79,6 +83,7 @@
     planned_ms: int
     checkpoint: str = ''
     percent: float = 0
+    listed_ms: int = 0
     progress_changed_ms: int = 0
     measured_value: float = 0
     pace: int | None = 100
@@ -174,6 +179,8 @@
     :ivar index: index of the step in the job.
     :ivar tasks: tasks in the order of their index.
     :ivar unfinished: number of tasks that are not done.
+    :ivar attained_ms: time at full speed that its runs were listed to have had, in
+        ms, and ``progress``, what they were listed to have done in it, in tasks.
     :ivar name: key of the step's row in the store: job id, repetition and index,
         joined by dots.
     """
@@ -184,11 +191,20 @@
     index: int
     tasks: list[Task]
     unfinished: int
+    attained_ms: float = 0
+    progress: float = 0
     name: str = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
         self.name = f'{self.job.spec.job_id}.{self.occurrence}.{self.index}'
 
+    @property
+    def observed_ms(self) -> float | None:
+        """Run time of its tasks at full speed, in ms, ``None`` if too few ran."""
+        if self.progress < MIN_OBSERVED_PROGRESS:
+            return None
+        return self.attained_ms / self.progress
+
     def runs_per_server(self) -> dict[str, int]:
         """Count the runs of this step on each server.
 
@@ -208,9 +224,6 @@
 
     :ivar received_ms: monotonic time in ms at which this owner received the
         job.
-    :ivar critical_path_ms: estimated length of the critical path through its
-        steps, in ms.
-    :ivar work: estimated work, see ``JobSpec.work``.
     :ivar last_run_ms: monotonic time in ms at which its last run was settled.
     :ivar steps_by_occurrence: steps of each repetition that has begun.
     :ivar reported_phase: phase reported to callers; only stored phases are
@@ -224,8 +237,6 @@
 
     spec: JobSpec
     received_ms: int
-    critical_path_ms: int
-    work: int
     last_run_ms: int
     steps_by_occurrence: dict[int, list[Step]] = dataclasses.field(
         default_factory=dict
@@ -277,8 +288,6 @@
     return Job(
         spec,
         now_ms,
-        spec.critical_path_ms,
-        spec.work,
         now_ms,
         occurrences_left=spec.occurrences,
     )
--- a/waxwingford/scheduling/_task_order.py
+++ b/waxwingford/scheduling/_task_order.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
+from waxwingford.scheduling._run_times import RunTimes
 from waxwingford.scheduling._shard_state import ShardState, has_runs
 from waxwingford.scheduling._specs import QueueTerms
 from waxwingford.scheduling._state import Job, Step, Task
@@ -31,31 +32,57 @@
     :ivar overdue: whether it is a long-running task pending for too long.
     """
 
-    rank: tuple[int, int, int, int, int]
+    rank: tuple[int, int, int, float, int]
     task: Task
     step: Step
     queue: QueueTerms
     overdue: bool = False
 
 
-def remaining_work(steps: list[Step]) -> int:
-    """Estimate the remaining work of one repetition of a job.
+class JobEstimate(NamedTuple):
+    """Estimate for one repetition of a job.
 
-    :returns: CPU time in thousandths of a core times milliseconds.
+    :ivar work: CPU time that is left, in thousandths of a core times milliseconds.
+    :ivar objective_ms: time in which it should complete, in ms.
     """
-    return sum(
-        step.unfinished
-        * step.spec.estimate_ms
-        * step.spec.needs.processors_milli
-        for step in steps
-    )
+
+    work: float
+    objective_ms: float
+
+
+def estimate_job(
+    steps: list[Step], queue: QueueTerms, run_times: RunTimes
+) -> JobEstimate:
+    """Estimate one repetition of a job from what is known of its run times.
+
+    :param steps: steps of the repetition.
+    """
+    work: float = 0
+    end_ms_by_index: list[float] = []
+    for step in steps:
+        run_time_ms = _run_time_ms(step, run_times)
+        work += step.unfinished * run_time_ms * step.spec.needs.processors_milli
+        started_ms = max(
+            [end_ms_by_index[index] for index in step.spec.after], default=0
+        )
+        end_ms_by_index.append(started_ms + run_time_ms)
+    chain_ms = max(end_ms_by_index, default=0)
+    return JobEstimate(work, queue.stretch * chain_ms + queue.target_ms)
+
+
+def _run_time_ms(step: Step, run_times: RunTimes) -> float:
+    """Expected run time of a step's tasks at full speed, in ms."""
+    observed_ms = step.observed_ms
+    if observed_ms is not None:
+        return observed_ms
+    return run_times.predict(step.job.spec.queue, step.spec.estimate_ms)
 
 
 def rank_task(
     task: Task,
     step: Step,
     queue: QueueTerms,
-    work: int,
+    estimate: JobEstimate,
     now_ms: int,
     deferred: bool = False,
     limited: bool = False,
@@ -68,7 +95,7 @@
     ordering by age would make every job late. A long-running task that is
     overdue comes before all others, so that short ones can't starve it.
 
-    :param work: remaining work of the repetition, see ``remaining_work``.
+    :param estimate: estimate for the repetition.
     :param now_ms: current monotonic time, in ms.
     :param deferred: whether a long-running task can't become overdue.
     :param limited: whether the owner's processor limits the starts, so that large
@@ -87,8 +114,10 @@
     rank = (
         queue.priority,
         2 if step.spec.best_effort else int(long_running),
-        0 if long_running else _lateness(job, queue, now_ms, limited),
-        job.received_ms if long_running else work,
+        0
+        if long_running
+        else _lateness(job, estimate.objective_ms, now_ms, limited),
+        job.received_ms if long_running else estimate.work,
         task.key.index,
     )
     return PendingTask(rank, task, step, queue)
@@ -145,12 +174,12 @@
         state.pending_by_key.pop(task.key, None)
         return None
     steps = job.steps_by_occurrence[task.key.occurrence]
-    work = remaining_work(steps)
     step = steps[task.key.step]
     queue = state.queue_of(job)
+    estimate = estimate_job(steps, queue, state.learned.run_times)
     new = step.spec.long_running and not task.last_run
     deferred = new and queue.service in full
-    return rank_task(task, step, queue, work, now_ms, deferred, limited)
+    return rank_task(task, step, queue, estimate, now_ms, deferred, limited)
 
 
 class _FullServices:
@@ -191,15 +220,14 @@
     return PendingTask(rank, task, first.step, first.queue)
 
 
-def _rank(pending: PendingTask) -> tuple[int, ...]:
+def _rank(pending: PendingTask) -> tuple[float, ...]:
     return pending.rank
 
 
-def _lateness(job: Job, queue: QueueTerms, now_ms: int, limited: bool) -> int:
+def _lateness(job: Job, objective_ms: float, now_ms: int, limited: bool) -> int:
     starved = limited and now_ms - job.last_run_ms >= STARVED_MS
     if starved and not has_runs(job):
         return _STARVED
-    objective_ms = queue.stretch * job.critical_path_ms + queue.target_ms
     age_ms = now_ms - job.received_ms
     if age_ms <= objective_ms:
         return 0
