Choose servers for best-effort tasks by the share of their allowance

Cause: among servers with allowance enough, the one with the fewest best-effort tasks was taken, also where the task uses nearly all of the allowance by interfering, while others bear it nearly for free. A third of the pairs of images interfere little, so most tasks have such a server.

--- a/waxwingford/scheduling/_admission.py
+++ b/waxwingford/scheduling/_admission.py
@@ -123,6 +123,16 @@
         allowance = self._model.allowance(server, best_effort, now_ms)
         return max(0, 1 - min(allowance) / full_pace_share(server, best_effort))
 
+    def usage(self, best_effort: Step, server: Server, now_ms: int) -> float:
+        """Predict how much of the allowance of a server a task uses.
+
+        :param now_ms: current monotonic time, in ms.
+        :returns: share of the allowance, at most 1.
+        """
+        allowance = min(self._model.allowance(server, best_effort, now_ms))
+        needed = full_pace_share(server, best_effort)
+        return min(1, needed / allowance) if allowance > 0 else 1
+
     def _any_server(self, idle_ms: int, service: str) -> bool:
         return (
             idle_ms >= ANY_SERVER_AFTER_MS and not self._pool(service).crowded
--- a/waxwingford/scheduling/_server_costs.py
+++ b/waxwingford/scheduling/_server_costs.py
@@ -13,6 +13,9 @@
 PENALTY_COST = 0.5
 #: The whole CPU need of a best-effort task exceeds the server's allowance.
 INTERFERENCE_COST = 3.0
+#: A best-effort task uses the server's whole allowance. Tasks that interfere little
+#: leave the rest of it to others.
+ALLOWANCE_COST = 2.0
 #: Per image that serves there already: best-effort tasks suit a server with one
 #: image more often than one with several.
 OTHER_IMAGE_COST = 1.0
@@ -56,6 +59,7 @@
             cost += INTERFERENCE_COST * self._admission.excess(
                 step, server, now_ms
             )
+            cost += ALLOWANCE_COST * self._admission.usage(step, server, now_ms)
         elif spec.target_ms:
             cost += OTHER_IMAGE_COST * _count_other_images(spec.image, server)
         return cost
