Keep serving steps that could fill a server to themselves

Cause: tasks of one step have their crests together, those of different steps at different times. On a server with four steps the least headroom is a third of what one step leaves, and best fit put what was left of one step beside the next.

Test: overload.feature; the scenario of serving steps fails without the change.

--- a/waxwingford/scheduling/_server_costs.py
+++ b/waxwingford/scheduling/_server_costs.py
@@ -19,6 +19,10 @@
 #: Per image that serves there already: best-effort tasks suit a server with one
 #: image more often than one with several.
 OTHER_IMAGE_COST = 1.0
+#: Other steps serve there already, and the step could fill a server: the loads of
+#: different steps have their crests at different times, and the highest one bounds
+#: what best-effort tasks may use.
+OTHER_STEP_COST = 1.0
 #: Per run that would be lost if a task that may crash the server does so.
 LOST_RUN_COST = 2.0
 #: Share of its requested CPU that a task is assumed to use; the rest is
@@ -62,6 +66,7 @@
             cost += ALLOWANCE_COST * self._admission.usage(step, server, now_ms)
         elif spec.target_ms:
             cost += OTHER_IMAGE_COST * _count_other_images(spec.image, server)
+            cost += OTHER_STEP_COST * _crest_cost(step, server)
         return cost
 
 
@@ -95,3 +100,16 @@
 def _count_other_images(image: str, server: Server) -> int:
     images = {step.spec.image for _, step in server.serving.values()}
     return len(images - {image})
+
+
+def _crest_cost(step: Step, server: Server) -> float:
+    """Compute the cost of a serving task beside those of other steps.
+
+    :returns: cost from 0 to 1: the other tasks of the step, as a share of the
+        server, could stand beside it on a server of its own.
+    """
+    if all(other is step for _, other in server.serving.values()):
+        return 0
+    needs_milli = (step.spec.count - 1) * step.spec.needs.processors_milli
+    capacity_milli = max(1, server.entry.capacity.processors_milli)
+    return min(1, needs_milli / capacity_milli)
--- a/waxwingford/scheduling/tests/overload_steps.py
+++ b/waxwingford/scheduling/tests/overload_steps.py
@@ -78,3 +78,45 @@
     started = [run.server_id for run in runs if run.key.task.job_id == JOB]
     assert len(blue) == 1, runs
     assert len([one for one in started if one in blue]) == count, started
+
+
+@given('{count:d} servers of 64 cores')
+def start_empty_servers(context, count):
+    context.harness = EngineHarness(count, CORES)
+    context.harness.figure_by_image = {'calm': LATENCY_MS, 'wild': 1}
+
+
+def start_serving(context, job_id, count):
+    serving = step(
+        count, cores=16, image='red', target_ms=TARGET_MS, long_running=True
+    )
+    submit(context.harness, job_id, serving)
+
+
+@when('a serving job of {count:d} tasks of 16 cores starts')
+def start_first_serving(context, count):
+    start_serving(context, SECOND, count)
+
+
+@when('another serving job of {count:d} tasks of 16 cores starts')
+def start_second_serving(context, count):
+    start_serving(context, THIRD, count)
+
+
+def servers_of(context, job_id):
+    return {
+        run.server_id
+        for run in context.harness.planned_runs
+        if run.key.task.job_id == job_id
+    }
+
+
+@then('no server has tasks of both')
+def check_apart(context):
+    first, second = servers_of(context, SECOND), servers_of(context, THIRD)
+    assert first and second and not first & second, (first, second)
+
+
+@then('all {count:d} tasks run')
+def check_all_run(context, count):
+    assert len(context.harness.planned_runs) == count
