--- a/waxwingford/scheduling/_task_order.py
+++ b/waxwingford/scheduling/_task_order.py
@@ -111,15 +111,12 @@
     ):
         rank = _OVERDUE_RANK, 0, 0, task.pending_since_ms, task.key.index
         return PendingTask(rank, task, step, queue, overdue=True)
-    rank = (
-        queue.priority,
-        2 if step.spec.best_effort else int(long_running),
-        0
-        if long_running
-        else _lateness(job, estimate.objective_ms, now_ms, limited),
-        job.received_ms if long_running else estimate.work,
-        task.key.index,
-    )
+    kind = 2 if step.spec.best_effort else int(long_running)
+    lateness, order = 0, float(job.received_ms)
+    if not long_running:
+        lateness = _lateness(job, estimate.objective_ms, now_ms, limited)
+        order = estimate.work
+    rank = queue.priority, kind, lateness, order, task.key.index
     return PendingTask(rank, task, step, queue)
 
 
