Answer a daemon that passes on a job that can't be scheduled

Cause: since jobs are checked when they are decoded, the intake raised ValueError for a row of a daemon of another version instead of giving an outcome. The steps of intake.feature stored a job without steps, which is no job any more; theirs has one now, and a scenario holds the outcome for one without.

--- a/waxwingford/shard/_intake.py
+++ b/waxwingford/shard/_intake.py
@@ -105,8 +105,13 @@
             # An attempt could end with an unknown outcome. Without one the
             # caller may safely retry at once.
             return NotStored('the store does not answer')
+        try:
+            record = _record(row)
+        except ValueError as error:
+            # From a daemon of another version, which has checked it differently.
+            return NotStored(f'job not read: {error}')
         loop = asyncio.get_running_loop()
-        entry = _PendingRow(_record(row), deadline_s, loop.create_future())
+        entry = _PendingRow(record, deadline_s, loop.create_future())
         self._waiting.append(entry)
         if self._flush_task is None or self._flush_task.done():
             self._flush_task = asyncio.create_task(self._flush())
--- a/waxwingford/shard/tests/intake.feature
+++ b/waxwingford/shard/tests/intake.feature
@@ -25,3 +25,10 @@
     When a job is stored with a timeout of 3 s
     Then the outcome is "NotStored"
     And no append was attempted
+
+  Scenario: another daemon passes a job on that can't be scheduled
+    # Guards against an exception instead of an answer to a daemon of another version.
+    Given a store that answers "appended"
+    When a job without steps is stored with a timeout of 3 s
+    Then the outcome is "NotStored"
+    And no append was attempted
--- a/waxwingford/shard/tests/intake_steps.py
+++ b/waxwingford/shard/tests/intake_steps.py
@@ -13,6 +13,7 @@
     StoreRefused,
 )
 from waxwingford.shard._intake import JobRow
+from waxwingford.shard.tests.virtual_shard import step
 
 OUTCOME_BY_WORD = {
     'appended': Appended(1),
@@ -48,8 +49,17 @@
 
 @when('a job is stored with a timeout of {left_s:g} s')
 def store_job(context, left_s):
+    store(context, left_s, (step(),))
+
+
+@when('a job without steps is stored with a timeout of {left_s:g} s')
+def store_job_without_steps(context, left_s):
+    store(context, left_s, ())
+
+
+def store(context, left_s, steps):
     loop = VirtualLoop()
-    row = JobRow(encode_spec(JobSpec('00000000000000aa', 'queue', '', ())))
+    row = JobRow(encode_spec(JobSpec('00000000000000aa', 'queue', '', steps)))
     context.outcome = loop.run_until_complete(
         Intake(context.store).store(row, left_s)
     )
