Hold the readers of all other topics to any records

Registrations and configurations with any fields changed, owners' records of any bytes and any keys of operators' records end nothing, and the sound ones beside them are used.

--- a/waxwingford/shard/tests/poison.feature
+++ b/waxwingford/shard/tests/poison.feature
@@ -46,3 +46,7 @@
   Scenario: any submissions
     # Guards against accepting jobs that end their owner later.
     Then an owner runs a sound job beside any job that is accepted
+
+  Scenario: any records of operators, servers and owners
+    # Guards against daemons that end at a record of another writer or version.
+    Then a daemon that reads any of these records uses the sound ones beside them
--- a/waxwingford/shard/tests/poison_steps.py
+++ b/waxwingford/shard/tests/poison_steps.py
@@ -2,6 +2,7 @@
 
 import json
 
+import logbook
 import msgspec
 from behave import then, when
 from hypothesis import given as drawn
@@ -9,8 +10,14 @@
 from hypothesis import strategies as st
 
 from waxwingford.http_server import Request
+from waxwingford.platform._adapter import _try_decode
 from waxwingford.platform._client_api import ClientApi
-from waxwingford.platform._records import Configuration, QueuePath
+from waxwingford.platform._records import (
+    Configuration,
+    QueuePath,
+    evacuated_domains,
+)
+from waxwingford.platform._registrations import Registrations
 from waxwingford.ports import Resources
 from waxwingford.scheduling import (
     JobSpec,
@@ -31,6 +38,7 @@
 from waxwingford.shard import KeyedRecord, StoredRecord
 from waxwingford.shard._intake import CANCEL_PREFIX, INTAKE_TOPIC, JOB_PREFIX
 from waxwingford.shard._intake_reader import apply_records
+from waxwingford.shard._journal import OwnerRecord, decode_owner
 from waxwingford.shard.tests.virtual_shard import QUEUE, TERMS, step
 
 HOST = 'h'
@@ -261,3 +269,60 @@
         run_rounds(harness)
 
     _submit()
+
+
+SOUND_REGISTRATION = {
+    'service': 's',
+    'address': '127.0.0.1:80',
+    'zone': 'z',
+    'state': 'ready',
+    'capacity': {'cpu': 1},
+}
+SOUND_CONFIGURATION = {
+    'version': 1,
+    'routes': [{'name': 'r', 'host': HOST, 'path-prefix': '/q/'}],
+}
+CONTENTS = st.recursive(
+    SCALARS,
+    lambda inner: st.one_of(
+        st.lists(inner, max_size=3),
+        st.dictionaries(st.sampled_from(('cpu', 'name', 'host')), inner),
+    ),
+    max_leaves=6,
+)
+
+
+def changed(sound):
+    """Draw records in which any fields differ from those of a sound one."""
+    fields = st.dictionaries(
+        st.sampled_from((*sound, 'labels', 'born', 'limits')), CONTENTS
+    )
+    return st.one_of(
+        st.binary(max_size=8),
+        fields.map(lambda drawn: json.dumps({**sound, **drawn}).encode()),
+    )
+
+
+@then(
+    'a daemon that reads any of these records uses the sound ones beside them'
+)
+def any_foreign_records(context):
+    handler = logbook.NullHandler()
+
+    @settings(max_examples=EXAMPLES)
+    @drawn(
+        changed(SOUND_REGISTRATION),
+        changed(SOUND_CONFIGURATION),
+        OTHERS,
+        st.text(max_size=6),
+    )
+    def _read(registration, configuration, owner, key):
+        sound = json.dumps(SOUND_REGISTRATION).encode()
+        entries = Registrations().read({'any': registration, 'sound': sound})
+        assert 'sound' in {entry.server_id for entry in entries}, entries
+        _try_decode(configuration)
+        assert isinstance(decode_owner(owner), OwnerRecord)
+        assert 'a' in evacuated_domains((key, 'evacuate/a'))
+
+    with handler.applicationbound():
+        _read()
