Let a task wait on while its starts are refused

Cause: settling a run set the time since which its task is pending, and the time at which its job last had a run, also if no run had begun: the start was refused, not sent, or had no answer and was never listed. Seen by callers: a long-running task that servers refuse never became overdue, so short tasks went on before it, and a job whose starts were refused never counted as idle, so it was kept from servers that would run it at a part of the speed, and had no precedence under an overloaded owner.

Change: both times are set only once a run is known to have begun, by an accepted start, a list or an end.

--- a/waxwingford/scheduling/_run_settlement.py
+++ b/waxwingford/scheduling/_run_settlement.py
@@ -53,7 +53,9 @@
             return
         task, step = found
         task.run_by_number.pop(run.key.run, None)
-        step.job.last_run_ms = now_ms
+        began = kind is not None or run.accepted or run.outlived
+        if began:
+            step.job.last_run_ms = now_ms
         if kind is not None:
             # The server has survived the run, so the task didn't crash it.
             task.crash_evidence = 0
@@ -65,7 +67,10 @@
                 gangs.stop_other_members(step, run.key.run)
         self._state.mark(step)
         self.apply_end_kind(server, run.key, kind, now_ms)
-        _requeue(self._state, task, step, now_ms)
+        if began or not task.pending_since_ms:
+            # After a start that was refused, the task goes on waiting.
+            task.pending_since_ms = now_ms
+        _requeue(self._state, task, step)
 
     def apply_end_kind(
         self,
@@ -135,8 +140,7 @@
             self._state.finish(step.job, JobPhase.failed)
 
 
-def _requeue(state: ShardState, task: Task, step: Step, now_ms: int) -> None:
+def _requeue(state: ShardState, task: Task, step: Step) -> None:
     if task.done or task.run_by_number or step.job.ended is not None:
         return
-    task.pending_since_ms = now_ms
     state.pending_by_key[task.key] = task
--- a/waxwingford/scheduling/_state.py
+++ b/waxwingford/scheduling/_state.py
@@ -138,7 +138,7 @@
     :ivar not_before_ms: monotonic time in ms before which the task isn't
         placed.
     :ivar pending_since_ms: monotonic time in ms since which the task is
-        pending.
+        pending; starts of which no run begins don't change it.
     :ivar best_effort: whether the task uses only CPU that other tasks leave
         idle.
     :ivar final_row: encoded row of a done task that can't change any more.
@@ -226,7 +226,8 @@
 
     :ivar received_ms: monotonic time in ms at which this owner received the
         job.
-    :ivar last_run_ms: monotonic time in ms at which its last run was settled.
+    :ivar last_run_ms: monotonic time in ms at which the last run that had begun was
+        settled, or at which the job was received.
     :ivar steps_by_occurrence: steps of each repetition that has begun.
     :ivar reported_phase: phase reported to callers; only stored phases are
         reported.
