Show a job as running once one of its runs has begun

Seen by callers: a job whose starts were all refused was shown as running and, in the same moment, counted among those of which no task has started. After a change of owner, a job with an unreadable row of a step was shown as queued and counted as waiting by the owner, as running and not waiting by a daemon that reads the store.

Change: a job is shown as running once a row is stored that says that a server has accepted or listed a run; at the latest when the server has outlived the start. As the phase follows what is stored, it never goes back to queued when the owner changes. A job with an unreadable row counts as begun for its owner too: there is a row because a run was planned.

--- a/waxwingford/scheduling/_recovery.py
+++ b/waxwingford/scheduling/_recovery.py
@@ -77,8 +77,13 @@
                 self._hold_job(key, error)
         self._row_by_key.clear()
         for job_id in self._held_job_ids & self._state.job_by_id.keys():
-            self._state.job_by_id[job_id].blocked = True
+            # There is a row because a run was planned, and most of these begin.
+            job = self._state.job_by_id[job_id]
+            job.blocked = True
+            job.begun = True
         for job in self._state.job_by_id.values():
+            if job.begun and job.ended is None:
+                job.reported_phase = JobPhase.running
             self._update_remaining(job)
             self._find_orphans(job)
 
@@ -96,8 +101,6 @@
         job = self._state.job_by_id.get(step_key.job_id)
         if job is not None:
             apply_step_row(job, step_key, raw, now_ms, wall_ms)
-            if job.ended is None:
-                job.reported_phase = JobPhase.running
 
     def _hold_job(self, key: str, error: ValueError) -> None:
         """Start no more tasks of a job with an unreadable row.
--- a/waxwingford/scheduling/_shard_state.py
+++ b/waxwingford/scheduling/_shard_state.py
@@ -192,7 +192,7 @@
         shown = [
             (step.job, JobPhase.running)
             for step in self._dirty_step_by_name.values()
-            if step.job.ended is None
+            if step.job.ended is None and _is_running(step)
         ]
         for job, phase in self._pending_job_ends:
             payload_by_key[ENDED_PREFIX + job.spec.job_id] = encode_end(phase)
@@ -304,6 +304,16 @@
         return task, steps[key.task.step]
 
 
+def _is_running(step: Step) -> bool:
+    """Whether a job is reported as running once the row of a step is stored.
+
+    What isn't in that row isn't known to the next owner, which would report the job
+    as queued again.
+    """
+    known = step.job.reported_phase is JobPhase.running
+    return known or any(task.begun for task in step.tasks)
+
+
 def steps_of(job: Job) -> list[Step]:
     """List the steps of all repetitions that have begun."""
     return [
--- a/waxwingford/shard/_store_view.py
+++ b/waxwingford/shard/_store_view.py
@@ -54,9 +54,12 @@
             return JobKnown(JobPhase.failed)
         if CANCEL_PREFIX + job_id in stored:
             return JobKnown(JobPhase.cancelled)
-        started = any(key.startswith(f'{job_id}.') for key in rows)
-        phase = JobPhase.running if started else JobPhase.queued
-        return JobKnown(phase)
+        begun = any(
+            _is_begun(key, row)
+            for key, row in rows.items()
+            if key.startswith(f'{job_id}.')
+        )
+        return JobKnown(JobPhase.running if begun else JobPhase.queued)
 
     async def is_stored(self, job_id: str) -> bool | None:
         """Look up whether the intake has a job, without reading the journal.
