Place a gang that has failed on other servers

Cause: gangs were assigned to the servers with the most free CPU, in the order of registration where that is equal.

Change: servers are ranked by whether a member has failed there, by their penalty in whole failed runs, then by free CPU. Those where a member has failed are used only if the others don't suffice, also if the gang asks for one rack.

What a gang avoids isn't stored, so its next owner may try the same servers once more.

--- a/waxwingford/scheduling/_gangs.py
+++ b/waxwingford/scheduling/_gangs.py
@@ -5,10 +5,12 @@
 other members are stopped right away.
 """
 
+import functools
 from collections.abc import Callable
 from typing import NamedTuple
 
 from waxwingford.ports import Resources, fits_resources, subtract_resources
+from waxwingford.scheduling._incarnations import Incarnation
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._state import Step, Task
 
@@ -35,20 +37,22 @@
 ) -> list[Assignment] | None:
     """Assign a server to each member, on one rack if the step prefers that.
 
+    Servers where a member has failed or made no progress are used only if the
+    others don't suffice, as each failed run is an attempt of the whole gang.
+
     :param servers: servers that accept starts and suit the step.
     :param room_of: function that returns the resources of a server that the
         gang may use.
     :returns: one assignment per member, ``None`` if the members don't all fit.
     """
-    if step.spec.one_rack:
-        by_rack: dict[str, list[Server]] = {}
-        for server in servers:
-            by_rack.setdefault(server.entry.rack, []).append(server)
-        for rack_servers in by_rack.values():
-            assignments = _assign_to(step, rack_servers, room_of)
-            if assignments is not None:
-                return assignments
-    return _assign_to(step, servers, room_of)
+    avoided = {one for task in step.tasks for one in task.avoided}
+    ranked = sorted(servers, key=functools.partial(_rank, avoided))
+    others = [server for server in ranked if server.incarnation not in avoided]
+    if len(others) < len(ranked):
+        assignments = _assign_near(step, others, room_of)
+        if assignments is not None:
+            return assignments
+    return _assign_near(step, ranked, room_of)
 
 
 def next_run(step: Step) -> int:
@@ -111,16 +115,36 @@
             run.stopping = True
 
 
+def _assign_near(
+    step: Step,
+    ranked: list[Server],
+    room_of: Callable[[Server], Resources],
+) -> list[Assignment] | None:
+    """Assign servers of one rack if the step prefers that, or any servers.
+
+    :param ranked: servers, the best one first.
+    """
+    if step.spec.one_rack:
+        by_rack: dict[str, list[Server]] = {}
+        for server in ranked:
+            by_rack.setdefault(server.entry.rack, []).append(server)
+        for rack_servers in by_rack.values():
+            assignments = _assign_to(step, rack_servers, room_of)
+            if assignments is not None:
+                return assignments
+    return _assign_to(step, ranked, room_of)
+
+
 def _assign_to(
     step: Step,
-    servers: list[Server],
+    ranked: list[Server],
     room_of: Callable[[Server], Resources],
 ) -> list[Assignment] | None:
     needs = step.spec.reserved_resources
     limit = step.spec.max_per_server or step.spec.count
     assignments: list[Assignment] = []
     unassigned = iter(step.tasks)
-    for server in sorted(servers, key=_most_cpu_first):
+    for server in ranked:
         room, count = room_of(server), 0
         while fits_resources(needs, room) and count < limit:
             task = next(unassigned, None)
@@ -132,5 +156,10 @@
     return assignments if next(unassigned, None) is None else None
 
 
-def _most_cpu_first(server: Server) -> int:
-    return -server.free_resources.processors_milli
+def _rank(avoided: set[Incarnation], server: Server) -> tuple[bool, int, int]:
+    """Sort key of a server: the most free CPU first, unless runs failed there."""
+    return (
+        server.incarnation in avoided,
+        round(server.penalty),
+        -server.free_resources.processors_milli,
+    )
--- a/waxwingford/scheduling/tests/gang_steps.py
+++ b/waxwingford/scheduling/tests/gang_steps.py
@@ -1,17 +1,22 @@
 """Steps for the attempts of gangs."""
 
+import itertools
+
 from behave import given, then, when
 
-from waxwingford.scheduling import EndKind
+from waxwingford.scheduling import EndKind, JobSpec, Terms
 from waxwingford.scheduling._rows import encode_step_row
 from waxwingford.scheduling.tests.engine_harness import (
     JOB,
+    QUEUE,
+    SECOND,
     expire_leases,
     step,
 )
 from waxwingford.scheduling.tests.succession_steps import change_owner
 
 MS_PER_S = 1000
+OTHER_RACK = 'r2'
 
 
 @given('a gang of {count:d} tasks of 1 core with 1 on each server that runs')
@@ -93,3 +98,113 @@
 def gang_started(context, count):
     numbers = {run.key.run for run in context.harness.planned_runs}
     assert len(numbers) == count, context.harness.planned_runs
+
+
+@given('{attempts:d} attempts for each task')
+def set_attempts(context, attempts):
+    queue = QUEUE._replace(most_attempts=attempts)
+    context.harness.engine.configure(Terms(2, {QUEUE.name: queue}))
+
+
+def servers(context):
+    return context.harness.engine.state.server_by_id.values()
+
+
+def excluded_servers(context):
+    now_ms = context.harness.now_ms
+    return [one for one in servers(context) if one.excluded_until_ms > now_ms]
+
+
+@then('no server is excluded')
+def check_none_excluded(context):
+    assert not excluded_servers(context), excluded_servers(context)
+
+
+@then('each server is excluded')
+def check_all_excluded(context):
+    assert len(excluded_servers(context)) == len(servers(context))
+
+
+@then('each server has a penalty')
+def check_penalties(context):
+    penalties = [server.penalty for server in servers(context)]
+    assert all(penalties), penalties
+
+
+def runs_by_number(context):
+    runs = sorted(context.harness.planned_runs, key=lambda run: run.key.run)
+    grouped = itertools.groupby(runs, lambda run: run.key.run)
+    return {number: list(members) for number, members in grouped}
+
+
+@then('its second run is on {count:d} servers where none of it has failed')
+def check_second_run(context, count):
+    runs = runs_by_number(context)[2]
+    job = context.harness.engine.state.job_by_id[JOB]
+    gang = job.steps_by_occurrence[0][0]
+    failed = set().union(*(task.avoided for task in gang.tasks))
+    assert failed
+    sound = [run for run in runs if run.incarnation not in failed]
+    assert len(sound) == count, runs
+
+
+@given('{count:d} servers on another rack')
+def other_rack(context, count):
+    harness = context.harness
+    for _ in range(count):
+        harness.add(8)
+        entry = harness.entries.pop()
+        harness.entries.append(entry._replace(rack=OTHER_RACK))
+    harness.register()
+    harness.poll()
+
+
+@given('a gang of {count:d} tasks on one rack with 1 on each server that runs')
+def gang_on_one_rack(context, count):
+    harness = context.harness
+    spec = step(count, gang=True, one_rack=True, max_per_server=1)
+    harness.submit(spec)
+    harness.poll()
+    assert {rack_of(harness, run) for run in harness.planned_runs} == {'r1'}
+
+
+def rack_of(harness, run):
+    return harness.engine.state.server_by_id[run.server_id].entry.rack
+
+
+@then('its second run is on the other rack')
+def check_rack(context):
+    racks = {
+        rack_of(context.harness, run) for run in runs_by_number(context)[2]
+    }
+    assert racks == {OTHER_RACK}, racks
+
+
+@when('the job is cancelled and its runs have ended')
+def cancel_and_end(context):
+    harness = context.harness
+    runs = latest_runs(harness)
+    harness.engine.cancel(JOB)
+    for run in runs:
+        harness.end(run, EndKind.stopped)
+
+
+@when('another gang of {count:d} tasks of 1 core is submitted')
+def submit_second_gang(context, count):
+    harness = context.harness
+    gang = step(count, gang=True, max_per_server=1)
+    spec = JobSpec(SECOND, QUEUE.name, '', (gang,), terms=QUEUE)
+    harness.engine.submit(spec, harness.now_ms)
+    harness.decide()
+
+
+@then('it is on servers that have no penalty')
+def check_no_penalty(context):
+    harness = context.harness
+    by_id = harness.engine.state.server_by_id
+    runs = [
+        run for run in harness.planned_runs if run.key.task.job_id == SECOND
+    ]
+    assert runs
+    penalties = [by_id[run.server_id].penalty for run in runs]
+    assert not any(penalties), penalties
--- a/waxwingford/scheduling/tests/gangs.feature
+++ b/waxwingford/scheduling/tests/gangs.feature
@@ -66,3 +66,36 @@
     When an older version has stored 2 failures of each member
     And the members of its run end as failed, failed, failed
     Then the job is reported as failed
+
+  Scenario Outline: servers for a gang that has failed
+    # Guards against a gang that is given up on the same servers while others are idle.
+    Given an engine with <servers> servers of 8 cores
+    And a gang of 3 tasks of 1 core with 1 on each server that runs
+    When the members of its run end as <ends>
+    Then its second run is on <sound> servers where none of it has failed
+
+    Examples:
+      | servers | ends                    | sound |
+      | 6       | failed, failed, failed  | 3     |
+      | 5       | failed, failed, failed  | 2     |
+      | 4       | failed, broken, broken  | 3     |
+      | 4       | broken, failed, stopped | 3     |
+      | 3       | failed, failed, failed  | 0     |
+
+  Scenario: rack for a gang that has failed
+    # Guards against a gang that is given up on one rack while another is idle.
+    Given an engine with 2 servers of 8 cores
+    And 3 servers on another rack
+    And a gang of 2 tasks on one rack with 1 on each server that runs
+    When the members of its run end as failed, broken
+    Then its second run is on the other rack
+
+  Scenario: servers for a gang after another one has failed
+    # Guards against the servers that have just failed a gang being the first choice
+    # for the next.
+    Given an engine with 6 servers of 8 cores
+    And a gang of 3 tasks of 1 core with 1 on each server that runs
+    When the members of its run end as failed, failed, failed
+    And the job is cancelled and its runs have ended
+    And another gang of 3 tasks of 1 core is submitted
+    Then it is on servers that have no penalty
