Penalise a server once for a failed run of a gang

Cause: each member that failed added a penalty to its server, so one failed run of a gang with three members there excluded the server for 4 s at once, although a single failure is not to exclude one: the gang may fail everywhere. Seen by callers: where few servers suit them, their other jobs wait for 1 to 4 s.

Change: a server remembers the last gang and run that was added to its penalty. Members on other servers add theirs, and each further run counts.

--- a/waxwingford/scheduling/_run_settlement.py
+++ b/waxwingford/scheduling/_run_settlement.py
@@ -99,7 +99,8 @@
                 task.failures += 1
                 if step.spec.gang and not step.spec.long_running:
                     gangs.add_failed_run(task, key.run)
-                self._apply_failure(server, task, step, now_ms)
+                self._penalize(server, step, key.run, now_ms)
+                self._apply_failure(server, task, step)
             case _:
                 pass
 
@@ -126,11 +127,19 @@
         if not job.occurrences_left:
             self._state.finish(job, JobPhase.completed)
 
-    def _apply_failure(
-        self, server: Server, task: Task, step: Step, now_ms: int
+    def _penalize(
+        self, server: Server, step: Step, run_number: int, now_ms: int
     ) -> None:
-        task.avoided.add(server.incarnation)
+        """Add the penalty for a failed run, once for all members of a gang."""
+        if step.spec.gang:
+            failed = step.name, run_number
+            if server.penalized_gang == failed:
+                return
+            server.penalized_gang = failed
         penalize_server(server, FAILED_RUN_PENALTY, now_ms)
+
+    def _apply_failure(self, server: Server, task: Task, step: Step) -> None:
+        task.avoided.add(server.incarnation)
         if step.spec.long_running or task.done:
             return
         failures = (
--- a/waxwingford/scheduling/_servers.py
+++ b/waxwingford/scheduling/_servers.py
@@ -120,6 +120,8 @@
         failed runs.
     :ivar penalty: decaying score of runs that failed or made no progress.
     :ivar penalty_updated_ms: time at which this score last decayed.
+    :ivar penalized_gang: step and run number of the gang whose failure was last
+        added to this score, ``None`` for none.
     :ivar change_count: number of runs added or removed so far.
     :ivar awaited: whether the wait for the end of its leases was noted.
     """
@@ -161,6 +163,7 @@
     excluded_until_ms: int = 0
     penalty: float = 0
     penalty_updated_ms: int = 0
+    penalized_gang: tuple[str, int] | None = None
     change_count: int = 0
     awaited: bool = False
     incarnation: Incarnation = dataclasses.field(init=False)
--- a/waxwingford/scheduling/tests/gangs.feature
+++ b/waxwingford/scheduling/tests/gangs.feature
@@ -67,6 +67,31 @@
     And the members of its run end as failed, failed, failed
     Then the job is reported as failed
 
+  Scenario: members of a gang fail on the same server in one run
+    # Guards against excluding a server for a single failed run.
+    Given an engine with 1 servers of 8 cores
+    And a gang of 3 tasks of 1 core that runs
+    When the members of its run end as failed, failed, failed
+    Then no server is excluded
+    And the gang has started 2 times
+
+  Scenario: members of a gang fail on the same server in several runs
+    # Guards against a server that fails all that it starts and stays in use.
+    Given an engine with 1 servers of 8 cores
+    And a gang of 3 tasks of 1 core that runs
+    And 4 attempts for each task
+    When the members of its run end as failed, failed, failed
+    And the members of its run end as failed, failed, failed
+    And the members of its run end as failed, failed, failed
+    Then each server is excluded
+
+  Scenario: members of a gang fail on several servers in one run
+    # Guards against passing over all but the first server of a failed run.
+    Given an engine with 3 servers of 8 cores
+    And a gang of 3 tasks of 1 core with 1 on each server that runs
+    When the members of its run end as failed, failed, failed
+    Then each server has a penalty
+
   Scenario Outline: servers for a gang that has failed
     # Guards against a gang that is given up on the same servers while others are idle.
     Given an engine with <servers> servers of 8 cores
