Tell callers when to come back by starts that aren't in vain

Cause: an overloaded owner predicts the wait of new tasks by its backlog and the rate of placed runs. A run that servers refuse is placed again and again, and each time counted towards the rate, while its task goes back to the backlog. Seen by callers: jobs are accepted, or told to come back early, though they would wait for longer than the owner accepts.

Change: a decision tells how many runs were settled since the last one that had not begun, and the rate is that of the others.

--- a/waxwingford/scheduling/_backlog.py
+++ b/waxwingford/scheduling/_backlog.py
@@ -24,10 +24,13 @@
     """Outcome of a decision.
 
     :ivar placed: number of planned runs.
+    :ivar returned: number of runs settled since the decision before that had not
+        begun, so that their tasks wait again.
     """
 
     placed: int
     backlog: Backlog
+    returned: int = 0
 
 
 def count_backlog(
--- a/waxwingford/scheduling/_engine.py
+++ b/waxwingford/scheduling/_engine.py
@@ -274,7 +274,8 @@
         if not self.state.terms.version:
             # Neither the services of the queues nor evacuations are known yet.
             max_starts = 0
-        return self._placer.place(now_ms, max_starts, overloaded)
+        decision = self._placer.place(now_ms, max_starts, overloaded)
+        return decision._replace(returned=self.settler.take_returned())
 
     def take_batch(self) -> Batch:
         """Remove and return everything that has to be stored."""
--- a/waxwingford/scheduling/_run_settlement.py
+++ b/waxwingford/scheduling/_run_settlement.py
@@ -18,6 +18,13 @@
 
     def __init__(self, state: ShardState) -> None:
         self._state = state
+        self._returned = 0
+
+    def take_returned(self) -> int:
+        """Return how many runs were settled since the last call that had not begun."""
+        returned = self._returned
+        self._returned = 0
+        return returned
 
     def settle(
         self,
@@ -56,6 +63,8 @@
         began = kind is not None or run.accepted or run.outlived
         if began:
             step.job.last_run_ms = now_ms
+        else:
+            self._returned += 1
         if kind is not None:
             # The server has survived the run, so the task didn't crash it.
             task.crash_evidence = 0
--- a/waxwingford/scheduling/_settle.py
+++ b/waxwingford/scheduling/_settle.py
@@ -65,6 +65,10 @@
         self._settlement = RunSettlement(state)
         self.restarts = Restarts(state, self._settlement, max_lease_ms)
 
+    def take_returned(self) -> int:
+        """Return how many runs were settled since the last call that had not begun."""
+        return self._settlement.take_returned()
+
     def poll_answered(
         self, server: Server, sent_ms: int, now_ms: int, outcome: PollOutcome
     ) -> Server:
--- a/waxwingford/scheduling/tests/gang_steps.py
+++ b/waxwingford/scheduling/tests/gang_steps.py
@@ -169,7 +169,8 @@
 
 
 def rack_of(harness, run):
-    return harness.engine.state.server_by_id[run.server_id].entry.rack
+    server = harness.engine.state.server_by_id[run.server_id]
+    return server.entry.rack
 
 
 @then('its second run is on the other rack')
--- a/waxwingford/shard/_admission_control.py
+++ b/waxwingford/shard/_admission_control.py
@@ -1,7 +1,7 @@
 """Decides which new jobs an owner refuses because it can't start them in time.
 
 Tasks that could be placed but for the limit of starts in progress form a backlog.
-Its length and the rate at which starts are placed tell how long a new task would
+Its length and the rate of starts that aren't in vain tell how long a new task would
 wait. A caller that is refused at once, and told when to come back, is better off
 than one whose job is accepted and not run.
 """
@@ -40,7 +40,7 @@
     def __init__(self) -> None:
         self.retry_after = RetryAfter()
         self._rate_per_s: float = 0
-        self._placed = 0
+        self._net_placed = 0
         self._measured_ms = 0
         self._limited = False
 
@@ -59,7 +59,8 @@
                 EXHAUSTED_RETRY_AFTER_S, EXHAUSTED_RETRY_AFTER_S
             )
         elif any(decision.backlog):
-            self._measure_rate(decision.placed, now_ms)
+            net_placed = decision.placed - decision.returned
+            self._measure_rate(net_placed, now_ms)
             refuses = any(self.retry_after)
             if self._rate_per_s and (refuses or window.limited_by_lag):
                 self.retry_after = self._predict(decision.backlog)
@@ -79,23 +80,23 @@
             ),
         )
 
-    def _measure_rate(self, placed: int, now_ms: int) -> None:
+    def _measure_rate(self, net_placed: int, now_ms: int) -> None:
         if not self._limited:
             # The rate of starts is known only while there are enough tasks.
             self._limited = True
             self._measured_ms = now_ms
-            self._placed = 0
-        self._placed += placed
+            self._net_placed = 0
+        self._net_placed += net_placed
         elapsed_ms = now_ms - self._measured_ms
         if elapsed_ms < RATE_INTERVAL_MS:
             return
-        rate = max(MIN_RATE_PER_S, self._placed * _MS_PER_S / elapsed_ms)
+        rate = max(MIN_RATE_PER_S, self._net_placed * _MS_PER_S / elapsed_ms)
         if self._rate_per_s:
             rate = self._rate_per_s + SMOOTHING_FACTOR * (
                 rate - self._rate_per_s
             )
         self._rate_per_s = rate
-        self._placed = 0
+        self._net_placed = 0
         self._measured_ms = now_ms
 
 
--- a/waxwingford/shard/tests/overload.feature
+++ b/waxwingford/shard/tests/overload.feature
@@ -51,6 +51,26 @@
       | 100    | 10 urgent tasks      | 0      | 0           |
       | 400    | 0 urgent tasks       | 5      | 5           |
 
+  Scenario Outline: servers refuse a part of the starts that an owner has time for
+    # Guards against accepting jobs by a rate of starts that are in vain.
+    Given an owner whose event loop is 100 ms late
+    When its decisions start 2 tasks each 0.1 s, of which <back> come back, and leave 100 urgent tasks for 3 s
+    Then callers are told to come back after <urgent> and <best_effort> s
+
+    Examples:
+      | back | urgent | best_effort |
+      | 0    | 5      | 4           |
+      | 1    | 10     | 9           |
+      | 2    | 10     | 10          |
+
+  Scenario: the tasks of starts that were in vain
+    # Guards against counting a task as started that waits again.
+    Given an engine with 2 servers of 8 cores
+    When a job of 1 task is submitted, whose starts are not answered yet
+    And its start is refused
+    Then the next decision tells that 1 task has come back
+    And the next decision tells that 0 tasks have come back
+
   Scenario Outline: the event loop is on time again after it was late
     # Guards against a job that waits for ever as the lag of an overloaded owner falls
     # with each decision.
--- a/waxwingford/shard/tests/overload_steps.py
+++ b/waxwingford/shard/tests/overload_steps.py
@@ -8,7 +8,13 @@
 from behave import given, then, when
 
 from waxwingford.metrics import Metrics
-from waxwingford.scheduling import Backlog, Decision, EndKind
+from waxwingford.scheduling import (
+    Backlog,
+    Decision,
+    EndKind,
+    OrderRefused,
+    RefusalReason,
+)
 from waxwingford.shard import NotStored, ShardFrontend, Stored
 from waxwingford.shard._admission_control import AdmissionControl, RetryAfter
 from waxwingford.shard._loop_lag import LoopLag
@@ -134,11 +140,19 @@
     context.lag.mean_s = lag_ms / MS_PER_S
 
 
+@when(
+    'its decisions start {placed:d} tasks each {interval_s:g} s, of which'
+    ' {returned:d} come back, and leave {left:d} {kind} for {span_s:g} s'
+)
+def leave_returned(context, placed, interval_s, returned, left, kind, span_s):
+    leave_backlog(context, placed, interval_s, left, kind, span_s, returned)
+
+
 @when(
     'its decisions start {placed:d} tasks each {interval_s:g} s and leave'
     ' {left:d} {kind} for {span_s:g} s'
 )
-def leave_backlog(context, placed, interval_s, left, kind, span_s):
+def leave_backlog(context, placed, interval_s, left, kind, span_s, returned=0):
     window = StartWindow(context.lag)
     admission = AdmissionControl()
     urgent = kind == 'urgent tasks'
@@ -146,10 +160,28 @@
     for number in range(int(span_s / interval_s)):
         now_ms = int(number * interval_s * MS_PER_S)
         window.room(placed, now_ms)
-        admission.update(Decision(placed, backlog), window, now_ms)
+        decision = Decision(placed, backlog, returned)
+        admission.update(decision, window, now_ms)
     context.retry_after = admission.retry_after
 
 
+@when('its start is refused')
+def refuse_start(context):
+    harness = context.harness
+    run = harness.planned_runs[-1]
+    server = harness.engine.state.server_by_id[run.server_id]
+    refusal = OrderRefused(RefusalReason.unhealthy)
+    harness.engine.start_answered(server, run, harness.now_ms, refusal)
+
+
+@then('the next decision tells that {count:d} task has come back')
+@then('the next decision tells that {count:d} tasks have come back')
+def check_returned(context, count):
+    harness = context.harness
+    decision = harness.engine.decide(harness.now_ms, harness.wall_ms)
+    assert decision.returned == count, decision
+
+
 @when('it is on time again for {span_s:d} s')
 def on_time_again(context, span_s):
     context.window = StartWindow(context.lag)
