Store that an inherited run has begun at its first list

An accepted start is stored with the next row of its step, half a second later at most. If the owner ends before, its successor learns from the server that the run has begun, and stored it half a second later in turn: while owners change within that time, a daemon that reads the store counted the running job as waiting, and showed it as queued.

Change: a successor stores at once what it learns in this way. It writes a row only where the stored one doesn't tell that the task has begun.

Result: waiting.feature, one scenario more, which failed before and passes.

--- a/waxwingford/scheduling/_settle.py
+++ b/waxwingford/scheduling/_settle.py
@@ -261,12 +261,13 @@
         run.accepted = True
         step = server.step_by_run[run.key]
         task = step.tasks[run.key.task.index]
-        task.begun = True
-        step.job.begun = True
-        if task.crash_evidence or task.lost_starts:
+        suspected = task.crash_evidence or task.lost_starts
+        if suspected or (run.adopted and not task.begun):
             # The next owner has to know what has begun on a server that is lost
-            # together with this owner.
+            # together with this owner, and the store what a former one didn't store.
             self._state.mark(step)
+        task.begun = True
+        step.job.begun = True
 
     def _apply_absence(
         self, server: Server, run: Run, sent_ms: int, now_ms: int
--- a/waxwingford/shard/tests/waiting.feature
+++ b/waxwingford/shard/tests/waiting.feature
@@ -29,6 +29,18 @@
     And all servers answer a poll
     Then the owner counts 0 jobs that have not begun
 
+  Scenario: owners that change one after the other once a run was accepted
+    # Guards against counting a running job as waiting for as long as owners change.
+    Given an engine with 2 servers of 8 cores
+    When a job of 1 task is submitted, whose starts are not answered yet
+    And its start is accepted
+    And the owner changes
+    And all servers answer a poll
+    And the owner decides
+    Then a daemon that reads the store counts 0 jobs
+    When the owner changes
+    Then the owner counts 0 jobs that have not begun
+
   Scenario: rows of an older version
     # Guards against reading rows that lack the mark as those of jobs that wait.
     Given an engine with 2 servers of 8 cores
--- a/waxwingford/shard/tests/waiting_steps.py
+++ b/waxwingford/shard/tests/waiting_steps.py
@@ -78,6 +78,11 @@
     answer_latest(context, OrderAccepted(context.harness.now_ms))
 
 
+@when('the owner decides')
+def decide_once(context):
+    context.harness.decide(accept=False)
+
+
 @when('its start is accepted, and 1 s passes')
 def accept_and_outlive(context):
     accept(context)
