Tell in the log for how many failed runs a job was given up

Change: line task.exhausted with the failed runs counted and the attempts. Docstrings say of jobs that they have not begun, as the count does.

--- a/waxwingford/scheduling/_run_settlement.py
+++ b/waxwingford/scheduling/_run_settlement.py
@@ -109,7 +109,7 @@
                 if step.spec.gang and not step.spec.long_running:
                     gangs.add_failed_run(task, key.run)
                 self._penalize(server, step, key.run, now_ms)
-                self._apply_failure(server, task, step)
+                self._apply_failure(server, task, step, key.run)
             case _:
                 pass
 
@@ -147,14 +147,25 @@
             server.penalized_gang = failed
         penalize_server(server, FAILED_RUN_PENALTY, now_ms)
 
-    def _apply_failure(self, server: Server, task: Task, step: Step) -> None:
+    def _apply_failure(
+        self, server: Server, task: Task, step: Step, run_number: int
+    ) -> None:
         task.avoided.add(server.incarnation)
         if step.spec.long_running or task.done:
             return
         failures = (
             gangs.count_failed_runs(step) if step.spec.gang else task.failures
         )
-        if failures >= self._state.queue_of(step.job).most_attempts:
+        most_attempts = self._state.queue_of(step.job).most_attempts
+        if failures >= most_attempts and step.job.ended is None:
+            self._state.notes.add(
+                'task.exhausted',
+                task.key,
+                run=run_number,
+                gang=step.spec.gang,
+                failed_runs=failures,
+                most_attempts=most_attempts,
+            )
             self._state.finish(step.job, JobPhase.failed)
 
 
--- a/waxwingford/scheduling/tests/gang_steps.py
+++ b/waxwingford/scheduling/tests/gang_steps.py
@@ -209,3 +209,14 @@
     assert runs
     penalties = [by_id[run.server_id].penalty for run in runs]
     assert not any(penalties), penalties
+
+
+@then(
+    'the log tells once that {failed:d} failed runs of {attempts:d} attempts'
+    ' were counted'
+)
+def check_exhausted(context, failed, attempts):
+    notes = context.harness.engine.state.notes.take()
+    told = [note.fields for note in notes if note.event == 'task.exhausted']
+    counts = [(one['failed_runs'], one['most_attempts']) for one in told]
+    assert counts == [(failed, attempts)], told
--- a/waxwingford/scheduling/tests/gangs.feature
+++ b/waxwingford/scheduling/tests/gangs.feature
@@ -18,6 +18,7 @@
     When the members of its run end as failed, failed, failed
     Then the job is reported as failed
     And the gang has started 3 times
+    And the log tells once that 3 failed runs of 3 attempts were counted
 
   Scenario: another member of a gang fails in each run
     # Guards against counting the failed runs of each member by themselves.
--- a/waxwingford/shard/_frontend.py
+++ b/waxwingford/shard/_frontend.py
@@ -121,7 +121,7 @@
         return answer
 
     async def pending(self, queue: str) -> int | None:
-        """Count the jobs of a queue that have not started.
+        """Count the jobs of a queue that have not begun.
 
         :returns: number of jobs, ``None`` if neither owner nor store answers.
         """
@@ -144,7 +144,7 @@
         return await owner.phase(job_id)
 
     def local_pending(self, queue: str) -> int | None:
-        """Count the jobs that have not started if this daemon owns the shard.
+        """Count the jobs that have not begun if this daemon owns the shard.
 
         :returns: number of jobs, ``None`` if another daemon is the owner.
         """
--- a/waxwingford/shard/_journal.py
+++ b/waxwingford/shard/_journal.py
@@ -56,7 +56,7 @@
         servers, while the owner has extended no lease and extends none before
         its next heartbeat; ``None`` once it may extend leases.
     :ivar cores: processor of its VM, in reference cores; 0 if unknown.
-    :ivar pending_by_queue: jobs that have not started; ``None`` if unknown.
+    :ivar pending_by_queue: jobs that have not begun; ``None`` if unknown.
     :ivar urgent_retry_s: time in seconds for which jobs without best-effort tasks
         are refused, 0 if they are accepted.
     :ivar best_effort_retry_s: the same for jobs with best-effort tasks.
--- a/waxwingford/shard/_owner_link.py
+++ b/waxwingford/shard/_owner_link.py
@@ -38,7 +38,7 @@
         return await calls.phase(endpoint, job_id)
 
     async def pending(self, endpoint: str, queue: str) -> int | None:
-        """Ask the owner for the number of jobs that have not started.
+        """Ask the owner for the number of jobs that have not begun.
 
         :param endpoint: IP address and port of the owner.
         :returns: number of jobs, ``None`` without an answer of the owner.
--- a/waxwingford/shard/_peers.py
+++ b/waxwingford/shard/_peers.py
@@ -49,7 +49,7 @@
         ...
 
     def local_pending(self, queue: str) -> int | None:
-        """Count the jobs that have not started if this daemon owns the shard.
+        """Count the jobs that have not begun if this daemon owns the shard.
 
         :returns: number of jobs, ``None`` if another daemon is the owner.
         """
@@ -84,7 +84,7 @@
         await stream.send_message(reply)
 
     async def Pending(self, stream: Stream) -> None:  # noqa: N802
-        """Report the number of jobs of a queue that have not started."""
+        """Report the number of jobs of a queue that have not begun."""
         request = await stream.recv_message()
         count = self._handler.local_pending(request.queue)
         await stream.send_message(
@@ -139,7 +139,7 @@
         return JobKnown(JobPhase(reply.phase))
 
     async def pending(self, endpoint: str, queue: str) -> int | None:
-        """Ask the owner for the number of jobs that have not started.
+        """Ask the owner for the number of jobs that have not begun.
 
         :param endpoint: IP address and port of the owner.
         :returns: number of jobs, ``None`` without an answer of the owner.
