Store where attempts of a task have failed

A successor knew how often a gang or task had failed, but not where: it started the second and third run on the same servers, so a change of owner between two runs could use up the attempts on one bad server.

Change: the row of a task names the incarnations on which attempts have failed, and the next owner avoids them. Long-running tasks have no limit of attempts and may fail at any time, so theirs aren't stored. A row of an older version names none, and an older version passes over the field.

The property of rows draws the fields that had been left out as well.

--- a/waxwingford/scheduling/_rows.py
+++ b/waxwingford/scheduling/_rows.py
@@ -57,6 +57,8 @@
     unbegun: bool = False
     #: Numbers of the accepted runs that aren't known to be outlived.
     accepted_runs: list[int] = []
+    #: Incarnations of servers on which attempts have failed, as text.
+    failed_on: list[str] = []
 
 
 class _RowInputs(NamedTuple):
@@ -74,6 +76,7 @@
     lost_runs: tuple[int, ...]
     failed_runs: tuple[int, ...]
     unbegun: bool
+    failed_on: tuple[Incarnation, ...]
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -169,6 +172,7 @@
         tuple(task.lost_runs),
         tuple(task.failed_runs),
         not task.begun,
+        tuple(task.failed_on),
     )
 
 
@@ -192,6 +196,7 @@
             for number, _, outlived, accepted in inputs.runs
             if accepted and not outlived
         ],
+        list(map(str, inputs.failed_on)),
     )
 
 
@@ -241,6 +246,8 @@
             run.accepted = run.key.run in row.accepted_runs
         if not row.unbegun:
             job.note_begun(task)
+        task.failed_on = list(map(parse_incarnation, row.failed_on))
+        task.avoided = set(task.failed_on)
     step.unfinished = sum(not task.done for task in step.tasks)
 
 
--- a/waxwingford/scheduling/_run_settlement.py
+++ b/waxwingford/scheduling/_run_settlement.py
@@ -153,6 +153,8 @@
         task.avoided.add(server.incarnation)
         if step.spec.long_running or task.done:
             return
+        if server.incarnation not in task.failed_on:
+            task.failed_on.append(server.incarnation)
         failures = (
             gangs.count_failed_runs(step) if step.spec.gang else task.failures
         )
--- a/waxwingford/scheduling/_state.py
+++ b/waxwingford/scheduling/_state.py
@@ -131,7 +131,10 @@
     :ivar done: whether a run completed.
     :ivar checkpoint: checkpoint to resume from, empty for none.
     :ivar run_by_number: runs that may be present on a server.
-    :ivar avoided: incarnations on which the task failed or made no progress.
+    :ivar avoided: incarnations on which the task failed, made no progress or was
+        throttled.
+    :ivar failed_on: those on which an attempt failed, which the next owner avoids as
+        well; empty for long-running tasks, which have no limit of attempts.
     :ivar lost_runs: numbers of runs that were given up before their server
         listed an end; it may list one later.
     :ivar invalid_starts: start orders that servers rejected as invalid.
@@ -156,6 +159,7 @@
     checkpoint: str = ''
     run_by_number: dict[int, Run] = dataclasses.field(default_factory=dict)
     avoided: set[Incarnation] = dataclasses.field(default_factory=set)
+    failed_on: list[Incarnation] = dataclasses.field(default_factory=list)
     lost_runs: list[int] = dataclasses.field(default_factory=list)
     failed_runs: list[int] = dataclasses.field(default_factory=list)
     invalid_starts: int = 0
--- a/waxwingford/scheduling/tests/gang_steps.py
+++ b/waxwingford/scheduling/tests/gang_steps.py
@@ -1,6 +1,7 @@
 """Steps for the attempts of gangs."""
 
 import itertools
+import math
 
 from behave import given, then, when
 
@@ -57,6 +58,20 @@
     end_members(context, kinds, _succeed)
 
 
+@when(
+    'the members of its run end as {kinds}, and the owner changes before its'
+    ' next run'
+)
+def end_members_before_owner(context, kinds):
+    harness = context.harness
+    harness.max_starts = 0
+    end_members(context, kinds, lambda: None)
+    change_owner(context)
+    harness.poll()
+    harness.max_starts = math.inf
+    harness.decide()
+
+
 @when('the members of its run end as {kinds}')
 def end_all_members(context, kinds):
     end_members(context, kinds, lambda: None)
@@ -140,14 +155,23 @@
 @then('its second run is on {count:d} servers where none of it has failed')
 def check_second_run(context, count):
     runs = runs_by_number(context)[2]
-    job = context.harness.engine.state.job_by_id[JOB]
-    gang = job.steps_by_occurrence[0][0]
-    failed = set().union(*(task.avoided for task in gang.tasks))
+    failed = {
+        server_id
+        for server_id, ends in context.harness.ends.items()
+        if any(end.kind is EndKind.failed for end in ends)
+    }
     assert failed
-    sound = [run for run in runs if run.incarnation not in failed]
+    sound = [run for run in runs if run.server_id not in failed]
     assert len(sound) == count, runs
 
 
+@then('the new owner avoids no server for it')
+def check_nothing_avoided(context):
+    job = context.harness.engine.state.job_by_id[JOB]
+    long_running = job.steps_by_occurrence[0][0]
+    assert not long_running.tasks[0].avoided
+
+
 @given('{count:d} servers on another rack')
 def other_rack(context, count):
     harness = context.harness
--- a/waxwingford/scheduling/tests/gangs.feature
+++ b/waxwingford/scheduling/tests/gangs.feature
@@ -125,3 +125,24 @@
     And the job is cancelled and its runs have ended
     And another gang of 3 tasks of 1 core is submitted
     Then it is on servers that have no penalty
+
+  Scenario Outline: the owner changes after a failed run
+    # Guards against a successor that starts what has failed on the same servers.
+    Given an engine with 6 servers of 8 cores
+    And <work> that runs
+    When the members of its run end as <ends>, and the owner changes before its next run
+    Then its second run is on <sound> servers where none of it has failed
+
+    Examples:
+      | work                                              | ends                   | sound |
+      | a gang of 3 tasks of 1 core with 1 on each server | failed, failed, failed | 3     |
+      | a job of 1 task                                   | failed                 | 1     |
+
+  Scenario: a long-running task that fails again and again
+    # Guards against rows that grow with each server on which such a task has failed.
+    Given an engine with 6 servers of 8 cores
+    And a running long-running job of 1 task
+    When the members of its run end as failed
+    And the members of its run end as failed
+    And the owner changes
+    Then the new owner avoids no server for it
--- a/waxwingford/scheduling/tests/rows_steps.py
+++ b/waxwingford/scheduling/tests/rows_steps.py
@@ -15,6 +15,7 @@
 
 TASKS = 2
 SMALL = st.integers(0, 2)
+INCARNATIONS = st.builds(Incarnation, st.sampled_from('ab'), SMALL)
 INDICES = st.integers(0, TASKS - 1)
 TASK_FIELDS = {
     'last_run': st.integers(1, 3),
@@ -24,10 +25,14 @@
     'crash_evidence': SMALL,
     'pending_since_ms': SMALL,
     'lost_runs': st.lists(SMALL, max_size=2),
+    'failed_runs': st.lists(SMALL, max_size=2),
+    'failed_on': st.lists(INCARNATIONS, max_size=2),
+    'begun': st.booleans(),
 }
 RUN_FIELDS = {
-    'incarnation': st.builds(Incarnation, st.sampled_from('ab'), SMALL),
+    'incarnation': INCARNATIONS,
     'outlived': st.booleans(),
+    'accepted': st.booleans(),
 }
 CHANGES = st.one_of(
     *(
