Keep a run that the next incarnation of a server lists

Cause: a start reaches the next incarnation before the owner learns of the restart, and the clock in the answer agrees with that of the former one, so the run counts as begun there. The first answer of the next incarnation tells of the restart and lists the run, but the run was settled as lost with the former one before the list was read, its task planned again, and the listed run taken for an unknown one.

Change: what the first list of the next incarnation names is handed on to it.

Tried: never to count an accepted start as begun before it is listed. Three scenarios fail, as tasks wait for leases of an incarnation known to be gone.

--- a/waxwingford/scheduling/_restarts.py
+++ b/waxwingford/scheduling/_restarts.py
@@ -8,9 +8,10 @@
 """
 
 import math
+from collections.abc import Collection
 
 from waxwingford.scheduling import _crashes as crashes
-from waxwingford.scheduling._backend_client import RunKey
+from waxwingford.scheduling._backend_client import PollResult, RunKey
 from waxwingford.scheduling._losses import Crash
 from waxwingford.scheduling._orders import Stop
 from waxwingford.scheduling._run_settlement import RunSettlement
@@ -67,16 +68,16 @@
                 server.claimed_ms = entry.started_ms
 
     def answered_by(
-        self, server: Server, started_ms: int, now_ms: int
+        self, server: Server, answer: PollResult, now_ms: int
     ) -> Server:
         """Find the incarnation that answered a poll, the newest one.
 
-        :param started_ms: start time in the answer, 0 if it has none.
         :param now_ms: current monotonic time, in ms.
         """
-        if started_ms not in {0, server.incarnation.started_ms}:
-            entry = server.entry._replace(started_ms=started_ms)
-            server = self._succeed(server, entry, now_ms)
+        if answer.started_ms not in {0, server.incarnation.started_ms}:
+            entry = server.entry._replace(started_ms=answer.started_ms)
+            known = {report.run for report in (*answer.running, *answer.ended)}
+            server = self._succeed(server, entry, now_ms, known)
             server.described = False
             return server
         if server.claimed_ms:
@@ -124,12 +125,19 @@
         }
 
     def _succeed(
-        self, former: Server, entry: ServerEntry, now_ms: int
+        self,
+        former: Server,
+        entry: ServerEntry,
+        now_ms: int,
+        known: Collection[RunKey] = (),
     ) -> Server:
         """Replace a server by its next incarnation.
 
         :param entry: registration of the next incarnation, as far as known.
         :param now_ms: current monotonic time, in ms.
+        :param known: runs that the next incarnation has listed. It has begun them,
+            even if the former one seemed to have: their clocks may agree, and a late
+            order may have begun a run once more.
         :returns: the next incarnation.
         """
         server = Server(
@@ -148,18 +156,25 @@
             if run.incarnation != server.incarnation
         ]
         crash = crashes.record_loss(self._state, former, suspects, now_ms)
+        gone = {
+            run.key
+            for run in former.run_by_key.values()
+            if run.begun and run.key not in known
+        }
         for run in list(former.run_by_key.values()):
-            if run.phase is RunPhase.planned or run.begun:
+            if run.phase is RunPhase.planned or run.key in gone:
                 self._settlement.settle(
                     former, run, None, run.checkpoint, now_ms
                 )
             else:
                 self._hand_on(former, run, server, now_ms)
         self._bound_leases(former, server, now_ms)
-        begun = [run for run in suspects if run.begun]
+        begun = [run for run in suspects if run.key in gone]
         crashes.add_evidence(self._state, former, begun, crash, now_ms)
         server.crash = crash
-        server.crash_suspects = tuple(run for run in suspects if not run.begun)
+        server.crash_suspects = tuple(
+            run for run in suspects if run.key not in gone
+        )
         self._stop_doubtful(former, server, now_ms)
         return server
 
--- a/waxwingford/scheduling/_settle.py
+++ b/waxwingford/scheduling/_settle.py
@@ -82,8 +82,8 @@
             # An answer that was on its way when the restart was found.
             return server
         match outcome:
-            case PollResult(started_ms=started_ms):
-                server = self.restarts.answered_by(server, started_ms, now_ms)
+            case PollResult():
+                server = self.restarts.answered_by(server, outcome, now_ms)
                 self._apply_listing(server, sent_ms, now_ms, outcome)
             case ServerReplaced():
                 server.replaced = True
--- a/waxwingford/scheduling/tests/crashes.feature
+++ b/waxwingford/scheduling/tests/crashes.feature
@@ -148,6 +148,19 @@
     And its task starts again, and its server restarts in place while the owner changes
     Then the job is reported as failed
 
+  Scenario Outline: the next incarnation lists a run that the former one seemed to accept
+    # Guards against running a task twice if the clocks of two incarnations agree.
+    Given an engine with 4 servers of 8 cores that tell when they started
+    When a job of 1 task is submitted
+    And the next incarnation of its server lists its run as <listed>
+    Then its task was planned once
+    And its task is not suspected of a crash
+
+    Examples:
+      | listed  |
+      | running |
+      | done    |
+
   Scenario: suspects that started together are restarted apart
     # Guards against failing the job of a task that always restarts beside the real cause.
     Given an engine with 4 servers of 8 cores
--- a/waxwingford/scheduling/tests/restart_steps.py
+++ b/waxwingford/scheduling/tests/restart_steps.py
@@ -12,6 +12,7 @@
     OrderAccepted,
     OrderOutcomeUnknown,
     PollResult,
+    RunningReport,
 )
 from waxwingford.scheduling._incarnations import parse_incarnation
 from waxwingford.scheduling._stops import UNCONFIRMED_START_TIMEOUT_MS
@@ -145,6 +146,28 @@
     harness.engine.poll_answered(server, sent_ms, harness.now_ms, answer)
 
 
+@when('the next incarnation of its server lists its run as {listed}')
+def list_at_next_incarnation(context, listed):
+    harness = context.harness
+    run = harness.planned_runs[-1]
+    server = harness.engine.state.server_by_id[run.server_id]
+    running, ended = (), ()
+    if listed == 'running':
+        running = (RunningReport(run.key, '', 10, 1),)
+    else:
+        ended = (EndReport(1, run.key, EndKind(listed), ''),)
+    sent_ms = harness.now_ms
+    harness.now_ms += 2
+    answer = PollResult(harness.now_ms, running, ended, LATER_MS)
+    harness.engine.poll_answered(server, sent_ms, harness.now_ms, answer)
+    harness.decide()
+
+
+@then('its task was planned once')
+def check_planned_once(context):
+    assert len(context.harness.planned_runs) == 1, context.harness.planned_runs
+
+
 @when(
     'its task starts again, and its server restarts in place while the owner changes'
 )
--- a/waxwingford/shard/tests/restarts.feature
+++ b/waxwingford/shard/tests/restarts.feature
@@ -200,3 +200,4 @@
       | 7    |
       | 8    |
       | 13   |
+      | 23   |
