Send no start that was placed before a drain

Placement passes over servers that drain, and an evacuation is looked at again when a start is sent, but a drain wasn't: a start waits until its row is stored, which takes seconds at a slow store. Seen by callers: a task that begins on a server about to leave, and is lost with it.

Change: the start isn't sent and its task is placed again.

Result: engine.feature, one scenario more, which failed before and passes; all features of scheduling pass.

--- a/waxwingford/scheduling/_order_factory.py
+++ b/waxwingford/scheduling/_order_factory.py
@@ -72,8 +72,10 @@
             # restart of all its tasks elsewhere.
             run.stopping = True
             return None
-        if server.entry.failure_domain in self._state.terms.evacuated_domains:
-            # The evacuation began after the run was placed.
+        evacuated_domains = self._state.terms.evacuated_domains
+        evacuated = server.entry.failure_domain in evacuated_domains
+        if evacuated or server.entry.draining:
+            # The evacuation or drain began after the run was placed.
             run.stopping = True
             return None
         if not fits_resources(_NOTHING, server.free_resources):
--- a/waxwingford/scheduling/tests/engine.feature
+++ b/waxwingford/scheduling/tests/engine.feature
@@ -10,6 +10,15 @@
     When the server lists it as stopped
     Then the task is planned on the other server
 
+  Scenario: a server drains between the placing and the start of a task
+    # Guards against starts that were placed before a drain and are sent after it.
+    Given an engine with 2 servers of 8 cores
+    When a job of 1 task is placed, not sent yet
+    And its server drains before the start is sent
+    Then the start is not sent
+    When 1 s pass in the engine
+    Then the task is planned on the other server
+
   Scenario: a gang is placed as a whole or not at all
     # Guards against members of a gang that hold resources while they wait for others.
     Given an engine with 1 servers of 3 cores
