Count only tasks that wait again against the rate of starts

The runs of jobs that were cancelled or have ended were counted as well, though their tasks don't wait again: the rate that an overloaded owner predicts from came out too low beside cancellations. overload.feature, one scenario more.

--- a/waxwingford/scheduling/_backlog.py
+++ b/waxwingford/scheduling/_backlog.py
@@ -24,8 +24,8 @@
     """Outcome of a decision.
 
     :ivar placed: number of planned runs.
-    :ivar returned: number of runs settled since the decision before that had not
-        begun, so that their tasks wait again.
+    :ivar returned: number of tasks that wait again since the decision before, as no
+        run began.
     """
 
     placed: int
--- a/waxwingford/scheduling/_run_settlement.py
+++ b/waxwingford/scheduling/_run_settlement.py
@@ -21,7 +21,7 @@
         self._returned = 0
 
     def take_returned(self) -> int:
-        """Return how many runs were settled since the last call that had not begun."""
+        """Return how many tasks wait again since the last call as no run began."""
         returned = self._returned
         self._returned = 0
         return returned
@@ -63,8 +63,6 @@
         began = kind is not None or run.accepted or run.outlived
         if began:
             step.job.last_run_ms = now_ms
-        else:
-            self._returned += 1
         if kind is not None:
             # The server has survived the run, so the task didn't crash it.
             task.crash_evidence = 0
@@ -79,7 +77,8 @@
         if began or not task.pending_since_ms:
             # After a start that was refused, the task goes on waiting.
             task.pending_since_ms = now_ms
-        _requeue(self._state, task, step)
+        requeued = _requeue(self._state, task, step)
+        self._returned += requeued and not began
 
     def apply_end_kind(
         self,
@@ -171,7 +170,9 @@
             self._state.finish(step.job, JobPhase.failed)
 
 
-def _requeue(state: ShardState, task: Task, step: Step) -> None:
+def _requeue(state: ShardState, task: Task, step: Step) -> bool:
+    """Make a task pending unless it is done, has another run or its job has ended."""
     if task.done or task.run_by_number or step.job.ended is not None:
-        return
+        return False
     state.pending_by_key[task.key] = task
+    return True
--- a/waxwingford/scheduling/_settle.py
+++ b/waxwingford/scheduling/_settle.py
@@ -66,7 +66,7 @@
         self.restarts = Restarts(state, self._settlement, max_lease_ms)
 
     def take_returned(self) -> int:
-        """Return how many runs were settled since the last call that had not begun."""
+        """Return how many tasks wait again since the last call as no run began."""
         return self._settlement.take_returned()
 
     def poll_answered(
--- a/waxwingford/shard/tests/overload.feature
+++ b/waxwingford/shard/tests/overload.feature
@@ -71,6 +71,14 @@
     Then the next decision tells that 1 task has come back
     And the next decision tells that 0 tasks have come back
 
+  Scenario: starts of a cancelled job that were in vain
+    # Guards against counting tasks as waiting that are not needed any more.
+    Given an engine with 2 servers of 8 cores
+    When a job of 1 task is submitted, whose starts are not answered yet
+    And the job is cancelled
+    And its start is refused
+    Then the next decision tells that 0 tasks have come back
+
   Scenario Outline: the event loop is on time again after it was late
     # Guards against a job that waits for ever as the lag of an overloaded owner falls
     # with each decision.
--- a/waxwingford/shard/tests/overload_steps.py
+++ b/waxwingford/shard/tests/overload_steps.py
@@ -15,6 +15,7 @@
     OrderRefused,
     RefusalReason,
 )
+from waxwingford.scheduling.tests.engine_harness import JOB
 from waxwingford.shard import NotStored, ShardFrontend, Stored
 from waxwingford.shard._admission_control import AdmissionControl, RetryAfter
 from waxwingford.shard._loop_lag import LoopLag
@@ -165,6 +166,11 @@
     context.retry_after = admission.retry_after
 
 
+@when('the job is cancelled')
+def cancel_job(context):
+    context.harness.engine.cancel(JOB)
+
+
 @when('its start is refused')
 def refuse_start(context):
     harness = context.harness
