--- a/waxwingford/shard/tests/virtual_servers.py
+++ b/waxwingford/shard/tests/virtual_servers.py
@@ -85,6 +85,8 @@
         #: Number of starts from now on that fail before they are sent.
         self.starts_to_fail = 0
         self.fails = False
+        #: Whether all starts are refused, as by an unhealthy server.
+        self.refuses = False
         self.hangs = False
         self.poll_count = 0
         #: Whether another incarnation answers at the same address.
@@ -151,6 +153,11 @@
         self.run_by_task = {}
 
     def start(self, order):
+        if self.refuses:
+            return OrderRefused(RefusalReason.unhealthy)
+        return self.start_if_valid(order)
+
+    def start_if_valid(self, order):
         self.check_lease()
         if order.fencing_token < self.fence:
             return OrderRefused(RefusalReason.fenced)
