--- a/waxwingford/scheduling/tests/engine_steps.py
+++ b/waxwingford/scheduling/tests/engine_steps.py
@@ -95,6 +95,31 @@
     assert second.key.run == 2
 
 
+@when('a job of 1 task is placed, not sent yet')
+def place_unsent(context):
+    harness = context.harness
+    spec = JobSpec(JOB, QUEUE.name, 'payload', (step(),), terms=QUEUE)
+    harness.engine.submit(spec, harness.now_ms)
+    harness.engine.decide(harness.now_ms, harness.wall_ms)
+    starts = harness.engine.stored(harness.engine.take_batch())
+    context.run = starts[0].run
+    harness.planned_runs.append(context.run)
+
+
+@when('its server drains before the start is sent')
+def drain_before_start(context):
+    harness = context.harness
+    harness.drain(context.run.server_id)
+    context.order = harness.engine.orders.start(context.run, harness.now_ms)
+    # Before the next poll: the harness lists each run that is placed.
+    harness.decide()
+
+
+@then('the start is not sent')
+def check_not_sent(context):
+    assert context.order is None
+
+
 @when('a gang of {count:d} tasks of 1 core is submitted')
 def submit_gang(context, count):
     context.harness.submit(step(count, gang=True))
--- a/waxwingford/scheduling/tests/refused_starts_steps.py
+++ b/waxwingford/scheduling/tests/refused_starts_steps.py
@@ -20,9 +20,12 @@
 
 @when('a long-running task is submitted, whose starts are not answered yet')
 def submit_long_running(context):
-    harness = context.harness
-    steps = (step(long_running=True),)
-    spec = JobSpec(JOB, QUEUE.name, 'payload', steps, terms=QUEUE)
+    submit_without_answers(context.harness, step(long_running=True))
+
+
+def submit_without_answers(harness, submitted):
+    """Submit a job of one step whose starts are sent, and not answered yet."""
+    spec = JobSpec(JOB, QUEUE.name, 'payload', (submitted,), terms=QUEUE)
     harness.engine.submit(spec, harness.now_ms)
     harness.decide(accept=False)
 
@@ -117,28 +120,3 @@
         harness.now_ms,
     )
     assert pending.overdue, pending.rank
-
-
-@when('a job of 1 task is placed, not sent yet')
-def place_unsent(context):
-    harness = context.harness
-    spec = JobSpec(JOB, QUEUE.name, 'payload', (step(),), terms=QUEUE)
-    harness.engine.submit(spec, harness.now_ms)
-    harness.engine.decide(harness.now_ms, harness.wall_ms)
-    starts = harness.engine.stored(harness.engine.take_batch())
-    context.run = starts[0].run
-    harness.planned_runs.append(context.run)
-
-
-@when('its server drains before the start is sent')
-def drain_before_start(context):
-    harness = context.harness
-    harness.drain(context.run.server_id)
-    context.order = harness.engine.orders.start(context.run, harness.now_ms)
-    # Before the next poll: the harness lists each run that is placed.
-    harness.decide()
-
-
-@then('the start is not sent')
-def check_not_sent(context):
-    assert context.order is None
--- a/waxwingford/shard/tests/waiting_steps.py
+++ b/waxwingford/shard/tests/waiting_steps.py
@@ -7,7 +7,6 @@
 from waxwingford.scheduling import (
     ENDED_PREFIX,
     EndKind,
-    JobSpec,
     OrderAccepted,
     OrderNotSent,
     OrderOutcomeUnknown,
@@ -16,6 +15,9 @@
     encode_spec,
 )
 from waxwingford.scheduling.tests.engine_harness import JOB, QUEUE, step
+from waxwingford.scheduling.tests.refused_starts_steps import (
+    submit_without_answers,
+)
 from waxwingford.scheduling.tests.succession_steps import change_owner
 from waxwingford.shard import KeyedRecord
 from waxwingford.shard._intake import INTAKE_TOPIC, JOB_PREFIX
@@ -34,10 +36,7 @@
 
 @when('a job of 1 task is submitted, whose starts are not answered yet')
 def submit_unanswered(context):
-    harness = context.harness
-    spec = JobSpec(JOB, QUEUE.name, 'payload', (step(),), terms=QUEUE)
-    harness.engine.submit(spec, harness.now_ms)
-    harness.decide(accept=False)
+    submit_without_answers(context.harness, step())
 
 
 def answer_latest(context, outcome):
@@ -157,26 +156,20 @@
 
 @when('its start is accepted, and the owner changes {delay_ms:d} ms later')
 def accept_and_succeed(context, delay_ms):
-    harness = context.harness
     context.phases = []
     accept(context)
-    until_ms = harness.now_ms + delay_ms
-    while harness.now_ms < until_ms:
-        harness.poll()
-        harness.decide(accept=False)
-        note_phase(context)
+    watch_phase(context, delay_ms)
     change_owner(context)
-    note_phase(context)
-    until_ms = harness.now_ms + MS_PER_S
-    while harness.now_ms < until_ms:
-        harness.poll()
-        harness.decide(accept=False)
-        note_phase(context)
+    watch_phase(context, MS_PER_S)
 
 
-def note_phase(context):
-    phase = context.harness.engine.state.phase(JOB).value
-    context.phases.append(phase)
+def watch_phase(context, span_ms):
+    harness = context.harness
+    until_ms = harness.now_ms + span_ms
+    while harness.now_ms <= until_ms:
+        context.phases.append(harness.engine.state.phase(JOB).value)
+        harness.poll()
+        harness.decide(accept=False)
 
 
 @then('its phase was never reported as queued after running')
