--- a/waxwingford/scheduling/tests/refused_starts_steps.py
+++ b/waxwingford/scheduling/tests/refused_starts_steps.py
@@ -13,8 +13,9 @@
 from waxwingford.scheduling.tests.engine_harness import JOB, QUEUE, step
 
 MS_PER_S = 1000
-#: Decisions between a submission and its first start, in ms.
+#: Time from a submission to its first decision, in ms.
 FIRST_DECISION_MS = 50
+#: Longer than a start without an answer goes unstopped, in ms.
 STOP_DELAY_MS = 300
 
 
