Say plainly what a newcomer would read twice

Comments and two names of the change since, with no change of behaviour: what a row shows, which tasks were requeued, which incarnations failed_on names. No check, bound or expectation is touched.

--- a/waxwingford/scheduling/_backlog.py
+++ b/waxwingford/scheduling/_backlog.py
@@ -24,8 +24,8 @@
     """Outcome of a decision.
 
     :ivar placed: number of planned runs.
-    :ivar returned: number of tasks that wait again since the decision before, as no
-        run began.
+    :ivar returned: number of tasks requeued since the decision before because no run
+        of them began after their placement.
     """
 
     placed: int
--- a/waxwingford/scheduling/_recovery.py
+++ b/waxwingford/scheduling/_recovery.py
@@ -77,7 +77,7 @@
                 self._hold_job(key, error)
         self._row_by_key.clear()
         for job_id in self._held_job_ids & self._state.job_by_id.keys():
-            # There is a row because a run was planned, and most of these begin.
+            # The row was written for a planned run, and most planned runs begin.
             job = self._state.job_by_id[job_id]
             job.blocked = True
             job.begun = True
--- a/waxwingford/scheduling/_restarts.py
+++ b/waxwingford/scheduling/_restarts.py
@@ -135,9 +135,9 @@
 
         :param entry: registration of the next incarnation, as far as known.
         :param now_ms: current monotonic time, in ms.
-        :param known: runs that the next incarnation has listed. It has begun them,
-            even if the former one seemed to have: their clocks may agree, and a late
-            order may have begun a run once more.
+        :param known: runs that the next incarnation has listed, so it has begun them.
+            The former one may seem to have begun them as well, if their clocks agree or
+            a late order was carried out again.
         :returns: the next incarnation.
         """
         server = Server(
--- a/waxwingford/scheduling/_run_settlement.py
+++ b/waxwingford/scheduling/_run_settlement.py
@@ -21,7 +21,7 @@
         self._returned = 0
 
     def take_returned(self) -> int:
-        """Return how many tasks wait again since the last call as no run began."""
+        """Return how many tasks were requeued without a run since the last call."""
         returned = self._returned
         self._returned = 0
         return returned
@@ -75,7 +75,7 @@
         self._state.mark(step)
         self.apply_end_kind(server, run.key, kind, now_ms)
         if began or not task.pending_since_ms:
-            # After a start that was refused, the task goes on waiting.
+            # A start of which no run began doesn't interrupt the wait.
             task.pending_since_ms = now_ms
         requeued = _requeue(self._state, task, step)
         self._returned += requeued and not began
--- a/waxwingford/scheduling/_settle.py
+++ b/waxwingford/scheduling/_settle.py
@@ -66,7 +66,7 @@
         self.restarts = Restarts(state, self._settlement, max_lease_ms)
 
     def take_returned(self) -> int:
-        """Return how many tasks wait again since the last call as no run began."""
+        """Return how many tasks were requeued without a run since the last call."""
         return self._settlement.take_returned()
 
     def poll_answered(
@@ -264,7 +264,8 @@
         suspected = task.crash_evidence or task.lost_starts
         if suspected or (run.adopted and not task.begun):
             # The next owner has to know what has begun on a server that is lost
-            # together with this owner, and the store what a former one didn't store.
+            # together with this owner. A former owner may have ended before it
+            # stored that the task has begun.
             self._state.mark(step)
         task.begun = True
         step.job.begun = True
--- a/waxwingford/scheduling/_shard_state.py
+++ b/waxwingford/scheduling/_shard_state.py
@@ -192,7 +192,7 @@
         shown = [
             (step.job, JobPhase.running)
             for step in self._dirty_step_by_name.values()
-            if step.job.ended is None and _is_running(step)
+            if step.job.ended is None and _shows_running(step)
         ]
         for job, phase in self._pending_job_ends:
             payload_by_key[ENDED_PREFIX + job.spec.job_id] = encode_end(phase)
@@ -304,14 +304,14 @@
         return task, steps[key.task.step]
 
 
-def _is_running(step: Step) -> bool:
-    """Whether a job is reported as running once the row of a step is stored.
+def _shows_running(step: Step) -> bool:
+    """Whether the row of a step, once stored, shows that its job is running.
 
-    What isn't in that row isn't known to the next owner, which would report the job
-    as queued again.
+    A run that has begun and isn't in a stored row is unknown to the next owner, which
+    would report the job as queued again.
     """
-    known = step.job.reported_phase is JobPhase.running
-    return known or any(task.begun for task in step.tasks)
+    reported = step.job.reported_phase is JobPhase.running
+    return reported or any(task.begun for task in step.tasks)
 
 
 def steps_of(job: Job) -> list[Step]:
--- a/waxwingford/scheduling/_state.py
+++ b/waxwingford/scheduling/_state.py
@@ -133,8 +133,9 @@
     :ivar run_by_number: runs that may be present on a server.
     :ivar avoided: incarnations on which the task failed, made no progress or was
         throttled.
-    :ivar failed_on: those on which an attempt failed, which the next owner avoids as
-        well; empty for long-running tasks, which have no limit of attempts.
+    :ivar failed_on: incarnations on which an attempt failed. They are stored, so that
+        the next owner avoids them too; empty for long-running tasks, which have no
+        limit of attempts.
     :ivar lost_runs: numbers of runs that were given up before their server
         listed an end; it may list one later.
     :ivar invalid_starts: start orders that servers rejected as invalid.
--- a/waxwingford/shard/_admission_control.py
+++ b/waxwingford/shard/_admission_control.py
@@ -1,8 +1,8 @@
 """Decides which new jobs an owner refuses because it can't start them in time.
 
 Tasks that could be placed but for the limit of starts in progress form a backlog.
-Its length and the rate of starts that aren't in vain tell how long a new task would
-wait. A caller that is refused at once, and told when to come back, is better off
+Its length and the rate of placed tasks, less those that are requeued without a run,
+tell how long a new task would wait. A caller that is refused at once, and told when to come back, is better off
 than one whose job is accepted and not run.
 """
 
