--- a/docs/make_api.py
+++ b/docs/make_api.py
@@ -19,6 +19,7 @@
 NARRATIVE_BY_SUBPACKAGE = {
     'adapters': 'architecture.md',
     'batch': 'design/batch.md',
+    'build_info': 'OPERATIONS.md',
     'bundles': 'bundles.md',
     'colocation': 'design/colocation.md',
     'commands': 'operators.md',
--- a/waxwingford/commands/main.py
+++ b/waxwingford/commands/main.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 from typing import Any
 
+from waxwingford.build_info import add_version_option
 from waxwingford.commands._command import Command, ExitCode, commands
 from waxwingford.kernel import load_plugins
 
@@ -28,6 +29,7 @@
     """Build the parser of all registered commands."""
     load_plugins(f'waxwingford.commands.{name}' for name in _MODULES)
     parser = ArgumentParser(prog='waxwingford', epilog=_EPILOG)
+    add_version_option(parser)
     top = parser.add_subparsers(required=True, metavar='COMMAND')
     groups: dict[str, Any] = {}
     for full_name in commands.names():
--- a/waxwingford/daemon/main.py
+++ b/waxwingford/daemon/main.py
@@ -4,6 +4,7 @@
 import asyncio
 import sys
 
+from waxwingford.build_info import add_version_option
 from waxwingford.daemon._assembly import make_components
 from waxwingford.daemon._daemon import Daemon
 from waxwingford.daemon._logging import log_handler
@@ -45,6 +46,7 @@
         prog='waxwingfordd',
         description='Entry daemon: routes requests, schedules batch work.',
     )
+    add_version_option(parser)
     parser.add_argument(
         '--settings',
         required=True,
--- a/waxwingford/scheduler/_daemon.py
+++ b/waxwingford/scheduler/_daemon.py
@@ -20,6 +20,7 @@
     RelayPool,
 )
 from waxwingford.scheduler._readiness import ReadinessServer
+from waxwingford.scheduler._start_report import report_start
 from waxwingford.scheduler._traffic_log import TrafficLog
 from waxwingford.scheduling import Terms
 from waxwingford.settings import SchedulerSettings
@@ -129,12 +130,11 @@
         ]
         for task in tasks:
             task.add_done_callback(self._on_task_done)
-        _log.info('started', extra={'store': self._settings.store.address})
         await self._stopping.wait()
         await self._stop(tasks)
 
     async def _prepare_to_own(self) -> None:
-        """Import what an owner needs, and answer other daemons."""
+        """Import what an owner needs, answer other daemons, report the start."""
         await asyncio.to_thread(import_owner_modules)
         # Modules are never freed, see ``main``.
         gc.freeze()
@@ -143,6 +143,8 @@
         self._queries = await shard.serve_queries(
             self._frontend, listen.host, listen.peers_port
         )
+        # Last, as it reads all source files.
+        await report_start(self._observer.metrics, self._settings.store.address)
 
     def _on_task_done(self, task: asyncio.Task[None]) -> None:
         # A failed task stops the daemon, so that the supervisor restarts it.
--- a/waxwingford/scheduler/main.py
+++ b/waxwingford/scheduler/main.py
@@ -8,6 +8,7 @@
 
 import uvloop
 
+from waxwingford.build_info import add_version_option
 from waxwingford.scheduler._daemon import SchedulerDaemon
 from waxwingford.scheduler._logs import make_log_handler
 from waxwingford.settings import (
@@ -62,6 +63,7 @@
         prog='waxwingford-schedulerd',
         description='Scheduler daemon: accepts and schedules jobs.',
     )
+    add_version_option(parser)
     parser.add_argument(
         '--settings',
         required=True,
--- a/waxwingford/scheduler/tests/start.feature
+++ b/waxwingford/scheduler/tests/start.feature
@@ -46,3 +46,28 @@
     And it does not accept other daemons, and claims nothing
     When these modules are imported
     Then it accepts other daemons, and may claim
+
+  Scenario: a daemon tells which code it runs
+    # Guards against a fault of an old build that is taken for one of the new code.
+    Given a daemon whose modules for an owner are not imported yet
+    When it is started
+    And these modules are imported
+    Then the line of its start and its metrics tell version and digest of the code
+    And no line tells of other sources
+
+  Scenario: a daemon is installed beside other sources
+    # Guards against a refused build after which the former code is run unnoticed.
+    Given a daemon whose modules for an owner are not imported yet
+    And the sources beside its package have another digest
+    When it is started
+    And these modules are imported
+    Then a warning tells both digests
+
+  Scenario: a daemon can't read its source files
+    # Guards against a daemon that ends because of what it only reports.
+    Given a daemon whose modules for an owner are not imported yet
+    And its source files can't be read
+    When it is started
+    And these modules are imported
+    Then the line of its start tells that the digest is unknown
+    And it accepts other daemons, and may claim
--- /dev/null
+++ b/waxwingford/scheduler/tests/start_report_steps.py
@@ -0,0 +1,78 @@
+"""Steps for the report of a daemon on the code that it runs."""
+
+import asyncio
+from unittest import mock
+
+from behave import given, then
+
+from waxwingford.build_info import BuildInfo, read_build_info
+from waxwingford.scheduler import _start_report
+from waxwingford.scheduler.tests.daemon_steps import records_of_event
+from waxwingford.scheduler.tests.start_steps import POLL_INTERVAL_S, TIMEOUT_S
+
+OTHER_BUILD = BuildInfo('0.1.0', '00112233aabbccdd')
+DIFFERENCE = 'sources differ from the installed package'
+
+
+def replace_in_report(context, name, **behaviour):
+    patch = mock.patch.object(_start_report, name, **behaviour)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@given('the sources beside its package have another digest')
+def differ_from_sources(context):
+    replace_in_report(
+        context, 'find_differing_sources', return_value=OTHER_BUILD
+    )
+
+
+@given("its source files can't be read")
+def fail_to_read(context):
+    error = OSError('not permitted')
+    replace_in_report(context, 'read_build_info', side_effect=error)
+
+
+def reported_fields(context):
+    """Wait for the line of the daemon's start."""
+
+    async def _wait():
+        async with asyncio.timeout(TIMEOUT_S):
+            while not records_of_event(context, 'started'):
+                await asyncio.sleep(POLL_INTERVAL_S)
+
+    context.runner.run(_wait())
+    records = records_of_event(context, 'started')
+    assert len(records) == 1, records
+    return records[0].extra
+
+
+@then(
+    'the line of its start and its metrics tell version and digest of the code'
+)
+def check_reported(context):
+    build = read_build_info()
+    assert build._asdict().items() <= reported_fields(context).items()
+    labels = f'digest="{build.digest}",version="{build.version}"'
+    line = f'waxwingford_build_info{{{labels}}} 1'
+    metrics = context.daemon._observer.metrics.render().splitlines()
+    assert line in metrics, metrics
+
+
+@then('no line tells of other sources')
+def check_no_difference_told(context):
+    assert not records_of_event(context, DIFFERENCE)
+
+
+@then('a warning tells both digests')
+def check_difference_told(context):
+    installed = reported_fields(context)['digest']
+    records = records_of_event(context, DIFFERENCE)
+    assert [record.level_name for record in records] == ['WARNING'], records
+    digests = {'installed': installed, 'sources': OTHER_BUILD.digest}
+    assert digests.items() <= records[0].extra.items(), records[0].extra
+
+
+@then('the line of its start tells that the digest is unknown')
+def check_digest_unknown(context):
+    assert reported_fields(context)['digest'] == 'unknown'
--- a/waxwingford/scheduler/tests/start_steps.py
+++ b/waxwingford/scheduler/tests/start_steps.py
@@ -9,6 +9,7 @@
 import threading
 from unittest import mock
 
+import logbook
 from aiohttp import ClientSession
 from behave import given, then, when
 
@@ -121,6 +122,9 @@
         assert context.imported.wait(TIMEOUT_S)
         import_modules()
 
+    context.handler = logbook.TestHandler()
+    context.handler.push_application()
+    context.add_cleanup(context.handler.pop_application)
     context.runner = asyncio.Runner()
     context.add_cleanup(stop_daemon, context)
     context.daemon = _daemon.SchedulerDaemon(load_settings(text))
