Send no start at a service that its queue has left

A start waits until its row is stored, and is looked at again before it is sent: whether its server drains or is evacuated, but not whether its queue has moved to another service meanwhile. Seen by callers: a task that begins at the former service after the configuration is in force, seconds after at a slow store, and is lost once that service is taken away.

Change: the start isn't sent and its task is placed again. A queue that was removed keeps the service of its submission, so what was accepted still starts.

Result: engine.feature, two scenarios more; the first failed before, the second passed before and holds the other side. All features of scheduling pass.

--- a/waxwingford/scheduling/_order_factory.py
+++ b/waxwingford/scheduling/_order_factory.py
@@ -4,6 +4,7 @@
 from waxwingford.scheduling._backend_client import PollOrder, StartOrder
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._shard_state import ShardState
+from waxwingford.scheduling._specs import QueueTerms
 from waxwingford.scheduling._state import Run, RunPhase
 
 _NOTHING = Resources(0, 0, 0)
@@ -72,10 +73,10 @@
             # restart of all its tasks elsewhere.
             run.stopping = True
             return None
-        evacuated_domains = self._state.terms.evacuated_domains
-        evacuated = server.entry.failure_domain in evacuated_domains
-        if evacuated or server.entry.draining:
-            # The evacuation or drain began after the run was placed.
+        queue = self._state.queue_of(job)
+        if self._may_not_start(server, queue):
+            # A drain, an evacuation or a configuration came after the run was
+            # placed.
             run.stopping = True
             return None
         if not fits_resources(_NOTHING, server.free_resources):
@@ -85,7 +86,7 @@
             return None
         step = server.step_by_run[run.key]
         ticket = self._state.tickets.ticket(step, run.incarnation, now_ms)
-        if self._state.queue_of(job).advised and not ticket:
+        if queue.advised and not ticket:
             # The ticket has expired and the server would refuse the start. The
             # task is placed again with a new ticket.
             run.stopping = True
@@ -99,3 +100,11 @@
             run.checkpoint,
             ticket,
         )
+
+    def _may_not_start(self, server: Server, queue: QueueTerms) -> bool:
+        entry = server.entry
+        return (
+            entry.draining
+            or entry.failure_domain in self._state.terms.evacuated_domains
+            or entry.service != queue.service
+        )
--- a/waxwingford/scheduling/tests/engine.feature
+++ b/waxwingford/scheduling/tests/engine.feature
@@ -19,6 +19,25 @@
     When 1 s pass in the engine
     Then the task is planned on the other server
 
+  Scenario: a queue moves to another service between the placing and the start of a task
+    # Guards against starts at a service that the queue has left.
+    Given an engine with 2 servers of 8 cores
+    And configuration 5 assigns the queue to service "service"
+    When a job of 1 task is placed, not sent yet
+    And the queue moves to another service before the start is sent
+    Then the start is not sent
+    When a server of that service registers
+    And 1 s pass in the engine
+    Then the task is planned on that server
+
+  Scenario: a queue is removed between the placing and the start of a task
+    # Guards against accepted jobs that never start, as their queue is removed.
+    Given an engine with 2 servers of 8 cores
+    And configuration 5 assigns the queue to service "service"
+    When a job of 1 task is placed, not sent yet
+    And the queue is removed before the start is sent
+    Then the start is sent
+
   Scenario: a gang is placed as a whole or not at all
     # Guards against members of a gang that hold resources while they wait for others.
     Given an engine with 1 servers of 3 cores
--- a/waxwingford/scheduling/tests/engine_steps.py
+++ b/waxwingford/scheduling/tests/engine_steps.py
@@ -115,6 +115,43 @@
     harness.decide()
 
 
+@when('the queue moves to another service before the start is sent')
+def move_before_start(context):
+    apply_configuration(context, 6, 'other')
+    order_start(context)
+
+
+@when('the queue is removed before the start is sent')
+def remove_before_start(context):
+    context.harness.engine.configure(Terms(6, {}))
+    order_start(context)
+
+
+def order_start(context):
+    harness = context.harness
+    context.order = harness.engine.orders.start(context.run, harness.now_ms)
+    harness.decide()
+
+
+@when('a server of that service registers')
+def add_server_of_other_service(context):
+    harness = context.harness
+    harness.add(8)
+    harness.entries[-1] = harness.entries[-1]._replace(service='other')
+    harness.register()
+
+
+@then('the task is planned on that server')
+def check_planned_on_last(context):
+    planned = context.harness.planned_runs[-1]
+    assert planned.server_id == context.harness.entries[-1].server_id, planned
+
+
+@then('the start is sent')
+def check_sent(context):
+    assert context.order is not None
+
+
 @then('the start is not sent')
 def check_not_sent(context):
     assert context.order is None
