--- a/waxwingford/scheduler/tests/daemon.feature
+++ b/waxwingford/scheduler/tests/daemon.feature
@@ -12,3 +12,9 @@
     When the store returns the same configuration
     Then "store regained" is logged once, with the configuration version
     And the daemon is not ready because of "the shard has no owner yet"
+
+  Scenario: a version is read after a newer one
+    # Guards against a daemon that returns to an older version.
+    Given a daemon that has read its configuration
+    When it reads versions 5, 4, 6 and 5 in turn
+    Then it has applied versions 5 and 6 in turn
--- a/waxwingford/scheduler/tests/daemon_steps.py
+++ b/waxwingford/scheduler/tests/daemon_steps.py
@@ -1,6 +1,7 @@
 """Steps for a scheduler daemon that loses its store."""
 
 import asyncio
+from unittest import mock
 
 import logbook
 from behave import given, then, when
@@ -45,9 +46,9 @@
     apply_configuration(context)
 
 
-def apply_configuration(context):
+def apply_configuration(context, terms=TERMS):
     async def _apply():
-        context.daemon.apply_terms(TERMS)
+        context.daemon.apply_terms(terms)
         context.applied_s = context.loop.time()
 
     context.loop.run_until_complete(_apply())
@@ -74,6 +75,20 @@
     apply_configuration(context)
 
 
+@when('it reads versions 5, 4, 6 and 5 in turn')
+def read_versions(context):
+    member = context.daemon._member
+    with mock.patch.object(member, 'configure', wraps=member.configure) as told:
+        for version in (5, 4, 6, 5):
+            apply_configuration(context, Terms(version, {}))
+    context.applied = [call.args[0].version for call in told.call_args_list]
+
+
+@then('it has applied versions 5 and 6 in turn')
+def check_applied_versions(context):
+    assert context.applied == [5, 6], context.applied
+
+
 @then('no loss of the store is logged')
 def check_nothing_logged(context):
     assert not records_of_event(context, 'store lost')
--- a/waxwingford/shard/tests/takeover.feature
+++ b/waxwingford/shard/tests/takeover.feature
@@ -57,3 +57,47 @@
     And that successor has polled no server
     And all 4 tasks of the job run
     And no invariant was violated
+
+  Scenario: a queue is removed while its jobs are loaded
+    # Guards against accepted jobs that never end, as their queue is removed.
+    Given a shard with 3 daemons and 4 servers
+    When a job of 2 steps is submitted
+    And the owner is killed, and its successor waits for the registrations
+    And a configuration removes the queue
+    And the registrations arrive
+    And 8 s pass
+    Then every daemon reports the job as completed
+    And no invariant was violated
+
+  Scenario Outline: an evacuation changes during a takeover
+    # Guards against starts in a failure domain that was evacuated meanwhile, and
+    # against a domain that stays evacuated after it was taken back.
+    Given a shard with 3 daemons and 4 servers
+    When the owner is killed, and its successor waits for the registrations
+    And the evacuation of all servers is <changes>
+    And the registrations arrive
+    And a job of 2 steps is submitted
+    And 6 s pass
+    Then <outcome>
+    And no invariant was violated
+
+    Examples:
+      | changes                          | outcome                                 |
+      | written                          | nothing of the job was started          |
+      | written, deleted, written        | nothing of the job was started          |
+      | written, deleted                 | every daemon reports the job as completed |
+      | written, deleted, written, deleted | every daemon reports the job as completed |
+
+  Scenario: successors that have read newer configurations are killed in a row
+    # Guards against an owner that goes on with what a former one had read.
+    Given a shard with 3 daemons and 4 servers
+    When the owner is killed, and its successor waits for the registrations
+    And that successor alone reads that the queue moves to another service
+    And that successor is killed, and the next one waits for the registrations
+    And a configuration moves the queue back
+    And the registrations arrive
+    And a job of 2 steps is submitted
+    And 6 s pass
+    Then the owner uses that configuration
+    And every daemon reports the job as completed
+    And no invariant was violated
--- a/waxwingford/shard/tests/takeover_steps.py
+++ b/waxwingford/shard/tests/takeover_steps.py
@@ -25,10 +25,14 @@
 
 @when('the owner is killed, and its successor waits for the registrations')
 def hold_registrations(context):
+    kill_owner(context)
+    hold_successor(context)
+
+
+def hold_successor(context):
     shard = context.shard
     reading = asyncio.Event()
     context.released = asyncio.Event()
-    kill_owner(context)
     for daemon in shard.living():
         daemon.servers.entries = hold(
             daemon.servers.entries, reading, context.released
@@ -44,16 +48,50 @@
     context.shard.run(SETTLE_S)
 
 
+@when('that successor is killed, and the next one waits for the registrations')
+def kill_successor(context):
+    context.shard.call(context.successor.kill)
+    context.shard.call(context.released.set)
+    hold_successor(context)
+
+
+def configure(context, terms, daemons=None):
+    context.terms = terms
+    told = context.shard.living() if daemons is None else daemons
+    context.shard.call(
+        lambda: [daemon.member.configure(terms) for daemon in told]
+    )
+
+
 @when('a configuration moves the queue to another service')
 def move_queue(context):
     queue = QUEUE._replace(service='other')
-    context.terms = Terms(TERMS.version + 1, {queue.name: queue})
-    context.shard.call(
-        lambda: [
-            daemon.member.configure(context.terms)
-            for daemon in context.shard.living()
-        ]
-    )
+    configure(context, Terms(TERMS.version + 1, {queue.name: queue}))
+
+
+@when('that successor alone reads that the queue moves to another service')
+def move_queue_at_successor(context):
+    queue = QUEUE._replace(service='other')
+    terms = Terms(TERMS.version + 1, {queue.name: queue})
+    configure(context, terms, (context.successor,))
+
+
+@when('a configuration moves the queue back')
+def move_queue_back(context):
+    configure(context, TERMS._replace(version=TERMS.version + 2))
+
+
+@when('a configuration removes the queue')
+def remove_queue(context):
+    configure(context, Terms(TERMS.version + 1, {}))
+
+
+@when('the evacuation of all servers is {changes}')
+def change_evacuation(context, changes):
+    domains = frozenset(('domain',))
+    for done in changes.split(', '):
+        evacuated = domains if done == 'written' else frozenset()
+        configure(context, TERMS._replace(evacuated_domains=evacuated))
 
 
 def owner_state(context):
