Move the port of registrations below the modules that use it

Seven modules of shard imported each other in a circle: the port of the platform names the frontend, and the drivers of servers took the source of registrations from the port of the platform. It has a module of its own now, and no modules of shard import each other in a circle any more (counted by a script over their import statements). No behaviour has changed.

--- a/waxwingford/shard/__init__.py
+++ b/waxwingford/shard/__init__.py
@@ -65,7 +65,7 @@
             'CallTraffic',
             'SchedulerPlatform',
             'scheduler_platforms',
-            'RegistrationSource',
         ),
+        '_registration_port': ('RegistrationSource',),
     },
 )
--- a/waxwingford/shard/_owner_ports.py
+++ b/waxwingford/shard/_owner_ports.py
@@ -8,7 +8,7 @@
 from waxwingford.shard._clocks import boottime_ms
 from waxwingford.shard._log_port import SharedLog
 from waxwingford.shard._observer import Observer
-from waxwingford.shard._platform_port import RegistrationSource
+from waxwingford.shard._registration_port import RegistrationSource
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/waxwingford/shard/_platform_port.py
+++ b/waxwingford/shard/_platform_port.py
@@ -4,10 +4,11 @@
 from typing import NamedTuple, Protocol
 
 from waxwingford.kernel import Registry
-from waxwingford.scheduling import BackendClient, ServerEntry, Terms
+from waxwingford.scheduling import BackendClient, Terms
 from waxwingford.shard._advice_port import AdviceClient
 from waxwingford.shard._frontend import ShardFrontend
 from waxwingford.shard._log_port import SharedLog
+from waxwingford.shard._registration_port import RegistrationSource
 
 
 class CallTraffic(NamedTuple):
@@ -23,17 +24,6 @@
     received_bytes: int = 0
 
 
-class RegistrationSource(Protocol):
-    """Source of the registrations of backend servers."""
-
-    async def entries(self) -> tuple[ServerEntry, ...] | None:
-        """Read all registrations.
-
-        :returns: the registrations, ``None`` if they can't be read at present.
-        """
-        ...
-
-
 class SchedulerPlatform(RegistrationSource, Protocol):
     """Adapter to a platform.
 
--- a/waxwingford/shard/_server_drivers.py
+++ b/waxwingford/shard/_server_drivers.py
@@ -12,7 +12,7 @@
 )
 from waxwingford.shard._clocks import monotonic_ms
 from waxwingford.shard._drivers import DriverPorts, ServerDriver
-from waxwingford.shard._platform_port import RegistrationSource
+from waxwingford.shard._registration_port import RegistrationSource
 
 #: An owner is cut off if more than half of the servers that have tasks have not
 #: answered for this time, in ms, which is shorter than a lease. With fewer servers
