Count prompt answers as they come and go

Cause: for each answer of a server an owner counted again how many of the answers of the last second were prompt: with a thousand answers a second a million steps.

Change: the count is kept.

--- a/waxwingford/shard/_lateness.py
+++ b/waxwingford/shard/_lateness.py
@@ -99,6 +99,9 @@
         self._since_s: float = -PROMPT_PERIOD_S
         self._last_s: float = -MAX_PROMPT_GAP_S
         self._samples: collections.deque[_Sample] = collections.deque()
+        # Counted as samples come and go: an owner of a large fleet has a thousand
+        # of them.
+        self._prompt_samples = 0
         self._answered = False
 
     def note_answer(self, delay_s: float) -> None:
@@ -109,12 +112,11 @@
         """
         now_s = asyncio.get_running_loop().time()
         self._samples.append(_Sample(now_s, delay_s))
+        self._prompt_samples += delay_s <= MAX_PROMPT_DELAY_S
         while self._samples[0].answered_s < now_s - ANSWERS_PERIOD_S:
-            self._samples.popleft()
-        prompt = sum(
-            sample.delay_s <= MAX_PROMPT_DELAY_S for sample in self._samples
-        )
-        most_prompt = 2 * prompt > len(self._samples)
+            expired = self._samples.popleft()
+            self._prompt_samples -= expired.delay_s <= MAX_PROMPT_DELAY_S
+        most_prompt = 2 * self._prompt_samples > len(self._samples)
         interrupted = now_s - self._last_s > MAX_PROMPT_GAP_S
         if not most_prompt or (self._answered and interrupted):
             self._since_s = now_s
