--- a/deploy/build.py
+++ b/deploy/build.py
@@ -49,7 +49,10 @@
             'expected 3.11 or later'
         )
     TARGET.mkdir(exist_ok=True)
-    with tempfile.TemporaryDirectory(prefix='staged-', dir=TARGET) as name:
+    folder = tempfile.TemporaryDirectory(
+        prefix='staged-', dir=TARGET, ignore_cleanup_errors=True
+    )
+    with folder as name:
         staged = pathlib.Path(name)
         if _are_libraries_installed():
             _stage_package(staged)
@@ -115,6 +118,7 @@
 def _replace(
     new: pathlib.Path, current: pathlib.Path, staged: pathlib.Path
 ) -> None:
+    """Put a complete folder in the place of another one, or leave that one."""
     former = staged / 'former'
     with contextlib.suppress(FileNotFoundError):
         os.rename(current, former)
