Show why a step failed in the output of all tests

A run of all tests beside many plays (load 20 to 26 on 8 processors) ended with four failed scenarios of waxwingford_standins, real processes of the former engine, and its output named them without their assertions: behave's formatter `progress` shows none.

Change: formatter progress3, whose text is printed for features that fail.

--- a/.ci/tests.py
+++ b/.ci/tests.py
@@ -59,7 +59,7 @@
     :returns: their counts.
     """
     names = [str(path.relative_to(ROOT)) for path in paths]
-    command = (sys.executable, '-m', 'behave', '--no-color', '-f', 'progress')
+    command = (sys.executable, '-m', 'behave', '--no-color', '-f', 'progress3')
     finished = subprocess.run(
         (*command, *names),
         cwd=ROOT,
