Record the digest in the build instead of reading all files at each start

Cause suspected: each daemon read 310 files, and looked at as many beside them, in the seconds in which the shard has no owner.

Change: the build records the digest in the package's folder, and a start reads that one file, so `started` is written at once again. Without a record the files are read, as before.

Result: start.feature has one scenario more (a recorded digest is told though no source file can be read); build.feature looks at the record.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -18,7 +18,7 @@
 import sys
 import tempfile
 from collections.abc import Iterator
-from importlib import metadata
+from importlib import import_module, metadata
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 PACKAGE = 'waxwingford'
@@ -110,6 +110,9 @@
     shutil.copytree(
         ROOT / PACKAGE, staged, ignore=shutil.ignore_patterns('__pycache__')
     )
+    # From the sources that are built: an older package may be installed.
+    sys.path.insert(0, str(ROOT))
+    import_module(f'{PACKAGE}.build_info').record_build_info(staged)
     shown_as = str((DEPS / PACKAGE).relative_to(ROOT))
     if not compileall.compile_dir(staged, ddir=shown_as, quiet=1):
         raise BuildError('the package could not be compiled')
--- a/waxwingford/build_info/__init__.py
+++ b/waxwingford/build_info/__init__.py
@@ -4,6 +4,8 @@
     BuildInfo,
     find_differing_sources,
     read_build_info,
+    record_build_info,
+    recorded_build_info,
 )
 from waxwingford.build_info._version_option import add_version_option
 
@@ -12,4 +14,6 @@
     'add_version_option',
     'find_differing_sources',
     'read_build_info',
+    'record_build_info',
+    'recorded_build_info',
 )
--- a/waxwingford/build_info/_build_info.py
+++ b/waxwingford/build_info/_build_info.py
@@ -8,6 +8,8 @@
 import waxwingford
 
 PACKAGE = pathlib.Path(waxwingford.__file__).resolve().parent
+#: File in the folder of an installed package.
+RECORD = 'DIGEST'
 DIGEST_BYTES = 8
 _SIZE_BYTES = 8
 #: Folders whose files no process of the product runs as they are.
@@ -32,10 +34,35 @@
         return f'waxwingford {self.version} (digest {self.digest})'
 
 
-def read_build_info(package: pathlib.Path = PACKAGE) -> BuildInfo:
-    """Read the source files of a package, by default of the running one.
+def recorded_build_info(package: pathlib.Path = PACKAGE) -> BuildInfo | None:
+    """Read what the build has recorded of a package.
+
+    A daemon that starts has no time to read all source files.
+
+    :param package: folder of the package, by default of the running one.
+    :returns: ``None`` if nothing is recorded.
+    """
+    try:
+        digest = (package / RECORD).read_text(encoding='ascii').strip()
+    except (OSError, ValueError):
+        return None
+    return BuildInfo(waxwingford.__version__, digest)
+
+
+def record_build_info(package: pathlib.Path) -> None:
+    """Record the digest of a package in its folder.
 
     :param package: folder of the package.
+    :raises OSError: if a file can't be read or written.
+    """
+    digest = read_build_info(package).digest
+    (package / RECORD).write_text(f'{digest}\n', encoding='ascii')
+
+
+def read_build_info(package: pathlib.Path = PACKAGE) -> BuildInfo:
+    """Read the source files of a package.
+
+    :param package: folder of the package, by default of the running one.
     :raises OSError: if a file can't be read.
     """
     # Not at the top: a daemon that starts imports it later.
@@ -65,28 +92,12 @@
     if package.parts[-3:-1] != _INSTALLED_IN:
         return None
     sources = package.parents[len(_INSTALLED_IN)] / package.name
-    if not sources.is_dir() or _stamps(sources) == _stamps(package):
+    if not sources.is_dir():
         return None
     checkout = read_build_info(sources)
     return None if checkout.digest == build.digest else checkout
 
 
-def _stamps(package: pathlib.Path) -> dict[str, tuple[int, int]]:
-    """Read what tells files from their former contents without reading them.
-
-    The build copies files with their times.
-
-    :returns: size and time of the last change in ns, by path in the package.
-    """
-    stat_by_path = {
-        path: entry.stat() for path, entry in _source_files(str(package))
-    }
-    return {
-        path: (stat.st_size, stat.st_mtime_ns)
-        for path, stat in stat_by_path.items()
-    }
-
-
 def _source_files(
     folder: str, prefix: str = ''
 ) -> Iterator[tuple[str, os.DirEntry[str]]]:
--- a/waxwingford/build_info/tests/build_info_steps.py
+++ b/waxwingford/build_info/tests/build_info_steps.py
@@ -13,7 +13,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[3]
 CONTENT_BY_FILE = {
-    '__init__.py': 'first = 1\n',
+    '__init__.py': '__version__ = "0.1.0"\n',
     'part/__init__.py': '',
     'part/a.py': 'second = 2\n',
     'part/b.py': 'third = 3\nfourth = 4\n',
--- a/waxwingford/build_info/tests/build_steps.py
+++ b/waxwingford/build_info/tests/build_steps.py
@@ -10,7 +10,7 @@
 
 from behave import given, then, when
 
-from waxwingford.build_info import read_build_info
+from waxwingford.build_info import read_build_info, recorded_build_info
 from waxwingford.build_info.tests.build_info_steps import (
     ROOT,
     make_folder,
@@ -33,7 +33,9 @@
         context.checkout / 'deploy',
         ignore=shutil.ignore_patterns('__pycache__'),
     )
-    write_package(context.checkout / 'waxwingford')
+    package = context.checkout / 'waxwingford'
+    write_package(package)
+    shutil.copytree(ROOT / 'waxwingford/build_info', package / 'build_info')
     context.deps = context.checkout / 'target' / 'deps'
     list_libraries(context, LIBRARIES)
 
@@ -70,7 +72,7 @@
         install_library(context, name, version)
     write_package(context.deps / 'waxwingford')
     changed = context.checkout / 'waxwingford' / '__init__.py'
-    changed.write_text('first = 10\n')
+    changed.write_text('__version__ = "0.2.0"\n')
     context.installed = content_by_file(context.deps)
 
 
@@ -188,6 +190,7 @@
 def check_package(context):
     installed = read_build_info(context.deps / 'waxwingford')
     assert installed == read_build_info(context.checkout / 'waxwingford')
+    assert recorded_build_info(context.deps / 'waxwingford') == installed
 
 
 @then('only that version is installed')
--- a/waxwingford/scheduler/_daemon.py
+++ b/waxwingford/scheduler/_daemon.py
@@ -124,6 +124,11 @@
             asyncio.create_task(self._relays.run()),
             asyncio.create_task(self._relay.run()),
             asyncio.create_task(self._prepare_to_own()),
+            asyncio.create_task(
+                report_start(
+                    self._observer.metrics, self._settings.store.address
+                )
+            ),
             asyncio.create_task(
                 TrafficLog(self._count_traffic, self._observer).run()
             ),
@@ -134,7 +139,7 @@
         await self._stop(tasks)
 
     async def _prepare_to_own(self) -> None:
-        """Import what an owner needs, answer other daemons, report the start."""
+        """Import what an owner needs, and answer other daemons."""
         await asyncio.to_thread(import_owner_modules)
         # Modules are never freed, see ``main``.
         gc.freeze()
@@ -143,8 +148,6 @@
         self._queries = await shard.serve_queries(
             self._frontend, listen.host, listen.peers_port
         )
-        # Last, as it reads all source files.
-        await report_start(self._observer.metrics, self._settings.store.address)
 
     def _on_task_done(self, task: asyncio.Task[None]) -> None:
         # A failed task stops the daemon, so that the supervisor restarts it.
--- a/waxwingford/scheduler/tests/start.feature
+++ b/waxwingford/scheduler/tests/start.feature
@@ -55,6 +55,14 @@
     Then the line of its start and its metrics tell version and digest of the code
     And no line tells of other sources
 
+  Scenario: the build has recorded the digest of the code
+    # Guards against starts that read all source files while nobody owns the shard.
+    Given a daemon whose modules for an owner are not imported yet
+    And a digest is recorded with its package
+    And its source files can't be read
+    When it is started
+    Then the line of its start tells the recorded digest
+
   Scenario: a daemon is installed beside other sources
     # Guards against a refused build after which the former code is run unnoticed.
     Given a daemon whose modules for an owner are not imported yet
@@ -69,5 +77,6 @@
     And its source files can't be read
     When it is started
     And these modules are imported
-    Then the line of its start tells that the digest is unknown
+    Then a warning tells that they are not read
+    And the line of its start tells that the digest is unknown
     And it accepts other daemons, and may claim
--- a/waxwingford/scheduler/tests/start_report_steps.py
+++ b/waxwingford/scheduler/tests/start_report_steps.py
@@ -11,6 +11,7 @@
 from waxwingford.scheduler.tests.start_steps import POLL_INTERVAL_S, TIMEOUT_S
 
 OTHER_BUILD = BuildInfo('0.1.0', '00112233aabbccdd')
+RECORDED_BUILD = BuildInfo('0.1.0', 'ddccbbaa33221100')
 DIFFERENCE = 'sources differ from the installed package'
 
 
@@ -20,8 +21,16 @@
     context.add_cleanup(patch.stop)
 
 
+@given('a digest is recorded with its package')
+def record_digest(context):
+    replace_in_report(
+        context, 'recorded_build_info', return_value=RECORDED_BUILD
+    )
+
+
 @given('the sources beside its package have another digest')
 def differ_from_sources(context):
+    replace_in_report(context, 'SOURCES_DELAY_S', new=0)
     replace_in_report(
         context, 'find_differing_sources', return_value=OTHER_BUILD
     )
@@ -33,18 +42,20 @@
     replace_in_report(context, 'read_build_info', side_effect=error)
 
 
-def reported_fields(context):
-    """Wait for the line of the daemon's start."""
-
+def wait_for_line(context, event):
     async def _wait():
         async with asyncio.timeout(TIMEOUT_S):
-            while not records_of_event(context, 'started'):
+            while not records_of_event(context, event):
                 await asyncio.sleep(POLL_INTERVAL_S)
 
     context.runner.run(_wait())
-    records = records_of_event(context, 'started')
+    records = records_of_event(context, event)
     assert len(records) == 1, records
-    return records[0].extra
+    return records[0]
+
+
+def reported_fields(context):
+    return wait_for_line(context, 'started').extra
 
 
 @then(
@@ -67,10 +78,21 @@
 @then('a warning tells both digests')
 def check_difference_told(context):
     installed = reported_fields(context)['digest']
-    records = records_of_event(context, DIFFERENCE)
-    assert [record.level_name for record in records] == ['WARNING'], records
+    record = wait_for_line(context, DIFFERENCE)
+    assert record.level_name == 'WARNING'
     digests = {'installed': installed, 'sources': OTHER_BUILD.digest}
-    assert digests.items() <= records[0].extra.items(), records[0].extra
+    assert digests.items() <= record.extra.items(), record.extra
+
+
+@then('the line of its start tells the recorded digest')
+def check_recorded_told(context):
+    assert reported_fields(context)['digest'] == RECORDED_BUILD.digest
+
+
+@then('a warning tells that they are not read')
+def check_unread_told(context):
+    record = wait_for_line(context, 'source files not read')
+    assert record.extra['reason'] == 'not permitted'
 
 
 @then('the line of its start tells that the digest is unknown')
