--- a/review/second/tests/case_entry.py
+++ b/review/second/tests/case_entry.py
@@ -5,6 +5,7 @@
 import pathlib
 
 from outcome import run_case
+from worker_standin import registration
 from world import World, note_logs, running_world
 
 #: No address: its second octet is empty.
@@ -14,7 +15,7 @@
 
 
 async def _put_entry(world: World) -> None:
-    entry = json.loads(world.workers[0].registration(1))
+    entry = json.loads(registration(world.workers[0], 1))
     entry['address'] = ADDRESS
     await world.store.put('servers', 'i-other', json.dumps(entry).encode())
     world.note(f'entry of another writer, address {ADDRESS}')
--- a/review/second/tests/http_standin.py
+++ b/review/second/tests/http_standin.py
@@ -48,10 +48,10 @@
     """
     head = await reader.readuntil(b'\r\n\r\n')
     first, *lines = head.decode('latin-1').split('\r\n')
-    header_by_name = {
-        name.strip().lower(): text.strip()
-        for name, _, text in (line.partition(':') for line in lines if line)
-    }
+    header_by_name = {}
+    for line in filter(None, lines):
+        name, _, text = line.partition(':')
+        header_by_name[name.strip().lower()] = text.strip()
     length = int(header_by_name.get('content-length', '0'))
     body = await reader.readexactly(length) if length else b''
     return first, header_by_name, body
--- a/review/second/tests/store_standin.py
+++ b/review/second/tests/store_standin.py
@@ -152,7 +152,8 @@
             return json_reply(412, {'end': topic.end})
         if epoch > producer.epoch:
             producer.reply_by_sequence.clear()
-        producer.epoch, producer.sequence = epoch, sequence
+        producer.epoch = epoch
+        producer.sequence = sequence
         reply = await self._add(topic, bodies)
         producer.reply_by_sequence[sequence] = reply
         producer.reply_by_sequence.pop(sequence - REMEMBERED_APPENDS, None)
--- a/review/second/tests/worker_standin.py
+++ b/review/second/tests/worker_standin.py
@@ -65,7 +65,9 @@
     """
     *until_ms, work_ms = map(int, spec.split())
     end_s = now_s + work_ms / 1000
-    return max([one / 1000 for one in until_ms if one / 1000 > now_s], default=end_s)
+    return max(
+        [one / 1000 for one in until_ms if one / 1000 > now_s], default=end_s
+    )
 
 
 class WorkerStandin:
@@ -102,32 +104,12 @@
     def used_cpu(self) -> int:
         """CPU that is counted against its capacity, in thousandths."""
         return _sum_cpu(
-            [self._needs_of[name.rpartition('.')[0]] for name in self.run_by_task]
+            [
+                self._needs_of[name.rpartition('.')[0]]
+                for name in self.run_by_task
+            ]
         )
 
-    def registration(self, sequence: int) -> bytes:
-        """Encode the entry of the worker in the store."""
-        settings = self.settings
-        return json.dumps(
-            {
-                'service': settings.service,
-                'address': self.http.address,
-                'zone': settings.zone,
-                'version': 'v1',
-                'slots': 8,
-                'state': 'ready',
-                'warmup-left-ms': 0,
-                'capacity': {
-                    'cpu': settings.cpu,
-                    'mem-mb': settings.mem_mb,
-                    'gpu': 0,
-                },
-                'labels': ['a', settings.rack],
-                'clock-ms': self.clock_ms,
-                'seq': sequence,
-            }
-        ).encode()
-
     async def run(self) -> None:
         """End runs when they are done, stopped, or without a lease."""
         while True:
@@ -140,22 +122,18 @@
                 async with self._ended:
                     self._ended.notify_all()
 
-    def _due_ends(self, now_s: float):
-        lapsed = self.clock_ms > self._lease_until_ms
-        if lapsed:
+    def _due_ends(self, now_s: float) -> list[tuple[Run, str]]:
+        runs = list(self.run_by_task.values())
+        if self.clock_ms > self._lease_until_ms:
             for end in self._ends:
                 end.lapsed_s = end.lapsed_s or now_s
-        for run in list(self.run_by_task.values()):
-            if lapsed:
-                yield run, 'lapsed'
-            elif run.stop_at_s is not None and now_s >= run.stop_at_s:
-                yield run, 'stopped'
-            elif now_s >= run.end_s:
-                yield run, 'done'
+            return [(run, 'lapsed') for run in runs]
+        ends = [(run, _due_end(run, now_s)) for run in runs]
+        return [(run, how) for run, how in ends if how]
 
     def _end(self, run: Run, how: str) -> None:
         del self.run_by_task[run.task]
-        self._raise_highest(run.task, run.number)
+        _raise_to(self._highest_by_task, run.task, run.number)
         self._end_count += 1
         event = self._event(run.task, run.number, how, self._end_count)
         self._ends.append(event)
@@ -167,10 +145,6 @@
         self._events.append(event)
         return event
 
-    def _raise_highest(self, task: str, number: int) -> None:
-        highest = self._highest_by_task.get(task, 0)
-        self._highest_by_task[task] = max(highest, number)
-
     async def _handle(self, call: Call) -> Reply:
         expected = call.header_by_name.get('x-expect-instance')
         if expected not in {None, self.settings.worker_id}:
@@ -234,7 +208,7 @@
     def _stop(self, content: dict) -> Reply:
         task, number = content['task'], content['run-id']
         run = self.run_by_task.get(task)
-        self._raise_highest(task, number)
+        _raise_to(self._highest_by_task, task, number)
         if run is not None and run.number <= number and run.stop_at_s is None:
             run.stop_at_s = time.monotonic() + STOP_S
         return json_reply(200, {'clock-ms': self.clock_ms})
@@ -256,8 +230,7 @@
             {
                 'clock-ms': self.clock_ms,
                 'running': [
-                    self._row(run)
-                    for run in self.run_by_task.values()
+                    self._row(run) for run in self.run_by_task.values()
                 ],
                 'ended-runs': [
                     [end.number, end.task, end.run, end.how, '']
@@ -285,3 +258,33 @@
 
 def _sum_cpu(needs: list[dict]) -> int:
     return sum(0 if one['fills'] else one['cpu'] for one in needs)
+
+
+def _raise_to(highest_by_task: dict[str, int], task: str, number: int) -> None:
+    highest_by_task[task] = max(highest_by_task.get(task, 0), number)
+
+
+def _due_end(run: Run, now_s: float) -> str:
+    if run.stop_at_s is not None and now_s >= run.stop_at_s:
+        return 'stopped'
+    return 'done' if now_s >= run.end_s else ''
+
+
+def registration(worker: WorkerStandin, sequence: int) -> bytes:
+    """Encode the entry of a worker in the store."""
+    settings = worker.settings
+    capacity = {'cpu': settings.cpu, 'mem-mb': settings.mem_mb, 'gpu': 0}
+    content = {
+        'service': settings.service,
+        'address': worker.http.address,
+        'zone': settings.zone,
+        'version': 'v1',
+        'slots': 8,
+        'state': 'ready',
+        'warmup-left-ms': 0,
+        'capacity': capacity,
+        'labels': ['a', settings.rack],
+        'clock-ms': worker.clock_ms,
+        'seq': sequence,
+    }
+    return json.dumps(content).encode()
--- a/review/second/tests/world.py
+++ b/review/second/tests/world.py
@@ -5,6 +5,7 @@
 import json
 import os
 import pathlib
+import re
 import socket
 import subprocess
 import tempfile
@@ -13,7 +14,7 @@
 
 from http_standin import LOOPBACK, Reply, send
 from store_standin import StoreStandin
-from worker_standin import Event, Settings, WorkerStandin
+from worker_standin import Event, Settings, WorkerStandin, registration
 
 ROOT = pathlib.Path(__file__).resolve().parents[3]
 HOST = 'reports.example'
@@ -36,6 +37,16 @@
         return probe.getsockname()[1]
 
 
+def _fill_template(value_by_placeholder: dict[str, str]) -> str:
+    """Fill in the template of the settings, without an advice service."""
+    text = (ROOT / 'deploy' / 'scheduler.toml').read_text()
+    text = re.sub('{{#advice}}.*{{/advice}}', '', text, flags=re.DOTALL)
+    text = text.replace('9464', str(free_port()))
+    for placeholder, value in value_by_placeholder.items():
+        text = text.replace(f'{{{{{placeholder}}}}}', value)
+    return text
+
+
 class Daemon:
     """A process of the scheduler, started as the deploy file says."""
 
@@ -61,12 +72,7 @@
             'limits.cores': '1',
             'limits.link-mbps': '1000.0',
         }
-        text = (ROOT / 'deploy' / 'scheduler.toml').read_text()
-        begin, end = text.find('{{#advice}}'), text.find('{{/advice}}')
-        text = text[:begin] + text[end + len('{{/advice}}') :]
-        text = text.replace('9464', str(free_port()))
-        for placeholder, value in value_by_placeholder.items():
-            text = text.replace('{{' + placeholder + '}}', value)
+        text = _fill_template(value_by_placeholder)
         self.settings = folder / f'{name}.toml'
         self.settings.write_text(text)
         self.log = folder / f'{name}.log'
@@ -74,7 +80,9 @@
     def start(self) -> None:
         """Start the process."""
         environment = {
-            name: os.environ[name] for name in ('PATH', 'HOME') if name in os.environ
+            name: os.environ[name]
+            for name in ('PATH', 'HOME')
+            if name in os.environ
         }
         environment['PYTHONPATH'] = str(ROOT / 'target' / 'deps')
         with self.log.open('ab') as log:
@@ -141,9 +149,7 @@
         await self.store.http.start()
         await self.store.put('op', 'config', _configuration())
         for number in range(workers):
-            settings = Settings(
-                f'i-{number:08x}', SERVICE, ZONE, **changes
-            )
+            settings = Settings(f'i-{number:08x}', SERVICE, ZONE, **changes)
             worker = WorkerStandin(settings, self.needs_of, self.events)
             await worker.http.start()
             self.workers.append(worker)
@@ -169,7 +175,7 @@
         sequence = 0
         while True:
             sequence += 1
-            content = worker.registration(sequence)
+            content = registration(worker, sequence)
             key = worker.settings.worker_id
             await self.store.put('servers', key, content)
             await asyncio.sleep(REGISTRATION_S)
@@ -186,9 +192,7 @@
         """Find the daemon that owns the shard, by the newest heartbeat."""
         newest = self.store.topic('keyed.owners').newest_by_key['owner'][1]
         return next(
-            daemon
-            for daemon in self.daemons
-            if daemon.name.encode() in newest
+            daemon for daemon in self.daemons if daemon.name.encode() in newest
         )
 
     async def call(
@@ -196,9 +200,7 @@
     ) -> Reply | None:
         """Call a daemon that runs, in turn."""
         running = [
-            daemon
-            for daemon in self.daemons
-            if daemon.process.poll() is None
+            daemon for daemon in self.daemons if daemon.process.poll() is None
         ]
         self._turn += 1
         daemon = running[self._turn % len(running)]
@@ -291,15 +293,15 @@
         ]
         rows += [(event.at_s, self._describe(event)) for event in self.events]
         rows.sort()
-        path.write_text(
-            ''.join(f'{at_s - self.began_s:8.3f} {text}\n' for at_s, text in rows)
-        )
+        lines = [f'{at_s - self.began_s:8.3f} {text}\n' for at_s, text in rows]
+        path.write_text(''.join(lines))
 
     def _describe(self, event: Event) -> str:
-        text = f'run {event.task} {event.run} {event.how} at {event.worker}'
+        acked = ''
         if event.acked_s is not None:
-            text += f', acknowledged at {event.acked_s - self.began_s:.3f}'
-        return text
+            acked = f', acknowledged at {event.acked_s - self.began_s:.3f}'
+        run = f'{event.task} {event.run}'
+        return f'run {run} {event.how} at {event.worker}{acked}'
 
 
 def _needs(step: dict) -> dict:
