--- a/review/second/tests/case_images.py
+++ b/review/second/tests/case_images.py
@@ -1,6 +1,7 @@
 """Submissions whose images differ stop the whole scheduler."""
 
 import asyncio
+import collections
 import hashlib
 import pathlib
 
@@ -56,7 +57,9 @@
         if status != 200:
             raise RuntimeError(f'the last submission got status {status}')
         broken = await world.stands_still(job)
-        world.note(f'appends refused by the store: {len(world.store.refused)}')
+        world.note(
+            f'refused appends: {collections.Counter(world.store.refused)}'
+        )
         world.note(f'share of capacity in use: {world.used_share():.2f}')
         note_logs(world)
         world.write_record(record)
