--- a/review/second/tests/case_ends.py
+++ b/review/second/tests/case_ends.py
@@ -62,8 +62,8 @@
             raise RuntimeError(f'not all tasks run, and only once: {counts}')
         if troubled:
             owner = world.owner()
+            world.note(f'killing {owner.name}, the owner')
             owner.end()
-            world.note(f'killed {owner.name}, the owner')
         await asyncio.sleep(OBSERVED_S)
         repeated = _count_repeated(world)
         world.note(f'tasks that ran again after they were done: {repeated}')
--- a/review/second/tests/case_entry.py
+++ b/review/second/tests/case_entry.py
@@ -5,8 +5,9 @@
 import pathlib
 
 from outcome import run_case
+from still import stands_still
 from worker_standin import registration
-from world import World, note_logs, running_world
+from world import REGISTRATION_S, World, note_logs, running_world
 
 #: No address: its second octet is empty.
 ADDRESS = '127..0.1:8080'
@@ -14,11 +15,14 @@
 AFTER_ENTRY_S = 2
 
 
-async def _put_entry(world: World) -> None:
+async def _write_entry(world: World) -> None:
+    """Write the entry as often as workers write theirs."""
     entry = json.loads(registration(world.workers[0], 1))
     entry['address'] = ADDRESS
-    await world.store.put('servers', 'i-other', json.dumps(entry).encode())
     world.note(f'entry of another writer, address {ADDRESS}')
+    while True:
+        await world.store.put('servers', 'i-other', json.dumps(entry).encode())
+        await asyncio.sleep(REGISTRATION_S)
 
 
 async def _submit(world: World, job: str) -> None:
@@ -34,10 +38,10 @@
         if await world.state(f'{1:016x}') != 'completed':
             raise RuntimeError('the first submission is not completed')
         if troubled:
-            await _put_entry(world)
+            world.spawn(_write_entry(world))
         await asyncio.sleep(AFTER_ENTRY_S)
         await _submit(world, f'{2:016x}')
-        broken = await world.stands_still(f'{2:016x}')
+        broken = await stands_still(world, f'{2:016x}', STEP['count'])
         note_logs(world)
         world.write_record(record)
     return broken
--- a/review/second/tests/http_standin.py
+++ b/review/second/tests/http_standin.py
@@ -58,9 +58,13 @@
 
 
 class HttpStandin:
-    """Serves one handler at a loopback address."""
+    """Serves one handler at a loopback address.
+
+    :ivar failures: errors of the stand-in itself, which spoil the case.
+    """
 
     def __init__(self, handler: Handler) -> None:
+        self.failures: list[Exception] = []
         self._handler = handler
         self._server: asyncio.Server | None = None
         self.port = 0
@@ -82,6 +86,8 @@
             await self._answer_calls(reader, writer)
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             return
+        except Exception as error:
+            self.failures.append(error)
         finally:
             writer.close()
 
--- a/review/second/tests/store_standin.py
+++ b/review/second/tests/store_standin.py
@@ -15,6 +15,10 @@
 PAGE_ITEMS = 500
 PAGE_BYTES = 1_000_000
 REMEMBERED_APPENDS = 5
+SERVERS = 'servers'
+#: Three intervals of the reports of workers, after which an entry is removed.
+SILENCE_S = 4.5
+EXPIRY_CHECK_S = 0.3
 KEYED_PREFIX = 'keyed.'
 _LENGTH = struct.Struct('>I')
 _HEADER = struct.Struct('>QQ')
@@ -92,11 +96,13 @@
     """Serves the calls of the store that the scheduler uses.
 
     :ivar refused: appends that were refused because of their size.
+    :ivar put_s_by_server: when each entry of a worker was written last.
     """
 
     def __init__(self) -> None:
         self.topic_by_name: dict[str, Topic] = {}
         self.refused: list[str] = []
+        self.put_s_by_server: dict[str, float] = {}
         self.http = HttpStandin(self._handle)
 
     def topic(self, name: str) -> Topic:
@@ -105,10 +111,22 @@
 
     async def put(self, topic: str, key: str, content: bytes) -> None:
         """Write a record for the operator or a worker."""
+        if topic == SERVERS:
+            self.put_s_by_server[key] = time.monotonic()
         raw_key = key.encode()
         body = bytes((len(raw_key),)) + raw_key + content
         await self.topic(KEYED_PREFIX + topic).add([body])
 
+    async def expire_servers(self) -> None:
+        """Remove the entries whose writers are silent, until cancelled."""
+        while True:
+            await asyncio.sleep(EXPIRY_CHECK_S)
+            oldest_s = time.monotonic() - SILENCE_S
+            for key, put_s in list(self.put_s_by_server.items()):
+                if put_s < oldest_s:
+                    await self.put(SERVERS, key, b'')
+                    del self.put_s_by_server[key]
+
     async def _handle(self, call: Call) -> Reply:
         topic = self.topic(call.query['topic'])
         match call.path:
--- a/review/second/tests/worker_standin.py
+++ b/review/second/tests/worker_standin.py
@@ -101,14 +101,12 @@
         return CLOCK_BASE_MS + int(elapsed_s * 1000)
 
     @property
-    def used_cpu(self) -> int:
-        """CPU that is counted against its capacity, in thousandths."""
-        return _sum_cpu(
-            [
-                self._needs_of[name.rpartition('.')[0]]
-                for name in self.run_by_task
-            ]
-        )
+    def used(self) -> tuple[int, int]:
+        """CPU and memory that are counted against its capacity."""
+        needs = [
+            self._needs_of[name.rpartition('.')[0]] for name in self.run_by_task
+        ]
+        return _sum_cpu(needs), sum(one['mem-mb'] for one in needs)
 
     async def run(self) -> None:
         """End runs when they are done, stopped, or without a lease."""
--- a/review/second/tests/world.py
+++ b/review/second/tests/world.py
@@ -10,7 +10,7 @@
 import subprocess
 import tempfile
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Coroutine
 
 from http_standin import LOOPBACK, Reply, send
 from store_standin import StoreStandin
@@ -25,9 +25,9 @@
 DEADLINE_MS = 3000
 ATTEMPTS = 5
 RETRY_S = 0.5
-#: Bounds of the rules: ``finish_s``, and how long a job may stand still after it.
-FINISH_S = 14
-STILL_S = 3.2
+#: How often processes are looked at, and the delay before one is started again.
+SUPERVISION_S = 0.02
+RESTART_S = 0.5
 
 
 def free_port() -> int:
@@ -148,28 +148,55 @@
         """Start everything and wait until a daemon owns the shard."""
         await self.store.http.start()
         await self.store.put('op', 'config', _configuration())
+        self.spawn(self.store.expire_servers())
         for number in range(workers):
             settings = Settings(f'i-{number:08x}', SERVICE, ZONE, **changes)
             worker = WorkerStandin(settings, self.needs_of, self.events)
             await worker.http.start()
             self.workers.append(worker)
-            self._tasks.append(asyncio.create_task(worker.run()))
-            self._tasks.append(asyncio.create_task(self._register(worker)))
+            self.spawn(worker.run())
+            self.spawn(self._register(worker))
         for number in range(daemons):
             daemon = Daemon(
                 f'front-{number}', self.folder, self.store.http.address
             )
             daemon.start()
             self.daemons.append(daemon)
+            self.spawn(self._supervise(daemon))
         for daemon in self.daemons:
-            await self._wait_ready(daemon)
+            await _wait_ready(daemon)
 
     async def close(self) -> None:
         """End all processes and stand-ins."""
-        for daemon in self.daemons:
-            daemon.end()
         for task in self._tasks:
             task.cancel()
+        for daemon in self.daemons:
+            daemon.end()
+
+    def spawn(self, work: Coroutine[None, None, None]) -> None:
+        """Run something beside the case; if it fails, the case shows nothing."""
+        self._tasks.append(asyncio.create_task(work))
+
+    def _check_standins(self) -> None:
+        servers = [self.store, *self.workers]
+        failures = [error for one in servers for error in one.http.failures]
+        failures += [
+            task.exception() or RuntimeError('a stand-in has ended')
+            for task in self._tasks
+            if task.done()
+        ]
+        if failures:
+            raise RuntimeError('a stand-in has failed') from failures[0]
+
+    async def _supervise(self, daemon: Daemon) -> None:
+        """Start a process again that has ended, as the platform does."""
+        while True:
+            await asyncio.sleep(SUPERVISION_S)
+            if daemon.process.poll() is not None:
+                self.note(f'{daemon.name} has ended')
+                await asyncio.sleep(RESTART_S)
+                daemon.start()
+                self.note(f'{daemon.name} starts again')
 
     async def _register(self, worker: WorkerStandin) -> None:
         sequence = 0
@@ -180,14 +207,6 @@
             await self.store.put('servers', key, content)
             await asyncio.sleep(REGISTRATION_S)
 
-    async def _wait_ready(self, daemon: Daemon) -> None:
-        for _ in range(200):
-            reply = await send(daemon.readiness, 'GET', '/api/ready', {})
-            if reply is not None and reply.status == 200:
-                return
-            await asyncio.sleep(0.1)
-        raise RuntimeError(f'{daemon.name} is not ready')
-
     def owner(self) -> Daemon:
         """Find the daemon that owns the shard, by the newest heartbeat."""
         newest = self.store.topic('keyed.owners').newest_by_key['owner'][1]
@@ -244,35 +263,6 @@
             await asyncio.sleep(RETRY_S)
         return status
 
-    def is_running(self, job: str) -> bool:
-        """Whether any task of a job runs on a worker."""
-        return any(
-            task.startswith(f'{job}.')
-            for worker in self.workers
-            for task in worker.run_by_task
-        )
-
-    def used_share(self) -> float:
-        """Share of the capacity of all workers that is in use."""
-        used = sum(worker.used_cpu for worker in self.workers)
-        return used / sum(worker.settings.cpu for worker in self.workers)
-
-    async def stands_still(self, job: str) -> bool:
-        """Tell whether an accepted job stands still after the traffic.
-
-        As the rule LOST says it: asked for after the time to finish, it isn't
-        known, or for 3 s it has nothing running while there is room for it.
-        """
-        await asyncio.sleep(FINISH_S)
-        until_s = time.monotonic() + STILL_S
-        while time.monotonic() < until_s:
-            if self.is_running(job) or self.used_share() >= 0.5:
-                return False
-            if await self.state(job) in {'completed', 'failed', 'cancelled'}:
-                return False
-            await asyncio.sleep(0.25)
-        return True
-
     async def state(self, job: str) -> str:
         """Ask for the state of a job; empty without an answer."""
         reply = await self.call('GET', job)
@@ -281,7 +271,10 @@
         return json.loads(reply.body)['state']
 
     def write_record(self, path: pathlib.Path) -> None:
-        """Write what was sent, answered and run."""
+        """Write what was sent, answered and run.
+
+        :raises RuntimeError: if a stand-in has failed, so that nothing is shown.
+        """
         rows = [(at_s, f'note {text}') for at_s, text in self.notes]
         rows += [
             (
@@ -291,17 +284,31 @@
             )
             for call in self.calls
         ]
-        rows += [(event.at_s, self._describe(event)) for event in self.events]
+        rows += [
+            (event.at_s, _describe(event, self.began_s))
+            for event in self.events
+        ]
         rows.sort()
         lines = [f'{at_s - self.began_s:8.3f} {text}\n' for at_s, text in rows]
         path.write_text(''.join(lines))
+        self._check_standins()
+
+
+def _describe(event: Event, began_s: float) -> str:
+    acked = ''
+    if event.acked_s is not None:
+        acked = f', acknowledged at {event.acked_s - began_s:.3f}'
+    run = f'{event.task} {event.run}'
+    return f'run {run} {event.how} at {event.worker}{acked}'
+
 
-    def _describe(self, event: Event) -> str:
-        acked = ''
-        if event.acked_s is not None:
-            acked = f', acknowledged at {event.acked_s - self.began_s:.3f}'
-        run = f'{event.task} {event.run}'
-        return f'run {run} {event.how} at {event.worker}{acked}'
+async def _wait_ready(daemon: Daemon) -> None:
+    for _ in range(200):
+        reply = await send(daemon.readiness, 'GET', '/api/ready', {})
+        if reply is not None and reply.status == 200:
+            return
+        await asyncio.sleep(0.1)
+    raise RuntimeError(f'{daemon.name} is not ready')
 
 
 def _needs(step: dict) -> dict:
@@ -355,6 +362,8 @@
     workers: int, daemons: int, **changes: int
 ) -> AsyncIterator[World]:
     """Start a world, and end it with all of its processes."""
+    if not (ROOT / 'target' / 'deps' / 'waxwingford').is_dir():
+        raise RuntimeError('target/ is not built')
     with tempfile.TemporaryDirectory() as name:
         world = World(pathlib.Path(name))
         try:
