--- a/waxwingford_bench/tests/commands.feature
+++ b/waxwingford_bench/tests/commands.feature
@@ -15,6 +15,7 @@
       | waxwingford_bench.random_run       |
       | waxwingford_bench.start_cost       |
       | waxwingford_bench.storms           |
+      | waxwingford_bench.verdicts         |
       | waxwingford_bench.whole_path       |
       | waxwingford_bench.bundles.rollout  |
       | waxwingford_bench.routing.cost     |
