Tell served, late and unserved jobs by size, in logs, metrics and the emulator

The logs couldn't tell which jobs wait: neither the size of a job nor its objective was there, nor when it was put behind others. job.late and fields of job.ended tell them, waxwingford sizes makes a table of them, and metrics count them by class of size, as log lines are only a sample under load. The emulator prints the shares served by size, and has a workload of jobs that are small beside the cluster.

No decision is changed.

--- a/waxwingford/commands/_output.py
+++ b/waxwingford/commands/_output.py
@@ -10,6 +10,7 @@
 import msgspec
 
 _PROGRESS_DELAY_S = 1
+_STANDARD_INPUT = '-'
 
 
 def add_json_option(parser: ArgumentParser) -> None:
@@ -19,6 +20,34 @@
     )
 
 
+def add_log_files(parser: ArgumentParser) -> None:
+    """Add the positional arguments that name log files."""
+    parser.add_argument(
+        'files',
+        metavar='FILE',
+        nargs='*',
+        default=[_STANDARD_INPUT],
+        help='log files of scheduler daemons, - for standard input (default)',
+    )
+
+
+def read_log_lines(names: Sequence[str]) -> list[str]:
+    """Read the lines of log files.
+
+    :param names: paths, or ``-`` for standard input.
+    :raises OSError: if a file can't be read.
+    """
+    return [line for name in names for line in _lines(name)]
+
+
+def _lines(name: str) -> Iterator[str]:
+    if name == _STANDARD_INPUT:
+        yield from sys.stdin
+        return
+    with open(name, encoding='utf-8', errors='replace') as log:
+        yield from log
+
+
 def print_answer(args: Namespace, answer: Any, text: str) -> None:
     """Print a result as text or, with ``--json``, as JSON.
 
--- a/waxwingford/commands/main.py
+++ b/waxwingford/commands/main.py
@@ -14,6 +14,7 @@
     'bundle_rollout',
     'explain',
     'fleet_status',
+    'job_sizes',
     'jobs',
     'keys',
     'settings_files',
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -10,6 +10,7 @@
 from waxwingford.scheduling._eligibility import eligible
 from waxwingford.scheduling._interference import InterferenceModel
 from waxwingford.scheduling._isolation import Isolation
+from waxwingford.scheduling._job_estimates import estimate_job
 from waxwingford.scheduling._pending_report import PendingReport
 from waxwingford.scheduling._reservations import Reservations
 from waxwingford.scheduling._server_costs import ServerCosts
@@ -19,7 +20,6 @@
 from waxwingford.scheduling._state import Job, Run, RunPhase, Step, Task
 from waxwingford.scheduling._task_order import (
     PendingTask,
-    estimate_job,
     rank_task,
     ranked_tasks,
 )
--- a/waxwingford/scheduling/_shard_state.py
+++ b/waxwingford/scheduling/_shard_state.py
@@ -9,6 +9,11 @@
 
 from waxwingford.scheduling._backend_client import RunKey
 from waxwingford.scheduling._incarnations import Incarnation
+from waxwingford.scheduling._job_estimates import (
+    JobSizes,
+    classify_lateness,
+    estimate_job,
+)
 from waxwingford.scheduling._losses import LossHistory
 from waxwingford.scheduling._notes import NoteBuffer
 from waxwingford.scheduling._orders import (
@@ -56,12 +61,14 @@
     """What was learned of tasks from their runs.
 
     :ivar run_times: run times by queue.
+    :ivar sizes: sizes of ended jobs by queue.
     :ivar interference_row: learned interference of best-effort tasks, to be
         stored with the next batch; ``None`` for no change.
     """
 
     def __init__(self) -> None:
         self.run_times = RunTimes()
+        self.sizes = JobSizes()
         self.interference_row: bytes | None = None
 
 
@@ -130,7 +137,8 @@
         ):
             return False
         self.job_by_id[spec.job_id] = new_job(spec, now_ms)
-        self.notes.add('job.known', spec.job_id, queue=spec.queue)
+        tasks = sum(step.count for step in spec.steps)
+        self.notes.add('job.known', spec.job_id, queue=spec.queue, tasks=tasks)
         return True
 
     def mark(self, step: Step) -> None:
@@ -161,7 +169,13 @@
             return
         job.ended = phase
         self._pending_job_ends.append((job, phase))
-        self.notes.add('job.ended', job.spec.job_id, phase=phase.value)
+        self.notes.add(
+            'job.ended',
+            job.spec.job_id,
+            queue=job.spec.queue,
+            phase=phase.value,
+            **_outcome_fields(self, job),
+        )
         for step in steps_of(job):
             for task in step.tasks:
                 self.pending_by_key.pop(task.key, None)
@@ -314,6 +328,25 @@
     return reported or any(task.begun for task in step.tasks)
 
 
+def _outcome_fields(state: ShardState, job: Job) -> dict[str, object]:
+    """Return the size of a job that ends, and its age at its last run's end."""
+    queue = job.spec.queue
+    steps = job.steps_by_occurrence.get(max(job.steps_by_occurrence, default=0))
+    if steps is None or any(step.spec.long_running for step in steps):
+        return {}
+    estimate = estimate_job(steps, state.queue_of(job), state.learned.run_times)
+    age_ms = job.last_run_ms - job.received_ms
+    size = state.learned.sizes.classify(queue, estimate.size)
+    state.learned.sizes.add(queue, estimate.size)
+    late = classify_lateness(age_ms, estimate.objective_ms)
+    return {
+        'size': size,
+        'lateness': late.name,
+        'age_ms': age_ms,
+        **estimate.note_fields(),
+    }
+
+
 def steps_of(job: Job) -> list[Step]:
     """List the steps of all repetitions that have begun."""
     return [
--- a/waxwingford/scheduling/_state.py
+++ b/waxwingford/scheduling/_state.py
@@ -241,6 +241,7 @@
         unreadable.
     :ivar begun: whether a server has accepted or listed a run of any task.
     :ivar occurrences_left: number of repetitions that have not ended.
+    :ivar noted_lateness: highest ``Lateness`` that was noted.
     """
 
     spec: JobSpec
@@ -254,6 +255,7 @@
     blocked: bool = False
     begun: bool = False
     occurrences_left: int = 1
+    noted_lateness: int = 0
 
     def task(self, key: TaskKey) -> Task | None:
         """Find a task.
--- a/waxwingford/scheduling/_task_order.py
+++ b/waxwingford/scheduling/_task_order.py
@@ -3,13 +3,16 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from waxwingford.scheduling._run_times import RunTimes
+from waxwingford.scheduling._job_estimates import (
+    JobEstimate,
+    Lateness,
+    classify_lateness,
+    estimate_job,
+)
 from waxwingford.scheduling._shard_state import ShardState, has_runs
 from waxwingford.scheduling._specs import QueueTerms
 from waxwingford.scheduling._state import Job, Step, Task
 
-#: Multiple of its objective after which a job's completion has no value.
-EXPIRED_FACTOR = 3
 #: Pending time after which a long-running task comes before all others, in ms.
 OVERDUE_MS = 2000
 #: Time without a run after which a job comes before others of its priority while
@@ -39,45 +42,6 @@
     overdue: bool = False
 
 
-class JobEstimate(NamedTuple):
-    """Estimate for one repetition of a job.
-
-    :ivar work: CPU time that is left, in thousandths of a core times milliseconds.
-    :ivar objective_ms: time in which it should complete, in ms.
-    """
-
-    work: float
-    objective_ms: float
-
-
-def estimate_job(
-    steps: list[Step], queue: QueueTerms, run_times: RunTimes
-) -> JobEstimate:
-    """Estimate one repetition of a job from what is known of its run times.
-
-    :param steps: steps of the repetition.
-    """
-    work: float = 0
-    end_ms_by_index: list[float] = []
-    for step in steps:
-        run_time_ms = _run_time_ms(step, run_times)
-        work += step.unfinished * run_time_ms * step.spec.needs.processors_milli
-        started_ms = max(
-            [end_ms_by_index[index] for index in step.spec.after], default=0
-        )
-        end_ms_by_index.append(started_ms + run_time_ms)
-    chain_ms = max(end_ms_by_index, default=0)
-    return JobEstimate(work, queue.stretch * chain_ms + queue.target_ms)
-
-
-def _run_time_ms(step: Step, run_times: RunTimes) -> float:
-    """Expected run time of a step's tasks at full speed, in ms."""
-    observed_ms = step.observed_ms
-    if observed_ms is not None:
-        return observed_ms
-    return run_times.predict(step.job.spec.queue, step.spec.estimate_ms)
-
-
 def rank_task(
     task: Task,
     step: Step,
@@ -114,7 +78,9 @@
     kind = 2 if step.spec.best_effort else int(long_running)
     lateness, order = 0, float(job.received_ms)
     if not long_running:
-        lateness = _lateness(job, estimate.objective_ms, now_ms, limited)
+        lateness = _lateness(job, estimate.objective_ms, now_ms)
+        if limited and _is_starved(job, now_ms):
+            lateness = _STARVED
         order = estimate.work
     rank = queue.priority, kind, lateness, order, task.key.index
     return PendingTask(rank, task, step, queue)
@@ -176,9 +142,33 @@
     estimate = estimate_job(steps, queue, state.learned.run_times)
     new = step.spec.long_running and not task.last_run
     deferred = new and queue.service in full
+    if not step.spec.long_running:
+        _note_late(state, step, estimate, now_ms)
     return rank_task(task, step, queue, estimate, now_ms, deferred, limited)
 
 
+def _note_late(
+    state: ShardState, step: Step, estimate: JobEstimate, now_ms: int
+) -> None:
+    job = step.job
+    lateness = _lateness(job, estimate.objective_ms, now_ms)
+    if lateness <= job.noted_lateness:
+        return
+    job.noted_lateness = lateness
+    steps = job.steps_by_occurrence[step.occurrence]
+    state.notes.add(
+        'job.late',
+        job.spec.job_id,
+        queue=job.spec.queue,
+        size=state.learned.sizes.classify(job.spec.queue, estimate.size),
+        expired=lateness is Lateness.expired,
+        begun=job.begun,
+        age_ms=now_ms - job.received_ms,
+        unfinished=sum(one.unfinished for one in steps),
+        **estimate.note_fields(),
+    )
+
+
 class _FullServices:
     """Services at their limit of long-running tasks, computed on demand."""
 
@@ -221,11 +211,9 @@
     return pending.rank
 
 
-def _lateness(job: Job, objective_ms: float, now_ms: int, limited: bool) -> int:
-    starved = limited and now_ms - job.last_run_ms >= STARVED_MS
-    if starved and not has_runs(job):
-        return _STARVED
-    age_ms = now_ms - job.received_ms
-    if age_ms <= objective_ms:
-        return 0
-    return 1 if age_ms <= EXPIRED_FACTOR * objective_ms else 2
+def _lateness(job: Job, objective_ms: float, now_ms: int) -> Lateness:
+    return classify_lateness(now_ms - job.received_ms, objective_ms)
+
+
+def _is_starved(job: Job, now_ms: int) -> bool:
+    return now_ms - job.last_run_ms >= STARVED_MS and not has_runs(job)
--- a/waxwingford/scheduling/tests/refused_starts_steps.py
+++ b/waxwingford/scheduling/tests/refused_starts_steps.py
@@ -9,7 +9,8 @@
     OrderOutcomeUnknown,
     PollResult,
 )
-from waxwingford.scheduling._task_order import JobEstimate, rank_task
+from waxwingford.scheduling._job_estimates import JobEstimate
+from waxwingford.scheduling._task_order import rank_task
 from waxwingford.scheduling.tests.engine_harness import JOB, QUEUE, step
 
 MS_PER_S = 1000
--- a/waxwingford/shard/_observer.py
+++ b/waxwingford/shard/_observer.py
@@ -8,6 +8,10 @@
 from waxwingford.metrics import Metrics
 from waxwingford.scheduling import Note
 
+#: Fields of notes by which jobs are counted.
+_LATE_LABELS = ('queue', 'size', 'expired', 'begun')
+_ENDED_LABELS = ('queue', 'size', 'phase', 'lateness')
+
 _log = logbook.Logger('shard')
 
 
@@ -47,6 +51,15 @@
         """
         for note in notes:
             self.record_event(note.event, subject=note.subject, **note.fields)
-            if note.event == 'run.planned':
-                waited_ms = float(str(note.fields['waited_ms']))
-                self.metrics.latency('run_wait', waited_ms)
+            match note.event:
+                case 'run.planned':
+                    waited_ms = float(str(note.fields['waited_ms']))
+                    self.metrics.latency('run_wait', waited_ms)
+                case 'job.late':
+                    self._count_job('jobs_late_total', note, _LATE_LABELS)
+                case 'job.ended' if 'size' in note.fields:
+                    self._count_job('jobs_ended_total', note, _ENDED_LABELS)
+
+    def _count_job(self, name: str, note: Note, names: Iterable[str]) -> None:
+        labels = {label: str(note.fields[label]).lower() for label in names}
+        self.metrics.count(name, **labels)
--- a/waxwingford/timeline/_from_logs.py
+++ b/waxwingford/timeline/_from_logs.py
@@ -51,7 +51,7 @@
     :returns: events in the order of the lines.
     """
     cause_by_key: dict[tuple[str, str, int], dict[str, Any]] = {}
-    entries = [fields for line in lines if (fields := _parse_fields(line))]
+    entries = [fields for line in lines if (fields := parse_fields(line))]
     _number(entries)
     for fields in entries:
         key = _effect_key(fields)
@@ -87,7 +87,7 @@
     :returns: whether the cause was logged later than the effect, by no more
         than its duration.
     """
-    delay_ms = _wall_ms(cause) - _wall_ms(fields)
+    delay_ms = logged_ms(cause) - logged_ms(fields)
     return 0 <= delay_ms <= cause.get('took_ms', -1)
 
 
@@ -126,7 +126,11 @@
     return name == job_id and (not rest or rest[0] in _TASK_SEPARATORS)
 
 
-def _parse_fields(line: str) -> dict[str, Any] | None:
+def parse_fields(line: str) -> dict[str, Any] | None:
+    """Parse a log line.
+
+    :returns: its fields, ``None`` for a line that is no log entry.
+    """
     start = line.find('{')
     if start < 0:
         return None
@@ -172,7 +176,11 @@
             return None
 
 
-def _wall_ms(fields: dict[str, Any]) -> int:
+def logged_ms(fields: dict[str, Any]) -> int:
+    """Return the Unix time of a log line, in ms.
+
+    :param fields: fields that ``parse_fields`` returned.
+    """
     timestamp = datetime.datetime.fromisoformat(fields['time'])
     utc = timestamp.replace(tzinfo=datetime.UTC)
     return int(utc.timestamp() * _MS_IN_S)
@@ -191,7 +199,7 @@
 
 
 def _make_event(fields: dict[str, Any], parent: EventId | None) -> Event:
-    wall_ms = _wall_ms(fields)
+    wall_ms = logged_ms(fields)
     detail = ' '.join(
         f'{name}={value}'
         for name, value in fields.items()
--- a/waxwingford/timeline/tests/logs.feature
+++ b/waxwingford/timeline/tests/logs.feature
@@ -57,3 +57,22 @@
       | event          |
       | job.accepted   |
       | task.claimed   |
+
+  Scenario: what became of jobs by their size
+    # Guards against large jobs that wait unseen, as only totals are told.
+    Given log lines of 10 jobs, the largest of which began and wasn't completed
+    When the jobs are grouped by size
+    Then of the largest 0 of 1 are served, and 0.40 of their tasks have begun
+    And of all 9 of 10 are served
+
+  Scenario: a job that a second owner knows again
+    # Guards against ages that are counted from the last takeover.
+    Given log lines of a job that is known again after 6 s and completed 1 s later
+    When the jobs are grouped by size
+    Then of all 0 of 1 are served
+
+  Scenario: a job that never began
+    # Guards against jobs without a run that are left out.
+    Given log lines of a job that became late without a run
+    When the jobs are grouped by size
+    Then of all 0 of 1 are served, and 1 never began
--- a/waxwingford/timeline/tests/logs_steps.py
+++ b/waxwingford/timeline/tests/logs_steps.py
@@ -5,8 +5,10 @@
 from behave import given, then, when
 
 from waxwingford.timeline import (
+    group_by_size,
     merge_events,
     parse_log_events,
+    read_outcomes,
     select_job_events,
 )
 
@@ -145,3 +147,104 @@
 def check_exact_events(context):
     found = [event.kind for event in context.history]
     assert found == [row['event'] for row in context.table], found
+
+
+def job_lines(job_id, second, tasks, started, core_s):
+    """Write the lines of a job, up to the starts of some of its tasks."""
+    yield log_line(
+        'first', 1, second, 'job.known', subject=job_id, queue='q', tasks=tasks
+    )
+    for index in range(started):
+        yield log_line(
+            'first',
+            1,
+            second,
+            'run.planned',
+            subject=f'{job_id}.0.0.{index}',
+            run=1,
+        )
+    yield log_line(
+        'first',
+        1,
+        second + 1,
+        'job.late',
+        subject=job_id,
+        core_s=core_s,
+        objective_ms=1000,
+    )
+
+
+def completed(job_id, second, core_s):
+    return log_line(
+        'first',
+        1,
+        second,
+        'job.ended',
+        subject=job_id,
+        phase='completed',
+        core_s=core_s,
+        objective_ms=1000,
+    )
+
+
+@given("log lines of 10 jobs, the largest of which began and wasn't completed")
+def jobs_of_sizes(context):
+    context.log_lines = []
+    for number in range(10):
+        largest = number == 4
+        context.log_lines += job_lines(
+            f'{number:016x}', 10, 5, 2 if largest else 5, 9 if largest else 1
+        )
+        if not largest:
+            context.log_lines.append(completed(f'{number:016x}', 12, 1))
+
+
+@given(
+    'log lines of a job that is known again after {again:d} s and completed'
+    ' {later:d} s later'
+)
+def job_known_again(context, again, later):
+    context.log_lines = [
+        *job_lines(JOB, 10, 1, 1, 1),
+        *job_lines(JOB, 10 + again, 1, 1, 1),
+        completed(JOB, 10 + again + later, 1),
+    ]
+
+
+@given('log lines of a job that became late without a run')
+def job_without_run(context):
+    context.log_lines = list(job_lines(JOB, 10, 3, 0, 1))
+
+
+@when('the jobs are grouped by size')
+def group_jobs(context):
+    outcomes = read_outcomes(context.log_lines)
+    groups = list(group_by_size(outcomes))
+    context.largest = groups[-2]
+    context.all_jobs = groups[-1]
+
+
+def count_served(group):
+    return round(group.jobs * (group.in_time + group.late))
+
+
+@then(
+    'of the largest {served:d} of {jobs:d} are served, and {share:g} of their'
+    ' tasks have begun'
+)
+def check_largest(context, served, jobs, share):
+    group = context.largest
+    assert (count_served(group), group.jobs) == (served, jobs), group
+    assert group.begun_tasks == share, group
+
+
+@then('of all {served:d} of {jobs:d} are served')
+def check_all(context, served, jobs):
+    group = context.all_jobs
+    assert (count_served(group), group.jobs) == (served, jobs), group
+
+
+@then('of all {served:d} of {jobs:d} are served, and {count:d} never began')
+def check_never_begun(context, served, jobs, count):
+    check_all(context, served, jobs)
+    assert round(context.all_jobs.never_begun * jobs) == count
--- a/waxwingford_bench/interference/__main__.py
+++ b/waxwingford_bench/interference/__main__.py
@@ -15,7 +15,10 @@
     play_all,
 )
 from waxwingford_bench.interference._trial import DayWorth
-from waxwingford_bench.interference._workload import OVERLOAD
+from waxwingford_bench.interference._workload import (
+    OVERLOAD,
+    WORKLOAD_BY_NAME,
+)
 
 #: Standard errors of a 95% confidence interval.
 _INTERVAL_ERRORS = 1.96
@@ -48,6 +51,9 @@
     parser.add_argument('--seeds', type=int, default=8)
     parser.add_argument('--jobs', type=int, default=3)
     parser.add_argument('--servers', type=int, default=OVERLOAD.servers)
+    parser.add_argument(
+        '--workload', choices=sorted(WORKLOAD_BY_NAME), default='overload'
+    )
     parser.add_argument('--span', type=int, default=SPAN_S)
     parser.add_argument(
         '--way',
@@ -59,7 +65,7 @@
     )
     options = parser.parse_args()
     seeds = range(1, options.seeds + 1)
-    day = Day(options.servers, options.span)
+    day = Day(options.workload, options.servers, options.span)
     standing = play_all((), day, seeds, options.jobs)
     sys.stdout.write(f'as it stands: {_summarise(standing)}\n')
     for way in options.way:
--- a/waxwingford_bench/interference/_experiment.py
+++ b/waxwingford_bench/interference/_experiment.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 from waxwingford_bench.interference._trial import DayWorth, play
-from waxwingford_bench.interference._workload import OVERLOAD
+from waxwingford_bench.interference._workload import WORKLOAD_BY_NAME
 
 
 class Setting(NamedTuple):
@@ -44,11 +44,13 @@
 
 
 class Day(NamedTuple):
-    """Size of the days that are played.
+    """Kind and size of the days that are played.
 
+    :ivar workload: name of the workload.
     :ivar span_s: time in which jobs arrive, in seconds.
     """
 
+    workload: str
     servers: int
     span_s: int
 
@@ -57,7 +59,8 @@
     """Play a day with settings, in a process of its own."""
     for setting in settings:
         setting.apply()
-    return play(OVERLOAD._replace(servers=day.servers), seed, day.span_s)
+    workload = WORKLOAD_BY_NAME[day.workload]
+    return play(workload._replace(servers=day.servers), seed, day.span_s)
 
 
 def play_all(
--- a/waxwingford_bench/interference/_trial.py
+++ b/waxwingford_bench/interference/_trial.py
@@ -4,8 +4,6 @@
 
 from waxwingford_bench.interference._cluster import FIRST_MS, EmulatedCluster
 from waxwingford_bench.interference._workload import (
-    BEST_EFFORT,
-    URGENT,
     EmulatedJob,
     Kind,
     Workload,
@@ -31,6 +29,10 @@
 
     :ivar in_time: share of the best-effort jobs that were in time, by number.
     :ivar busy_cores: mean CPU of best-effort runs, in cores.
+    :ivar served: share of the best-effort jobs that were served, late ones
+        included, by number; ``served_fifth`` and ``served_tenth`` are the same of the
+        next largest fifth and of the largest tenth, and ``urgent_...`` of urgent
+        jobs.
     """
 
     total: float
@@ -39,6 +41,12 @@
     serving: float
     in_time: float
     busy_cores: float
+    served: float
+    served_fifth: float
+    served_tenth: float
+    urgent_served: float
+    urgent_fifth: float
+    urgent_tenth: float
 
 
 def play(workload: Workload, seed: int, span_s: float = 34) -> DayWorth:
@@ -59,21 +67,26 @@
             cluster.tick()
         cluster.submit(job)
     _run_until(cluster, WARM_UP_S + span_s + FINISH_S)
-    worth_by_queue = {
-        kind.terms.name: _worth(cluster, jobs, kind, started_ms)
-        for kind in workload.kinds
-    }
+    urgent_kind, best_effort_kind = workload.kinds
     over_share = cluster.over_ms / max(1, cluster.serving_ms)
-    best_effort, in_time = worth_by_queue[BEST_EFFORT.terms.name]
-    urgent, _ = worth_by_queue[URGENT.terms.name]
+    best_effort, in_time = _worth(cluster, jobs, best_effort_kind, started_ms)
+    urgent, _ = _worth(cluster, jobs, urgent_kind, started_ms)
     serving = 1 - OVER_TARGET_FACTOR * over_share
     total = (
         BEST_EFFORT_WEIGHT * best_effort
         + URGENT_WEIGHT * urgent
         + SERVING_WEIGHT * serving
     )
-    busy = cluster.used_core_s / (span_s + FINISH_S)
-    return DayWorth(total, best_effort, urgent, serving, in_time, busy)
+    return DayWorth(
+        total,
+        best_effort,
+        urgent,
+        serving,
+        in_time,
+        cluster.used_core_s / (span_s + FINISH_S),
+        *_served_by_size(cluster, jobs, best_effort_kind, started_ms),
+        *_served_by_size(cluster, jobs, urgent_kind, started_ms),
+    )
 
 
 def _run_until(cluster: EmulatedCluster, at_s: float) -> None:
@@ -108,4 +121,42 @@
     return earned / max(owed, 1e-9), in_time / max(1, len(own))
 
 
+def _served_by_size(
+    cluster: EmulatedCluster,
+    jobs: list[EmulatedJob],
+    kind: Kind,
+    started_ms: int,
+) -> tuple[float, float, float]:
+    """Compute the shares of jobs that were served, late ones included.
+
+    :returns: shares of all, of the next largest fifth and the largest tenth.
+    """
+    own = sorted((job for job in jobs if job.kind is kind), key=_work)
+    served = [_is_served(cluster, job, started_ms) for job in own]
+    fifth, tenth = (round(share * len(own)) for share in (0.7, 0.9))
+    return (
+        _share(served),
+        _share(served[fifth:tenth]),
+        _share(served[tenth:]),
+    )
+
+
+def _work(job: EmulatedJob) -> float:
+    return job.work
+
+
+def _is_served(
+    cluster: EmulatedCluster, job: EmulatedJob, started_ms: int
+) -> bool:
+    finished_ms = cluster.finished_ms_by_job.get(job.spec.job_id)
+    if finished_ms is None:
+        return False
+    took_ms = finished_ms - started_ms - job.arrival_ms
+    return took_ms <= LATE_FACTOR * job.objective_ms
+
+
+def _share(served: list[bool]) -> float:
+    return sum(served) / max(1, len(served))
+
+
 __all__ = ('DayWorth', 'play')
--- a/waxwingford_bench/interference/_workload.py
+++ b/waxwingford_bench/interference/_workload.py
@@ -44,6 +44,7 @@
 class Workload(NamedTuple):
     """What is emulated.
 
+    :ivar kinds: urgent jobs, then best-effort ones.
     :ivar servers: number of backend servers.
     :ivar cores: cores of each.
     :ivar memory_mb: memory of each.
@@ -57,7 +58,7 @@
         ``burst_to_s``.
     """
 
-    kinds: tuple[Kind, ...]
+    kinds: tuple[Kind, Kind]
     servers: int = 22
     cores: int = 64
     memory_mb: int = 250_000
@@ -99,6 +100,17 @@
 SERVING = QueueTerms('serving', SERVICE, 0, 4, stretch=2.2, target_ms=2500)
 #: Demand over supply, with declared run times that are far off.
 OVERLOAD = Workload((URGENT, BEST_EFFORT))
+#: The same of jobs that are small beside the cluster, as on a large one: the room that
+#: the largest of them need at a time is there, so that only others keep them waiting.
+NARROW = Workload(
+    (
+        URGENT._replace(width=URGENT.width / 2.5, per_s=URGENT.per_s * 2.5),
+        BEST_EFFORT._replace(
+            width=BEST_EFFORT.width / 4, per_s=BEST_EFFORT.per_s * 5.2
+        ),
+    )
+)
+WORKLOAD_BY_NAME = {'overload': OVERLOAD, 'narrow': NARROW}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
