Show by tests that large jobs are begun and not finished

Two scenarios that pass hold what has to stay: small jobs don't wait for a large one that has hardly begun, and a job that has expired waits for those that haven't.

--- a/waxwingford/scheduling/tests/overload.feature
+++ b/waxwingford/scheduling/tests/overload.feature
@@ -27,3 +27,29 @@
     When a serving job of 6 tasks of 16 cores starts
     And another serving job of 2 tasks of 16 cores starts
     Then all 8 tasks run
+
+  Scenario: a large job that is half done while smaller ones keep coming
+    # Guards against large jobs that are begun and never finished.
+    Given one server of 8 cores on which 12 of 24 tasks of a job have run
+    When jobs of 2 tasks keep coming as fast as its tasks run
+    Then the large job completes before more than 2 of the others
+
+  Scenario: a large job that becomes late with little left
+    # Guards against late jobs that wait behind all others until they expire.
+    Given one server of 8 cores on which 22 of 24 tasks of a job have run
+    And the job is late by half its objective
+    When jobs of 2 tasks keep coming as fast as its tasks run
+    Then the large job completes before more than 2 of the others
+
+  Scenario: a small job that comes while a large one has hardly begun
+    # Guards against small jobs that wait for all of a large one.
+    Given one server of 8 cores on which 1 of 24 tasks of a job have run
+    When jobs of 2 tasks keep coming as fast as its tasks run
+    Then one of the others completes before the large job has 6 more runs
+
+  Scenario: a job that has expired
+    # Guards against work that no caller waits for any more.
+    Given one server of 8 cores on which 22 of 24 tasks of a job have run
+    And the job is late by 3 times its objective
+    When jobs of 2 tasks keep coming as fast as its tasks run
+    Then 6 of the others complete before the large job
--- a/waxwingford/scheduling/tests/overload_steps.py
+++ b/waxwingford/scheduling/tests/overload_steps.py
@@ -3,7 +3,7 @@
 import msgspec
 from behave import given, then, when
 
-from waxwingford.scheduling import JobSpec
+from waxwingford.scheduling import EndKind, JobSpec
 from waxwingford.scheduling.tests.engine_harness import (
     JOB,
     QUEUE,
@@ -120,3 +120,74 @@
 @then('all {count:d} tasks run')
 def check_all_run(context, count):
     assert len(context.harness.planned_runs) == count
+
+
+def end_oldest_run(context):
+    """End the run that has been placed for longest."""
+    run = context.waiting_runs.pop(0)
+    context.harness.end(run, EndKind.done)
+    runs = context.harness.planned_runs
+    context.waiting_runs += runs[context.seen_runs :]
+    context.seen_runs = len(runs)
+    return run
+
+
+@given(
+    'one server of 8 cores on which {done:d} of {count:d} tasks of a job have run'
+)
+def run_part_of_job(context, done, count):
+    context.harness = EngineHarness(1, 8)
+    context.waiting_runs = []
+    context.seen_runs = 0
+    submit(context.harness, JOB, step(count, cores=8))
+    context.waiting_runs += context.harness.planned_runs
+    context.seen_runs = len(context.waiting_runs)
+    for _ in range(done):
+        end_oldest_run(context)
+
+
+@given('the job is late by half its objective')
+def make_late(context):
+    make_late_by(context, 0.5)
+
+
+@given('the job is late by {factor:g} times its objective')
+def make_late_by(context, factor):
+    harness = context.harness
+    job = harness.engine.state.job_by_id[JOB]
+    # The queue asks for the run time of a task.
+    objective_ms = job.spec.steps[0].estimate_ms
+    job.received_ms = harness.now_ms - round((1 + factor) * objective_ms)
+
+
+@when('jobs of {count:d} tasks keep coming as fast as its tasks run')
+def overload_server(context, count):
+    harness = context.harness
+    context.ended = []
+    context.ended_runs = []
+    for number in range(40):
+        if number % count == 0:
+            submit(harness, f'{number:016x}', step(count, cores=8))
+        job_id = end_oldest_run(context).key.task.job_id
+        job = harness.engine.state.job_by_id.get(job_id)
+        if job is None or job.ended is not None:
+            context.ended.append(job_id)
+        context.ended_runs.append(job_id)
+
+
+@then('the large job completes before more than {most:d} of the others')
+def check_large_completes(context, most):
+    assert JOB in context.ended[: most + 1], context.ended
+
+
+@then('one of the others completes before the large job has {most:d} more runs')
+def check_small_completes(context, most):
+    first_end = context.ended_runs.index(context.ended[0])
+    before = context.ended_runs[: first_end + 1].count(JOB)
+    assert context.ended[0] != JOB and before < most, context.ended_runs
+
+
+@then('{least:d} of the others complete before the large job')
+def check_expired_waits(context, least):
+    assert JOB not in context.ended[:least], context.ended
+    assert len(context.ended) >= least, context.ended
