Finish large jobs that have begun instead of starting each smaller one first

Cause: pending tasks were ordered by the least work that their job had left, in three classes of lateness. Under steady overload smaller jobs keep coming, so a large job was begun while there was room, was passed by each smaller one while it held work half done, fell behind all jobs in time once it was past its objective, and expired. Class of fault: an order without a bound on unfairness, under which work that was begun is thrown away.

Change: the order is the work left over the job's size to the power 0.9, times 1 + 0.5 x age / objective. A job that proceeds passes new ones, whatever their size; small ones still go before large ones that have hardly begun; newer ones before older ones of the same share left, so that not all become late.

--- a/waxwingford/scheduling/_task_order.py
+++ b/waxwingford/scheduling/_task_order.py
@@ -15,6 +15,11 @@
 
 #: Pending time after which a long-running task comes before all others, in ms.
 OVERDUE_MS = 2000
+#: Exponent of its size by which a job's remaining work is divided in the order: with 0,
+#: the least work left comes first, with 1 the smallest share of the job's work.
+SIZE_EXPONENT = 0.9
+#: Factor by which a job's place falls as it reaches its objective, less 1.
+AGE_WEIGHT = 0.5
 #: Time without a run after which a job comes before others of its priority while
 #: starts are limited, in ms.
 STARVED_MS = 2000
@@ -22,8 +27,10 @@
 #: don't become overdue, so that they can't take the rest from short tasks.
 #: Tasks that have run before are exempt.
 MAX_LONG_RUNNING_SHARE = 0.85
-#: Lower than the other classes of lateness.
+#: Jobs that come first, in the order by ``_precedence``, and last.
 _STARVED = -1
+_IN_TURN = 0
+_EXPIRED = 1
 #: Lower than every priority.
 _OVERDUE_RANK = -1
 
@@ -54,10 +61,10 @@
     """Compute the place of a task in the order.
 
     Within a priority, short tasks come before long-running ones, and
-    best-effort tasks last. Short and best-effort tasks are ordered by the
-    lateness class of their job, then by its remaining work: under overload,
-    ordering by age would make every job late. A long-running task that is
-    overdue comes before all others, so that short ones can't starve it.
+    best-effort tasks last. Short and best-effort tasks are ordered by
+    ``_precedence``; those of expired jobs come after all others. A long-running
+    task that is overdue comes before all others, so that short ones can't starve
+    it.
 
     :param estimate: estimate for the repetition.
     :param now_ms: current monotonic time, in ms.
@@ -76,13 +83,12 @@
         rank = _OVERDUE_RANK, 0, 0, task.pending_since_ms, task.key.index
         return PendingTask(rank, task, step, queue, overdue=True)
     kind = 2 if step.spec.best_effort else int(long_running)
-    lateness, order = 0, float(job.received_ms)
+    delay, order = _IN_TURN, float(job.received_ms)
     if not long_running:
-        lateness = _lateness(job, estimate.objective_ms, now_ms)
-        if limited and _is_starved(job, now_ms):
-            lateness = _STARVED
-        order = estimate.work
-    rank = queue.priority, kind, lateness, order, task.key.index
+        age_ms = now_ms - job.received_ms
+        delay = _delay(job, estimate, now_ms, limited)
+        order = _precedence(estimate, age_ms)
+    rank = queue.priority, kind, delay, order, task.key.index
     return PendingTask(rank, task, step, queue)
 
 
@@ -215,5 +221,25 @@
     return classify_lateness(now_ms - job.received_ms, objective_ms)
 
 
+def _delay(job: Job, estimate: JobEstimate, now_ms: int, limited: bool) -> int:
+    if limited and _is_starved(job, now_ms):
+        return _STARVED
+    lateness = _lateness(job, estimate.objective_ms, now_ms)
+    return _EXPIRED if lateness is Lateness.expired else _IN_TURN
+
+
+def _precedence(estimate: JobEstimate, age_ms: int) -> float:
+    """Compute the place of a job among those of its priority; lower comes first.
+
+    By the least work left, a large job would be begun and then wait for each
+    smaller one that comes. Divided by most of its size, its work left falls below
+    that of new jobs as it proceeds, so that it is finished. By arrival, every job
+    would be late under overload, so newer ones come first.
+    """
+    size = max(1, estimate.size)
+    age = age_ms / max(1, estimate.objective_ms)
+    return estimate.work / size**SIZE_EXPONENT * (1 + AGE_WEIGHT * age)
+
+
 def _is_starved(job: Job, now_ms: int) -> bool:
     return now_ms - job.last_run_ms >= STARVED_MS and not has_runs(job)
