Count the age of a repetition from when it is due

The age of a timed job's repetition counted from the job's receipt, so one due after three times the job's objective was taken for expired from its first moment, and waited behind everything of its priority. Found by reading, shown by a test of an engine with one server: a repetition of one task waits behind a job of four that was submitted as it became due. It fails without the change, as was tried.

--- a/waxwingford/scheduling/_job_estimates.py
+++ b/waxwingford/scheduling/_job_estimates.py
@@ -6,7 +6,7 @@
 
 from waxwingford.scheduling._run_times import RunTimes
 from waxwingford.scheduling._specs import QueueTerms
-from waxwingford.scheduling._state import Step
+from waxwingford.scheduling._state import Job, Step
 
 #: Thousandths of a core times milliseconds in a core-second.
 _WORK_PER_CORE_S = 1_000_000
@@ -37,18 +37,29 @@
     :ivar work: CPU time that is left, in thousandths of a core times milliseconds.
     :ivar objective_ms: time in which it should complete, in ms.
     :ivar size: CPU time of all its tasks, in the unit of ``work``.
+    :ivar age_ms: time for which it is owed, in ms.
     """
 
     work: float
     objective_ms: float
     size: float = 0
+    age_ms: int = 0
+
+    @property
+    def lateness(self) -> Lateness:
+        """Age compared with the objective."""
+        if self.age_ms <= self.objective_ms:
+            return Lateness.in_time
+        expired = self.age_ms > EXPIRED_FACTOR * self.objective_ms
+        return Lateness.expired if expired else Lateness.late
 
     def note_fields(self) -> dict[str, object]:
         """Return the estimate as fields of a note.
 
-        :returns: CPU times in core-seconds, and the objective in ms.
+        :returns: CPU times in core-seconds, age and objective in ms.
         """
         return {
+            'age_ms': self.age_ms,
             'core_s': round(self.size / _WORK_PER_CORE_S, 1),
             'left_core_s': round(self.work / _WORK_PER_CORE_S, 1),
             'objective_ms': round(self.objective_ms),
@@ -79,15 +90,18 @@
         return _SIZE_CLASSES[bisect.bisect_right(_SIZE_LIMITS, share)]
 
 
-def classify_lateness(age_ms: int, objective_ms: float) -> Lateness:
-    """Compare the age of a job with its objective.
+def owed_since_ms(job: Job, occurrence: int, wall_offset_ms: int) -> int:
+    """Return the monotonic time since which a repetition is owed, in ms.
 
-    :param age_ms: time since it was received, in ms.
+    :param wall_offset_ms: offset of Unix time from monotonic time, in ms.
+    :returns: when the repetition was due, or when this owner received a job that
+        isn't timed.
     """
-    if age_ms <= objective_ms:
-        return Lateness.in_time
-    expired = age_ms > EXPIRED_FACTOR * objective_ms
-    return Lateness.expired if expired else Lateness.late
+    spec = job.spec
+    if not spec.times:
+        return job.received_ms
+    due_ms = spec.first_due_ms + occurrence * spec.every_ms
+    return due_ms - wall_offset_ms
 
 
 def estimate_job(
@@ -127,6 +141,6 @@
     'JobEstimate',
     'JobSizes',
     'Lateness',
-    'classify_lateness',
     'estimate_job',
+    'owed_since_ms',
 )
--- a/waxwingford/scheduling/_shard_state.py
+++ b/waxwingford/scheduling/_shard_state.py
@@ -11,8 +11,8 @@
 from waxwingford.scheduling._incarnations import Incarnation
 from waxwingford.scheduling._job_estimates import (
     JobSizes,
-    classify_lateness,
     estimate_job,
+    owed_since_ms,
 )
 from waxwingford.scheduling._losses import LossHistory
 from waxwingford.scheduling._notes import NoteBuffer
@@ -331,18 +331,19 @@
 def _outcome_fields(state: ShardState, job: Job) -> dict[str, object]:
     """Return the size of a job that ends, and its age at its last run's end."""
     queue = job.spec.queue
-    steps = job.steps_by_occurrence.get(max(job.steps_by_occurrence, default=0))
+    occurrence = max(job.steps_by_occurrence, default=0)
+    steps = job.steps_by_occurrence.get(occurrence)
     if steps is None or any(step.spec.long_running for step in steps):
         return {}
-    estimate = estimate_job(steps, state.queue_of(job), state.learned.run_times)
-    age_ms = job.last_run_ms - job.received_ms
+    since_ms = owed_since_ms(job, occurrence, state.wall_offset_ms)
+    estimate = estimate_job(
+        steps, state.queue_of(job), state.learned.run_times
+    )._replace(age_ms=job.last_run_ms - since_ms)
     size = state.learned.sizes.classify(queue, estimate.size)
     state.learned.sizes.add(queue, estimate.size)
-    late = classify_lateness(age_ms, estimate.objective_ms)
     return {
         'size': size,
-        'lateness': late.name,
-        'age_ms': age_ms,
+        'lateness': estimate.lateness.name,
         **estimate.note_fields(),
     }
 
--- a/waxwingford/scheduling/_task_order.py
+++ b/waxwingford/scheduling/_task_order.py
@@ -6,8 +6,8 @@
 from waxwingford.scheduling._job_estimates import (
     JobEstimate,
     Lateness,
-    classify_lateness,
     estimate_job,
+    owed_since_ms,
 )
 from waxwingford.scheduling._shard_state import ShardState, has_runs
 from waxwingford.scheduling._specs import QueueTerms
@@ -85,9 +85,8 @@
     kind = 2 if step.spec.best_effort else int(long_running)
     delay, order = _IN_TURN, float(job.received_ms)
     if not long_running:
-        age_ms = now_ms - job.received_ms
         delay = _delay(job, estimate, now_ms, limited)
-        order = _precedence(estimate, age_ms)
+        order = _precedence(estimate)
     rank = queue.priority, kind, delay, order, task.key.index
     return PendingTask(rank, task, step, queue)
 
@@ -145,19 +144,20 @@
     steps = job.steps_by_occurrence[task.key.occurrence]
     step = steps[task.key.step]
     queue = state.queue_of(job)
-    estimate = estimate_job(steps, queue, state.learned.run_times)
+    since_ms = owed_since_ms(job, step.occurrence, state.wall_offset_ms)
+    estimate = estimate_job(steps, queue, state.learned.run_times)._replace(
+        age_ms=now_ms - since_ms
+    )
     new = step.spec.long_running and not task.last_run
     deferred = new and queue.service in full
     if not step.spec.long_running:
-        _note_late(state, step, estimate, now_ms)
+        _note_late(state, step, estimate)
     return rank_task(task, step, queue, estimate, now_ms, deferred, limited)
 
 
-def _note_late(
-    state: ShardState, step: Step, estimate: JobEstimate, now_ms: int
-) -> None:
+def _note_late(state: ShardState, step: Step, estimate: JobEstimate) -> None:
     job = step.job
-    lateness = _lateness(job, estimate.objective_ms, now_ms)
+    lateness = estimate.lateness
     if lateness <= job.noted_lateness:
         return
     job.noted_lateness = lateness
@@ -169,7 +169,6 @@
         size=state.learned.sizes.classify(job.spec.queue, estimate.size),
         expired=lateness is Lateness.expired,
         begun=job.begun,
-        age_ms=now_ms - job.received_ms,
         unfinished=sum(one.unfinished for one in steps),
         **estimate.note_fields(),
     )
@@ -217,18 +216,14 @@
     return pending.rank
 
 
-def _lateness(job: Job, objective_ms: float, now_ms: int) -> Lateness:
-    return classify_lateness(now_ms - job.received_ms, objective_ms)
-
-
 def _delay(job: Job, estimate: JobEstimate, now_ms: int, limited: bool) -> int:
     if limited and _is_starved(job, now_ms):
         return _STARVED
-    lateness = _lateness(job, estimate.objective_ms, now_ms)
-    return _EXPIRED if lateness is Lateness.expired else _IN_TURN
+    expired = estimate.lateness is Lateness.expired
+    return _EXPIRED if expired else _IN_TURN
 
 
-def _precedence(estimate: JobEstimate, age_ms: int) -> float:
+def _precedence(estimate: JobEstimate) -> float:
     """Compute the place of a job among those of its priority; lower comes first.
 
     By the least work left, a large job would be begun and then wait for each
@@ -237,7 +232,7 @@
     would be late under overload, so newer ones come first.
     """
     size = max(1, estimate.size)
-    age = age_ms / max(1, estimate.objective_ms)
+    age = estimate.age_ms / max(1, estimate.objective_ms)
     return estimate.work / size**SIZE_EXPONENT * (1 + AGE_WEIGHT * age)
 
 
--- a/waxwingford/scheduling/tests/overload.feature
+++ b/waxwingford/scheduling/tests/overload.feature
@@ -53,3 +53,11 @@
     And the job is late by 3 times its objective
     When jobs of 2 tasks keep coming as fast as its tasks run
     Then 6 of the others complete before the large job
+
+  Scenario: a repetition that becomes due long after its job was submitted
+    # Guards against repetitions that wait behind all others from their first moment.
+    Given one server of 8 cores on which 1 of 2 tasks of a job have run
+    And a job of 1 tasks that is due 60 s after it was submitted
+    When the job becomes due, and one of 4 tasks is submitted
+    And the run on the server ends
+    Then the next start is one of the job that was due
--- a/waxwingford/scheduling/tests/overload_steps.py
+++ b/waxwingford/scheduling/tests/overload_steps.py
@@ -191,3 +191,41 @@
 def check_expired_waits(context, least):
     assert JOB not in context.ended[:least], context.ended
     assert len(context.ended) >= least, context.ended
+
+
+@given(
+    'a job of {count:d} tasks that is due {wait_s:d} s after it was submitted'
+)
+def submit_timed(context, count, wait_s):
+    harness = context.harness
+    context.due_ms = harness.now_ms + 1000 * wait_s
+    spec = JobSpec(
+        SECOND,
+        QUEUE.name,
+        '',
+        (step(count, cores=8),),
+        first_due_ms=context.due_ms + harness.wall_offset_ms,
+        every_ms=1000,
+        times=1,
+        terms=QUEUE,
+    )
+    harness.engine.submit(spec, harness.now_ms)
+    harness.decide()
+
+
+@when('the job becomes due, and one of {count:d} tasks is submitted')
+def become_due(context, count):
+    context.harness.now_ms = context.due_ms
+    context.harness.decide()
+    submit(context.harness, THIRD, step(count, cores=8))
+
+
+@when('the run on the server ends')
+def end_run_on_server(context):
+    end_oldest_run(context)
+
+
+@then('the next start is one of the job that was due')
+def check_timed_start(context):
+    started = [run.key.task.job_id for run in context.waiting_runs]
+    assert started == [SECOND], started
