Order timed jobs by no age while their due time seems to be ahead

The age of a repetition is counted by the wall clock since. If the owner's clock stepped back by more than twice the objective, the weight of the age became negative, and the job with the most work left came first.

--- a/waxwingford/scheduling/_task_order.py
+++ b/waxwingford/scheduling/_task_order.py
@@ -232,7 +232,8 @@
     would be late under overload, so newer ones come first.
     """
     size = max(1, estimate.size)
-    age = estimate.age_ms / max(1, estimate.objective_ms)
+    # The age of a timed job is negative after a step of the clock.
+    age = max(0, estimate.age_ms) / max(1, estimate.objective_ms)
     return estimate.work / size**SIZE_EXPONENT * (1 + AGE_WEIGHT * age)
 
 
--- a/waxwingford/scheduling/tests/overload.feature
+++ b/waxwingford/scheduling/tests/overload.feature
@@ -61,3 +61,12 @@
     When the job becomes due, and one of 4 tasks is submitted
     And the run on the server ends
     Then the next start is one of the job that was due
+
+  Scenario: the clock steps back after a repetition has become due
+    # Guards against negative ages, by which the most work left comes first.
+    Given one server of 8 cores on which 1 of 2 tasks of a job have run
+    And a job of 4 tasks that is due 60 s after it was submitted
+    When the job becomes due, and one of 1 tasks is submitted
+    And the clock steps back by 60 s
+    And the run on the server ends
+    Then the next start is one of the job that was submitted last
--- a/waxwingford/scheduling/tests/overload_steps.py
+++ b/waxwingford/scheduling/tests/overload_steps.py
@@ -225,7 +225,20 @@
     end_oldest_run(context)
 
 
+@when('the clock steps back by {span_s:d} s')
+def step_clock_back(context, span_s):
+    context.harness.wall_offset_ms -= 1000 * span_s
+
+
+def started_jobs(context):
+    return [run.key.task.job_id for run in context.waiting_runs]
+
+
 @then('the next start is one of the job that was due')
 def check_timed_start(context):
-    started = [run.key.task.job_id for run in context.waiting_runs]
-    assert started == [SECOND], started
+    assert started_jobs(context) == [SECOND], started_jobs(context)
+
+
+@then('the next start is one of the job that was submitted last')
+def check_last_start(context):
+    assert started_jobs(context) == [THIRD], started_jobs(context)
