--- a/waxwingford/scheduling/_shard_state.py
+++ b/waxwingford/scheduling/_shard_state.py
@@ -174,7 +174,7 @@
             job.spec.job_id,
             queue=job.spec.queue,
             phase=phase.value,
-            **_outcome_fields(self, job),
+            **_learn_outcome(self, job),
         )
         for step in steps_of(job):
             for task in step.tasks:
@@ -328,8 +328,12 @@
     return reported or any(task.begun for task in step.tasks)
 
 
-def _outcome_fields(state: ShardState, job: Job) -> dict[str, object]:
-    """Return the size of a job that ends, and its age at its last run's end."""
+def _learn_outcome(state: ShardState, job: Job) -> dict[str, object]:
+    """Learn the size of a job that ends, and describe its outcome for its note.
+
+    :returns: fields with its size, and its age at the end of its last run; none
+        for a job that has no steps yet or is long-running.
+    """
     queue = job.spec.queue
     occurrence = max(job.steps_by_occurrence, default=0)
     steps = job.steps_by_occurrence.get(occurrence)
--- a/waxwingford/scheduling/_task_order.py
+++ b/waxwingford/scheduling/_task_order.py
@@ -18,7 +18,7 @@
 #: Exponent of its size by which a job's remaining work is divided in the order: with 0,
 #: the least work left comes first, with 1 the smallest share of the job's work.
 SIZE_EXPONENT = 0.9
-#: Factor by which a job's place falls as it reaches its objective, less 1.
+#: Weight of a job's age, relative to its objective, by which newer jobs come first.
 AGE_WEIGHT = 0.5
 #: Time without a run after which a job comes before others of its priority while
 #: starts are limited, in ms.
@@ -27,7 +27,7 @@
 #: don't become overdue, so that they can't take the rest from short tasks.
 #: Tasks that have run before are exempt.
 MAX_LONG_RUNNING_SHARE = 0.85
-#: Jobs that come first, in the order by ``_precedence``, and last.
+#: Ranks of starved jobs, of those ordered by ``_precedence``, and of expired ones.
 _STARVED = -1
 _IN_TURN = 0
 _EXPIRED = 1
@@ -83,11 +83,11 @@
         rank = _OVERDUE_RANK, 0, 0, task.pending_since_ms, task.key.index
         return PendingTask(rank, task, step, queue, overdue=True)
     kind = 2 if step.spec.best_effort else int(long_running)
-    delay, order = _IN_TURN, float(job.received_ms)
+    urgency_class, order = _IN_TURN, float(job.received_ms)
     if not long_running:
-        delay = _delay(job, estimate, now_ms, limited)
+        urgency_class = _urgency_class(job, estimate, now_ms, limited)
         order = _precedence(estimate)
-    rank = queue.priority, kind, delay, order, task.key.index
+    rank = queue.priority, kind, urgency_class, order, task.key.index
     return PendingTask(rank, task, step, queue)
 
 
@@ -216,7 +216,9 @@
     return pending.rank
 
 
-def _delay(job: Job, estimate: JobEstimate, now_ms: int, limited: bool) -> int:
+def _urgency_class(
+    job: Job, estimate: JobEstimate, now_ms: int, limited: bool
+) -> int:
     if limited and _is_starved(job, now_ms):
         return _STARVED
     expired = estimate.lateness is Lateness.expired
