Skip registrations whose address is none, and send nothing where connecting fails

Cause, first part: the pattern of addresses took any digits and dots; opening the connection raised UnicodeError, and the pool expected OSError only.

Change: the address of a registration is an IPv4 address by the library's parser and a port; JSON nested too deeply is a decoding error wherever JSON of others is decoded; numbers in answers of servers are bounded, as they become floats later; any error of opening a connection means that nothing was sent; a request whose content can't be made gives its connection back.

--- a/waxwingford/platform/_adapter.py
+++ b/waxwingford/platform/_adapter.py
@@ -129,7 +129,7 @@
     # next version is written.
     try:
         return decode_configuration(raw)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, ValueError) as error:
         # The previous configuration stays in force.
         _log.error('configuration not read', extra={'reason': str(error)})
         return None
--- a/waxwingford/platform/_advice.py
+++ b/waxwingford/platform/_advice.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from waxwingford.platform._decoding import decode_json
 from waxwingford.platform._http_client import HttpClient, HttpResponse
 from waxwingford.shard import TicketsIssued, TicketsUnavailable
 
@@ -50,7 +51,7 @@
         if outcome.status != HTTPStatus.OK:
             return TicketsUnavailable(f'status {outcome.status}')
         try:
-            advice = _decoder.decode(outcome.body)
+            advice = decode_json(_decoder, outcome.body)
         except msgspec.MsgspecError as error:
             return TicketsUnavailable(f'response not decoded: {error}')
         return TicketsIssued(dict(advice.eligible), advice.validity_ms)
--- a/waxwingford/platform/_http_client.py
+++ b/waxwingford/platform/_http_client.py
@@ -184,21 +184,17 @@
         timeout_s: float,
         repeatable: bool = False,
     ) -> RequestOutcome:
-        loop = asyncio.get_running_loop()
-        deadline_s = loop.time() + timeout_s
+        deadline_s = asyncio.get_running_loop().time() + timeout_s
         pool = self._pool_of(address)
+        acquired = await _acquire(pool, deadline_s)
+        if isinstance(acquired, NotSent):
+            return acquired
+        connection, reused = acquired
+        content = b''
         try:
-            connection, reused = await pool.acquire(deadline_s)
-        except ConnectFailedError as error:
-            return NotSent(str(error))
-        if loop.time() >= deadline_s:
-            pool.release(connection)
-            return NotSent('TimeoutError: no connection was free in time')
-        content = request(connection.peer) if callable(request) else request
-        try:
-            return HttpResponse(
-                *await connection.send(content, deadline_s), connection
-            )
+            content = _content_for(connection, request)
+            status, body = await connection.send(content, deadline_s)
+            return HttpResponse(status, body, connection)
         except TimeoutError:
             return NoResponse('TimeoutError: no response in time')
         except ConnectionBrokenError as error:
@@ -210,9 +206,28 @@
             self.traffic.count(call, len(content), connection.received_bytes)
             pool.release(connection)
         # The server may close an idle connection just when it is used again.
-        return await self._request(
-            call, address, request, deadline_s - loop.time()
-        )
+        left_s = deadline_s - asyncio.get_running_loop().time()
+        return await self._request(call, address, request, left_s)
+
+
+async def _acquire(
+    pool: ConnectionPool, deadline_s: float
+) -> tuple[Connection, bool] | NotSent:
+    """Take a connection, and tell whether it has carried a request before."""
+    try:
+        connection, reused = await pool.acquire(deadline_s)
+    except ConnectFailedError as error:
+        return NotSent(str(error))
+    if asyncio.get_running_loop().time() >= deadline_s:
+        pool.release(connection)
+        return NotSent('TimeoutError: no connection was free in time')
+    return connection, reused
+
+
+def _content_for(
+    connection: Connection, request: bytes | Callable[[object], bytes]
+) -> bytes:
+    return request(connection.peer) if callable(request) else request
 
 
 def _encode_head(
--- a/waxwingford/platform/_http_connections.py
+++ b/waxwingford/platform/_http_connections.py
@@ -170,9 +170,7 @@
 
         :param address: IP address and port.
         """
-        host, port = address.rsplit(':', 1)
-        self._host = host
-        self._port = int(port)
+        self._address = address
         self._idle: list[Connection] = []
         self._open = 0
         self._waiting: collections.deque[asyncio.Future[None]] = (
@@ -220,16 +218,16 @@
         loop = asyncio.get_running_loop()
         self._open += 1
         connected: asyncio.Future[Connection] = loop.create_future()
-        attempt = loop.create_task(
-            loop.create_connection(Connection, self._host, self._port)
-        )
+        attempt = loop.create_task(_open_connection(self._address))
         attempt.add_done_callback(
             lambda done: _report_connected(done, connected)
         )
         until_s = min(deadline_s, loop.time() + CONNECT_TIMEOUT_S)
         try:
             return await wait_until(connected, until_s)
-        except OSError as error:
+        except Exception as error:
+            # Not only OSError: resolving a text that is no address may raise
+            # UnicodeError, and a port out of range OverflowError.
             self._abandon(attempt)
             raise ConnectFailedError(
                 f'{type(error).__name__}: {error}'
@@ -283,6 +281,15 @@
             self._sweep_timer = loop.call_later(KEEP_ALIVE_S, self._sweep)
 
 
+async def _open_connection(
+    address: str,
+) -> tuple[asyncio.Transport, Connection]:
+    host, port = address.rsplit(':', 1)
+    return await asyncio.get_running_loop().create_connection(
+        Connection, host, int(port)
+    )
+
+
 def _report_connected(
     attempt: asyncio.Task[tuple[asyncio.Transport, Connection]],
     connected: asyncio.Future[Connection],
--- a/waxwingford/platform/_records.py
+++ b/waxwingford/platform/_records.py
@@ -1,11 +1,13 @@
 """Formats of configurations, registrations and submissions."""
 
+import ipaddress
 import re
 from collections.abc import Iterable
 from typing import Annotated, Literal
 
 import msgspec
 
+from waxwingford.platform._decoding import MAX_EXACT_NUMBER, decode_json
 from waxwingford.ports import Resources
 from waxwingford.scheduling import (
     QueueTerms,
@@ -19,9 +21,9 @@
 _EVACUATION_PREFIX = 'evacuate/'
 _MAX_AMOUNT = 1_000_000_000
 _Amount = Annotated[int, msgspec.Meta(ge=0, le=_MAX_AMOUNT)]
-_UnixMs = Annotated[int, msgspec.Meta(ge=0)]
-# IP address and port.
-_Endpoint = Annotated[str, msgspec.Meta(pattern=r'^[0-9.]+:[0-9]{1,5}$')]
+_UnixMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_EXACT_NUMBER)]
+# IPv4 address and port; the address itself is checked after decoding.
+_Endpoint = Annotated[str, msgspec.Meta(pattern=r'^[0-9.]{7,15}:[0-9]{1,5}$')]
 # The first label of this form is the name of the worker's rack.
 _RACK = re.compile(r'r\d+(-\d+)*')
 
@@ -164,7 +166,7 @@
     :param raw: JSON as stored by the operator.
     :raises msgspec.MsgspecError: if it is no valid configuration.
     """
-    config = _config_decoder.decode(raw)
+    config = decode_json(_config_decoder, raw)
     queue_by_name = {
         route.name: QueueTerms(
             route.name,
@@ -211,16 +213,13 @@
 
     :param server_id: id of the worker, the key of the record.
     :param raw: JSON as stored by the worker.
-    :raises ValueError: if it is no valid registration, its port is out of
-        range, or its id can't be sent in a header.
+    :raises ValueError: if it is no valid registration, its address is no IPv4
+        address and port, or its id can't be sent in a header.
     """
     if not (server_id.isascii() and server_id.isprintable()):
         raise ValueError(f'id {server_id!r}: expected printable ASCII')
-    registration = _registration_decoder.decode(raw)
-    if not 0 < int(registration.address.rpartition(':')[2]) <= _MAX_PORT:
-        raise ValueError(
-            f'{registration.address}: expected a port from 1 to {_MAX_PORT}'
-        )
+    registration = decode_json(_registration_decoder, raw)
+    _check_endpoint(registration.address)
     return ServerEntry(
         server_id,
         registration.address,
@@ -244,7 +243,7 @@
     :param raw: body of the request, JSON.
     :raises msgspec.MsgspecError: if it is no valid submission.
     """
-    return _submission_decoder.decode(raw)
+    return decode_json(_submission_decoder, raw)
 
 
 def describe_fault(fault: SpecFault) -> str:
@@ -253,6 +252,17 @@
     return str(fault._replace(field=named))
 
 
+def _check_endpoint(address: str) -> None:
+    """Check that an address can be connected to.
+
+    :raises ValueError: if it is no IPv4 address, or its port is out of range.
+    """
+    host, _, port = address.rpartition(':')
+    ipaddress.IPv4Address(host)
+    if not 0 < int(port) <= _MAX_PORT:
+        raise ValueError(f'{address}: expected a port from 1 to {_MAX_PORT}')
+
+
 def _step_spec(step: _Step) -> StepSpec:
     return StepSpec(
         step.count,
--- a/waxwingford/platform/_registrations.py
+++ b/waxwingford/platform/_registrations.py
@@ -49,12 +49,13 @@
             return _CachedEntry(
                 raw, decode_registration(server_id, raw), failure_count
             )
-        except ValueError as error:
+        except Exception as error:
+            # Any error: only the server that it names is left out.
             _log_invalid(server_id, failure_count + 1, error)
             return _CachedEntry(raw, None, failure_count + 1)
 
 
-def _log_invalid(server_id: str, count: int, error: ValueError) -> None:
+def _log_invalid(server_id: str, count: int, error: Exception) -> None:
     # Only counts that are powers of two are logged, to bound the log volume.
     is_power_of_two = not count & (count - 1)
     if is_power_of_two:
--- a/waxwingford/platform/_store.py
+++ b/waxwingford/platform/_store.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from waxwingford.platform._decoding import decode_json
 from waxwingford.platform._http_client import (
     HttpClient,
     HttpResponse,
@@ -240,7 +241,7 @@
 
 
 def _decode_append(response: HttpResponse) -> AppendOutcome:
-    body = _append_decoder.decode(response.body)
+    body = decode_json(_append_decoder, response.body)
     match response.status:
         case HTTPStatus.OK:
             return Appended(body.end)
@@ -253,7 +254,7 @@
 
 
 def _decode_page(response: HttpResponse) -> NewestPage:
-    body = _newest_decoder.decode(response.body)
+    body = decode_json(_newest_decoder, response.body)
     records = tuple(
         StoredRecord(item.offset, item.key, base64.b64decode(item.value))
         for item in body.items
@@ -262,7 +263,7 @@
 
 
 def _decode_expired(response: HttpResponse) -> RecordsExpired:
-    return RecordsExpired(_expired_decoder.decode(response.body).first)
+    return RecordsExpired(decode_json(_expired_decoder, response.body).first)
 
 
 def _decode_records(from_offset: int, response: HttpResponse) -> RecordsRead:
--- a/waxwingford/platform/_workers.py
+++ b/waxwingford/platform/_workers.py
@@ -1,9 +1,11 @@
 """Client of the platform's workers, the backend servers of the scheduler."""
 
 from http import HTTPStatus
+from typing import Annotated
 
 import msgspec
 
+from waxwingford.platform._decoding import MAX_EXACT_NUMBER, decode_json
 from waxwingford.platform._http_client import (
     HttpClient,
     HttpResponse,
@@ -46,34 +48,39 @@
 }
 
 
+# Counts, and times in whole ms.
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_EXACT_NUMBER)]
+_Figure = Annotated[float, msgspec.Meta(ge=0, le=MAX_EXACT_NUMBER)]
+
+
 class _OrderBody(msgspec.Struct, rename='kebab'):
-    clock_ms: int = 0
+    clock_ms: _Count = 0
     reason: str = ''
 
 
 class _RunningRow(msgspec.Struct, array_like=True):
     task: str
-    run: int
+    run: _Count
     checkpoint: str | None
-    percent: float
+    percent: _Figure
     # Over the last 0.5 s: tail latency in ms, or CPU in use.
-    measured_value: float | None = None
+    measured_value: _Figure | None = None
 
 
 class _EndRow(msgspec.Struct, array_like=True):
-    number: int
+    number: _Count
     task: str
-    run: int
+    run: _Count
     kind: str
     checkpoint: str | None = None
 
 
 class _PollBody(msgspec.Struct, rename='kebab'):
-    clock_ms: int
+    clock_ms: _Count
     running: list[_RunningRow]
     ended_runs: list[_EndRow]
     # Unix time in ms at which the worker started.
-    born: int = 0
+    born: _Count = 0
 
 
 _CheckedOutcome = (
@@ -168,7 +175,7 @@
         if not isinstance(response, HttpResponse):
             return response
         try:
-            body = _poll_decoder.decode(response.body)
+            body = decode_json(_poll_decoder, response.body)
             answer = _poll_result(body, content['ack-cursor'])
         except (msgspec.MsgspecError, ValueError) as error:
             return OrderOutcomeUnknown(f'response not decoded: {error}')
@@ -253,7 +260,9 @@
     response: HttpResponse,
 ) -> OrderAccepted | OrderOutcomeUnknown:
     try:
-        return OrderAccepted(_order_decoder.decode(response.body).clock_ms)
+        return OrderAccepted(
+            decode_json(_order_decoder, response.body).clock_ms
+        )
     except msgspec.MsgspecError as error:
         return OrderOutcomeUnknown(f'response not decoded: {error}')
 
@@ -262,7 +271,7 @@
     response: HttpResponse,
 ) -> OrderRefused | OrderOutcomeUnknown:
     try:
-        reason = _order_decoder.decode(response.body).reason
+        reason = decode_json(_order_decoder, response.body).reason
     except msgspec.MsgspecError as error:
         return OrderOutcomeUnknown(f'response not decoded: {error}')
     return OrderRefused(_DENIAL_BY_REASON.get(reason, RefusalReason.invalid))
--- a/waxwingford/platform/tests/foreign.feature
+++ b/waxwingford/platform/tests/foreign.feature
@@ -15,6 +15,15 @@
       | has no address                             |
       | has an address without a port              |
       | has an address with a port of 99999        |
+      | has an address with an empty octet         |
+      | has an address of dots                     |
+      | has an address of 300 digits               |
+      | has an address with an octet of 999        |
+      | has an address of three octets             |
+      | has a port of 0                            |
+      | has digits of another script as address    |
+      | has a start beyond all calendars           |
+      | is nested deeply in an unknown field       |
       | has no state                               |
       | has the state "resting"                    |
       | has no capacity                            |
@@ -49,6 +58,14 @@
     And the invalid one is replaced by a valid one
     Then both registrations are returned
 
+  Scenario: any addresses in registrations
+    # Guards against an address that is accepted and can't be connected to.
+    Then a registration with any address is skipped unless it is an IPv4 address
+
+  Scenario: a response of a worker is nested deeply in an unknown field
+    # Guards against an error that the decoder raises beside those for bad content.
+    Then responses that are nested deeply are rejected
+
   Scenario: mutated registrations
     # Guards against an unhandled decoding error that ends the ownership.
     Then each mutated registration is decoded completely or skipped
--- a/waxwingford/platform/tests/foreign_steps.py
+++ b/waxwingford/platform/tests/foreign_steps.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import copy
+import itertools
 import json
+import socket
 
 import logbook
 from behave import given, then, when
@@ -21,8 +23,10 @@
     OrderOutcomeUnknown,
     PollOrder,
     PollResult,
+    RunKey,
     RunningReport,
     ServerEntry,
+    TaskKey,
 )
 from waxwingford.shard import NewestPage, RecordsRead, StoredRecord
 
@@ -52,6 +56,8 @@
     '29962528569878799855947553509039657806814948934553807527797358799413'
     '430885850858202212838247352137566861804961896073'
 )
+#: Brackets within each other, more than the decoder follows.
+NESTING = 60_000
 OTHER_ID, FOREIGN_ID = 'i-1', 'i-2'
 
 
@@ -79,6 +85,27 @@
     'has an address with a port of 99999': registration_with(
         address='10.1.0.1:99999'
     ),
+    'has an address with an empty octet': registration_with(
+        address='127..0.1:8080'
+    ),
+    'has an address of dots': registration_with(address='....:8080'),
+    'has an address of 300 digits': registration_with(
+        address=f'{"1" * 300}:8080'
+    ),
+    'has an address with an octet of 999': registration_with(
+        address='10.1.0.999:8080'
+    ),
+    'has an address of three octets': registration_with(address='10.1.1:8080'),
+    'has a port of 0': registration_with(address='10.1.0.1:0'),
+    'has digits of another script as address': registration_with(
+        address='\u0661\u0660.1.0.1:8080'
+    ),
+    'has a start beyond all calendars': registration_with(born=10**400),
+    'is nested deeply in an unknown field': encode(ENTRY)[:-1]
+    + b',"x":'
+    + b'[' * NESTING
+    + b']' * NESTING
+    + b'}',
     'has no state': registration_without('state'),
     'has the state "resting"': registration_with(state='resting'),
     'has no capacity': registration_without('capacity'),
@@ -213,6 +240,46 @@
         return
 
 
+@then('a registration with any address is skipped unless it is an IPv4 address')
+def any_addresses(context):
+    capture_log(context)
+    octets = strategies.integers(0, 300)
+    addresses = strategies.one_of(
+        strategies.text(strategies.sampled_from('0123456789.:'), max_size=24),
+        strategies.text(max_size=8),
+        strategies.builds(
+            '{}.{}.{}.{}:{}'.format,
+            *itertools.repeat(octets, 4),
+            strategies.integers(0, 70_000),
+        ),
+    )
+
+    @settings(max_examples=MOST_DRAWS)
+    @drawn(addresses)
+    def check(address):
+        raw = registration_with(address=address)
+        for entry in Registrations().read({FOREIGN_ID: raw}):
+            host, port = entry.endpoint.rsplit(':', 1)
+            assert socket.inet_pton(socket.AF_INET, host), entry
+            assert 0 < int(port) < 65536, entry
+
+    check()
+
+
+@then('responses that are nested deeply are rejected')
+def deep_responses(context):
+    raw = b'{"clock-ms":1,"x":%b' % (b'[' * NESTING)
+    client = PlatformWorkers(FixedAnswer(raw))
+    address = Address('i-1', '10.1.0.1:8000')
+    order = PollOrder(1, 0, None, 0)
+    outcome = asyncio.run(client.poll(address, order))
+    assert isinstance(outcome, OrderOutcomeUnknown), outcome
+    outcome = asyncio.run(
+        client.stop(address, RunKey(TaskKey('a', 0, 0, 0), 1), 1)
+    )
+    assert isinstance(outcome, OrderOutcomeUnknown), outcome
+
+
 @then('each mutated registration is decoded completely or skipped')
 def registrations_of_any_content(context):
     capture_log(context)
--- a/waxwingford/platform/tests/http_client.feature
+++ b/waxwingford/platform/tests/http_client.feature
@@ -45,6 +45,33 @@
       | a cut body       |
       | a body too large |
 
+  Scenario Outline: an address that nothing can be connected to
+    # Guards against a registration with such an address that ends each owner.
+    When a request is sent to the address "<address>"
+    Then the outcome of the request is NotSent
+
+    Examples:
+      | address                   |
+      | 127..0.1:8080             |
+      | ....:8080                 |
+      | 300 digits and a port     |
+      | 999.0.0.1:8080            |
+      | 127.0.0.1                 |
+      | 127.0.0.1:99999           |
+      | 127.0.0.1:x               |
+      | nothing at all            |
+
+  Scenario: any text as an address
+    # Guards against an address that ends the caller's work with other servers.
+    Then a request to any address that has no server is not sent
+
+  Scenario: the content of a request can't be made
+    # Guards against a connection that is never given back.
+    Given an HTTP server that responds after 0 ms
+    When 9 requests whose content raises an error are made one after the other
+    And a request with a timeout of 500 ms is sent by the same client
+    Then the outcome of the request is HttpResponse
+
   Scenario: a query with any names and texts
     # Guards against a topic or a number that the store reads as another one.
     When queries of any names and texts are encoded
--- a/waxwingford/platform/tests/http_client_steps.py
+++ b/waxwingford/platform/tests/http_client_steps.py
@@ -1,6 +1,7 @@
 """Steps for the HTTP client against servers that misbehave."""
 
 import asyncio
+import contextlib
 import socket
 import threading
 import time
@@ -185,6 +186,72 @@
     context.outcome = run(_send)
 
 
+ADDRESS_BY_NAME = {
+    '300 digits and a port': f'{"1" * 300}:8080',
+    'nothing at all': '',
+}
+
+
+@when('a request is sent to the address "{address}"')
+def send_to_address(context, address):
+    async def _send(client):
+        return await client.post(
+            ADDRESS_BY_NAME.get(address, address), '/one', {}, b'', 0.3
+        )
+
+    context.outcome = run(_send)
+
+
+@then('a request to any address that has no server is not sent')
+def send_to_any_address(context):
+    # No digits, so that no address names a server that runs here.
+    texts = strategies.text(
+        strategies.sampled_from('.:[]/@%\x00 a\u0661\u00e9\u20ac'), max_size=8
+    )
+
+    async def _send_all(client, addresses):
+        return [
+            await client.get(address, '/one', {}, 0.3) for address in addresses
+        ]
+
+    @settings(max_examples=40)
+    @drawn(strategies.lists(texts.map(lambda text: f'{text}:1'), max_size=5))
+    def _check(addresses):
+        outcomes = run(lambda client: _send_all(client, addresses))
+        assert all(isinstance(one, NotSent) for one in outcomes), outcomes
+
+    _check()
+
+
+@when(
+    '{count:d} requests whose content raises an error are made one after'
+    ' the other'
+)
+def send_failing(context, count):
+    context.failing_requests = count
+
+
+def _fail_to_encode(peer):
+    raise UnicodeError('no UTF-8')
+
+
+@when(
+    'a request with a timeout of {timeout_ms:d} ms is sent by the same client'
+)
+def send_after_failing(context, timeout_ms):
+    async def _send(client):
+        for _ in range(context.failing_requests):
+            with contextlib.suppress(UnicodeError):
+                await client.post_json_to_peer(
+                    context.address, '/one', _fail_to_encode, {}, 1
+                )
+        return await client.post(
+            context.address, '/one', {}, b'', timeout_ms / MS_PER_S
+        )
+
+    context.outcome = run(_send)
+
+
 @then('the outcome of the request is {name}')
 def check_outcome(context, name):
     assert type(context.outcome).__name__ == name, context.outcome
