End no owner by an unexpected error in one of its tasks

A part of the owner or the daemon that fails is logged, counted in unexpected_errors_total and runs again (shard/_supervision.py); the batch that a failed commit was storing is kept. Errors of a call to a server are an unknown outcome of that call, and its task is placed elsewhere; an answer that can't be applied counts as none. In decisions an error ends the work on one server until the next one, or on one job, of which no more is started with this owner (work.failed).

--- a/waxwingford/relays/_messages.py
+++ b/waxwingford/relays/_messages.py
@@ -166,7 +166,7 @@
     """
     try:
         return _owner_decoder.decode(frame)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise FrameError(f'frame not decoded: {error}') from error
 
 
@@ -177,7 +177,7 @@
     """
     try:
         return _relay_decoder.decode(frame)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise FrameError(f'frame not decoded: {error}') from error
 
 
--- a/waxwingford/scheduler/_daemon.py
+++ b/waxwingford/scheduler/_daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import gc
 import importlib
 import signal
@@ -114,29 +115,33 @@
         await self._platform.serve(self._frontend, listen.callers)
         if listen.relays_port:
             await self._relays.serve(listen.host, listen.relays_port)
-        tasks = [
-            asyncio.create_task(
-                self._platform.follow_configuration(
-                    self.apply_terms, self.record_failed_read
-                )
-            ),
-            asyncio.create_task(self._member.stand_by()),
-            asyncio.create_task(self._relays.run()),
-            asyncio.create_task(self._relay.run()),
-            asyncio.create_task(self._prepare_to_own()),
-            asyncio.create_task(
-                report_start(
-                    self._observer.metrics, self._settings.store.address
-                )
+        preparation = asyncio.create_task(self._prepare_to_own())
+        preparation.add_done_callback(self._on_prepared)
+        supervisor = self._run_parts()
+        await self._stopping.wait()
+        await self._stop(preparation, supervisor)
+
+    def _run_parts(self) -> shard.Supervisor:
+        """Start what runs until the daemon stops."""
+        metrics = self._observer.metrics
+        supervisor = shard.Supervisor(shard.ErrorReport(metrics), self._give_up)
+        start_by_part = {
+            'configuration': functools.partial(
+                self._platform.follow_configuration,
+                self.apply_terms,
+                self.record_failed_read,
             ),
-            asyncio.create_task(
-                TrafficLog(self._count_traffic, self._observer).run()
+            'membership': self._member.stand_by,
+            'relay pool': self._relays.run,
+            'relay': self._relay.run,
+            'start report': functools.partial(
+                report_start, metrics, self._settings.store.address
             ),
-        ]
-        for task in tasks:
-            task.add_done_callback(self._on_task_done)
-        await self._stopping.wait()
-        await self._stop(tasks)
+            'traffic log': TrafficLog(self._count_traffic, self._observer).run,
+        }
+        for part, start in start_by_part.items():
+            supervisor.spawn(part, start)
+        return supervisor
 
     async def _prepare_to_own(self) -> None:
         """Import what an owner needs, and answer other daemons."""
@@ -149,14 +154,20 @@
             self._frontend, listen.host, listen.peers_port
         )
 
-    def _on_task_done(self, task: asyncio.Task[None]) -> None:
-        # A failed task stops the daemon, so that the supervisor restarts it.
+    def _on_prepared(self, task: asyncio.Task[None]) -> None:
+        # Without this part the daemon never serves; the platform restarts it.
         if task.cancelled() or task.exception() is None:
             return
         _log.error('part of the daemon failed', exc_info=task.exception())
         self._stopping.set()
 
-    async def _stop(self, tasks: list[asyncio.Task[None]]) -> None:
+    def _give_up(self, part: str) -> None:
+        _log.error('part of the daemon goes on failing', extra={'part': part})
+        self._stopping.set()
+
+    async def _stop(
+        self, preparation: asyncio.Task[None], supervisor: shard.Supervisor
+    ) -> None:
         _log.info('stopping')
         self._platform.start_draining()
         self._relay.leave()
@@ -164,8 +175,8 @@
         grace_s = self._settings.bounds.stop_grace_s
         await asyncio.sleep(min(STOP_DELAY_S, grace_s * GRACE_FRACTION))
         await self._platform.close()
-        for task in tasks:
-            task.cancel()
+        preparation.cancel()
+        supervisor.cancel()
         self._member.close()
         self._link.close()
         self._relay.close()
--- a/waxwingford/scheduling/_backend_client.py
+++ b/waxwingford/scheduling/_backend_client.py
@@ -181,10 +181,13 @@
     :ivar reason: error of the call.
     :ivar connection_lost: whether the connection was closed, as happens in a
         crash.
+    :ivar unexpected: whether the call has failed with an error that the client
+        doesn't expect, as another one to the same server probably will.
     """
 
     reason: str
     connection_lost: bool = False
+    unexpected: bool = False
 
 
 class PollResult(msgspec.Struct, frozen=True):
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -6,6 +6,7 @@
 from waxwingford.scheduling._backend_client import RunKey
 from waxwingford.scheduling._backlog import Backlog, Decision, count_backlog
 from waxwingford.scheduling._candidates import CandidateQueue
+from waxwingford.scheduling._containment import note_failure
 from waxwingford.scheduling._crashes import is_suspect
 from waxwingford.scheduling._eligibility import eligible
 from waxwingford.scheduling._interference import InterferenceModel
@@ -16,7 +17,7 @@
 from waxwingford.scheduling._server_costs import ServerCosts
 from waxwingford.scheduling._server_selection import ServerSelection
 from waxwingford.scheduling._servers import Server
-from waxwingford.scheduling._shard_state import ShardState
+from waxwingford.scheduling._shard_state import ShardState, block_job
 from waxwingford.scheduling._state import Job, Run, RunPhase, Step, Task
 from waxwingford.scheduling._task_order import (
     PendingTask,
@@ -120,10 +121,13 @@
             if self._placed >= max_starts:
                 break
             tried += 1
-            if not self._place_one(pending, usable, full_steps, now_ms):
+            try:
+                placed = self._place_one(pending, usable, full_steps, now_ms)
+            except Exception as error:
+                placed = _block(self._state, pending, error)
+            if not placed:
                 unplaced.append(pending)
-                if pending.overdue:
-                    self._reserve(pending, usable)
+                self._reserve_if_overdue(pending, usable)
         if self._best_effort_ms == now_ms:
             interval_ms = max(
                 BEST_EFFORT_INTERVAL_MS,
@@ -237,7 +241,11 @@
         self._evaluations += len(pool)
         return pool
 
-    def _reserve(self, pending: PendingTask, usable: list[Server]) -> None:
+    def _reserve_if_overdue(
+        self, pending: PendingTask, usable: list[Server]
+    ) -> None:
+        if not pending.overdue:
+            return
         if pending.step.spec.gang or pending.queue.advised:
             # A gang needs several servers, and the eligible servers of an
             # advised step are known only once they have free resources.
@@ -323,6 +331,17 @@
         return fitting
 
 
+def _block(state: ShardState, pending: PendingTask, error: Exception) -> bool:
+    """Start no more tasks of a job for which placing has failed.
+
+    :returns: that the task is no longer pending.
+    """
+    job_id = pending.task.key.job_id
+    note_failure(state.notes, 'place', job_id, error)
+    block_job(state, job_id)
+    return True
+
+
 def _count_due(job: Job, wall_ms: int) -> int:
     """Count the repetitions of a job that are due.
 
--- a/waxwingford/scheduling/_recovery.py
+++ b/waxwingford/scheduling/_recovery.py
@@ -73,7 +73,7 @@
         for key, raw in self._row_by_key.items():
             try:
                 self._apply_row(key, raw, now_ms, wall_ms)
-            except ValueError as error:
+            except Exception as error:
                 self._hold_job(key, error)
         self._row_by_key.clear()
         for job_id in self._held_job_ids & self._state.job_by_id.keys():
@@ -102,12 +102,12 @@
         if job is not None:
             apply_step_row(job, step_key, raw, now_ms, wall_ms)
 
-    def _hold_job(self, key: str, error: ValueError) -> None:
+    def _hold_job(self, key: str, error: Exception) -> None:
         """Start no more tasks of a job with an unreadable row.
 
         A task that runs or is done according to that row would run twice.
 
-        :param error: error of the decoder.
+        :param error: error of the decoder, or an unexpected one.
         """
         self._held_job_ids.add(key.removeprefix(ENDED_PREFIX).partition('.')[0])
         self._state.notes.add_unreadable(key, error)
--- a/waxwingford/scheduling/_run_settlement.py
+++ b/waxwingford/scheduling/_run_settlement.py
@@ -171,8 +171,9 @@
 
 
 def _requeue(state: ShardState, task: Task, step: Step) -> bool:
-    """Make a task pending unless it is done, has another run or its job has ended."""
-    if task.done or task.run_by_number or step.job.ended is not None:
+    """Make a task pending unless it is done, has another run or may not start."""
+    job = step.job
+    if task.done or task.run_by_number or job.ended is not None or job.blocked:
         return False
     state.pending_by_key[task.key] = task
     return True
--- a/waxwingford/scheduling/_settle.py
+++ b/waxwingford/scheduling/_settle.py
@@ -131,6 +131,9 @@
                 _note_connection_lost(server, outcome, now_ms)
                 run.unconfirmed = not outcome.connection_lost
                 server.enter(run, RunPhase.unresolved, now_ms)
+                found = self._state.find(run.key)
+                if outcome.unexpected and found is not None:
+                    found[0].avoided.add(server.incarnation)
                 note_run(self._state.notes, 'run.doubtful', run, reason)
 
     def stop_answered(
--- a/waxwingford/scheduling/_shard_state.py
+++ b/waxwingford/scheduling/_shard_state.py
@@ -352,6 +352,18 @@
     }
 
 
+def block_job(state: ShardState, job_id: str) -> None:
+    """Start no more tasks of a job, while its runs go on."""
+    job = state.job_by_id.get(job_id)
+    if job is not None:
+        job.blocked = True
+    state.pending_by_key = {
+        key: task
+        for key, task in state.pending_by_key.items()
+        if task.key.job_id != job_id
+    }
+
+
 def steps_of(job: Job) -> list[Step]:
     """List the steps of all repetitions that have begun."""
     return [
--- a/waxwingford/scheduling/_state.py
+++ b/waxwingford/scheduling/_state.py
@@ -238,7 +238,7 @@
         reported.
     :ivar ended: final phase that was decided, ``None`` before.
     :ivar blocked: whether no task is started because a row of the job is
-        unreadable.
+        unreadable, or placing a task has failed with an unexpected error.
     :ivar begun: whether a server has accepted or listed a run of any task.
     :ivar occurrences_left: number of repetitions that have not ended.
     :ivar noted_lateness: highest ``Lateness`` that was noted.
--- a/waxwingford/scheduling/_task_order.py
+++ b/waxwingford/scheduling/_task_order.py
@@ -3,13 +3,14 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
+from waxwingford.scheduling._containment import note_failure
 from waxwingford.scheduling._job_estimates import (
     JobEstimate,
     Lateness,
     estimate_job,
     owed_since_ms,
 )
-from waxwingford.scheduling._shard_state import ShardState, has_runs
+from waxwingford.scheduling._shard_state import ShardState, block_job, has_runs
 from waxwingford.scheduling._specs import QueueTerms
 from waxwingford.scheduling._state import Job, Step, Task
 
@@ -122,7 +123,7 @@
         if first is not None:
             yield _rank_sibling(first, task)
             continue
-        first = _rank_first(state, full, task, now_ms, limited)
+        first = _try_rank_first(state, full, task, now_ms, limited)
         if first is None:
             continue
         if not first.step.spec.long_running:
@@ -130,6 +131,21 @@
         yield first
 
 
+def _try_rank_first(
+    state: ShardState,
+    full: '_FullServices',
+    task: Task,
+    now_ms: int,
+    limited: bool,
+) -> PendingTask | None:
+    try:
+        return _rank_first(state, full, task, now_ms, limited)
+    except Exception as error:
+        note_failure(state.notes, 'rank', task.key.job_id, error)
+        block_job(state, task.key.job_id)
+    return None
+
+
 def _rank_first(
     state: ShardState,
     full: '_FullServices',
@@ -138,7 +154,7 @@
     limited: bool,
 ) -> PendingTask | None:
     job = state.job_by_id.get(task.key.job_id)
-    if job is None or job.ended is not None:
+    if job is None or job.ended is not None or job.blocked:
         state.pending_by_key.pop(task.key, None)
         return None
     steps = job.steps_by_occurrence[task.key.occurrence]
--- a/waxwingford/shard/__init__.py
+++ b/waxwingford/shard/__init__.py
@@ -67,5 +67,6 @@
             'scheduler_platforms',
         ),
         '_registration_port': ('RegistrationSource',),
+        '_supervision': ('ErrorReport', 'Supervisor'),
     },
 )
--- a/waxwingford/shard/_commits.py
+++ b/waxwingford/shard/_commits.py
@@ -1,9 +1,10 @@
 """Stores decisions of the engine in batches, then carries them out."""
 
 import asyncio
+import itertools
 from collections.abc import Callable, Iterator
 
-from waxwingford.scheduling import Engine
+from waxwingford.scheduling import Batch, Engine
 from waxwingford.shard._journal import Deposed, EpochWriter
 from waxwingford.shard._log_port import KeyedRecord
 from waxwingford.shard._server_drivers import ServerDrivers
@@ -27,6 +28,9 @@
         self._writer = writer
         self._fleet = fleet
         self._requested = asyncio.Event()
+        # Batch that is being stored. It is kept if that fails, as its decisions
+        # have been made.
+        self._batch: Batch | None = None
 
     def wake(self) -> None:
         """Request a batch if the engine has decisions to store."""
@@ -39,19 +43,28 @@
         :param request_decision: called after each stored batch.
         """
         while True:
-            await self._requested.wait()
-            self._requested.clear()
-            batch = self._engine.take_batch()
-            rows = tuple(
-                KeyedRecord(key, raw)
-                for key, raw in batch.payload_by_key.items()
-            )
-            for part in _split(rows):
-                if isinstance(await self._writer.append(part), Deposed):
-                    return
+            if self._batch is None:
+                await self._requested.wait()
+                self._requested.clear()
+                self._batch = self._engine.take_batch()
+            if not await self._store(self._batch):
+                return
+            batch = self._batch
+            self._batch = None
             self._fleet.send_starts(batch, self._engine.stored(batch))
             request_decision()
 
+    async def _store(self, batch: Batch) -> bool:
+        """Append the rows of a batch.
+
+        :returns: whether the owner has not been deposed.
+        """
+        rows = itertools.starmap(KeyedRecord, batch.payload_by_key.items())
+        for part in _split(tuple(rows)):
+            if isinstance(await self._writer.append(part), Deposed):
+                return False
+        return True
+
 
 def _split(
     rows: tuple[KeyedRecord, ...],
--- a/waxwingford/shard/_drivers.py
+++ b/waxwingford/shard/_drivers.py
@@ -1,12 +1,10 @@
 """Polls one backend server and sends it orders."""
 
 import asyncio
-import dataclasses
-from collections.abc import Awaitable, Callable, Coroutine
 
 from waxwingford.scheduling import (
-    BackendClient,
     Engine,
+    OrderOutcomeUnknown,
     Pace,
     PollResult,
     Run,
@@ -15,6 +13,7 @@
     Server,
 )
 from waxwingford.shard._clocks import MS_PER_S, monotonic_ms
+from waxwingford.shard._order_sender import DriverPorts, OrderSender
 
 #: Longest time that a server may hold a poll until a run ends, in ms. It bounds
 #: the age of reported progress and latencies.
@@ -51,26 +50,6 @@
 RETRY_DELAY_MS = 150
 #: Longest wait for end reports to be stored before the next poll, in seconds.
 MAX_STORE_WAIT_S = 1.0
-#: Concurrent orders to one server, not counting the poll.
-MAX_CONCURRENT_ORDERS = 2
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class DriverPorts:
-    """Dependencies that all drivers of an owner share.
-
-    :ivar ownership_proven: returns whether ownership of the shard is proven
-        recently enough to grant leases.
-    :ivar on_answer: called after an answer to a start, a stop or a poll.
-    :ivar on_task_done: done callback of each asyncio task of a driver.
-    """
-
-    backend_client: BackendClient
-    ownership_proven: Callable[[], bool]
-    wait_until_proven: Callable[[], Awaitable[None]]
-    on_answer: Callable[[], None]
-    on_task_done: Callable[[asyncio.Task[None]], None]
-    loop_lag_s: Callable[[], float]
 
 
 class ServerDriver:
@@ -89,21 +68,20 @@
         self._engine = engine
         self._backend_client = ports.backend_client
         self._ownership_proven = ports.ownership_proven
-        self._wait_until_proven = ports.wait_until_proven
         self._on_answer = ports.on_answer
         self._wake_event = asyncio.Event()
-        self._order_slots = asyncio.Semaphore(MAX_CONCURRENT_ORDERS)
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._on_task_done = ports.on_task_done
+        self._orders = OrderSender(server, engine, ports)
+        self._errors = ports.errors
         self._loop_lag_s = ports.loop_lag_s
-        self._poll_task = asyncio.create_task(self._poll_loop())
-        self._poll_task.add_done_callback(self._on_task_done)
+        self._poll_task = asyncio.create_task(
+            self._poll_loop(), name='poll loop'
+        )
+        self._poll_task.add_done_callback(self._errors.add_failed_task)
 
     def close(self) -> None:
         """Cancel the poll and all orders."""
         self._poll_task.cancel()
-        for task in self._tasks:
-            task.cancel()
+        self._orders.close()
 
     def wake(self) -> None:
         """Poll without delay, as runs were started or end reports stored."""
@@ -114,96 +92,50 @@
 
         :param run: run whose record is stored.
         """
-        self._spawn(self._start(run))
+        self._orders.start(run)
         self.wake()
 
     def stop(self, key: RunKey) -> None:
         """Send an order to stop a run."""
-        self._spawn(self._stop(key))
+        self._orders.stop(key)
         self.wake()
 
     def pace(self, order: Pace) -> None:
         """Send a change of pace."""
-        self._spawn(self._pace(order))
-
-    def _spawn(self, work: Coroutine[None, None, None]) -> None:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        task.add_done_callback(self._on_task_done)
-
-    async def _start(self, run: Run) -> None:
-        sent = False
-        while not sent:
-            # Wait before taking a slot: changes of pace need no proof.
-            await self._wait_until_proven()
-            async with self._order_slots:
-                sent = await self._send_start(run)
-        self._on_answer()
-
-    async def _send_start(self, run: Run) -> bool:
-        """Send a start if ownership is proven.
-
-        Waiting for a slot may have taken seconds. A start grants a lease; one
-        granted without a proof of ownership could outlast the time that a
-        successor waits, and the task would run twice.
-
-        :returns: whether the start was sent or is no longer needed.
-        """
-        # Before the check: if the VM is suspended in between, the lease is
-        # shorter rather than longer.
-        now_ms = monotonic_ms()
-        if not self._ownership_proven():
-            return False
-        order = self._engine.orders.start(run, now_ms)
-        if order is not None:
-            outcome = await self._backend_client.start(
-                self.server.address, order
-            )
-            self._engine.start_answered(
-                self.server, run, monotonic_ms(), outcome
-            )
-        return True
-
-    async def _stop(self, key: RunKey) -> None:
-        outcome = await self._backend_client.stop(
-            self.server.address, key, self._engine.orders.token
-        )
-        self._engine.settler.stop_answered(
-            self.server, key, monotonic_ms(), outcome
-        )
-        self._on_answer()
-
-    async def _pace(self, order: Pace) -> None:
-        async with self._order_slots:
-            outcome = await self._backend_client.pace(
-                self.server.address,
-                order.key,
-                order.percent,
-                self._engine.orders.token,
-            )
-        self._engine.pacer.answered(self.server, order, outcome)
+        self._orders.pace(order)
 
     async def _poll_loop(self) -> None:
         while not self.server.replaced:
             await self._wait_until_due()
             sent_ms = monotonic_ms()
-            order = self._engine.orders.poll(
-                self.server, sent_ms, self._wait_ms(), self._ownership_proven()
-            )
-            outcome = await self._backend_client.poll(
-                self.server.address, order
-            )
-            self._engine.poll_answered(
-                self.server, sent_ms, monotonic_ms(), outcome
-            )
-            if isinstance(outcome, PollResult) and not self.server.replaced:
-                self.server.forgotten_end = max(
-                    self.server.forgotten_end, outcome.acknowledged_end
+            try:
+                await self._poll(sent_ms)
+            except Exception as error:
+                self._errors.add(
+                    'poll', error, server=self.server.entry.server_id
+                )
+                self._engine.settler.poll_answered(
+                    self.server,
+                    sent_ms,
+                    monotonic_ms(),
+                    OrderOutcomeUnknown(f'answer not applied: {error!r}'),
                 )
             self._on_answer()
             await self._pause()
 
+    async def _poll(self, sent_ms: int) -> None:
+        order = self._engine.orders.poll(
+            self.server, sent_ms, self._wait_ms(), self._ownership_proven()
+        )
+        outcome = await self._backend_client.poll(self.server.address, order)
+        self._engine.poll_answered(
+            self.server, sent_ms, monotonic_ms(), outcome
+        )
+        if isinstance(outcome, PollResult) and not self.server.replaced:
+            self.server.forgotten_end = max(
+                self.server.forgotten_end, outcome.acknowledged_end
+            )
+
     async def _wait_until_due(self) -> None:
         server = self.server
         if server.polled_ms < 0 or server.failing_since_ms is not None:
--- a/waxwingford/shard/_journal.py
+++ b/waxwingford/shard/_journal.py
@@ -153,7 +153,7 @@
     # Cached because readers decode the newest record after every read.
     try:
         return _owner_decoder.decode(raw)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         _log.error('owner not read', extra={'reason': str(error)})
         return UNKNOWN_OWNER
 
--- a/waxwingford/shard/_lateness.py
+++ b/waxwingford/shard/_lateness.py
@@ -9,13 +9,14 @@
 import collections
 import statistics
 from collections.abc import Awaitable
-from typing import NamedTuple
+from typing import NamedTuple, TypeVar
 
 from waxwingford.scheduling import (
     Address,
     BackendClient,
     OrderAccepted,
     OrderOutcome,
+    OrderOutcomeUnknown,
     OrderRefused,
     PollOrder,
     PollOutcome,
@@ -25,6 +26,7 @@
 )
 from waxwingford.shard._clocks import MS_PER_S
 from waxwingford.shard._loop_lag import MAX_LAG_S, LoopLag
+from waxwingford.shard._supervision import ErrorReport
 
 #: Orders whose delay is averaged, and the fewest that tell anything.
 ORDER_SAMPLES = 32
@@ -45,6 +47,8 @@
 #: sent within it has timed out.
 PROMPT_PERIOD_S = 1.3
 
+Outcome = TypeVar('Outcome')
+
 
 class _Sample(NamedTuple):
     answered_s: float
@@ -170,15 +174,23 @@
 
 
 class TimedClient:
-    """Client of the backend servers that follows how late they answer."""
+    """Client of the backend servers that follows how late they answer.
+
+    A call never raises an error: one that the client doesn't expect gives an
+    unknown outcome, so that it concerns no other server.
+    """
 
-    def __init__(self, client: BackendClient, lateness: Lateness) -> None:
+    def __init__(
+        self, client: BackendClient, lateness: Lateness, errors: ErrorReport
+    ) -> None:
         """Use a client.
 
         :param lateness: told of each answer.
+        :param errors: told of each unexpected error.
         """
         self._client = client
         self._lateness = lateness
+        self._errors = errors
 
     async def start(self, address: Address, order: StartOrder) -> OrderOutcome:
         """Send a start order once, without retries."""
@@ -216,7 +228,7 @@
         """
         loop = asyncio.get_running_loop()
         sent_s = loop.time()
-        outcome = await self._client.poll(address, order)
+        outcome = await self._guard(address, self._client.poll(address, order))
         if isinstance(outcome, PollResult):
             elapsed_s = loop.time() - sent_s
             delay_s = max(0, elapsed_s - order.wait_ms / MS_PER_S)
@@ -232,8 +244,18 @@
     ) -> OrderOutcome:
         loop = asyncio.get_running_loop()
         sent_s = loop.time()
-        outcome = await order
+        outcome = await self._guard(address, order)
         if isinstance(outcome, OrderAccepted | OrderRefused):
             elapsed_s = loop.time() - sent_s
             self._lateness.note_order(address.server_id, elapsed_s)
         return outcome
+
+    async def _guard(
+        self, address: Address, call: Awaitable[Outcome]
+    ) -> Outcome | OrderOutcomeUnknown:
+        try:
+            return await call
+        except Exception as error:
+            self._errors.add('call', error, server=address.server_id)
+            reason = f'{type(error).__name__}: {error}'
+            return OrderOutcomeUnknown(reason, unexpected=True)
--- a/waxwingford/shard/_owner.py
+++ b/waxwingford/shard/_owner.py
@@ -1,9 +1,7 @@
 """Owner of a shard: stores decisions of its engine, then carries them out."""
 
 import asyncio
-from collections.abc import Coroutine
-
-import logbook
+import functools
 
 from waxwingford.kernel import SystemClock
 from waxwingford.scheduling import (
@@ -14,7 +12,6 @@
 from waxwingford.shard._claims import Claim
 from waxwingford.shard._clocks import monotonic_ms
 from waxwingford.shard._commits import Committer
-from waxwingford.shard._drivers import DriverPorts
 from waxwingford.shard._heartbeats import Heartbeats
 from waxwingford.shard._intake import CancelRow, IntakeRow, JobRow
 from waxwingford.shard._intake_cleaner import IntakeCleaner
@@ -46,9 +43,11 @@
 from waxwingford.shard._lease_bounds import LeaseLedger
 from waxwingford.shard._load_report import LoadReport
 from waxwingford.shard._mirror import CaughtUp, Mirror
+from waxwingford.shard._order_sender import DriverPorts
 from waxwingford.shard._owner_ports import OwnerPorts, OwnerSettings
 from waxwingford.shard._server_drivers import ServerDrivers
 from waxwingford.shard._start_control import StartControl
+from waxwingford.shard._supervision import ErrorReport, StartPart, Supervisor
 from waxwingford.shard._ticket_requests import TicketRequester
 
 MAX_DECISION_INTERVAL_S = 0.1
@@ -62,7 +61,6 @@
 #: shard would change owners continuously if no daemon reaches most servers.
 MIN_OWNERSHIP_MS = 3000
 
-_log = logbook.Logger('shard')
 _clock = SystemClock()
 
 
@@ -91,7 +89,8 @@
         self._terms = terms
         self._observer = ports.observer
         self._intake = IntakeReader(ports.log)
-        self._tasks: list[asyncio.Task[None]] = []
+        self._errors = ErrorReport(ports.observer.metrics)
+        self._supervisor = Supervisor(self._errors, self._give_up)
         self._decision_due = asyncio.Event()
         self._heartbeats: Heartbeats | None = None
         self.lateness = Lateness()
@@ -151,11 +150,12 @@
             # its process ends.
             await heartbeats.resign()
             return ClaimFailed('owner stopped during the claim')
-        self._spawn(
-            self._run_until_deposed(
-                self._heartbeats.run(), 'heartbeat fenced by a higher epoch'
-            )
+        run_heartbeats = functools.partial(
+            self._run_until_deposed,
+            heartbeats.run,
+            'heartbeat fenced by a higher epoch',
         )
+        self._supervisor.spawn('heartbeats', run_heartbeats)
         await self._take_over(journal.payload_by_key, ledger)
         if self.stopped.is_set():
             return ClaimFailed('owner stopped during the takeover')
@@ -204,9 +204,11 @@
         """
         self.cut_off = cut_off
         self._stop_tasks()
-        if self._heartbeats is not None:
-            await self._heartbeats.resign(cut_off)
-        self._mark_stopped(reason)
+        try:
+            if self._heartbeats is not None:
+                await self._heartbeats.resign(cut_off)
+        finally:
+            self._mark_stopped(reason)
 
     def stop(self, reason: str) -> None:
         """Stop without a resignation.
@@ -216,29 +218,20 @@
         self._stop_tasks()
         self._mark_stopped(reason)
 
-    def _spawn(self, coroutine: Coroutine[None, None, None]) -> None:
-        task = asyncio.create_task(coroutine)
-        task.add_done_callback(self._on_task_done)
-        self._tasks.append(task)
+    def _give_up(self, part: str) -> None:
+        """Resign, as a part goes on failing.
 
-    def _on_task_done(self, task: asyncio.Task[None]) -> None:
-        """Stop the owner if one of its tasks has failed.
-
-        Otherwise it would send heartbeats that prevent a takeover, while
+        Otherwise the owner would send heartbeats that prevent a takeover, while
         nothing is placed or stored.
+
+        :param part: name of the part.
         """
-        if task.cancelled() or task.exception() is None:
-            return
-        _log.error(
-            'part of the owner failed',
-            extra={'epoch': self.epoch},
-            exc_info=task.exception(),
-        )
-        self.stop('a part of the owner failed')
+        resignation = self.resign(f'{part} goes on failing')
+        # In a task of its own, because resigning cancels the part.
+        self._resignation = asyncio.create_task(resignation)
 
     def _stop_tasks(self) -> None:
-        for task in self._tasks:
-            task.cancel()
+        self._supervisor.cancel()
         if self.ready:
             self._fleet.close()
         self.ready = False
@@ -274,11 +267,13 @@
         self._intake.apply_to(self._engine)
         self._engine.inherit(now_ms, wall_ms)
         driver_ports = DriverPorts(
-            TimedClient(self._ports.backend_client, self.lateness),
+            TimedClient(
+                self._ports.backend_client, self.lateness, self._errors
+            ),
             lambda: self._heartbeats.ownership_proven,
             self._heartbeats.wait_ownership_proven,
             self._decision_due.set,
-            self._on_task_done,
+            self._errors,
             lambda: self.lateness.loop_lag.mean_s,
         )
         self._fleet = ServerDrivers(
@@ -295,22 +290,7 @@
             return
         self.ready = True
         self._ready_since_ms = monotonic_ms()
-        sweeper = IntakeCleaner(self._ports.log, self._engine)
-        coroutines = (
-            sweeper.run(),
-            ledger.start_extending(self._engine),
-            self._intake.follow(self._engine, self._decision_due.set),
-            self._refresh_registrations(),
-            self.lateness.loop_lag.measure(),
-            self._run_decisions(),
-            self._run_until_deposed(
-                self._committer.run(self._decision_due.set),
-                'journal append fenced by a higher epoch',
-            ),
-            self._ticket_requester.run(self._decision_due.set),
-        )
-        for coroutine in coroutines:
-            self._spawn(coroutine)
+        self._spawn_parts(ledger)
         state = self._engine.state
         self._observer.record_event(
             'shard.taken_over',
@@ -321,6 +301,31 @@
             took_ms=monotonic_ms() - now_ms,
         )
 
+    def _spawn_parts(self, ledger: LeaseLedger) -> None:
+        engine, request_decision = self._engine, self._decision_due.set
+        start_by_part: dict[str, StartPart] = {
+            'intake cleaner': IntakeCleaner(self._ports.log, engine).run,
+            'lease extension': functools.partial(
+                ledger.start_extending, engine
+            ),
+            'intake': functools.partial(
+                self._intake.follow, engine, request_decision
+            ),
+            'registrations': self._refresh_registrations,
+            'loop lag': self.lateness.loop_lag.measure,
+            'decisions': self._run_decisions,
+            'commits': functools.partial(
+                self._run_until_deposed,
+                functools.partial(self._committer.run, request_decision),
+                'journal append fenced by a higher epoch',
+            ),
+            'tickets': functools.partial(
+                self._ticket_requester.run, request_decision
+            ),
+        }
+        for part, start in start_by_part.items():
+            self._supervisor.spawn(part, start)
+
     async def _refresh_registrations(self) -> None:
         while True:
             await asyncio.sleep(REGISTRATION_INTERVAL_S)
@@ -375,12 +380,10 @@
             self._committer.wake()
             self._ticket_requester.wake()
 
-    async def _run_until_deposed(
-        self, coroutine: Coroutine[None, None, None], reason: str
-    ) -> None:
-        """Run a coroutine that returns when this owner is deposed.
+    async def _run_until_deposed(self, start: StartPart, reason: str) -> None:
+        """Run a part that returns when this owner is deposed.
 
         :param reason: cause of the stop, for the log.
         """
-        await coroutine
+        await start()
         self.stop(reason)
--- a/waxwingford/shard/_server_drivers.py
+++ b/waxwingford/shard/_server_drivers.py
@@ -11,7 +11,8 @@
     Stop,
 )
 from waxwingford.shard._clocks import monotonic_ms
-from waxwingford.shard._drivers import DriverPorts, ServerDriver
+from waxwingford.shard._drivers import ServerDriver
+from waxwingford.shard._order_sender import DriverPorts
 from waxwingford.shard._registration_port import RegistrationSource
 
 #: An owner is cut off if more than half of the servers that have tasks have not
--- a/waxwingford/shard/tests/drivers_steps.py
+++ b/waxwingford/shard/tests/drivers_steps.py
@@ -4,6 +4,7 @@
 
 from behave import given, then, when
 
+from waxwingford.metrics import Metrics
 from waxwingford.ports import Resources
 from waxwingford.routing.tests.virtual_loop import VirtualLoop, end_loop
 from waxwingford.scheduling import (
@@ -16,7 +17,9 @@
     ServerEntry,
     Terms,
 )
-from waxwingford.shard._drivers import DriverPorts, ServerDriver
+from waxwingford.shard._drivers import ServerDriver
+from waxwingford.shard._order_sender import DriverPorts
+from waxwingford.shard._supervision import ErrorReport
 from waxwingford.shard.tests.virtual_shard import QUEUE, step
 
 ANSWER_S = 0.002
@@ -68,7 +71,12 @@
     async def start_driver(self):
         self.proof = asyncio.Event()
         ports = DriverPorts(
-            self.recorder, self.proof.is_set, self.proof.wait, int, bool, float
+            self.recorder,
+            self.proof.is_set,
+            self.proof.wait,
+            int,
+            ErrorReport(Metrics()),
+            float,
         )
         server = self.engine.state.server_by_id['s0']
         self.driver = ServerDriver(server, self.engine, ports)
