Repeat no append that the store never accepts, and fail only what is in it

The port tells rejected appends, which would be rejected again, from refused ones: client errors but those of load, time and conditions; and records or keys over the store's limits, which aren't sent at all. A rejected batch is split until the rows at fault are found. In the intake a batch is cut by bytes too, only a row at fault is rejected, and its caller is told at once: 413 with the size and the bound, also for a body over the configured bound, which was 413 without a text.

Tests, at, below and past each bound, any sizes and records drawn: rejected, store_limits, poison.

--- a/waxwingford/platform/_client_api.py
+++ b/waxwingford/platform/_client_api.py
@@ -22,6 +22,7 @@
     MayBeStored,
     NotAnswered,
     NotStored,
+    RowRejected,
     ShardFrontend,
     Stored,
 )
@@ -86,8 +87,11 @@
         self, request: Request, path: QueuePath, job_id: str
     ) -> Response:
         deadline_s = _deadline_s(request, path)
-        if len(request.body) > self.configuration.body_bytes:
-            return _empty_response(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+        max_bytes = self.configuration.body_bytes
+        if len(request.body) > max_bytes:
+            return _too_large(
+                f'body: {len(request.body)} bytes, expected at most {max_bytes}'
+            )
         try:
             submission = decode_submission(request.body)
         except msgspec.MsgspecError as error:
@@ -167,6 +171,8 @@
             return _json_response({})
         case NotStored(_, retry_after_s):
             return _retry_later(HTTPStatus.SERVICE_UNAVAILABLE, retry_after_s)
+        case RowRejected(reason):
+            return _too_large(f'spec and steps: {reason}')
         case MayBeStored():
             return _empty_response(HTTPStatus.GATEWAY_TIMEOUT)
 
@@ -181,5 +187,9 @@
     return Response(status)
 
 
+def _too_large(text: str) -> Response:
+    return Response(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, f'{text}\n'.encode())
+
+
 def _retry_later(status: int, retry_after_s: int = RETRY_AFTER_S) -> Response:
     return Response(status, header_by_name={'Retry-After': str(retry_after_s)})
--- a/waxwingford/platform/_store.py
+++ b/waxwingford/platform/_store.py
@@ -2,6 +2,7 @@
 
 import base64
 import functools
+import itertools
 import struct
 from collections.abc import Callable
 from http import HTTPStatus
@@ -22,8 +23,10 @@
     AppendFenced,
     AppendOutcome,
     AppendOutOfOrder,
+    AppendRejected,
     Fence,
     KeyedRecord,
+    LogLimits,
     NewestOutcome,
     NewestPage,
     ReadOutcome,
@@ -34,6 +37,12 @@
     StoreRefused,
 )
 
+#: Sizes that the store accepts unless they are configured, in bytes.
+RECORD_BYTES = 262_144
+APPEND_BYTES = 2_097_152
+DEFAULT_LIMITS = LogLimits(RECORD_BYTES, APPEND_BYTES)
+#: Longest key, whose length takes one byte.
+MAX_KEY_BYTES = 255
 #: Timeout of an append, in seconds: several times the latency of a slow store.
 APPEND_TIMEOUT_S = 1.2
 #: Consecutive failed requests after which the store counts as not responding:
@@ -56,6 +65,17 @@
         HTTPStatus.INSUFFICIENT_STORAGE,
     )
 )
+#: Client errors that a repetition of the request may not get.
+_PASSING_STATUSES = frozenset(
+    (
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.CONFLICT,
+        HTTPStatus.PRECONDITION_FAILED,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_EARLY,
+        HTTPStatus.TOO_MANY_REQUESTS,
+    )
+)
 Outcome = TypeVar('Outcome')
 _RECORD_LENGTH = struct.Struct('>I')
 _HEADER = struct.Struct('>QQ')
@@ -100,11 +120,18 @@
 class PlatformLog:
     """Client of the shared log in the platform's store."""
 
-    def __init__(self, http_client: HttpClient, address: str) -> None:
+    def __init__(
+        self,
+        http_client: HttpClient,
+        address: str,
+        limits: LogLimits = DEFAULT_LIMITS,
+    ) -> None:
         """Create the client; no connection is opened yet.
 
         :param address: IP address and port of the store.
+        :param limits: sizes that the store accepts.
         """
+        self.limits = limits
         self._http_client = http_client
         self._address = address
         self._failures = 0
@@ -128,6 +155,9 @@
 
         :param fence: conditions of the append, ``None`` for none.
         """
+        fault = self._find_fault(records)
+        if fault:
+            return AppendRejected(fault)
         query = {
             'topic': _TOPIC_PREFIX + topic,
             'part': _PARTITION,
@@ -145,7 +175,7 @@
         if not isinstance(outcome, HttpResponse):
             return _failure_outcome(outcome)
         if outcome.status not in _APPEND_STATUSES:
-            return _status_outcome(outcome)
+            return _append_failure(outcome)
         return _try_decode(_decode_append, outcome)
 
     async def read(
@@ -202,6 +232,25 @@
             return _status_outcome(outcome)
         return _try_decode(_decode_page, outcome)
 
+    def _find_fault(self, records: tuple[KeyedRecord, ...]) -> str:
+        """Find out why the store would never accept an append.
+
+        :returns: the reason, empty if there is none.
+        """
+        keys = (record.key for record in records)
+        key = next(itertools.filterfalse(_is_storable, keys), None)
+        if key is not None:
+            return f'key {key!r}: expected up to {MAX_KEY_BYTES} bytes of UTF-8'
+        record_bytes, append_bytes = self.limits
+        sizes = [record.size for record in records]
+        longest = max(sizes, default=0)
+        if longest > record_bytes:
+            return f'{longest} bytes in a record, expected up to {record_bytes}'
+        total = sum(sizes)
+        if total > append_bytes:
+            return f'{total} bytes in all, expected up to {append_bytes}'
+        return ''
+
     def _track_failures(self, outcome: RequestOutcome) -> RequestOutcome:
         refused = (
             isinstance(outcome, HttpResponse)
@@ -212,6 +261,13 @@
         return outcome
 
 
+def _is_storable(key: str) -> bool:
+    try:
+        return len(key.encode()) <= MAX_KEY_BYTES
+    except UnicodeEncodeError:
+        return False
+
+
 def _fence_parameters(fence: Fence | None) -> dict[str, str]:
     if fence is None:
         return {}
@@ -294,6 +350,20 @@
     return StoredRecord(offset, key, body[key_end:] or None)
 
 
+def _append_failure(
+    response: HttpResponse,
+) -> AppendRejected | StoreRefused | StoreOutcomeUnknown:
+    is_final = (
+        HTTPStatus.BAD_REQUEST
+        <= response.status
+        < HTTPStatus.INTERNAL_SERVER_ERROR
+        and response.status not in _PASSING_STATUSES
+    )
+    if is_final:
+        return AppendRejected(f'status {response.status}')
+    return _status_outcome(response)
+
+
 def _status_outcome(
     response: HttpResponse,
 ) -> StoreRefused | StoreOutcomeUnknown:
--- /dev/null
+++ b/waxwingford/platform/tests/store_limits.feature
@@ -0,0 +1,60 @@
+Feature: appends that the platform's store never accepts are told apart
+
+  Scenario Outline: the store answers an append with a client error
+    # Guards against an append that is repeated for ever.
+    When the store answers an append with status <status>
+    Then the append ends as <outcome>
+
+    Examples:
+      | status | outcome             |
+      | 400    | AppendRejected      |
+      | 403    | AppendRejected      |
+      | 404    | AppendRejected      |
+      | 413    | AppendRejected      |
+      | 408    | StoreOutcomeUnknown |
+      | 429    | StoreRefused        |
+      | 500    | StoreOutcomeUnknown |
+      | 502    | StoreOutcomeUnknown |
+      | 503    | StoreRefused        |
+      | 507    | StoreRefused        |
+      | 301    | StoreOutcomeUnknown |
+
+  Scenario Outline: a record around the largest size
+    # Guards against a request whose refusal is known beforehand.
+    When a record of <size> bytes is appended, of at most 1000
+    Then the append ends as <outcome>
+    And the store got <requests> requests
+
+    Examples:
+      | size | outcome        | requests |
+      | 999  | Appended       | 1        |
+      | 1000 | Appended       | 1        |
+      | 1001 | AppendRejected | 0        |
+
+  Scenario Outline: records around the largest sum of sizes
+    When records of <sizes> bytes are appended, of at most 1000 each and 1500 in all
+    Then the append ends as <outcome>
+    And the store got <requests> requests
+
+    Examples:
+      | sizes     | outcome        | requests |
+      | 800, 699  | Appended       | 1        |
+      | 800, 700  | Appended       | 1        |
+      | 800, 701  | AppendRejected | 0        |
+
+  Scenario Outline: a key around the longest one
+    # Guards against an error while the request is encoded.
+    When a record with a key of <kind> is appended
+    Then the append ends as <outcome>
+
+    Examples:
+      | kind                 | outcome        |
+      | 254 letters          | Appended       |
+      | 255 letters          | Appended       |
+      | 256 letters          | AppendRejected |
+      | 128 accented letters | AppendRejected |
+      | half a character     | AppendRejected |
+
+  Scenario: any records
+    # Guards against a request that the store can't take, and against an error.
+    Then each append of any records is rejected or within the limits
--- a/waxwingford/scheduling/_engine.py
+++ b/waxwingford/scheduling/_engine.py
@@ -241,6 +241,19 @@
         batch.payload_by_key.update(self.state.remove_ended_jobs())
         return batch
 
+    def reject_rows(self, keys: Iterable[str]) -> None:
+        """Fail the jobs whose rows the store never accepts.
+
+        A job of which something isn't stored could run twice with the next owner.
+
+        :param keys: keys of rows in the last batches.
+        """
+        for key in keys:
+            self.state.notes.add('record.rejected', key)
+            job = self.state.job_by_id.get(key.partition('.')[0])
+            if job is not None:
+                self.state.finish(job, JobPhase.failed)
+
     def stored(self, batch: Batch) -> list[Start]:
         """Apply the actions of a stored batch.
 
--- a/waxwingford/shard/__init__.py
+++ b/waxwingford/shard/__init__.py
@@ -24,6 +24,7 @@
             'JobInvalid',
             'MayBeStored',
             'NotStored',
+            'RowRejected',
             'Stored',
         ),
         '_job_answers': (
@@ -38,8 +39,10 @@
             'AppendFenced',
             'AppendOutcome',
             'AppendOutOfOrder',
+            'AppendRejected',
             'Fence',
             'KeyedRecord',
+            'LogLimits',
             'NewestOutcome',
             'NewestPage',
             'ReadOutcome',
--- a/waxwingford/shard/_frontend.py
+++ b/waxwingford/shard/_frontend.py
@@ -21,6 +21,7 @@
     MayBeStored,
     NotStored,
     Stored,
+    job_record,
 )
 from waxwingford.shard._job_answers import (
     JobAnswer,
@@ -166,9 +167,13 @@
         return outcome
 
     async def _submit(self, spec: JobSpec, deadline_s: float) -> IntakeOutcome:
+        row = JobRow(encode_spec(spec))
+        rejection = self._intake.check_size(job_record(spec.job_id, row.raw))
+        if rejection is not None:
+            return rejection
         retry_after_s = self._member.load_report.retry_after.of(spec)
         if not retry_after_s:
-            return await self._store(JobRow(encode_spec(spec)), deadline_s)
+            return await self._store(row, deadline_s)
         # If an earlier attempt has stored the job, a refusal would be untrue. The
         # store is asked, as the owner has no time for more questions.
         if await self._view.is_stored(spec.job_id):
--- a/waxwingford/shard/_intake.py
+++ b/waxwingford/shard/_intake.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import itertools
 
 import msgspec
 
@@ -12,6 +13,7 @@
 from waxwingford.shard._log_port import (
     Appended,
     AppendOutcome,
+    AppendRejected,
     KeyedRecord,
     SharedLog,
     StoreOutcomeUnknown,
@@ -49,13 +51,22 @@
     fault: SpecFault
 
 
+class RowRejected(msgspec.Struct, frozen=True):
+    """The row can't be stored, now or later.
+
+    :ivar reason: size or error of the store, with what is expected.
+    """
+
+    reason: str
+
+
 class MayBeStored(msgspec.Struct, frozen=True):
     """The row may or may not be stored."""
 
     reason: str
 
 
-IntakeOutcome = Stored | NotStored | MayBeStored
+IntakeOutcome = Stored | NotStored | RowRejected | MayBeStored
 
 
 class JobRow(msgspec.Struct, frozen=True):
@@ -110,6 +121,9 @@
         except ValueError as error:
             # From a daemon of another version, which has checked it differently.
             return NotStored(f'job not read: {error}')
+        rejection = self.check_size(record)
+        if rejection is not None:
+            return rejection
         loop = asyncio.get_running_loop()
         entry = _PendingRow(record, deadline_s, loop.create_future())
         self._waiting.append(entry)
@@ -123,6 +137,19 @@
         except TimeoutError:
             return self._timed_out(entry)
 
+    def check_size(self, record: KeyedRecord) -> RowRejected | None:
+        """Check whether the store accepts a record of this size.
+
+        :returns: why it doesn't, ``None`` if it does.
+        """
+        limits = self._log.limits
+        max_bytes = min(limits.record_bytes, limits.append_bytes)
+        if record.size <= max_bytes:
+            return None
+        return RowRejected(
+            f'{record.size} bytes to store, expected at most {max_bytes}'
+        )
+
     def _timed_out(self, entry: _PendingRow) -> IntakeOutcome:
         if entry in self._waiting:
             self._waiting.remove(entry)
@@ -131,18 +158,37 @@
 
     async def _flush(self) -> None:
         while self._waiting:
-            batch = self._waiting[:MAX_ROWS_PER_APPEND]
-            del self._waiting[:MAX_ROWS_PER_APPEND]
-            rows = tuple(entry.record for entry in batch)
-            outcome = await self._log.append(INTAKE_TOPIC, rows)
-            if isinstance(outcome, Appended):
+            await self._append(self._take_batch())
+
+    def _take_batch(self) -> list[_PendingRow]:
+        """Remove and return waiting rows that fit into one append."""
+        sizes = (entry.record.size for entry in self._waiting)
+        totals = itertools.accumulate(sizes)
+        max_bytes = self._log.limits.append_bytes
+        fitting = itertools.takewhile(lambda total: total <= max_bytes, totals)
+        count = min(MAX_ROWS_PER_APPEND, sum(1 for _ in fitting))
+        batch = self._waiting[: max(1, count)]
+        del self._waiting[: len(batch)]
+        return batch
+
+    async def _append(self, batch: list[_PendingRow]) -> None:
+        rows = tuple(entry.record for entry in batch)
+        outcome = await self._log.append(INTAKE_TOPIC, rows)
+        match outcome:
+            case Appended():
                 for entry in batch:
                     _resolve(entry, Stored())
-                continue
-            self._waiting = (
-                self._entries_to_retry(batch, outcome) + self._waiting
-            )
-            await asyncio.sleep(RETRY_DELAY_S)
+            case AppendRejected(reason) if len(batch) == 1:
+                _resolve(batch[0], RowRejected(reason))
+            case AppendRejected():
+                # One of them may be at fault; the others must not wait for it.
+                middle = len(batch) // 2
+                await self._append(batch[:middle])
+                await self._append(batch[middle:])
+            case _:
+                to_retry = self._entries_to_retry(batch, outcome)
+                self._waiting = to_retry + self._waiting
+                await asyncio.sleep(RETRY_DELAY_S)
 
     def _entries_to_retry(
         self, batch: list[_PendingRow], outcome: AppendOutcome
@@ -169,10 +215,18 @@
         entry.future.set_result(outcome)
 
 
+def job_record(job_id: str, raw: bytes) -> KeyedRecord:
+    """Make the record of a job.
+
+    :param raw: job spec, encoded by ``encode_spec``.
+    """
+    return KeyedRecord(JOB_PREFIX + job_id, raw)
+
+
 def _record(row: IntakeRow) -> KeyedRecord:
     match row:
         case JobRow(raw):
-            return KeyedRecord(JOB_PREFIX + decode_spec(raw).job_id, raw)
+            return job_record(decode_spec(raw).job_id, raw)
         case CancelRow(job_id):
             return KeyedRecord(CANCEL_PREFIX + job_id, _CANCEL_PAYLOAD)
 
--- a/waxwingford/shard/_journal.py
+++ b/waxwingford/shard/_journal.py
@@ -19,8 +19,10 @@
     AppendFenced,
     AppendOutcome,
     AppendOutOfOrder,
+    AppendRejected,
     Fence,
     KeyedRecord,
+    LogLimits,
     SharedLog,
     StoreOutcomeUnknown,
     StoreRefused,
@@ -197,10 +199,18 @@
         """
         self._sequence = CLAIM_SEQUENCE + 1
 
-    async def append(self, rows: tuple[KeyedRecord, ...]) -> Appended | Deposed:
+    @property
+    def limits(self) -> LogLimits:
+        """Sizes that the store accepts."""
+        return self._log.limits
+
+    async def append(
+        self, rows: tuple[KeyedRecord, ...]
+    ) -> Appended | AppendRejected | Deposed:
         """Append, and retry until the outcome is known.
 
-        :returns: whether they are stored or this owner was deposed.
+        :returns: whether they are stored, never will be, or this owner was
+            deposed.
         """
         # An append that was cancelled in flight may have been applied. With the
         # same sequence number the store would take this one for a duplicate.
@@ -215,6 +225,10 @@
                 case Appended():
                     self._advance()
                     return outcome
+                case AppendRejected():
+                    # None of its attempts was stored, so the number is unused.
+                    self._append_pending = False
+                    return outcome
                 case AppendOutOfOrder(expected) if expected > self._sequence:
                     # An earlier attempt was applied after all.
                     self._advance()
--- a/waxwingford/shard/_log_port.py
+++ b/waxwingford/shard/_log_port.py
@@ -1,13 +1,28 @@
 """Port to the shared log: topics, fenced appends, newest record of each key.
 
 An append that got no answer may have been applied, or may be applied seconds
-later. Only a retry with the same sequence number, or a read, resolves it.
+later. Only a retry with the same sequence number, or a read, resolves it. One that
+was rejected would be rejected again: whoever sends it has to send something else.
 """
 
 from typing import NamedTuple, Protocol
 
 import msgspec
 
+#: Bytes of the lengths of a record and of its key.
+_LENGTHS_BYTES = 5
+
+
+class LogLimits(NamedTuple):
+    """Sizes that the store accepts.
+
+    :ivar record_bytes: largest size of a record, see ``KeyedRecord.size``.
+    :ivar append_bytes: largest sum of the sizes of the records of an append.
+    """
+
+    record_bytes: int
+    append_bytes: int
+
 
 class KeyedRecord(NamedTuple):
     """A record to append to a topic that is compacted by key.
@@ -19,6 +34,12 @@
     key: str
     payload: bytes | None
 
+    @property
+    def size(self) -> int:
+        """Size in bytes of the key, the content and their lengths."""
+        key = self.key.encode(errors='replace')
+        return _LENGTHS_BYTES + len(key) + len(self.payload or b'')
+
 
 class StoredRecord(NamedTuple):
     """A record as read from a topic.
@@ -78,8 +99,17 @@
     end: int
 
 
+class AppendRejected(msgspec.Struct, frozen=True):
+    """Not appended, and the same records never will be.
+
+    :ivar reason: error text of the store.
+    """
+
+    reason: str
+
+
 class StoreRefused(msgspec.Struct, frozen=True):
-    """The store refused the call and changed nothing.
+    """The store refused the call for now and changed nothing.
 
     :ivar reason: error text of the store.
     """
@@ -135,6 +165,7 @@
     | AppendFenced
     | AppendOutOfOrder
     | AppendEndMismatch
+    | AppendRejected
     | StoreRefused
     | StoreOutcomeUnknown
 )
@@ -146,9 +177,11 @@
     """Topics of keyed records, one partition each.
 
     :ivar responsive: whether the store has answered one of the latest calls.
+    :ivar limits: sizes that it accepts.
     """
 
     responsive: bool
+    limits: LogLimits
 
     async def append(
         self,
--- a/waxwingford/shard/_peers.py
+++ b/waxwingford/shard/_peers.py
@@ -17,6 +17,7 @@
     JobRow,
     MayBeStored,
     NotStored,
+    RowRejected,
     Stored,
 )
 from waxwingford.shard._job_answers import (
@@ -36,6 +37,7 @@
 _WIRE_BY_OUTCOME = {
     Stored: wire.StoreReply.STORED,
     NotStored: wire.StoreReply.NOT_STORED,
+    RowRejected: wire.StoreReply.NOT_STORED,
     MayBeStored: wire.StoreReply.MAY_BE_STORED,
 }
 _CALL_ERRORS = (GRPCError, StreamTerminatedError, asyncio.TimeoutError, OSError)
--- a/waxwingford/shard/tests/intake_steps.py
+++ b/waxwingford/shard/tests/intake_steps.py
@@ -9,6 +9,7 @@
 from waxwingford.shard import (
     Appended,
     Intake,
+    LogLimits,
     StoreOutcomeUnknown,
     StoreRefused,
 )
@@ -27,6 +28,7 @@
 
     def __init__(self, outcomes):
         self.responsive = True
+        self.limits = LogLimits(record_bytes=10_000, append_bytes=20_000)
         self.attempts = 0
         self.outcomes = outcomes
 
--- a/waxwingford/shard/tests/poison.feature
+++ b/waxwingford/shard/tests/poison.feature
@@ -21,6 +21,23 @@
       | [{"count":100}]                             | {"repeat-count":1001}              | repeat-count: 1001, expected 0 to 1000                            |
       | [{"count":1}]                               | {"repeat-count":2,"interval-ms":-1} | interval-ms: -1, expected 0 to 9007199254740992                  |
 
+  Scenario Outline: a submission around the size of a record
+    # Guards against a job that is accepted and can't be stored, or that is refused
+    # without its caller being told why.
+    Given a shard with 3 daemons and 4 servers
+    And records of up to 5000 bytes
+    When a client submits a job of which <excess> bytes are over the bound
+    Then the client gets status <status> and a text with "<text>"
+    And another job is accepted and completed
+
+    Examples:
+      | excess | status | text                                             |
+      | -1     | 200    |                                                  |
+      | 0      | 200    |                                                  |
+      | 1      | 413    | spec and steps: 5001 bytes to store, expected at most 5000 |
+      | 3000   | 413    | spec and steps: 8000 bytes to store, expected at most 5000 |
+      | 9000   | 413    | body:                                            |
+
   Scenario: a job that can't be scheduled is in the store
     # Guards against owners that end, one after the other, at a row of another version
     # or writer.
--- a/waxwingford/shard/tests/virtual_link.py
+++ b/waxwingford/shard/tests/virtual_link.py
@@ -215,6 +215,10 @@
     def responsive(self):
         return self._failures < MAX_FAILURES
 
+    @property
+    def limits(self):
+        return self._client.limits
+
     async def append(self, topic, records, fence=None):
         size = APPEND_BYTES + _records_size(records)
         return await self._call(
--- a/waxwingford/shard/tests/virtual_store.py
+++ b/waxwingford/shard/tests/virtual_store.py
@@ -9,6 +9,8 @@
     AppendEndMismatch,
     AppendFenced,
     AppendOutOfOrder,
+    AppendRejected,
+    LogLimits,
     NewestPage,
     RecordsRead,
     StoredRecord,
@@ -20,6 +22,8 @@
 TIMEOUT_S = 1.2
 MAX_QUEUE_S = 2
 PAGE_SIZE = 50
+LIMITS = LogLimits(record_bytes=262_144, append_bytes=2_097_152)
+MAX_KEY_BYTES = 255
 MS_PER_S = 1000
 
 
@@ -59,11 +63,28 @@
         self.append_s = 0
         self.busy_until_s_by_topic: dict[str, float] = {}
         self.max_records_per_read = 10_000
+        self.limits = LIMITS
+        #: Keys whose records are always rejected, and the rejected appends.
+        self.rejected_keys: set[str] = set()
+        self.rejected_appends: list[str] = []
+        #: Daemons to whose appends the store answers that it has no room.
+        self.full_for: set[str] = set()
         self.random = random.Random(seed)
 
     def topic(self, name: str) -> _Topic:
         return self.topic_by_name.setdefault(name, _Topic())
 
+    def rejects(self, records):
+        """Whether an append would never be accepted."""
+        too_long = any(
+            record.size - 4 > self.limits.record_bytes
+            or len(record.key.encode()) > MAX_KEY_BYTES
+            or record.key in self.rejected_keys
+            for record in records
+        )
+        total = sum(record.size for record in records)
+        return too_long or total > self.limits.append_bytes
+
     def apply(self, name, records, fence):
         topic = self.topic(name)
         if fence is not None:
@@ -130,11 +151,20 @@
         self._daemon_id = daemon_id
         self.responsive = True
 
+    @property
+    def limits(self):
+        return self._store.limits
+
     async def append(self, topic, records, fence=None):
         fault = await self._fault()
         if fault is not None:
             return fault
         store = self._store
+        if self._daemon_id in store.full_for:
+            return StoreRefused('status 507')
+        if store.rejects(records):
+            store.rejected_appends.append(topic)
+            return AppendRejected('status 400')
         if store.append_s and not await store.wait_for_queue(topic):
             return StoreRefused('append queue is full')
         losses = store.lost_appends_by_topic.get(topic)
--- a/waxwingford_bench/owner_cost/surroundings.py
+++ b/waxwingford_bench/owner_cost/surroundings.py
@@ -23,6 +23,7 @@
 )
 from waxwingford.shard import (
     Appended,
+    LogLimits,
     NewestPage,
     RecordsRead,
     TicketsUnavailable,
@@ -77,6 +78,7 @@
     """Shared log that accepts every append."""
 
     responsive = True
+    limits = LogLimits(record_bytes=262_144, append_bytes=2_097_152)
 
     def __init__(self, outside: Outside) -> None:
         self._outside = outside
