Keep a bounded number of learned pairs of images, in memory and in their row

Cause: a pair was kept for good as soon as it was looked up for a placement, so that with all of them best-effort tasks times serving tasks are stored as one row. It also grew with time, with each new image.

Change: only pairs that were observed are kept, 4,096 of them and 128,000 bytes in the row; those that were learned from least recently go first. Names of more than 1,024 bytes for a pair aren't learned, as they would be kept with it.

Tests: learned_pairs.feature at, below and past each bound, any pairs drawn, and an engine with 50 and 50 images.

--- a/waxwingford/scheduling/_engine.py
+++ b/waxwingford/scheduling/_engine.py
@@ -134,7 +134,7 @@
         harm = rows.pop(INTERFERENCE_KEY, None)
         if harm is not None:
             try:
-                self._harm.restore(harm)
+                self._harm.pairs.restore(harm)
             except Exception as error:
                 self.state.notes.add_unreadable(INTERFERENCE_KEY, error)
         losses = rows.pop(LOSSES_KEY, None)
@@ -186,7 +186,7 @@
                 >= STORE_INTERFERENCE_INTERVAL_MS
             ):
                 self._interference_stored_ms = now_ms
-                self.state.learned.interference_row = self._harm.encode()
+                self.state.learned.interference_row = self._harm.pairs.encode()
             self.pacer.adjust_paces(server, now_ms)
 
     def start_answered(
--- a/waxwingford/scheduling/_interference.py
+++ b/waxwingford/scheduling/_interference.py
@@ -11,12 +11,7 @@
 import math
 from typing import NamedTuple
 
-import msgspec
-
-from waxwingford.scheduling._coefficients import (
-    InterferenceCoefficient,
-    InterferenceTerm,
-)
+from waxwingford.scheduling._coefficients import InterferenceTerm
 from waxwingford.scheduling._colocated_runs import (
     full_pace_share,
     serving_runs,
@@ -25,6 +20,7 @@
 )
 from waxwingford.scheduling._headroom import HeadroomFilter
 from waxwingford.scheduling._incarnations import Incarnation
+from waxwingford.scheduling._learned_pairs import LearnedPairs
 from waxwingford.scheduling._samples import Observation, Sample, take_sample
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._state import Step
@@ -51,8 +47,6 @@
 RETENTION_MS = 30000
 _FULL_PERCENT = 100
 
-_decoder = msgspec.msgpack.Decoder(list[tuple[str, str, float, float]])
-
 
 class _StepHeadroom(NamedTuple):
     """Headroom of a serving step on a server, given its best-effort runs.
@@ -99,12 +93,13 @@
 
 
 class InterferenceModel:
-    """Estimates step headrooms and interference coefficients from polls."""
+    """Estimates step headrooms and interference coefficients from polls.
+
+    :ivar pairs: interference coefficients.
+    """
 
     def __init__(self) -> None:
-        self._coefficient_by_pair: dict[
-            tuple[str, str], InterferenceCoefficient
-        ] = {}
+        self.pairs = LearnedPairs()
         self._filter_by_step: dict[str, HeadroomFilter] = {}
         self._observation_by_server: dict[Incarnation, Observation] = {}
         self._forecast_by_server: dict[Incarnation, _ServerForecast] = {}
@@ -147,42 +142,12 @@
                 self._apply_sample(step, sample, current, previous)
         self._evict_stale(now_ms)
 
-    def encode(self) -> bytes:
-        """Serialise the interference coefficients for the store.
-
-        :returns: MessagePack list of serving image, best-effort image, mean and
-            variance.
-        """
-        return msgspec.msgpack.encode(
-            [
-                (*pair, coefficient.mean, coefficient.variance)
-                for pair, coefficient in self._coefficient_by_pair.items()
-            ]
-        )
-
-    def restore(self, raw: bytes) -> None:
-        """Load the interference coefficients of a previous owner.
-
-        :param raw: bytes returned by ``encode``.
-        :raises ValueError: if the bytes are malformed.
-        """
-        rows = _decoder.decode(raw)
-        for *pair, mean, variance in rows:
-            if not (0 <= mean < math.inf and 0 < variance < math.inf):
-                raise ValueError(f'{pair}: mean {mean}, variance {variance}')
-        self._coefficient_by_pair = {
-            (serving, best_effort): InterferenceCoefficient(mean, variance)
-            for serving, best_effort, mean, variance in rows
-        }
-
     def coefficient(self, serving: Step, best_effort: Step) -> float:
         """Predict the interference of a best-effort step with a serving step.
 
         :returns: headroom lost per whole server's CPU.
         """
-        return self._coefficient(
-            serving.spec.image, best_effort.spec.image
-        ).mean
+        return self.pairs.find(serving.spec.image, best_effort.spec.image).mean
 
     def allowance(
         self, server: Server, best_effort: Step, now_ms: int
@@ -208,7 +173,7 @@
         sustained = math.inf
         start = math.inf
         for headroom in headrooms:
-            coefficient = self._coefficient(headroom.step.spec.image, image)
+            coefficient = self.pairs.find(headroom.step.spec.image, image)
             start_share = (
                 headroom.at_current_pace - START_HEADROOM
             ) / coefficient.upper_bound
@@ -254,7 +219,7 @@
         loss: float = 0
         current_loss: float = 0
         for image, (full_share, current_share) in share_by_image.items():
-            mean = self._coefficient(serving.spec.image, image).mean
+            mean = self.pairs.find(serving.spec.image, image).mean
             loss += mean * full_share
             current_loss += mean * current_share
         step_filter = self.headroom_filter(serving, now_ms)
@@ -278,15 +243,6 @@
             self._filter_by_step[serving.name] = found
         return found
 
-    def _coefficient(
-        self, serving: str, best_effort: str
-    ) -> InterferenceCoefficient:
-        found = self._coefficient_by_pair.get((serving, best_effort))
-        if found is None:
-            found = InterferenceCoefficient()
-            self._coefficient_by_pair[serving, best_effort] = found
-        return found
-
     def _apply_sample(
         self,
         step: Step,
@@ -317,7 +273,7 @@
         images = {**current.share_by_image, **previous.share_by_image}
         return [
             InterferenceTerm(
-                self._coefficient(step.spec.image, image),
+                self.pairs.learn(step.spec.image, image),
                 current.share_by_image.get(image, 0),
                 previous.share_by_image.get(image, 0),
             )
--- a/waxwingford/scheduling/tests/engine_harness.py
+++ b/waxwingford/scheduling/tests/engine_harness.py
@@ -29,6 +29,8 @@
 #: Longer than any lease, in ms.
 BEYOND_LEASE_MS = 6000
 QUEUE = QueueTerms('queue', 'service', 0, 3)
+#: Largest row that the store accepts.
+MAX_ROW_BYTES = 262_000
 
 
 class EngineHarness:
@@ -245,6 +247,7 @@
 
 def store_rows(rows, payload_by_key):
     for key, payload in payload_by_key.items():
+        assert len(payload or b'') <= MAX_ROW_BYTES, (key, len(payload))
         rows.pop(key, None)
         if payload is not None:
             rows[key] = payload
