Store a wide step in several rows, so that none outgrows a record

Cause: one row held all tasks of a step that have run, 60 to 70 bytes each, and was written again with each change of one of them. Checkpoints, which servers choose, and the servers where attempts failed had no bound either.

Change: a row holds up to 32 tasks of a step, so that one of the longest state (checkpoint of 4,096 bytes, server names of 255, eight failed servers) stays below 262,000 bytes; a longer checkpoint isn't kept, the run goes on and the one before stays. Only rows with a changed task are stored. The first row keeps the step's name as its key: steps of up to 32 tasks are stored as before, and the row of an earlier version, which holds all tasks, is read before the others and stored again, the first row last, so that an owner that ends between two appends loses nothing.

--- a/waxwingford/scheduling/_crashes.py
+++ b/waxwingford/scheduling/_crashes.py
@@ -129,7 +129,7 @@
         return
     task, step = found
     task.crash_evidence += evidence
-    state.mark(step)
+    state.mark(step, task)
     state.notes.add(
         'task.suspected',
         task.key,
@@ -214,14 +214,14 @@
         found = state.find(key)
         if found is not None:
             task, step = found
-            state.crash_records.outlived_step_by_name[step.name] = step
+            state.crash_records.outlived_by_key[key.task] = found
             task.lost_starts = 0
             if task.crash_evidence:
                 state.notes.add(
                     'task.cleared', key.task, evidence=task.crash_evidence
                 )
                 task.crash_evidence = 0
-                state.mark(step)
+                state.mark(step, task)
             task.excused_losses = 0
 
 
@@ -280,10 +280,10 @@
 
 
 def mark_outlived(state: ShardState) -> None:
-    """Mark the steps with newly outlived starts to be stored."""
-    for step in state.crash_records.outlived_step_by_name.values():
-        state.mark(step)
-    state.crash_records.outlived_step_by_name.clear()
+    """Mark the tasks with newly outlived starts to be stored."""
+    for task, step in state.crash_records.outlived_by_key.values():
+        state.mark(step, task)
+    state.crash_records.outlived_by_key.clear()
 
 
 def is_suspect(task: Task, step: Step) -> bool:
--- a/waxwingford/scheduling/_gangs.py
+++ b/waxwingford/scheduling/_gangs.py
@@ -14,6 +14,10 @@
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._state import Step, Task
 
+#: Numbers of failed runs that are kept for each member, the latest; earlier ones
+#: are counted only.
+MAX_FAILED_RUNS = 32
+
 
 class Assignment(NamedTuple):
     """Server assigned to a member of a gang."""
@@ -87,6 +91,7 @@
     """
     if run_number not in task.failed_runs:
         task.failed_runs.append(run_number)
+        del task.failed_runs[:-MAX_FAILED_RUNS]
 
 
 def count_failed_runs(step: Step) -> int:
--- a/waxwingford/scheduling/_late_ends.py
+++ b/waxwingford/scheduling/_late_ends.py
@@ -39,7 +39,7 @@
         return False
     task, step = found
     task.lost_runs.remove(end.run.run)
-    state.mark(step)
+    state.mark(step, task)
     state.notes.add(
         'run.ended_late',
         end.run.task,
--- a/waxwingford/scheduling/_recovery.py
+++ b/waxwingford/scheduling/_recovery.py
@@ -70,7 +70,9 @@
         :param now_ms: current monotonic time, in ms.
         :param wall_ms: current Unix time, in ms.
         """
-        for key, raw in self._row_by_key.items():
+        # The first rows come first: those of earlier versions may hold tasks of
+        # later rows, which are newer.
+        for key, raw in sorted(self._row_by_key.items(), key=_part_order):
             try:
                 self._apply_row(key, raw, now_ms, wall_ms)
             except Exception as error:
@@ -99,8 +101,11 @@
     ) -> None:
         step_key = parse_step_key(key)
         job = self._state.job_by_id.get(step_key.job_id)
-        if job is not None:
-            apply_step_row(job, step_key, raw, now_ms, wall_ms)
+        if job is None:
+            return
+        if apply_step_row(job, step_key, raw, now_ms, wall_ms):
+            steps = job.steps_by_occurrence[step_key.occurrence]
+            self._state.mark(steps[step_key.index])
 
     def _hold_job(self, key: str, error: Exception) -> None:
         """Start no more tasks of a job with an unreadable row.
@@ -147,3 +152,11 @@
                 self.orphans_by_server[run.server_id].append((run, step))
             if step.spec.gang:
                 gangs.stop_incomplete(step)
+
+
+def _part_order(row: tuple[str, bytes]) -> int:
+    try:
+        return parse_step_key(row[0]).part
+    except ValueError:
+        # Applying it tells why.
+        return 0
--- a/waxwingford/scheduling/_restarts.py
+++ b/waxwingford/scheduling/_restarts.py
@@ -94,7 +94,8 @@
             run.incarnation = server.incarnation
             found = self._state.find(run.key)
             if found is not None:
-                self._state.mark(found[1])
+                task, step = found
+                self._state.mark(step, task)
 
     def judge_crash(
         self, server: Server, crash: Crash, known: set[RunKey], now_ms: int
--- a/waxwingford/scheduling/_rows.py
+++ b/waxwingford/scheduling/_rows.py
@@ -1,9 +1,12 @@
 """Encoding of the journal rows for steps and ended jobs.
 
-The newest row of a step holds all of its state that a new owner needs. Tasks
-that never ran are left out.
+The newest rows of a step hold all of its state that a new owner needs, each that
+of up to ``TASKS_PER_ROW`` tasks, so that no row outgrows a record of the store.
+Tasks that never ran are left out.
 """
 
+import math
+from collections.abc import Iterator
 from typing import NamedTuple
 
 import msgspec
@@ -35,6 +38,13 @@
 #: Maximum waiting time that a task carries over from previous owners, in ms. It
 #: is computed from Unix time, and the clocks of VMs differ.
 MAX_INHERITED_WAIT_MS = 60_000
+#: Tasks of a step whose state is in one row. With the longest checkpoint and the
+#: longest names of servers each takes less than 8 KB.
+TASKS_PER_ROW = 32
+#: Longest checkpoint that is kept, in bytes.
+MAX_CHECKPOINT_BYTES = 4096
+#: Separates the number of a row, other than the first, from the step's name.
+_PART_SEPARATOR = '/'
 
 
 class _TaskRow(msgspec.Struct, array_like=True, omit_defaults=True):
@@ -85,25 +95,51 @@
 
 
 class StepKey(NamedTuple):
-    """Key of a step's row.
+    """Key of a row of a step.
 
     :ivar occurrence: index of the repetition, from 0.
     :ivar index: index of the step in the job.
+    :ivar part: number of the row in the step, from 0.
     """
 
     job_id: str
     occurrence: int
     index: int
+    part: int = 0
+
+
+def row_key(step: Step, part: int) -> str:
+    """Return the key of a row of a step.
+
+    :param part: number of the row. The first has the name of the step, under which
+        earlier versions stored all tasks.
+    """
+    return f'{step.name}{_PART_SEPARATOR}{part}' if part else step.name
+
+
+def parts_of(step: Step) -> range:
+    """Return the numbers of the rows of a step."""
+    return range(math.ceil(len(step.tasks) / TASKS_PER_ROW))
+
+
+def stored_keys(step: Step) -> Iterator[str]:
+    """List the keys of the rows of a step that may be stored."""
+    for part in parts_of(step):
+        if not part or any(task.last_run for task in _tasks_of(step, part)):
+            yield row_key(step, part)
 
 
 def parse_step_key(key: str) -> StepKey:
-    """Parse the key of a step's row.
+    """Parse the key of a row of a step.
 
-    :param key: key as returned by ``Step.name``.
+    :param key: key as returned by ``row_key``.
     :raises ValueError: if the key is malformed.
     """
-    job_id, occurrence, index = key.rsplit('.', 2)
-    return StepKey(job_id, int(occurrence), int(index))
+    job_id, occurrence, place = key.rsplit('.', 2)
+    index, separator, part = place.partition(_PART_SEPARATOR)
+    return StepKey(
+        job_id, int(occurrence), int(index), int(part) if separator else 0
+    )
 
 
 def encode_spec(spec: JobSpec) -> bytes:
@@ -124,22 +160,28 @@
     return spec
 
 
-def encode_step_row(step: Step, wall_offset_ms: int) -> bytes:
-    """Encode the row of a step.
+def encode_step_row(step: Step, part: int, wall_offset_ms: int) -> bytes:
+    """Encode a row of a step.
 
+    :param part: number of the row.
     :param wall_offset_ms: offset of Unix time from monotonic time, in ms.
     """
     return _encoder.encode(
         [
             task.final_row or _encode_task(task, wall_offset_ms)
-            for task in step.tasks
+            for task in _tasks_of(step, part)
             if task.last_run
         ]
     )
 
 
+def _tasks_of(step: Step, part: int) -> list[Task]:
+    first = part * TASKS_PER_ROW
+    return step.tasks[first : first + TASKS_PER_ROW]
+
+
 def _encode_task(task: Task, wall_offset_ms: int) -> msgspec.Raw:
-    # The rows of wide steps are written again with each of their tasks.
+    # A row is written again with each change of one of its tasks.
     inputs = _row_inputs(task, wall_offset_ms)
     latest = task.latest_row
     if latest is not None and latest[0] == inputs:
@@ -202,57 +244,64 @@
 
 def apply_step_row(
     job: Job, step_key: StepKey, raw: bytes, now_ms: int, wall_ms: int
-) -> None:
-    """Apply the row of a step to the state of its job.
+) -> bool:
+    """Apply a row of a step to the state of its job.
 
     :param now_ms: current monotonic time, in ms; start of restored runs.
     :param wall_ms: current Unix time, in ms.
+    :returns: whether it holds tasks of other rows, as those of earlier versions
+        do. The step has to be stored again then.
     :raises ValueError: if the row is malformed or doesn't match the job.
     """
     rows = _rows_decoder.decode(raw)
-    if not 0 <= step_key.index < len(job.spec.steps):
-        raise ValueError(
-            f'step index {step_key.index} is out of range for the job'
-        )
-    if not 0 <= step_key.occurrence < job.spec.occurrences:
-        raise ValueError(
-            f'repetition {step_key.occurrence} is out of range for the job'
-        )
+    _check_range('step index', step_key.index, len(job.spec.steps))
+    _check_range('repetition', step_key.occurrence, job.spec.occurrences)
     step = job.begin(step_key.occurrence)[step_key.index]
-    if not all(0 <= row.index < len(step.tasks) for row in rows):
-        raise ValueError('task index is out of range for the step')
+    for row in rows:
+        _check_range('task index', row.index, len(step.tasks))
+    others = {row.index // TASKS_PER_ROW for row in rows} - {step_key.part}
+    if step_key.part and others:
+        raise ValueError('task index is out of range for the row')
     for row in rows:
         task = step.tasks[row.index]
-        task.last_run = row.last_run
-        task.failures = row.failures
-        task.crash_evidence = row.crash_evidence
-        task.lost_runs = row.lost_runs
-        task.failed_runs = row.failed_runs
-        if row.waits_since_ms:
-            waited_ms = max(0, wall_ms - row.waits_since_ms)
-            task.pending_since_ms = now_ms - min(
-                waited_ms, MAX_INHERITED_WAIT_MS
-            )
-        task.done = row.done
-        task.checkpoint = row.checkpoint
-        task.run_by_number = {
-            number: _inherited_run(
-                task, number, parse_incarnation(text), now_ms
-            )
-            for number, text in row.runs
-        }
-        for run in task.run_by_number.values():
-            run.outlived = row.outlived
-            run.accepted = run.key.run in row.accepted_runs
+        step.unfinished += task.done - row.done
+        _apply_task_row(task, row, now_ms, wall_ms)
         if not row.unbegun:
             job.note_begun(task)
-        task.failed_on = list(map(parse_incarnation, row.failed_on))
-        task.avoided = set(task.failed_on)
-    step.unfinished = sum(not task.done for task in step.tasks)
+    return bool(others)
+
+
+def _check_range(name: str, number: int, end: int) -> None:
+    if not 0 <= number < end:
+        raise ValueError(f'{name}: {number}, expected 0 to {end - 1}')
+
+
+def _apply_task_row(
+    task: Task, row: _TaskRow, now_ms: int, wall_ms: int
+) -> None:
+    task.last_run = row.last_run
+    task.failures = row.failures
+    task.crash_evidence = row.crash_evidence
+    task.lost_runs = row.lost_runs
+    task.failed_runs = row.failed_runs
+    if row.waits_since_ms:
+        waited_ms = max(0, wall_ms - row.waits_since_ms)
+        task.pending_since_ms = now_ms - min(waited_ms, MAX_INHERITED_WAIT_MS)
+    task.done = row.done
+    task.checkpoint = row.checkpoint
+    task.run_by_number = {
+        number: _inherited_run(task, number, parse_incarnation(text), now_ms)
+        for number, text in row.runs
+    }
+    for run in task.run_by_number.values():
+        run.outlived = row.outlived
+        run.accepted = run.key.run in row.accepted_runs
+    task.failed_on = list(map(parse_incarnation, row.failed_on))
+    task.avoided = set(task.failed_on)
 
 
 def tells_begun(raw: bytes) -> bool:
-    """Tell whether a step has begun by its row.
+    """Tell whether a step has begun by one of its rows.
 
     :param raw: bytes returned by ``encode_step_row``.
     :raises ValueError: if the row is malformed.
@@ -298,6 +347,8 @@
     'ENDED_PREFIX',
     'INTERFERENCE_KEY',
     'LOSSES_KEY',
+    'MAX_CHECKPOINT_BYTES',
+    'TASKS_PER_ROW',
     'StepKey',
     'apply_step_row',
     'decode_end',
@@ -306,5 +357,8 @@
     'encode_spec',
     'encode_step_row',
     'parse_step_key',
+    'parts_of',
+    'row_key',
+    'stored_keys',
     'tells_begun',
 )
--- a/waxwingford/scheduling/_run_settlement.py
+++ b/waxwingford/scheduling/_run_settlement.py
@@ -8,10 +8,14 @@
     SUCCESS_PENALTY_FACTOR,
     penalize_server,
 )
+from waxwingford.scheduling._rows import MAX_CHECKPOINT_BYTES
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._shard_state import ShardState
 from waxwingford.scheduling._state import JobPhase, Run, RunPhase, Step, Task
 
+#: Incarnations on which attempts of a task have failed that are stored, the latest.
+MAX_FAILED_ON = 8
+
 
 class RunSettlement:
     """Settles runs, and applies their ends to the state of a shard."""
@@ -67,12 +71,14 @@
             # The server has survived the run, so the task didn't crash it.
             task.crash_evidence = 0
             task.lost_starts = 0
-        task.checkpoint = checkpoint or task.checkpoint
+        task.checkpoint = self.newest_checkpoint(
+            run, checkpoint, task.checkpoint
+        )
         if step.spec.gang:
             gangs.share_checkpoint(step, task.checkpoint)
             if kind is not EndKind.done:
                 gangs.stop_other_members(step, run.key.run)
-        self._state.mark(step)
+        self._state.mark(step, task)
         self.apply_end_kind(server, run.key, kind, now_ms)
         if began or not task.pending_since_ms:
             # A start of which no run began doesn't interrupt the wait.
@@ -80,6 +86,25 @@
         requeued = _requeue(self._state, task, step)
         self._returned += requeued and not began
 
+    def newest_checkpoint(self, run: Run, checkpoint: str, former: str) -> str:
+        """Choose the checkpoint to resume from.
+
+        :param checkpoint: newest one of the run, empty for none. If it is too long
+            to be stored, the one before is chosen.
+        :param former: the one to keep without any of the run.
+        """
+        if not checkpoint:
+            return former
+        size = len(checkpoint.encode())
+        if size <= MAX_CHECKPOINT_BYTES:
+            return checkpoint
+        self._state.notes.add_failure(
+            'keep checkpoint',
+            str(run.key.task),
+            reason=f'{size} bytes, expected at most {MAX_CHECKPOINT_BYTES}',
+        )
+        return run.checkpoint or former
+
     def apply_end_kind(
         self,
         server: Server,
@@ -154,6 +179,7 @@
             return
         if server.incarnation not in task.failed_on:
             task.failed_on.append(server.incarnation)
+            del task.failed_on[:-MAX_FAILED_ON]
         failures = (
             gangs.count_failed_runs(step) if step.spec.gang else task.failures
         )
--- a/waxwingford/scheduling/_settle.py
+++ b/waxwingford/scheduling/_settle.py
@@ -257,7 +257,9 @@
         self.restarts.note_listed(server, run)
         if run.started_server_clock_ms is None:
             run.started_server_clock_ms = server.latest_clock_ms
-        run.checkpoint = report.checkpoint or run.checkpoint
+        run.checkpoint = self._settlement.newest_checkpoint(
+            run, report.checkpoint, run.checkpoint
+        )
         run.measured_value = report.measured_value
 
     def _note_begun(self, server: Server, run: Run) -> None:
@@ -269,7 +271,7 @@
             # The next owner has to know what has begun on a server that is lost
             # together with this owner. A former owner may have ended before it
             # stored that the task has begun.
-            self._state.mark(step)
+            self._state.mark(step, task)
         task.begun = True
         step.job.begun = True
 
--- a/waxwingford/scheduling/_shard_state.py
+++ b/waxwingford/scheduling/_shard_state.py
@@ -6,8 +6,9 @@
 """
 
 import collections
+from typing import NamedTuple
 
-from waxwingford.scheduling._backend_client import RunKey
+from waxwingford.scheduling._backend_client import RunKey, TaskKey
 from waxwingford.scheduling._incarnations import Incarnation
 from waxwingford.scheduling._job_estimates import (
     JobSizes,
@@ -26,8 +27,12 @@
     ENDED_PREFIX,
     INTERFERENCE_KEY,
     LOSSES_KEY,
+    TASKS_PER_ROW,
     encode_end,
     encode_step_row,
+    parts_of,
+    row_key,
+    stored_keys,
 )
 from waxwingford.scheduling._run_times import RunTimes
 from waxwingford.scheduling._servers import Server
@@ -45,16 +50,23 @@
 INITIAL_TERMS = Terms(0, {})
 
 
+class _DirtyRows(NamedTuple):
+    # Numbers of the rows of a step that are to be stored.
+    step: Step
+    parts: set[int]
+
+
 class CrashRecords:
     """What is known of lost servers and outlived starts.
 
     :ivar losses: recent losses of servers.
-    :ivar outlived_step_by_name: steps with newly outlived starts, to be stored.
+    :ivar outlived_by_key: tasks with newly outlived starts, to be stored, and
+        their steps.
     """
 
     def __init__(self) -> None:
         self.losses = LossHistory()
-        self.outlived_step_by_name: dict[str, Step] = {}
+        self.outlived_by_key: dict[TaskKey, tuple[Task, Step]] = {}
 
 
 class Learned:
@@ -104,7 +116,7 @@
         self.wall_offset_ms = 0
         self.notes = NoteBuffer()
         self.crash_records = CrashRecords()
-        self._dirty_step_by_name: dict[str, Step] = {}
+        self._dirty_by_step: dict[str, _DirtyRows] = {}
         self._pending_job_ends: list[tuple[Job, JobPhase]] = []
         self._unread_job_ids: set[str] = set()
         self._pending_starts: list[Start] = []
@@ -119,7 +131,7 @@
         """
         job_ends = self._pending_job_ends or self._unread_job_ids
         return bool(
-            self._dirty_step_by_name
+            self._dirty_by_step
             or job_ends
             or self._pending_acknowledgements
             or self._pending_starts
@@ -141,14 +153,25 @@
         self.notes.add('job.known', spec.job_id, queue=spec.queue, tasks=tasks)
         return True
 
-    def mark(self, step: Step) -> None:
-        """Mark a step to be stored with the next batch."""
-        self._dirty_step_by_name[step.name] = step
+    def mark(self, step: Step, task: Task | None = None) -> None:
+        """Mark rows of a step to be stored with the next batch.
+
+        :param task: task that has changed; by default any may have, as in a gang,
+            whose members end together.
+        """
+        dirty = self._dirty_by_step.get(step.name)
+        if dirty is None:
+            dirty = _DirtyRows(step, set())
+            self._dirty_by_step[step.name] = dirty
+        if task is None or step.spec.gang:
+            dirty.parts.update(parts_of(step))
+        else:
+            dirty.parts.add(task.key.index // TASKS_PER_ROW)
 
     def plan(self, run: Run, step: Step) -> None:
         """Place a run; it starts once it is stored."""
         self.server_by_id[run.server_id].add(run, step)
-        self.mark(step)
+        self.mark(step, step.tasks[run.key.task.index])
         self._pending_starts.append(Start(run.server_id, run))
 
     def acknowledge_end(self, incarnation: Incarnation, number: int) -> None:
@@ -197,16 +220,24 @@
 
     def take_batch(self) -> Batch:
         """Remove and return everything that has to be stored."""
-        payload_by_key: dict[str, bytes | None] = {}
-        for name, step in self._dirty_step_by_name.items():
-            if step.job.ended is None:
-                payload_by_key[name] = encode_step_row(
-                    step, self.wall_offset_ms
-                )
+        dirty_steps = [
+            dirty
+            for dirty in self._dirty_by_step.values()
+            if dirty.step.job.ended is None
+        ]
+        # The first row comes last: it may replace one of an earlier version, which
+        # holds all tasks, and a batch may take several appends.
+        payload_by_key: dict[str, bytes | None] = {
+            row_key(step, part): encode_step_row(
+                step, part, self.wall_offset_ms
+            )
+            for step, parts in dirty_steps
+            for part in sorted(parts, reverse=True)
+        }
         shown = [
             (step.job, JobPhase.running)
-            for step in self._dirty_step_by_name.values()
-            if step.job.ended is None and _shows_running(step)
+            for step, _ in dirty_steps
+            if _shows_running(step)
         ]
         for job, phase in self._pending_job_ends:
             payload_by_key[ENDED_PREFIX + job.spec.job_id] = encode_end(phase)
@@ -226,7 +257,7 @@
             self._pending_acknowledgements,
             shown,
         )
-        self._dirty_step_by_name = {}
+        self._dirty_by_step = {}
         self._pending_job_ends = []
         self._unread_job_ids = set()
         self._pending_starts = []
@@ -269,7 +300,7 @@
         for job in ended_jobs:
             del self.job_by_id[job.spec.job_id]
             for step in steps_of(job):
-                dropped[step.name] = None
+                dropped.update(dict.fromkeys(stored_keys(step)))
                 self.tickets.forget(step)
         return dropped
 
--- a/waxwingford/scheduling/tests/gang_steps.py
+++ b/waxwingford/scheduling/tests/gang_steps.py
@@ -103,7 +103,7 @@
     stored = job.steps_by_occurrence[0][0]
     for task in stored.tasks:
         task.failures = count
-    harness.rows[stored.name] = encode_step_row(stored, 0)
+    harness.rows[stored.name] = encode_step_row(stored, 0, 0)
     change_owner(context)
     harness.register()
     harness.poll()
--- a/waxwingford/scheduling/tests/rows_steps.py
+++ b/waxwingford/scheduling/tests/rows_steps.py
@@ -92,8 +92,10 @@
             # A row that is final stands for a task that nothing changes.
             if step.tasks[index].final_row is None:
                 change(step.tasks[index], kind, name, value)
-            row = encode_step_row(step, wall_offset_ms)
-            expected = encode_step_row(without_kept_rows(step), wall_offset_ms)
+            row = encode_step_row(step, 0, wall_offset_ms)
+            expected = encode_step_row(
+                without_kept_rows(step), 0, wall_offset_ms
+            )
             assert row == expected, (row, expected)
             context.compared += 1
 
--- a/waxwingford/scheduling/tests/succession_steps.py
+++ b/waxwingford/scheduling/tests/succession_steps.py
@@ -138,7 +138,7 @@
     harness.ends[server_id].append(end)
     task.done = True
     task.run_by_number.clear()
-    row = encode_step_row(job.steps_by_occurrence[0][0], 0)
+    row = encode_step_row(job.steps_by_occurrence[0][0], 0, 0)
     harness.rows[f'{JOB}.0.0'] = row
 
 
--- a/waxwingford/shard/tests/virtual_servers.py
+++ b/waxwingford/shard/tests/virtual_servers.py
@@ -35,10 +35,15 @@
 MS_PER_S = 1000
 #: Unix time in ms at which the loop's clock starts, unless it is changed.
 EPOCH_MS = 1_700_000_000_000
+#: Tasks of a step that one row of the journal holds.
+TASKS_PER_ROW = 32
 
 
 def step_key(task):
-    return f'{task.job_id}.{task.occurrence}.{task.step}'
+    """Key of the row of the journal that holds a task."""
+    part = task.index // TASKS_PER_ROW
+    name = f'{task.job_id}.{task.occurrence}.{task.step}'
+    return f'{name}/{part}' if part else name
 
 
 @dataclasses.dataclass(eq=False)
