Bound what heartbeats name, so that they always fit into a record

Some thousand of either exceed a record; then no heartbeat is stored and each owner is deposed in turn, its successor's first one being too long as well.

Change: names of silent servers take up to 16,000 bytes, those that are withheld already first. A server that isn't named keeps the general bound on its lease, which is later, so successors wait longer for it and never less. The same for the bounds that a successor repeats before it extends leases. Counts of more than 16,000 bytes are left out, and other daemons ask the owner for them. A heartbeat that is rejected all the same is logged, and the next is sent after the usual interval instead of at once.

--- a/waxwingford/scheduling/__init__.py
+++ b/waxwingford/scheduling/__init__.py
@@ -46,6 +46,7 @@
             'Start',
             'Stop',
         ),
+        '_lease_withholding': ('take_listed',),
         '_recovery': ('InheritedLeases',),
         '_rows': (
             'ENDED_PREFIX',
--- a/waxwingford/shard/_heartbeats.py
+++ b/waxwingford/shard/_heartbeats.py
@@ -16,7 +16,12 @@
 )
 from waxwingford.shard._lease_bounds import MAX_PROOF_AGE_MS, LeaseLedger
 from waxwingford.shard._load_report import LoadReport
-from waxwingford.shard._log_port import Appended, KeyedRecord, SharedLog
+from waxwingford.shard._log_port import (
+    Appended,
+    AppendRejected,
+    KeyedRecord,
+    SharedLog,
+)
 
 HEARTBEAT_INTERVAL_S = 0.4
 #: Longest wait for a resignation to be stored, in seconds. Long enough for two
@@ -111,13 +116,19 @@
         record = msgspec.structs.replace(
             record,
             beat=self._heartbeat_count,
-            **self._report_load()._asdict(),
+            **self._report_load().bounded()._asdict(),
             **report._asdict(),
         )
         row = KeyedRecord(OWNER_KEY, encode_owner(record))
         match await self._writer.append((row,)):
             case Deposed():
                 return False
+            case AppendRejected(reason):
+                _log.error(
+                    'heartbeat rejected',
+                    extra={'epoch': record.epoch, 'reason': reason},
+                )
+                await asyncio.sleep(HEARTBEAT_INTERVAL_S)
             case Appended(end):
                 self._ledger.heartbeat_stored(report, end)
                 if report.rest_ms is None:
--- a/waxwingford/shard/_lease_bounds.py
+++ b/waxwingford/shard/_lease_bounds.py
@@ -9,7 +9,7 @@
 import asyncio
 from typing import NamedTuple
 
-from waxwingford.scheduling import Engine, InheritedLeases
+from waxwingford.scheduling import Engine, InheritedLeases, take_listed
 from waxwingford.shard._clocks import monotonic_ms
 from waxwingford.shard._journal import Predecessor
 
@@ -145,10 +145,12 @@
             bounds = bound_leases(
                 self._predecessor, read_to + 1, now_ms, self._lease_ms
             )
+        # The bound for all servers holds for those that aren't listed.
+        listed = take_listed(bounds.until_by_server)
         return LeaseReport(
             {
-                server_id: max(0, until_ms - now_ms)
-                for server_id, until_ms in bounds.until_by_server.items()
+                server_id: max(0, bounds.until_by_server[server_id] - now_ms)
+                for server_id in listed
             },
             max(0, bounds.until_ms - now_ms),
             read_to,
--- a/waxwingford/shard/_load_report.py
+++ b/waxwingford/shard/_load_report.py
@@ -1,9 +1,14 @@
 """What an owner reports about its load, and which jobs are refused for it."""
 
-from typing import NamedTuple
+from typing import NamedTuple, Self
 
 from waxwingford.scheduling import JobSpec
 
+#: Longest counts of jobs by queue in a heartbeat, in bytes.
+MAX_PENDING_BYTES = 16_000
+#: Bytes of a count and of the length of its queue's name, at most.
+_COUNT_BYTES = 8
+
 
 class RetryAfter(NamedTuple):
     """Times after which callers may submit jobs again, 0 for at once.
@@ -28,6 +33,16 @@
     urgent_retry_s: int = 0
     best_effort_retry_s: int = 0
 
+    def bounded(self) -> Self:
+        """Leave the counts out if they are too long for a heartbeat.
+
+        Other daemons ask the owner for them then.
+        """
+        counts = self.pending_by_queue or {}
+        size = sum(len(queue.encode()) + _COUNT_BYTES for queue in counts)
+        fits = size <= MAX_PENDING_BYTES
+        return self if fits else self._replace(pending_by_queue=None)
+
     @property
     def retry_after(self) -> RetryAfter:
         """Classes of jobs that are refused."""
