Delete the ends of jobs and what owners have left of them

Change: the cleaner works on what the copy of the intake holds, so that a row that is stored late once more is deleted too. Rows of jobs that are over are deleted by the owner that finds them.

--- a/waxwingford/scheduling/_engine.py
+++ b/waxwingford/scheduling/_engine.py
@@ -75,7 +75,6 @@
         self._maintenance = Maintenance(
             self.state, self.settler, Migrator(self.state, self._placer)
         )
-        self._cancelled: set[str] = set()
         self.timely = True
         self._interference_stored_ms = 0
         self._jobs_to_release: dict[str, Job] = {}
@@ -94,7 +93,7 @@
         self._jobs_to_release[spec.job_id] = job
         if spec.times:
             self._timed_job_by_id[spec.job_id] = job
-        if spec.job_id in self._cancelled:
+        if spec.job_id in self.state.past.cancelled_early:
             self.cancel(spec.job_id)
         return True
 
@@ -114,10 +113,10 @@
         """
         job = self.state.job_by_id.get(job_id)
         if job is None:
-            if job_id not in self.state.final_phase_by_job:
-                self._cancelled.add(job_id)
+            if job_id not in self.state.past.phase_by_job:
+                self.state.past.cancelled_early.add(job_id)
             return
-        self._cancelled.discard(job_id)
+        self.state.past.cancelled_early.discard(job_id)
         self.state.finish(job, JobPhase.cancelled)
 
     def configure(self, terms: Terms) -> None:
--- a/waxwingford/scheduling/_recovery.py
+++ b/waxwingford/scheduling/_recovery.py
@@ -92,7 +92,7 @@
     def _restore_end(self, key: str, raw: bytes) -> None:
         job_id = key.removeprefix(ENDED_PREFIX)
         try:
-            self._state.final_phase_by_job[job_id] = decode_end(raw)
+            self._state.past.phase_by_job[job_id] = decode_end(raw)
         except ValueError as error:
             self._hold_job(key, error)
 
@@ -102,6 +102,8 @@
         step_key = parse_step_key(key)
         job = self._state.job_by_id.get(step_key.job_id)
         if job is None:
+            # The job has ended, and its owner before it had deleted the row.
+            self._state.past.delete_row(key)
             return
         if apply_step_row(job, step_key, raw, now_ms, wall_ms):
             steps = job.steps_by_occurrence[step_key.occurrence]
--- a/waxwingford/scheduling/_shard_state.py
+++ b/waxwingford/scheduling/_shard_state.py
@@ -23,6 +23,7 @@
     Order,
     Start,
 )
+from waxwingford.scheduling._past_jobs import PastJobs
 from waxwingford.scheduling._rows import (
     ENDED_PREFIX,
     INTERFERENCE_KEY,
@@ -89,7 +90,7 @@
 
     :ivar terms: settings of the queues in force.
     :ivar job_by_id: jobs that have not ended, or may still have runs.
-    :ivar final_phase_by_job: stored final phases of ended jobs.
+    :ivar past: jobs that have ended.
     :ivar server_by_id: current incarnations of the backend servers, by server
         id.
     :ivar pending_by_key: tasks that wait for a server.
@@ -106,7 +107,7 @@
     def __init__(self) -> None:
         self.terms = INITIAL_TERMS
         self.job_by_id: dict[str, Job] = {}
-        self.final_phase_by_job: dict[str, JobPhase] = {}
+        self.past = PastJobs()
         self.server_by_id: dict[str, Server] = {}
         self.pending_by_key: dict[object, Task] = {}
         self.orders: list[Order] = []
@@ -129,7 +130,9 @@
         :returns: whether rows of jobs, starts or acknowledgements are pending;
             learned interference or losses alone wait for the next of these.
         """
-        job_ends = self._pending_job_ends or self._unread_job_ids
+        job_ends = (
+            self._pending_job_ends or self._unread_job_ids or self.past.dirty
+        )
         return bool(
             self._dirty_by_step
             or job_ends
@@ -145,7 +148,7 @@
         """
         if (
             spec.job_id in self.job_by_id
-            or spec.job_id in self.final_phase_by_job
+            or spec.job_id in self.past.phase_by_job
         ):
             return False
         self.job_by_id[spec.job_id] = new_job(spec, now_ms)
@@ -207,9 +210,9 @@
 
     def fail_unread(self, job_id: str) -> None:
         """End a job whose record can't be read, unless it is known otherwise."""
-        if job_id in self.job_by_id or job_id in self.final_phase_by_job:
+        if job_id in self.job_by_id or job_id in self.past.phase_by_job:
             return
-        self.final_phase_by_job[job_id] = JobPhase.failed
+        self.past.phase_by_job[job_id] = JobPhase.failed
         self._unread_job_ids.add(job_id)
 
     def take_orders(self) -> list[Order]:
@@ -244,6 +247,7 @@
             shown.append((job, phase))
         for job_id in self._unread_job_ids:
             payload_by_key[ENDED_PREFIX + job_id] = encode_end(JobPhase.failed)
+        payload_by_key.update(dict.fromkeys(self.past.take_obsolete()))
         if self.learned.interference_row is not None:
             payload_by_key[INTERFERENCE_KEY] = self.learned.interference_row
             self.learned.interference_row = None
@@ -280,7 +284,7 @@
             if job.reported_phase in {JobPhase.queued, JobPhase.running}:
                 job.reported_phase = phase
             if job.ended is phase:
-                self.final_phase_by_job[job.spec.job_id] = phase
+                self.past.phase_by_job[job.spec.job_id] = phase
         return [start for start in batch.starts if not start.run.stopping]
 
     def remove_ended_jobs(self) -> dict[str, bytes | None]:
@@ -293,7 +297,7 @@
             job
             for job_id, job in self.job_by_id.items()
             if job.ended is not None
-            and job_id in self.final_phase_by_job
+            and job_id in self.past.phase_by_job
             and not any(runs_of(job))
         ]
         dropped: dict[str, bytes | None] = {}
@@ -309,7 +313,7 @@
 
         :returns: phase of the job, ``None`` if it is unknown to this shard.
         """
-        ended = self.final_phase_by_job.get(job_id)
+        ended = self.past.phase_by_job.get(job_id)
         job = self.job_by_id.get(job_id)
         return ended if job is None else job.reported_phase
 
--- a/waxwingford/scheduling/tests/crash_steps.py
+++ b/waxwingford/scheduling/tests/crash_steps.py
@@ -281,7 +281,7 @@
 
 @then('all of these jobs have failed')
 def all_have_failed(context):
-    phases = context.harness.engine.state.final_phase_by_job
+    phases = context.harness.engine.state.past.phase_by_job
     assert {phases.get(one) for one in context.job_ids} == {JobPhase.failed}, (
         phases
     )
--- a/waxwingford/shard/_intake_reader.py
+++ b/waxwingford/shard/_intake_reader.py
@@ -3,7 +3,8 @@
 import asyncio
 import functools
 import itertools
-from collections.abc import Callable, Iterable
+import math
+from collections.abc import Callable, Iterable, Mapping
 
 import logbook
 
@@ -34,6 +35,19 @@
     def __init__(self, log: SharedLog) -> None:
         self._log = log
         self._mirror = Mirror(log, INTAKE_TOPIC)
+        self._read_s = -math.inf
+
+    @property
+    def payload_by_key(self) -> Mapping[str, bytes]:
+        """Copy of the intake, as far as it was followed."""
+        return self._mirror.payload_by_key
+
+    def read_within(self, span_s: float) -> bool:
+        """Tell whether the copy was complete not long ago.
+
+        :param span_s: longest time since then, in seconds.
+        """
+        return asyncio.get_running_loop().time() - self._read_s <= span_s
 
     async def restore(self, stopped: asyncio.Event) -> bool:
         """Read the whole intake, for as long as pages keep arriving.
@@ -85,7 +99,10 @@
             read = await self._mirror.catch_up(INTAKE_WAIT_MS)
             if not isinstance(read, CaughtUp):
                 await asyncio.sleep(RETRY_DELAY_S)
-            elif read.changed:
+                continue
+            if not self._mirror.behind:
+                self._read_s = asyncio.get_running_loop().time()
+            if read.changed:
                 apply_records(engine, read.changed, monotonic_ms())
                 on_change()
 
@@ -119,7 +136,14 @@
         if record.key.startswith(JOB_PREFIX):
             _apply_job(engine, record.key, record.payload, now_ms)
         elif record.key.startswith(CANCEL_PREFIX):
-            engine.cancel(record.key.removeprefix(CANCEL_PREFIX))
+            _apply_cancellation(engine, record.key)
+
+
+def _apply_cancellation(engine: Engine, key: str) -> None:
+    try:
+        engine.cancel(key.removeprefix(CANCEL_PREFIX))
+    except Exception as error:
+        _log.error('record not applied', extra={'record': key}, exc_info=error)
 
 
 def _apply_job(engine: Engine, key: str, raw: bytes, now_ms: int) -> None:
--- a/waxwingford/shard/_mirror.py
+++ b/waxwingford/shard/_mirror.py
@@ -172,8 +172,9 @@
         for record in records:
             if record.offset < self._offset_by_key.get(record.key, -1):
                 continue
-            self._offset_by_key[record.key] = record.offset
             if record.payload is None:
+                self._offset_by_key.pop(record.key, None)
                 self.payload_by_key.pop(record.key, None)
             else:
+                self._offset_by_key[record.key] = record.offset
                 self.payload_by_key[record.key] = record.payload
--- a/waxwingford/shard/_owner.py
+++ b/waxwingford/shard/_owner.py
@@ -10,11 +10,11 @@
     decode_spec,
 )
 from waxwingford.shard._claims import Claim
+from waxwingford.shard._cleaner import Cleaner
 from waxwingford.shard._clocks import monotonic_ms
 from waxwingford.shard._commits import Committer
 from waxwingford.shard._heartbeats import Heartbeats
 from waxwingford.shard._intake import CancelRow, IntakeRow, JobRow
-from waxwingford.shard._intake_cleaner import IntakeCleaner
 from waxwingford.shard._intake_reader import IntakeReader
 from waxwingford.shard._job_answers import (
     JobAnswer,
@@ -304,7 +304,7 @@
     def _spawn_parts(self, ledger: LeaseLedger) -> None:
         engine, request_decision = self._engine, self._decision_due.set
         start_by_part: dict[str, StartPart] = {
-            'intake cleaner': IntakeCleaner(self._ports.log, engine).run,
+            'cleaner': Cleaner(self._ports.log, engine, self._intake).run,
             'lease extension': functools.partial(
                 ledger.start_extending, engine
             ),
--- a/waxwingford_bench/interference/_cluster.py
+++ b/waxwingford_bench/interference/_cluster.py
@@ -235,7 +235,7 @@
             self._start(start.run.key, start.server_id)
         for order in engine.state.take_orders():
             self._apply(order)
-        for job_id in engine.state.final_phase_by_job:
+        for job_id in engine.state.past.phase_by_job:
             self.finished_ms_by_job.setdefault(job_id, self.now_ms)
         engine.state.notes.take()
 
