Conclude nothing from a run's absence until a server's ends are read to the last

Cause: a server lists 500 ends in an answer and the others once these are acknowledged. A run that is neither listed as running nor among the ends counted as one that never began (a new owner's first poll), as gone after its stop, or as missing, so that it was stopped.

Change: a poll result tells whether it lists all ends (fewer than 500), and absence is judged from such results only. The runs keep their room meanwhile; the next page comes as soon as the first one is stored and acknowledged.

Of the same class, lists that an answer of the store cuts: the last record of a read that the size limit cuts was taken as complete with fewer bytes; after several pages of newest records a copy counted as complete without what had changed meanwhile, so that a job could be answered as unknown; registrations, the configuration and the watch of the owner used a copy after one read, also if the topic went on; a read without any record, while there are more, was repeated without a pause.

--- a/waxwingford/platform/_adapter.py
+++ b/waxwingford/platform/_adapter.py
@@ -60,7 +60,8 @@
 
         :returns: the valid registrations, ``None`` if the store can't be read.
         """
-        if not isinstance(await self._servers.catch_up(), CaughtUp):
+        # Not part of the records: a server that is missing in it may follow.
+        if not isinstance(await self._servers.read_to_end(), CaughtUp):
             return None
         return self._registrations.read(self._servers.payload_by_key)
 
@@ -76,6 +77,8 @@
         mirror = Mirror(self.log, _CONFIG_TOPIC)
         while True:
             outcome = await mirror.catch_up(CONFIG_WAIT_MS)
+            if mirror.behind:
+                outcome = await mirror.read_to_end()
             raw = mirror.payload_by_key.get(_CONFIG_KEY)
             if not isinstance(outcome, CaughtUp):
                 failed()
--- a/waxwingford/platform/_store.py
+++ b/waxwingford/platform/_store.py
@@ -327,11 +327,14 @@
     end, _ = _HEADER.unpack_from(raw)
     records: list[StoredRecord] = []
     position = _HEADER.size
-    while position < len(raw):
+    while position + _RECORD_LENGTH.size <= len(raw):
         length = _RECORD_LENGTH.unpack_from(raw, position)[0]
         position += _RECORD_LENGTH.size
         body = raw[position : position + length]
         position += length
+        if len(body) < length:
+            # Cut by the size limit of a read; the next one begins with it.
+            break
         records.append(_decode_record(from_offset + len(records), body))
     return RecordsRead(tuple(records), from_offset + len(records), end)
 
--- a/waxwingford/scheduling/_backend_client.py
+++ b/waxwingford/scheduling/_backend_client.py
@@ -11,6 +11,10 @@
 
 import msgspec
 
+#: Ends that a server lists in an answer, at most; the others follow once these
+#: are acknowledged.
+MAX_LISTED_ENDS = 500
+
 
 class TaskKey(NamedTuple):
     """Identifier of a task.
@@ -195,7 +199,8 @@
 
     :ivar clock_ms: server clock at the time of the answer, in ms.
     :ivar running: runs that are present.
-    :ivar ended: ends that were not acknowledged yet.
+    :ivar ended: ends that were not acknowledged yet, the first of them if there are
+        more than ``MAX_LISTED_ENDS``.
     :ivar started_ms: Unix time in ms at which the server started, 0 if it
         doesn't say.
     :ivar acknowledged_end: end up to which the poll has acknowledged, 0 if
@@ -208,6 +213,11 @@
     started_ms: int = 0
     acknowledged_end: int = 0
 
+    @property
+    def lists_all_ends(self) -> bool:
+        """Whether no further ends follow, so that a run that isn't listed is gone."""
+        return len(self.ended) < MAX_LISTED_ENDS
+
 
 OrderOutcome = (
     OrderAccepted
--- a/waxwingford/scheduling/_restarts.py
+++ b/waxwingford/scheduling/_restarts.py
@@ -77,6 +77,9 @@
         if answer.started_ms not in {0, server.incarnation.started_ms}:
             entry = server.entry._replace(started_ms=answer.started_ms)
             known = {report.run for report in (*answer.running, *answer.ended)}
+            if not answer.lists_all_ends:
+                # Any run may be among the ends that follow.
+                known |= server.run_by_key.keys()
             server = self._succeed(server, entry, now_ms, known)
             server.described = False
             return server
--- a/waxwingford/scheduling/_settle.py
+++ b/waxwingford/scheduling/_settle.py
@@ -3,7 +3,7 @@
 A run is settled, so that its task may start again, only if the old run is known
 not to be active: its end was listed; its start was never sent or was refused;
 it is missing from a poll sent after its stop was acknowledged, or from the
-first poll of a new owner; another incarnation has replaced its server; or every
+first poll of a new owner, that lists all ends; another incarnation has replaced its server; or every
 lease that it may hold has expired. Anything weaker could run a task twice.
 """
 
@@ -210,6 +210,24 @@
         for report in answer.running:
             self._apply_running(server, report, now_ms)
         crashes.clear_outlived(self._state, server)
+        if answer.lists_all_ends:
+            self._apply_absences(server, answer, sent_ms, now_ms)
+        server.unknown_runs = {
+            key: sent_ms
+            for key, sent_ms in server.unknown_runs.items()
+            if key in listed
+        }
+        server.polled_ms = sent_ms
+
+    def _apply_absences(
+        self, server: Server, answer: PollResult, sent_ms: int, now_ms: int
+    ) -> None:
+        """Judge the runs that a server lists neither as running nor as ended.
+
+        :param answer: answer that lists all ends. From any other, ends of these
+            runs may be missing.
+        """
+        listed = {report.run for report in answer.running}
         if server.crash is not None:
             ended = {end.run for end in answer.ended}
             self.restarts.judge_crash(
@@ -218,12 +236,6 @@
         for run in list(server.run_by_key.values()):
             if run.key not in listed:
                 self._apply_absence(server, run, sent_ms, now_ms)
-        server.unknown_runs = {
-            key: sent_ms
-            for key, sent_ms in server.unknown_runs.items()
-            if key in listed
-        }
-        server.polled_ms = sent_ms
 
     def _apply_running(
         self, server: Server, report: RunningReport, now_ms: int
--- a/waxwingford/shard/_mirror.py
+++ b/waxwingford/shard/_mirror.py
@@ -34,15 +34,18 @@
     :ivar first_end: offset at which the topic ended at the first page.
     :ivar after_key: last key of these pages.
     :ivar complete: whether no further key follows.
+    :ivar count: number of pages.
     """
 
     records: list[StoredRecord] = dataclasses.field(default_factory=list)
     first_end: int | None = None
     after_key: str = ''
     complete: bool = False
+    count: int = 0
 
     def add(self, page: NewestPage) -> None:
         """Add the next page."""
+        self.count += 1
         if self.first_end is None:
             self.first_end = page.end
         self.records.extend(page.records)
@@ -87,6 +90,8 @@
             return await self._load()
         outcome = await self._log.read(self._topic, self.next_offset, wait_ms)
         match outcome:
+            case RecordsRead((), next_offset, end) if next_offset < end:
+                return StoreOutcomeUnknown('no record in the answer')
             case RecordsRead(records, next_offset, end):
                 self._apply(records)
                 self.next_offset = next_offset
@@ -159,8 +164,9 @@
         self._apply(tuple(records))
         self.next_offset = end
         self._loaded = True
+        # Keys of earlier pages may have changed while later ones were read.
+        self.behind = self._pages.count > 1
         self._pages = _Pages()
-        self.behind = False
         return (*deleted, *records)
 
     def _deliver(self, records: tuple[StoredRecord, ...]) -> CaughtUp:
--- a/waxwingford/shard/_watch.py
+++ b/waxwingford/shard/_watch.py
@@ -101,6 +101,9 @@
             restarts.
         """
         read = await self._mirror.catch_up(self._long_poll_ms() if wait else 0)
+        if self._mirror.behind:
+            # A heartbeat that is missing so far may follow.
+            read = await self._mirror.read_to_end()
         if not isinstance(read, CaughtUp):
             self.restart_timeout()
             return False
--- a/waxwingford/shard/tests/virtual_servers.py
+++ b/waxwingford/shard/tests/virtual_servers.py
@@ -6,6 +6,7 @@
 import asyncio
 import collections
 import dataclasses
+import itertools
 import random
 
 import msgspec
@@ -32,6 +33,8 @@
 TIMEOUT_S = 0.6
 MAX_LEASE_MS = 6000
 STOP_DURATION_S = 0.3
+#: Ends that a server lists in an answer, at most.
+MAX_LISTED_ENDS = 500
 MS_PER_S = 1000
 #: Unix time in ms at which the loop's clock starts, unless it is changed.
 EPOCH_MS = 1_700_000_000_000
@@ -235,9 +238,7 @@
         return PollResult(
             self.clock_ms(),
             tuple(map(self.report, self.run_by_task.values())),
-            tuple(
-                end for end in self.ends if end.number > self.acknowledged_end
-            ),
+            tuple(listed_ends(self)),
             self.started_ms,
             order.acknowledged_end,
         )
@@ -250,6 +251,12 @@
         return RunningReport(run.key, '', int(share * 100), 1)
 
 
+def listed_ends(server):
+    """List the first ends of a server that are not acknowledged."""
+    ends = (end for end in server.ends if end.number > server.acknowledged_end)
+    return itertools.islice(ends, MAX_LISTED_ENDS)
+
+
 class VirtualServers:
     """All backend servers, faults of their connections, and invariant checks."""
 
