--- a/waxwingford/platform/tests/store_limits.feature
+++ b/waxwingford/platform/tests/store_limits.feature
@@ -58,3 +58,13 @@
   Scenario: any records
     # Guards against a request that the store can't take, and against an error.
     Then each append of any records is rejected or within the limits
+
+  Scenario: a read is cut within a record
+    # Guards against a record that is taken as complete with fewer bytes.
+    Then records are read whole, wherever the store cuts a read
+
+  Scenario: more registrations than a read returns
+    # Guards against servers that count as gone, as they follow in the next read.
+    Given a store with 30 registrations that expire and come back
+    When reads return the size of 10 of them, and the registrations are read
+    Then all of them are there
--- a/waxwingford/platform/tests/store_limits_steps.py
+++ b/waxwingford/platform/tests/store_limits_steps.py
@@ -3,14 +3,28 @@
 import asyncio
 import struct
 
-from behave import then, when
+from behave import given, then, when
 from hypothesis import given as drawn
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from waxwingford.platform._adapter import UsersPlatform
 from waxwingford.platform._http_client import HttpResponse
 from waxwingford.platform._store import PlatformLog
-from waxwingford.shard import Appended, AppendRejected, KeyedRecord, LogLimits
+from waxwingford.platform.tests.foreign_steps import ENTRY, encode
+from waxwingford.routing.tests.virtual_loop import VirtualLoop, end_loop
+from waxwingford.shard import (
+    Appended,
+    AppendRejected,
+    KeyedRecord,
+    LogLimits,
+    Mirror,
+    RecordsRead,
+)
+from waxwingford.shard.tests.virtual_store import (
+    VirtualStore,
+    VirtualStoreClient,
+)
 
 LENGTH = struct.Struct('>I')
 LIMITS = LogLimits(record_bytes=1000, append_bytes=1500)
@@ -110,3 +124,65 @@
         length = LENGTH.unpack_from(body, position)[0]
         yield length
         position += LENGTH.size + length
+
+
+class FixedRead:
+    """HTTP client that answers a read with the given bytes."""
+
+    def __init__(self, raw):
+        self._raw = raw
+
+    async def get(self, address, path, query, timeout_s):
+        return HttpResponse(200, self._raw)
+
+
+@then('records are read whole, wherever the store cuts a read')
+def cut_anywhere(context):
+    payloads = [b'1', b'22', b'']
+    bodies = [b''.join((b'\x01k', payload)) for payload in payloads]
+    header = struct.pack('>QQ', 9, 0)
+    framed = [LENGTH.pack(len(body)) + body for body in bodies]
+    raw = header + b''.join(framed)
+    ends = [len(header) + len(b''.join(framed[:n])) for n in range(4)]
+    for size in range(len(header), len(raw) + 1):
+        log = PlatformLog(FixedRead(raw[:size]), '127.0.0.1:1')
+        read = asyncio.run(log.read('topic', 5, 0))
+        assert isinstance(read, RecordsRead), read
+        whole = sum(end <= size for end in ends[1:])
+        assert read.next_offset == 5 + whole, (size, read)
+        found = [record.payload for record in read.records]
+        assert found == [payload or None for payload in payloads[:whole]]
+
+
+@given('a store with {count:d} registrations that expire and come back')
+def store_registrations(context, count):
+    context.loop = VirtualLoop()
+    context.add_cleanup(end_loop, context.loop)
+    context.store = VirtualStore(0)
+    context.ids = [f'i-{number:04}' for number in range(count)]
+    context.platform = UsersPlatform('127.0.0.1:1', '')
+    client = VirtualStoreClient(context.store, 'reader')
+    context.platform._servers = Mirror(client, 'servers')
+    store_all(context, encode(ENTRY))
+    check_registered(context)
+    store_all(context, None)
+    store_all(context, encode(ENTRY))
+
+
+def store_all(context, payload):
+    async def _store():
+        records = [KeyedRecord(server_id, payload) for server_id in context.ids]
+        context.store.apply('servers', records, None)
+
+    context.loop.run_until_complete(_store())
+
+
+@when('reads return the size of 10 of them, and the registrations are read')
+def limit_reads(context):
+    context.store.max_records_per_read = 10
+
+
+@then('all of them are there')
+def check_registered(context):
+    entries = context.loop.run_until_complete(context.platform.entries())
+    assert {entry.server_id for entry in entries} == set(context.ids)
