--- a/waxwingford/scheduler/_daemon.py
+++ b/waxwingford/scheduler/_daemon.py
@@ -119,7 +119,8 @@
         preparation.add_done_callback(self._on_prepared)
         supervisor = self._run_parts()
         await self._stopping.wait()
-        await self._stop(preparation, supervisor)
+        await self._stop(supervisor)
+        preparation.cancel()
 
     def _run_parts(self) -> shard.Supervisor:
         """Start what runs until the daemon stops."""
@@ -165,9 +166,7 @@
         _log.error('part of the daemon goes on failing', extra={'part': part})
         self._stopping.set()
 
-    async def _stop(
-        self, preparation: asyncio.Task[None], supervisor: shard.Supervisor
-    ) -> None:
+    async def _stop(self, supervisor: shard.Supervisor) -> None:
         _log.info('stopping')
         self._platform.start_draining()
         self._relay.leave()
@@ -175,7 +174,6 @@
         grace_s = self._settings.bounds.stop_grace_s
         await asyncio.sleep(min(STOP_DELAY_S, grace_s * GRACE_FRACTION))
         await self._platform.close()
-        preparation.cancel()
         supervisor.cancel()
         self._member.close()
         self._link.close()
