--- a/waxwingford/scheduler/_daemon.py
+++ b/waxwingford/scheduler/_daemon.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 import logbook
+import msgspec
 
 from waxwingford import shard
 from waxwingford.kernel import load_plugins
@@ -23,7 +24,7 @@
 from waxwingford.scheduler._readiness import ReadinessServer
 from waxwingford.scheduler._start_report import report_start
 from waxwingford.scheduler._traffic_log import TrafficLog
-from waxwingford.scheduling import Terms
+from waxwingford.scheduling import Features, Terms
 from waxwingford.settings import SchedulerSettings
 
 if TYPE_CHECKING:
@@ -265,6 +266,10 @@
                 if listen.relays_port
                 else ''
             ),
+            features=Features(
+                **msgspec.structs.asdict(settings.scheduling),
+                notice_ms=settings.bounds.notice_ms,
+            ),
         )
         ports = shard.OwnerPorts(
             self._platform.log,
--- a/waxwingford/scheduling/__init__.py
+++ b/waxwingford/scheduling/__init__.py
@@ -37,6 +37,10 @@
             'MAX_LEASE_MS',
             'Engine',
         ),
+        '_features': (
+            'NO_FEATURES',
+            'Features',
+        ),
         '_incarnations': ('Incarnation',),
         '_notes': ('Note',),
         '_orders': (
--- a/waxwingford/scheduling/_engine.py
+++ b/waxwingford/scheduling/_engine.py
@@ -16,6 +16,7 @@
 from waxwingford.scheduling._backlog import Decision
 from waxwingford.scheduling._containment import attempt
 from waxwingford.scheduling._evacuations import Evacuations
+from waxwingford.scheduling._features import NO_FEATURES, Features
 from waxwingford.scheduling._interference import InterferenceModel
 from waxwingford.scheduling._lease_withholding import LeaseWithholding
 from waxwingford.scheduling._maintenance import Maintenance
@@ -54,13 +55,16 @@
         lease_ms: int,
         inherited: InheritedLeases,
         max_lease_ms: int = MAX_LEASE_MS,
+        features: Features = NO_FEATURES,
     ) -> None:
         """Create an engine without jobs or servers.
 
         :param token: fencing token of the owner.
         :param lease_ms: length of the leases granted to servers, in ms.
         :param max_lease_ms: longest lease that a server accepts, in ms.
+        :param features: optional decisions.
         """
+        self.features = features
         self.state = ShardState()
         self.orders = OrderFactory(self.state, token, lease_ms)
         self.recovery = StateRecovery(self.state)
--- /dev/null
+++ b/waxwingford/scheduling/_features.py
@@ -0,0 +1,28 @@
+"""Parts of the scheduler that the settings of a deployment switch on."""
+
+from typing import NamedTuple
+
+#: Time for which a task may be away before its absence counts as an interruption,
+#: unless it is configured, in ms.
+DEFAULT_NOTICE_MS = 5500
+
+
+class Features(NamedTuple):
+    """Optional decisions of an engine; all of them are off by default.
+
+    :ivar admission: refuse jobs that the servers have no room for in time.
+    :ivar preemption: stop runs of lower priority for tasks that wait.
+    :ivar copies: start second runs of stragglers where their step permits it.
+    :ivar look_ahead: place with regard to what waits and what will end soon.
+    :ivar notice_ms: time for which a task may be away before its absence counts as an
+        interruption, in ms.
+    """
+
+    admission: bool = False
+    preemption: bool = False
+    copies: bool = False
+    look_ahead: bool = False
+    notice_ms: int = DEFAULT_NOTICE_MS
+
+
+NO_FEATURES = Features()
--- a/waxwingford/settings/_scheduler.py
+++ b/waxwingford/settings/_scheduler.py
@@ -80,10 +80,13 @@
     :ivar longest_lease_ms: longest lease that the platform permits, in
         milliseconds.
     :ivar stop_grace_s: time between the stop signal and the kill, in seconds.
+    :ivar notice_ms: time for which a task may be away before its absence counts as an
+        interruption, in milliseconds.
     """
 
     longest_lease_ms: Millis
     stop_grace_s: PositiveNumber
+    notice_ms: Millis = 5500
 
 
 class SchedulerVm(msgspec.Struct, frozen=True):
@@ -107,6 +110,21 @@
         return self.core_share * self.core_speed
 
 
+class SchedulerFeatures(msgspec.Struct, frozen=True):
+    """Optional decisions of the daemon that owns the shard.
+
+    :ivar admission: refuse jobs that the servers have no room for in time.
+    :ivar preemption: stop runs of lower priority for tasks that wait.
+    :ivar copies: start second runs of stragglers where their step permits it.
+    :ivar look_ahead: place with regard to what waits and what will end soon.
+    """
+
+    admission: bool = False
+    preemption: bool = False
+    copies: bool = False
+    look_ahead: bool = False
+
+
 class SchedulerLogging(msgspec.Struct, frozen=True):
     """Format of log lines."""
 
@@ -124,6 +142,7 @@
     store: SchedulerStore
     bounds: SchedulerBounds
     vm: SchedulerVm = SchedulerVm()
+    scheduling: SchedulerFeatures = SchedulerFeatures()
     logging: SchedulerLogging = SchedulerLogging()
 
 
--- a/waxwingford/settings/tests/scheduler_steps.py
+++ b/waxwingford/settings/tests/scheduler_steps.py
@@ -13,6 +13,7 @@
 bounds = {longest_lease_ms = 6000, stop_grace_s = 6}
 vm = {}
 logging = {}
+scheduling = {}
 [listen]
 host = "127.0.0.1"
 callers = "127.0.0.1:8001"
--- a/waxwingford/settings/tests/settings.feature
+++ b/waxwingford/settings/tests/settings.feature
@@ -60,6 +60,8 @@
       | bounds.stop_grace_s     | 0                | bounds.stop_grace_s     | 0          | greater than 0                                  |
       | bounds.stop_grace_s     | "6"              | bounds.stop_grace_s     | '6'        | a valid number                                  |
       | vm.core_share           | 1.5              | vm.core_share           | 1.5        | less than or equal to 1                         |
+      | bounds.notice_ms        | 0                | bounds.notice_ms        | 0          | greater than or equal to 1                      |
+      | scheduling.copies       | 1                | scheduling.copies       | 1          | a valid boolean                                 |
       | logging.level           | "loud"           | logging.level           | 'loud'     | String should match pattern '^(debug\|info\|warning\|error)$' |
       | logging.level           | "info\n"         | logging.level           | 'info\n'   | String should match pattern '^(debug\|info\|warning\|error)$' |
 
--- a/waxwingford/shard/_owner.py
+++ b/waxwingford/shard/_owner.py
@@ -261,6 +261,7 @@
             self._settings.lease_ms,
             ledger.inherited,
             self._settings.max_lease_ms,
+            features=self._settings.features,
         )
         self._engine.configure(self._terms)
         self._engine.restore(rows)
--- a/waxwingford/shard/_owner_ports.py
+++ b/waxwingford/shard/_owner_ports.py
@@ -3,7 +3,12 @@
 import dataclasses
 from collections.abc import Callable
 
-from waxwingford.scheduling import MAX_LEASE_MS, BackendClient
+from waxwingford.scheduling import (
+    MAX_LEASE_MS,
+    NO_FEATURES,
+    BackendClient,
+    Features,
+)
 from waxwingford.shard._advice_port import AdviceClient
 from waxwingford.shard._clocks import boottime_ms
 from waxwingford.shard._log_port import SharedLog
@@ -21,6 +26,7 @@
     :ivar lease_ms: length of the leases that it grants, in ms.
     :ivar max_lease_ms: longest lease that servers accept, in ms.
     :ivar cores: processor of its VM, in reference cores.
+    :ivar features: optional decisions of its engine.
     """
 
     daemon_id: str
@@ -30,6 +36,7 @@
     cores: float
     max_lease_ms: int = MAX_LEASE_MS
     relay_endpoint: str = ''
+    features: Features = NO_FEATURES
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
