Accept true and false as values of settings

Cause: the check of settings knew no booleans, which the table scheduling has. Change: they are expected as such; numbers are none.

--- a/waxwingford/settings/_tables.py
+++ b/waxwingford/settings/_tables.py
@@ -21,7 +21,7 @@
 
 Model = TypeVar('Model', bound=msgspec.Struct)
 
-_TYPE_LABELS = {int: 'integer', float: 'number', str: 'string'}
+_TYPE_LABELS = {int: 'integer', float: 'number', str: 'string', bool: 'boolean'}
 _PLAIN_TYPES = (bool, int, float, str, list, dict)
 
 
@@ -115,6 +115,8 @@
 
     :returns: type and constraints.
     """
+    if isinstance(kind, type):
+        return kind, msgspec.Meta()
     scalar, *metadata = get_args(kind)
     if metadata and isinstance(metadata[0], msgspec.Meta):
         return scalar, metadata[0]
@@ -126,8 +128,11 @@
 ) -> Iterator[str]:
     """List what a value would have to be, in the order of the checks."""
     accepted = (int, float) if scalar is float else (scalar,)
-    if isinstance(found, bool) or not isinstance(found, accepted):
+    mistaken = isinstance(found, bool) and scalar is not bool
+    if mistaken or not isinstance(found, accepted):
         yield f'a valid {_TYPE_LABELS[scalar]}'
+    elif scalar is bool:
+        return
     elif scalar is str:
         yield from _text_expectations(found, meta)
     else:
