Preempt within a disruption budget

Cause: running tasks were never preempted, so long-running tasks waited on servers with 24 to 39 free cores whose memory best-effort tasks held; and no code enforced max_unavailable.

Change: DisruptionBudget is asked before moves, preemption and, for the first second, stops on draining servers. Its only record is Task.left_work_ms; what an owner can't tell counts as unavailable. With Features.preemption, tasks that fit on no server stop the cheapest runs of lower priority on one server, and Reservations hold the room for 2 s. A hook per placed task would have broken the bound of 60 calls in large_fleet.feature (59.8 before), so preemptions end at the next round instead.

Tests: all 235 scenarios of scheduling pass.

--- /dev/null
+++ b/waxwingford/scheduling/_disruption_budget.py
@@ -0,0 +1,124 @@
+"""Limits the tasks of a step that the scheduler interrupts at a time.
+
+Every order that ends a run which could go on asks ``DisruptionBudget`` first. Nothing
+of it is stored: a new owner treats a task as unavailable until it has seen the task
+at work for long enough that no stop of a previous owner can still take effect.
+"""
+
+from waxwingford.scheduling._incarnations import Incarnation
+from waxwingford.scheduling._servers import Server
+from waxwingford.scheduling._shard_state import ShardState
+from waxwingford.scheduling._state import Run, RunPhase, Step, Task
+
+#: Time for which stops on a draining server keep to the budget, in ms. A server may
+#: give a notice of 2 s only, and its tasks have to end before it exits.
+DRAIN_SPREAD_MS = 1000
+
+
+class DisruptionBudget:
+    """Decides whether the scheduler may end a run of a step with ``max_unavailable``.
+
+    Other steps and jobs that have ended are exempt.
+    """
+
+    def __init__(self, state: ShardState, notice_ms: int) -> None:
+        """Create a budget.
+
+        :param notice_ms: time after which a task that isn't at work is unavailable,
+            in ms.
+        """
+        self._state = state
+        self._notice_ms = notice_ms
+        self._draining_since_ms: dict[Incarnation, int] = {}
+
+    def may_stop(self, run: Run, step: Step, now_ms: int) -> bool:
+        """Tell whether an order may end a run now.
+
+        Runs that may be at work without the owner knowing are protected, too: the
+        progress that was listed last is older than the decision.
+
+        :param now_ms: current monotonic time, in ms.
+        """
+        if not _is_limited(step) or run.phase is RunPhase.planned:
+            return True
+        server = self._state.server_by_id.get(run.server_id)
+        if server is not None and server.entry.draining:
+            return True
+        return self._has_room(run, step, now_ms)
+
+    def may_stop_on_draining(
+        self, server: Server, run: Run, step: Step, now_ms: int
+    ) -> bool:
+        """Tell whether a run on a draining server is to be stopped now.
+
+        The budget exempts these runs. Their stops keep to it for
+        ``DRAIN_SPREAD_MS``, so that tasks of one step don't all end at once.
+
+        :param now_ms: current monotonic time, in ms.
+        """
+        if not _is_limited(step):
+            return True
+        since_ms = self._draining_since_ms.get(server.incarnation)
+        if since_ms is None:
+            since_ms = now_ms
+            self._note_draining(server, now_ms)
+        overdue = now_ms - since_ms >= DRAIN_SPREAD_MS
+        return overdue or self._has_room(run, step, now_ms)
+
+    def _note_draining(self, server: Server, now_ms: int) -> None:
+        known = {one.incarnation for one in self._state.server_by_id.values()}
+        self._draining_since_ms = {
+            incarnation: since_ms
+            for incarnation, since_ms in self._draining_since_ms.items()
+            if incarnation in known
+        }
+        self._draining_since_ms[server.incarnation] = now_ms
+
+    def _has_room(self, run: Run, step: Step, now_ms: int) -> bool:
+        others = sum(
+            self._is_unavailable(task, now_ms)
+            for task in step.tasks
+            if task.key != run.key.task
+        )
+        return others < step.spec.max_unavailable
+
+    def _is_unavailable(self, task: Task, now_ms: int) -> bool:
+        runs = task.run_by_number.values()
+        if any(run.stopping for run in runs):
+            return True
+        if any(self._is_at_work(run, now_ms) for run in runs):
+            return False
+        away_ms = now_ms - task.left_work_ms
+        return not task.left_work_ms or away_ms >= self._notice_ms
+
+    def _is_at_work(self, run: Run, now_ms: int) -> bool:
+        if run.phase is not RunPhase.present or not run.ready:
+            return False
+        if run.adopted and now_ms - run.phase_since_ms < self._notice_ms:
+            # A previous owner may have ordered its stop.
+            return False
+        server = self._state.server_by_id.get(run.server_id)
+        if server is None:
+            return False
+        answers = server.failing_since_ms is None
+        return answers or now_ms - server.polled_ms < self._notice_ms
+
+
+def note_left_work(
+    run: Run, task: Task, ended_itself: bool, now_ms: int
+) -> None:
+    """Note that a task is no longer at work because a run was settled.
+
+    :param ended_itself: whether the server has listed an end of the run. An expired
+        lease counts as an order.
+    :param now_ms: current monotonic time, in ms.
+    """
+    if run.ready:
+        by_order = run.stopping or not ended_itself
+        task.left_work_ms = 0 if by_order else now_ms
+
+
+def _is_limited(step: Step) -> bool:
+    # Only long-running tasks are ever at work in the sense of the rule.
+    limited = step.spec.max_unavailable and step.spec.long_running
+    return bool(limited) and step.job.ended is None
--- a/waxwingford/scheduling/_engine.py
+++ b/waxwingford/scheduling/_engine.py
@@ -15,12 +15,12 @@
 )
 from waxwingford.scheduling._backlog import Decision
 from waxwingford.scheduling._containment import attempt
+from waxwingford.scheduling._disruption_budget import DisruptionBudget
 from waxwingford.scheduling._evacuations import Evacuations
 from waxwingford.scheduling._features import NO_FEATURES, Features
 from waxwingford.scheduling._interference import InterferenceModel
 from waxwingford.scheduling._lease_withholding import LeaseWithholding
 from waxwingford.scheduling._maintenance import Maintenance
-from waxwingford.scheduling._migration import Migrator
 from waxwingford.scheduling._order_factory import OrderFactory
 from waxwingford.scheduling._orders import Batch, Start
 from waxwingford.scheduling._pacing import Pacer
@@ -74,10 +74,11 @@
         )
         self.lease_withholding = LeaseWithholding(self.state)
         self._harm = InterferenceModel()
-        self._placer = Placer(self.state, self._harm)
+        budget = DisruptionBudget(self.state, features.notice_ms)
+        self._placer = Placer(self.state, self._harm, budget, features)
         self.pacer = Pacer(self.state, self._harm)
         self._maintenance = Maintenance(
-            self.state, self.settler, Migrator(self.state, self._placer)
+            self.state, self.settler, self._placer, budget
         )
         self.timely = True
         self._interference_stored_ms = 0
--- a/waxwingford/scheduling/_maintenance.py
+++ b/waxwingford/scheduling/_maintenance.py
@@ -6,6 +6,7 @@
 
 from waxwingford.scheduling._containment import attempt
 from waxwingford.scheduling._crashes import mark_outlived
+from waxwingford.scheduling._disruption_budget import DisruptionBudget
 from waxwingford.scheduling._migration import Migrator
 from waxwingford.scheduling._pacing import FULL_PERCENT
 from waxwingford.scheduling._penalties import (
@@ -14,6 +15,7 @@
     penalize_server,
     readmit_last_servers,
 )
+from waxwingford.scheduling._placing import Placer
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._settle import Settler
 from waxwingford.scheduling._shard_state import ShardState
@@ -36,19 +38,22 @@
 #: would suspect the latest starts on a server that crashes along with the
 #: owner.
 MARK_OUTLIVED_INTERVAL_MS = 200
-#: Progress of a long-running task that is ready, in percent.
-READY_PERCENT = 100
 
 
 class Maintenance:
     """Checks all servers at regular intervals."""
 
     def __init__(
-        self, state: ShardState, settler: Settler, migrator: Migrator
+        self,
+        state: ShardState,
+        settler: Settler,
+        placer: Placer,
+        budget: DisruptionBudget,
     ) -> None:
         self._state = state
         self._settler = settler
-        self._migrator = migrator
+        self._migrator = Migrator(state, placer, budget)
+        self._budget = budget
         self._stopper = Stopper(state)
         self._checked_ms = 0
         self._outlived_marked_ms = 0
@@ -98,7 +103,7 @@
             if not step.spec.long_running:
                 penalize_server(server, STALLED_RUN_PENALTY, now_ms)
         if server.entry.draining and server.registered:
-            _stop_movable_runs(server)
+            _stop_movable_runs(server, self._budget, now_ms)
         owes_stops = server.unknown_runs or server.stops_owed
         if owes_stops or _may_need_stops(server):
             self._settler.settle_unsent(server, now_ms)
@@ -148,8 +153,7 @@
 
 def _stall_timeout_ms(run: Run, step: Step) -> float:
     if step.spec.long_running:
-        ready = run.percent >= READY_PERCENT
-        return math.inf if ready else STALLED_LONG_RUNNING_TIMEOUT_MS
+        return math.inf if run.ready else STALLED_LONG_RUNNING_TIMEOUT_MS
     return (
         STALLED_BEST_EFFORT_TIMEOUT_MS
         if step.spec.best_effort
@@ -157,15 +161,20 @@
     )
 
 
-def _stop_movable_runs(server: Server) -> None:
+def _stop_movable_runs(
+    server: Server, budget: DisruptionBudget, now_ms: int
+) -> None:
     """Stop long-running tasks and tasks with checkpoints on a draining server.
 
     Otherwise they would be restarted elsewhere only after the server has exited
     and its lease has expired, several seconds later.
+
+    :param now_ms: current monotonic time, in ms.
     """
     for key, run in server.run_by_key.items():
-        spec = server.step_by_run[key].spec
-        if run.phase is RunPhase.present and (
-            spec.long_running or spec.writes_checkpoints
-        ):
+        step = server.step_by_run[key]
+        movable = step.spec.long_running or step.spec.writes_checkpoints
+        if run.phase is not RunPhase.present or run.stopping or not movable:
+            continue
+        if budget.may_stop_on_draining(server, run, step, now_ms):
             run.stopping = True
--- a/waxwingford/scheduling/_migration.py
+++ b/waxwingford/scheduling/_migration.py
@@ -8,6 +8,7 @@
 import itertools
 
 from waxwingford.scheduling._colocated_runs import best_effort_runs
+from waxwingford.scheduling._disruption_budget import DisruptionBudget
 from waxwingford.scheduling._placing import Placer
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._shard_state import ShardState
@@ -32,8 +33,11 @@
 class Migrator:
     """Stops runs that the placer can restart on a faster server."""
 
-    def __init__(self, state: ShardState, placer: Placer) -> None:
+    def __init__(
+        self, state: ShardState, placer: Placer, budget: DisruptionBudget
+    ) -> None:
         self._state = state
+        self._budget = budget
         self._placer = placer
         self._round_ms = 0
         self._searched_by_step: dict[str, int] = {}
@@ -68,7 +72,7 @@
 
     def _move(self, run: Run, step: Step, now_ms: int) -> bool:
         found = self._state.find(run.key)
-        if found is None:
+        if found is None or not self._budget.may_stop(run, step, now_ms):
             return False
         better = [
             server
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -8,11 +8,14 @@
 from waxwingford.scheduling._candidates import CandidateQueue
 from waxwingford.scheduling._containment import note_failure
 from waxwingford.scheduling._crashes import is_suspect
+from waxwingford.scheduling._disruption_budget import DisruptionBudget
 from waxwingford.scheduling._eligibility import eligible
+from waxwingford.scheduling._features import Features
 from waxwingford.scheduling._interference import InterferenceModel
 from waxwingford.scheduling._isolation import Isolation
 from waxwingford.scheduling._job_estimates import estimate_job
 from waxwingford.scheduling._pending_report import PendingReport
+from waxwingford.scheduling._preemption import Preemptor
 from waxwingford.scheduling._reservations import Reservations
 from waxwingford.scheduling._server_costs import ServerCosts
 from waxwingford.scheduling._server_selection import ServerSelection
@@ -38,7 +41,13 @@
 class Placer:
     """Places pending tasks on the servers of a shard."""
 
-    def __init__(self, state: ShardState, model: InterferenceModel) -> None:
+    def __init__(
+        self,
+        state: ShardState,
+        model: InterferenceModel,
+        budget: DisruptionBudget,
+        features: Features,
+    ) -> None:
         self._placed = 0
         self._backlog = Backlog()
         self._state = state
@@ -51,6 +60,7 @@
         self._selection = ServerSelection()
         self._reservations = Reservations()
         self._isolation = Isolation(state)
+        self._preemptor = Preemptor(state, budget, features.preemption)
         self._candidates_by_step: dict[str, CandidateQueue] = {}
         self._changed: list[Server] = []
 
@@ -104,6 +114,7 @@
         :returns: number of tasks that were tried.
         """
         self._reservations.begin(now_ms)
+        self._preemptor.begin(self._reservations, now_ms)
         if not ranked:
             # Most rounds have nothing to place, and scanning all servers with
             # each answer would take most of the owner's processor.
@@ -128,6 +139,9 @@
             if not placed:
                 unplaced.append(pending)
                 self._reserve_if_overdue(pending, usable)
+        self._preemptor.preempt(
+            unplaced, usable, self._isolation, self._reservations, now_ms
+        )
         if self._best_effort_ms == now_ms:
             interval_ms = max(
                 BEST_EFFORT_INTERVAL_MS,
@@ -244,7 +258,7 @@
     def _reserve_if_overdue(
         self, pending: PendingTask, usable: list[Server]
     ) -> None:
-        if not pending.overdue:
+        if not pending.overdue or self._preemptor.has_preempted(pending.task):
             return
         if pending.step.spec.gang or pending.queue.advised:
             # A gang needs several servers, and the eligible servers of an
@@ -322,7 +336,7 @@
         fitting = [
             server
             for server in eligible(step, service, servers)
-            if fits_resources(takes, self._reservations.available(server))
+            if fits_resources(takes, self._reservations.available(server, step))
         ]
         if step.spec.best_effort:
             fitting = self._admission.admitting(step, service, fitting, now_ms)
--- a/waxwingford/scheduling/_reservations.py
+++ b/waxwingford/scheduling/_reservations.py
@@ -1,11 +1,13 @@
-"""Reservations of resources for overdue long-running tasks (``long_running``).
+"""Reservations of resources for overdue long-running tasks, and for preemptions.
 
 On a busy server resources become free in small pieces, which short tasks take
 at once, so that a large long-running task would starve. For an overdue task one
-server is chosen, and nothing else is placed on the resources it needs there.
+server is chosen, and nothing else is placed on the resources it needs there. What
+preempted runs free is held for the task that preempted them.
 """
 
 from collections.abc import Callable
+from typing import TypeVar
 
 from waxwingford.ports import (
     Resources,
@@ -26,6 +28,7 @@
 #: Estimated length up to which a running task is waited for, in ms.
 MAX_AWAITED_MS = 4000
 _NO_RESOURCES = Resources(0, 0, 0)
+_Key = TypeVar('_Key')
 
 
 class Reservations:
@@ -33,6 +36,8 @@
 
     def __init__(self) -> None:
         self._reserved_by_server: dict[str, Resources] = {}
+        self._held_by_step: dict[tuple[str, str], Resources] = {}
+        self._overdue_by_step: dict[tuple[str, str], Resources] = {}
         self._reservations = 0
         self._searches = 0
         self._now_ms = 0
@@ -44,6 +49,8 @@
         :param now_ms: current monotonic time, in ms.
         """
         self._reserved_by_server.clear()
+        self._held_by_step.clear()
+        self._overdue_by_step.clear()
         self._reservations = 0
         self._searches = 0
         self._now_ms = now_ms
@@ -54,12 +61,34 @@
                 if retry_ms > now_ms
             }
 
-    def available(self, server: Server) -> Resources:
-        """Return the resources of a server neither used nor reserved."""
+    def available(self, server: Server, step: Step | None = None) -> Resources:
+        """Return the resources of a server neither used nor reserved.
+
+        :param step: step whose tasks may use what is held for it.
+        """
         reserved = self._reserved_by_server.get(server.entry.server_id)
         if reserved is None:
             return server.free_resources
-        return subtract_resources(server.free_resources, reserved)
+        available = subtract_resources(server.free_resources, reserved)
+        if step is None or not self._held_by_step:
+            return available
+        held = self._held_by_step.get(_key(server, step), _NO_RESOURCES)
+        return add_resources(available, held)
+
+    def available_to(self, server: Server, step: Step) -> Resources:
+        """Return the resources of a server that aren't reserved for other steps."""
+        overdue = self._overdue_by_step.get(_key(server, step), _NO_RESOURCES)
+        return add_resources(self.available(server, step), overdue)
+
+    def hold(self, server: Server, step: Step, resources: Resources) -> None:
+        """Hold resources for a task that preempts others on a server."""
+        _add(self._reserved_by_server, server.entry.server_id, resources)
+        _add(self._held_by_step, _key(server, step), resources)
+
+    def release(self, server: Server, step: Step, resources: Resources) -> None:
+        """Release resources that were held in this round."""
+        negative = subtract_resources(_NO_RESOURCES, resources)
+        self.hold(server, step, negative)
 
     def may_search(self, step: Step) -> bool:
         """Tell whether ``reserve`` may be called for a task of a step.
@@ -98,9 +127,8 @@
             candidates,
             key=lambda candidate: _deficit(takes, self.available(candidate)),
         )
-        server_id = server.entry.server_id
-        reserved = self._reserved_by_server.get(server_id, _NO_RESOURCES)
-        self._reserved_by_server[server_id] = add_resources(reserved, takes)
+        _add(self._reserved_by_server, server.entry.server_id, takes)
+        _add(self._overdue_by_step, _key(server, step), takes)
         self._reservations += 1
         return server
 
@@ -133,6 +161,17 @@
         return resources
 
 
+def _key(server: Server, step: Step) -> tuple[str, str]:
+    return server.entry.server_id, step.name
+
+
+def _add(
+    resources_by_key: dict[_Key, Resources], key: _Key, resources: Resources
+) -> None:
+    former = resources_by_key.get(key, _NO_RESOURCES)
+    resources_by_key[key] = add_resources(former, resources)
+
+
 def _is_long_running(spec: StepSpec) -> bool:
     return spec.long_running
 
--- a/waxwingford/scheduling/_run_settlement.py
+++ b/waxwingford/scheduling/_run_settlement.py
@@ -2,6 +2,7 @@
 
 from waxwingford.scheduling import _gangs as gangs
 from waxwingford.scheduling._backend_client import EndKind, RunKey
+from waxwingford.scheduling._disruption_budget import note_left_work
 from waxwingford.scheduling._late_ends import note_lost
 from waxwingford.scheduling._penalties import (
     FAILED_RUN_PENALTY,
@@ -64,6 +65,7 @@
             return
         task, step = found
         task.run_by_number.pop(run.key.run, None)
+        note_left_work(run, task, kind is not None, now_ms)
         began = kind is not None or run.accepted or run.outlived
         if began:
             step.job.last_run_ms = now_ms
--- a/waxwingford/scheduling/_specs.py
+++ b/waxwingford/scheduling/_specs.py
@@ -41,7 +41,7 @@
     :ivar best_effort: whether the tasks use only CPU that other tasks leave
         idle.
     :ivar max_unavailable: maximum number of long-running tasks that the
-        scheduler may interrupt at a time, 0 for no limit; not enforced yet.
+        scheduler may interrupt at a time, 0 for no limit.
     """
 
     count: int
--- a/waxwingford/scheduling/_state.py
+++ b/waxwingford/scheduling/_state.py
@@ -11,6 +11,8 @@
 
 #: Progress of a step, in tasks, from which on the run time of its tasks is known.
 MIN_OBSERVED_PROGRESS = 0.4
+#: Progress of a long-running task that is ready, in percent.
+READY_PERCENT = 100
 
 
 class JobPhase(enum.Enum):
@@ -104,6 +106,11 @@
         """Identifier of the server."""
         return self.incarnation.server_id
 
+    @property
+    def ready(self) -> bool:
+        """Whether the server has listed a long-running task as ready."""
+        return self.percent >= READY_PERCENT
+
     def enter(self, phase: RunPhase, now_ms: int) -> None:
         """Set the phase and when it was entered.
 
@@ -143,6 +150,9 @@
         placed.
     :ivar pending_since_ms: monotonic time in ms since which the task is
         pending; starts of which no run begins don't change it.
+    :ivar left_work_ms: monotonic time in ms at which a ready run last ended by
+        itself; 0 if an order ended it, or no ready run of this owner has ended.
+    :ivar preemptions: number of times that this owner has preempted the task.
     :ivar best_effort: whether the task uses only CPU that other tasks leave
         idle.
     :ivar final_row: encoded row of a done task that can't change any more.
@@ -166,6 +176,8 @@
     invalid_starts: int = 0
     not_before_ms: int = 0
     pending_since_ms: int = 0
+    left_work_ms: int = 0
+    preemptions: int = 0
     best_effort: bool = False
     final_row: msgspec.Raw | None = None
     latest_row: tuple[tuple[object, ...], msgspec.Raw] | None = None
--- a/waxwingford/shard/_observer.py
+++ b/waxwingford/shard/_observer.py
@@ -57,6 +57,9 @@
                     self.metrics.latency('run_wait', waited_ms)
                 case 'job.late':
                     self._count_job('jobs_late_total', note, _LATE_LABELS)
+                case 'run.preempted':
+                    queue = str(note.fields['queue'])
+                    self.metrics.count('runs_preempted_total', queue=queue)
                 case 'job.ended' if 'size' in note.fields:
                     self._count_job('jobs_ended_total', note, _ENDED_LABELS)
 
