Use what servers say of their leaving and of their warm-up

Cause: registrations name remaining-ms and warmup-left-ms, and neither was read. On a draining server, tasks without checkpoints were lost with it although there was time to end them or to begin elsewhere, and tasks with checkpoints were stopped although they would have ended in time. Short tasks were placed on servers that had just started and were slow.

A cold server costs more for tasks that aren't long-running. Without these fields decisions are as before.

--- a/waxwingford/platform/_records.py
+++ b/waxwingford/platform/_records.py
@@ -62,7 +62,10 @@
     gpu: _Amount = 0
 
 
-class _Registration(msgspec.Struct):
+class _Registration(
+    msgspec.Struct,
+    rename={'remaining_ms': 'remaining-ms', 'warm_up_ms': 'warmup-left-ms'},
+):
     service: Annotated[str, msgspec.Meta(min_length=1)]
     address: _Endpoint
     zone: str
@@ -71,6 +74,10 @@
     labels: list[str] = []
     # Unix time in ms at which the worker started.
     born: _UnixMs = 0
+    # Durations as of the record. Any type: a registration whose durations can't be
+    # used still names a server.
+    remaining_ms: object = 0
+    warm_up_ms: object = 0
 
 
 class QueuePath(msgspec.Struct, frozen=True):
@@ -234,6 +241,8 @@
         registration.state == 'draining',
         next(filter(_RACK.fullmatch, registration.labels), ''),
         registration.born,
+        _duration_ms(registration.remaining_ms),
+        _duration_ms(registration.warm_up_ms),
     )
 
 
@@ -252,6 +261,16 @@
     return str(fault._replace(field=named))
 
 
+def _duration_ms(listed: object) -> int:
+    """Read a duration that a registration may name.
+
+    :returns: duration in ms, 0 if it is no number that can be one.
+    """
+    if isinstance(listed, bool) or not isinstance(listed, int | float):
+        return 0
+    return int(listed) if 0 <= listed <= _MAX_AMOUNT else 0
+
+
 def _check_endpoint(address: str) -> None:
     """Check that an address can be connected to.
 
--- a/waxwingford/platform/tests/adapter.feature
+++ b/waxwingford/platform/tests/adapter.feature
@@ -133,6 +133,21 @@
     When a worker registers with the labels "ram"
     Then its rack is ""
 
+  Scenario Outline: notice and warm-up in a registration
+    # Guards against a server that is lost for a duration that can't be used.
+    When a worker registers with <listed> as remaining-ms and warmup-left-ms
+    Then its notice and its warm-up are <expected> ms
+
+    Examples:
+      | listed    | expected |
+      | 5500      | 5500     |
+      | 2000.5    | 2000     |
+      | -1        | 0        |
+      | true      | 0        |
+      | null      | 0        |
+      | "soon"    | 0        |
+      | {"ms": 1} | 0        |
+
   Scenario: fields of a submission
     When a submission with all fields is decoded
     Then its step has all fields
--- a/waxwingford/platform/tests/adapter_steps.py
+++ b/waxwingford/platform/tests/adapter_steps.py
@@ -279,13 +279,30 @@
 
 @when('a worker registers with the labels "{labels}"')
 def register_worker(context, labels):
+    register_fields(context, labels=labels.split())
+
+
+@when('a worker registers with {listed} as remaining-ms and warmup-left-ms')
+def register_durations(context, listed):
+    duration = json.loads(listed)
+    fields = {'remaining-ms': duration, 'warmup-left-ms': duration}
+    register_fields(context, **fields)
+
+
+@then('its notice and its warm-up are {expected:d} ms')
+def check_durations(context, expected):
+    entry = context.registration
+    assert entry.remaining_ms == entry.warm_up_ms == expected, entry
+
+
+def register_fields(context, **fields):
     body = {
         'service': 's',
         'address': '127.0.0.1:1',
         'zone': 'z',
         'state': 'ready',
         'capacity': {'cpu': 8000, 'mem-mb': 16000},
-        'labels': labels.split(),
+        **fields,
     }
     raw = json.dumps(body).encode()
     context.registration = decode_registration('i-1', raw)
--- a/waxwingford/scheduling/_maintenance.py
+++ b/waxwingford/scheduling/_maintenance.py
@@ -14,6 +14,7 @@
     penalize_server,
     readmit_last_servers,
 )
+from waxwingford.scheduling._server_conditions import stop_on_draining
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._settle import Settler
 from waxwingford.scheduling._shard_state import ShardState
@@ -98,7 +99,7 @@
             if not step.spec.long_running:
                 penalize_server(server, STALLED_RUN_PENALTY, now_ms)
         if server.entry.draining and server.registered:
-            _stop_movable_runs(server)
+            stop_on_draining(self._state, server, now_ms)
         owes_stops = server.unknown_runs or server.stops_owed
         if owes_stops or _may_need_stops(server):
             self._settler.settle_unsent(server, now_ms)
@@ -155,17 +156,3 @@
         if step.spec.best_effort
         else STALLED_RUN_TIMEOUT_MS
     )
-
-
-def _stop_movable_runs(server: Server) -> None:
-    """Stop long-running tasks and tasks with checkpoints on a draining server.
-
-    Otherwise they would be restarted elsewhere only after the server has exited
-    and its lease has expired, several seconds later.
-    """
-    for key, run in server.run_by_key.items():
-        spec = server.step_by_run[key].spec
-        if run.phase is RunPhase.present and (
-            spec.long_running or spec.writes_checkpoints
-        ):
-            run.stopping = True
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -43,7 +43,7 @@
         self._backlog = Backlog()
         self._state = state
         self._admission = BestEffortAdmission(model)
-        self._costs = ServerCosts(self._admission)
+        self._costs = ServerCosts(self._admission, state.learned.run_times)
         self._best_effort_ms = 0
         self._best_effort_due_ms = 0
         self._evaluations = 0
@@ -278,6 +278,8 @@
 
         :param now_ms: current monotonic time, in ms.
         """
+        # A copy doesn't wait: another run of its task is present.
+        copied = bool(task.run_by_number)
         task.last_run += 1
         key = RunKey(task.key, task.last_run)
         run = Run(
@@ -302,7 +304,7 @@
             task.key,
             run=key.run,
             server=run.server_id,
-            waited_ms=now_ms - task.pending_since_ms,
+            waited_ms=0 if copied else now_ms - task.pending_since_ms,
             looked_ms_ago=now_ms - server.polled_ms,
             terms=self._state.terms.version,
         )
--- a/waxwingford/scheduling/_progress.py
+++ b/waxwingford/scheduling/_progress.py
@@ -24,8 +24,12 @@
     if not since_ms or run.pace is None or step.spec.long_running:
         return
     known = step.progress >= LEARNED_PROGRESS
-    step.attained_ms += (now_ms - since_ms) * run.pace / _FULL_PERCENT
-    step.progress += max(0, percent - run.percent) / _FULL_PERCENT
+    attained_ms = (now_ms - since_ms) * run.pace / _FULL_PERCENT
+    progress = max(0, percent - run.percent) / _FULL_PERCENT
+    run.attained_ms += attained_ms
+    run.progress += progress
+    step.attained_ms += attained_ms
+    step.progress += progress
     observed_ms = step.observed_ms
     if known or observed_ms is None or step.progress < LEARNED_PROGRESS:
         return
--- a/waxwingford/scheduling/_restarts.py
+++ b/waxwingford/scheduling/_restarts.py
@@ -20,6 +20,7 @@
     CLOCK_DRIFT,
     Server,
     ServerEntry,
+    count_down,
 )
 from waxwingford.scheduling._shard_state import ShardState
 from waxwingford.scheduling._state import Run, RunPhase
@@ -59,11 +60,11 @@
         if server.polled_ms < 0:
             server.incarnation = entry.incarnation
         if _is_current(server, entry):
-            server.register(entry)
+            server.register(entry, now_ms)
         elif not _is_outdated(server, entry):
             later = entry.started_ms > server.incarnation.started_ms
             if later or server.replaced:
-                self._succeed(server, entry, now_ms)
+                count_down(self._succeed(server, entry, now_ms), now_ms)
             else:
                 server.claimed_ms = entry.started_ms
 
@@ -80,8 +81,11 @@
             if not answer.lists_all_ends:
                 # Any run may be among the ends that follow.
                 known |= server.run_by_key.keys()
-            server = self._succeed(server, entry, now_ms, known)
+            former = server
+            server = self._succeed(former, entry, now_ms, known)
             server.described = False
+            server.leaves_ms = former.leaves_ms
+            server.cold_until_ms = former.cold_until_ms
             return server
         if server.claimed_ms:
             server.superseded |= {server.claimed_ms}
--- a/waxwingford/scheduling/_server_costs.py
+++ b/waxwingford/scheduling/_server_costs.py
@@ -1,6 +1,8 @@
 """Cost of a task on each server that fits it; the cheapest one is chosen."""
 
 from waxwingford.scheduling._admission import BestEffortAdmission
+from waxwingford.scheduling._job_estimates import expected_run_time_ms
+from waxwingford.scheduling._run_times import RunTimes
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._state import Step, Task
 
@@ -25,6 +27,10 @@
 OTHER_STEP_COST = 1.0
 #: Per run that would be lost if a task that may crash the server does so.
 LOST_RUN_COST = 2.0
+#: A task that isn't long-running would run on a cold server from begin to end.
+#: More than the utilisation can cost, so that cold servers come last while others
+#: have room.
+COLD_COST = 2.0
 #: Share of its requested CPU that a task is assumed to use; the rest is
 #: available to best-effort tasks.
 ASSUMED_USE_SHARE = 0.6
@@ -35,12 +41,16 @@
 class ServerCosts:
     """Compares servers for a task."""
 
-    def __init__(self, admission: BestEffortAdmission) -> None:
+    def __init__(
+        self, admission: BestEffortAdmission, run_times: RunTimes
+    ) -> None:
         """Use the forecast of a placement round.
 
         :param admission: forecasts the interference of best-effort tasks.
+        :param run_times: learned run times.
         """
         self._admission = admission
+        self._run_times = run_times
 
     def cost(
         self, task: Task, step: Step, server: Server, now_ms: int
@@ -57,6 +67,10 @@
         if server.incarnation in task.avoided:
             cost += AVOIDED_COST
         cost += PENALTY_COST * server.penalty
+        if server.cold_until_ms > now_ms and not spec.long_running:
+            run_time_ms = expected_run_time_ms(step, self._run_times)
+            cold_ms = server.cold_until_ms - now_ms
+            cost += COLD_COST * min(1, cold_ms / max(1, run_time_ms))
         if task.may_crash:
             cost += LOST_RUN_COST * len(server.run_by_key)
         if spec.best_effort:
--- a/waxwingford/scheduling/_server_registry.py
+++ b/waxwingford/scheduling/_server_registry.py
@@ -7,7 +7,7 @@
 from waxwingford.scheduling._containment import attempt
 from waxwingford.scheduling._recovery import InheritedLeases, StateRecovery
 from waxwingford.scheduling._restarts import Restarts
-from waxwingford.scheduling._servers import Server, ServerEntry
+from waxwingford.scheduling._servers import Server, ServerEntry, count_down
 from waxwingford.scheduling._shard_state import ShardState
 
 _NOTHING = Resources(0, 0, 0)
@@ -48,17 +48,18 @@
             if server_id not in entry_by_id:
                 server.registered = False
         for server_id in list(self._recovery.orphans_by_server):
-            self._add_unlisted(server_id)
+            self._add_unlisted(server_id, now_ms)
 
     def _apply(self, entry: ServerEntry, now_ms: int) -> None:
         server = self._state.server_by_id.get(entry.server_id)
         if server is None:
-            self._add(entry)
+            self._add(entry, now_ms)
         else:
             self._restarts.registered(server, entry, now_ms)
 
-    def _add(self, entry: ServerEntry) -> None:
+    def _add(self, entry: ServerEntry, now_ms: int) -> None:
         server = Server(entry)
+        count_down(server, now_ms)
         self._state.server_by_id[entry.server_id] = server
         if entry.server_id in self._recovery.orphans_by_server:
             server.inherited_lease_until_ms = self._inherited_leases.until(
@@ -66,9 +67,9 @@
             )
             self._recovery.adopt(server)
 
-    def _add_unlisted(self, server_id: str) -> None:
+    def _add_unlisted(self, server_id: str, now_ms: int) -> None:
         entry = ServerEntry(
             server_id, '', '', '', frozenset(), _NOTHING, draining=True
         )
-        self._add(entry)
+        self._add(entry, now_ms)
         self._state.server_by_id[server_id].registered = False
--- a/waxwingford/scheduling/_servers.py
+++ b/waxwingford/scheduling/_servers.py
@@ -33,6 +33,10 @@
     :ivar rack: rack of its VM, empty if unknown.
     :ivar started_ms: Unix time in ms at which the server started, 0 if it
         doesn't say.
+    :ivar remaining_ms: time until it leaves as of the registration, in ms, 0 if
+        unknown.
+    :ivar warm_up_ms: time for which it stays slow as of the registration, in ms, 0
+        if it isn't.
     """
 
     server_id: str
@@ -44,6 +48,8 @@
     draining: bool
     rack: str = ''
     started_ms: int = 0
+    remaining_ms: int = 0
+    warm_up_ms: int = 0
 
     @property
     def incarnation(self) -> Incarnation:
@@ -123,6 +129,9 @@
     :ivar penalized_gang: step and run number of the gang whose failure was last
         added to this score, ``None`` for none.
     :ivar change_count: number of runs added or removed so far.
+    :ivar leaves_ms: time at which it leaves, 0 if unknown.
+    :ivar cold_until_ms: time until which it is slow, as it has just started.
+    :ivar drain_noted: whether its present drain was noted.
     :ivar awaited: whether the wait for the end of its leases was noted.
     """
 
@@ -175,6 +184,9 @@
     claimed_ms: int = 0
     evacuated: bool = False
     described: bool = True
+    leaves_ms: int = 0
+    cold_until_ms: int = 0
+    drain_noted: bool = False
 
     def __post_init__(self) -> None:
         self.incarnation = self.entry.incarnation
@@ -201,12 +213,18 @@
         leaves = self.replaced or self.entry.draining or not self.registered
         return answers and not (leaves or self.evacuated)
 
-    def register(self, entry: ServerEntry) -> None:
-        """Apply a newer registration of this incarnation."""
+    def register(self, entry: ServerEntry, now_ms: int) -> None:
+        """Apply a newer registration of this incarnation.
+
+        :param now_ms: current monotonic time, in ms.
+        """
+        changed = entry != self.entry or not self.described
         self.entry = entry
         self.registered = True
         self.described = True
         self._update_room()
+        if changed:
+            count_down(self, now_ms)
 
     def add(self, run: Run, step: Step) -> None:
         """Add a run and reserve its resources."""
@@ -336,3 +354,19 @@
     def _update_room(self) -> None:
         # Stored because each placement round reads it for every server.
         self.free_resources = subtract_resources(self.entry.capacity, self.used)
+
+
+def count_down(server: Server, now_ms: int) -> None:
+    """Count the durations in a registration that was just read from now on.
+
+    The same registration is read again and again, and its durations hold as of its
+    record, so this is called only when it is new or has changed.
+
+    :param now_ms: current monotonic time, in ms.
+    """
+    entry = server.entry
+    noticed = entry.draining and entry.remaining_ms
+    server.leaves_ms = now_ms + entry.remaining_ms if noticed else 0
+    cold = entry.warm_up_ms
+    server.cold_until_ms = now_ms + cold if cold else 0
+    server.drain_noted = server.drain_noted and entry.draining
--- a/waxwingford/scheduling/_state.py
+++ b/waxwingford/scheduling/_state.py
@@ -52,6 +52,10 @@
     :ivar checkpoint: newest checkpoint that the server listed.
     :ivar percent: progress that the server listed, in percent.
     :ivar listed_ms: time at which it was last listed, 0 for never.
+    :ivar attained_ms: time that it has had between the polls that listed it, at full
+        speed, in ms.
+    :ivar progress: progress that it was listed to have made in that time, 1 for the
+        whole task.
     :ivar progress_changed_ms: time at which the progress last changed.
     :ivar measured_value: tail latency or CPU usage that the server listed, see
         ``RunningReport.measured_value``.
@@ -74,6 +78,8 @@
         ``OUTLIVED_MS`` after the start.
     :ivar begun: whether the incarnation is known to have begun the run, as it
         has listed it, or accepted its start by its own clock.
+    :ivar resumed: whether it resumes from a checkpoint.
+    :ivar copy: whether it was started beside another run of its task.
     """
 
     key: RunKey
@@ -84,6 +90,8 @@
     checkpoint: str = ''
     percent: float = 0
     listed_ms: int = 0
+    attained_ms: float = 0
+    progress: float = 0
     progress_changed_ms: int = 0
     measured_value: float = 0
     pace: int | None = 100
@@ -98,6 +106,11 @@
     unconfirmed: bool = False
     outlived: bool = False
     begun: bool = False
+    copy: bool = False
+    resumed: bool = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        self.resumed = bool(self.checkpoint)
 
     @property
     def server_id(self) -> str:
@@ -130,6 +143,10 @@
     :ivar begun: whether a server has accepted or listed a run.
     :ivar done: whether a run completed.
     :ivar checkpoint: checkpoint to resume from, empty for none.
+    :ivar copied: whether two runs of the task were present at a time since it was
+        pending.
+    :ivar saved_percent: progress at which the checkpoint was written, in percent, as
+        far as known; it tells which checkpoint of two runs is newer.
     :ivar run_by_number: runs that may be present on a server.
     :ivar avoided: incarnations on which the task failed, made no progress or was
         throttled.
@@ -158,6 +175,8 @@
     begun: bool = False
     done: bool = False
     checkpoint: str = ''
+    copied: bool = False
+    saved_percent: float = 0
     run_by_number: dict[int, Run] = dataclasses.field(default_factory=dict)
     avoided: set[Incarnation] = dataclasses.field(default_factory=set)
     failed_on: list[Incarnation] = dataclasses.field(default_factory=list)
