Copy stragglers of steps that permit several runs of a task

Cause: jobs waited for the one task that was on a slow or stalled server, although their steps permit copies and other servers were idle.

Change: with scheduling.copies, off by default, a run that is expected to last longer than a new one gets a second run elsewhere, if no task of the same or a higher priority waits. The first end done counts. A new owner stops what is left of a done task whose job goes on; before, a run beside the one that was done went on. Of two checkpoints, that of the run with more progress is kept. Two runs in a row are told apart by number.

--- a/waxwingford/scheduling/_engine.py
+++ b/waxwingford/scheduling/_engine.py
@@ -24,7 +24,7 @@
 from waxwingford.scheduling._order_factory import OrderFactory
 from waxwingford.scheduling._orders import Batch, Start
 from waxwingford.scheduling._pacing import Pacer
-from waxwingford.scheduling._placing import Placer
+from waxwingford.scheduling._placement import Placement
 from waxwingford.scheduling._recovery import InheritedLeases, StateRecovery
 from waxwingford.scheduling._rows import (
     INTERFERENCE_KEY,
@@ -74,7 +74,8 @@
         )
         self.lease_withholding = LeaseWithholding(self.state)
         self._harm = InterferenceModel()
-        self._placer = Placer(self.state, self._harm)
+        self._placement = Placement(self.state, self._harm, features)
+        self._placer = self._placement.placer
         self.pacer = Pacer(self.state, self._harm)
         self._maintenance = Maintenance(
             self.state, self.settler, Migrator(self.state, self._placer)
@@ -235,7 +236,7 @@
         if not self.state.terms.version:
             # Neither the services of the queues nor evacuations are known yet.
             max_starts = 0
-        decision = self._placer.place(now_ms, max_starts, overloaded)
+        decision = self._placement.place(now_ms, max_starts, overloaded, timely)
         return decision._replace(returned=self.settler.take_returned())
 
     def take_batch(self) -> Batch:
--- /dev/null
+++ b/waxwingford/scheduling/_placement.py
@@ -0,0 +1,48 @@
+"""A round of placement: pending tasks first, then what the features add."""
+
+import functools
+
+from waxwingford.scheduling._backlog import Decision
+from waxwingford.scheduling._containment import attempt
+from waxwingford.scheduling._copies import CopyPlacer
+from waxwingford.scheduling._features import Features
+from waxwingford.scheduling._interference import InterferenceModel
+from waxwingford.scheduling._placing import Placer
+from waxwingford.scheduling._shard_state import ShardState
+
+
+class Placement:
+    """Places pending tasks, and copies of stragglers if they are enabled.
+
+    :ivar placer: places the pending tasks.
+    """
+
+    def __init__(
+        self, state: ShardState, model: InterferenceModel, features: Features
+    ) -> None:
+        self._state = state
+        self._features = features
+        self.placer = Placer(state, model)
+        self._copies = CopyPlacer(state, self.placer, model)
+
+    def place(
+        self, now_ms: int, max_starts: float, overloaded: bool, timely: bool
+    ) -> Decision:
+        """Plan runs of pending tasks, then copies of stragglers.
+
+        :param now_ms: current monotonic time, in ms.
+        :param max_starts: runs after which the round ends.
+        :param overloaded: whether the owner's processor limits the starts.
+        :param timely: whether answers of servers are read in time.
+        """
+        decision = self.placer.place(now_ms, max_starts, overloaded)
+        left = max_starts - decision.placed
+        if self._features.copies and left > 0:
+            place = functools.partial(
+                self._copies.place_due, now_ms, left, timely
+            )
+            attempt(self._state.notes, 'copy', '', place)
+            decision = decision._replace(
+                placed=decision.placed + self._copies.placed
+            )
+        return decision
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -279,7 +279,7 @@
         :param now_ms: current monotonic time, in ms.
         """
         # A copy doesn't wait: another run of its task is present.
-        copied = bool(task.run_by_number)
+        waited_ms = 0 if task.run_by_number else now_ms - task.pending_since_ms
         task.last_run += 1
         key = RunKey(task.key, task.last_run)
         run = Run(
@@ -290,6 +290,7 @@
             now_ms,
             checkpoint=task.checkpoint,
             progress_changed_ms=now_ms,
+            resumed=task.checkpoint != '',
         )
         task.run_by_number[key.run] = run
         if is_suspect(task, step):
@@ -304,7 +305,7 @@
             task.key,
             run=key.run,
             server=run.server_id,
-            waited_ms=0 if copied else now_ms - task.pending_since_ms,
+            waited_ms=waited_ms,
             looked_ms_ago=now_ms - server.polled_ms,
             terms=self._state.terms.version,
         )
--- a/waxwingford/scheduling/_recovery.py
+++ b/waxwingford/scheduling/_recovery.py
@@ -143,14 +143,16 @@
     def _find_orphans(self, job: Job) -> None:
         for step in steps_of(job):
             runs = (
-                run
+                (run, task)
                 for task in step.tasks
                 for run in task.run_by_number.values()
             )
-            for run in runs:
+            for run, task in runs:
                 # A cancellation is applied before the rows, so it could not
-                # stop these runs.
-                run.stopping = job.ended is not None
+                # stop these runs. Another run of a done task may be a copy, or
+                # have one, whose stop the previous owner hadn't seen carried out.
+                outdone = task.done and not step.spec.gang
+                run.stopping = job.ended is not None or outdone
                 self.orphans_by_server[run.server_id].append((run, step))
             if step.spec.gang:
                 gangs.stop_incomplete(step)
--- a/waxwingford/scheduling/_rows.py
+++ b/waxwingford/scheduling/_rows.py
@@ -296,6 +296,8 @@
     for run in task.run_by_number.values():
         run.outlived = row.outlived
         run.accepted = run.key.run in row.accepted_runs
+        run.copy = run.key.run > min(task.run_by_number)
+    task.copied = len(task.run_by_number) > 1
     task.failed_on = list(map(parse_incarnation, row.failed_on))
     task.avoided = set(task.failed_on)
 
--- a/waxwingford/scheduling/_run_settlement.py
+++ b/waxwingford/scheduling/_run_settlement.py
@@ -2,6 +2,7 @@
 
 from waxwingford.scheduling import _gangs as gangs
 from waxwingford.scheduling._backend_client import EndKind, RunKey
+from waxwingford.scheduling._copy_ends import keep_checkpoint, note_copy_end
 from waxwingford.scheduling._late_ends import note_lost
 from waxwingford.scheduling._penalties import (
     FAILED_RUN_PENALTY,
@@ -71,9 +72,9 @@
             # The server has survived the run, so the task didn't crash it.
             task.crash_evidence = 0
             task.lost_starts = 0
-        task.checkpoint = self.newest_checkpoint(
-            run, checkpoint, task.checkpoint
-        )
+        newest = self.newest_checkpoint(run, checkpoint, task.checkpoint)
+        keep_checkpoint(task, run, newest)
+        note_copy_end(self._state, (task, step), run, kind, now_ms)
         if step.spec.gang:
             gangs.share_checkpoint(step, task.checkpoint)
             if kind is not EndKind.done:
@@ -85,6 +86,7 @@
             task.pending_since_ms = now_ms
         requeued = _requeue(self._state, task, step)
         self._returned += requeued and not began
+        task.copied &= not requeued
 
     def newest_checkpoint(self, run: Run, checkpoint: str, former: str) -> str:
         """Choose the checkpoint to resume from.
--- a/waxwingford/scheduling/_state.py
+++ b/waxwingford/scheduling/_state.py
@@ -107,10 +107,7 @@
     outlived: bool = False
     begun: bool = False
     copy: bool = False
-    resumed: bool = dataclasses.field(init=False)
-
-    def __post_init__(self) -> None:
-        self.resumed = bool(self.checkpoint)
+    resumed: bool = False
 
     @property
     def server_id(self) -> str:
--- a/waxwingford/scheduling/tests/engine_harness.py
+++ b/waxwingford/scheduling/tests/engine_harness.py
@@ -21,6 +21,7 @@
     Stop,
     Terms,
 )
+from waxwingford.scheduling._features import NO_FEATURES
 
 JOB = '00000000000000aa'
 SECOND = '00000000000000bb'
@@ -36,12 +37,12 @@
 class EngineHarness:
     """Engine with simulated servers whose answers the steps control."""
 
-    def __init__(self, count, cores, started_ms=0):
+    def __init__(self, count, cores, started_ms=0, features=NO_FEATURES):
         self.now_ms = 100_000
         self.max_starts = math.inf
         self.wall_offset_ms = 10_000_000
         self.rows = {}
-        self.engine = new_engine(7, self.now_ms)
+        self.engine = new_engine(7, self.now_ms, features)
         self.entries = []
         self.planned_runs = []
         self.orders = []
@@ -239,8 +240,9 @@
         engine.stored(batch)
 
 
-def new_engine(token, now_ms):
-    engine = Engine(token, 5000, InheritedLeases(now_ms, {}))
+def new_engine(token, now_ms, features=NO_FEATURES):
+    inherited = InheritedLeases(now_ms, {})
+    engine = Engine(token, 5000, inherited, features=features)
     engine.configure(Terms(1, {'queue': QUEUE}))
     return engine
 
--- a/waxwingford/scheduling/tests/succession_steps.py
+++ b/waxwingford/scheduling/tests/succession_steps.py
@@ -52,7 +52,9 @@
 def change_owner(context):
     harness = context.harness
     previous = harness.engine
-    engine = new_engine(previous.orders.token + 1, harness.now_ms)
+    engine = new_engine(
+        previous.orders.token + 1, harness.now_ms, previous.features
+    )
     engine.restore(dict(harness.rows))
     for job in previous.state.job_by_id.values():
         engine.submit(job.spec, harness.now_ms)
--- a/waxwingford/shard/_observer.py
+++ b/waxwingford/shard/_observer.py
@@ -57,6 +57,14 @@
                     self.metrics.latency('run_wait', waited_ms)
                 case 'job.late':
                     self._count_job('jobs_late_total', note, _LATE_LABELS)
+                case 'run.copied':
+                    self.metrics.count('copies_started_total')
+                case 'copy.won':
+                    copied = str(note.fields['copy']).lower()
+                    self.metrics.count('copies_won_total', copy=copied)
+                case 'copy.wasted':
+                    core_ms = int(str(note.fields['core_ms']))
+                    self.metrics.count('copies_wasted_core_ms_total', core_ms)
                 case 'job.ended' if 'size' in note.fields:
                     self._count_job('jobs_ended_total', note, _ENDED_LABELS)
 
--- a/waxwingford/shard/tests/job_metrics.feature
+++ b/waxwingford/shard/tests/job_metrics.feature
@@ -10,3 +10,16 @@
       | jobs_late_total{begun="true",expired="true",queue="queue",size="over double"}               | 1     |
       | jobs_ended_total{lateness="expired",phase="completed",queue="queue",size="over double"}     | 1     |
       | jobs_ended_total{lateness="in_time",phase="completed",queue="queue",size="under double"}     | 20    |
+
+  Scenario: a copy wins
+    # Guards against copies whose benefit and cost operators can't see.
+    Given a step with copies, of which a task runs on a slow server
+    When 3000 ms pass with copies
+    And its first run ends as stopped
+    And 50 ms pass with copies
+    And what was noted of copies is counted
+    Then the metrics count
+      | series                          | count |
+      | copies_started_total            | 1     |
+      | copies_won_total{copy="true"}   | 1     |
+      | copies_wasted_core_ms_total     | 3018  |
--- a/waxwingford/shard/tests/job_metrics_steps.py
+++ b/waxwingford/shard/tests/job_metrics_steps.py
@@ -53,6 +53,12 @@
     record(context)
 
 
+@when('what was noted of copies is counted')
+def count_copies(context):
+    context.observer = Observer(Metrics())
+    context.observer.record_notes(context.harness.notes)
+
+
 @then('the metrics count')
 def check_series(context):
     lines = context.observer.metrics.render().splitlines()
