--- a/waxwingford/scheduling/_maintenance.py
+++ b/waxwingford/scheduling/_maintenance.py
@@ -16,6 +16,7 @@
     readmit_last_servers,
 )
 from waxwingford.scheduling._placing import Placer
+from waxwingford.scheduling._server_conditions import stop_on_draining
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._settle import Settler
 from waxwingford.scheduling._shard_state import ShardState
@@ -103,7 +104,7 @@
             if not step.spec.long_running:
                 penalize_server(server, STALLED_RUN_PENALTY, now_ms)
         if server.entry.draining and server.registered:
-            _stop_movable_runs(server, self._budget, now_ms)
+            stop_on_draining(self._state, server, self._budget, now_ms)
         owes_stops = server.unknown_runs or server.stops_owed
         if owes_stops or _may_need_stops(server):
             self._settler.settle_unsent(server, now_ms)
@@ -159,22 +160,3 @@
         if step.spec.best_effort
         else STALLED_RUN_TIMEOUT_MS
     )
-
-
-def _stop_movable_runs(
-    server: Server, budget: DisruptionBudget, now_ms: int
-) -> None:
-    """Stop long-running tasks and tasks with checkpoints on a draining server.
-
-    Otherwise they would be restarted elsewhere only after the server has exited
-    and its lease has expired, several seconds later.
-
-    :param now_ms: current monotonic time, in ms.
-    """
-    for key, run in server.run_by_key.items():
-        step = server.step_by_run[key]
-        movable = step.spec.long_running or step.spec.writes_checkpoints
-        if run.phase is not RunPhase.present or run.stopping or not movable:
-            continue
-        if budget.may_stop_on_draining(server, run, step, now_ms):
-            run.stopping = True
--- a/waxwingford/scheduling/_preemption_costs.py
+++ b/waxwingford/scheduling/_preemption_costs.py
@@ -13,7 +13,7 @@
     subtract_resources,
 )
 from waxwingford.scheduling._disruption_budget import DisruptionBudget
-from waxwingford.scheduling._job_estimates import run_time_ms
+from waxwingford.scheduling._job_estimates import expected_run_time_ms
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._shard_state import ShardState
 from waxwingford.scheduling._state import Run, RunPhase, Step, Task
@@ -169,7 +169,7 @@
         # Hundreds of runs share a few steps.
         found = self._run_time_by_step.get(step.name)
         if found is None:
-            found = run_time_ms(step, self._state.learned.run_times)
+            found = expected_run_time_ms(step, self._state.learned.run_times)
             self._run_time_by_step[step.name] = found
         return found
 
--- a/waxwingford/shard/_observer.py
+++ b/waxwingford/shard/_observer.py
@@ -11,6 +11,13 @@
 #: Fields of notes by which jobs are counted.
 _LATE_LABELS = ('queue', 'size', 'expired', 'begun')
 _ENDED_LABELS = ('queue', 'size', 'phase', 'lateness')
+#: Counters of notes of other kinds, and the fields that label them.
+_COUNTER_BY_EVENT = {
+    'job.late': ('jobs_late_total', _LATE_LABELS),
+    'run.preempted': ('runs_preempted_total', ('queue',)),
+    'run.copied': ('copies_started_total', ()),
+    'copy.won': ('copies_won_total', ('copy',)),
+}
 
 _log = logbook.Logger('shard')
 
@@ -55,14 +62,15 @@
                 case 'run.planned':
                     waited_ms = float(str(note.fields['waited_ms']))
                     self.metrics.latency('run_wait', waited_ms)
-                case 'job.late':
-                    self._count_job('jobs_late_total', note, _LATE_LABELS)
-                case 'run.preempted':
-                    queue = str(note.fields['queue'])
-                    self.metrics.count('runs_preempted_total', queue=queue)
+                case 'copy.wasted':
+                    core_ms = int(str(note.fields['core_ms']))
+                    self.metrics.count('copies_wasted_core_ms_total', core_ms)
                 case 'job.ended' if 'size' in note.fields:
-                    self._count_job('jobs_ended_total', note, _ENDED_LABELS)
+                    self._count('jobs_ended_total', note, _ENDED_LABELS)
+                case event if event in _COUNTER_BY_EVENT:
+                    name, labels = _COUNTER_BY_EVENT[event]
+                    self._count(name, note, labels)
 
-    def _count_job(self, name: str, note: Note, names: Iterable[str]) -> None:
+    def _count(self, name: str, note: Note, names: Iterable[str]) -> None:
         labels = {label: str(note.fields[label]).lower() for label in names}
         self.metrics.count(name, **labels)
