Explain where a job would go, from the state of an engine

Cause: why a task goes to a server, or to none, can be told only of jobs that were submitted, from log lines.

Change: explain_placement reads Engine.placement_view and tells for each step the three first servers with the terms of their cost, how many servers are left out for each reason, whether a gang fits, and how many tasks are ahead. Caches, tickets, notes and reservations stay as they are. decode_job reads a job as JSON with the names of JobSpec and StepSpec, strictly. ServerCosts.terms lists the terms whose sum is the cost.

--- a/waxwingford/scheduling/__init__.py
+++ b/waxwingford/scheduling/__init__.py
@@ -42,6 +42,10 @@
             'Features',
         ),
         '_incarnations': ('Incarnation',),
+        '_job_document': (
+            'DocumentFault',
+            'decode_job',
+        ),
         '_notes': ('Note',),
         '_orders': (
             'Batch',
@@ -51,6 +55,12 @@
             'Stop',
         ),
         '_lease_withholding': ('take_listed',),
+        '_placement_answer': ('PlacementReport', 'StepReport'),
+        '_placement_report': (
+            'Moment',
+            'explain_placement',
+        ),
+        '_placement_view': ('PlacementView',),
         '_recovery': ('InheritedLeases',),
         '_rows': (
             'ENDED_PREFIX',
--- a/waxwingford/scheduling/_engine.py
+++ b/waxwingford/scheduling/_engine.py
@@ -47,7 +47,10 @@
 
 
 class Engine:
-    """Makes the decisions of one owner of a shard."""
+    """Makes the decisions of one owner of a shard.
+
+    :ivar placement_view: what explanations of placements read.
+    """
 
     def __init__(
         self,
@@ -75,6 +78,7 @@
         self.lease_withholding = LeaseWithholding(self.state)
         self._harm = InterferenceModel()
         self._placer = Placer(self.state, self._harm)
+        self.placement_view = self._placer.view
         self.pacer = Pacer(self.state, self._harm)
         self._maintenance = Maintenance(
             self.state, self.settler, Migrator(self.state, self._placer)
--- a/waxwingford/scheduling/_interference.py
+++ b/waxwingford/scheduling/_interference.py
@@ -98,9 +98,17 @@
     :ivar pairs: interference coefficients.
     """
 
-    def __init__(self) -> None:
-        self.pairs = LearnedPairs()
-        self._filter_by_step: dict[str, HeadroomFilter] = {}
+    def __init__(
+        self,
+        pairs: LearnedPairs | None = None,
+        filter_by_step: dict[str, HeadroomFilter] | None = None,
+    ) -> None:
+        """Create a model, by default without any experience.
+
+        :param filter_by_step: headroom estimates; the model adds to them.
+        """
+        self.pairs = LearnedPairs() if pairs is None else pairs
+        self._filter_by_step = filter_by_step or {}
         self._observation_by_server: dict[Incarnation, Observation] = {}
         self._forecast_by_server: dict[Incarnation, _ServerForecast] = {}
         self._evicted_ms = 0
@@ -142,6 +150,14 @@
                 self._apply_sample(step, sample, current, previous)
         self._evict_stale(now_ms)
 
+    def preview(self) -> 'InterferenceModel':
+        """Make a model that predicts the same and keeps its own caches.
+
+        A forecast that is cached by a question would be used by later decisions
+        in place of a newer one.
+        """
+        return InterferenceModel(self.pairs, self._filter_by_step.copy())
+
     def coefficient(self, serving: Step, best_effort: Step) -> float:
         """Predict the interference of a best-effort step with a serving step.
 
--- a/waxwingford/scheduling/_isolation.py
+++ b/waxwingford/scheduling/_isolation.py
@@ -99,6 +99,11 @@
             server.reserved_for = suspect_key(task.key, step)
             self._reserved += 1
 
+    def is_reserved(self, server: Server) -> bool:
+        """Tell whether a server is kept for a suspect, without a change."""
+        cause = server.reserved_for
+        return cause is not None and self._is_needed(server, cause)
+
     def _admits_suspect(self, server: Server, cause: TaskKey) -> bool:
         if server.reserved_for is None:
             may_use = self._reserved < self._max_reserved
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -1,5 +1,7 @@
 """Chooses a backend server for each pending task."""
 
+import functools
+
 from waxwingford.ports import fits_resources
 from waxwingford.scheduling import _gangs as gangs
 from waxwingford.scheduling._admission import BestEffortAdmission
@@ -13,6 +15,7 @@
 from waxwingford.scheduling._isolation import Isolation
 from waxwingford.scheduling._job_estimates import estimate_job
 from waxwingford.scheduling._pending_report import PendingReport
+from waxwingford.scheduling._placement_view import PlacementView
 from waxwingford.scheduling._reservations import Reservations
 from waxwingford.scheduling._server_costs import ServerCosts
 from waxwingford.scheduling._server_selection import ServerSelection
@@ -36,7 +39,10 @@
 
 
 class Placer:
-    """Places pending tasks on the servers of a shard."""
+    """Places pending tasks on the servers of a shard.
+
+    :ivar view: what explanations read.
+    """
 
     def __init__(self, state: ShardState, model: InterferenceModel) -> None:
         self._placed = 0
@@ -51,6 +57,9 @@
         self._selection = ServerSelection()
         self._reservations = Reservations()
         self._isolation = Isolation(state)
+        self.view = PlacementView(
+            state, model, self._reservations, self._isolation
+        )
         self._candidates_by_step: dict[str, CandidateQueue] = {}
         self._changed: list[Server] = []
 
@@ -207,9 +216,7 @@
         def fit(servers: list[Server]) -> list[Server]:
             return self._fitting(pending, servers, now_ms)
 
-        def cost(server: Server) -> float:
-            return self._costs.cost(task, step, server, now_ms)
-
+        cost = functools.partial(self._costs.cost, task, step, now_ms=now_ms)
         task_specific = task.avoided or task.may_crash
         if pending.queue.advised or task_specific:
             # The candidates of these tasks can't be shared within the step:
--- a/waxwingford/scheduling/_server_costs.py
+++ b/waxwingford/scheduling/_server_costs.py
@@ -50,24 +50,36 @@
         :param now_ms: current monotonic time, in ms.
         :returns: cost; lower is better.
         """
+        return sum(self.terms(task, step, server, now_ms).values())
+
+    def terms(
+        self, task: Task, step: Step, server: Server, now_ms: int
+    ) -> dict[str, float]:
+        """Compute the terms of ``cost`` that apply to a task.
+
+        :param now_ms: current monotonic time, in ms.
+        :returns: terms by name.
+        """
         spec = step.spec
-        cost = _utilisation_cost(step, server)
+        terms = {'utilisation': _utilisation_cost(step, server)}
         if spec.near_rack and spec.near_rack != server.entry.rack:
-            cost += REMOTE_DATA_COST
+            terms['remote data'] = REMOTE_DATA_COST
         if server.incarnation in task.avoided:
-            cost += AVOIDED_COST
-        cost += PENALTY_COST * server.penalty
+            terms['avoided'] = AVOIDED_COST
+        if server.penalty:
+            terms['penalty'] = PENALTY_COST * server.penalty
         if task.may_crash:
-            cost += LOST_RUN_COST * len(server.run_by_key)
+            terms['lost runs'] = LOST_RUN_COST * len(server.run_by_key)
         if spec.best_effort:
-            cost += INTERFERENCE_COST * self._admission.excess(
-                step, server, now_ms
-            )
-            cost += ALLOWANCE_COST * self._admission.usage(step, server, now_ms)
+            excess = self._admission.excess(step, server, now_ms)
+            usage = self._admission.usage(step, server, now_ms)
+            terms['interference'] = INTERFERENCE_COST * excess
+            terms['allowance'] = ALLOWANCE_COST * usage
         elif spec.target_ms:
-            cost += OTHER_IMAGE_COST * _count_other_images(spec.image, server)
-            cost += OTHER_STEP_COST * _crest_cost(step, server)
-        return cost
+            images = _count_other_images(spec.image, server)
+            terms['other images'] = OTHER_IMAGE_COST * images
+            terms['other steps'] = OTHER_STEP_COST * _crest_cost(step, server)
+        return terms
 
 
 def _utilisation_cost(step: Step, server: Server) -> float:
--- a/waxwingford/scheduling/_task_order.py
+++ b/waxwingford/scheduling/_task_order.py
@@ -110,7 +110,7 @@
     # Thousands of tasks of some hundred steps may be pending, so the rank is
     # computed once per step where its tasks differ by index only.
     first_by_step: dict[tuple[str, int, int], PendingTask] = {}
-    full = _FullServices(state)
+    full = FullServices(state)
     tasks = [
         task
         for task in state.pending_by_key.values()
@@ -133,7 +133,7 @@
 
 def _try_rank_first(
     state: ShardState,
-    full: '_FullServices',
+    full: 'FullServices',
     task: Task,
     now_ms: int,
     limited: bool,
@@ -148,7 +148,7 @@
 
 def _rank_first(
     state: ShardState,
-    full: '_FullServices',
+    full: 'FullServices',
     task: Task,
     now_ms: int,
     limited: bool,
@@ -190,7 +190,7 @@
     )
 
 
-class _FullServices:
+class FullServices:
     """Services at their limit of long-running tasks, computed on demand."""
 
     def __init__(self, state: ShardState) -> None:
