Answer at the metrics port where a job would go

Cause: only the owner has the state from which a placement is explained.

Change: POST /where at the metrics port. The module is imported with the first question.

--- a/waxwingford/scheduler/_daemon.py
+++ b/waxwingford/scheduler/_daemon.py
@@ -30,10 +30,15 @@
 if TYPE_CHECKING:
     from grpclib.server import Server
 
+    from waxwingford.http_server import Request, Response
+    from waxwingford.scheduler._explanations import PlacementExplanations
+
 #: Modules, with their libraries, that a daemon needs to own the shard and to answer
 #: other daemons. They are imported while it serves callers.
 OWNER_MODULES = ('waxwingford.shard._owner', 'waxwingford.shard._peers')
 
+#: Module that explains placements, which is imported with the first question.
+EXPLANATIONS_MODULE = 'waxwingford.scheduler._explanations'
 #: Duration of a lease as a fraction of the maximum that servers grant, so that
 #: servers never shorten it.
 LEASE_FRACTION = 5 / 6
@@ -97,8 +102,11 @@
             self._platform.log, self._member, self._link, self._observer
         )
         self._readiness = ReadinessServer(
-            self.not_ready_reason, self._observer.metrics.render
+            self.not_ready_reason,
+            self._observer.metrics.render,
+            self._explain,
         )
+        self._explanations: 'PlacementExplanations | None' = None
         self._stopping = asyncio.Event()
         self._last_read_s: float = 0
         self._store_lost = False
@@ -225,6 +233,23 @@
             return 'the shard has no owner yet'
         return ''
 
+    async def _explain(self, request: 'Request') -> 'Response':
+        """Answer where a job would go now."""
+        if self._explanations is None:
+            # Most daemons are never asked, and a start is to import little.
+            explanations = await asyncio.to_thread(
+                importlib.import_module, EXPLANATIONS_MODULE
+            )
+            self._explanations = (
+                self._explanations
+                or explanations.PlacementExplanations(
+                    self._settings.identity.daemon_id,
+                    self._member,
+                    self._observer.metrics,
+                )
+            )
+        return self._explanations.answer(request)
+
     def _count_traffic(self) -> dict[str, shard.CallTraffic]:
         to_relays = self._relays.traffic
         to_owner = self._relay.traffic
@@ -266,6 +291,11 @@
                 if listen.relays_port
                 else ''
             ),
+            metrics_endpoint=(
+                f'{listen.host}:{listen.metrics_port}'
+                if listen.metrics_port
+                else ''
+            ),
             features=Features(
                 **msgspec.structs.asdict(settings.scheduling),
                 notice_ms=settings.bounds.notice_ms,
--- a/waxwingford/scheduler/tests/start.feature
+++ b/waxwingford/scheduler/tests/start.feature
@@ -26,6 +26,8 @@
       | waxwingford.shard._owner    |
       | waxwingford.shard._peers    |
       | waxwingford.scheduling._engine |
+      | waxwingford.scheduling._placement_report |
+      | waxwingford.scheduler._explanations |
       | xxhash                      |
     And at most 240 modules are imported
 
@@ -46,6 +48,7 @@
     And it does not accept other daemons, and claims nothing
     When these modules are imported
     Then it accepts other daemons, and may claim
+    And it answers a question where a job would go with status 503
 
   Scenario: a daemon tells which code it runs
     # Guards against a fault of an old build that is taken for one of the new code.
--- a/waxwingford/scheduler/tests/start_steps.py
+++ b/waxwingford/scheduler/tests/start_steps.py
@@ -180,6 +180,20 @@
     assert context.runner.run(get_status(context.ports[1])) == status
 
 
+@then('it answers a question where a job would go with status {status:d}')
+def check_question(context, status):
+    async def _ask():
+        url = f'http://{HOST}:{context.ports[1]}/where'
+        async with ClientSession() as session:
+            async with session.post(url, data=b'{}') as response:
+                return response.status, await response.json()
+
+    assert context.runner.run(_ask()) == (
+        status,
+        {'reason': 'the shard has no owner that this daemon knows'},
+    )
+
+
 async def get_status(port):
     async with (
         ClientSession() as session,
--- a/waxwingford/shard/_journal.py
+++ b/waxwingford/shard/_journal.py
@@ -64,6 +64,8 @@
     :ivar best_effort_retry_s: the same for jobs with best-effort tasks.
     :ivar relay_endpoint: IP address and port at which it accepts relays, empty if
         it accepts none.
+    :ivar metrics_endpoint: IP address and port at which it explains placements, empty
+        if it serves no metrics.
     :ivar read_to: offset up to which it had read heartbeats of previous owners
         when it computed ``rest_ms``; ``None`` if no later one is possible.
     """
@@ -83,6 +85,7 @@
     urgent_retry_s: int = 0
     best_effort_retry_s: int = 0
     relay_endpoint: str = ''
+    metrics_endpoint: str = ''
 
 
 class Predecessor(NamedTuple):
--- a/waxwingford/shard/_owner.py
+++ b/waxwingford/shard/_owner.py
@@ -44,7 +44,7 @@
 from waxwingford.shard._load_report import LoadReport
 from waxwingford.shard._mirror import CaughtUp, Mirror
 from waxwingford.shard._order_sender import DriverPorts
-from waxwingford.shard._owner_ports import OwnerPorts, OwnerSettings
+from waxwingford.shard._owner_ports import OwnerPorts, OwnerSettings, OwnerView
 from waxwingford.shard._server_drivers import ServerDrivers
 from waxwingford.shard._start_control import StartControl
 from waxwingford.shard._supervision import ErrorReport, StartPart, Supervisor
@@ -74,6 +74,7 @@
     :ivar epoch: epoch of its appends; its fencing token at servers.
     :ivar lateness: how late it learns what servers answer.
     :ivar start_control: limits starts, and refuses jobs under overload.
+    :ivar view: what explanations of placements read, ``None`` before the takeover.
     """
 
     def __init__(
@@ -84,6 +85,7 @@
         self.epoch = 0
         self.cut_off = False
         self._ready_since_ms = 0
+        self.view: OwnerView | None = None
         self._settings = settings
         self._ports = ports
         self._terms = terms
@@ -121,6 +123,7 @@
             failure_domain=self._settings.failure_domain,
             cores=self._settings.cores,
             relay_endpoint=self._settings.relay_endpoint,
+            metrics_endpoint=self._settings.metrics_endpoint,
         )
         if self.stopped.is_set():
             return ClaimFailed('owner stopped before the claim')
@@ -267,6 +270,7 @@
         self._engine.restore(rows)
         self._intake.apply_to(self._engine)
         self._engine.inherit(now_ms, wall_ms)
+        self.view = OwnerView(self._engine.placement_view, self.start_control)
         driver_ports = DriverPorts(
             TimedClient(
                 self._ports.backend_client, self.lateness, self._errors
--- a/waxwingford/shard/_owner_ports.py
+++ b/waxwingford/shard/_owner_ports.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 from collections.abc import Callable
+from typing import TYPE_CHECKING, NamedTuple
 
 from waxwingford.scheduling import (
     MAX_LEASE_MS,
@@ -15,6 +16,10 @@
 from waxwingford.shard._observer import Observer
 from waxwingford.shard._registration_port import RegistrationSource
 
+if TYPE_CHECKING:
+    from waxwingford.scheduling import PlacementView
+    from waxwingford.shard._start_control import StartControl
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OwnerSettings:
@@ -23,6 +28,8 @@
     :ivar endpoint: IP address and port at which it answers other daemons.
     :ivar relay_endpoint: IP address and port at which it accepts relays, empty if
         it accepts none.
+    :ivar metrics_endpoint: IP address and port at which it explains placements, empty
+        if it serves no metrics.
     :ivar lease_ms: length of the leases that it grants, in ms.
     :ivar max_lease_ms: longest lease that servers accept, in ms.
     :ivar cores: processor of its VM, in reference cores.
@@ -36,9 +43,20 @@
     cores: float
     max_lease_ms: int = MAX_LEASE_MS
     relay_endpoint: str = ''
+    metrics_endpoint: str = ''
     features: Features = NO_FEATURES
 
 
+class OwnerView(NamedTuple):
+    """What explanations of placements read of an owner.
+
+    :ivar start_control: tells which jobs are refused.
+    """
+
+    placement: 'PlacementView'
+    start_control: 'StartControl'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class OwnerPorts:
     """Ports through which an owner acts.
--- a/waxwingford/shard/tests/virtual_shard.py
+++ b/waxwingford/shard/tests/virtual_shard.py
@@ -182,6 +182,7 @@
             LEASE_MS,
             self.cores,
             relay_endpoint=f'{self.daemon_id}:1',
+            metrics_endpoint=f'{self.daemon_id}:2',
         )
         ports = OwnerPorts(
             self.log,
