--- a/waxwingford/commands/_http.py
+++ b/waxwingford/commands/_http.py
@@ -56,6 +56,7 @@
     path: str,
     body: bytes = b'',
     headers: Mapping[str, str] = _NO_HEADERS,
+    timeout_s: float = _TIMEOUT_S,
 ) -> HttpOutcome:
     """Send an HTTP request to one daemon.
 
@@ -63,9 +64,10 @@
     :param address: address of the daemon as ``ADDRESS:PORT``.
     :param path: path with query.
     :param headers: additional headers.
+    :param timeout_s: time for the whole exchange, in seconds.
     """
     scheme = 'https' if fleet.authority_file else 'http'
-    timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
+    timeout = aiohttp.ClientTimeout(total=timeout_s)
     try:
         async with (
             aiohttp.ClientSession(timeout=timeout) as session,
--- a/waxwingford/commands/main.py
+++ b/waxwingford/commands/main.py
@@ -19,6 +19,7 @@
     'keys',
     'settings_files',
     'timeline',
+    'where',
 )
 _EPILOG = (
     'exit codes: 0 done, 1 findings or refused, 2 usage, 3 unreachable, '
