--- a/waxwingford/scheduling/_engine.py
+++ b/waxwingford/scheduling/_engine.py
@@ -47,7 +47,10 @@
 
 
 class Engine:
-    """Makes the decisions of one owner of a shard."""
+    """Makes the decisions of one owner of a shard.
+
+    :ivar placement_view: what explanations of placements read.
+    """
 
     def __init__(
         self,
@@ -77,6 +80,7 @@
         budget = DisruptionBudget(self.state, features.notice_ms)
         self._placement = Placement(self.state, self._harm, budget, features)
         self._placer = self._placement.placer
+        self.placement_view = self._placement.view
         self.pacer = Pacer(self.state, self._harm)
         self._maintenance = Maintenance(
             self.state, self.settler, self._placer, budget
--- a/waxwingford/scheduling/_placement.py
+++ b/waxwingford/scheduling/_placement.py
@@ -8,6 +8,7 @@
 from waxwingford.scheduling._disruption_budget import DisruptionBudget
 from waxwingford.scheduling._features import Features
 from waxwingford.scheduling._interference import InterferenceModel
+from waxwingford.scheduling._placement_view import PlacementView
 from waxwingford.scheduling._placing import Placer
 from waxwingford.scheduling._shard_state import ShardState
 
@@ -16,6 +17,7 @@
     """Places pending tasks, and copies of stragglers if they are enabled.
 
     :ivar placer: places the pending tasks.
+    :ivar view: what explanations read.
     """
 
     def __init__(
@@ -28,6 +30,9 @@
         self._state = state
         self._features = features
         self.placer = Placer(state, model, budget, features)
+        self.view = PlacementView(
+            state, model, self.placer.reservations, self.placer.isolation
+        )
         self._copies = CopyPlacer(state, self.placer, model)
 
     def place(
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -1,5 +1,7 @@
 """Chooses a backend server for each pending task."""
 
+import functools
+
 from waxwingford.ports import fits_resources
 from waxwingford.scheduling import _gangs as gangs
 from waxwingford.scheduling._admission import BestEffortAdmission
@@ -39,7 +41,11 @@
 
 
 class Placer:
-    """Places pending tasks on the servers of a shard."""
+    """Places pending tasks on the servers of a shard.
+
+    :ivar reservations: reservations of the latest round.
+    :ivar isolation: servers that are kept for suspects.
+    """
 
     def __init__(
         self,
@@ -58,8 +64,8 @@
         self._evaluations = 0
         self._report = PendingReport(state.notes)
         self._selection = ServerSelection()
-        self._reservations = Reservations()
-        self._isolation = Isolation(state)
+        self.reservations = Reservations()
+        self.isolation = Isolation(state)
         self._preemptor = Preemptor(state, budget, features.preemption)
         self._candidates_by_step: dict[str, CandidateQueue] = {}
         self._changed: list[Server] = []
@@ -113,15 +119,15 @@
 
         :returns: number of tasks that were tried.
         """
-        self._reservations.begin(now_ms)
-        self._preemptor.begin(self._reservations, now_ms)
+        self.reservations.begin(now_ms)
+        self._preemptor.begin(self.reservations, now_ms)
         if not ranked:
             # Most rounds have nothing to place, and scanning all servers with
             # each answer would take most of the owner's processor.
             return 0
         usable = _usable_servers(self._state, now_ms)
         self._admission.begin(usable)
-        self._isolation.begin(usable)
+        self.isolation.begin(usable)
         self._evaluations = 0
         self._candidates_by_step.clear()
         self._changed.clear()
@@ -140,7 +146,7 @@
                 unplaced.append(pending)
                 self._reserve_if_overdue(pending, usable)
         self._preemptor.preempt(
-            unplaced, usable, self._isolation, self._reservations, now_ms
+            unplaced, usable, self.isolation, self.reservations, now_ms
         )
         if self._best_effort_ms == now_ms:
             interval_ms = max(
@@ -205,11 +211,11 @@
             return True
         pool = self._pool(pending, usable, now_ms)
         candidates = self._with_room(pending, pool, now_ms)
-        self._changed += self._isolation.reserve(
+        self._changed += self.isolation.reserve(
             pending.task,
             pending.step,
             candidates,
-            self._reservations.available,
+            self.reservations.available,
         )
         return False
 
@@ -221,9 +227,7 @@
         def fit(servers: list[Server]) -> list[Server]:
             return self._fitting(pending, servers, now_ms)
 
-        def cost(server: Server) -> float:
-            return self._costs.cost(task, step, server, now_ms)
-
+        cost = functools.partial(self._costs.cost, task, step, now_ms=now_ms)
         task_specific = task.avoided or task.may_crash
         if pending.queue.advised or task_specific:
             # The candidates of these tasks can't be shared within the step:
@@ -264,9 +268,9 @@
             # A gang needs several servers, and the eligible servers of an
             # advised step are known only once they have free resources.
             return
-        if self._reservations.may_search(pending.step):
+        if self.reservations.may_search(pending.step):
             candidates = eligible(pending.step, pending.queue.service, usable)
-            server = self._reservations.reserve(pending.step, candidates)
+            server = self.reservations.reserve(pending.step, candidates)
             if server is not None:
                 self._changed.append(server)
 
@@ -275,7 +279,7 @@
     ) -> bool:
         step = pending.step
         assignments = (
-            gangs.assign_members(step, fitting, self._reservations.available)
+            gangs.assign_members(step, fitting, self.reservations.available)
             if gangs.is_ready(step)
             else None
         )
@@ -308,7 +312,7 @@
         )
         task.run_by_number[key.run] = run
         if is_suspect(task, step):
-            self._isolation.isolate(server, task, step)
+            self.isolation.isolate(server, task, step)
         self._state.pending_by_key.pop(task.key, None)
         self._state.plan(run, step)
         self._changed.append(server)
@@ -328,7 +332,7 @@
         self, pending: PendingTask, servers: list[Server], now_ms: int
     ) -> list[Server]:
         with_room = self._with_room(pending, servers, now_ms)
-        return self._isolation.admitting(with_room, pending.task, pending.step)
+        return self.isolation.admitting(with_room, pending.task, pending.step)
 
     def _with_room(
         self, pending: PendingTask, servers: list[Server], now_ms: int
@@ -339,7 +343,7 @@
         fitting = [
             server
             for server in eligible(step, service, servers)
-            if fits_resources(takes, self._reservations.available(server, step))
+            if fits_resources(takes, self.reservations.available(server, step))
         ]
         if step.spec.best_effort:
             fitting = self._admission.admitting(step, service, fitting, now_ms)
