--- a/waxwingford/scheduling/_engine.py
+++ b/waxwingford/scheduling/_engine.py
@@ -74,7 +74,7 @@
         )
         self.lease_withholding = LeaseWithholding(self.state)
         self._harm = InterferenceModel()
-        self._placer = Placer(self.state, self._harm)
+        self._placer = Placer(self.state, self._harm, features)
         self.pacer = Pacer(self.state, self._harm)
         self._maintenance = Maintenance(
             self.state, self.settler, Migrator(self.state, self._placer)
--- a/waxwingford/scheduling/_job_estimates.py
+++ b/waxwingford/scheduling/_job_estimates.py
@@ -115,7 +115,7 @@
     size: float = 0
     end_ms_by_index: list[float] = []
     for step in steps:
-        run_time_ms = _run_time_ms(step, run_times)
+        run_time_ms = expected_run_time_ms(step, run_times)
         task_work = run_time_ms * step.spec.needs.processors_milli
         work += step.unfinished * task_work
         size += step.spec.count * task_work
@@ -128,8 +128,8 @@
     return JobEstimate(work, objective_ms, size)
 
 
-def _run_time_ms(step: Step, run_times: RunTimes) -> float:
-    """Expected run time of a step's tasks at full speed, in ms."""
+def expected_run_time_ms(step: Step, run_times: RunTimes) -> float:
+    """Predict the run time of a step's tasks at full speed, in ms."""
     observed_ms = step.observed_ms
     if observed_ms is not None:
         return observed_ms
@@ -142,5 +142,6 @@
     'JobSizes',
     'Lateness',
     'estimate_job',
+    'expected_run_time_ms',
     'owed_since_ms',
 )
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -1,17 +1,21 @@
 """Chooses a backend server for each pending task."""
 
+import functools
+
 from waxwingford.ports import fits_resources
 from waxwingford.scheduling import _gangs as gangs
 from waxwingford.scheduling._admission import BestEffortAdmission
 from waxwingford.scheduling._backend_client import RunKey
 from waxwingford.scheduling._backlog import Backlog, Decision, count_backlog
 from waxwingford.scheduling._candidates import CandidateQueue
-from waxwingford.scheduling._containment import note_failure
+from waxwingford.scheduling._containment import attempt, note_failure
 from waxwingford.scheduling._crashes import is_suspect
 from waxwingford.scheduling._eligibility import eligible
+from waxwingford.scheduling._features import NO_FEATURES, Features
 from waxwingford.scheduling._interference import InterferenceModel
 from waxwingford.scheduling._isolation import Isolation
 from waxwingford.scheduling._job_estimates import estimate_job
+from waxwingford.scheduling._look_ahead import LookAhead
 from waxwingford.scheduling._pending_report import PendingReport
 from waxwingford.scheduling._reservations import Reservations
 from waxwingford.scheduling._server_costs import ServerCosts
@@ -38,18 +42,29 @@
 class Placer:
     """Places pending tasks on the servers of a shard."""
 
-    def __init__(self, state: ShardState, model: InterferenceModel) -> None:
+    def __init__(
+        self,
+        state: ShardState,
+        model: InterferenceModel,
+        features: Features = NO_FEATURES,
+    ) -> None:
         self._placed = 0
         self._backlog = Backlog()
         self._state = state
         self._admission = BestEffortAdmission(model)
+        self._reservations = Reservations()
+        self._look_ahead: LookAhead | None = None
         self._costs = ServerCosts(self._admission)
+        if features.look_ahead:
+            self._look_ahead = LookAhead(state, self._reservations)
+            self._costs = ServerCosts(
+                self._admission, self._look_ahead.shapes.stranding_cost
+            )
         self._best_effort_ms = 0
         self._best_effort_due_ms = 0
         self._evaluations = 0
         self._report = PendingReport(state.notes)
         self._selection = ServerSelection()
-        self._reservations = Reservations()
         self._isolation = Isolation(state)
         self._candidates_by_step: dict[str, CandidateQueue] = {}
         self._changed: list[Server] = []
@@ -107,10 +122,12 @@
         if not ranked:
             # Most rounds have nothing to place, and scanning all servers with
             # each answer would take most of the owner's processor.
+            self._begin_look_ahead([], now_ms)
             return 0
         usable = _usable_servers(self._state, now_ms)
         self._admission.begin(usable)
         self._isolation.begin(usable)
+        self._begin_look_ahead(usable, now_ms)
         self._evaluations = 0
         self._candidates_by_step.clear()
         self._changed.clear()
@@ -127,7 +144,7 @@
                 placed = _block(self._state, pending, error)
             if not placed:
                 unplaced.append(pending)
-                self._reserve_if_overdue(pending, usable)
+                self._reserve(pending, usable, now_ms)
         if self._best_effort_ms == now_ms:
             interval_ms = max(
                 BEST_EFFORT_INTERVAL_MS,
@@ -137,6 +154,11 @@
             self._report.update(unplaced, usable, now_ms)
         return tried
 
+    def _begin_look_ahead(self, usable: list[Server], now_ms: int) -> None:
+        if self._look_ahead is not None:
+            begin = functools.partial(self._look_ahead.begin, usable, now_ms)
+            attempt(self._state.notes, 'look ahead', '', begin)
+
     def find_servers(self, task: Task, step: Step, now_ms: int) -> list[Server]:
         """Find the servers on which a task would be placed if it were pending.
 
@@ -236,14 +258,23 @@
         if not step.spec.best_effort:
             if step.spec.gang or pending.queue.advised:
                 return usable
-            return self._selection.with_room(step, service, usable)
+            pool = self._selection.with_room(step, service, usable)
+            if self._look_ahead is not None:
+                return self._look_ahead.with_reserved(step, pool)
+            return pool
         pool = self._admission.open_servers(step, service, now_ms)
         self._evaluations += len(pool)
         return pool
 
-    def _reserve_if_overdue(
-        self, pending: PendingTask, usable: list[Server]
+    def _reserve(
+        self, pending: PendingTask, usable: list[Server], now_ms: int
     ) -> None:
+        """Reserve room for a task that wasn't placed if it is entitled to it."""
+        if self._look_ahead is not None:
+            server = self._look_ahead.reserve(pending, usable, now_ms)
+            if server is not None:
+                self._changed.append(server)
+            return
         if not pending.overdue:
             return
         if pending.step.spec.gang or pending.queue.advised:
@@ -294,6 +325,8 @@
             self._isolation.isolate(server, task, step)
         self._state.pending_by_key.pop(task.key, None)
         self._state.plan(run, step)
+        if self._look_ahead is not None:
+            self._look_ahead.note_planned(task, step, server, now_ms)
         self._changed.append(server)
         self._report.count_placed(step)
         self._placed += 1
@@ -319,10 +352,13 @@
         step = pending.step
         service = pending.queue.service
         takes = step.spec.reserved_resources
+        room_of = self._reservations.available
+        if self._look_ahead is not None:
+            room_of = self._look_ahead.room_of(step, now_ms)
         fitting = [
             server
             for server in eligible(step, service, servers)
-            if fits_resources(takes, self._reservations.available(server))
+            if fits_resources(takes, room_of(server))
         ]
         if step.spec.best_effort:
             fitting = self._admission.admitting(step, service, fitting, now_ms)
--- a/waxwingford/scheduling/_reservations.py
+++ b/waxwingford/scheduling/_reservations.py
@@ -37,6 +37,7 @@
         self._searches = 0
         self._now_ms = 0
         self._retry_ms_by_step: dict[str, int] = {}
+        self._limit_by_server: dict[str, Resources] = {}
 
     def begin(self, now_ms: int) -> None:
         """Begin a placement round.
@@ -44,6 +45,7 @@
         :param now_ms: current monotonic time, in ms.
         """
         self._reserved_by_server.clear()
+        self._limit_by_server.clear()
         self._reservations = 0
         self._searches = 0
         self._now_ms = now_ms
@@ -56,10 +58,38 @@
 
     def available(self, server: Server) -> Resources:
         """Return the resources of a server neither used nor reserved."""
+        server_id = server.entry.server_id
+        if (
+            server_id in self._reserved_by_server
+            or server_id in self._limit_by_server
+        ):
+            return self.within(server, self.limit_of(server))
+        return server.free_resources
+
+    def within(self, server: Server, limit: Resources | None) -> Resources:
+        """Return the resources not reserved, with another limit than the set one.
+
+        :param limit: resources that may be used at most, ``None`` for no limit.
+        """
+        room = server.free_resources
+        if limit is not None:
+            room = common_resources(room, limit)
         reserved = self._reserved_by_server.get(server.entry.server_id)
-        if reserved is None:
-            return server.free_resources
-        return subtract_resources(server.free_resources, reserved)
+        return room if reserved is None else subtract_resources(room, reserved)
+
+    def limit(self, server: Server, limit: Resources | None) -> None:
+        """Limit what tasks of unknown end may use of a server.
+
+        :param limit: resources that may be used at most, ``None`` for no limit.
+        """
+        if limit is None:
+            self._limit_by_server.pop(server.entry.server_id, None)
+        else:
+            self._limit_by_server[server.entry.server_id] = limit
+
+    def limit_of(self, server: Server) -> Resources | None:
+        """Return the limit of a server, ``None`` for none."""
+        return self._limit_by_server.get(server.entry.server_id)
 
     def may_search(self, step: Step) -> bool:
         """Tell whether ``reserve`` may be called for a task of a step.
@@ -133,6 +163,11 @@
         return resources
 
 
+def common_resources(left: Resources, right: Resources) -> Resources:
+    """Compute the resources that two vectors both have, element by element."""
+    return Resources(*map(min, left, right))
+
+
 def _is_long_running(spec: StepSpec) -> bool:
     return spec.long_running
 
--- a/waxwingford/scheduling/_server_costs.py
+++ b/waxwingford/scheduling/_server_costs.py
@@ -1,5 +1,7 @@
 """Cost of a task on each server that fits it; the cheapest one is chosen."""
 
+from collections.abc import Callable
+
 from waxwingford.scheduling._admission import BestEffortAdmission
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._state import Step, Task
@@ -35,12 +37,19 @@
 class ServerCosts:
     """Compares servers for a task."""
 
-    def __init__(self, admission: BestEffortAdmission) -> None:
+    def __init__(
+        self,
+        admission: BestEffortAdmission,
+        stranding: Callable[[Step, Server], float | None] | None = None,
+    ) -> None:
         """Use the forecast of a placement round.
 
         :param admission: forecasts the interference of best-effort tasks.
+        :param stranding: function that returns the cost of the resources that a task
+            strands, ``None`` if CPU utilisation counts instead.
         """
         self._admission = admission
+        self._stranding = stranding
 
     def cost(
         self, task: Task, step: Step, server: Server, now_ms: int
@@ -51,7 +60,10 @@
         :returns: cost; lower is better.
         """
         spec = step.spec
-        cost = _utilisation_cost(step, server)
+        stranding = self._stranding and self._stranding(step, server)
+        cost = (
+            _utilisation_cost(step, server) if stranding is None else stranding
+        )
         if spec.near_rack and spec.near_rack != server.entry.rack:
             cost += REMOTE_DATA_COST
         if server.incarnation in task.avoided:
--- a/waxwingford/shard/_observer.py
+++ b/waxwingford/shard/_observer.py
@@ -55,6 +55,9 @@
                 case 'run.planned':
                     waited_ms = float(str(note.fields['waited_ms']))
                     self.metrics.latency('run_wait', waited_ms)
+                case 'room.reservation_ended':
+                    how = str(note.fields['how'])
+                    self.metrics.count('room_reservations_ended_total', how=how)
                 case 'job.late':
                     self._count_job('jobs_late_total', note, _LATE_LABELS)
                 case 'job.ended' if 'size' in note.fields:
