--- a/waxwingford/scheduling/_look_ahead.py
+++ b/waxwingford/scheduling/_look_ahead.py
@@ -220,6 +220,7 @@
             return
         if self._searches >= MAX_SEARCHES:
             return
+        own_ms = own_ms or held.latest_end_ms(now_ms)
         held.searched_ms = now_ms
         found = self._search(held.pending, usable, now_ms, held)
         if own_ms is None and found is None:
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -355,6 +355,12 @@
         room_of = self._reservations.available
         if self._look_ahead is not None:
             room_of = self._look_ahead.room_of(step, now_ms)
+            # Most servers are full while tasks wait.
+            servers = [
+                server
+                for server in servers
+                if fits_resources(takes, server.free_resources)
+            ]
         fitting = [
             server
             for server in eligible(step, service, servers)
--- a/waxwingford/scheduling/_reserved_room.py
+++ b/waxwingford/scheduling/_reserved_room.py
@@ -45,16 +45,29 @@
     filled: bool = False
     put_back_ms: float = 0
 
+    @property
+    def latest_ms(self) -> float:
+        """Time until which tasks that fill in may put this one back, in ms."""
+        return self.promised_ms + MAX_PUT_BACK_MS - self.put_back_ms
+
+    def latest_end_ms(self, now_ms: int) -> float | None:
+        """Predict when tasks that filled in and are late have ended.
+
+        :param now_ms: current monotonic time, in ms.
+        :returns: monotonic time in ms, ``None`` if it is unknown.
+        """
+        known = self.filled and now_ms <= self.latest_ms
+        return self.latest_ms if known else None
+
     def admits(self, run_time_ms: float, now_ms: int) -> bool:
         """Tell whether a task may fill in.
 
         :param run_time_ms: expected run time in ms, infinite if it is unknown.
         :param now_ms: current monotonic time, in ms.
         """
-        latest_ms = self.promised_ms + MAX_PUT_BACK_MS - self.put_back_ms
         return (
             now_ms + run_time_ms <= self.due_ms
-            and now_ms + OVERRUN_FACTOR * run_time_ms <= latest_ms
+            and now_ms + OVERRUN_FACTOR * run_time_ms <= self.latest_ms
         )
 
     def set_due(self, due_ms: float) -> None:
--- a/waxwingford/scheduling/_waiting_shapes.py
+++ b/waxwingford/scheduling/_waiting_shapes.py
@@ -93,6 +93,7 @@
             needs.processors_milli > free_milli
             or not fits_resources(needs, server.entry.capacity)
             or not matches(largest.step, largest.queue.service, server)
+            or not _may_have_memory(server, needs.memory_mb)
         ):
             return room
         return room._replace(memory_mb=room.memory_mb - needs.memory_mb)
@@ -195,6 +196,22 @@
     )
 
 
+def _may_have_memory(server: Server, needed_mb: int) -> bool:
+    """Tell whether memory is free beside the long-running tasks of a server.
+
+    :param needed_mb: memory in MB.
+    """
+    memory_mb = server.free_resources.memory_mb
+    if needed_mb <= memory_mb:
+        return True
+    releasable_mb = sum(
+        step.spec.needs.memory_mb
+        for step in server.step_by_run.values()
+        if not step.spec.long_running
+    )
+    return needed_mb <= memory_mb + releasable_mb
+
+
 def _typical_long_running(state: ShardState, service: str) -> Resources | None:
     servers = (
         server
--- a/waxwingford_bench/interference/__main__.py
+++ b/waxwingford_bench/interference/__main__.py
@@ -11,6 +11,8 @@
 
 from waxwingford_bench.interference._experiment import (
     Day,
+    Setting,
+    parse_features,
     parse_setting,
     play_all,
 )
@@ -45,6 +47,12 @@
     return f'{statistics.fmean(changes):+.3f} (95%: +-{half:.3f})'
 
 
+def _ways(options: argparse.Namespace) -> list[list[Setting]]:
+    if options.features is None:
+        return options.way
+    return [[options.features, *way] for way in options.way or ([],)]
+
+
 def main() -> None:
     """Play the ways and print their worth, and differences from the first."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -63,12 +71,18 @@
         default=[],
         metavar='MODULE.NAME=VALUE',
     )
+    parser.add_argument(
+        '--features',
+        type=parse_features,
+        metavar='NAME,...',
+        help='features that are on in each way but the first',
+    )
     options = parser.parse_args()
     seeds = range(1, options.seeds + 1)
     day = Day(options.workload, options.servers, options.span)
     standing = play_all((), day, seeds, options.jobs)
     sys.stdout.write(f'as it stands: {_summarise(standing)}\n')
-    for way in options.way:
+    for way in _ways(options):
         worths = play_all(tuple(way), day, seeds, options.jobs)
         names = ' '.join(f'{one.name}={one.given}' for one in way)
         sys.stdout.write(
--- a/waxwingford_bench/interference/_cluster.py
+++ b/waxwingford_bench/interference/_cluster.py
@@ -11,6 +11,7 @@
 
 from waxwingford.ports import Resources
 from waxwingford.scheduling import (
+    NO_FEATURES,
     EndKind,
     EndReport,
     Engine,
@@ -44,6 +45,8 @@
 RESTORE_MS = 250
 #: Time by which the clock of the emulation is ahead at its start, in ms.
 FIRST_MS = 100_000
+#: Optional decisions of the engine; the command replaces them for a way.
+FEATURES = NO_FEATURES
 
 
 @dataclasses.dataclass(slots=True)
@@ -99,7 +102,9 @@
         self._ends_by_server: dict[str, list[EndReport]] = {}
         self._phase_by_step: dict[tuple[object, ...], float] = {}
         self._ticks = 0
-        self.engine = Engine(1, 5000, InheritedLeases(self.now_ms, {}))
+        self.engine = Engine(
+            1, 5000, InheritedLeases(self.now_ms, {}), features=FEATURES
+        )
         queues = [kind.terms for kind in workload.kinds]
         self.engine.configure(
             Terms(1, {queue.name: queue for queue in (*queues, SERVING)})
--- a/waxwingford_bench/interference/_experiment.py
+++ b/waxwingford_bench/interference/_experiment.py
@@ -7,6 +7,8 @@
 from concurrent import futures
 from typing import NamedTuple
 
+from waxwingford.scheduling import Features
+from waxwingford_bench.interference import _cluster
 from waxwingford_bench.interference._trial import DayWorth, play
 from waxwingford_bench.interference._workload import WORKLOAD_BY_NAME
 
@@ -43,6 +45,20 @@
         ) from error
 
 
+def parse_features(text: str) -> Setting:
+    """Parse names of features, separated by commas.
+
+    :raises argparse.ArgumentTypeError: if there is no such feature.
+    """
+    try:
+        features = Features(**dict.fromkeys(text.split(','), True))
+    except TypeError as error:
+        raise argparse.ArgumentTypeError(
+            f'{text}: expected names of {Features.__name__}, {error}'
+        ) from error
+    return Setting(_cluster.__name__, 'FEATURES', features)
+
+
 class Day(NamedTuple):
     """Kind and size of the days that are played.
 
@@ -76,4 +92,4 @@
         )
 
 
-__all__ = ('Day', 'Setting', 'parse_setting', 'play_all')
+__all__ = ('Day', 'Setting', 'parse_features', 'parse_setting', 'play_all')
--- a/waxwingford_bench/interference/_trial.py
+++ b/waxwingford_bench/interference/_trial.py
@@ -33,6 +33,11 @@
         included, by number; ``served_fifth`` and ``served_tenth`` are the same of the
         next largest fifth and of the largest tenth, and ``urgent_...`` of urgent
         jobs.
+    :ivar urgent_in_time_fifth: share of the next largest fifth of the urgent jobs that
+        was in time, and ``urgent_in_time_tenth`` of the largest tenth.
+    :ivar urgent_wait_tenth_s: mean time by which the largest tenth of the urgent jobs
+        took longer than its run times, in seconds; jobs that weren't completed count
+        until the end of the day.
     """
 
     total: float
@@ -47,6 +52,9 @@
     urgent_served: float
     urgent_fifth: float
     urgent_tenth: float
+    urgent_in_time_fifth: float
+    urgent_in_time_tenth: float
+    urgent_wait_tenth_s: float
 
 
 def play(workload: Workload, seed: int, span_s: float = 34) -> DayWorth:
@@ -86,6 +94,7 @@
         cluster.used_core_s / (span_s + FINISH_S),
         *_served_by_size(cluster, jobs, best_effort_kind, started_ms),
         *_served_by_size(cluster, jobs, urgent_kind, started_ms),
+        *_largest_in_time(cluster, jobs, urgent_kind, started_ms),
     )
 
 
@@ -131,14 +140,60 @@
 
     :returns: shares of all, of the next largest fifth and the largest tenth.
     """
+    fifth, tenth = _largest(jobs, kind)
+    own = [job for job in jobs if job.kind is kind]
+    return tuple(
+        _share([_is_served(cluster, job, started_ms) for job in part])
+        for part in (own, fifth, tenth)
+    )
+
+
+def _largest_in_time(
+    cluster: EmulatedCluster,
+    jobs: list[EmulatedJob],
+    kind: Kind,
+    started_ms: int,
+) -> tuple[float, float, float]:
+    """Compute how the largest jobs of a kind fared.
+
+    :returns: shares in time of the next largest fifth and the largest tenth, and mean
+        wait of the latter in seconds.
+    """
+    fifth, tenth = _largest(jobs, kind)
+    waits_ms = [
+        _took_ms(cluster, job, started_ms) - sum(map(max, job.length_ms))
+        for job in tenth
+    ]
+    in_time = [
+        _share(
+            [
+                _took_ms(cluster, job, started_ms) <= job.objective_ms
+                and job.spec.job_id in cluster.finished_ms_by_job
+                for job in part
+            ]
+        )
+        for part in (fifth, tenth)
+    ]
+    return *in_time, sum(waits_ms) / max(1, len(waits_ms)) / 1000
+
+
+def _largest(
+    jobs: list[EmulatedJob], kind: Kind
+) -> tuple[list[EmulatedJob], list[EmulatedJob]]:
+    """Select the next largest fifth and the largest tenth of a kind of jobs."""
     own = sorted((job for job in jobs if job.kind is kind), key=_work)
-    served = [_is_served(cluster, job, started_ms) for job in own]
     fifth, tenth = (round(share * len(own)) for share in (0.7, 0.9))
-    return (
-        _share(served),
-        _share(served[fifth:tenth]),
-        _share(served[tenth:]),
+    return own[fifth:tenth], own[tenth:]
+
+
+def _took_ms(
+    cluster: EmulatedCluster, job: EmulatedJob, started_ms: int
+) -> float:
+    """Compute how long a job took, until now if it isn't completed, in ms."""
+    finished_ms = cluster.finished_ms_by_job.get(
+        job.spec.job_id, cluster.now_ms
     )
+    return finished_ms - started_ms - job.arrival_ms
 
 
 def _work(job: EmulatedJob) -> float:
--- a/waxwingford_bench/tests/commands.feature
+++ b/waxwingford_bench/tests/commands.feature
@@ -12,6 +12,7 @@
       | waxwingford_bench.recovery         |
       | waxwingford_bench.interference     |
       | waxwingford_bench.owner_cost       |
+      | waxwingford_bench.placement_round  |
       | waxwingford_bench.random_run       |
       | waxwingford_bench.start_cost       |
       | waxwingford_bench.storms           |
