--- a/waxwingford/scheduling/_look_ahead.py
+++ b/waxwingford/scheduling/_look_ahead.py
@@ -97,22 +97,27 @@
             self._room.limit(reserved.server, now_ms)
 
     def reserve(
-        self, pending: PendingTask, usable: list[Server], now_ms: int
-    ) -> Server | None:
+        self,
+        pending: PendingTask,
+        usable: list[Server],
+        changed: list[Server],
+        now_ms: int,
+    ) -> None:
         """Reserve room for a task that fits on no server now.
 
         :param usable: servers that accept starts.
+        :param changed: servers that have changed in this round; the reserved one is
+            added.
         :param now_ms: current monotonic time, in ms.
-        :returns: server on which room was reserved, ``None`` for none.
         """
         self.shapes.add(pending, usable)
         if not self._may_search(pending):
-            return None
+            return
         found = self._search(pending, usable, now_ms)
         if found is None:
             retry_ms = now_ms + SEARCH_INTERVAL_MS
             self._retry_ms_by_step[pending.step.name] = retry_ms
-            return None
+            return
         server, due_ms = found
         takes = pending.step.spec.reserved_resources
         held = self._former_by_task.pop(pending.task.key, None)
@@ -122,7 +127,7 @@
         self._room.held.append(held)
         self._room.limit(server, now_ms)
         self._note('room.reserved', held, now_ms)
-        return server
+        changed.append(server)
 
     def room_of(self, step: Step, now_ms: int) -> Callable[[Server], Resources]:
         """Return a function that returns what a task may use of a server.
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -271,9 +271,14 @@
     ) -> None:
         """Reserve room for a task that wasn't placed if it is entitled to it."""
         if self._look_ahead is not None:
-            server = self._look_ahead.reserve(pending, usable, now_ms)
-            if server is not None:
-                self._changed.append(server)
+            reserve = functools.partial(
+                self._look_ahead.reserve,
+                pending,
+                usable,
+                self._changed,
+                now_ms,
+            )
+            attempt(self._state.notes, 'look ahead', '', reserve)
             return
         if not pending.overdue:
             return
