--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -8,14 +8,14 @@
 from waxwingford.scheduling._backend_client import RunKey
 from waxwingford.scheduling._backlog import Backlog, Decision, count_backlog
 from waxwingford.scheduling._candidates import CandidateQueue
-from waxwingford.scheduling._containment import note_failure
+from waxwingford.scheduling._containment import attempt, note_failure
 from waxwingford.scheduling._crashes import is_suspect
 from waxwingford.scheduling._disruption_budget import DisruptionBudget
 from waxwingford.scheduling._eligibility import eligible
 from waxwingford.scheduling._features import Features
 from waxwingford.scheduling._interference import InterferenceModel
 from waxwingford.scheduling._isolation import Isolation
-from waxwingford.scheduling._job_estimates import estimate_job
+from waxwingford.scheduling._look_ahead import LookAhead
 from waxwingford.scheduling._pending_report import PendingReport
 from waxwingford.scheduling._preemption import Preemptor
 from waxwingford.scheduling._reservations import Reservations
@@ -26,7 +26,7 @@
 from waxwingford.scheduling._state import Job, Run, RunPhase, Step, Task
 from waxwingford.scheduling._task_order import (
     PendingTask,
-    rank_task,
+    rank_alone,
     ranked_tasks,
 )
 
@@ -58,13 +58,22 @@
         self._backlog = Backlog()
         self._state = state
         self._admission = BestEffortAdmission(model)
-        self._costs = ServerCosts(self._admission, state.learned.run_times)
+        self.reservations = Reservations()
+        self._look_ahead: LookAhead | None = None
+        run_times = state.learned.run_times
+        self._costs = ServerCosts(self._admission, run_times)
+        if features.look_ahead:
+            self._look_ahead = LookAhead(state, self.reservations)
+            self._costs = ServerCosts(
+                self._admission,
+                run_times,
+                self._look_ahead.shapes.stranding_cost,
+            )
         self._best_effort_ms = 0
         self._best_effort_due_ms = 0
         self._evaluations = 0
         self._report = PendingReport(state.notes)
         self._selection = ServerSelection()
-        self.reservations = Reservations()
         self.isolation = Isolation(state)
         self._preemptor = Preemptor(state, budget, features.preemption)
         self._candidates_by_step: dict[str, CandidateQueue] = {}
@@ -124,10 +133,12 @@
         if not ranked:
             # Most rounds have nothing to place, and scanning all servers with
             # each answer would take most of the owner's processor.
+            self._begin_look_ahead([], now_ms)
             return 0
         usable = _usable_servers(self._state, now_ms)
         self._admission.begin(usable)
         self.isolation.begin(usable)
+        self._begin_look_ahead(usable, now_ms)
         self._evaluations = 0
         self._candidates_by_step.clear()
         self._changed.clear()
@@ -144,7 +155,7 @@
                 placed = _block(self._state, pending, error)
             if not placed:
                 unplaced.append(pending)
-                self._reserve_if_overdue(pending, usable)
+                self._reserve(pending, usable, now_ms)
         self._preemptor.preempt(
             unplaced, usable, self.isolation, self.reservations, now_ms
         )
@@ -157,15 +168,17 @@
             self._report.update(unplaced, usable, now_ms)
         return tried
 
+    def _begin_look_ahead(self, usable: list[Server], now_ms: int) -> None:
+        if self._look_ahead is not None:
+            begin = functools.partial(self._look_ahead.begin, usable, now_ms)
+            attempt(self._state.notes, 'look ahead', '', begin)
+
     def find_servers(self, task: Task, step: Step, now_ms: int) -> list[Server]:
         """Find the servers on which a task would be placed if it were pending.
 
         :param now_ms: current monotonic time, in ms.
         """
-        queue = self._state.queue_of(step.job)
-        steps = step.job.steps_by_occurrence[step.occurrence]
-        estimate = estimate_job(steps, queue, self._state.learned.run_times)
-        pending = rank_task(task, step, queue, estimate, now_ms)
+        pending = rank_alone(self._state, task, step, now_ms)
         usable = _usable_servers(self._state, now_ms)
         self._admission.begin(usable)
         pool = self._pool(pending, usable, now_ms)
@@ -254,15 +267,31 @@
         if not step.spec.best_effort:
             if step.spec.gang or pending.queue.advised:
                 return usable
-            return self._selection.with_room(step, service, usable)
+            pool = self._selection.with_room(step, service, usable)
+            if self._look_ahead is not None:
+                return self._look_ahead.with_reserved(step, pool)
+            return pool
         pool = self._admission.open_servers(step, service, now_ms)
         self._evaluations += len(pool)
         return pool
 
-    def _reserve_if_overdue(
-        self, pending: PendingTask, usable: list[Server]
+    def _reserve(
+        self, pending: PendingTask, usable: list[Server], now_ms: int
     ) -> None:
-        if not pending.overdue or self._preemptor.has_preempted(pending.task):
+        """Reserve room for a task that wasn't placed if it is entitled to it."""
+        if self._preemptor.has_preempted(pending.task):
+            return
+        if self._look_ahead is not None:
+            reserve = functools.partial(
+                self._look_ahead.reserve,
+                pending,
+                usable,
+                self._changed,
+                now_ms,
+            )
+            attempt(self._state.notes, 'look ahead', '', reserve)
+            return
+        if not pending.overdue:
             return
         if pending.step.spec.gang or pending.queue.advised:
             # A gang needs several servers, and the eligible servers of an
@@ -315,6 +344,8 @@
             self.isolation.isolate(server, task, step)
         self._state.pending_by_key.pop(task.key, None)
         self._state.plan(run, step)
+        if self._look_ahead is not None:
+            self._look_ahead.note_planned(task, step, server, now_ms)
         self._changed.append(server)
         self._report.count_placed(step)
         self._placed += 1
@@ -340,10 +371,19 @@
         step = pending.step
         service = pending.queue.service
         takes = step.spec.reserved_resources
+        room_of = functools.partial(self.reservations.available, step=step)
+        if self._look_ahead is not None:
+            room_of = self._look_ahead.room_of(step, now_ms)
+            # Most servers are full while tasks wait.
+            servers = [
+                server
+                for server in servers
+                if fits_resources(takes, server.free_resources)
+            ]
         fitting = [
             server
             for server in eligible(step, service, servers)
-            if fits_resources(takes, self.reservations.available(server, step))
+            if fits_resources(takes, room_of(server))
         ]
         if step.spec.best_effort:
             fitting = self._admission.admitting(step, service, fitting, now_ms)
--- a/waxwingford/scheduling/_reservations.py
+++ b/waxwingford/scheduling/_reservations.py
@@ -42,6 +42,7 @@
         self._searches = 0
         self._now_ms = 0
         self._retry_ms_by_step: dict[str, int] = {}
+        self._limit_by_server: dict[str, Resources] = {}
 
     def begin(self, now_ms: int) -> None:
         """Begin a placement round.
@@ -51,6 +52,7 @@
         self._reserved_by_server.clear()
         self._held_by_step.clear()
         self._overdue_by_step.clear()
+        self._limit_by_server.clear()
         self._reservations = 0
         self._searches = 0
         self._now_ms = now_ms
@@ -66,14 +68,50 @@
 
         :param step: step whose tasks may use what is held for it.
         """
+        server_id = server.entry.server_id
+        if (
+            server_id in self._reserved_by_server
+            or server_id in self._limit_by_server
+        ):
+            return self.within(server, self.limit_of(server), step)
+        return server.free_resources
+
+    def within(
+        self,
+        server: Server,
+        limit: Resources | None,
+        step: Step | None = None,
+    ) -> Resources:
+        """Return the resources not reserved, with another limit than the set one.
+
+        :param limit: resources that may be used at most, ``None`` for no limit.
+        :param step: step whose tasks may use what is held for it.
+        """
+        room = server.free_resources
+        if limit is not None:
+            room = common_resources(room, limit)
         reserved = self._reserved_by_server.get(server.entry.server_id)
         if reserved is None:
-            return server.free_resources
-        available = subtract_resources(server.free_resources, reserved)
+            return room
+        room = subtract_resources(room, reserved)
         if step is None or not self._held_by_step:
-            return available
+            return room
         held = self._held_by_step.get(_key(server, step), _NO_RESOURCES)
-        return add_resources(available, held)
+        return add_resources(room, held)
+
+    def limit(self, server: Server, limit: Resources | None) -> None:
+        """Limit what tasks of unknown end may use of a server.
+
+        :param limit: resources that may be used at most, ``None`` for no limit.
+        """
+        if limit is None:
+            self._limit_by_server.pop(server.entry.server_id, None)
+        else:
+            self._limit_by_server[server.entry.server_id] = limit
+
+    def limit_of(self, server: Server) -> Resources | None:
+        """Return the limit of a server, ``None`` for none."""
+        return self._limit_by_server.get(server.entry.server_id)
 
     def available_to(self, server: Server, step: Step) -> Resources:
         """Return the resources of a server that aren't reserved for other steps."""
@@ -161,6 +199,11 @@
         return resources
 
 
+def common_resources(left: Resources, right: Resources) -> Resources:
+    """Compute the resources that two vectors both have, element by element."""
+    return Resources(*map(min, left, right))
+
+
 def _key(server: Server, step: Step) -> tuple[str, str]:
     return server.entry.server_id, step.name
 
--- a/waxwingford/scheduling/_task_order.py
+++ b/waxwingford/scheduling/_task_order.py
@@ -92,6 +92,19 @@
     return PendingTask(rank, task, step, queue)
 
 
+def rank_alone(
+    state: ShardState, task: Task, step: Step, now_ms: int
+) -> PendingTask:
+    """Compute the place of a task in the order as if it were pending.
+
+    :param now_ms: current monotonic time, in ms.
+    """
+    queue = state.queue_of(step.job)
+    steps = step.job.steps_by_occurrence[step.occurrence]
+    estimate = estimate_job(steps, queue, state.learned.run_times)
+    return rank_task(task, step, queue, estimate, now_ms)
+
+
 def ranked_tasks(
     state: ShardState, now_ms: int, with_best_effort: bool, limited: bool
 ) -> list[PendingTask]:
--- a/waxwingford/shard/_observer.py
+++ b/waxwingford/shard/_observer.py
@@ -17,6 +17,7 @@
     'run.preempted': ('runs_preempted_total', ('queue',)),
     'run.copied': ('copies_started_total', ()),
     'copy.won': ('copies_won_total', ('copy',)),
+    'room.reservation_ended': ('room_reservations_ended_total', ('how',)),
 }
 
 _log = logbook.Logger('shard')
