Refuse best-effort jobs that servers have no room for in time

Cause: jobs were refused only when the owner's processor was the bottleneck.

Change: with scheduling.admission, the engine forecasts for each service the work left of accepted best-effort jobs and the rate at which it is done, learned only while tasks wait for room. From a wait of 2.2 mean objectives on, the owner tells in its heartbeats after what time such jobs may come back, and each daemon refuses from that, after it asked the store. Jobs without best-effort steps and those of priority 0 are exempt. Where the store can't be read, a job isn't refused for lack of room, as an earlier attempt may have stored it.

Ruled out: a scan of all waiting tasks for each update, 31 ms with 38,592 of them; the search ends at the first one of each service now.

With the switch off nothing changes.

--- a/waxwingford/scheduling/__init__.py
+++ b/waxwingford/scheduling/__init__.py
@@ -50,8 +50,13 @@
             'Start',
             'Stop',
         ),
+        '_job_admission': (
+            'needs_room',
+            'spread_retry_s',
+        ),
         '_lease_withholding': ('take_listed',),
         '_recovery': ('InheritedLeases',),
+        '_room_forecast': ('RoomForecast',),
         '_rows': (
             'ENDED_PREFIX',
             'decode_end',
--- a/waxwingford/scheduling/_engine.py
+++ b/waxwingford/scheduling/_engine.py
@@ -18,9 +18,9 @@
 from waxwingford.scheduling._evacuations import Evacuations
 from waxwingford.scheduling._features import NO_FEATURES, Features
 from waxwingford.scheduling._interference import InterferenceModel
+from waxwingford.scheduling._job_admission import JobAdmission
 from waxwingford.scheduling._lease_withholding import LeaseWithholding
 from waxwingford.scheduling._maintenance import Maintenance
-from waxwingford.scheduling._migration import Migrator
 from waxwingford.scheduling._order_factory import OrderFactory
 from waxwingford.scheduling._orders import Batch, Start
 from waxwingford.scheduling._pacing import Pacer
@@ -47,7 +47,10 @@
 
 
 class Engine:
-    """Makes the decisions of one owner of a shard."""
+    """Makes the decisions of one owner of a shard.
+
+    :ivar admission: which jobs are refused for lack of room.
+    """
 
     def __init__(
         self,
@@ -76,9 +79,8 @@
         self._harm = InterferenceModel()
         self._placer = Placer(self.state, self._harm)
         self.pacer = Pacer(self.state, self._harm)
-        self._maintenance = Maintenance(
-            self.state, self.settler, Migrator(self.state, self._placer)
-        )
+        self._maintenance = Maintenance(self.state, self.settler, self._placer)
+        self.admission = JobAdmission(self.state)
         self.timely = True
         self._interference_stored_ms = 0
         self._jobs_to_release: dict[str, Job] = {}
@@ -236,6 +238,10 @@
             # Neither the services of the queues nor evacuations are known yet.
             max_starts = 0
         decision = self._placer.place(now_ms, max_starts, overloaded)
+        if self.features.admission:
+            limited = any(decision.backlog) or max_starts <= 0
+            update = functools.partial(self.admission.update, now_ms, limited)
+            attempt(self.state.notes, 'admit', '', update)
         return decision._replace(returned=self.settler.take_returned())
 
     def take_batch(self) -> Batch:
--- a/waxwingford/scheduling/_job_estimates.py
+++ b/waxwingford/scheduling/_job_estimates.py
@@ -115,21 +115,21 @@
     size: float = 0
     end_ms_by_index: list[float] = []
     for step in steps:
-        run_time_ms = _run_time_ms(step, run_times)
-        task_work = run_time_ms * step.spec.needs.processors_milli
+        time_ms = run_time_ms(step, run_times)
+        task_work = time_ms * step.spec.needs.processors_milli
         work += step.unfinished * task_work
         size += step.spec.count * task_work
         started_ms = max(
             [end_ms_by_index[index] for index in step.spec.after], default=0
         )
-        end_ms_by_index.append(started_ms + run_time_ms)
+        end_ms_by_index.append(started_ms + time_ms)
     chain_ms = max(end_ms_by_index, default=0)
     objective_ms = queue.stretch * chain_ms + queue.target_ms
     return JobEstimate(work, objective_ms, size)
 
 
-def _run_time_ms(step: Step, run_times: RunTimes) -> float:
-    """Expected run time of a step's tasks at full speed, in ms."""
+def run_time_ms(step: Step, run_times: RunTimes) -> float:
+    """Return the expected run time of a step's tasks at full speed, in ms."""
     observed_ms = step.observed_ms
     if observed_ms is not None:
         return observed_ms
@@ -143,4 +143,5 @@
     'Lateness',
     'estimate_job',
     'owed_since_ms',
+    'run_time_ms',
 )
--- a/waxwingford/scheduling/_maintenance.py
+++ b/waxwingford/scheduling/_maintenance.py
@@ -14,6 +14,7 @@
     penalize_server,
     readmit_last_servers,
 )
+from waxwingford.scheduling._placing import Placer
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._settle import Settler
 from waxwingford.scheduling._shard_state import ShardState
@@ -44,11 +45,11 @@
     """Checks all servers at regular intervals."""
 
     def __init__(
-        self, state: ShardState, settler: Settler, migrator: Migrator
+        self, state: ShardState, settler: Settler, placer: Placer
     ) -> None:
         self._state = state
         self._settler = settler
-        self._migrator = migrator
+        self._migrator = Migrator(state, placer)
         self._stopper = Stopper(state)
         self._checked_ms = 0
         self._outlived_marked_ms = 0
--- /dev/null
+++ b/waxwingford/scheduling/_room_forecast.py
@@ -0,0 +1,294 @@
+"""Forecasts when the servers of a service will have room for a new best-effort job.
+
+The work that accepted best-effort jobs have left is divided by the rate at which such
+work is done. That rate is the servers' capacity only while tasks wait for room, so it
+is learned only then.
+"""
+
+import dataclasses
+import itertools
+
+from waxwingford.scheduling._job_estimates import (
+    estimate_job,
+    owed_since_ms,
+    run_time_ms,
+)
+from waxwingford.scheduling._room_waits import waiting_services
+from waxwingford.scheduling._shard_state import ShardState
+from waxwingford.scheduling._state import Job, Step
+
+#: Shortest interval between two updates, in ms. Decisions are made more often, and an
+#: update looks at all accepted best-effort jobs.
+UPDATE_INTERVAL_MS = 250
+#: Time after the first update in which no rate is learned, in ms: the progress that
+#: inherited runs are first listed with was made before.
+FIRST_LISTINGS_MS = 3000
+#: Time with waiting tasks over which the rate is measured, in ms.
+RATE_INTERVAL_MS = 1000
+#: Weights of a new measurement that is above the rate, and of one that is below.
+RISE_WEIGHT = 0.5
+FALL_WEIGHT = 0.1
+#: Time in which the rate falls by half while nothing waits, in ms.
+RATE_HALF_LIFE_MS = 60_000
+#: Time without waiting tasks after which the rate is unknown again, in ms.
+RATE_MEMORY_MS = 120_000
+#: Lowest rate that is learned, in thousandths of a core, so that waits are finite.
+MIN_RATE_MILLI = 1
+#: Weight of a new job in the mean objective of its service.
+OBJECTIVE_WEIGHT = 0.05
+#: Multiple of its objective after which the work of a job isn't counted any more.
+COUNTED_OBJECTIVES = 3
+#: Updates in which the estimates of all jobs are renewed, a part in each.
+ESTIMATE_ROUNDS = 8
+_FULL_PERCENT = 100
+
+
+@dataclasses.dataclass(slots=True)
+class ServiceRoom:
+    """Forecast for the best-effort jobs of one service.
+
+    Work is in thousandths of a core times milliseconds.
+
+    :ivar work: work left of accepted jobs, without ended and expired ones.
+    :ivar rate_milli: rate at which such work is done while tasks wait, in thousandths
+        of a core; 0 if it is unknown.
+    :ivar waiting: whether tasks wait for room.
+    :ivar objective_ms: mean objective of recent jobs, in ms.
+    :ivar learned_ms: monotonic time in ms up to which tasks have waited.
+    :ivar sample_work: work done in the current measurement.
+    :ivar sample_ms: time covered by it, in ms.
+    """
+
+    work: float = 0
+    rate_milli: float = 0
+    waiting: bool = False
+    objective_ms: float = 0
+    learned_ms: int = 0
+    sample_work: float = 0
+    sample_ms: int = 0
+
+    @property
+    def wait_ms(self) -> float:
+        """Time in ms until the work is done, 0 if the rate is unknown."""
+        return self.work / self.rate_milli if self.rate_milli else 0
+
+    def add_objective(self, objective_ms: float) -> None:
+        """Add the objective of a new job, in ms."""
+        former_ms = self.objective_ms or objective_ms
+        change_ms = objective_ms - former_ms
+        self.objective_ms = former_ms + OBJECTIVE_WEIGHT * change_ms
+
+    def learn(self, done: float, elapsed_ms: int, now_ms: int) -> None:
+        """Learn the rate from an interval in which tasks waited.
+
+        :param done: work done in the interval.
+        :param now_ms: current monotonic time, in ms.
+        """
+        self.learned_ms = now_ms
+        self.sample_work += done
+        self.sample_ms += elapsed_ms
+        if self.sample_ms < RATE_INTERVAL_MS:
+            return
+        rate_milli = max(MIN_RATE_MILLI, self.sample_work / self.sample_ms)
+        if self.rate_milli:
+            change = rate_milli - self.rate_milli
+            weight = RISE_WEIGHT if change > 0 else FALL_WEIGHT
+            rate_milli = self.rate_milli + weight * change
+        self.rate_milli = rate_milli
+        self.sample_work = 0
+        self.sample_ms = 0
+
+    def fade(self, elapsed_ms: int, now_ms: int) -> None:
+        """Trust the rate less after an interval in which nothing was learned.
+
+        :param now_ms: current monotonic time, in ms.
+        """
+        self.sample_work = 0
+        self.sample_ms = 0
+        known = now_ms - self.learned_ms < RATE_MEMORY_MS
+        self.rate_milli *= known * 0.5 ** (elapsed_ms / RATE_HALF_LIFE_MS)
+
+
+@dataclasses.dataclass(slots=True)
+class _TrackedStep:
+    # Tasks that were finished at the last update, with parts of running ones, and
+    # estimated work of one task.
+    step: Step
+    finished: float
+    task_work: float = 0
+
+
+@dataclasses.dataclass(slots=True)
+class _Repetition:
+    # A repetition of a job, its best-effort steps, and when it is worth nothing more.
+    job: Job
+    occurrence: int
+    service: str
+    steps: list[_TrackedStep]
+    expires_ms: float = 0
+
+
+class RoomForecast:
+    """Forecasts of all services of a shard.
+
+    :ivar room_by_service: forecasts of services that had best-effort jobs.
+    :ivar updated_ms: monotonic time of the last update, in ms.
+    """
+
+    def __init__(self) -> None:
+        self.room_by_service: dict[str, ServiceRoom] = {}
+        self.updated_ms = 0
+        self._began_ms: int | None = None
+        self._round = 0
+        self._known_by_job: dict[str, int] = {}
+        self._repetitions: list[_Repetition] = []
+
+    def update(
+        self, state: ShardState, now_ms: int, limited: bool = False
+    ) -> bool:
+        """Update the forecasts, unless the last update is recent.
+
+        :param now_ms: current monotonic time, in ms.
+        :param limited: whether the owner's processor limits the starts, so that tasks
+            wait although there may be room.
+        :returns: whether they were updated.
+        """
+        elapsed_ms = now_ms - self.updated_ms
+        if self._began_ms is None:
+            self._began_ms = now_ms
+            elapsed_ms = 0
+        elif elapsed_ms < UPDATE_INTERVAL_MS:
+            return False
+        self.updated_ms = now_ms
+        self._round = (self._round + 1) % ESTIMATE_ROUNDS
+        progress_by_step = _running_progress(state)
+        self._track_new(state, progress_by_step)
+        done_by_service = self._count(state, progress_by_step, now_ms)
+        busy = {
+            service
+            for service, room in self.room_by_service.items()
+            if room.work > 0
+        }
+        waiting = waiting_services(state, busy, now_ms)
+        settled = now_ms - self._began_ms >= FIRST_LISTINGS_MS
+        for service, room in self.room_by_service.items():
+            room.waiting = service in waiting
+            if not room.waiting:
+                room.fade(elapsed_ms, now_ms)
+            elif settled and not limited:
+                room.learn(done_by_service[service], elapsed_ms, now_ms)
+        return True
+
+    def _track_new(
+        self, state: ShardState, progress_by_step: dict[str, float]
+    ) -> None:
+        for job_id in self._known_by_job.keys() - state.job_by_id.keys():
+            del self._known_by_job[job_id]
+        for job_id, job in state.job_by_id.items():
+            known = self._known_by_job.get(job_id, 0)
+            if job.ended is None and len(job.steps_by_occurrence) > known:
+                new = itertools.islice(job.steps_by_occurrence, known, None)
+                for occurrence in new:
+                    self._track(state, job, occurrence, progress_by_step)
+                self._known_by_job[job_id] = len(job.steps_by_occurrence)
+
+    def _track(
+        self,
+        state: ShardState,
+        job: Job,
+        occurrence: int,
+        progress_by_step: dict[str, float],
+    ) -> None:
+        steps = [
+            _TrackedStep(step, _finished(step, progress_by_step))
+            for step in job.steps_by_occurrence[occurrence]
+            if step.spec.best_effort
+        ]
+        if not steps:
+            return
+        service = state.queue_of(job).service
+        repetition = _Repetition(job, occurrence, service, steps)
+        self._repetitions.append(repetition)
+        room = self.room_by_service.setdefault(service, ServiceRoom())
+        room.add_objective(_estimate(state, repetition))
+
+    def _count(
+        self,
+        state: ShardState,
+        progress_by_step: dict[str, float],
+        now_ms: int,
+    ) -> dict[str, float]:
+        """Count the work left of each service, and what was done since last time.
+
+        :param progress_by_step: progress of the present runs, in tasks.
+        :returns: work done by service. A run that is lost without a checkpoint is
+            deducted, as its work is to be done again.
+        """
+        for room in self.room_by_service.values():
+            room.work = 0
+        done_by_service = dict.fromkeys(self.room_by_service, float())
+        for index, repetition in enumerate(self._repetitions):
+            if index % ESTIMATE_ROUNDS == self._round:
+                _estimate(state, repetition)
+            left: float = 0
+            done: float = 0
+            for tracked in repetition.steps:
+                finished = _finished(tracked.step, progress_by_step)
+                done += tracked.task_work * (finished - tracked.finished)
+                left += tracked.task_work * (tracked.step.spec.count - finished)
+                tracked.finished = finished
+            done_by_service[repetition.service] += done
+            if now_ms <= repetition.expires_ms and not repetition.job.blocked:
+                room = self.room_by_service[repetition.service]
+                room.work += left * (repetition.job.ended is None)
+        # An ended job stays until its last work was counted as done.
+        self._repetitions = [
+            repetition
+            for repetition in self._repetitions
+            if repetition.job.ended is None
+            and any(tracked.step.unfinished for tracked in repetition.steps)
+        ]
+        return done_by_service
+
+
+def _estimate(state: ShardState, repetition: _Repetition) -> float:
+    """Estimate the work of a repetition's tasks, and when it expires.
+
+    :returns: its objective, in ms.
+    """
+    job = repetition.job
+    run_times = state.learned.run_times
+    for tracked in repetition.steps:
+        needs = tracked.step.spec.needs
+        time_ms = run_time_ms(tracked.step, run_times)
+        tracked.task_work = time_ms * needs.processors_milli
+    objective_ms = estimate_job(
+        job.steps_by_occurrence[repetition.occurrence],
+        state.queue_of(job),
+        run_times,
+    ).objective_ms
+    since_ms = owed_since_ms(job, repetition.occurrence, state.wall_offset_ms)
+    repetition.expires_ms = since_ms + COUNTED_OBJECTIVES * objective_ms
+    return objective_ms
+
+
+def _running_progress(state: ShardState) -> dict[str, float]:
+    """Add up the listed progress of best-effort runs.
+
+    :returns: progress in tasks by name of the step.
+    """
+    progress_by_step: dict[str, float] = {}
+    for server in state.server_by_id.values():
+        for run, step in server.best_effort.values():
+            progress = progress_by_step.get(step.name, 0)
+            progress_by_step[step.name] = progress + run.percent / _FULL_PERCENT
+    return progress_by_step
+
+
+def _finished(step: Step, progress_by_step: dict[str, float]) -> float:
+    done = step.spec.count - step.unfinished
+    # A done task may have another run that is being stopped.
+    return min(step.spec.count, done + progress_by_step.get(step.name, 0))
+
+
+__all__ = ('RoomForecast', 'ServiceRoom')
--- a/waxwingford/shard/_frontend.py
+++ b/waxwingford/shard/_frontend.py
@@ -29,6 +29,7 @@
     JobNotKnown,
     NotAnswered,
 )
+from waxwingford.shard._load_report import RefusalCause
 from waxwingford.shard._log_port import SharedLog
 from waxwingford.shard._member import IntakeRoute, ShardMember
 from waxwingford.shard._observer import Observer
@@ -171,14 +172,24 @@
         rejection = self._intake.check_size(job_record(spec.job_id, row.raw))
         if rejection is not None:
             return rejection
-        retry_after_s = self._member.load_report.retry_after.of(spec)
-        if not retry_after_s:
+        queue = self._member.terms.queue_by_name.get(spec.queue, spec.terms)
+        refusal = self._member.load_report.refusal(spec, queue)
+        if refusal is None:
             return await self._store(row, deadline_s)
         # If an earlier attempt has stored the job, a refusal would be untrue. The
         # store is asked, as the owner has no time for more questions.
-        if await self._view.is_stored(spec.job_id):
+        stored = await self._view.is_stored(spec.job_id)
+        if stored:
             return Stored()
-        return NotStored('the owner is overloaded', retry_after_s)
+        if stored is None and refusal.cause is RefusalCause.room:
+            # Nobody knows whether it is stored, and the owner has time to store it.
+            return await self._store(row, deadline_s)
+        self._observer.metrics.count(
+            'jobs_refused_total',
+            service=queue.service,
+            cause=refusal.cause.value,
+        )
+        return NotStored(refusal.reason, refusal.retry_after_s)
 
     async def _cancel(
         self, job_id: str, deadline_s: float
--- a/waxwingford/shard/_journal.py
+++ b/waxwingford/shard/_journal.py
@@ -62,6 +62,9 @@
     :ivar urgent_retry_s: time in seconds for which jobs without best-effort tasks
         are refused, 0 if they are accepted.
     :ivar best_effort_retry_s: the same for jobs with best-effort tasks.
+    :ivar room_retry_s: times in seconds after which best-effort jobs may be submitted
+        again, by service without room for them; ``None`` if all are accepted, and in
+        heartbeats of older versions.
     :ivar relay_endpoint: IP address and port at which it accepts relays, empty if
         it accepts none.
     :ivar read_to: offset up to which it had read heartbeats of previous owners
@@ -82,6 +85,7 @@
     pending_by_queue: dict[str, int] | None = None
     urgent_retry_s: int = 0
     best_effort_retry_s: int = 0
+    room_retry_s: dict[str, int] | None = None
     relay_endpoint: str = ''
 
 
--- a/waxwingford/shard/_member.py
+++ b/waxwingford/shard/_member.py
@@ -120,6 +120,7 @@
             record.pending_by_queue,
             record.urgent_retry_s,
             record.best_effort_retry_s,
+            record.room_retry_s,
         )
 
     @property
--- a/waxwingford/shard/_owner.py
+++ b/waxwingford/shard/_owner.py
@@ -191,7 +191,8 @@
     def load_report(self) -> LoadReport:
         """Report the jobs that wait and the classes that are refused."""
         pending = self._engine.state.pending_by_queue() if self.ready else None
-        return LoadReport(pending, *self.start_control.retry_after)
+        control = self.start_control
+        return LoadReport(pending, *control.retry_after, control.room_retry_s)
 
     async def resign(
         self, reason: str = 'resigned', cut_off: bool = False
--- a/waxwingford/shard/_start_control.py
+++ b/waxwingford/shard/_start_control.py
@@ -5,11 +5,16 @@
 from waxwingford.shard._lateness import Lateness
 from waxwingford.shard._observer import Observer
 from waxwingford.shard._overload_log import OverloadLog
+from waxwingford.shard._room_metrics import RoomMetrics
 from waxwingford.shard._start_window import StartWindow
 
 
 class StartControl:
-    """Limits starts in progress, and refuses jobs that would wait for long."""
+    """Limits starts in progress, and refuses jobs that would wait for long.
+
+    :ivar room_retry_s: times in seconds after which best-effort jobs may be submitted
+        again, by service without room for them.
+    """
 
     def __init__(
         self, cores: float, lateness: Lateness, observer: Observer
@@ -22,6 +27,8 @@
         self._overload_log = OverloadLog(observer, cores)
         self._window = StartWindow(lateness)
         self._admission = AdmissionControl()
+        self._room_metrics = RoomMetrics(observer.metrics)
+        self.room_retry_s: dict[str, int] = {}
 
     @property
     def retry_after(self) -> RetryAfter:
@@ -50,6 +57,8 @@
         )
         self._window.note_added(in_progress, decision.placed)
         self._admission.update(decision, self._window, now_ms)
+        self.room_retry_s = engine.admission.retry_s_by_service
+        self._room_metrics.update(engine.admission.forecast)
         self._overload_log.log_overload(
             engine.orders.token, self._lateness, self.retry_after
         )
--- a/waxwingford/shard/tests/heartbeats_steps.py
+++ b/waxwingford/shard/tests/heartbeats_steps.py
@@ -177,10 +177,11 @@
     @drawn(
         st.dictionaries(names, st.integers(0, 2**40)),
         st.dictionaries(names, st.integers(0, 2**40)),
+        st.dictionaries(names, st.integers(0, 10)),
     )
-    def _encode(pending, silent):
+    def _encode(pending, silent, times):
         listed = {name: silent[name] for name in take_listed(silent)}
-        record = record_with(listed, LoadReport(pending))
+        record = record_with(listed, LoadReport(pending, room_retry_s=times))
         assert len(encode_owner(record)) <= size
 
     _encode()
