--- a/waxwingford_bench/interference/__main__.py
+++ b/waxwingford_bench/interference/__main__.py
@@ -1,7 +1,8 @@
 """Compares ways to decide on emulated days, paired by seed.
 
 A way is a list of settings such as ``waxwingford.scheduling._admission.CROWDED_SHARE=1``,
-each of which replaces a constant of the module that uses it.
+each of which replaces a constant of the module that uses it, or names of features of
+``waxwingford.scheduling.Features``, which it switches on.
 """
 
 import argparse
@@ -61,11 +62,17 @@
         nargs='+',
         type=parse_setting,
         default=[],
-        metavar='MODULE.NAME=VALUE',
+        metavar='MODULE.NAME=VALUE|FEATURE',
+    )
+    parser.add_argument(
+        '--load',
+        type=float,
+        default=1,
+        help='factor of the rate at which jobs arrive',
     )
     options = parser.parse_args()
     seeds = range(1, options.seeds + 1)
-    day = Day(options.workload, options.servers, options.span)
+    day = Day(options.workload, options.servers, options.span, options.load)
     standing = play_all((), day, seeds, options.jobs)
     sys.stdout.write(f'as it stands: {_summarise(standing)}\n')
     for way in options.way:
--- a/waxwingford_bench/interference/_cluster.py
+++ b/waxwingford_bench/interference/_cluster.py
@@ -14,6 +14,7 @@
     EndKind,
     EndReport,
     Engine,
+    Features,
     InheritedLeases,
     Order,
     OrderAccepted,
@@ -25,6 +26,7 @@
     StepSpec,
     Stop,
     Terms,
+    needs_room,
 )
 from waxwingford_bench.interference._workload import (
     SERVICE,
@@ -44,6 +46,7 @@
 RESTORE_MS = 250
 #: Time by which the clock of the emulation is ahead at its start, in ms.
 FIRST_MS = 100_000
+_NO_FEATURES = Features()
 
 
 @dataclasses.dataclass(slots=True)
@@ -81,15 +84,19 @@
     :ivar finished_ms_by_job: times at which jobs were completed.
     :ivar serving_ms: time of serving runs, and ``over_ms``, the part of it in which
         they were over their target, in ms.
+    :ivar refused: jobs that were refused.
     :ivar used_core_s: CPU time of best-effort runs, in core-seconds.
     """
 
-    def __init__(self, workload: Workload, seed: int) -> None:
+    def __init__(
+        self, workload: Workload, seed: int, features: Features = _NO_FEATURES
+    ) -> None:
         self.workload = workload
         self.now_ms = FIRST_MS
         self.draw = Draw(workload, seed)
         self.coefficients = self.draw.coefficients()
         self.finished_ms_by_job: dict[str, int] = {}
+        self.refused: set[str] = set()
         self.serving_ms: float = 0
         self.over_ms: float = 0
         self.used_core_s: float = 0
@@ -99,7 +106,8 @@
         self._ends_by_server: dict[str, list[EndReport]] = {}
         self._phase_by_step: dict[tuple[object, ...], float] = {}
         self._ticks = 0
-        self.engine = Engine(1, 5000, InheritedLeases(self.now_ms, {}))
+        inherited = InheritedLeases(self.now_ms, {})
+        self.engine = Engine(1, 5000, inherited, features=features)
         queues = [kind.terms for kind in workload.kinds]
         self.engine.configure(
             Terms(1, {queue.name: queue for queue in (*queues, SERVING)})
@@ -107,7 +115,12 @@
         self._register()
 
     def submit(self, job: EmulatedJob) -> None:
-        """Submit a job."""
+        """Submit a job unless the engine refuses it for lack of room."""
+        spec = job.spec
+        retry_s = self.engine.admission.retry_s_by_service
+        if needs_room(spec, spec.terms) and spec.terms.service in retry_s:
+            self.refused.add(spec.job_id)
+            return
         self._job_by_id[job.spec.job_id] = job
         self.engine.submit(job.spec, self.now_ms)
 
--- a/waxwingford_bench/interference/_experiment.py
+++ b/waxwingford_bench/interference/_experiment.py
@@ -7,6 +7,7 @@
 from concurrent import futures
 from typing import NamedTuple
 
+from waxwingford.scheduling import Features
 from waxwingford_bench.interference._trial import DayWorth, play
 from waxwingford_bench.interference._workload import WORKLOAD_BY_NAME
 
@@ -28,11 +29,23 @@
         setattr(module, self.name, self.given)
 
 
-def parse_setting(text: str) -> Setting:
-    """Parse ``MODULE.NAME=VALUE``.
+class Switch(NamedTuple):
+    """Feature that is switched on, see ``Features``."""
+
+    name: str
+    given: object = True
+
+
+Way = tuple[Setting | Switch, ...]
+
+
+def parse_setting(text: str) -> Setting | Switch:
+    """Parse ``MODULE.NAME=VALUE``, or the name of a feature.
 
     :raises argparse.ArgumentTypeError: if the text has another form.
     """
+    if text in Features._fields:
+        return Switch(text)
     place, separator, given = text.partition('=')
     module, _, name = place.rpartition('.')
     try:
@@ -48,32 +61,36 @@
 
     :ivar workload: name of the workload.
     :ivar span_s: time in which jobs arrive, in seconds.
+    :ivar load: factor of the rate at which jobs arrive.
     """
 
     workload: str
     servers: int
     span_s: int
+    load: float = 1
 
 
-def play_with(settings: tuple[Setting, ...], day: Day, seed: int) -> DayWorth:
-    """Play a day with settings, in a process of its own."""
-    for setting in settings:
-        setting.apply()
-    workload = WORKLOAD_BY_NAME[day.workload]
-    return play(workload._replace(servers=day.servers), seed, day.span_s)
+def play_with(way: Way, day: Day, seed: int) -> DayWorth:
+    """Play a day with settings and features, in a process of its own."""
+    switched = {}
+    for item in way:
+        match item:
+            case Setting():
+                item.apply()
+            case Switch(name):
+                switched[name] = True
+    features = Features(**switched)
+    workload = WORKLOAD_BY_NAME[day.workload]._replace(servers=day.servers)
+    return play(workload.at_load(day.load), seed, day.span_s, features)
 
 
-def play_all(
-    settings: tuple[Setting, ...], day: Day, seeds: range, jobs: int
-) -> list[DayWorth]:
+def play_all(way: Way, day: Day, seeds: range, jobs: int) -> list[DayWorth]:
     """Play a day for each seed.
 
     :param jobs: processes at a time.
     """
     with futures.ProcessPoolExecutor(jobs, max_tasks_per_child=1) as pool:
-        return list(
-            pool.map(functools.partial(play_with, settings, day), seeds)
-        )
+        return list(pool.map(functools.partial(play_with, way, day), seeds))
 
 
-__all__ = ('Day', 'Setting', 'parse_setting', 'play_all')
+__all__ = ('Day', 'Setting', 'Switch', 'parse_setting', 'play_all')
--- a/waxwingford_bench/interference/_trial.py
+++ b/waxwingford_bench/interference/_trial.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from waxwingford.scheduling import NO_FEATURES, Features
 from waxwingford_bench.interference._cluster import FIRST_MS, EmulatedCluster
 from waxwingford_bench.interference._workload import (
     EmulatedJob,
@@ -33,6 +34,9 @@
         included, by number; ``served_fifth`` and ``served_tenth`` are the same of the
         next largest fifth and of the largest tenth, and ``urgent_...`` of urgent
         jobs.
+    :ivar refused: share of the best-effort jobs that were refused, by number.
+    :ivar goodput_cores: work of the best-effort jobs that were in time, by the time of
+        the day, in cores.
     """
 
     total: float
@@ -47,14 +51,21 @@
     urgent_served: float
     urgent_fifth: float
     urgent_tenth: float
+    refused: float
+    goodput_cores: float
 
 
-def play(workload: Workload, seed: int, span_s: float = 34) -> DayWorth:
+def play(
+    workload: Workload,
+    seed: int,
+    span_s: float = 34,
+    features: Features = NO_FEATURES,
+) -> DayWorth:
     """Play a day.
 
     :param span_s: time in which jobs arrive, in seconds.
     """
-    cluster = EmulatedCluster(workload, seed)
+    cluster = EmulatedCluster(workload, seed, features)
     for job in cluster.draw.serving():
         cluster.submit(job)
     _run_until(cluster, WARM_UP_S)
@@ -86,6 +97,9 @@
         cluster.used_core_s / (span_s + FINISH_S),
         *_served_by_size(cluster, jobs, best_effort_kind, started_ms),
         *_served_by_size(cluster, jobs, urgent_kind, started_ms),
+        *_refused_and_goodput(
+            cluster, jobs, best_effort_kind, started_ms, span_s + FINISH_S
+        ),
     )
 
 
@@ -141,18 +155,42 @@
     )
 
 
+def _refused_and_goodput(
+    cluster: EmulatedCluster,
+    jobs: list[EmulatedJob],
+    kind: Kind,
+    started_ms: int,
+    day_s: float,
+) -> tuple[float, float]:
+    """Compute the share of jobs that were refused, and the work that was in time.
+
+    :returns: share by number, and the work in cores.
+    """
+    own = [job for job in jobs if job.kind is kind]
+    refused = [job.spec.job_id in cluster.refused for job in own]
+    in_time = (
+        job.work
+        for job in own
+        if _is_served(cluster, job, started_ms, most_objectives=1)
+    )
+    return _share(refused), sum(in_time) / day_s
+
+
 def _work(job: EmulatedJob) -> float:
     return job.work
 
 
 def _is_served(
-    cluster: EmulatedCluster, job: EmulatedJob, started_ms: int
+    cluster: EmulatedCluster,
+    job: EmulatedJob,
+    started_ms: int,
+    most_objectives: float = LATE_FACTOR,
 ) -> bool:
     finished_ms = cluster.finished_ms_by_job.get(job.spec.job_id)
     if finished_ms is None:
         return False
     took_ms = finished_ms - started_ms - job.arrival_ms
-    return took_ms <= LATE_FACTOR * job.objective_ms
+    return took_ms <= most_objectives * job.objective_ms
 
 
 def _share(served: list[bool]) -> float:
--- a/waxwingford_bench/interference/_workload.py
+++ b/waxwingford_bench/interference/_workload.py
@@ -74,6 +74,16 @@
     burst_from_s: float = 14
     burst_to_s: float = 20
 
+    def at_load(self, factor: float) -> 'Workload':
+        """Return the same workload with jobs that arrive more often.
+
+        :param factor: factor of the rates at which jobs of all kinds arrive.
+        """
+        urgent, best_effort = (
+            kind._replace(per_s=kind.per_s * factor) for kind in self.kinds
+        )
+        return self._replace(kinds=(urgent, best_effort))
+
 
 URGENT = Kind(
     QueueTerms('urgent', SERVICE, 0, 3, stretch=1.5, target_ms=250),
