--- a/waxwingford/scheduling/__init__.py
+++ b/waxwingford/scheduling/__init__.py
@@ -54,6 +54,10 @@
             'Start',
             'Stop',
         ),
+        '_job_admission': (
+            'needs_room',
+            'spread_retry_s',
+        ),
         '_lease_withholding': ('take_listed',),
         '_placement_answer': ('PlacementReport', 'StepReport'),
         '_placement_report': (
@@ -62,6 +66,7 @@
         ),
         '_placement_view': ('PlacementView',),
         '_recovery': ('InheritedLeases',),
+        '_room_forecast': ('RoomForecast',),
         '_rows': (
             'ENDED_PREFIX',
             'decode_end',
--- a/waxwingford/scheduling/_engine.py
+++ b/waxwingford/scheduling/_engine.py
@@ -50,6 +50,7 @@
     """Makes the decisions of one owner of a shard.
 
     :ivar placement_view: what explanations of placements read.
+    :ivar admission: which jobs are refused for lack of room.
     """
 
     def __init__(
@@ -85,6 +86,7 @@
         self._maintenance = Maintenance(
             self.state, self.settler, self._placer, budget
         )
+        self.admission = self._placement.admission
         self.timely = True
         self._interference_stored_ms = 0
         self._jobs_to_release: dict[str, Job] = {}
--- a/waxwingford/scheduling/_placement.py
+++ b/waxwingford/scheduling/_placement.py
@@ -1,4 +1,4 @@
-"""A round of placement: pending tasks first, then what the features add."""
+"""A round of placement: pending tasks, then copies, then the room for new jobs."""
 
 import functools
 
@@ -8,16 +8,18 @@
 from waxwingford.scheduling._disruption_budget import DisruptionBudget
 from waxwingford.scheduling._features import Features
 from waxwingford.scheduling._interference import InterferenceModel
+from waxwingford.scheduling._job_admission import JobAdmission
 from waxwingford.scheduling._placement_view import PlacementView
 from waxwingford.scheduling._placing import Placer
 from waxwingford.scheduling._shard_state import ShardState
 
 
 class Placement:
-    """Places pending tasks, and copies of stragglers if they are enabled.
+    """Places pending tasks, and what the enabled features add.
 
     :ivar placer: places the pending tasks.
     :ivar view: what explanations read.
+    :ivar admission: which jobs are refused for lack of room.
     """
 
     def __init__(
@@ -33,12 +35,13 @@
         self.view = PlacementView(
             state, model, self.placer.reservations, self.placer.isolation
         )
+        self.admission = JobAdmission(state)
         self._copies = CopyPlacer(state, self.placer, model)
 
     def place(
         self, now_ms: int, max_starts: float, overloaded: bool, timely: bool
     ) -> Decision:
-        """Plan runs of pending tasks, then copies of stragglers.
+        """Plan runs of pending tasks, then copies; decide which jobs are refused.
 
         :param now_ms: current monotonic time, in ms.
         :param max_starts: runs after which the round ends.
@@ -55,4 +58,8 @@
             decision = decision._replace(
                 placed=decision.placed + self._copies.placed
             )
+        if self._features.admission:
+            limited = any(decision.backlog) or max_starts <= 0
+            update = functools.partial(self.admission.update, now_ms, limited)
+            attempt(self._state.notes, 'admit', '', update)
         return decision
--- a/waxwingford_bench/interference/__main__.py
+++ b/waxwingford_bench/interference/__main__.py
@@ -1,7 +1,8 @@
 """Compares ways to decide on emulated days, paired by seed.
 
 A way is a list of settings such as ``waxwingford.scheduling._admission.CROWDED_SHARE=1``,
-each of which replaces a constant of the module that uses it.
+each of which replaces a constant of the module that uses it, or names of features of
+``waxwingford.scheduling.Features``, which it switches on.
 """
 
 import argparse
@@ -11,8 +12,6 @@
 
 from waxwingford_bench.interference._experiment import (
     Day,
-    Setting,
-    parse_features,
     parse_setting,
     play_all,
 )
@@ -47,12 +46,6 @@
     return f'{statistics.fmean(changes):+.3f} (95%: +-{half:.3f})'
 
 
-def _ways(options: argparse.Namespace) -> list[list[Setting]]:
-    if options.features is None:
-        return options.way
-    return [[options.features, *way] for way in options.way or ([],)]
-
-
 def main() -> None:
     """Play the ways and print their worth, and differences from the first."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -69,20 +62,20 @@
         nargs='+',
         type=parse_setting,
         default=[],
-        metavar='MODULE.NAME=VALUE',
+        metavar='MODULE.NAME=VALUE|FEATURE',
     )
     parser.add_argument(
-        '--features',
-        type=parse_features,
-        metavar='NAME,...',
-        help='features that are on in each way but the first',
+        '--load',
+        type=float,
+        default=1,
+        help='factor of the rate at which jobs arrive',
     )
     options = parser.parse_args()
     seeds = range(1, options.seeds + 1)
-    day = Day(options.workload, options.servers, options.span)
+    day = Day(options.workload, options.servers, options.span, options.load)
     standing = play_all((), day, seeds, options.jobs)
     sys.stdout.write(f'as it stands: {_summarise(standing)}\n')
-    for way in _ways(options):
+    for way in options.way:
         worths = play_all(tuple(way), day, seeds, options.jobs)
         names = ' '.join(f'{one.name}={one.given}' for one in way)
         sys.stdout.write(
