Mend checkpoints, stall detection and registrations of copies

Cause: a copy's first checkpoint counted as older than none, and after a takeover the checkpoint with which a run was restored replaced a newer one. Registrations with numbers out of range were rejected. Each straggler was compared by a pass over all runs or tasks. Progress in whole percent made long tasks count as stalled, and restoring runs as without progress.

Change: an empty checkpoint, or the one that the run started from, never replaces the task's; the progress of unlisted runs is unknown. Durations are decoded each by itself. The latest progress by service, of short runs only, and the advanced tasks of a step are computed once per round. Steps without an eligible server are searched for once per second. A server that answers after its notice counts as without one. Copies have no waiting time.

--- a/waxwingford/platform/_records.py
+++ b/waxwingford/platform/_records.py
@@ -27,6 +27,8 @@
 # The first label of this form is the name of the worker's rack.
 _RACK = re.compile(r'r\d+(-\d+)*')
 
+_NO_DURATION = msgspec.Raw(b'0')
+
 
 class _Advice(msgspec.Struct):
     """Present on routes whose steps need tickets of the advice service."""
@@ -74,10 +76,10 @@
     labels: list[str] = []
     # Unix time in ms at which the worker started.
     born: _UnixMs = 0
-    # Durations as of the record. Any type: a registration whose durations can't be
-    # used still names a server.
-    remaining_ms: object = 0
-    warm_up_ms: object = 0
+    # Durations as of the record. Each is decoded by itself: a registration whose
+    # durations can't be used still names a server.
+    remaining_ms: msgspec.Raw = _NO_DURATION
+    warm_up_ms: msgspec.Raw = _NO_DURATION
 
 
 class QueuePath(msgspec.Struct, frozen=True):
@@ -164,6 +166,7 @@
 }
 _config_decoder = msgspec.json.Decoder(_Config)
 _registration_decoder = msgspec.json.Decoder(_Registration)
+_duration_decoder = msgspec.json.Decoder(int | float)
 _submission_decoder = msgspec.json.Decoder(Submission)
 
 
@@ -261,12 +264,14 @@
     return str(fault._replace(field=named))
 
 
-def _duration_ms(listed: object) -> int:
+def _duration_ms(raw: msgspec.Raw) -> int:
     """Read a duration that a registration may name.
 
     :returns: duration in ms, 0 if it is no number that can be one.
     """
-    if isinstance(listed, bool) or not isinstance(listed, int | float):
+    try:
+        listed = _duration_decoder.decode(raw)
+    except msgspec.MsgspecError:
         return 0
     return int(listed) if 0 <= listed <= _MAX_AMOUNT else 0
 
--- a/waxwingford/platform/tests/adapter.feature
+++ b/waxwingford/platform/tests/adapter.feature
@@ -147,6 +147,8 @@
       | null      | 0        |
       | "soon"    | 0        |
       | {"ms": 1} | 0        |
+      | 1e999     | 0        |
+      | 5*5000    | 0        |
 
   Scenario: fields of a submission
     When a submission with all fields is decoded
--- a/waxwingford/platform/tests/adapter_steps.py
+++ b/waxwingford/platform/tests/adapter_steps.py
@@ -284,9 +284,15 @@
 
 @when('a worker registers with {listed} as remaining-ms and warmup-left-ms')
 def register_durations(context, listed):
-    duration = json.loads(listed)
-    fields = {'remaining-ms': duration, 'warmup-left-ms': duration}
-    register_fields(context, **fields)
+    if '*' in listed:
+        digit, _, count = listed.partition('*')
+        listed = digit * int(count)
+    fields = dict.fromkeys(('remaining-ms', 'warmup-left-ms'), 'LISTED')
+    # Python's encoder can't write numbers that are out of its range.
+    context.registration = decode_registration(
+        'i-1',
+        encode_registration(**fields).replace(b'"LISTED"', listed.encode()),
+    )
 
 
 @then('its notice and its warm-up are {expected:d} ms')
@@ -296,6 +302,11 @@
 
 
 def register_fields(context, **fields):
+    raw = encode_registration(**fields)
+    context.registration = decode_registration('i-1', raw)
+
+
+def encode_registration(**fields):
     body = {
         'service': 's',
         'address': '127.0.0.1:1',
@@ -304,8 +315,7 @@
         'capacity': {'cpu': 8000, 'mem-mb': 16000},
         **fields,
     }
-    raw = json.dumps(body).encode()
-    context.registration = decode_registration('i-1', raw)
+    return json.dumps(body).encode()
 
 
 @then('its rack is "{rack}"')
--- a/waxwingford/scheduling/_copies.py
+++ b/waxwingford/scheduling/_copies.py
@@ -32,6 +32,9 @@
 MAX_COPIED_SHARE = 0.1
 #: Penalty for failed runs from which on a server gets no copies.
 MAX_PENALTY = 0.5
+#: Time for which no copy is searched for a step after a search without an eligible
+#: server, in ms, so that its stragglers don't use up the searches of other steps.
+RETRY_MS = 1000
 #: Rank of a long-running task that waits, above all priorities.
 _LONG_RUNNING = -1
 
@@ -125,6 +128,7 @@
         )
         self._detector = StragglerDetector(state)
         self._round_ms = 0
+        self._retry_ms_by_step: dict[str, int] = {}
         self.placed = 0
 
     def place_due(self, now_ms: int, max_starts: float, timely: bool) -> None:
@@ -139,6 +143,11 @@
         if now_ms - self._round_ms < ROUND_INTERVAL_MS:
             return
         self._round_ms = now_ms
+        self._retry_ms_by_step = {
+            name: retry_ms
+            for name, retry_ms in self._retry_ms_by_step.items()
+            if retry_ms > now_ms
+        }
         stragglers = sorted(
             self._find_stragglers(now_ms, timely), key=_gain, reverse=True
         )
@@ -148,7 +157,12 @@
         limits = CopyLimits(self._state, now_ms)
         affordable = MAX_EVALUATIONS // len(self._state.server_by_id)
         searches = int(min(MAX_SEARCHES, max(1, affordable), max_starts))
-        allowed = filter(limits.allow, stragglers)
+        allowed = (
+            straggler
+            for straggler in stragglers
+            if straggler.step.name not in self._retry_ms_by_step
+            and limits.allow(straggler)
+        )
         for straggler in itertools.islice(allowed, searches):
             if self._copy(straggler, slow, now_ms):
                 limits.count(straggler.step)
@@ -157,6 +171,7 @@
     def _find_stragglers(
         self, now_ms: int, timely: bool
     ) -> Iterator[Straggler]:
+        self._detector.begin_round()
         for step in _steps_with_copies(self._state):
             most_attempts = self._state.queue_of(step.job).most_attempts
             for task in step.tasks:
@@ -176,6 +191,7 @@
             and _is_sound(server, task, now_ms)
         ]
         if not servers:
+            self._retry_ms_by_step[step.name] = now_ms + RETRY_MS
             return False
         server = min(
             servers,
@@ -231,8 +247,8 @@
         if job is None or task.not_before_ms > now_ms:
             continue
         queue = state.queue_of(job)
-        lasts = job.spec.steps[task.key.step].long_running
-        priority = _LONG_RUNNING if lasts else queue.priority
+        long_running = job.spec.steps[task.key.step].long_running
+        priority = _LONG_RUNNING if long_running else queue.priority
         waiting[queue.service] = min(
             priority, waiting.get(queue.service, priority)
         )
--- a/waxwingford/scheduling/_copy_ends.py
+++ b/waxwingford/scheduling/_copy_ends.py
@@ -2,28 +2,42 @@
 
 from waxwingford.scheduling._backend_client import EndKind
 from waxwingford.scheduling._shard_state import ShardState
+from waxwingford.scheduling._specs import MILLI_PER_CORE
 from waxwingford.scheduling._state import Run, Step, Task
 
-#: Thousandths of a core in a core.
-_MILLI = 1000
-
 
 def keep_checkpoint(task: Task, run: Run, checkpoint: str) -> None:
     """Keep a checkpoint to resume from, unless that of another run is newer.
 
     A single run started from the task's checkpoint, so its own is newer. Of two
-    runs, the one that began later or is slower may have saved less.
+    runs, the one that began later or is slower may have saved less. The checkpoint
+    that a run started from is never newer than the task's.
 
     :param run: run that has written the checkpoint, or has started from it.
+    :param checkpoint: checkpoint, empty for none.
     """
+    if not checkpoint:
+        return
+    percent = run.percent if run.listed_ms else None
     if checkpoint == task.checkpoint:
         # A new owner doesn't know when it was written, at this progress at most.
-        task.saved_percent = task.saved_percent or run.percent
+        if task.saved_percent is None:
+            task.saved_percent = percent
+        return
+    if checkpoint == run.resumed_from:
         return
-    if task.copied and run.percent < task.saved_percent:
+    if task.copied and _is_older(percent, task):
         return
     task.checkpoint = checkpoint
-    task.saved_percent = run.percent
+    task.saved_percent = percent
+
+
+def _is_older(percent: float | None, task: Task) -> bool:
+    """Whether a checkpoint at this progress is older than the task's."""
+    if not task.checkpoint:
+        return False
+    # Unknown progress of a run counts as less than any that is known.
+    return (percent or 0) < (task.saved_percent or 0)
 
 
 def note_copy_end(
@@ -62,5 +76,5 @@
             copy=run.copy,
             server=run.server_id,
             how='absent' if kind is None else kind.value,
-            core_ms=run_ms * step.spec.needs.processors_milli // _MILLI,
+            core_ms=run_ms * step.spec.needs.processors_milli // MILLI_PER_CORE,
         )
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -326,7 +326,8 @@
         :param now_ms: current monotonic time, in ms.
         """
         # A copy doesn't wait: another run of its task is present.
-        waited_ms = 0 if task.run_by_number else now_ms - task.pending_since_ms
+        copied = bool(task.run_by_number)
+        waited_ms = None if copied else now_ms - task.pending_since_ms
         task.last_run += 1
         key = RunKey(task.key, task.last_run)
         run = Run(
@@ -337,7 +338,7 @@
             now_ms,
             checkpoint=task.checkpoint,
             progress_changed_ms=now_ms,
-            resumed=task.checkpoint != '',
+            resumed_from=task.checkpoint,
         )
         task.run_by_number[key.run] = run
         if is_suspect(task, step):
--- a/waxwingford/scheduling/_rows.py
+++ b/waxwingford/scheduling/_rows.py
@@ -321,6 +321,7 @@
         now_ms,
         now_ms,
         checkpoint=task.checkpoint,
+        resumed_from=task.checkpoint,
         progress_changed_ms=now_ms,
         adopted=True,
     )
--- a/waxwingford/scheduling/_server_conditions.py
+++ b/waxwingford/scheduling/_server_conditions.py
@@ -11,14 +11,13 @@
 from waxwingford.scheduling._remaining_times import remaining_ms
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._shard_state import ShardState
+from waxwingford.scheduling._specs import MILLI_PER_CORE
 from waxwingford.scheduling._state import Run, RunPhase, Step
 
 #: A run is left on a draining server if this multiple of its expected remaining time,
 #: plus a constant for its last answer, is over before the server leaves.
 MARGIN_FACTOR = 1.25
 MARGIN_MS = 100
-#: Thousandths of a core in a core.
-_MILLI = 1000
 
 
 def stop_on_draining(
@@ -81,7 +80,7 @@
     if step.spec.long_running or step.spec.writes_checkpoints:
         return 0
     run_ms = now_ms - run.phase_since_ms
-    return run_ms * step.spec.needs.processors_milli // _MILLI
+    return run_ms * step.spec.needs.processors_milli // MILLI_PER_CORE
 
 
 def _must_stop(
@@ -103,5 +102,13 @@
 
 
 def _notice_ms(server: Server, now_ms: int) -> int | None:
-    """Time until a server leaves, in ms, ``None`` if it doesn't say."""
-    return max(0, server.leaves_ms - now_ms) if server.leaves_ms else None
+    """Time until a server leaves, in ms.
+
+    :returns: ``None`` if it doesn't say, or still answers after that time.
+    """
+    if not server.leaves_ms:
+        return None
+    notice_ms = server.leaves_ms - now_ms
+    if notice_ms <= 0 and server.failing_since_ms is None:
+        return None
+    return max(0, notice_ms)
--- a/waxwingford/scheduling/_specs.py
+++ b/waxwingford/scheduling/_specs.py
@@ -7,6 +7,9 @@
 
 from waxwingford.ports import Resources
 
+#: Thousandths of a core in a core.
+MILLI_PER_CORE = 1000
+
 
 class StepSpec(
     msgspec.Struct,
--- a/waxwingford/scheduling/_state.py
+++ b/waxwingford/scheduling/_state.py
@@ -80,7 +80,8 @@
         ``OUTLIVED_MS`` after the start.
     :ivar begun: whether the incarnation is known to have begun the run, as it
         has listed it, or accepted its start by its own clock.
-    :ivar resumed: whether it resumes from a checkpoint.
+    :ivar resumed_from: checkpoint that it resumes from, empty for none; that of the
+        task for a run of a previous owner, which may have started from an older one.
     :ivar copy: whether it was started beside another run of its task.
     """
 
@@ -109,7 +110,12 @@
     outlived: bool = False
     begun: bool = False
     copy: bool = False
-    resumed: bool = False
+    resumed_from: str = ''
+
+    @property
+    def resumed(self) -> bool:
+        """Whether it resumes from a checkpoint."""
+        return self.resumed_from != ''
 
     @property
     def server_id(self) -> str:
@@ -149,8 +155,8 @@
     :ivar checkpoint: checkpoint to resume from, empty for none.
     :ivar copied: whether two runs of the task were present at a time since it was
         pending.
-    :ivar saved_percent: progress at which the checkpoint was written, in percent, as
-        far as known; it tells which checkpoint of two runs is newer.
+    :ivar saved_percent: progress at which the checkpoint was written at the latest, in
+        percent, ``None`` if unknown; it tells which checkpoint of two runs is newer.
     :ivar run_by_number: runs that may be present on a server.
     :ivar avoided: incarnations on which the task failed, made no progress or was
         throttled.
@@ -183,7 +189,7 @@
     done: bool = False
     checkpoint: str = ''
     copied: bool = False
-    saved_percent: float = 0
+    saved_percent: float | None = None
     run_by_number: dict[int, Run] = dataclasses.field(default_factory=dict)
     avoided: set[Incarnation] = dataclasses.field(default_factory=set)
     failed_on: list[Incarnation] = dataclasses.field(default_factory=list)
--- a/waxwingford/scheduling/_stragglers.py
+++ b/waxwingford/scheduling/_stragglers.py
@@ -4,7 +4,11 @@
 from typing import NamedTuple
 
 from waxwingford.scheduling._job_estimates import expected_run_time_ms
-from waxwingford.scheduling._remaining_times import FULL_PERCENT, remaining_ms
+from waxwingford.scheduling._remaining_times import (
+    FULL_PERCENT,
+    RESTORE_MS,
+    remaining_ms,
+)
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._shard_state import ShardState
 from waxwingford.scheduling._state import (
@@ -26,7 +30,10 @@
 #: Time without progress after which a run has stalled while others progress, in ms;
 #: longer for a run that restores a checkpoint first.
 STALLED_MS = 600
-STALLED_RESTORE_MS = 1200
+STALLED_RESTORE_MS = STALLED_MS + RESTORE_MS
+#: The same as a share of the expected run time, as listings in whole percent may
+#: show no change for 1% of it.
+STALLED_SHARE = 0.03
 #: Time between the decision to copy a run and the begin of the copy, in ms.
 START_DELAY_MS = 100
 #: A copy is useful only while a failure of each run leaves the job alive.
@@ -66,6 +73,13 @@
 
     def __init__(self, state: ShardState) -> None:
         self._state = state
+        self._latest_by_service: dict[str, _LatestProgress] | None = None
+        self._advanced_by_step: dict[str, int] = {}
+
+    def begin_round(self) -> None:
+        """Discard what was computed from the listings before the round."""
+        self._latest_by_service = None
+        self._advanced_by_step = {}
 
     def lag(
         self, run: Run, step: Step, now_ms: int, timely: bool
@@ -82,12 +96,12 @@
             return None
         run_time_ms = self._run_time_ms(run, step)
         copy_ms = run_time_ms + START_DELAY_MS
-        if _has_stalled(run, server, now_ms, timely):
+        if _has_stalled(run, server, run_time_ms, now_ms, timely):
             if self._others_progress(server, now_ms):
                 return Lag(age_ms, math.inf, copy_ms)
             return None
         slow_ms = max(SLOW_FACTOR * run_time_ms, run_time_ms + MIN_SLOW_MS)
-        if age_ms <= slow_ms or not _is_comparable(run, step):
+        if age_ms <= slow_ms or not self._is_comparable(run, step):
             return None
         left_ms = remaining_ms(run, run_time_ms, now_ms)
         if left_ms is None or left_ms <= copy_ms:
@@ -104,32 +118,79 @@
 
     def _others_progress(self, server: Server, now_ms: int) -> bool:
         """Whether a run on another server has progressed lately."""
-        return any(
-            now_ms - run.progress_changed_ms < STALLED_MS
-            for other in self._state.server_by_id.values()
-            if other is not server
-            for run in other.run_by_key.values()
-            if run.phase is RunPhase.present and run.listed_ms
+        if self._latest_by_service is None:
+            self._latest_by_service = _find_latest(self._state)
+        latest = self._latest_by_service.get(server.entry.service)
+        if latest is None:
+            return False
+        same = latest.server_id == server.entry.server_id
+        changed_ms = latest.others_ms if same else latest.changed_ms
+        return now_ms - changed_ms < STALLED_MS
+
+    def _is_comparable(self, run: Run, step: Step) -> bool:
+        """Whether enough other tasks of a step are done or advanced.
+
+        :param run: only run of its task, which isn't done.
+        """
+        advanced = self._advanced_by_step.get(step.name)
+        if advanced is None:
+            advanced = sum(map(_is_advanced, step.tasks))
+            self._advanced_by_step[step.name] = advanced
+        others = advanced - (run.percent >= ADVANCED_PERCENT)
+        return others >= MIN_COMPARED_TASKS
+
+
+class _LatestProgress(NamedTuple):
+    # Time of the latest progress of a short run of a service, its server, and time of
+    # the latest progress on any other server.
+    changed_ms: float = -math.inf
+    server_id: str = ''
+    others_ms: float = -math.inf
+
+
+def _find_latest(state: ShardState) -> dict[str, _LatestProgress]:
+    """Find the latest progress of short runs, by service."""
+    latest: dict[str, _LatestProgress] = {}
+    for server_id, server in state.server_by_id.items():
+        changed_ms = max(
+            [
+                run.progress_changed_ms
+                for key, run in server.run_by_key.items()
+                if run.phase is RunPhase.present
+                and run.listed_ms
+                and _is_short(server.step_by_run[key])
+            ],
+            default=-math.inf,
         )
+        service = server.entry.service
+        known = latest.get(service, _LatestProgress())
+        if changed_ms > known.changed_ms:
+            latest[service] = _LatestProgress(
+                changed_ms, server_id, known.changed_ms
+            )
+        elif changed_ms > known.others_ms:
+            latest[service] = known._replace(others_ms=changed_ms)
+    return latest
 
 
-def _has_stalled(run: Run, server: Server, now_ms: int, timely: bool) -> bool:
+def _is_short(step: Step) -> bool:
+    # A changed pace counts as progress of best-effort runs, so they tell nothing.
+    return not (step.spec.long_running or step.spec.best_effort)
+
+
+def _has_stalled(
+    run: Run, server: Server, run_time_ms: float, now_ms: int, timely: bool
+) -> bool:
     restores = run.resumed and not run.progress
     stalled_ms = STALLED_RESTORE_MS if restores else STALLED_MS
     if server.failing_since_ms is not None:
         return timely and now_ms - server.failing_since_ms >= stalled_ms
     still_ms = run.listed_ms - run.progress_changed_ms
+    stalled_ms = max(stalled_ms, STALLED_SHARE * run_time_ms)
     return still_ms >= stalled_ms and run.percent < FULL_PERCENT
 
 
-def _is_comparable(run: Run, step: Step) -> bool:
-    advanced = (
-        task.done
-        or any(
-            other.percent >= ADVANCED_PERCENT
-            for other in task.run_by_number.values()
-        )
-        for task in step.tasks
-        if run.key.task != task.key
+def _is_advanced(task: Task) -> bool:
+    return task.done or any(
+        run.percent >= ADVANCED_PERCENT for run in task.run_by_number.values()
     )
-    return sum(advanced) >= MIN_COMPARED_TASKS
--- a/waxwingford/scheduling/tests/copies.feature
+++ b/waxwingford/scheduling/tests/copies.feature
@@ -19,21 +19,21 @@
     Then the slow task was started <starts> times
 
     Examples:
-      | case                                       | starts |
-      | copies are off                             | 1      |
-      | all servers are as slow                    | 1      |
-      | its step permits no copies                 | 1      |
-      | a task of priority 0 waits                 | 1      |
-      | a task of priority 2 waits                 | 2      |
-      | the task has one attempt left              | 1      |
-      | the task may have crashed a server         | 1      |
-      | all other servers are cold                 | 1      |
-      | all other servers drain                    | 1      |
-      | all other servers have failed runs         | 1      |
-      | all other servers have failed its runs     | 1      |
-      | its run is 0.5 times as fast               | 1      |
-      | few tasks are known, and the run goes on   | 1      |
-      | few tasks are known, and the run stalls    | 2      |
+      | case                                          | starts |
+      | copies are off                                | 1      |
+      | all servers are as slow                       | 1      |
+      | its step permits no copies                    | 1      |
+      | a task of priority 0 waits                    | 1      |
+      | a task of priority 2 waits                    | 2      |
+      | the task has one attempt left                 | 1      |
+      | the task may have crashed a server            | 1      |
+      | all other servers are cold                    | 1      |
+      | all other servers drain                       | 1      |
+      | all other servers have failed runs            | 1      |
+      | all other servers have failed its runs        | 1      |
+      | its run is 0.5 times as fast                  | 1      |
+      | few tasks are known, and the run goes on      | 1      |
+      | few tasks are known, and the run stalls       | 2      |
       | few tasks are known, and the run stalls alone | 1      |
 
   Scenario Outline: several stragglers
@@ -55,9 +55,9 @@
 
     Examples:
       | event                                  | left | failures | checkpoint |
-      | its second run ends as failed                | 1    | 1        | half       |
+      | its second run ends as failed          | 1    | 1        | half       |
       | its first run ends as failed           | 2    | 1        | half       |
-      | its second run ends as stopped               | 1    | 0        | half       |
+      | its second run ends as stopped         | 1    | 0        | half       |
       | the server of its copy is lost         | 1    | 0        | half       |
       | the server of its first run is lost    | 2    | 0        | half       |
       | its copy ends as stopped, further on   | 1    | 0        | further    |
@@ -88,11 +88,46 @@
     And the slow task was started 2 times
 
     Examples:
-      | event                                             |
-      | both of its runs end as done in one answer        |
-      | the owner changes before an end of its copy        |
-      | the owner changes after an end of its copy         |
-      | its copy is given up, and then listed as done     |
+      | event                                         |
+      | both of its runs end as done in one answer    |
+      | the owner changes before an end of its copy   |
+      | the owner changes after an end of its copy    |
+      | its copy is given up, and then listed as done |
+
+  Scenario: the first checkpoint of a copied task
+    # Guards against a checkpoint that is discarded as older than none.
+    Given a copied task without a checkpoint
+    When its copy ends as stopped, with its first checkpoint
+    Then run 1 goes on, with 0 failures and checkpoint "first"
+
+  Scenario: a new owner sees a copy end that it has never listed
+    # Guards against a new checkpoint that is replaced by the one with which the other
+    # run was restored.
+    Given a copied task
+    When the owner changes, and its copy has ended as stopped with a checkpoint
+    And the server of its first run is lost
+    Then run 3 goes on, with 0 failures and checkpoint "further"
+
+  Scenario Outline: many stragglers at a time
+    # Guards against rounds whose work grows with the square of the stragglers.
+    Then the work of a round with twice as many <kind> runs is at most 3 times as much
+
+    Examples:
+      | kind    |
+      | stalled |
+      | slow    |
+
+  Scenario: long tasks that are listed in whole percent
+    # Guards against copies of runs whose progress changes only every few seconds.
+    Given a step of 4 tasks of 90000 ms with copies, listed in whole percent
+    When 6000 ms pass with copies
+    Then no task has two runs
+
+  Scenario: a straggler whose step has no eligible server
+    # Guards against stragglers that take all searches of each round.
+    Given 5 stragglers that no other server can run, and one that gains less
+    When 3000 ms pass with copies
+    Then the slow task was started 2 times, on two servers
 
   Scenario: any course of events
     # Guards against a third run, and a start after an end that counts.
@@ -114,6 +149,23 @@
       | with checkpoints    | 2000   | is stopped |
       | with checkpoints    | 0      | is stopped |
 
+  Scenario Outline: a run without listed progress on a draining server
+    # Guards against stops of runs that only restore, or whose progress is rounded to 0.
+    Given a task of <length> ms is <kind>
+    When its server drains, with <notice> ms left
+    Then the run goes on
+
+    Examples:
+      | length | kind                    | notice |
+      | 60000  | listed in whole percent | 90000  |
+      | 2000   | restoring a checkpoint  | 5500   |
+
+  Scenario: a server answers after its notice
+    # Guards against stops that lose work although the server stays.
+    Given a task of 4000 ms without checkpoints runs for 500 ms
+    When its server drains, and answers after its notice has passed
+    Then the run goes on
+
   Scenario: a notice is read again and again
     # Guards against a notice that begins anew with each look at the registration.
     Given a task of 4000 ms without checkpoints runs for 500 ms
--- a/waxwingford/scheduling/tests/copies_steps.py
+++ b/waxwingford/scheduling/tests/copies_steps.py
@@ -1,13 +1,21 @@
 """Steps for copies of stragglers, draining and cold servers."""
 
 import collections
+import sys
 
 from behave import given, then, when
 from hypothesis import given as drawn
 from hypothesis import settings
 from hypothesis import strategies as st
-
-from waxwingford.scheduling import EndKind, EndReport, JobSpec, Terms
+from msgspec import structs
+
+from waxwingford.scheduling import (
+    EndKind,
+    EndReport,
+    JobSpec,
+    PollResult,
+    Terms,
+)
 from waxwingford.scheduling._features import NO_FEATURES
 from waxwingford.scheduling._state import JobPhase
 from waxwingford.scheduling.tests.engine_harness import (
@@ -32,6 +40,7 @@
         self.speed_by_server = collections.defaultdict(lambda: 1.0)
         self.begun_ms_by_key = {}
         self.checkpoint = ''
+        self.whole_percent = False
         self.notes = []
         super().__init__(count, 4, features=features)
         queues = {queue.name: queue for queue in (QUEUE, LATER)}
@@ -43,6 +52,8 @@
         length_ms = self.length_ms if key.task.job_id == JOB else 60_000
         percent = 100 * (self.now_ms - begun_ms) * speed / length_ms
         report = super().report(key, run)
+        if self.whole_percent:
+            percent = int(percent)
         checkpoint = self.checkpoint if key.run == 1 else ''
         return report._replace(percent=percent, checkpoint=checkpoint)
 
@@ -95,13 +106,22 @@
 
 @given('a copied task')
 def create_copied(context):
+    copy_task(context, 'half')
+
+
+@given('a copied task without a checkpoint')
+def create_copied_unsaved(context):
+    copy_task(context, '')
+
+
+def copy_task(context, checkpoint):
     use_copies(context, then=(step(after=(0,)),), writes_checkpoints=True)
     harness = context.harness
-    harness.checkpoint = 'half'
+    harness.checkpoint = checkpoint
     while len(runs_of_task(context)) == 1:
         harness.advance(TICK_MS)
     copy = run_named(context, 'copy')
-    assert copy.checkpoint == 'half'
+    assert copy.checkpoint == checkpoint
     harness.speed_by_server[copy.server_id] = 0.05
     harness.advance(TICK_MS)
 
@@ -234,6 +254,25 @@
     context.harness.end(copy, EndKind.stopped, 'further')
 
 
+@when('its copy ends as stopped, with its first checkpoint')
+def end_with_first(context):
+    context.harness.end(run_named(context, 'copy'), EndKind.stopped, 'first')
+
+
+@when('the owner changes, and its copy has ended as stopped with a checkpoint')
+def change_after_end(context):
+    copy = run_named(context, 'copy')
+    harness = context.harness
+    ends = harness.ends[copy.server_id]
+    number = len(ends) + 1
+    ends.append(EndReport(number, copy.key, EndKind.stopped, 'further'))
+    change_owner(context)
+    server = harness.engine.state.server_by_id[copy.server_id]
+    answer = PollResult(harness.now_ms, (), tuple(ends))
+    harness.engine.poll_answered(server, harness.now_ms, harness.now_ms, answer)
+    assert task_of(context).checkpoint == 'further'
+
+
 @when('the server of its {which} is lost')
 def lose_server(context, which):
     context.harness.crash(run_named(context, which).server_id, back=False)
@@ -408,3 +447,113 @@
 def check_cold(context, count):
     ids = [run.server_id for run in context.harness.planned_runs]
     assert ids.count('s0') == count, ids
+
+
+def count_calls(action):
+    """Count the calls of Python functions and generators, instead of time."""
+    counts = collections.Counter()
+    sys.setprofile(lambda _frame, event, _arg: counts.update([event]))
+    try:
+        action()
+    finally:
+        sys.setprofile(None)
+    return counts['call']
+
+
+def work_of_round(count, kind):
+    harness = SpeedHarness(4 * count, NO_FEATURES._replace(copies=True))
+    harness.submit(step(4 * count, 3, copies=True))
+    runs = harness.present()
+    slow = 0 if kind == 'stalled' else 0.1
+    for run in runs[:count]:
+        harness.speed_by_server[run.server_id] = slow
+    for _ in range(30):
+        harness.poll()
+        harness.now_ms += TICK_MS
+    copies = harness.engine._placement._copies
+    found = []
+    calls = count_calls(
+        lambda: found.extend(
+            copies._find_stragglers(harness.now_ms, timely=True)
+        )
+    )
+    assert len(found) == count, found
+    return calls
+
+
+@then(
+    'the work of a round with twice as many {kind:w} runs is at most'
+    ' {factor:d} times as much'
+)
+def check_work(context, kind, factor):
+    less, more = work_of_round(30, kind), work_of_round(60, kind)
+    assert more <= factor * less, (less, more)
+
+
+def timed_step(length_ms, count=1, **more):
+    """Create a step that declares the run time of its tasks."""
+    return structs.replace(step(count, **more), estimate_ms=length_ms)
+
+
+@given(
+    'a step of {count:d} tasks of {length_ms:d} ms with copies, listed in'
+    ' whole percent'
+)
+def create_long(context, count, length_ms):
+    harness = SpeedHarness(8, NO_FEATURES._replace(copies=True))
+    harness.length_ms = length_ms
+    harness.whole_percent = True
+    harness.submit(timed_step(length_ms, count, copies=True))
+    for index, run in enumerate(harness.planned_runs):
+        harness.speed_by_server[run.server_id] = 1 - index / 10
+    context.harness = harness
+
+
+@then('no task has two runs')
+def check_single(context):
+    keys = [run.key.task for run in context.harness.planned_runs]
+    assert len(keys) == len(set(keys)), keys
+
+
+@given(
+    '{count:d} stragglers that no other server can run, and one that gains less'
+)
+def create_blocked(context, count):
+    use_copies(context)
+    change_speed(context, 0.3)
+    harness = context.harness
+    for _ in range(count):
+        harness.add(4, labels=('r1', 'special'))
+    special = step(count, 4, copies=True, label='special')
+    harness.submit_beside(QUEUE, special)
+    harness.decide()
+    for run in harness.planned_runs:
+        if run.key.task.job_id == SECOND:
+            harness.speed_by_server[run.server_id] = 0
+
+
+@given('a task of {length_ms:d} ms is {kind}')
+def run_without_progress(context, length_ms, kind):
+    harness = SpeedHarness(2)
+    context.harness = harness
+    harness.length_ms = length_ms
+    harness.whole_percent = True
+    saves = kind == 'restoring a checkpoint'
+    harness.submit(timed_step(length_ms, writes_checkpoints=saves))
+    first = harness.planned_runs[0]
+    if saves:
+        harness.end(first, EndKind.stopped, 'half')
+        for server_id in harness.engine.state.server_by_id:
+            harness.speed_by_server[server_id] = 0
+    context.first = harness.planned_runs[-1]
+    harness.advance(400)
+    assert not context.first.percent
+
+
+@when('its server drains, and answers after its notice has passed')
+def answer_after_notice(context):
+    harness = context.harness
+    server_id = context.first.server_id
+    harness.change_entries({server_id}, draining=True, remaining_ms=1)
+    harness.now_ms += TICK_MS
+    harness.advance(2 * TICK_MS)
--- a/waxwingford/shard/_observer.py
+++ b/waxwingford/shard/_observer.py
@@ -60,7 +60,7 @@
         for note in notes:
             self.record_event(note.event, subject=note.subject, **note.fields)
             match note.event:
-                case 'run.planned':
+                case 'run.planned' if note.fields['waited_ms'] is not None:
                     waited_ms = float(str(note.fields['waited_ms']))
                     self.metrics.latency('run_wait', waited_ms)
                 case 'copy.wasted':
