Mend held room, the budget after takeovers, and the cost of preemption

Causes: searches counted room held for one task of a step as room for the next, so that the second one stopped too little and again in each round. Ends by order were taken for ends by themselves if a previous owner had ordered them, or if the run wasn't listed as ready. Errors of the preemptor left Engine.decide. Tasks preempted although a server with room was unusable for a moment. Hopeless searches were repeated in each round.

Changes: available_to leaves out held room. A preemption whose room was used goes on until its stopped runs have ended, with a reason in preemption.abandoned, and hands what is left to the task whose room was used. Ends `stopped` count as orders; inherited runs must be listed for the notice. Errors are contained. A refused start begins the wait anew. The start of a drain is reset with the drain.

--- a/waxwingford/scheduling/_disruption_budget.py
+++ b/waxwingford/scheduling/_disruption_budget.py
@@ -5,7 +5,7 @@
 at work for long enough that no stop of a previous owner can still take effect.
 """
 
-from waxwingford.scheduling._incarnations import Incarnation
+from waxwingford.scheduling._backend_client import EndKind
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._shard_state import ShardState
 from waxwingford.scheduling._state import Run, RunPhase, Step, Task
@@ -29,7 +29,6 @@
         """
         self._state = state
         self._notice_ms = notice_ms
-        self._draining_since_ms: dict[Incarnation, int] = {}
 
     def may_stop(self, run: Run, step: Step, now_ms: int) -> bool:
         """Tell whether an order may end a run now.
@@ -39,7 +38,7 @@
 
         :param now_ms: current monotonic time, in ms.
         """
-        if not _is_limited(step) or run.phase is RunPhase.planned:
+        if not is_limited(step) or run.phase is RunPhase.planned:
             return True
         server = self._state.server_by_id.get(run.server_id)
         if server is not None and server.entry.draining:
@@ -56,24 +55,12 @@
 
         :param now_ms: current monotonic time, in ms.
         """
-        if not _is_limited(step):
+        if not is_limited(step):
             return True
-        since_ms = self._draining_since_ms.get(server.incarnation)
-        if since_ms is None:
-            since_ms = now_ms
-            self._note_draining(server, now_ms)
-        overdue = now_ms - since_ms >= DRAIN_SPREAD_MS
+        server.drain_stops_since_ms = server.drain_stops_since_ms or now_ms
+        overdue = now_ms - server.drain_stops_since_ms >= DRAIN_SPREAD_MS
         return overdue or self._has_room(run, step, now_ms)
 
-    def _note_draining(self, server: Server, now_ms: int) -> None:
-        known = {one.incarnation for one in self._state.server_by_id.values()}
-        self._draining_since_ms = {
-            incarnation: since_ms
-            for incarnation, since_ms in self._draining_since_ms.items()
-            if incarnation in known
-        }
-        self._draining_since_ms[server.incarnation] = now_ms
-
     def _has_room(self, run: Run, step: Step, now_ms: int) -> bool:
         others = sum(
             self._is_unavailable(task, now_ms)
@@ -94,8 +81,9 @@
     def _is_at_work(self, run: Run, now_ms: int) -> bool:
         if run.phase is not RunPhase.present or not run.ready:
             return False
-        if run.adopted and now_ms - run.phase_since_ms < self._notice_ms:
-            # A previous owner may have ordered its stop.
+        if run.adopted and run.listed_ms - run.phase_since_ms < self._notice_ms:
+            # A previous owner may have ordered its stop. The latest listing counts:
+            # the run may have ended since.
             return False
         server = self._state.server_by_id.get(run.server_id)
         if server is None:
@@ -105,20 +93,25 @@
 
 
 def note_left_work(
-    run: Run, task: Task, ended_itself: bool, now_ms: int
+    run: Run, task: Task, kind: EndKind | None, now_ms: int
 ) -> None:
     """Note that a task is no longer at work because a run was settled.
 
-    :param ended_itself: whether the server has listed an end of the run. An expired
-        lease counts as an order.
+    Runs that aren't ready may be at work, too, as the last listing is older than an
+    order.
+
+    :param kind: how it ended. Without an end, as after an expired lease, it counts as
+        ended by an order. So does ``stopped``, as a previous owner may have ordered it.
     :param now_ms: current monotonic time, in ms.
     """
-    if run.ready:
-        by_order = run.stopping or not ended_itself
-        task.left_work_ms = 0 if by_order else now_ms
+    if run.stopping or kind is None or kind is EndKind.stopped:
+        task.left_work_ms = 0
+    elif run.ready:
+        task.left_work_ms = now_ms
 
 
-def _is_limited(step: Step) -> bool:
+def is_limited(step: Step) -> bool:
+    """Tell whether the budget limits the stops of a step's runs."""
     # Only long-running tasks are ever at work in the sense of the rule.
     limited = step.spec.max_unavailable and step.spec.long_running
     return bool(limited) and step.job.ended is None
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -8,7 +8,7 @@
 from waxwingford.scheduling._backend_client import RunKey
 from waxwingford.scheduling._backlog import Backlog, Decision, count_backlog
 from waxwingford.scheduling._candidates import CandidateQueue
-from waxwingford.scheduling._containment import note_failure
+from waxwingford.scheduling._containment import attempt, note_failure
 from waxwingford.scheduling._crashes import is_suspect
 from waxwingford.scheduling._disruption_budget import DisruptionBudget
 from waxwingford.scheduling._eligibility import eligible
@@ -17,11 +17,11 @@
 from waxwingford.scheduling._isolation import Isolation
 from waxwingford.scheduling._job_estimates import estimate_job
 from waxwingford.scheduling._pending_report import PendingReport
-from waxwingford.scheduling._preemption import Preemptor
+from waxwingford.scheduling._preemption import Preemptor, Round
 from waxwingford.scheduling._reservations import Reservations
 from waxwingford.scheduling._server_costs import ServerCosts
 from waxwingford.scheduling._server_selection import ServerSelection
-from waxwingford.scheduling._servers import Server
+from waxwingford.scheduling._servers import MAX_UNANSWERED_STARTS, Server
 from waxwingford.scheduling._shard_state import ShardState, block_job
 from waxwingford.scheduling._state import Job, Run, RunPhase, Step, Task
 from waxwingford.scheduling._task_order import (
@@ -35,9 +35,6 @@
 #: Servers evaluated for best-effort tasks per ms; the interval grows
 #: accordingly, as hundreds of steps may be pending. An evaluation takes 5 us.
 MAX_EVALUATIONS_PER_MS = 40
-#: Maximum number of unanswered starts on one server, so that a stalled server
-#: doesn't accumulate tasks.
-MAX_UNANSWERED_STARTS = 12
 
 
 class Placer:
@@ -120,7 +117,10 @@
         :returns: number of tasks that were tried.
         """
         self.reservations.begin(now_ms)
-        self._preemptor.begin(self.reservations, now_ms)
+        hold_room = functools.partial(
+            self._preemptor.begin, self.reservations, now_ms
+        )
+        attempt(self._state.notes, 'preempt', '', hold_room)
         if not ranked:
             # Most rounds have nothing to place, and scanning all servers with
             # each answer would take most of the owner's processor.
@@ -145,9 +145,9 @@
             if not placed:
                 unplaced.append(pending)
                 self._reserve_if_overdue(pending, usable)
-        self._preemptor.preempt(
-            unplaced, usable, self.isolation, self.reservations, now_ms
-        )
+        ended = Round(usable, self.isolation, self.reservations, now_ms)
+        preempt = functools.partial(self._preemptor.preempt, unplaced, ended)
+        attempt(self._state.notes, 'preempt', '', preempt)
         if self._best_effort_ms == now_ms:
             interval_ms = max(
                 BEST_EFFORT_INTERVAL_MS,
--- a/waxwingford/scheduling/_preemption_costs.py
+++ b/waxwingford/scheduling/_preemption_costs.py
@@ -12,7 +12,10 @@
     fits_resources,
     subtract_resources,
 )
-from waxwingford.scheduling._disruption_budget import DisruptionBudget
+from waxwingford.scheduling._disruption_budget import (
+    DisruptionBudget,
+    is_limited,
+)
 from waxwingford.scheduling._job_estimates import expected_run_time_ms
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._shard_state import ShardState
@@ -87,7 +90,7 @@
 
     def note_stopped(self, server: Server, victims: Iterable[Victim]) -> None:
         """Drop the lists that change as runs of a server are stopped."""
-        if any(victim.step.spec.max_unavailable for victim in victims):
+        if any(is_limited(victim.step) for victim in victims):
             # The budget of a step holds for its runs on all servers.
             self._list_by_server.clear()
         for key in list(self._list_by_server):
@@ -157,11 +160,8 @@
         return left_ms - (self._now_ms - since_ms)
 
     def _cost(self, run: Run, step: Step) -> float:
-        if step.spec.long_running:
-            return _core_ms(step, LONG_RUNNING_MOVE_MS)
-        if step.spec.writes_checkpoints:
-            # A stopped run writes a checkpoint.
-            return _core_ms(step, RESTORE_MS)
+        if step.spec.long_running or step.spec.writes_checkpoints:
+            return lowest_cost(step)
         done = run.percent / _FULL_PERCENT
         return _core_ms(step, done * self._run_time_ms(step))
 
@@ -229,7 +229,7 @@
         name = victim.step.name
         if name not in limited_steps:
             yield victim
-        if victim.step.spec.max_unavailable:
+        if is_limited(victim.step):
             limited_steps.add(name)
 
 
@@ -247,6 +247,15 @@
     return tuple(kept)
 
 
+def lowest_cost(step: Step) -> float:
+    """Return a lower bound of the cost of any run of a step, in core-milliseconds."""
+    if step.spec.long_running:
+        return _core_ms(step, LONG_RUNNING_MOVE_MS)
+    # A stopped run writes a checkpoint if it can.
+    saves = step.spec.writes_checkpoints
+    return _core_ms(step, RESTORE_MS) if saves else 0
+
+
 def _usefulness(frees: Resources, deficit: Resources) -> float:
     useful: float = 0
     for freed, missing in zip(frees, deficit, strict=True):
--- a/waxwingford/scheduling/_reservations.py
+++ b/waxwingford/scheduling/_reservations.py
@@ -76,9 +76,12 @@
         return add_resources(available, held)
 
     def available_to(self, server: Server, step: Step) -> Resources:
-        """Return the resources of a server that aren't reserved for other steps."""
+        """Return the resources that a task of a step need not preempt others for.
+
+        What is held for the step is left out: other tasks of it have preempted for it.
+        """
         overdue = self._overdue_by_step.get(_key(server, step), _NO_RESOURCES)
-        return add_resources(self.available(server, step), overdue)
+        return add_resources(self.available(server), overdue)
 
     def hold(self, server: Server, step: Step, resources: Resources) -> None:
         """Hold resources for a task that preempts others on a server."""
--- a/waxwingford/scheduling/_run_settlement.py
+++ b/waxwingford/scheduling/_run_settlement.py
@@ -66,7 +66,7 @@
             return
         task, step = found
         task.run_by_number.pop(run.key.run, None)
-        note_left_work(run, task, kind is not None, now_ms)
+        note_left_work(run, task, kind, now_ms)
         began = kind is not None or run.accepted or run.outlived
         if began:
             step.job.last_run_ms = now_ms
--- a/waxwingford/scheduling/_servers.py
+++ b/waxwingford/scheduling/_servers.py
@@ -17,6 +17,9 @@
 #: Maximum relative drift between the clocks of a server and of the owner. The
 #: platform specifies 2 % for a server; the same is allowed for the owner.
 CLOCK_DRIFT = 0.04
+#: Maximum number of unanswered starts on one server, so that a stalled server
+#: doesn't accumulate tasks.
+MAX_UNANSWERED_STARTS = 12
 _UNANSWERED = (RunPhase.sent, RunPhase.unresolved)
 
 
@@ -132,6 +135,8 @@
     :ivar leaves_ms: time at which it leaves, 0 if unknown.
     :ivar cold_until_ms: time until which it is slow, as it has just started.
     :ivar drain_noted: whether its present drain was noted.
+    :ivar drain_stops_since_ms: time since which its present drain stops runs of
+        steps with a disruption budget, 0 if it hasn't.
     :ivar awaited: whether the wait for the end of its leases was noted.
     """
 
@@ -187,6 +192,7 @@
     leaves_ms: int = 0
     cold_until_ms: int = 0
     drain_noted: bool = False
+    drain_stops_since_ms: int = 0
 
     def __post_init__(self) -> None:
         self.incarnation = self.entry.incarnation
@@ -369,4 +375,6 @@
     server.leaves_ms = now_ms + entry.remaining_ms if noticed else 0
     cold = entry.warm_up_ms
     server.cold_until_ms = now_ms + cold if cold else 0
-    server.drain_noted = server.drain_noted and entry.draining
+    if not entry.draining:
+        server.drain_noted = False
+        server.drain_stops_since_ms = 0
--- a/waxwingford/scheduling/_settle.py
+++ b/waxwingford/scheduling/_settle.py
@@ -329,6 +329,7 @@
         self._settlement.settle(server, run, None, '', now_ms)
         if found is not None:
             task = found[0]
+            task.start_refused_ms = now_ms
             task.not_before_ms = now_ms + _refused_retry_delay_ms(task)
             task.invalid_starts += reason is RefusalReason.invalid
 
--- a/waxwingford/scheduling/_state.py
+++ b/waxwingford/scheduling/_state.py
@@ -164,6 +164,8 @@
         placed.
     :ivar pending_since_ms: monotonic time in ms since which the task is
         pending; starts of which no run begins don't change it.
+    :ivar start_refused_ms: monotonic time in ms at which a server last refused a
+        start, 0 for never.
     :ivar left_work_ms: monotonic time in ms at which a ready run last ended by
         itself; 0 if an order ended it, or no ready run of this owner has ended.
     :ivar preemptions: number of times that this owner has preempted the task.
@@ -192,6 +194,7 @@
     invalid_starts: int = 0
     not_before_ms: int = 0
     pending_since_ms: int = 0
+    start_refused_ms: int = 0
     left_work_ms: int = 0
     preemptions: int = 0
     best_effort: bool = False
--- a/waxwingford/scheduling/tests/disruption_budget.feature
+++ b/waxwingford/scheduling/tests/disruption_budget.feature
@@ -10,6 +10,27 @@
     Given a serving step of 4 tasks of which 1 may be unavailable
     Then one task may be stopped, and a second one only once the first is at work again
 
+  Scenario: a stop of the previous owner ends late
+    # Guards against taking the end of a run that the previous owner has stopped for
+    # an end by itself.
+    Given a serving step of 4 tasks of which 1 may be unavailable
+    When a task is stopped, the owner changes, and the run ends 1000 ms later
+    Then no second task may be stopped
+
+  Scenario: a stop of a task that isn't listed as ready yet
+    # Guards against forgetting an interruption of a task that is at work, while its
+    # last listing is older.
+    Given a serving step of 4 tasks of which 1 may be unavailable
+    When a task fails, is at work again and is stopped before a poll lists it as ready
+    Then no second task may be stopped
+
+  Scenario: a server that drains twice
+    # Guards against ending all tasks of a step at once on a server whose first drain
+    # was withdrawn.
+    Given a serving step of 4 tasks of which 1 may be unavailable
+    When all of its servers are draining for 300 ms, and again 1000 ms later
+    Then at most 2 of its tasks are stopped at once
+
   Scenario: a task fails by itself
     # Guards against counting a task as unavailable before the notice has passed, and
     # against not counting it afterwards.
--- a/waxwingford/scheduling/tests/disruption_budget_steps.py
+++ b/waxwingford/scheduling/tests/disruption_budget_steps.py
@@ -35,6 +35,8 @@
         self.by_order = set()
         self.away_since_ms = {}
         self.warming = set()
+        #: When servers carry out stops that the previous owner has ordered.
+        self.inherited_end_ms = {}
         super().__init__(Features(preemption=True, notice_ms=NOTICE_MS))
         for _ in range(servers):
             self.add(CORES)
@@ -94,6 +96,9 @@
                 ends.append(EndReport(len(ends) + 1, run.key, kind, ''))
                 self.away_since_ms.setdefault(index, self.now_ms)
                 self.warming.add(index)
+                if kind is EndKind.failed and not run.stopping:
+                    # It has failed before its server carried out a stop.
+                    self.by_order.discard(index)
 
     def warm(self, index):
         """Let the task be at work again if its new run has begun."""
@@ -115,17 +120,34 @@
         self.engine = engine
         self.register()
 
-    def finish_stops(self):
-        """End all runs whose stop was ordered, as servers do within the notice."""
-        for index in range(TASKS):
-            self.end(index, EndKind.stopped)
-
-
+    def delay_stops(self, delay_ms):
+        """Let servers carry out the stops of the previous owner after a delay."""
+        for index in self.by_order - self.away_since_ms.keys():
+            self.inherited_end_ms.setdefault(index, self.now_ms + delay_ms)
+
+    def poll(self):
+        for index, end_ms in list(self.inherited_end_ms.items()):
+            if self.now_ms >= end_ms:
+                self.inherited_end_ms.pop(index)
+                self.end(index, EndKind.stopped)
+        super().poll()
+
+
+ACTION_NAMES = (
+    'ask',
+    'ask',
+    'ask before it is listed',
+    'stop ends',
+    'fail',
+    'warm',
+    'owner',
+)
 ACTIONS = st.lists(
     st.tuples(
-        st.sampled_from(('ask', 'ask', 'stop ends', 'fail', 'warm', 'owner')),
+        st.sampled_from(ACTION_NAMES),
         st.integers(0, TASKS - 1),
         st.sampled_from((0, 60, 400, 1000)),
+        st.integers(0, NOTICE_MS - 1),
     ),
     max_size=40,
 )
@@ -139,8 +161,8 @@
     @drawn(st.integers(1, 2), ACTIONS)
     def check(limit, actions):
         harness = ServingHarness(limit, TASKS + 2)
-        for action, index, span_ms in actions:
-            act(harness, action, index)
+        for action, index, span_ms, delay_ms in actions:
+            act(harness, action, index, delay_ms)
             harness.wait(span_ms)
         granted.append(len(harness.by_order))
 
@@ -148,10 +170,13 @@
     assert any(granted)
 
 
-def act(harness, action, index):
+def act(harness, action, index, delay_ms):
     match action:
         case 'ask':
             harness.ask(index)
+        case 'ask before it is listed':
+            harness.warm(index)
+            harness.ask(index)
         case 'stop ends':
             harness.end(index, EndKind.stopped)
         case 'fail':
@@ -160,8 +185,8 @@
             harness.warm(index)
         case _:
             harness.change_owner()
+            harness.delay_stops(delay_ms)
             harness.wait(60)
-            harness.finish_stops()
 
 
 @given('a serving step of 4 tasks of which 1 may be unavailable')
@@ -238,3 +263,59 @@
     spec = StepSpec(TASKS, Resources(16_000, 100_000, 0), 2000)
     harness.submit_to(URGENT, spec)
     harness.wait(span_ms)
+
+
+@when('a task is stopped, the owner changes, and the run ends 1000 ms later')
+def stop_before_takeover(context):
+    harness = context.harness
+    harness.ask(0)
+    assert harness.by_order == {0}
+    harness.change_owner()
+    harness.delay_stops(1000)
+    harness.wait(1100)
+
+
+@when(
+    'a task fails, is at work again and is stopped before a poll lists it as'
+    ' ready'
+)
+def stop_before_listing(context):
+    harness = context.harness
+    harness.end(0, EndKind.failed)
+    harness.wait(200)
+    harness.warm(0)
+    harness.ask(0)
+    assert harness.by_order == {0}
+    harness.end(0, EndKind.stopped)
+    harness.wait(100)
+
+
+@then('no second task may be stopped')
+def check_no_second(context):
+    harness = context.harness
+    for _ in range(40):
+        for index in range(1, TASKS):
+            harness.ask(index)
+        harness.wait(50)
+    assert harness.by_order == {0}, harness.by_order
+
+
+@when(
+    'all of its servers are draining for {span_ms:d} ms, and again'
+    ' {pause_ms:d} ms later'
+)
+def drain_twice(context, span_ms, pause_ms):
+    harness = context.harness
+    drain_all(context)
+    harness.wait(span_ms)
+    harness.entries = [
+        entry._replace(draining=False) for entry in harness.entries
+    ]
+    harness.register()
+    harness.wait(pause_ms)
+    drain_all(context)
+
+
+@then('at most {count:d} of its tasks are stopped at once')
+def check_few_stopped(context, count):
+    assert count_stopped(context) <= count, context.harness.orders
--- a/waxwingford/scheduling/tests/preemption.feature
+++ b/waxwingford/scheduling/tests/preemption.feature
@@ -61,6 +61,82 @@
     When the stopped tasks end
     Then all 3 waiting tasks have started
 
+  Scenario: room that is held for another task of the step
+    # Guards against counting room that is held for one task as room for the next one,
+    # which then stops too little, and again in each round.
+    Given 1 server with preemption, full of batch tasks that save progress
+    When 2 long-running tasks of 5 cores and 24 GB wait for 1500 ms
+    Then 3 batch tasks are stopped
+    When the stopped tasks end
+    Then all 2 waiting tasks have started
+
+  Scenario: the room of another task of the step becomes free first
+    # Guards against stopping more for the task whose room was used, although the runs
+    # that were stopped for the other one are about to end.
+    Given 1 server with preemption, full of batch tasks that save progress
+    When 2 long-running tasks of 5 cores and 24 GB wait for 900 ms
+    And the tasks that were stopped last end
+    And 400 ms pass
+    Then 3 batch tasks are stopped
+    When the stopped tasks end
+    Then all 2 waiting tasks have started
+
+  Scenario: held room that no longer fits
+    # Guards against a task that stops more runs in each round, as the room for it
+    # is gone, while the runs that it has stopped are about to end.
+    Given 1 server with preemption, full of batch tasks that save progress
+    When an urgent task of 13 cores and 15 GB waits for 400 ms
+    And the server has 10 GB less from now on
+    And 500 ms pass
+    Then 1 batch task is stopped
+    When the stopped tasks end
+    Then a line preemption.abandoned tells that the room was used
+
+  Scenario Outline: an unexpected error
+    # Guards against an error in preemption that ends the decisions of the owner.
+    Given 2 servers with preemption, full of batch tasks that save progress
+    When <call> of the preemptor fails from now on
+    And a batch task ends while an urgent task waits
+    Then the urgent task starts
+    And the error in preemption is noted
+
+    Examples:
+      | call    |
+      | begin   |
+      | preempt |
+
+  Scenario Outline: a server with room is unusable for a moment
+    # Guards against stopping runs although the task can start elsewhere at once.
+    Given 1 server with preemption, full of batch tasks that save progress
+    And an empty server that <state>
+    When an urgent task of 13 cores and 15 GB waits for 400 ms
+    Then no batch task is stopped
+
+    Examples:
+      | state                       |
+      | has just refused a start    |
+      | has many unanswered starts  |
+      | was not polled yet          |
+
+  Scenario: a start was refused
+    # Guards against preemption right after a start that found its server full, as
+    # other short tasks may end.
+    Given 2 servers with preemption, full of batch tasks that save progress
+    When an urgent task of 13 cores and 15 GB waits for 150 ms
+    And the start of the waiting task is refused
+    And 150 ms pass
+    Then no batch task is stopped
+    When 300 ms pass
+    Then 1 batch task is stopped
+
+  Scenario: searches without a result
+    # Guards against searching again in each round for tasks that are worth less than
+    # any run, and for those that only runs too costly could make room for.
+    Given 100 servers with preemption, full of batch tasks that are 70 percent done
+    When 300 urgent tasks in as many jobs wait for 3000 ms
+    Then no batch task is stopped
+    And a preempting round took at most 20 calls for each server on average
+
   Scenario: a stop is lost
     # Guards against waiting for ever for the end of a run that was never stopped.
     Given 1 server with preemption, full of batch tasks that save progress
--- a/waxwingford/scheduling/tests/preemption_steps.py
+++ b/waxwingford/scheduling/tests/preemption_steps.py
@@ -10,11 +10,14 @@
     InheritedLeases,
     JobSpec,
     OrderOutcomeUnknown,
+    OrderRefused,
     QueueTerms,
+    RefusalReason,
     RunningReport,
     StepSpec,
     Terms,
 )
+from waxwingford.scheduling._servers import MAX_UNANSWERED_STARTS
 from waxwingford.scheduling.tests.engine_harness import (
     POLL_INTERVAL_MS,
     EngineHarness,
@@ -36,6 +39,7 @@
         self.features = features
         self.default_percent = 20
         self.percent_by_run = {}
+        self.silent_ids = set()
         super().__init__(0, CORES)
         self.engine = self.new_engine(7)
         self.jobs = 0
@@ -61,6 +65,13 @@
         self.engine.submit(job, self.now_ms)
         return job_id
 
+    def poll(self):
+        servers = self.engine.state.server_by_id
+        # New servers that haven't answered yet.
+        silent = {one: servers.pop(one) for one in self.silent_ids}
+        super().poll()
+        servers.update(silent)
+
     def wait(self, span_ms):
         until_ms = self.now_ms + span_ms
         while self.now_ms < until_ms:
@@ -156,11 +167,12 @@
         harness.decide()
 
 
-def submit_waiting(context, count, cores, memory, long_running):
+def submit_waiting(context, count, cores, memory, long_running, decide=True):
     needs = Resources(cores * 1000, memory * 1000, 0)
     spec = StepSpec(count, needs, 700, long_running=long_running)
     context.waiting_job = context.harness.submit_to(URGENT, spec)
-    context.harness.decide()
+    if decide:
+        context.harness.decide()
 
 
 @when('{span_ms:d} ms pass')
@@ -246,6 +258,23 @@
         assert task.checkpoint == 'saved'
 
 
+@when('the tasks that were stopped last end')
+def end_last(context):
+    last = context.harness.notes_of('run.preempted')[-1].fields['for_task']
+    keys = {
+        (note.subject, note.fields['run'])
+        for note in context.harness.notes
+        if note.fields.get('for_task') == last
+    }
+    context.stopped = [
+        run
+        for run in stopped_runs(context)
+        if (str(run.key.task), run.key.run) in keys
+    ]
+    for run in context.stopped:
+        context.harness.end(run, EndKind.stopped, 'saved')
+
+
 @then('its stop was ordered again')
 def check_repeated(context):
     run = stopped_runs(context)[0]
@@ -344,3 +373,115 @@
     preempted = context.harness.notes_of('run.preempted')
     assert preempted
     assert context.calls <= most * servers, context.calls / servers
+
+
+@when('the server has 10 GB less from now on')
+def shrink(context):
+    harness = context.harness
+    entry = harness.entries[0]
+    memory = entry.capacity.memory_mb - 10_000
+    capacity = entry.capacity._replace(memory_mb=memory)
+    harness.entries[0] = entry._replace(capacity=capacity)
+    harness.register()
+
+
+@then('a line preemption.abandoned tells that the room was used')
+def check_room_used(context):
+    notes = context.harness.notes_of('preemption.abandoned')
+    reasons = [note.fields['reason'] for note in notes]
+    assert reasons == ['room used'], reasons
+
+
+@when('{call} of the preemptor fails from now on')
+def break_preemptor(context, call):
+    def fail(*arguments):
+        raise ZeroDivisionError(call)
+
+    setattr(context.harness.engine._placer._preemptor, call, fail)
+
+
+@when('a batch task ends while an urgent task waits')
+def end_while_waiting(context):
+    harness = context.harness
+    submit_waiting(context, 1, 13, 15, False)
+    harness.wait(400)
+    harness.end(context.batch_runs[0], EndKind.done)
+
+
+@then('the urgent task starts')
+def check_urgent_started(context):
+    assert len(context.harness.runs_of(context.waiting_job)) == 1
+
+
+@then('the error in preemption is noted')
+def check_noted(context):
+    notes = context.harness.notes_of('work.failed')
+    assert notes[0].fields['work'] == 'preempt', notes
+    assert 'ZeroDivisionError' in notes[0].fields['reason'], notes
+
+
+@given('an empty server that {state}')
+def add_unusable(context, state):
+    harness = context.harness
+    harness.entries.append(
+        harness.entries[0]._replace(server_id='empty', endpoint='empty:1')
+    )
+    harness.register()
+    server = harness.engine.state.server_by_id['empty']
+    if 'polled' in state:
+        harness.silent_ids.add('empty')
+        return
+    harness.poll()
+    if 'refused' in state:
+        server.refusal_backoff_until_ms = harness.now_ms + 1500
+    else:
+        server.unanswered |= {
+            context.batch_runs[0].key._replace(run=100 + number)
+            for number in range(MAX_UNANSWERED_STARTS)
+        }
+
+
+@when('the start of the waiting task is refused')
+def refuse_start(context):
+    harness = context.harness
+    task = next(iter(harness.engine.state.pending_by_key.values()))
+    server = next(iter(harness.engine.state.server_by_id.values()))
+    step = harness.engine.state.job_by_id[task.key.job_id].begin(0)[0]
+    harness.engine._placer.plan(task, step, server, harness.now_ms)
+    for run in list(task.run_by_number.values()):
+        harness.engine.start_answered(
+            server,
+            run,
+            harness.now_ms,
+            OrderRefused(RefusalReason.no_room),
+        )
+
+
+@when('{count:d} urgent tasks in as many jobs wait for {span_ms:d} ms')
+def wait_in_jobs(context, count, span_ms):
+    harness = context.harness
+    for _ in range(count):
+        submit_waiting(context, 1, 13, 15, False, decide=False)
+    harness.wait(600)
+    until_ms = harness.now_ms + span_ms
+    counts = []
+    preempt = harness.engine._placer._preemptor.preempt
+
+    def counted_preempt(*arguments):
+        with CallCounter() as counted:
+            preempt(*arguments)
+        counts.append(counted.calls)
+
+    harness.engine._placer._preemptor.preempt = counted_preempt
+    while harness.now_ms < until_ms:
+        harness.poll()
+        harness.decide()
+    context.mean_calls = sum(counts) / len(counts)
+
+
+@then(
+    'a preempting round took at most {most:d} calls for each server on average'
+)
+def check_mean_calls(context, most):
+    servers = len(context.harness.entries)
+    assert context.mean_calls <= most * servers, context.mean_calls / servers
