--- a/waxwingford/scheduling/_look_ahead.py
+++ b/waxwingford/scheduling/_look_ahead.py
@@ -22,7 +22,7 @@
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._shard_state import ShardState
 from waxwingford.scheduling._state import Step, Task
-from waxwingford.scheduling._task_order import PendingTask
+from waxwingford.scheduling._task_order import OVERDUE_MS, PendingTask
 from waxwingford.scheduling._waiting_shapes import WaitingShapes, may_reserve
 
 #: Maximum number of reservations, and of those for one step.
@@ -61,6 +61,7 @@
         self._former_by_task: dict[TaskKey, Reservation] = {}
         self._retry_ms_by_step: dict[str, int] = {}
         self._searches = 0
+        self._now_ms = 0
 
     def begin(self, usable: list[Server], now_ms: int) -> None:
         """Begin a placement round, after that of ``Reservations``.
@@ -69,6 +70,7 @@
         :param now_ms: current monotonic time, in ms.
         """
         self.shapes.begin(now_ms)
+        self._now_ms = now_ms
         self._searches = 0
         self._retry_ms_by_step = {
             name: retry_ms
@@ -174,8 +176,7 @@
 
     def _may_search(self, pending: PendingTask) -> bool:
         name = pending.step.name
-        if pending.step.spec.long_running and not pending.overdue:
-            # Short tasks come before long-running ones until these are overdue.
+        if not self._is_overdue(pending):
             return False
         if (
             len(self._room.held) >= MAX_RESERVATIONS
@@ -191,6 +192,17 @@
             held.pending.task is pending.task for held in of_step
         )
 
+    def _is_overdue(self, pending: PendingTask) -> bool:
+        """Tell whether a task has waited for long enough to keep others out.
+
+        Reserved room is lost to tasks that could use it at once, so that reservations
+        for each waiting task would make most urgent jobs late.
+        """
+        if pending.step.spec.long_running:
+            return pending.overdue
+        waited_ms = self._now_ms - pending.task.pending_since_ms
+        return waited_ms >= OVERDUE_MS
+
     def _find_end(self, held: Reservation) -> str:
         """Tell how a reservation has ended, empty if it goes on."""
         if held.pending.task.key not in self._state.pending_by_key:
