Bound and correct the explanations of placements

A question took several times its 20 ms, and the overrun wasn't charged: the members of large gangs were tried on each rack in vain, and duplicates in "after" were followed one by one.

"accepted" ignored refusals for lack of room. The report reads the refusal that daemons tell callers, with its cause, reason and time.

Servers were checked by the room for tasks of unknown end, and compared by utilisation alone.

Too many tasks in all are reported under "steps". The command ignores keys that it doesn't know, and names a missing one as an unreadable answer instead of printing a trace.

--- a/waxwingford/commands/_placement_text.py
+++ b/waxwingford/commands/_placement_text.py
@@ -3,21 +3,32 @@
 import datetime
 import itertools
 from collections.abc import Iterator
-from typing import Any
 
 from waxwingford.commands._output import format_table
+from waxwingford.scheduling import (
+    Candidate,
+    GangReport,
+    PlacementReport,
+    StepReport,
+)
 
 _MS_PER_S = 1000
 _RANK_COLUMNS = ('rank', 'server', 'rack', 'cost')
 
 
-def format_report(report: dict[str, Any]) -> str:
-    """Format a ``PlacementReport`` of a daemon."""
+class OwnerReport(PlacementReport):
+    """Report of a daemon, which names itself."""
+
+    owner: str
+
+
+def format_report(report: OwnerReport) -> str:
+    """Format where a job would go."""
     steps = itertools.chain.from_iterable(map(_step_lines, report['steps']))
     return '\n'.join((*_job_lines(report), *steps))
 
 
-def _job_lines(report: dict[str, Any]) -> Iterator[str]:
+def _job_lines(report: OwnerReport) -> Iterator[str]:
     yield (
         f'queue {report["queue"]}, service {report["service"]}, priority '
         f'{report["priority"]}, asked {report["owner"]}'
@@ -26,14 +37,17 @@
         yield 'accepted now'
     else:
         until = _format_time(report['refused_until_ms'])
-        yield f'refused for {report["retry_after_s"]} s, until {until}'
+        yield (
+            f'refused for {report["retry_after_s"]} s, until {until}: '
+            f'{report["refusal_reason"]}'
+        )
     if report['due_ms']:
         yield f'first due at {_format_time(report["due_ms"])}'
     if report['steps_not_shown']:
         yield f'{report["steps_not_shown"]} later steps are not explained'
 
 
-def _step_lines(step: dict[str, Any]) -> Iterator[str]:
+def _step_lines(step: StepReport) -> Iterator[str]:
     after = ', '.join(f'step {earlier}' for earlier in step['after'])
     tasks = f'{step["tasks"]} {step["kind"]} task'
     yield ''
@@ -54,7 +68,7 @@
     yield f'ahead: {least}{step["ahead"]} tasks for the same service'
 
 
-def _format_candidates(candidates: list[dict[str, Any]]) -> str:
+def _format_candidates(candidates: list[Candidate]) -> str:
     terms = list(
         dict.fromkeys(
             term for one in candidates for term in one['cost_by_term']
@@ -73,7 +87,7 @@
     return format_table((*_RANK_COLUMNS, *terms), rows)
 
 
-def _format_gang(gang: dict[str, Any]) -> str:
+def _format_gang(gang: GangReport) -> str:
     text = f'gang: {gang["room_for"]} of {gang["members"]} members fit'
     if gang['fits'] is None:
         return f'{text} on the servers that were evaluated'
@@ -82,7 +96,7 @@
     return f'{text}, on {gang["rack"] or "several racks"}'
 
 
-def _format_left_out(step: dict[str, Any]) -> str:
+def _format_left_out(step: StepReport) -> str:
     count_by_reason = step['left_out_by_reason']
     reasons = ', '.join(
         f'{count} {reason}' for reason, count in count_by_reason.items()
--- a/waxwingford/commands/where.py
+++ b/waxwingford/commands/where.py
@@ -23,7 +23,7 @@
     print_error,
     progress,
 )
-from waxwingford.commands._placement_text import format_report
+from waxwingford.commands._placement_text import OwnerReport, format_report
 from waxwingford.scheduling import DocumentFault, decode_job
 
 _PATH = '/where'
@@ -73,7 +73,7 @@
         and outcome.status == HTTPStatus.MISDIRECTED_REQUEST
     ):
         owner_address = _decode(outcome.body).get('address')
-        if owner_address:
+        if owner_address and isinstance(owner_address, str):
             return owner_address, await _post(owner_address, raw)
     return address, outcome
 
@@ -107,10 +107,14 @@
             answer = _decode(body)
     match status, answer:
         case HTTPStatus.OK, {'steps': _}:
-            print_answer(args, answer, format_report(answer))
-            return ExitCode.ok
-        case HTTPStatus.BAD_REQUEST, {'key': _}:
-            print_error(f'{args.file}: {DocumentFault(**answer)}')
+            return _report_placement(args, address, answer)
+        case HTTPStatus.BAD_REQUEST, {
+            'key': str(key),
+            'given': str(given),
+            'expected': str(expected),
+        }:
+            fault = DocumentFault(key, given, expected)
+            print_error(f'{args.file}: {fault}')
             return ExitCode.usage
         case HTTPStatus.MISDIRECTED_REQUEST, {'owner': owner}:
             print_error(f'{address}: not the owner, which is {owner}')
@@ -121,6 +125,19 @@
     return ExitCode.findings
 
 
+def _report_placement(
+    args: Namespace, address: str, answer: dict[str, Any]
+) -> ExitCode:
+    try:
+        report = msgspec.convert(answer, OwnerReport)
+    except msgspec.ValidationError as error:
+        # The daemon is of another version.
+        print_error(f'{address}: unreadable answer: {error}')
+        return ExitCode.findings
+    print_answer(args, answer, format_report(report))
+    return ExitCode.ok
+
+
 commands.register('where')(
     Command('explain where a job would go now', _add_arguments, _run)
 )
--- a/waxwingford/scheduler/_explanations.py
+++ b/waxwingford/scheduler/_explanations.py
@@ -100,12 +100,18 @@
             return _reject(
                 DocumentFault('queue', repr(spec.queue), f'one of {known}')
             )
-        moment = Moment(
-            monotonic_ms(),
-            _wall_clock.wall_ms(),
-            view.start_control.retry_after.of(spec),
+        moment = Moment(monotonic_ms(), _wall_clock.wall_ms())
+        load_report = view.load_report().bounded()
+        refusal = load_report.refusal(spec, queues[spec.queue])
+        if refusal is not None:
+            moment = moment._replace(
+                retry_after_s=refusal.retry_after_s,
+                refusal_cause=refusal.cause.value,
+                refusal_reason=refusal.reason,
+            )
+        report = explain_placement(
+            view.placement, spec, moment, self._budget.has_time
         )
-        report = explain_placement(view.placement, spec, moment)
         return _respond(HTTPStatus.OK, {'owner': self._daemon_id, **report})
 
     def _name_owner(self) -> Response:
--- a/waxwingford/scheduling/__init__.py
+++ b/waxwingford/scheduling/__init__.py
@@ -59,7 +59,12 @@
             'spread_retry_s',
         ),
         '_lease_withholding': ('take_listed',),
-        '_placement_answer': ('PlacementReport', 'StepReport'),
+        '_placement_answer': (
+            'Candidate',
+            'GangReport',
+            'PlacementReport',
+            'StepReport',
+        ),
         '_placement_report': (
             'Moment',
             'explain_placement',
--- a/waxwingford/scheduling/_gang_preview.py
+++ b/waxwingford/scheduling/_gang_preview.py
@@ -1,16 +1,19 @@
 """Tells whether all members of a gang fit at the same time, and where."""
 
+import dataclasses
 from collections.abc import Callable
 from typing import NamedTuple
 
+import msgspec
+
 from waxwingford.ports import Resources
 from waxwingford.scheduling import _gangs as gangs
 from waxwingford.scheduling._placement_answer import GangReport
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._state import Step
 
-#: Members of the largest gang for which a place is searched.
-MAX_MEMBERS = 2000
+#: Members of all gangs of a job for which places are searched.
+MAX_MEMBERS = 500
 
 
 class GangPreview(NamedTuple):
@@ -26,56 +29,87 @@
     off_rack: list[Server]
 
 
-def preview_gang(
-    step: Step,
-    candidates: list[Server],
-    complete: bool,
-    room_of: Callable[[Server], Resources],
-) -> GangPreview:
-    """Find out where the members of a gang would go.
+class GangPreviews:
+    """Finds places for the gangs of one job, with a limit of their members."""
 
-    :param step: gang of which no member has a run.
-    :param candidates: servers with room for a member.
-    :param complete: whether there are no other candidates.
-    :param room_of: function that returns the resources of a server that the gang
-        may use.
-    """
-    count = step.spec.count
-    assignments = None
-    if count <= MAX_MEMBERS:
-        assignments = gangs.assign_members(step, candidates, room_of)
-    found = bool(assignments)
-    by_id = {
-        assignment.server.entry.server_id: assignment.server
-        for assignment in assignments or ()
-    }
-    servers = list(by_id.values())
-    racks = {server.entry.rack for server in servers}
-    rack = racks.pop() if len(racks) == 1 else ''
-    off_rack = [
-        server
-        for server in candidates
-        if rack and step.spec.one_rack and server.entry.rack != rack
-    ]
-    known = found or (complete and count <= MAX_MEMBERS)
-    room_for = sum(
-        _count_fitting(step, room_of(server)) for server in candidates
-    )
-    report = GangReport(
-        members=count,
-        room_for=min(count, room_for),
-        fits=found if known else None,
-        rack=rack,
-    )
-    return GangPreview(report, servers, off_rack)
-
-
-def _count_fitting(step: Step, room: Resources) -> int:
-    """Count the members that fit on a server."""
-    limit = step.spec.max_per_server or step.spec.count
-    counts = [
-        free // needed
-        for needed, free in zip(step.spec.reserved_resources, room, strict=True)
-        if needed
-    ]
-    return min([limit, *counts])
+    def __init__(self, room_of: Callable[[Server], Resources]) -> None:
+        """Begin without gangs.
+
+        :param room_of: function that returns the resources of a server that a gang
+            may use.
+        """
+        self._room_of = room_of
+        self._members_left = MAX_MEMBERS
+
+    def preview(
+        self, step: Step, candidates: list[Server], complete: bool
+    ) -> GangPreview:
+        """Find out where the members of a gang would go.
+
+        :param step: gang of which no member has a run.
+        :param candidates: servers with room for a member.
+        :param complete: whether there are no other candidates.
+        """
+        count = step.spec.count
+        searched = count <= self._members_left
+        counts = [self._count_fitting(step, server) for server in candidates]
+        room_for = sum(counts)
+        servers: list[Server] = []
+        if searched and room_for >= count:
+            self._members_left -= count
+            servers = self._assign(step, candidates, counts)
+        racks = {server.entry.rack for server in servers}
+        rack = racks.pop() if len(racks) == 1 else ''
+        off_rack = [
+            server
+            for server in candidates
+            if rack and step.spec.one_rack and server.entry.rack != rack
+        ]
+        known = bool(servers) or (complete and room_for < count)
+        report = GangReport(
+            members=count,
+            room_for=min(count, room_for),
+            fits=bool(servers) if known else None,
+            rack=rack,
+        )
+        return GangPreview(report, servers, off_rack)
+
+    def _assign(
+        self, step: Step, candidates: list[Server], counts: list[int]
+    ) -> list[Server]:
+        """Assign the members of a gang for which there is room.
+
+        Only racks with room for all members are tried, as each attempt takes as long as
+        the members that it assigns.
+        """
+        if step.spec.one_rack:
+            room_by_rack: dict[str, int] = {}
+            for server, room in zip(candidates, counts, strict=True):
+                rack = server.entry.rack
+                room_by_rack[rack] = room_by_rack.get(rack, 0) + room
+            on_racks = [
+                server
+                for server in candidates
+                if room_by_rack[server.entry.rack] >= step.spec.count
+            ]
+            if not on_racks:
+                anywhere = msgspec.structs.replace(step.spec, one_rack=False)
+                step = dataclasses.replace(step, spec=anywhere)
+            candidates = on_racks or candidates
+        assignments = gangs.assign_members(step, candidates, self._room_of)
+        by_id = {
+            assignment.server.entry.server_id: assignment.server
+            for assignment in assignments or ()
+        }
+        return list(by_id.values())
+
+    def _count_fitting(self, step: Step, server: Server) -> int:
+        """Count the members that fit on a server."""
+        limit = step.spec.max_per_server or step.spec.count
+        needs, room = step.spec.reserved_resources, self._room_of(server)
+        counts = [
+            free // needed
+            for needed, free in zip(needs, room, strict=True)
+            if needed
+        ]
+        return max(0, min([limit, *counts]))
--- a/waxwingford/scheduling/_job_document.py
+++ b/waxwingford/scheduling/_job_document.py
@@ -139,7 +139,8 @@
     if name == 'steps':
         return isinstance(found, list)
     if kind is tuple:
-        return isinstance(found, list) and all(map(_is_integer, found))
+        # By type, as a job of 128 KiB may list tens of thousands of integers.
+        return isinstance(found, list) and set(map(type, found)) <= {int}
     if kind is int:
         return _is_integer(found)
     # Objects are checked on their own.
@@ -169,7 +170,8 @@
             **{
                 **step,
                 'needs': Resources(**step['needs']),
-                'after': tuple(step.get('after', ())),
+                # A step that is listed again changes nothing but the time taken.
+                'after': tuple(dict.fromkeys(step.get('after', ()))),
             }
         )
         for step in document['steps']
@@ -178,6 +180,10 @@
 
 
 def _as_document_fault(fault: SpecFault) -> DocumentFault:
+    if fault.step is None and fault.field == 'count':
+        # The sum over all steps is no key of the document.
+        tasks = f'{fault.given} tasks'
+        return DocumentFault('steps', tasks, fault.expected)
     place = '' if fault.step is None else f'steps[{fault.step}].'
     if fault.field in Resources._fields:
         place = f'{place}needs.'
--- a/waxwingford/scheduling/_left_out.py
+++ b/waxwingford/scheduling/_left_out.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from waxwingford.ports import fits_resources
+from waxwingford.ports import Resources, fits_resources
 from waxwingford.scheduling._admission import BestEffortAdmission
 from waxwingford.scheduling._eligibility import matches
 from waxwingford.scheduling._placement_view import PlacementView
@@ -28,12 +28,14 @@
     """Task of a step for which servers are checked.
 
     :ivar admission: forecasts interference, with caches of its own.
+    :ivar room_of: function that returns what the task may use of a server.
     """
 
     view: PlacementView
     step: Step
     queue: QueueTerms
     admission: BestEffortAdmission
+    room_of: Callable[[Server], Resources]
     now_ms: int
 
 
@@ -76,9 +78,8 @@
 
 
 def _is_reserved(query: Query, server: Server) -> bool:
-    available = query.view.reservations.available(server)
     needed = query.step.spec.reserved_resources
-    return not fits_resources(needed, available)
+    return not fits_resources(needed, query.room_of(server))
 
 
 def _is_interfering(query: Query, server: Server) -> bool:
--- a/waxwingford/scheduling/_look_ahead.py
+++ b/waxwingford/scheduling/_look_ahead.py
@@ -5,7 +5,10 @@
 expected to end in time. Nothing is stored: a new owner makes its own reservations.
 """
 
+import copy
+import functools
 from collections.abc import Callable
+from typing import Self
 
 from waxwingford.ports import (
     Resources,
@@ -15,6 +18,7 @@
 )
 from waxwingford.scheduling._backend_client import TaskKey
 from waxwingford.scheduling._eligibility import eligible
+from waxwingford.scheduling._placement_view import RoomPreview
 from waxwingford.scheduling._reservations import Reservations, common_resources
 from waxwingford.scheduling._reserved_room import Reservation, ReservedRoom
 from waxwingford.scheduling._room_profile import OVERDUE_RUN_MS
@@ -142,6 +146,17 @@
 
         return room
 
+    def preview(self) -> Self:
+        """Copy the reservations and shapes for ``room_of`` and ``stranding_cost``.
+
+        The copy has caches of its own. A profile or a typical task that a question
+        cached would otherwise be used by later decisions.
+        """
+        copied = copy.copy(self)
+        copied.shapes = self.shapes.preview()
+        copied._room = self._room.preview()
+        return copied
+
     def with_reserved(self, step: Step, servers: list[Server]) -> list[Server]:
         """Add the servers that are reserved for a step to a selection."""
         own = [
@@ -334,6 +349,20 @@
         )
 
 
+def preview_room(
+    reservations: Reservations, look_ahead: LookAhead | None
+) -> RoomPreview:
+    """Copy what placement reads of reserved room.
+
+    :param look_ahead: ``None`` if it is off.
+    """
+    if look_ahead is not None:
+        copied = look_ahead.preview()
+        return RoomPreview(copied.room_of, copied.shapes.stranding_cost)
+    available = reservations.available
+    return RoomPreview(lambda step, _: functools.partial(available, step=step))
+
+
 def _may_fit(takes: Resources, server: Server) -> bool:
     """Tell whether a task could ever fit beside the long-running ones."""
     capacity = server.entry.capacity
--- a/waxwingford/scheduling/_placement.py
+++ b/waxwingford/scheduling/_placement.py
@@ -33,7 +33,11 @@
         self._features = features
         self.placer = Placer(state, model, budget, features)
         self.view = PlacementView(
-            state, model, self.placer.reservations, self.placer.isolation
+            state,
+            model,
+            self.placer.reservations,
+            self.placer.isolation,
+            self.placer.preview_room,
         )
         self.admission = JobAdmission(state)
         self._copies = CopyPlacer(state, self.placer, model)
--- a/waxwingford/scheduling/_placement_answer.py
+++ b/waxwingford/scheduling/_placement_answer.py
@@ -20,7 +20,7 @@
     """Whether the members of a gang fit at the same time.
 
     ``fits`` is ``None`` if it isn't known, as not all servers were evaluated or the
-    gang is too large. ``rack`` is empty if the members are on several racks.
+    gangs of the job are too large. ``rack`` is empty if the members are on several racks.
     """
 
     members: int
@@ -58,7 +58,8 @@
     """Where a job would go now.
 
     ``refused_until_ms`` is a Unix time in ms, 0 for a job that is accepted;
-    ``due_ms`` is that of the first repetition, 0 for a job that isn't timed.
+    ``refusal_cause`` is the label of the metric, ``refusal_reason`` the text that
+    callers get, both empty then. ``due_ms`` is that of the first repetition, 0 for a job that isn't timed.
     """
 
     queue: str
@@ -67,6 +68,8 @@
     accepted: bool
     retry_after_s: int
     refused_until_ms: int
+    refusal_cause: str
+    refusal_reason: str
     due_ms: int
     pending_tasks: int
     steps: list[StepReport]
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -15,7 +15,7 @@
 from waxwingford.scheduling._features import Features
 from waxwingford.scheduling._interference import InterferenceModel
 from waxwingford.scheduling._isolation import Isolation
-from waxwingford.scheduling._look_ahead import LookAhead
+from waxwingford.scheduling._look_ahead import LookAhead, preview_room
 from waxwingford.scheduling._pending_report import PendingReport
 from waxwingford.scheduling._preemption import Preemptor
 from waxwingford.scheduling._reservations import Reservations
@@ -45,6 +45,7 @@
 
     :ivar reservations: reservations of the latest round.
     :ivar isolation: servers that are kept for suspects.
+    :ivar preview_room: copies what placement reads of reserved room.
     """
 
     def __init__(
@@ -69,6 +70,9 @@
                 run_times,
                 self._look_ahead.shapes.stranding_cost,
             )
+        self.preview_room = functools.partial(
+            preview_room, self.reservations, self._look_ahead
+        )
         self._best_effort_ms = 0
         self._best_effort_due_ms = 0
         self._evaluations = 0
--- a/waxwingford/scheduling/_reserved_room.py
+++ b/waxwingford/scheduling/_reserved_room.py
@@ -1,9 +1,11 @@
 """Reserved room by server, and what other tasks may use of it."""
 
+import copy
 import dataclasses
 import math
 import operator
 from collections.abc import Collection
+from typing import Self
 
 from waxwingford.ports import Resources, add_resources, subtract_resources
 from waxwingford.scheduling._job_estimates import expected_run_time_ms
@@ -116,6 +118,13 @@
         """Forget the profiles of servers."""
         self._profiles.clear()
 
+    def preview(self) -> Self:
+        """Copy the reservations and profiles for ``room_for``."""
+        copied = copy.copy(self)
+        copied.held = self.held.copy()
+        copied._profiles = self._profiles.preview()
+        return copied
+
     def on_server(self, server: Server) -> list[Reservation]:
         """List the reservations on a server."""
         return [held for held in self.held if held.server is server]
--- a/waxwingford/scheduling/_room_profile.py
+++ b/waxwingford/scheduling/_room_profile.py
@@ -1,7 +1,8 @@
 """Free resources of a server now and after each expected end of its runs."""
 
+import copy
 import operator
-from typing import NamedTuple
+from typing import NamedTuple, Self
 
 from waxwingford.ports import Resources, add_resources, fits_resources
 from waxwingford.scheduling._backend_client import RunKey
@@ -136,6 +137,12 @@
         self._run_times = run_times
         self._cached_by_id: dict[str, _CachedProfile] = {}
 
+    def preview(self) -> Self:
+        """Copy the profiles that are known now."""
+        copied = copy.copy(self)
+        copied._cached_by_id = self._cached_by_id.copy()
+        return copied
+
     def profile_of(self, server: Server, now_ms: int) -> RoomProfile:
         """Return the profile of a server.
 
--- a/waxwingford/scheduling/_step_explainer.py
+++ b/waxwingford/scheduling/_step_explainer.py
@@ -9,7 +9,7 @@
 
 from waxwingford.scheduling._admission import BestEffortAdmission
 from waxwingford.scheduling._backend_client import TaskKey
-from waxwingford.scheduling._gang_preview import GangPreview, preview_gang
+from waxwingford.scheduling._gang_preview import GangPreview, GangPreviews
 from waxwingford.scheduling._job_estimates import estimate_job
 from waxwingford.scheduling._left_out import (
     OTHER_RACK,
@@ -40,11 +40,16 @@
     :ivar wall_ms: Unix time, in ms.
     :ivar retry_after_s: time in seconds for which the job is refused, 0 if it is
         accepted.
+    :ivar refusal_cause: what the job is refused for, as a label of metrics, empty if
+        it is accepted.
+    :ivar refusal_reason: the same as text for the caller.
     """
 
     now_ms: int
     wall_ms: int
     retry_after_s: int = 0
+    refusal_cause: str = ''
+    refusal_reason: str = ''
 
 
 class _Sorted(NamedTuple):
@@ -75,7 +80,14 @@
         self._order = order
         self._moment = moment
         self._admission = BestEffortAdmission(view.model.preview())
-        self._costs = ServerCosts(self._admission, view.state.learned.run_times)
+        self._room = view.preview_room()
+        self._costs = ServerCosts(
+            self._admission,
+            view.state.learned.run_times,
+            self._room.stranding,
+        )
+        # Placement assigns the members of a gang by the same function.
+        self._gangs = GangPreviews(view.reservations.available)
 
     def explain(
         self, steps: list[Step], index: int, most_servers: int
@@ -95,7 +107,12 @@
         evaluated = _select(own, step.spec.near_rack, most_servers)
         found = self._sort_out(step, evaluated)
         candidates = found.fitting or found.without_ticket
-        gang = self._preview_gang(step, candidates, len(evaluated) == len(own))
+        complete = len(evaluated) == len(own)
+        gang = (
+            self._gangs.preview(step, candidates, complete)
+            if step.spec.gang
+            else None
+        )
         off_rack = len(gang.off_rack) if gang and found.fitting else 0
         found.left_out[OTHER_SERVICE] = len(servers) - len(own)
         found.left_out[OTHER_RACK] = off_rack
@@ -118,8 +135,10 @@
         )
 
     def _sort_out(self, step: Step, servers: list[Server]) -> _Sorted:
+        now_ms = self._moment.now_ms
+        room_of = self._room.room_of(step, now_ms)
         query = Query(
-            self._view, step, self._queue, self._admission, self._moment.now_ms
+            self._view, step, self._queue, self._admission, room_of, now_ms
         )
         found = _Sorted([], [], collections.Counter())
         for server in servers:
@@ -132,14 +151,6 @@
                 found.without_ticket.append(server)
         return found
 
-    def _preview_gang(
-        self, step: Step, candidates: list[Server], complete: bool
-    ) -> GangPreview | None:
-        if not step.spec.gang:
-            return None
-        room_of = self._view.reservations.available
-        return preview_gang(step, candidates, complete, room_of)
-
     def _compare(
         self, step: Step, candidates: list[Server], gang: GangPreview | None
     ) -> list[Candidate]:
--- a/waxwingford/scheduling/_waiting_shapes.py
+++ b/waxwingford/scheduling/_waiting_shapes.py
@@ -4,8 +4,10 @@
 such task can use, because too little of the one or the other is left, are stranded.
 """
 
+import copy
 import itertools
 import statistics
+from typing import Self
 
 from waxwingford.ports import Resources, fits_resources, subtract_resources
 from waxwingford.scheduling._crashes import is_suspect
@@ -55,6 +57,12 @@
         for pending in waiting:
             self._insert(pending)
 
+    def preview(self) -> Self:
+        """Copy the shapes for ``leave_memory`` and ``stranding_cost``."""
+        copied = copy.copy(self)
+        copied._typical_by_service = self._typical_by_service.copy()
+        return copied
+
     def add(self, pending: PendingTask, usable: list[Server]) -> None:
         """Add a task that fits on no server now.
 
--- a/waxwingford/shard/_owner.py
+++ b/waxwingford/shard/_owner.py
@@ -271,7 +271,7 @@
         self._engine.restore(rows)
         self._intake.apply_to(self._engine)
         self._engine.inherit(now_ms, wall_ms)
-        self.view = OwnerView(self._engine.placement_view, self.start_control)
+        self.view = OwnerView(self._engine.placement_view, self.load_report)
         driver_ports = DriverPorts(
             TimedClient(
                 self._ports.backend_client, self.lateness, self._errors
--- a/waxwingford/shard/_owner_ports.py
+++ b/waxwingford/shard/_owner_ports.py
@@ -18,7 +18,7 @@
 
 if TYPE_CHECKING:
     from waxwingford.scheduling import PlacementView
-    from waxwingford.shard._start_control import StartControl
+    from waxwingford.shard._load_report import LoadReport
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,11 +50,11 @@
 class OwnerView(NamedTuple):
     """What explanations of placements read of an owner.
 
-    :ivar start_control: tells which jobs are refused.
+    :ivar load_report: returns which jobs are refused.
     """
 
     placement: 'PlacementView'
-    start_control: 'StartControl'
+    load_report: Callable[[], 'LoadReport']
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
