--- a/waxwingford/scheduling/_look_ahead.py
+++ b/waxwingford/scheduling/_look_ahead.py
@@ -65,7 +65,6 @@
         self._former_by_task: dict[TaskKey, Reservation] = {}
         self._retry_ms_by_step: dict[str, int] = {}
         self._searches = 0
-        self._now_ms = 0
 
     def begin(self, usable: list[Server], now_ms: int) -> None:
         """Begin a placement round, after that of ``Reservations``.
@@ -74,7 +73,6 @@
         :param now_ms: current monotonic time, in ms.
         """
         self.shapes.begin(now_ms)
-        self._now_ms = now_ms
         self._searches = 0
         self._retry_ms_by_step = {
             name: retry_ms
@@ -117,7 +115,7 @@
         :param now_ms: current monotonic time, in ms.
         """
         self.shapes.add(pending, usable)
-        if not self._may_search(pending):
+        if not self._may_search(pending, now_ms):
             return
         found = self._search(pending, usable, now_ms)
         if found is None:
@@ -189,9 +187,9 @@
         if on_server:
             self._room.limit(server, now_ms)
 
-    def _may_search(self, pending: PendingTask) -> bool:
+    def _may_search(self, pending: PendingTask, now_ms: int) -> bool:
         name = pending.step.name
-        if not self._is_overdue(pending):
+        if not _is_overdue(pending, now_ms):
             return False
         if (
             len(self._room.held) >= MAX_RESERVATIONS
@@ -207,17 +205,6 @@
             held.pending.task is pending.task for held in of_step
         )
 
-    def _is_overdue(self, pending: PendingTask) -> bool:
-        """Tell whether a task has waited for long enough to keep others out.
-
-        Reserved room is lost to tasks that could use it at once, so that reservations
-        for each waiting task would make most urgent jobs late.
-        """
-        if pending.step.spec.long_running:
-            return pending.overdue
-        waited_ms = self._now_ms - pending.task.pending_since_ms
-        return waited_ms >= OVERDUE_MS
-
     def _find_end(self, held: Reservation) -> str:
         """Tell how a reservation has ended, empty if it goes on."""
         if held.pending.task.key not in self._state.pending_by_key:
@@ -375,6 +362,19 @@
     return RoomPreview(lambda step, _: functools.partial(available, step=step))
 
 
+def _is_overdue(pending: PendingTask, now_ms: int) -> bool:
+    """Tell whether a task has waited for long enough to keep others out.
+
+    Reserved room is lost to tasks that could use it at once, so that reservations for
+    each waiting task would make most urgent jobs late.
+
+    :param now_ms: current monotonic time, in ms.
+    """
+    if pending.step.spec.long_running:
+        return pending.overdue
+    return now_ms - pending.task.pending_since_ms >= OVERDUE_MS
+
+
 def _may_fit(takes: Resources, server: Server) -> bool:
     """Tell whether a task could ever fit beside the long-running ones."""
     capacity = server.entry.capacity
