Reserve room ahead for overdue long-running tasks only

Cause: reserved room is lost to urgent tasks that could use it at once.

Change: as above; the scenarios reserve for long-running tasks. One server frees in pieces, another later at once: the pieces are kept together with look-ahead.

--- a/waxwingford/scheduling/_look_ahead.py
+++ b/waxwingford/scheduling/_look_ahead.py
@@ -26,7 +26,7 @@
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._shard_state import ShardState
 from waxwingford.scheduling._state import Step, Task
-from waxwingford.scheduling._task_order import OVERDUE_MS, PendingTask
+from waxwingford.scheduling._task_order import PendingTask
 from waxwingford.scheduling._waiting_shapes import WaitingShapes, may_reserve
 
 #: Maximum number of reservations, and of those for one step.
@@ -72,7 +72,7 @@
         :param usable: servers that accept starts.
         :param now_ms: current monotonic time, in ms.
         """
-        self.shapes.begin(now_ms)
+        self.shapes.begin()
         self._searches = 0
         self._retry_ms_by_step = {
             name: retry_ms
@@ -115,7 +115,7 @@
         :param now_ms: current monotonic time, in ms.
         """
         self.shapes.add(pending, usable)
-        if not self._may_search(pending, now_ms):
+        if not self._may_search(pending):
             return
         found = self._search(pending, usable, now_ms)
         if found is None:
@@ -147,13 +147,11 @@
         return room
 
     def preview(self) -> Self:
-        """Copy the reservations and shapes for ``room_of`` and ``stranding_cost``.
+        """Copy the reservations and shapes for ``room_of``.
 
-        The copy has caches of its own. A profile or a typical task that a question
-        cached would otherwise be used by later decisions.
+        The copy has caches of its own. A profile that a question cached would otherwise be used by later decisions.
         """
         copied = copy.copy(self)
-        copied.shapes = self.shapes.preview()
         copied._room = self._room.preview()
         return copied
 
@@ -187,9 +185,11 @@
         if on_server:
             self._room.limit(server, now_ms)
 
-    def _may_search(self, pending: PendingTask, now_ms: int) -> bool:
+    def _may_search(self, pending: PendingTask) -> bool:
         name = pending.step.name
-        if not _is_overdue(pending, now_ms):
+        if not pending.overdue:
+            # Reserved room is lost to tasks that could use it at once. Reservations
+            # for short tasks make more of them late than they help.
             return False
         if (
             len(self._room.held) >= MAX_RESERVATIONS
@@ -357,24 +357,11 @@
     """
     if look_ahead is not None:
         copied = look_ahead.preview()
-        return RoomPreview(copied.room_of, copied.shapes.stranding_cost)
+        return RoomPreview(copied.room_of)
     available = reservations.available
     return RoomPreview(lambda step, _: functools.partial(available, step=step))
 
 
-def _is_overdue(pending: PendingTask, now_ms: int) -> bool:
-    """Tell whether a task has waited for long enough to keep others out.
-
-    Reserved room is lost to tasks that could use it at once, so that reservations for
-    each waiting task would make most urgent jobs late.
-
-    :param now_ms: current monotonic time, in ms.
-    """
-    if pending.step.spec.long_running:
-        return pending.overdue
-    return now_ms - pending.task.pending_since_ms >= OVERDUE_MS
-
-
 def _may_fit(takes: Resources, server: Server) -> bool:
     """Tell whether a task could ever fit beside the long-running ones."""
     capacity = server.entry.capacity
--- a/waxwingford/scheduling/_placement_view.py
+++ b/waxwingford/scheduling/_placement_view.py
@@ -17,12 +17,9 @@
 
     :ivar room_of: returns, for a step and a monotonic time in ms, the function that
         returns what a task may use of a server.
-    :ivar stranding: function that returns the cost of the resources that a task
-        strands, ``None`` without look-ahead.
     """
 
     room_of: Callable[[Step, int], Callable[[Server], Resources]]
-    stranding: Callable[[Step, Server], float | None] | None = None
 
 
 class PlacementView(NamedTuple):
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -58,15 +58,9 @@
         self._admission = BestEffortAdmission(model)
         self.reservations = Reservations()
         self._look_ahead: LookAhead | None = None
-        run_times = state.learned.run_times
-        self._costs = ServerCosts(self._admission, run_times)
+        self._costs = ServerCosts(self._admission, state.learned.run_times)
         if features.look_ahead:
             self._look_ahead = LookAhead(state, self.reservations)
-            self._costs = ServerCosts(
-                self._admission,
-                run_times,
-                self._look_ahead.shapes.stranding_cost,
-            )
         self.preview_room = functools.partial(
             preview_room, self.reservations, self._look_ahead
         )
--- a/waxwingford/scheduling/_server_costs.py
+++ b/waxwingford/scheduling/_server_costs.py
@@ -1,7 +1,5 @@
 """Cost of a task on each server that fits it; the cheapest one is chosen."""
 
-from collections.abc import Callable
-
 from waxwingford.scheduling._admission import BestEffortAdmission
 from waxwingford.scheduling._job_estimates import expected_run_time_ms
 from waxwingford.scheduling._run_times import RunTimes
@@ -47,18 +45,14 @@
         self,
         admission: BestEffortAdmission,
         run_times: RunTimes,
-        stranding: Callable[[Step, Server], float | None] | None = None,
     ) -> None:
         """Use the forecast of a placement round.
 
         :param admission: forecasts the interference of best-effort tasks.
         :param run_times: learned run times.
-        :param stranding: function that returns the cost of the resources that a task
-            strands, ``None`` if CPU utilisation counts instead.
         """
         self._admission = admission
         self._run_times = run_times
-        self._stranding = stranding
 
     def cost(
         self, task: Task, step: Step, server: Server, now_ms: int
@@ -79,12 +73,7 @@
         :returns: terms by name.
         """
         spec = step.spec
-        stranding = self._stranding and self._stranding(step, server)
-        terms = (
-            {'utilisation': _utilisation_cost(step, server)}
-            if stranding is None
-            else {'stranded': stranding}
-        )
+        terms = {'utilisation': _utilisation_cost(step, server)}
         if spec.near_rack and spec.near_rack != server.entry.rack:
             terms['remote data'] = REMOTE_DATA_COST
         if server.incarnation in task.avoided:
--- a/waxwingford/scheduling/_step_explainer.py
+++ b/waxwingford/scheduling/_step_explainer.py
@@ -84,7 +84,6 @@
         self._costs = ServerCosts(
             self._admission,
             view.state.learned.run_times,
-            self._room.stranding,
         )
         # Placement assigns the members of a gang by the same function.
         self._gangs = GangPreviews(view.reservations.available)
