Refuse for lack of room only if typical tasks don't fit

Cause: one step whose tasks fit an empty server, but never beside the long-running tasks, made its service count as waiting, so that the demand of the others was learned as the rate and all jobs were refused. The first second could teach a rate of 1/1000 core. A failing update left the refusals as they were, and one job could fail each update. Servers that accept no starts counted as room.

Change: steps that can't fit beside the long-running tasks of a server that accepts starts count neither as waiting nor as work. A refusal begins only if the typical task (medians of the last 41 steps, with CPU) fits on no server now. An unknown rate needs a positive measurement over a typical run time. After a failed update nothing is refused; a job at fault is left out of later updates. The servers are those of usable_servers, which moves to _eligibility.py.

Result: 6 new scenarios or rows of admission.feature fail on the former code. The features admission, engine and overload of scheduling/tests pass.

The time of an update was not measured again.

--- a/waxwingford/scheduling/_job_admission.py
+++ b/waxwingford/scheduling/_job_admission.py
@@ -6,8 +6,11 @@
 
 import math
 import zlib
+from collections.abc import Callable
 
+from waxwingford.ports import Resources
 from waxwingford.scheduling._room_forecast import RoomForecast, ServiceRoom
+from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._shard_state import ShardState
 from waxwingford.scheduling._specs import JobSpec, QueueTerms
 
@@ -35,9 +38,15 @@
         again, by service; services whose jobs are accepted are left out.
     """
 
-    def __init__(self, state: ShardState) -> None:
+    def __init__(
+        self, state: ShardState, available: Callable[[Server], Resources]
+    ) -> None:
+        """Start with all jobs accepted.
+
+        :param available: tells the resources of a server neither used nor reserved.
+        """
         self._state = state
-        self.forecast = RoomForecast()
+        self.forecast = RoomForecast(available)
         self.retry_s_by_service: dict[str, int] = {}
         self._noted_ms_by_service: dict[str, int] = {}
 
@@ -51,16 +60,25 @@
             return
         former = self.retry_s_by_service
         rooms = self.forecast.room_by_service
-        told = {
+        retry_s_by_service = {
             service: retry_s(room, service in former, limited)
             for service, room in rooms.items()
         }
         self.retry_s_by_service = {
-            service: time_s for service, time_s in told.items() if time_s
+            service: time_s
+            for service, time_s in retry_s_by_service.items()
+            if time_s
         }
         for service, room in rooms.items():
             self._note_change(service, room, former.get(service, 0), now_ms)
 
+    def clear(self) -> None:
+        """Accept all jobs, as an update has failed.
+
+        Otherwise the refusals would last for as long as updates fail.
+        """
+        self.retry_s_by_service = {}
+
     def _note_change(
         self, service: str, room: ServiceRoom, former_s: int, now_ms: int
     ) -> None:
@@ -92,14 +110,15 @@
 
     :param refused: whether they are refused so far.
     :param limited: whether the owner's processor limits the starts, so that tasks may
-        wait although there is room. No refusal begins then.
+        wait although there is room. No refusal begins then, nor while a typical task
+        fits on a server.
     :returns: time in seconds until there is room, 0 if jobs are accepted.
     """
     reopen_ms = REOPEN_SHARE * limit_ms(room)
     most_ms = reopen_ms if refused else limit_ms(room)
     if not room.waiting or room.wait_ms <= most_ms:
         return 0
-    if limited and not refused:
+    if not refused and (limited or room.fits_now):
         return 0
     left_s = min(MAX_RETRY_S, (room.wait_ms - reopen_ms) / _MS_PER_S)
     longest_s = MAX_RETRY_S - MAX_SPREAD_S
--- a/waxwingford/scheduling/_left_out.py
+++ b/waxwingford/scheduling/_left_out.py
@@ -9,9 +9,8 @@
 
 from waxwingford.ports import fits_resources
 from waxwingford.scheduling._admission import BestEffortAdmission
-from waxwingford.scheduling._eligibility import matches
+from waxwingford.scheduling._eligibility import MAX_UNANSWERED_STARTS, matches
 from waxwingford.scheduling._placement_view import PlacementView
-from waxwingford.scheduling._placing import MAX_UNANSWERED_STARTS
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._specs import QueueTerms
 from waxwingford.scheduling._state import Step
--- a/waxwingford/scheduling/_placement.py
+++ b/waxwingford/scheduling/_placement.py
@@ -35,7 +35,7 @@
         self.view = PlacementView(
             state, model, self.placer.reservations, self.placer.isolation
         )
-        self.admission = JobAdmission(state)
+        self.admission = JobAdmission(state, self.placer.reservations.available)
         self._copies = CopyPlacer(state, self.placer, model)
 
     def place(
@@ -61,5 +61,6 @@
         if self._features.admission:
             limited = any(decision.backlog) or max_starts <= 0
             update = functools.partial(self.admission.update, now_ms, limited)
-            attempt(self._state.notes, 'admit', '', update)
+            if not attempt(self._state.notes, 'admit', '', update):
+                self.admission.clear()
         return decision
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -11,7 +11,7 @@
 from waxwingford.scheduling._containment import attempt, note_failure
 from waxwingford.scheduling._crashes import is_suspect
 from waxwingford.scheduling._disruption_budget import DisruptionBudget
-from waxwingford.scheduling._eligibility import eligible
+from waxwingford.scheduling._eligibility import eligible, usable_servers
 from waxwingford.scheduling._features import Features
 from waxwingford.scheduling._interference import InterferenceModel
 from waxwingford.scheduling._isolation import Isolation
@@ -35,9 +35,6 @@
 #: Servers evaluated for best-effort tasks per ms; the interval grows
 #: accordingly, as hundreds of steps may be pending. An evaluation takes 5 us.
 MAX_EVALUATIONS_PER_MS = 40
-#: Maximum number of unanswered starts on one server, so that a stalled server
-#: doesn't accumulate tasks.
-MAX_UNANSWERED_STARTS = 12
 
 
 class Placer:
@@ -135,7 +132,7 @@
             # each answer would take most of the owner's processor.
             self._begin_look_ahead([], now_ms)
             return 0
-        usable = _usable_servers(self._state, now_ms)
+        usable = usable_servers(self._state, now_ms)
         self._admission.begin(usable)
         self.isolation.begin(usable)
         self._begin_look_ahead(usable, now_ms)
@@ -179,7 +176,7 @@
         :param now_ms: current monotonic time, in ms.
         """
         pending = rank_alone(self._state, task, step, now_ms)
-        usable = _usable_servers(self._state, now_ms)
+        usable = usable_servers(self._state, now_ms)
         self._admission.begin(usable)
         pool = self._pool(pending, usable, now_ms)
         return self._fitting(pending, pool, now_ms)
@@ -433,20 +430,3 @@
             # A previous owner may have stored when the task became pending.
             task.pending_since_ms = task.pending_since_ms or now_ms
             state.pending_by_key[task.key] = task
-
-
-def _usable_servers(state: ShardState, now_ms: int) -> list[Server]:
-    # Few calls, as each round checks all servers.
-    available = [
-        server
-        for server in state.server_by_id.values()
-        if server.is_available and not server.unknown_runs
-    ]
-    return [
-        server
-        for server in available
-        if server.refusal_backoff_until_ms <= now_ms
-        and server.excluded_until_ms <= now_ms
-        and len(server.unanswered) < MAX_UNANSWERED_STARTS
-        and server.entry.server_id not in state.withheld_servers
-    ]
--- a/waxwingford/scheduling/_room_forecast.py
+++ b/waxwingford/scheduling/_room_forecast.py
@@ -5,15 +5,24 @@
 is learned only then.
 """
 
+import collections
 import dataclasses
+import functools
 import itertools
+import statistics
+from collections.abc import Callable
+from typing import NamedTuple
 
+from waxwingford.ports import Resources
+from waxwingford.scheduling._containment import attempt
 from waxwingford.scheduling._job_estimates import (
     estimate_job,
     expected_run_time_ms,
     owed_since_ms,
 )
+from waxwingford.scheduling._room_checks import RoomChecks
 from waxwingford.scheduling._room_waits import waiting_services
+from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._shard_state import ShardState
 from waxwingford.scheduling._state import Job, Step
 
@@ -32,10 +41,12 @@
 RATE_HALF_LIFE_MS = 60_000
 #: Time without waiting tasks after which the rate is unknown again, in ms.
 RATE_MEMORY_MS = 120_000
-#: Lowest rate that is learned, in thousandths of a core, so that waits are finite.
+#: Lowest rate that a known one falls to, in thousandths of a core, so that waits are finite.
 MIN_RATE_MILLI = 1
 #: Weight of a new job in the mean objective of its service.
 OBJECTIVE_WEIGHT = 0.05
+#: Recent steps of a service that tell its typical task.
+RECENT_STEPS = 41
 #: Multiple of its objective after which the work of a job isn't counted any more.
 COUNTED_OBJECTIVES = 3
 #: Updates in which the estimates of all jobs are renewed, a part in each.
@@ -43,6 +54,21 @@
 _FULL_PERCENT = 100
 
 
+class RecentTask(NamedTuple):
+    """A task of a recent step.
+
+    :ivar needs: resources, with CPU.
+    :ivar run_time_ms: expected run time, in ms.
+    """
+
+    needs: Resources
+    run_time_ms: float
+
+
+def _no_recent_tasks() -> collections.deque[RecentTask]:
+    return collections.deque(maxlen=RECENT_STEPS)
+
+
 @dataclasses.dataclass(slots=True)
 class ServiceRoom:
     """Forecast for the best-effort jobs of one service.
@@ -53,7 +79,9 @@
     :ivar rate_milli: rate at which such work is done while tasks wait, in thousandths
         of a core; 0 if it is unknown.
     :ivar waiting: whether tasks wait for room.
+    :ivar fits_now: whether a typical task fits on a server at present.
     :ivar objective_ms: mean objective of recent jobs, in ms.
+    :ivar recent_tasks: a task of each recent step.
     :ivar learned_ms: monotonic time in ms up to which tasks have waited.
     :ivar sample_work: work done in the current measurement.
     :ivar sample_ms: time covered by it, in ms.
@@ -62,7 +90,11 @@
     work: float = 0
     rate_milli: float = 0
     waiting: bool = False
+    fits_now: bool = False
     objective_ms: float = 0
+    recent_tasks: collections.deque[RecentTask] = dataclasses.field(
+        default_factory=_no_recent_tasks
+    )
     learned_ms: int = 0
     sample_work: float = 0
     sample_ms: int = 0
@@ -87,17 +119,32 @@
         self.learned_ms = now_ms
         self.sample_work += done
         self.sample_ms += elapsed_ms
-        if self.sample_ms < RATE_INTERVAL_MS:
+        if self.sample_ms < self._sample_target_ms:
             return
-        rate_milli = max(MIN_RATE_MILLI, self.sample_work / self.sample_ms)
+        rate_milli = self.sample_work / self.sample_ms
         if self.rate_milli:
-            change = rate_milli - self.rate_milli
+            change = max(MIN_RATE_MILLI, rate_milli) - self.rate_milli
             weight = RISE_WEIGHT if change > 0 else FALL_WEIGHT
-            rate_milli = self.rate_milli + weight * change
-        self.rate_milli = rate_milli
+            self.rate_milli += weight * change
+        else:
+            self.rate_milli = max(0, rate_milli)
         self.sample_work = 0
         self.sample_ms = 0
 
+    @property
+    def _sample_target_ms(self) -> float:
+        """Shortest time that is measured, in ms.
+
+        Tasks may show little progress until they have ended, and a first rate that is
+        too low refuses jobs at once.
+        """
+        if self.rate_milli or not self.recent_tasks:
+            return RATE_INTERVAL_MS
+        typical_ms = statistics.median(
+            task.run_time_ms for task in self.recent_tasks
+        )
+        return max(RATE_INTERVAL_MS, typical_ms)
+
     def fade(self, elapsed_ms: int, now_ms: int) -> None:
         """Trust the rate less after an interval in which nothing was learned.
 
@@ -112,9 +159,10 @@
 @dataclasses.dataclass(slots=True)
 class _TrackedStep:
     # Tasks that were finished at the last update, with parts of running ones, and
-    # estimated work of one task.
+    # expected run time and work of one task.
     step: Step
     finished: float
+    run_time_ms: float = 0
     task_work: float = 0
 
 
@@ -135,8 +183,15 @@
     :ivar updated_ms: monotonic time of the last update, in ms.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, available: Callable[[Server], Resources]) -> None:
+        """Start without a known rate.
+
+        :param available: tells the resources of a server neither used nor reserved.
+        """
         self.room_by_service: dict[str, ServiceRoom] = {}
+        self._available = available
+        #: Jobs for which an update has failed.
+        self._left_out: set[str] = set()
         self.updated_ms = 0
         self._began_ms: int | None = None
         self._round = 0
@@ -161,18 +216,21 @@
             return False
         self.updated_ms = now_ms
         self._round = (self._round + 1) % ESTIMATE_ROUNDS
+        checks = RoomChecks(state, self._available, now_ms)
         progress_by_step = _running_progress(state)
         self._track_new(state, progress_by_step)
-        done_by_service = self._count(state, progress_by_step, now_ms)
+        done_by_service = self._count(state, progress_by_step, checks, now_ms)
         busy = {
             service
             for service, room in self.room_by_service.items()
             if room.work > 0
         }
-        waiting = waiting_services(state, busy, now_ms)
+        waiting = waiting_services(state, busy, checks, self._left_out, now_ms)
         settled = now_ms - self._began_ms >= FIRST_LISTINGS_MS
         for service, room in self.room_by_service.items():
             room.waiting = service in waiting
+            needs = [task.needs for task in room.recent_tasks]
+            room.fits_now = room.waiting and checks.fits_now(needs, service)
             if not room.waiting:
                 room.fade(elapsed_ms, now_ms)
             elif settled and not limited:
@@ -184,14 +242,27 @@
     ) -> None:
         for job_id in self._known_by_job.keys() - state.job_by_id.keys():
             del self._known_by_job[job_id]
+        self._left_out &= state.job_by_id.keys()
         for job_id, job in state.job_by_id.items():
             known = self._known_by_job.get(job_id, 0)
             if job.ended is None and len(job.steps_by_occurrence) > known:
                 new = itertools.islice(job.steps_by_occurrence, known, None)
                 for occurrence in new:
-                    self._track(state, job, occurrence, progress_by_step)
+                    track = functools.partial(
+                        self._track, state, job, occurrence, progress_by_step
+                    )
+                    self._attempt(state, job_id, track)
                 self._known_by_job[job_id] = len(job.steps_by_occurrence)
 
+    def _attempt(
+        self, state: ShardState, job_id: str, action: Callable[[], object]
+    ) -> None:
+        """Do work for one job, which is left out from its first failure on."""
+        if job_id not in self._left_out and not attempt(
+            state.notes, 'admit', job_id, action
+        ):
+            self._left_out.add(job_id)
+
     def _track(
         self,
         state: ShardState,
@@ -208,14 +279,20 @@
             return
         service = state.queue_of(job).service
         repetition = _Repetition(job, occurrence, service, steps)
+        objective_ms = _estimate(state, repetition)
         self._repetitions.append(repetition)
         room = self.room_by_service.setdefault(service, ServiceRoom())
-        room.add_objective(_estimate(state, repetition))
+        room.add_objective(objective_ms)
+        room.recent_tasks.extend(
+            RecentTask(tracked.step.spec.needs, tracked.run_time_ms)
+            for tracked in steps
+        )
 
     def _count(
         self,
         state: ShardState,
         progress_by_step: dict[str, float],
+        checks: RoomChecks,
         now_ms: int,
     ) -> dict[str, float]:
         """Count the work left of each service, and what was done since last time.
@@ -228,28 +305,60 @@
             room.work = 0
         done_by_service = dict.fromkeys(self.room_by_service, float())
         for index, repetition in enumerate(self._repetitions):
-            if index % ESTIMATE_ROUNDS == self._round:
-                _estimate(state, repetition)
-            left: float = 0
-            done: float = 0
-            for tracked in repetition.steps:
-                finished = _finished(tracked.step, progress_by_step)
-                done += tracked.task_work * (finished - tracked.finished)
-                left += tracked.task_work * (tracked.step.spec.count - finished)
-                tracked.finished = finished
-            done_by_service[repetition.service] += done
-            if now_ms <= repetition.expires_ms and not repetition.job.blocked:
-                room = self.room_by_service[repetition.service]
-                room.work += left * (repetition.job.ended is None)
+            renew = index % ESTIMATE_ROUNDS == self._round
+            count = functools.partial(
+                self._count_one,
+                state,
+                repetition,
+                progress_by_step,
+                checks,
+                done_by_service,
+                renew,
+                now_ms,
+            )
+            self._attempt(state, repetition.job.spec.job_id, count)
         # An ended job stays until its last work was counted as done.
         self._repetitions = [
             repetition
             for repetition in self._repetitions
             if repetition.job.ended is None
+            and repetition.job.spec.job_id not in self._left_out
             and any(tracked.step.unfinished for tracked in repetition.steps)
         ]
         return done_by_service
 
+    def _count_one(
+        self,
+        state: ShardState,
+        repetition: _Repetition,
+        progress_by_step: dict[str, float],
+        checks: RoomChecks,
+        done_by_service: dict[str, float],
+        renew: bool,
+        now_ms: int,
+    ) -> None:
+        """Count the work of a repetition.
+
+        :param done_by_service: work done by service, which is added to.
+        :param renew: whether its estimates are renewed.
+        """
+        if renew:
+            _estimate(state, repetition)
+        service = repetition.service
+        left: float = 0
+        done: float = 0
+        for tracked in repetition.steps:
+            spec = tracked.step.spec
+            finished = _finished(tracked.step, progress_by_step)
+            done += tracked.task_work * (finished - tracked.finished)
+            if checks.fits_beside(spec.reserved_resources, service):
+                left += tracked.task_work * (spec.count - finished)
+            tracked.finished = finished
+        done_by_service[service] += done
+        if now_ms <= repetition.expires_ms and not repetition.job.blocked:
+            room = self.room_by_service[service]
+            room.work += left * (repetition.job.ended is None)
+
 
 def _estimate(state: ShardState, repetition: _Repetition) -> float:
     """Estimate the work of a repetition's tasks, and when it expires.
@@ -261,6 +370,7 @@
     for tracked in repetition.steps:
         needs = tracked.step.spec.needs
         time_ms = expected_run_time_ms(tracked.step, run_times)
+        tracked.run_time_ms = time_ms
         tracked.task_work = time_ms * needs.processors_milli
     objective_ms = estimate_job(
         job.steps_by_occurrence[repetition.occurrence],
--- a/waxwingford/scheduling/_room_waits.py
+++ b/waxwingford/scheduling/_room_waits.py
@@ -1,8 +1,10 @@
 """Tells of which services best-effort tasks wait for room on servers."""
 
+import functools
 from collections.abc import Iterator, Set
 
-from waxwingford.ports import fits_resources
+from waxwingford.scheduling._containment import attempt
+from waxwingford.scheduling._room_checks import RoomChecks
 from waxwingford.scheduling._shard_state import ShardState
 from waxwingford.scheduling._state import Step, Task
 
@@ -11,32 +13,38 @@
 
 
 def waiting_services(
-    state: ShardState, services: Set[str], now_ms: int
+    state: ShardState,
+    services: Set[str],
+    checks: RoomChecks,
+    left_out: set[str],
+    now_ms: int,
 ) -> set[str]:
     """Find the services whose best-effort tasks wait for nothing but room.
 
     Others would wait on idle servers too, and callers would be refused for them: tasks
     of steps with constraints or tickets, those that failed on servers, and those that
-    are larger than any server.
+    fit on no server beside its long-running tasks.
 
     :param services: services to look at; the search ends when all of them are found.
+    :param left_out: jobs that aren't looked at; those that fail are added.
     :param now_ms: current monotonic time, in ms.
     """
     waiting: set[str] = set()
-    for step in _waiting_steps(state, now_ms):
+    for task in _waiting_tasks(state, now_ms):
         if services <= waiting:
             break
-        queue = state.queue_of(step.job)
-        if queue.service not in waiting and not queue.advised:
-            if _fits_any(step, queue.service, state):
-                waiting.add(queue.service)
+        job_id = task.key.job_id
+        if job_id not in left_out:
+            find = functools.partial(_add_service, waiting, state, task, checks)
+            if not attempt(state.notes, 'admit', job_id, find):
+                left_out.add(job_id)
     return waiting
 
 
-def _waiting_steps(state: ShardState, now_ms: int) -> Iterator[Step]:
-    """Yield steps of tasks that have waited.
+def _waiting_tasks(state: ShardState, now_ms: int) -> Iterator[Task]:
+    """Yield tasks that have waited, one of each step.
 
-    Tens of thousands of tasks may be pending, so one of each step is looked at.
+    Tens of thousands of tasks may be pending, so not all of them are looked at.
     """
     latest_ms = now_ms - WAITING_MS
     seen: set[tuple[str, int, int]] = set()
@@ -50,9 +58,20 @@
         if step_key in seen or _is_hindered(task, now_ms):
             continue
         seen.add(step_key)
-        step = _find_step(state, task)
-        if step is not None and _may_start(step):
-            yield step
+        yield task
+
+
+def _add_service(
+    waiting: set[str], state: ShardState, task: Task, checks: RoomChecks
+) -> None:
+    """Add the service of a task that waits for nothing but room."""
+    step = _find_step(state, task)
+    if step is None or not _may_start(step):
+        return
+    queue = state.queue_of(step.job)
+    takes = step.spec.reserved_resources
+    if not queue.advised and checks.fits_beside(takes, queue.service):
+        waiting.add(queue.service)
 
 
 def _is_hindered(task: Task, now_ms: int) -> bool:
@@ -72,14 +91,4 @@
     return not (constrained or job.blocked or job.ended is not None)
 
 
-def _fits_any(step: Step, service: str, state: ShardState) -> bool:
-    takes = step.spec.reserved_resources
-    return any(
-        server.entry.service == service
-        and server.is_available
-        and fits_resources(takes, server.entry.capacity)
-        for server in state.server_by_id.values()
-    )
-
-
 __all__ = ('waiting_services',)
--- a/waxwingford/scheduling/tests/admission.feature
+++ b/waxwingford/scheduling/tests/admission.feature
@@ -45,9 +45,12 @@
     Then jobs are accepted for 5 s although tasks wait
 
     Examples:
-      | waits                    |
-      | needs a missing label    |
-      | needs more than a server |
+      | waits                                       |
+      | needs a missing label                       |
+      | needs more than a server                    |
+      | needs more than long-running tasks leave    |
+      | needs more than is free, unlike other tasks |
+      | may start on no server, as all are excluded |
 
   Scenario: the owner's processor limits the starts
     # Guards against a rate of the servers that is that of an overloaded owner.
@@ -56,6 +59,31 @@
     Then none of them are refused
     And the rate of the servers is unknown
 
+  Scenario: progress is listed later than the first measurement
+    # Guards against a first rate near 0, by which every job is refused.
+    Given 2 servers of 8 cores that refuse jobs without room
+    When jobs of 3 s, whose progress isn't listed, come for 2.5 s
+    Then none of them are refused
+    And the rate of the servers is unknown
+    When no more jobs come for 8 s
+    Then the rate of the servers is at least 1 core
+
+  Scenario: updates fail
+    # Guards against refusals that outlast the decision that made them.
+    Given 2 servers of 8 cores that refuse jobs without room
+    When best-effort jobs come at 2.6 times the rate of the servers for 20 s
+    Then jobs are refused
+    When each update fails for 1 s
+    Then jobs are accepted
+
+  Scenario: updates fail because of one job
+    # Guards against one job that ends the decisions about all others.
+    Given 2 servers of 8 cores that refuse jobs without room
+    When best-effort jobs come at 2.6 times the rate of the servers for 20 s
+    And the estimate of one of them fails for 3 s while more come
+    Then it was tried once
+    And jobs are refused
+
   Scenario: any state of the forecast
     # Guards against times that are negative or that callers don't wait for.
     Then the time told is within 0 and 10 s whatever the forecast
--- a/waxwingford/scheduling/tests/admission_steps.py
+++ b/waxwingford/scheduling/tests/admission_steps.py
@@ -1,6 +1,7 @@
 """Steps for the admission of best-effort jobs by room and time."""
 
 import math
+from unittest import mock
 
 from behave import given, then, when
 from hypothesis import given as drawn
@@ -23,6 +24,7 @@
     spread_retry_s,
 )
 from waxwingford.scheduling._job_admission import retry_s
+from waxwingford.scheduling._job_estimates import estimate_job
 from waxwingford.scheduling._room_forecast import ServiceRoom
 from waxwingford.scheduling.tests.engine_harness import EngineHarness, step
 
@@ -38,16 +40,20 @@
 #: next poll after its end.
 JOBS_PER_S = 2
 MS_PER_S = 1000
+FORECAST = 'waxwingford.scheduling._room_forecast'
 
 
-def best_effort(count, memory_mb=TASK_MB, **more):
+def best_effort(count, memory_mb=TASK_MB, run_ms=RUN_MS, **more):
     """Create a step; a server has memory for as many tasks as it has cores."""
     needs = Resources(1000, memory_mb, 0)
-    return StepSpec(count, needs, RUN_MS, best_effort=True, **more)
+    return StepSpec(count, needs, run_ms, best_effort=True, **more)
 
 
 class DemandHarness(EngineHarness):
-    """Servers whose runs take 700 ms, and callers whose jobs may be refused."""
+    """Servers whose runs take the declared time, and callers who may be refused."""
+
+    #: Whether servers list the progress of best-effort runs.
+    lists_progress = True
 
     def __init__(self, count, cores, admission):
         super().__init__(count, cores)
@@ -78,8 +84,17 @@
         self.poll()
 
     def report(self, key, run):
-        percent = 100 * (self.now_ms - run.planned_ms) / RUN_MS
-        return RunningReport(key, '', min(99, percent), 1000)
+        step_spec = self.step_of(key)
+        if step_spec.long_running:
+            return RunningReport(key, '', 100, 1000)
+        percent = 100 * (self.now_ms - run.planned_ms) / step_spec.estimate_ms
+        listed = min(99, percent) if self.lists_progress else 0
+        return RunningReport(key, '', listed, 1000)
+
+    def is_over(self, key, run):
+        step_spec = self.step_of(key)
+        age_ms = self.now_ms - run.planned_ms
+        return not step_spec.long_running and age_ms >= step_spec.estimate_ms
 
     def pass_tick(self):
         for server in self.engine.state.server_by_id.values():
@@ -88,7 +103,7 @@
             over = [
                 key
                 for key, run in server.run_by_key.items()
-                if self.now_ms - run.planned_ms >= RUN_MS and key not in ended
+                if key not in ended and self.is_over(key, run)
             ]
             ends += [
                 EndReport(number, key, EndKind.done, '')
@@ -118,14 +133,14 @@
         rooms = self.engine.admission.forecast.room_by_service
         return rooms[SERVICE].rate_milli
 
-    def play(self, jobs_per_s, span_s):
+    def play(self, jobs_per_s, span_s, run_ms=RUN_MS):
         """Let jobs come at a rate, in ticks of about 300 ms."""
         until_ms = self.now_ms + span_s * MS_PER_S
         owed = 0
         while self.now_ms < until_ms:
             since_ms = self.now_ms
             while owed >= 1:
-                self.call(best_effort(TASKS))
+                self.call(best_effort(TASKS, run_ms=run_ms))
                 owed -= 1
             self.pass_tick()
             owed += jobs_per_s * (self.now_ms - since_ms) / MS_PER_S
@@ -173,6 +188,107 @@
     context.harness.call(best_effort(count, memory_mb=10**6))
 
 
+@when(
+    'a job of {count:d} tasks waits that needs more than long-running tasks leave'
+)
+def wait_beside(context, count):
+    harness = context.harness
+    needs = Resources(4000, 4 * TASK_MB, 0)
+    lasting = StepSpec(2, needs, 0, long_running=True, max_per_server=1)
+    spec = JobSpec('f' * 16, URGENT.name, '', (lasting,), terms=URGENT)
+    harness.engine.submit(spec, harness.now_ms)
+    harness.pass_tick()
+    assert not harness.engine.state.pending_by_key
+    harness.call(best_effort(count, memory_mb=5 * TASK_MB))
+
+
+@when(
+    'a job of {count:d} tasks waits that needs more than is free, unlike other'
+    ' tasks'
+)
+def wait_unlike(context, count):
+    harness = context.harness
+    harness.call(best_effort(2, run_ms=8000, max_per_server=1))
+    harness.pass_tick()
+    assert not harness.engine.state.pending_by_key
+    harness.call(best_effort(count, memory_mb=8 * TASK_MB))
+
+
+@when(
+    'a job of {count:d} tasks waits that may start on no server, as all are'
+    ' excluded'
+)
+def wait_excluded(context, count):
+    harness = context.harness
+    for server in harness.engine.state.server_by_id.values():
+        server.excluded_until_ms = harness.now_ms + 60 * MS_PER_S
+    harness.call(best_effort(count))
+
+
+@when("jobs of {run_s:d} s, whose progress isn't listed, come for {span_s:g} s")
+def come_unlisted(context, run_s, span_s):
+    harness = context.harness
+    # The rate isn't learned in the first seconds of an owner.
+    harness.play(0, 4)
+    harness.lists_progress = False
+    harness.play(2.6 * JOBS_PER_S, span_s, run_s * MS_PER_S)
+
+
+@when('no more jobs come for {span_s:d} s')
+def pass_time(context, span_s):
+    context.harness.play(0, span_s)
+
+
+@when('each update fails for {span_s:d} s')
+def fail_updates(context, span_s):
+    with mock.patch(
+        f'{FORECAST}.waiting_services', side_effect=ValueError
+    ) as failing:
+        context.harness.play(0, span_s)
+    assert failing.call_count
+
+
+@when('the estimate of one of them fails for {span_s:d} s while more come')
+def fail_job(context, span_s):
+    harness = context.harness
+    job_id = next(iter(harness.engine.state.pending_by_key)).job_id
+    context.tries = 0
+
+    def _estimate(steps, queue, run_times):
+        if steps[0].job.spec.job_id == job_id:
+            context.tries += 1
+            raise ValueError
+        return estimate_job(steps, queue, run_times)
+
+    with mock.patch(f'{FORECAST}.estimate_job', _estimate):
+        harness.play(2.6 * JOBS_PER_S, span_s)
+
+
+@then('it was tried once')
+def check_tries(context):
+    assert context.tries == 1, context.tries
+
+
+@then('jobs are refused')
+def check_refused_now(context):
+    assert context.harness.retry_s
+
+
+@then('jobs are accepted')
+def check_accepted_now(context):
+    harness = context.harness
+    assert not harness.retry_s
+    # Otherwise they would be accepted anyway.
+    assert harness.engine.state.pending_by_key
+
+
+@then('the rate of the servers is at least {cores:d} core')
+def check_rate(context, cores):
+    assert context.harness.rate_milli >= cores * 1000, (
+        context.harness.rate_milli
+    )
+
+
 @when('the owner starts nothing while jobs come for {span_s:d} s')
 def limit_starts(context, span_s):
     context.harness.max_starts = 0
