--- a/waxwingford/scheduling/__init__.py
+++ b/waxwingford/scheduling/__init__.py
@@ -54,7 +54,7 @@
             'Start',
             'Stop',
         ),
-        '_job_admission': (
+        '_refusal_times': (
             'needs_room',
             'spread_retry_s',
         ),
--- a/waxwingford/scheduling/_preemption_search.py
+++ b/waxwingford/scheduling/_preemption_search.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from waxwingford.ports import Resources, fits_resources, subtract_resources
-from waxwingford.scheduling._eligibility import eligible
+from waxwingford.scheduling._eligibility import MAX_UNANSWERED_STARTS, eligible
 from waxwingford.scheduling._isolation import Isolation
 from waxwingford.scheduling._preemption_costs import (
     Victim,
@@ -14,7 +14,7 @@
 )
 from waxwingford.scheduling._preemption_holds import PreemptionHolds
 from waxwingford.scheduling._reservations import Reservations
-from waxwingford.scheduling._servers import MAX_UNANSWERED_STARTS, Server
+from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._shard_state import ShardState
 from waxwingford.scheduling._task_order import PendingTask
 
--- a/waxwingford/scheduling/_servers.py
+++ b/waxwingford/scheduling/_servers.py
@@ -17,9 +17,6 @@
 #: Maximum relative drift between the clocks of a server and of the owner. The
 #: platform specifies 2 % for a server; the same is allowed for the owner.
 CLOCK_DRIFT = 0.04
-#: Maximum number of unanswered starts on one server, so that a stalled server
-#: doesn't accumulate tasks.
-MAX_UNANSWERED_STARTS = 12
 _UNANSWERED = (RunPhase.sent, RunPhase.unresolved)
 
 
--- a/waxwingford/scheduling/tests/preemption_steps.py
+++ b/waxwingford/scheduling/tests/preemption_steps.py
@@ -17,7 +17,7 @@
     StepSpec,
     Terms,
 )
-from waxwingford.scheduling._servers import MAX_UNANSWERED_STARTS
+from waxwingford.scheduling._eligibility import MAX_UNANSWERED_STARTS
 from waxwingford.scheduling.tests.engine_harness import (
     POLL_INTERVAL_MS,
     EngineHarness,
