Ask for no new field in the template of the settings

Change: the template leaves the time out. Its default is 4,500 ms, the least of the customers', which is the stricter bound for max_unavailable.

--- a/waxwingford/scheduler/tests/logs_steps.py
+++ b/waxwingford/scheduler/tests/logs_steps.py
@@ -31,7 +31,6 @@
     'advice': '10.200.1.9:8169',
     'bounds.max-hold-ms': '6000',
     'bounds.grace-s': '6',
-    'bounds.notice-ms': '5500',
     'limits.cpu-share': '0.717',
     'limits.cores': '3',
     'limits.link-mbps': '1000.0',
--- a/waxwingford/scheduling/_features.py
+++ b/waxwingford/scheduling/_features.py
@@ -3,8 +3,9 @@
 from typing import NamedTuple
 
 #: Time for which a task may be away before its absence counts as an interruption,
-#: unless it is configured, in ms.
-DEFAULT_NOTICE_MS = 5500
+#: unless it is configured, in ms. A shorter time is stricter, so that the default
+#: also holds where more is allowed.
+DEFAULT_NOTICE_MS = 4500
 
 
 class Features(NamedTuple):
--- a/waxwingford/scheduling/_step_explainer.py
+++ b/waxwingford/scheduling/_step_explainer.py
@@ -27,7 +27,7 @@
 from waxwingford.scheduling._state import Job, Step, Task
 from waxwingford.scheduling._task_order import PendingTask, rank_task
 
-#: Servers that are shown for a step: the chosen one and the next two.
+#: Servers that are shown for a step: the best one and the next two.
 SHOWN_SERVERS = 3
 #: Share of the evaluated servers that may be on the rack of the task's data. The rest
 #: is left for servers elsewhere, as a full rack would otherwise hide free ones.
--- a/waxwingford/settings/_scheduler.py
+++ b/waxwingford/settings/_scheduler.py
@@ -86,7 +86,7 @@
 
     longest_lease_ms: Millis
     stop_grace_s: PositiveNumber
-    notice_ms: Millis = 5500
+    notice_ms: Millis = 4500
 
 
 class SchedulerVm(msgspec.Struct, frozen=True):
