Pass the memory and descriptors of the VM to the daemons

Cause: the platform's settings name the memory and the descriptors of a process, but no daemon was told of them, so none could bound what clients make it hold. Nothing uses them yet.

--- a/waxwingford/scheduler/main.py
+++ b/waxwingford/scheduler/main.py
@@ -6,6 +6,7 @@
 import gc
 import sys
 
+import msgspec
 import uvloop
 
 from waxwingford.build_info import add_version_option
@@ -42,7 +43,7 @@
     )
     with contextlib.closing(handler), handler.applicationbound():
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(_run(loaded))
+            runner.run(_run(_with_options(loaded, options)))
     return 0
 
 
@@ -54,6 +55,17 @@
     gc.set_threshold(GC_THRESHOLD)
 
 
+def _with_options(
+    settings: SchedulerSettings, options: argparse.Namespace
+) -> SchedulerSettings:
+    vm = msgspec.structs.replace(
+        settings.vm,
+        memory_mb=options.memory_mb or settings.vm.memory_mb,
+        max_fds=options.max_fds or settings.vm.max_fds,
+    )
+    return msgspec.structs.replace(settings, vm=vm)
+
+
 async def _run(settings: SchedulerSettings) -> None:
     await SchedulerDaemon(settings).run()
 
@@ -70,6 +82,20 @@
         metavar='FILE',
         help='settings of this daemon in TOML format',
     )
+    parser.add_argument(
+        '--memory-mb',
+        type=int,
+        default=0,
+        metavar='MB',
+        help='memory of the process, instead of vm.memory_mb',
+    )
+    parser.add_argument(
+        '--max-fds',
+        type=int,
+        default=0,
+        metavar='COUNT',
+        help='descriptors of the process, instead of vm.max_fds',
+    )
     return parser
 
 
--- a/waxwingford/settings/_model.py
+++ b/waxwingford/settings/_model.py
@@ -124,6 +124,8 @@
         has ended.
     :ivar delivery_ms: longest time that a request may spend in transit between
         caller and daemon; 0 if no intermediary can delay it.
+    :ivar memory_mb: memory of the process; 0 for that of the machine.
+    :ivar max_fds: descriptors of the process; 0 for the limit of the process.
     """
 
     body_bytes: Annotated[int, Field(ge=1024, le=64 << 20)] = 1 << 20
@@ -135,6 +137,8 @@
     default_deadline_ms: Millis = 10_000
     key_memory_ms: Millis = 120_000
     delivery_ms: Annotated[int, Field(ge=0, le=60_000)] = 5000
+    memory_mb: Annotated[int, Field(ge=0, le=1 << 24)] = 0
+    max_fds: Annotated[int, Field(ge=0, le=1 << 20)] = 0
 
 
 class Tls(StrictModel):
--- a/waxwingford/settings/_scheduler.py
+++ b/waxwingford/settings/_scheduler.py
@@ -18,6 +18,8 @@
 _MAX_PORT = 65_535
 _MAX_NAME_LENGTH = 128
 _MS_PER_DAY = 86_400_000
+_MAX_MEMORY_MB = 16_777_216
+_MAX_DESCRIPTORS = 1_048_576
 
 Endpoint = Annotated[str, msgspec.Meta(extra={'validate': validate_endpoint})]
 IpAddress = Annotated[
@@ -30,6 +32,8 @@
 Millis = Annotated[int, msgspec.Meta(ge=1, le=_MS_PER_DAY)]
 PositiveNumber = Annotated[float, msgspec.Meta(gt=0)]
 Share = Annotated[float, msgspec.Meta(gt=0, le=1)]
+Megabytes = Annotated[int, msgspec.Meta(ge=0, le=_MAX_MEMORY_MB)]
+Descriptors = Annotated[int, msgspec.Meta(ge=0, le=_MAX_DESCRIPTORS)]
 
 
 class SchedulerIdentity(msgspec.Struct, frozen=True):
@@ -90,16 +94,20 @@
 
 
 class SchedulerVm(msgspec.Struct, frozen=True):
-    """CPU and network link of the daemon's VM.
+    """Resources of the VM that the daemon may use.
 
     :ivar core_share: share of one core.
     :ivar core_speed: speed of that core relative to a reference core.
     :ivar link_mbps: rate of the link in each direction, in Mbit/s; 0 if unknown.
+    :ivar memory_mb: memory of the process, in MB; 0 for that of the machine.
+    :ivar max_fds: descriptors of the process; 0 for the limit of the process.
     """
 
     core_share: Share = 1
     core_speed: PositiveNumber = 1
     link_mbps: Annotated[float, msgspec.Meta(ge=0)] = 0
+    memory_mb: Megabytes = 0
+    max_fds: Descriptors = 0
 
     @property
     def cores(self) -> float:
--- a/waxwingford/settings/_table.py
+++ b/waxwingford/settings/_table.py
@@ -13,6 +13,8 @@
 
 _UNIT_BY_SUFFIX = {
     'ms': 'milliseconds',
+    'mb': 'MB',
+    'fds': 'descriptors',
     'bytes': 'bytes',
     'records': 'records',
     'events': 'events',
