Show by tests what crowds of clients make a process hold

What callers see: a daemon that is sent many bodies, requests or connections takes memory and descriptors without a bound, so that on a VM of its size it ends.

--- a/.ci/tests.py
+++ b/.ci/tests.py
@@ -2,7 +2,8 @@
 
 Each feature file is a behave run of its own.  Features that start real
 processes follow one after the other, since they choose free ports; the others
-share the remaining workers.  Scenarios named in KNOWN-RED.txt may fail: they
+share the remaining workers.  Those with crowds of clients run after all others,
+one at a time.  Scenarios named in KNOWN-RED.txt may fail: they
 are printed, and count as neither passed nor failed.
 """
 
@@ -19,6 +20,7 @@
 KNOWN_RED = ROOT / 'KNOWN-RED.txt'
 MOST_WORKERS = 6
 REAL_PROCESSES = 'waxwingford_standins'
+CROWDS = 'crowds'
 COUNTS = re.compile(
     r'(\d+) scenarios? passed, (\d+) failed(?:, (\d+) errors?)?,'
 )
@@ -88,12 +90,15 @@
     :param workers: behave processes at a time.
     :returns: counts of each.
     """
-    features = sorted(ROOT.glob('waxwingford*/**/tests/*.feature'))
+    found = sorted(ROOT.glob('waxwingford*/**/tests/*.feature'))
+    alone = [path for path in found if CROWDS in path.parts]
+    features = [path for path in found if path not in alone]
     together = [path for path in features if REAL_PROCESSES in path.parts]
     groups = [together] if together else []
     groups += [[path] for path in features if path not in together]
     with futures.ThreadPoolExecutor(workers) as pool:
-        return list(pool.map(run_features, groups))
+        runs = list(pool.map(run_features, groups))
+    return runs + [run_features([path]) for path in alone]
 
 
 def main() -> None:
--- /dev/null
+++ b/waxwingford_standins/crowds/__init__.py
@@ -0,0 +1,1 @@
+"""Tests with crowds of clients, each run apart from other load."""
