Bound what all clients of the HTTP server hold by one budget

What callers saw: none; a daemon on a small VM was killed for its memory, or had no descriptor left for the store, once enough clients sent bodies, requests or nothing. Cause: limits held for one connection, and none for all together; a connection kept its last request with its body until the next one, up to 8 requests waited on each, 13,000 could be parsed out of one read, and a response that nobody read had no timeout. Change: waxwingford.inbound divides memory and descriptors of the process among its listeners. What a request holds (head, announced or arriving body, decoded form, large response) is reserved before it is taken, and given back once it is answered, refused or its connection is lost. Beyond it a request is refused with 503 and Retry-After at its head, a connection is closed; what stands still makes room first, requests of up to 32 KB and the oldest connections without a request last.

--- a/waxwingford/http_server/_connection.py
+++ b/waxwingford/http_server/_connection.py
@@ -1,189 +1,206 @@
-"""Connection of the HTTP server: answers requests in their order."""
+"""Connection of the HTTP server: reads requests within its budget."""
 
 import asyncio
-import collections
-import functools
-from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 
-import logbook
-
-from waxwingford.http_server._messages import (
-    Request,
-    Response,
-    encode_response,
+from waxwingford.http_server._answers import (
+    BUSY,
+    AnswerQueue,
+    Handler,
+    OpenConnection,
 )
+from waxwingford.http_server._messages import encode_response, refusal
 from waxwingford.http_server._reader import (
     ReaderEvents,
     RequestReader,
     ServerLimits,
 )
+from waxwingford.inbound import Account, Activity, Holder, Reservation
 
-#: Requests of one connection that wait for their turn before it isn't read.
-MAX_WAITING_REQUESTS = 8
-#: Time for which a client may go on sending what was refused, in seconds. If the
-#: connection were closed before, the client might lose the response.
-LINGER_S = 10.0
+#: Bytes that are parsed at a time, which bounds the requests that they hold.
+SLICE_BYTES = 8192
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
-_log = logbook.Logger('http')
 
-Handler = Callable[[Request], Awaitable[Response]]
+class _Unparsed:
+    """Bytes that have arrived and wait to be parsed."""
 
+    def __init__(self, holder: Holder) -> None:
+        self._parts = bytearray()
+        self._reservation = Reservation(holder)
 
-class _Timer:
-    def __init__(self, expire: Callable[[], None]) -> None:
-        self._expire = expire
-        self._pending: asyncio.TimerHandle | None = None
+    def __bool__(self) -> bool:
+        return bool(self._parts)
 
-    def restart(self, delay_s: float) -> None:
-        self.stop()
-        loop = asyncio.get_running_loop()
-        self._pending = loop.call_later(delay_s, self._expire)
+    def add(self, data: bytes) -> bool:
+        """Keep bytes.
 
-    def stop(self) -> None:
-        if self._pending is not None:
-            self._pending.cancel()
+        :returns: whether there is room for them.
+        """
+        if not self._reservation.grow(len(data)):
+            return False
+        self._parts += data
+        return True
 
+    def pop(self, size: int) -> bytes:
+        """Take the first bytes."""
+        first = bytes(self._parts[:size])
+        del self._parts[:size]
+        if not self._parts:
+            self._reservation.release()
+        return first
 
-async def _answer(handler: Handler, request: Request) -> Response:
-    try:
-        return await handler(request)
-    except Exception:
-        _log.exception('request failed')
-        return Response(HTTPStatus.INTERNAL_SERVER_ERROR, close=True)
+    def drop(self) -> None:
+        """Forget all bytes."""
+        self._parts = bytearray()
+        self._reservation.release()
 
 
 class ServerConnection(asyncio.Protocol):
-    """A connection of a client.
-
-    :ivar answering: task that answers its requests, None while there are none.
-    """
+    """A connection of a client."""
 
     def __init__(
         self,
         handler: Handler,
         limits: ServerLimits,
+        account: Account,
         connections: set['ServerConnection'],
     ) -> None:
         """Create a connection.
 
+        :param account: budget of all connections.
         :param connections: open connections; it adds and removes itself.
         """
-        self.answering: asyncio.Task[None] | None = None
-        self._answer = functools.partial(_answer, handler)
+        self._handler = handler
         self._limits = limits
+        self._account = account
         self._connections = connections
+        self._open: OpenConnection | None = None
+
+    @property
+    def answering(self) -> asyncio.Task[None] | None:
+        """Task that answers its requests, None while there are none."""
+        return self._answers.task
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Begin to read, or close the connection if there is no room for it."""
+        holder = self._account.open(self._evict)
+        if holder is None:
+            transport.write(encode_response(BUSY, None, closing=True))
+            transport.close()
+            return
+        self._open = OpenConnection(
+            transport, holder, self._limits, self._expire
+        )
         self._reader = RequestReader(
-            limits,
+            self._limits,
             ReaderEvents(
-                lambda: self._timer.restart(limits.request_s),
+                self._on_begun,
                 self._let_send,
-                self._enqueue,
-                self._refuse,
+                lambda request: self._answers.add(request),
+                lambda status: self._answers.add(refusal(status)),
             ),
+            holder,
         )
-        self._transport: asyncio.Transport | None = None
-        self._waiting: collections.deque[Request | Response] = (
-            collections.deque()
+        self._answers = AnswerQueue(
+            self._handler, self._open, self._reader, self._read_on
         )
-        self._closing = False
-        self._drained = asyncio.Event()
-        self._timer = _Timer(self._expire)
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the transport."""
-        self._transport = transport
+        self._unparsed = _Unparsed(holder)
+        # A response counts as read once nothing of it waits in the process.
+        transport.set_write_buffer_limits(high=0)
         self._connections.add(self)
-        self._drained.set()
-        self._timer.restart(self._limits.idle_s)
+        self._open.timer.restart(self._limits.idle_s)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Forget the connection; a request in progress is still handled."""
-        self._closing = True
-        self._connections.discard(self)
-        self._waiting.clear()
-        self._drained.set()
-        self._timer.stop()
+        if self._open is not None:
+            self._open.closing = True
+            self._open.timer.stop()
+            self._give_back()
 
     def pause_writing(self) -> None:
         """Answer no further request until the client has read."""
-        self._drained.clear()
+        self._answers.readable.clear()
 
     def resume_writing(self) -> None:
         """Answer requests again."""
-        self._drained.set()
+        self._answers.readable.set()
 
     def data_received(self, data: bytes) -> None:
         """Read a part of a request."""
-        if not self._closing:
+        if self._open is None or self._open.closing or self._reader.ended:
+            return
+        self._open.holder.progress()
+        waits = self._unparsed or self._answers.is_full()
+        if len(data) <= SLICE_BYTES and not waits:
             self._reader.feed(data)
+        elif self._unparsed.add(data):
+            self._parse()
+        else:
+            self._reader.refuse(HTTPStatus.SERVICE_UNAVAILABLE)
 
     def close_gracefully(self) -> None:
         """Close the connection, after the answer if a request is in progress."""
-        self._closing = True
+        self._open.closing = True
         if self.answering is None:
-            self._transport.close()
+            self._open.transport.close()
 
     def abort(self) -> None:
         """Close the connection at once."""
-        self._closing = True
-        self._transport.abort()
+        self._open.closing = True
+        self._open.transport.abort()
+
+    def _evict(self) -> None:
+        """Make room for other connections."""
+        match self._open.holder.activity:
+            case Activity.receiving:
+                self._open.refuse_and_close()
+            case Activity.unread:
+                self.abort()
+            case _:
+                self._open.closing = True
+                self._open.transport.close()
+        self._give_back()
+
+    def _give_back(self) -> None:
+        """Give back all but the memory of a request in progress."""
+        self._connections.discard(self)
+        self._reader.drop()
+        self._unparsed.drop()
+        self._answers.drop()
+        self._open.holder.close()
+
+    def _parse(self) -> None:
+        """Parse what has arrived, as far as requests may wait."""
+        while self._unparsed and not (
+            self._answers.is_full() or self._open.closing
+        ):
+            self._reader.feed(self._unparsed.pop(SLICE_BYTES))
+        if self._reader.ended:
+            self._unparsed.drop()
+        if self._answers.is_full():
+            self._open.transport.pause_reading()
+
+    def _read_on(self) -> None:
+        """Read the requests that were left until one was answered."""
+        if not self._open.transport.is_closing():
+            self._parse()
+            if not self._answers.is_full():
+                self._open.transport.resume_reading()
+
+    def _on_begun(self) -> None:
+        self._open.timer.restart(self._limits.request_s)
+        if self.answering is None:
+            self._open.holder.begin(Activity.receiving)
 
     def _let_send(self) -> None:
         # A response to an earlier request may have to be sent first; then the
         # client sends the body without waiting for longer.
         if self.answering is None:
-            self._transport.write(_CONTINUE)
-
-    def _refuse(self, status: HTTPStatus) -> None:
-        self._enqueue(Response(status, close=True))
-
-    def _enqueue(self, entry: Request | Response) -> None:
-        self._timer.stop()
-        self._waiting.append(entry)
-        if len(self._waiting) >= MAX_WAITING_REQUESTS:
-            self._transport.pause_reading()
-        if self.answering is None:
-            self.answering = asyncio.create_task(self._answer_waiting())
-
-    async def _answer_waiting(self) -> None:
-        closing = False
-        while self._waiting and not closing:
-            entry = self._waiting.popleft()
-            request = entry if isinstance(entry, Request) else None
-            response = entry if request is None else await self._answer(entry)
-            closing = self._closes_after(request, response)
-            self._write(encode_response(response, request, closing))
-            await self._drained.wait()
-        self.answering = None
-        if closing:
-            self._close()
-        elif not self._reader.receiving:
-            self._timer.restart(self._limits.idle_s)
-
-    def _closes_after(
-        self, request: Request | None, response: Response
-    ) -> bool:
-        if response.close or request is None or not request.keep_alive:
-            return True
-        return (self._closing or self._reader.ended) and not self._waiting
-
-    def _write(self, raw: bytes) -> None:
-        if not self._transport.is_closing():
-            self._transport.write(raw)
-            self._transport.resume_reading()
-
-    def _close(self) -> None:
-        self._closing = True
-        if self._reader.ended and not self._transport.is_closing():
-            self._transport.write_eof()
-            self._timer.restart(LINGER_S)
-        else:
-            self._transport.close()
+            self._open.transport.write(_CONTINUE)
 
     def _expire(self) -> None:
-        if self._reader.receiving:
+        if self._reader.receiving and self._answers.readable.is_set():
             self._reader.refuse(HTTPStatus.REQUEST_TIMEOUT)
         else:
             self.abort()
--- a/waxwingford/http_server/_messages.py
+++ b/waxwingford/http_server/_messages.py
@@ -5,6 +5,10 @@
 
 import msgspec
 
+from waxwingford.inbound import Reservation
+
+#: Value of the ``Retry-After`` header of a refusal for want of memory, in seconds.
+RETRY_AFTER_S = 1
 TEXT_CONTENT_TYPE = 'text/plain; charset=utf-8'
 
 
@@ -15,6 +19,7 @@
     :ivar header_by_name: first value of each header, by name in lower case.
     :ivar received_s: loop time at which its headers were complete.
     :ivar keep_alive: whether the client may send another request.
+    :ivar reservation: memory that the request holds until it is answered.
     """
 
     method: str
@@ -24,6 +29,26 @@
     keep_alive: bool
     version: str = '1.1'
     body: bytes = b''
+    reservation: Reservation | None = None
+
+    def reserve(self, size: int) -> HTTPStatus:
+        """Reserve memory for the answer, until the request is answered.
+
+        :param size: memory in bytes.
+        :returns: 200, 503 if there is too little of it at present, or 413 if the
+            request can never have it.
+        """
+        reservation = self.reservation
+        if reservation is None or reservation.grow(size):
+            return HTTPStatus.OK
+        if reservation.size + size > reservation.max_bytes:
+            return HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+        return HTTPStatus.SERVICE_UNAVAILABLE
+
+    def release(self) -> None:
+        """Give the memory of the request back; a second call does nothing."""
+        if self.reservation is not None:
+            self.reservation.release()
 
 
 class Response(msgspec.Struct):
@@ -40,6 +65,16 @@
     close: bool = False
 
 
+def refusal(status: int) -> Response:
+    """Create the response to a request that isn't read, and never runs.
+
+    :param status: status, with a ``Retry-After`` header if it is 503.
+    """
+    busy = status == HTTPStatus.SERVICE_UNAVAILABLE
+    headers = {'Retry-After': str(RETRY_AFTER_S)} if busy else {}
+    return Response(status, header_by_name=headers, close=True)
+
+
 def encode_response(
     response: Response, request: Request | None, closing: bool
 ) -> bytes:
--- a/waxwingford/http_server/_reader.py
+++ b/waxwingford/http_server/_reader.py
@@ -10,8 +10,12 @@
 import httptools
 
 from waxwingford.http_server._messages import Request
+from waxwingford.inbound import Holder, Reservation
 
 _KIB = 1024
+#: Memory of a request and of one of its headers beside their bytes.
+_REQUEST_BYTES = 1024
+_HEADER_BYTES = 200
 _VERSIONS = frozenset(('1.0', '1.1'))
 _ENCODINGS = frozenset(('gzip', 'deflate'))
 #: Makes zlib accept its own header and that of gzip.
@@ -20,11 +24,16 @@
 _ZLIB_METHOD = 8
 
 
+def _default_body_bytes() -> int:
+    return _KIB * _KIB
+
+
 class ServerLimits(NamedTuple):
     """Limits on what one connection may use.
 
     :ivar head_bytes: largest request line with its headers.
-    :ivar body_bytes: largest body.
+    :ivar body_bytes: returns the size of the largest body at present.
+    :ivar write_s: time for a response to be read, in seconds.
     :ivar request_s: time for a request to arrive, in seconds.
     :ivar idle_s: time without a request after which a connection is closed, in
         seconds. Longer than load balancers keep theirs, so that none sends a
@@ -32,8 +41,9 @@
     """
 
     head_bytes: int = 32_768
-    body_bytes: int = _KIB * _KIB
+    body_bytes: Callable[[], int] = _default_body_bytes
     request_s: float = 60
+    write_s: float = 60
     idle_s: float = 3630
 
 
@@ -61,12 +71,20 @@
         further request can be read.
     """
 
-    def __init__(self, limits: ServerLimits, events: ReaderEvents) -> None:
-        """Create a reader."""
+    def __init__(
+        self, limits: ServerLimits, events: ReaderEvents, holder: Holder
+    ) -> None:
+        """Create a reader.
+
+        :param holder: connection, for which memory is reserved.
+        """
         self.receiving = False
         self.ended = False
         self._limits = limits
         self._events = events
+        self._holder = holder
+        self._reservation = Reservation(holder)
+        self._reserved_body_bytes = 0
         self._parser = httptools.HttpRequestParser(self)
         self._url = bytearray()
         self._header_by_name: dict[str, str] = {}
@@ -92,15 +110,21 @@
         if was_in_head and self._in_head:
             # Callbacks are called for complete headers only.
             self._head_bytes += len(data)
+            self._reserve(len(data))
             self._check_head()
 
     def refuse(self, status: HTTPStatus) -> None:
         """Read no further request, and have a response sent that says why."""
         if not self.ended:
             self.ended = True
-            self.receiving = False
+            self.drop()
             self._events.refused(status)
 
+    def drop(self) -> None:
+        """Forget the request that is arriving, and give its memory back."""
+        self._forget()
+        self._reservation.release()
+
     def on_message_begin(self) -> None:
         """Start a request."""
         self._url.clear()
@@ -108,17 +132,24 @@
         self._header_by_name = {}
         self._head_bytes = 0
         self._in_head = True
+        self._reserved_body_bytes = 0
         if not self.ended:
             self.receiving = True
+            self._reservation = Reservation(self._holder)
+            self._reserve(_REQUEST_BYTES)
             self._events.begun()
 
     def on_url(self, part: bytes) -> None:
         """Collect a part of the URL."""
         self._url += part
+        self._reserve(len(part))
 
     def on_header(self, name: bytes, text: bytes) -> None:
         """Collect a header."""
+        if self.ended:
+            return
         self._head_bytes += len(name) + len(text)
+        self._reserve(len(name) + len(text) + _HEADER_BYTES)
         key = name.decode('latin-1').lower()
         if key == 'host' and key in self._header_by_name:
             self.refuse(HTTPStatus.BAD_REQUEST)
@@ -127,13 +158,15 @@
     def on_headers_complete(self) -> None:
         """Check the head, and let a client send the body that waits for it."""
         self._in_head = False
+        if self.ended:
+            return
         self._head_bytes += len(self._url)
         self._check_head()
         version = self._parser.get_http_version()
         if version not in _VERSIONS:
             self.refuse(HTTPStatus.BAD_REQUEST)
         length = self._header_by_name.get('content-length', '')
-        self._check_body(int(length) if length.isdecimal() else 0)
+        self._reserve_body(int(length) if length.isdecimal() else 0)
         path = httptools.parse_url(bytes(self._url)).path or b'/'
         self._request = Request(
             self._parser.get_method().decode(),
@@ -142,6 +175,7 @@
             asyncio.get_running_loop().time(),
             self._parser.should_keep_alive(),
             version,
+            reservation=self._reservation,
         )
         expected = self._header_by_name.get('expect', '').lower()
         if expected == '100-continue' and not self.ended:
@@ -149,26 +183,40 @@
 
     def on_body(self, part: bytes) -> None:
         """Collect a part of the body."""
+        if not self.ended:
+            self._reserve_body(len(self._body) + len(part))
         if not self.ended:
             self._body += part
-            self._check_body(len(self._body))
 
     def on_message_complete(self) -> None:
         """Hand over the request."""
+        if self.ended:
+            return
+        encoding = self._header_by_name.get('content-encoding', '').lower()
+        if encoding in _ENCODINGS and self._body:
+            # How much a body expands isn't known before it has.
+            self._reserve(self._limits.body_bytes())
         if self.ended:
             return
         try:
-            self._request.body = self._decode_body()
+            self._request.body = self._decode_body(encoding)
         except zlib.error:
             self.refuse(HTTPStatus.BAD_REQUEST)
         self._check_body(len(self._request.body))
-        self._body.clear()
         if not self.ended:
-            self.receiving = False
-            self._events.complete(self._request)
+            request = self._request
+            self._forget()
+            # The memory is the request's now.
+            self._reservation = Reservation(self._holder)
+            self._events.complete(request)
 
-    def _decode_body(self) -> bytes:
-        encoding = self._header_by_name.get('content-encoding', '').lower()
+    def _forget(self) -> None:
+        self.receiving = False
+        self._request = None
+        self._header_by_name = {}
+        self._body = bytearray()
+
+    def _decode_body(self, encoding: str) -> bytes:
         if encoding not in _ENCODINGS or not self._body:
             return bytes(self._body)
         has_header = (
@@ -179,8 +227,9 @@
             zlib.MAX_WBITS | _ANY_HEADER if has_header else -zlib.MAX_WBITS
         )
         # One byte more than permitted tells that the body is too large.
-        body = decoder.decompress(self._body, self._limits.body_bytes + 1)
-        if not decoder.eof and len(body) <= self._limits.body_bytes:
+        most = self._limits.body_bytes()
+        body = decoder.decompress(self._body, most + 1)
+        if not decoder.eof and len(body) <= most:
             raise zlib.error('incomplete body')
         return body
 
@@ -188,6 +237,17 @@
         if self._head_bytes > self._limits.head_bytes:
             self.refuse(HTTPStatus.BAD_REQUEST)
 
+    def _reserve_body(self, size_bytes: int) -> None:
+        """Reserve what a body needs, at once if its length is announced."""
+        self._check_body(size_bytes)
+        if size_bytes > self._reserved_body_bytes:
+            self._reserve(size_bytes - self._reserved_body_bytes)
+            self._reserved_body_bytes = size_bytes
+
     def _check_body(self, size_bytes: int) -> None:
-        if size_bytes > self._limits.body_bytes:
+        if size_bytes > self._limits.body_bytes():
             self.refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+
+    def _reserve(self, size: int) -> None:
+        if not self.ended and not self._reservation.grow(size):
+            self.refuse(HTTPStatus.SERVICE_UNAVAILABLE)
--- a/waxwingford/http_server/_server.py
+++ b/waxwingford/http_server/_server.py
@@ -2,11 +2,15 @@
 
 import asyncio
 
-from waxwingford.http_server._connection import Handler, ServerConnection
+from waxwingford.http_server._answers import Handler
+from waxwingford.http_server._connection import ServerConnection
 from waxwingford.http_server._reader import ServerLimits
+from waxwingford.inbound import UNLIMITED, Account
 
 #: Time for requests in progress to end when the server is closed, in seconds.
 CLOSE_TIMEOUT_S = 60.0
+#: Times that a body may be in memory while it is read.
+BODY_COPIES = 2
 _BACKLOG = 128
 _DEFAULT_LIMITS = ServerLimits()
 
@@ -15,14 +19,20 @@
     """Serves requests on one or more endpoints."""
 
     def __init__(
-        self, handler: Handler, limits: ServerLimits = _DEFAULT_LIMITS
+        self,
+        handler: Handler,
+        limits: ServerLimits = _DEFAULT_LIMITS,
+        account: Account | None = None,
     ) -> None:
         """Create the server; it listens nowhere yet.
 
         :param handler: answers one request; called for several at a time.
+        :param account: budget of all connections, ``None`` for no bound.
         """
         self._handler = handler
-        self._limits = limits
+        self._account = account or Account(UNLIMITED)
+        self._limits = limits._replace(body_bytes=self._max_body_bytes)
+        self._permitted_body_bytes = limits.body_bytes
         self._listeners: list[asyncio.Server] = []
         self._connections: set[ServerConnection] = set()
 
@@ -61,5 +71,14 @@
         for connection in tuple(self._connections):
             connection.abort()
 
+    def _max_body_bytes(self) -> int:
+        """Limit a body by what one connection may hold with its copy."""
+        return min(
+            self._permitted_body_bytes(),
+            self._account.connection_bytes // BODY_COPIES,
+        )
+
     def _make_connection(self) -> ServerConnection:
-        return ServerConnection(self._handler, self._limits, self._connections)
+        return ServerConnection(
+            self._handler, self._limits, self._account, self._connections
+        )
--- a/waxwingford/platform/_adapter.py
+++ b/waxwingford/platform/_adapter.py
@@ -7,6 +7,7 @@
 import logbook
 
 from waxwingford.http_server import HttpServer
+from waxwingford.inbound import Account
 from waxwingford.platform._advice import PlatformAdviceClient
 from waxwingford.platform._client_api import ClientApi
 from waxwingford.platform._http_client import HttpClient
@@ -107,14 +108,20 @@
                 self._client_api.configuration = configuration
             _log.info('configuration', extra={'version': version})
 
-    async def serve(self, frontend: ShardFrontend, endpoint: str) -> None:
+    async def serve(
+        self,
+        frontend: ShardFrontend,
+        endpoint: str,
+        account: Account | None = None,
+    ) -> None:
         """Start the HTTP server for clients.
 
         :param endpoint: IP address and port to listen on.
+        :param account: budget of all connections of clients, ``None`` for no bound.
         """
         self._client_api = ClientApi(frontend)
         self._client_api.configuration = self._configuration
-        self._server = HttpServer(self._client_api.handle)
+        self._server = HttpServer(self._client_api.handle, account=account)
         await self._server.serve(endpoint)
 
     def start_draining(self) -> None:
--- a/waxwingford/platform/_client_api.py
+++ b/waxwingford/platform/_client_api.py
@@ -7,10 +7,12 @@
 
 from waxwingford.http_server import Request, Response
 from waxwingford.platform._records import (
+    DEFAULT_BODY_BYTES,
     Configuration,
     QueuePath,
     decode_submission,
     describe_fault,
+    estimate_decoded_bytes,
 )
 from waxwingford.scheduling import JobSpec
 from waxwingford.shard import (
@@ -46,6 +48,12 @@
         self.closing = False
         self._frontend = frontend
 
+    def max_body_bytes(self) -> int:
+        """Return the size of the largest body, in bytes."""
+        if self.configuration is None:
+            return DEFAULT_BODY_BYTES
+        return self.configuration.body_bytes
+
     async def handle(self, request: Request) -> Response:
         """Handle one request.
 
@@ -92,6 +100,11 @@
             return _too_large(
                 f'body: {len(request.body)} bytes, expected at most {max_bytes}'
             )
+        reserved = request.reserve(estimate_decoded_bytes(request.body))
+        if reserved is HTTPStatus.REQUEST_ENTITY_TOO_LARGE:
+            return _too_large('body: decoded, it has no room in memory')
+        if reserved is not HTTPStatus.OK:
+            return _retry_later(reserved)
         try:
             submission = decode_submission(request.body)
         except msgspec.MsgspecError as error:
--- a/waxwingford/platform/_records.py
+++ b/waxwingford/platform/_records.py
@@ -10,6 +10,7 @@
 from waxwingford.platform._decoding import MAX_EXACT_NUMBER, decode_json
 from waxwingford.ports import Resources
 from waxwingford.scheduling import (
+    MAX_STEPS,
     QueueTerms,
     ServerEntry,
     SpecFault,
@@ -18,6 +19,14 @@
 )
 
 _MAX_PORT = 65_535
+#: Largest body if the configuration names no limit, in bytes.
+DEFAULT_BODY_BYTES = 262_144
+#: Times that a submission is in memory as text beside its body: as objects, as a row
+#: and in the call to the owner or the store.
+_ENCODED_COPIES = 3
+#: Memory of a decoded step, and of a number in a list, in bytes.
+_STEP_BYTES = 1200
+_NUMBER_BYTES = 16
 #: Longest registration that is decoded, in bytes; they have some hundred.
 MAX_REGISTRATION_BYTES = 16_384
 _EVACUATION_PREFIX = 'evacuate/'
@@ -56,7 +65,7 @@
 
 
 class _Limits(msgspec.Struct, rename='kebab', frozen=True):
-    max_body_bytes: _Count = 262_144
+    max_body_bytes: _Count = DEFAULT_BODY_BYTES
 
 
 class _Config(msgspec.Struct):
@@ -159,6 +168,10 @@
         return tuple(map(_step_spec, self.steps))
 
 
+class _SubmissionShape(msgspec.Struct):
+    steps: Annotated[list[msgspec.Raw], msgspec.Meta(max_length=MAX_STEPS)]
+
+
 _NAME_BY_FIELD = {
     'first_due_ms': 'start-at-ms',
     'every_ms': 'interval-ms',
@@ -175,6 +188,7 @@
 _config_decoder = msgspec.json.Decoder(_Config)
 _registration_decoder = msgspec.json.Decoder(_Registration)
 _duration_decoder = msgspec.json.Decoder(int | float)
+_shape_decoder = msgspec.json.Decoder(_SubmissionShape)
 _submission_decoder = msgspec.json.Decoder(Submission)
 
 
@@ -260,12 +274,29 @@
     )
 
 
+def estimate_decoded_bytes(raw: bytes) -> int:
+    """Estimate the memory of a submission while it is decoded and stored.
+
+    :param raw: body of the request, JSON.
+    :returns: size in bytes, without that of the body.
+    """
+    steps = min(raw.count(b'{'), MAX_STEPS + 1)
+    return (
+        len(raw) * _ENCODED_COPIES
+        + steps * _STEP_BYTES
+        + raw.count(b',') * _NUMBER_BYTES
+    )
+
+
 def decode_submission(raw: bytes) -> Submission:
     """Decode a submission.
 
     :param raw: body of the request, JSON.
     :raises msgspec.MsgspecError: if it is no valid submission.
     """
+    if raw.count(b'{') > MAX_STEPS:
+        # Steps that are too many aren't decoded, as each takes far more memory then.
+        decode_json(_shape_decoder, raw)
     return decode_json(_submission_decoder, raw)
 
 
--- a/waxwingford/scheduler/_daemon.py
+++ b/waxwingford/scheduler/_daemon.py
@@ -12,6 +12,12 @@
 import msgspec
 
 from waxwingford import shard
+from waxwingford.inbound import (
+    Budget,
+    BudgetReport,
+    Listener,
+    derive_scheduler_shares,
+)
 from waxwingford.kernel import load_plugins
 from waxwingford.metrics import Metrics
 from waxwingford.relays import (
@@ -77,6 +83,10 @@
             settings.store.address, settings.store.advice_address or ''
         )
         self._observer = shard.Observer(Metrics())
+        self._budget = Budget(
+            derive_scheduler_shares(settings.vm.memory_mb, settings.vm.max_fds)
+        )
+        accounts = self._budget.account_by_listener
         self._can_own = asyncio.Event()
         self._queries: Server | None = None
         self._member = shard.ShardMember(
@@ -107,6 +117,7 @@
             self.not_ready_reason,
             self._observer.metrics.render,
             self._explain,
+            accounts[Listener.operators],
         )
         self._explanations: 'PlacementExplanations | None' = None
         self._stopping = asyncio.Event()
@@ -123,7 +134,10 @@
         await self._readiness.serve(listen.readiness)
         if listen.metrics_port:
             await self._readiness.serve(f'{listen.host}:{listen.metrics_port}')
-        await self._platform.serve(self._frontend, listen.callers)
+        accounts = self._budget.account_by_listener
+        await self._platform.serve(
+            self._frontend, listen.callers, accounts[Listener.callers]
+        )
         if listen.relays_port:
             await self._relays.serve(listen.host, listen.relays_port)
         preparation = asyncio.create_task(self._prepare_to_own())
@@ -149,6 +163,9 @@
             'start report': functools.partial(
                 report_start, metrics, self._settings.store.address
             ),
+            'budget report': BudgetReport(
+                self._budget, metrics, self._observer.record_event
+            ).run,
             'traffic log': TrafficLog(self._count_traffic, self._observer).run,
         }
         for part, start in start_by_part.items():
@@ -163,7 +180,9 @@
         self._can_own.set()
         listen = self._settings.listen
         self._queries = await shard.serve_queries(
-            self._frontend, listen.host, listen.peers_port
+            self._frontend,
+            listen.host,
+            listen.peers_port,
         )
 
     def _on_prepared(self, task: asyncio.Task[None]) -> None:
--- a/waxwingford/scheduling/__init__.py
+++ b/waxwingford/scheduling/__init__.py
@@ -81,6 +81,7 @@
             'tells_begun',
         ),
         '_spec_checks': (
+            'MAX_STEPS',
             'SpecFault',
             'find_fault',
         ),
--- a/waxwingford/shard/_platform_port.py
+++ b/waxwingford/shard/_platform_port.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Mapping
 from typing import NamedTuple, Protocol
 
+from waxwingford.inbound import Account
 from waxwingford.kernel import Registry
 from waxwingford.scheduling import BackendClient, Terms
 from waxwingford.shard._advice_port import AdviceClient
@@ -46,10 +47,13 @@
         """
         ...
 
-    async def serve(self, frontend: ShardFrontend, endpoint: str) -> None:
+    async def serve(
+        self, frontend: ShardFrontend, endpoint: str, account: Account
+    ) -> None:
         """Serve callers.
 
         :param endpoint: IP address and port to listen on.
+        :param account: budget of all connections of callers.
         """
         ...
 
