Apply the body limit of the configuration in force while a body arrives

What callers saw: 413 only after the whole body, up to 1 MiB, had been sent. Cause: the HTTP server had a limit of its own; that of the configuration was applied to the complete body. Change: the server asks for the limit in force, and refuses an announced body at its head and any other one where it exceeds the limit.

--- a/waxwingford/platform/_adapter.py
+++ b/waxwingford/platform/_adapter.py
@@ -6,7 +6,7 @@
 
 import logbook
 
-from waxwingford.http_server import HttpServer
+from waxwingford.http_server import HttpServer, ServerLimits
 from waxwingford.inbound import Account
 from waxwingford.platform._advice import PlatformAdviceClient
 from waxwingford.platform._client_api import ClientApi
@@ -121,7 +121,8 @@
         """
         self._client_api = ClientApi(frontend)
         self._client_api.configuration = self._configuration
-        self._server = HttpServer(self._client_api.handle, account=account)
+        limits = ServerLimits(body_bytes=self._client_api.max_body_bytes)
+        self._server = HttpServer(self._client_api.handle, limits, account)
         await self._server.serve(endpoint)
 
     def start_draining(self) -> None:
