Bound what relays make the owner hold

What callers saw: an owner could be ended by connections to the port of its relays. Cause: each connection could send 8 MiB of a frame, and the number of connections had no bound; one that hadn't said who it is was closed after 5 s only. Change: connections and incomplete frames are accounted for in the share of relays. A frame longer than one connection may hold closes it at its length. Connections that haven't said who they are, and incomplete frames that stand still, make room first.

--- a/waxwingford/relays/_frames.py
+++ b/waxwingford/relays/_frames.py
@@ -8,6 +8,14 @@
 
 import logbook
 
+from waxwingford.inbound import (
+    UNLIMITED,
+    Account,
+    Activity,
+    Holder,
+    Reservation,
+)
+
 _LENGTH = struct.Struct('>I')
 _KIB = 1024
 #: Longest frame, in bytes; a batch of orders is far shorter.
@@ -50,16 +58,23 @@
         on_frame: Callable[['FrameConnection', bytes], None],
         on_closed: Callable[['FrameConnection'], None],
         traffic: FrameTraffic,
+        account: Account | None = None,
     ) -> None:
         """Create the protocol of a connection.
 
         :param on_frame: called with each frame; it raises ``FrameError`` if the
             frame is malformed, and the connection is closed.
+        :param account: budget of the connections that were accepted, ``None`` for
+            one that this side opens.
         """
         self.closed = False
         self._on_frame = on_frame
         self._on_closed = on_closed
         self._traffic = traffic
+        self._account = account or Account(UNLIMITED)
+        self._holder: Holder | None = None
+        self._received: Reservation | None = None
+        self._trusted = account is None
         self._buffer = bytearray()
         self._transport: asyncio.Transport | None = None
 
@@ -73,6 +88,11 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
         self._transport = transport
+        self._holder = self._account.open(self.abort)
+        if self._holder is None:
+            self.abort()
+            return
+        self._received = Reservation(self._holder)
         peer = transport.get_extra_info('socket')
         if peer is not None:
             _detect_loss(peer)
@@ -80,10 +100,17 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the end of the connection."""
         self.closed = True
+        self._give_back()
         self._on_closed(self)
 
     def data_received(self, data: bytes) -> None:
         """Pass on the frames that are complete."""
+        if self.closed:
+            return
+        self._holder.progress()
+        if not self._received.grow(len(data)):
+            self.abort()
+            return
         self._buffer += data
         self._traffic.received_bytes += len(data)
         start = 0
@@ -97,6 +124,13 @@
             _log.error('frame not read', extra={'reason': str(error)})
             self.abort()
         del self._buffer[:start]
+        if not self.closed:
+            self._received.resize(len(self._buffer))
+            self._note_activity()
+
+    def trust(self) -> None:
+        """Keep the connection open while no frame of it is incomplete."""
+        self._trusted = True
 
     def send(self, frame: bytes) -> None:
         """Send a frame."""
@@ -110,6 +144,21 @@
         self.closed = True
         if self._transport is not None:
             self._transport.abort()
+        self._give_back()
+
+    def _give_back(self) -> None:
+        if self._holder is not None:
+            self._buffer = bytearray()
+            self._received.release()
+            self._holder.close()
+
+    def _note_activity(self) -> None:
+        if self._buffer:
+            activity = Activity.receiving
+        else:
+            activity = Activity.busy if self._trusted else Activity.silent
+        if activity is not self._holder.activity:
+            self._holder.begin(activity)
 
     def _next_frame(self, start: int) -> tuple[bytes | None, int]:
         """Take a frame from the buffer.
@@ -122,9 +171,10 @@
         if len(self._buffer) < begin:
             return None, start
         length = _LENGTH.unpack_from(self._buffer, start)[0]
-        if length > MAX_FRAME_BYTES:
+        most = min(MAX_FRAME_BYTES, self._holder.max_bytes)
+        if length > most:
             raise FrameError(
-                f'frame has {length} bytes, expected at most {MAX_FRAME_BYTES}'
+                f'frame has {length} bytes, expected at most {most}'
             )
         end = begin + length
         if len(self._buffer) < end:
--- a/waxwingford/relays/_pool.py
+++ b/waxwingford/relays/_pool.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from waxwingford.inbound import UNLIMITED, Account
 from waxwingford.relays._clocks import boottime_ms
 from waxwingford.relays._frames import FrameConnection, FrameTraffic
 from waxwingford.relays._messages import (
@@ -139,6 +140,7 @@
             match message:
                 case Hello(daemon_id):
                     self.daemon_id = daemon_id
+                    self._connection.trust()
                     changed = True
                     # The relay compares the age of later frames with this one.
                     self._flush()
@@ -215,11 +217,17 @@
     :ivar traffic: bytes exchanged with relays.
     """
 
-    def __init__(self, since_boot_ms: Callable[[], int] = boottime_ms) -> None:
+    def __init__(
+        self,
+        since_boot_ms: Callable[[], int] = boottime_ms,
+        account: Account | None = None,
+    ) -> None:
         """Create an empty pool.
 
         :param since_boot_ms: clock in ms that includes time in suspension.
+        :param account: budget of all connections of relays, ``None`` for no bound.
         """
+        self._account = account or Account(UNLIMITED)
         self._now_ms = since_boot_ms
         self.traffic = FrameTraffic()
         self._link_by_connection: dict[FrameConnection, RelayLink] = {}
@@ -304,7 +312,7 @@
     def make_connection(self) -> FrameConnection:
         """Create the protocol of a connection that a relay opens."""
         connection = FrameConnection(
-            self._receive, self._on_closed, self.traffic
+            self._receive, self._on_closed, self.traffic, self._account
         )
         self._link_by_connection[connection] = RelayLink(
             connection, self._now_ms
--- a/waxwingford/scheduler/_daemon.py
+++ b/waxwingford/scheduler/_daemon.py
@@ -99,7 +99,7 @@
             self._can_own,
         )
         self._link = shard.OwnerLink()
-        self._relays = RelayPool()
+        self._relays = RelayPool(account=accounts[Listener.relays])
         self._relaying_client = RelayingClient(
             self._platform.backend_client,
             self._relays,
