Bound what calls of other daemons make a process hold

What callers saw: a daemon could be ended by connections to the port of its peers. Cause: grpclib bounds neither connections nor the length of a message, which it reads on as long as its sender sends; calls that are reset before they begin were kept until the connection ends. Change: BoundedServer accounts for connections, calls and messages in the share of peers. A call beyond it is reset, and the others on its connection go on: the daemon that made it stores the job itself. Tests of the budget itself are in inbound.

--- a/waxwingford/scheduler/_daemon.py
+++ b/waxwingford/scheduler/_daemon.py
@@ -183,6 +183,7 @@
             self._frontend,
             listen.host,
             listen.peers_port,
+            self._budget.account_by_listener[Listener.peers],
         )
 
     def _on_prepared(self, task: asyncio.Task[None]) -> None:
--- a/waxwingford/shard/_peers.py
+++ b/waxwingford/shard/_peers.py
@@ -7,6 +7,8 @@
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Server, Stream
 
+from waxwingford.inbound import Account
+from waxwingford.inbound.grpc_server import BoundedServer
 from waxwingford.scheduling import JobPhase
 from waxwingford.shard import queries_pb2 as wire
 from waxwingford.shard._clocks import MS_PER_S
@@ -224,12 +226,15 @@
         return ShardQueriesStub(self._channel)
 
 
-async def serve_queries(handler: QueryHandler, host: str, port: int) -> Server:
+async def serve_queries(
+    handler: QueryHandler, host: str, port: int, account: Account
+) -> Server:
     """Serve calls by other daemons.
 
     :param host: IP address to listen on.
+    :param account: budget of all connections of other daemons.
     :returns: running server, which the caller closes.
     """
-    server = Server([QueryService(handler)])
+    server = BoundedServer([QueryService(handler)], account)
     await server.start(host, port)
     return server
