Keep the connection of a daemon whose call is too large

Cause: the last part of a message was counted twice, as unparsed and as a part of its call, so the connection was closed where only the call was to be refused. Change: only bytes that have completed no frame are counted as unparsed.

--- a/waxwingford/inbound/grpc_server.py
+++ b/waxwingford/inbound/grpc_server.py
@@ -106,9 +106,6 @@
         if self._holder is None or self._transport.is_closing():
             return
         self._holder.progress()
-        if not self._unframed.grow(len(data)):
-            self._transport.abort()
-            return
         try:
             events = self.connection.feed(data)
         except ProtocolError:
@@ -116,6 +113,10 @@
             return
         if events:
             self._unframed.release()
+        elif not self._unframed.grow(len(data)):
+            # A head in many frames, which the library keeps until it is complete.
+            self._transport.abort()
+            return
         for event in events:
             self._process(event)
         self.connection.flush()
