Bound what all callers make an entry daemon hold

What callers saw: an entry daemon took memory with each connection, and once 1,024 were open, idle or not, it refused all others. Cause: only bodies of two kinds of routes had a total, of 64 MiB whatever the VM has, in two budgets, in which a body without a length took 1 MiB at once; POST /v1/drain read its body outside of them. Unread parts of bodies (up to 400 KB a connection), heads, and responses of operators' routes, which no timeout ended, counted nowhere. Change: connections, heads, requests that wait, bodies and responses are accounted for in the share of callers, whose size follows limits.memory_mb and limits.max_fds. What stands still makes room first; limits.connections refuses as before, but idle connections make room after a second.

--- a/waxwingford/daemon/_admin.py
+++ b/waxwingford/daemon/_admin.py
@@ -1,6 +1,6 @@
 """HTTP routes for operators and the balancer."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 from typing import Any, TypedDict
 
@@ -67,7 +67,7 @@
         status: Callable[[], Status],
         refresh: Callable[[], None],
         drain: Callable[[], None],
-        signing_member: Callable[[web.Request, bytes], str | None],
+        reject: Callable[[web.Request], Awaitable[web.Response | None]],
     ) -> None:
         """Store the sources of the responses.
 
@@ -77,8 +77,8 @@
         :param status: returns the response body of ``/v1/status``.
         :param refresh: updates gauges before metrics are rendered.
         :param drain: starts a planned stop.
-        :param signing_member: returns the member that signed a request with
-            the given body, or None if its signature is not valid.
+        :param reject: reads a request and returns the response that rejects it,
+            or None if a member has signed it.
         """
         self._lifecycle = lifecycle
         self._metrics = metrics
@@ -86,7 +86,7 @@
         self._status = status
         self._refresh = refresh
         self._drain = drain
-        self._signing_member = signing_member
+        self._reject = reject
 
     def routes(self) -> list[web.RouteDef]:
         """List the routes.
@@ -129,10 +129,9 @@
         return _json(self._timeline.since(int(after)))
 
     async def _start_drain(self, request: web.Request) -> web.Response:
-        if self._signing_member(request, await request.read()) is None:
-            return web.Response(
-                status=HTTPStatus.UNAUTHORIZED, text='not signed by a member\n'
-            )
+        rejection = await self._reject(request)
+        if rejection is not None:
+            return rejection
         self._drain()
         return web.Response(status=HTTPStatus.ACCEPTED, text='draining\n')
 
--- a/waxwingford/daemon/_application.py
+++ b/waxwingford/daemon/_application.py
@@ -1,6 +1,8 @@
 """HTTP application of a daemon: services, jobs, health and status."""
 
+import functools
 from collections.abc import Callable
+from http import HTTPStatus
 
 from aiohttp import web
 
@@ -9,7 +11,10 @@
 from waxwingford.daemon._components import Components
 from waxwingford.daemon._status import make_status, refresh_gauges
 from waxwingford.entry import (
+    BodyMemoryExhausted,
+    BodyReader,
     HttpLimits,
+    InvalidBody,
     JobRoutesConfig,
     ServiceRoutesConfig,
     job_routes,
@@ -28,7 +33,7 @@
     """
     limits = entry_limits(components.settings)
     app = web.Application(client_max_size=limits.body_bytes)
-    app.add_routes(_admin(components, request_stop).routes())
+    app.add_routes(_admin(components, request_stop, limits).routes())
     app.add_routes(service_routes(_service_entry(components, limits)))
     job_entry = JobRoutesConfig(
         components.batch, components.verify, components.clock, limits
@@ -47,7 +52,11 @@
     )
 
 
-def _admin(components: Components, request_stop: Callable[[], None]) -> Admin:
+def _admin(
+    components: Components,
+    request_stop: Callable[[], None],
+    limits: HttpLimits,
+) -> Admin:
     return Admin(
         lifecycle=components.lifecycle,
         metrics=components.metrics,
@@ -55,9 +64,7 @@
         status=lambda: make_status(components),
         refresh=lambda: refresh_gauges(components),
         drain=request_stop,
-        signing_member=lambda request, body: _signing_member(
-            components, request, body
-        ),
+        reject=functools.partial(_reject, components, BodyReader(limits)),
     )
 
 
@@ -82,10 +89,40 @@
     return ''
 
 
-def _signing_member(
-    components: Components, request: web.Request, body: bytes
-) -> str | None:
+async def _reject(
+    components: Components, bodies: BodyReader, request: web.Request
+) -> web.Response | None:
+    """Read a request that a member has to sign.
+
+    :returns: the response that rejects it, None if it is signed.
+    """
+    reserved = bodies.reserve(request)
+    if isinstance(reserved, InvalidBody | BodyMemoryExhausted):
+        return _rejection(reserved)
+    try:
+        body = await bodies.read(request, reserved)
+    finally:
+        bodies.release(reserved)
+    if isinstance(body, InvalidBody | BodyMemoryExhausted):
+        return _rejection(body)
     check = components.verify(
         request.headers, request.method, request.path_qs, body
     )
-    return check.member if isinstance(check, Verified) else None
+    if isinstance(check, Verified):
+        return None
+    return web.Response(
+        status=HTTPStatus.UNAUTHORIZED, text='not signed by a member\n'
+    )
+
+
+def _rejection(body: InvalidBody | BodyMemoryExhausted) -> web.Response:
+    match body:
+        case InvalidBody(reason=reason, status=status):
+            response = web.Response(status=status, text=f'{reason}\n')
+        case _:
+            response = web.Response(
+                status=HTTPStatus.SERVICE_UNAVAILABLE,
+                headers={'Retry-After': '1'},
+            )
+    response.force_close()
+    return response
--- a/waxwingford/daemon/_assembly.py
+++ b/waxwingford/daemon/_assembly.py
@@ -15,6 +15,7 @@
 from waxwingford.daemon._components import Components, own_address
 from waxwingford.daemon._logging import log_event
 from waxwingford.daemon._readiness import make_lifecycle
+from waxwingford.inbound import Budget, derive_entry_shares
 from waxwingford.kernel import SystemClock, load_plugins
 from waxwingford.metrics import Metrics
 from waxwingford.peers import Membership, PeerClients
@@ -116,6 +117,13 @@
         dispatcher=dispatcher,
         reader=reader,
         nonces=NonceCache(_NONCE_CACHE_CAPACITY),
+        budget=Budget(
+            derive_entry_shares(
+                settings.limits.memory_mb,
+                settings.limits.max_fds,
+                settings.limits.connections,
+            )
+        ),
     )
 
 
--- a/waxwingford/daemon/_components.py
+++ b/waxwingford/daemon/_components.py
@@ -15,6 +15,7 @@
     members_by_service,
 )
 from waxwingford.daemon._lifecycle import Lifecycle
+from waxwingford.inbound import Budget
 from waxwingford.kernel import SystemClock
 from waxwingford.metrics import Metrics
 from waxwingford.peers import Membership, PeerClients, PeerHeartbeat
@@ -34,6 +35,7 @@
     :ivar platform: clients of the log, the VM list and the backend servers.
     :ivar links: connections to peers.
     :ivar membership: latest heartbeats of the peers.
+    :ivar budget: memory and connections of callers and peers.
     :ivar nonces: nonces of signed requests, for replay protection.
     """
 
@@ -50,6 +52,7 @@
     dispatcher: RequestDispatcher
     reader: BundleReader
     nonces: NonceCache
+    budget: Budget
 
     def own_heartbeat(self) -> PeerHeartbeat:
         """Make this daemon's heartbeat."""
--- a/waxwingford/daemon/_daemon.py
+++ b/waxwingford/daemon/_daemon.py
@@ -12,6 +12,7 @@
 from waxwingford.daemon._heartbeats import HeartbeatHooks, HeartbeatTask
 from waxwingford.daemon._load_sync import sync_batch_and_dispatcher
 from waxwingford.entry import HttpServer
+from waxwingford.inbound import BudgetReport, Listener
 from waxwingford.kernel import Invariant, add_violation_listener
 from waxwingford.peers import PeerService, choose_heartbeat_targets
 from waxwingford.settings import Alpn, server_context
@@ -40,6 +41,7 @@
         self._site = HttpServer(
             make_application(components, self.request_stop),
             entry_limits(components.settings),
+            components.budget.account_by_listener[Listener.callers],
         )
         self._heartbeats = self._make_heartbeats()
         self._rpc = Server(
@@ -91,6 +93,8 @@
         self._spawn(components.batch.run())
         self._spawn(self._heartbeats.run())
         self._spawn(sync_batch_and_dispatcher(components))
+        report = BudgetReport(components.budget, components.metrics, _log_event)
+        self._spawn(report.run())
         components.lifecycle.serve()
         _log.info('started')
 
@@ -192,3 +196,7 @@
 
     def _event_subject(self) -> str:
         return f'daemon:{self._components.settings.identity.daemon_id}'
+
+
+def _log_event(event: str, **fields: object) -> None:
+    _log.info(event, extra=fields)
--- a/waxwingford/entry/_bodies.py
+++ b/waxwingford/entry/_bodies.py
@@ -6,9 +6,13 @@
 
 from aiohttp import web
 
+from waxwingford.entry._connections import reserve
 from waxwingford.entry._limits import HttpLimits
+from waxwingford.inbound import Reservation
 
 _MS_IN_S = 1000
+#: Times that a body is in memory: as it has arrived, and joined.
+BODY_COPIES = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,52 +44,55 @@
 
     def reserve(
         self, request: web.Request
-    ) -> int | InvalidBody | BodyMemoryExhausted:
+    ) -> 'ReservedBody | InvalidBody | BodyMemoryExhausted':
         """Reserve memory for a body before any of it is read.
 
         Keeps concurrent large bodies from exhausting the memory of the VM.
 
         :param request: request whose body is to be read; without a
-            Content-Length the maximum body size is reserved.
-        :returns: reserved size in bytes, to be passed to :meth:`release`, or
-            the reason why the body is not accepted.
+            Content-Length memory is reserved as the body arrives.
+        :returns: reservation, to be passed to :meth:`release`, or the reason why
+            the body is not accepted.
         """
-        max_bytes = self._limits.body_bytes
+        reservation = reserve(request)
+        if reservation is None:
+            return InvalidBody(
+                'the connection was lost', HTTPStatus.BAD_REQUEST
+            )
+        max_bytes = min(
+            self._limits.body_bytes, reservation.max_bytes // BODY_COPIES
+        )
         if request.headers.get('Content-Encoding', 'identity') != 'identity':
             return InvalidBody(
                 'Content-Encoding is not supported; send the body unencoded',
                 HTTPStatus.UNSUPPORTED_MEDIA_TYPE,
             )
-        length = request.content_length
-        requested_bytes = (
-            max_bytes if length is None and request.can_read_body else length
-        )
-        if (requested_bytes or 0) > max_bytes:
+        length = request.content_length or 0
+        if length > max_bytes:
             return _body_too_large(max_bytes)
-        if (
-            self._reserved_bytes + (requested_bytes or 0)
-            > self._limits.all_bodies_bytes
-        ):
-            return BodyMemoryExhausted()
-        self._reserved_bytes += requested_bytes or 0
-        return requested_bytes or 0
-
-    def release(self, reserved: int) -> None:
+        body = ReservedBody(reservation, max_bytes)
+        return body if self._grow(body, length) else BodyMemoryExhausted()
+
+    def release(self, body: 'ReservedBody') -> None:
         """Release memory reserved for a body.
 
-        :param reserved: size returned by :meth:`reserve`, in bytes.
+        :param body: reservation returned by :meth:`reserve`.
         """
-        self._reserved_bytes -= reserved
+        self._reserved_bytes -= body.size
+        body.reservation.release()
 
-    async def read(self, request: web.Request) -> bytes | InvalidBody:
+    async def read(
+        self, request: web.Request, body: 'ReservedBody'
+    ) -> bytes | InvalidBody | BodyMemoryExhausted:
         """Read a complete request body.
 
         :param request: request for which memory was reserved.
+        :param body: reservation, which grows with what arrives.
         :returns: the body, or the reason why it could not be read.
         """
         try:
             async with asyncio.timeout(self._limits.read_ms / _MS_IN_S):
-                return await _read_bounded(request, self._limits.body_bytes)
+                return await self._read_bounded(request, body)
         except TimeoutError:
             return InvalidBody(
                 f'request body not received within {self._limits.read_ms} ms',
@@ -96,18 +103,47 @@
                 'request body is incomplete', HTTPStatus.BAD_REQUEST
             )
 
+    async def _read_bounded(
+        self, request: web.Request, body: 'ReservedBody'
+    ) -> bytes | InvalidBody | BodyMemoryExhausted:
+        chunks: list[bytes] = []
+        size = 0
+        async for chunk in request.content.iter_any():
+            size += len(chunk)
+            if size > body.max_bytes:
+                return _body_too_large(body.max_bytes)
+            if not self._grow(body, size - body.size):
+                return BodyMemoryExhausted()
+            chunks.append(chunk)
+        return b''.join(chunks)
+
+    def _grow(self, body: 'ReservedBody', size: int) -> bool:
+        """Reserve more for a body.
+
+        :param size: size in bytes, 0 or less if enough is reserved.
+        """
+        if size <= 0:
+            return True
+        if self._reserved_bytes + size > self._limits.all_bodies_bytes:
+            return False
+        if not body.reservation.grow(size * BODY_COPIES):
+            return False
+        self._reserved_bytes += size
+        body.size += size
+        return True
+
+
+@dataclasses.dataclass(slots=True)
+class ReservedBody:
+    """Memory for a body.
+
+    :ivar max_bytes: largest size of the body, in bytes.
+    :ivar size: reserved size of the body, in bytes.
+    """
 
-async def _read_bounded(
-    request: web.Request, max_bytes: int
-) -> bytes | InvalidBody:
-    chunks: list[bytes] = []
-    size = 0
-    async for chunk in request.content.iter_any():
-        size += len(chunk)
-        if size > max_bytes:
-            return _body_too_large(max_bytes)
-        chunks.append(chunk)
-    return b''.join(chunks)
+    reservation: Reservation
+    max_bytes: int
+    size: int = 0
 
 
 def _body_too_large(max_bytes: int) -> InvalidBody:
--- a/waxwingford/entry/_jobs.py
+++ b/waxwingford/entry/_jobs.py
@@ -137,16 +137,14 @@
             case InvalidBody(reason=reason, status=status):
                 return _rejected(reason, status)
             case BodyMemoryExhausted():
-                return _submission_response(
-                    JobRefused(
-                        'memory for request bodies is exhausted',
-                        _BUSY_RETRY_AFTER_MS,
-                    )
-                )
+                return _out_of_memory()
         try:
-            body = await self._bodies.read(request)
-            if isinstance(body, InvalidBody):
-                return _rejected(body.reason, body.status)
+            body = await self._bodies.read(request, reserved)
+            match body:
+                case InvalidBody(reason=reason, status=status):
+                    return _rejected(reason, status)
+                case BodyMemoryExhausted():
+                    return _out_of_memory()
             return await self._handle_signed(request, body, action)
         finally:
             self._bodies.release(reserved)
@@ -168,6 +166,14 @@
         )
 
 
+def _out_of_memory() -> web.Response:
+    return _submission_response(
+        JobRefused(
+            'memory for request bodies is exhausted', _BUSY_RETRY_AFTER_MS
+        )
+    )
+
+
 def _submission_response(outcome: SubmissionOutcome) -> web.Response:
     match outcome:
         case JobAcceptedOutcome(job_id=job_id):
--- a/waxwingford/entry/_responses.py
+++ b/waxwingford/entry/_responses.py
@@ -9,6 +9,7 @@
 import msgspec
 from aiohttp import web
 
+from waxwingford.entry._connections import reserve
 from waxwingford.routing import Answered, Outcome, Refused, Rejected, Unknown
 
 OUTCOME_HEADER = 'Waxwingford-Outcome'
@@ -105,6 +106,11 @@
     transport = request.transport
     if transport is None:
         return response
+    held = reserve(request)
+    if held is None or not held.grow(_size(response)):
+        _reset_connection(transport)
+        return response
+    request.protocol.begin_response()
     # Makes write_eof() wait until the kernel has accepted every byte.
     transport.set_write_buffer_limits(high=0)
     _set_user_timeout(transport, timeout_ms)
@@ -117,9 +123,16 @@
     except ConnectionError:
         # The caller has closed the connection.
         return response
+    finally:
+        held.release()
     return response
 
 
+def _size(response: web.Response) -> int:
+    """Return the memory of a response, 0 for one without a large body."""
+    return len(response.body or b'')
+
+
 def _reset_connection(transport: asyncio.Transport) -> None:
     sock = transport.get_extra_info('socket')
     if sock is not None:
--- a/waxwingford/entry/_services.py
+++ b/waxwingford/entry/_services.py
@@ -126,15 +126,14 @@
             case InvalidBody(reason=reason, status=status):
                 return Rejected(reason, status)
             case BodyMemoryExhausted():
-                return refuse_or_unknown(
-                    head,
-                    'memory for request bodies is exhausted',
-                    BUSY_RETRY_AFTER_MS,
-                )
+                return _out_of_memory(head)
         try:
-            body = await self._bodies.read(request)
-            if isinstance(body, InvalidBody):
-                return Rejected(body.reason, body.status)
+            body = await self._bodies.read(request, reserved)
+            match body:
+                case InvalidBody(reason=reason, status=status):
+                    return Rejected(reason, status)
+                case BodyMemoryExhausted():
+                    return _out_of_memory(head)
             elapsed_ms = self._entry.clock.monotonic_ms() - start_ms
             return await self._entry.dispatcher.handle(
                 headers.request(
@@ -149,6 +148,12 @@
         return head.member in members_by_service.get(head.service, ())
 
 
+def _out_of_memory(head: Request) -> Outcome:
+    return refuse_or_unknown(
+        head, 'memory for request bodies is exhausted', BUSY_RETRY_AFTER_MS
+    )
+
+
 def _service_path(request: web.Request) -> str:
     # Percent-encoding and query string are left for the backend server.
     _, _, suffix = request.rel_url.raw_path_qs.partition('/services/')
--- a/waxwingford/entry/_site.py
+++ b/waxwingford/entry/_site.py
@@ -2,32 +2,21 @@
 
 import asyncio
 import ssl
+from collections.abc import Awaitable, Callable
 
 from aiohttp import web
 
+from waxwingford.entry._connections import AccountedConnection
 from waxwingford.entry._limits import HttpLimits
+from waxwingford.entry._responses import write_response
+from waxwingford.inbound import UNLIMITED, Account
 
 _MS_IN_S = 1000
 #: Time for which the rest of a rejected body is still read, so that the caller
 #: receives the response before the connection closes.
 _LINGER_S = 1.0
-_TOO_MANY_CONNECTIONS = (
-    b'HTTP/1.1 503 Service Unavailable\r\n'
-    b'Waxwingford-Outcome: refused\r\n'
-    b'Retry-After: 1\r\n'
-    b'Waxwingford-Retry-After-Ms: 1000\r\n'
-    b'Content-Length: 0\r\n'
-    b'Connection: close\r\n\r\n'
-)
 
-
-class _OverLimitProtocol(asyncio.Protocol):
-    """Answers a connection over the limit with 503 and closes it unread."""
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        if isinstance(transport, asyncio.Transport):
-            transport.write(_TOO_MANY_CONNECTIONS)
-            transport.close()
+RequestHandler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
 class HttpServer:
@@ -36,22 +25,34 @@
     :ivar port: listening TCP port; 0 before :meth:`start`.
     """
 
-    def __init__(self, app: web.Application, limits: HttpLimits) -> None:
+    def __init__(
+        self,
+        app: web.Application,
+        limits: HttpLimits,
+        account: Account | None = None,
+    ) -> None:
         """Initialize without listening.
 
         :param limits: limits on connections, headers and idle time.
+        :param account: budget of all connections, None if only their number is
+            limited.
         """
         self.port = 0
-        self._limits = limits
-        self._runner = web.AppRunner(
-            app,
-            access_log=None,
-            keepalive_timeout=limits.idle_ms / _MS_IN_S,
-            lingering_time=_LINGER_S,
-            max_line_size=limits.header_bytes,
-            max_field_size=limits.header_bytes,
-            auto_decompress=False,
+        self._account = account or Account(
+            UNLIMITED._replace(
+                max_connections=limits.connections, keeps_silent=True
+            )
         )
+        self._options = {
+            'access_log': None,
+            'keepalive_timeout': limits.idle_ms / _MS_IN_S,
+            'lingering_time': _LINGER_S,
+            'max_line_size': limits.header_bytes,
+            'max_field_size': limits.header_bytes,
+            'auto_decompress': False,
+        }
+        app.middlewares.append(_account_for_requests(limits.write_ms))
+        self._runner = web.AppRunner(app, **self._options)
         self._listener: asyncio.Server | None = None
 
     async def start(
@@ -89,8 +90,31 @@
         server = self._runner.server
         return len(server.connections) if server else 0
 
-    def _create_protocol(self) -> asyncio.BaseProtocol:
-        server = self._runner.server
-        if server is None or self.connections() >= self._limits.connections:
-            return _OverLimitProtocol()
-        return server()
+    def _create_protocol(self) -> AccountedConnection:
+        return AccountedConnection(
+            self._runner.server, self._account, **self._options
+        )
+
+
+def _account_for_requests(write_ms: int) -> Callable[..., object]:
+    """Create a middleware that keeps connections of requests in progress open.
+
+    :param write_ms: time limit for a response that a handler hasn't written, in
+        milliseconds.
+    """
+
+    @web.middleware
+    async def account_for(
+        request: web.Request, handler: RequestHandler
+    ) -> web.StreamResponse:
+        connection = request.protocol
+        connection.begin_request()
+        try:
+            response = await handler(request)
+            if not response.prepared:
+                response = await write_response(request, response, write_ms)
+        finally:
+            connection.end_request(has_body=not request.content.is_eof())
+        return response
+
+    return account_for
--- a/waxwingford/inbound/_account.py
+++ b/waxwingford/inbound/_account.py
@@ -50,10 +50,13 @@
 
     :ivar max_bytes: memory, in bytes.
     :ivar max_connections: open connections, one descriptor each.
+    :ivar keeps_silent: whether a connection without a request makes room for another
+        one only after it has stood still.
     """
 
     max_bytes: int
     max_connections: int
+    keeps_silent: bool = False
 
 
 #: Share of a server that needs no bound, for example in a test.
@@ -275,6 +278,8 @@
 
     def _find_arriving(self) -> Iterator[Holder]:
         """Find the connection without a complete request that is the oldest."""
+        if self.share.keeps_silent:
+            return
         arriving = [
             holder
             for holder in self._holders
--- a/waxwingford/inbound/_budget.py
+++ b/waxwingford/inbound/_budget.py
@@ -62,7 +62,7 @@
 }
 _ENTRY_PARTS = {
     Listener.callers: _Parts(2 * _PART, 4 * _PART),
-    Listener.peers: _Parts(_PART / 2, _PART),
+    Listener.peers: _Parts(_PART, _PART),
 }
 
 
@@ -102,7 +102,8 @@
     return {
         **shares,
         Listener.callers: callers._replace(
-            max_connections=min(callers.max_connections, max_connections)
+            max_connections=min(callers.max_connections, max_connections),
+            keeps_silent=max_connections < callers.max_connections,
         ),
     }
 
