Bound what calls of other daemons make an entry daemon hold

Cause: the same as for the scheduler daemon, see BoundedServer. Change: the entry daemon uses it, with a share of its own. Result: the last scenario of crowds.feature passes; before, 258 descriptors of 200.

--- a/waxwingford/daemon/_daemon.py
+++ b/waxwingford/daemon/_daemon.py
@@ -4,7 +4,6 @@
 import signal
 from collections.abc import Coroutine
 
-from grpclib.server import Server
 from logbook import Logger
 
 from waxwingford.daemon._application import entry_limits, make_application
@@ -13,6 +12,7 @@
 from waxwingford.daemon._load_sync import sync_batch_and_dispatcher
 from waxwingford.entry import HttpServer
 from waxwingford.inbound import BudgetReport, Listener
+from waxwingford.inbound.grpc_server import BoundedServer
 from waxwingford.kernel import Invariant, add_violation_listener
 from waxwingford.peers import PeerService, choose_heartbeat_targets
 from waxwingford.settings import Alpn, server_context
@@ -44,7 +44,7 @@
             components.budget.account_by_listener[Listener.callers],
         )
         self._heartbeats = self._make_heartbeats()
-        self._rpc = Server(
+        self._rpc = BoundedServer(
             [
                 PeerService(
                     components.dispatcher,
@@ -52,7 +52,8 @@
                     components.bundle_payloads,
                     components.timeline,
                 )
-            ]
+            ],
+            components.budget.account_by_listener[Listener.peers],
         )
 
     async def run(self) -> int:
