Count what requests hold while they are handled and what the kernel holds for them

Cause: a request was counted with 1 KiB beside its bytes; the tasks and frames of its handler take more, and it is handled on once its client has left. Bytes that wait in the kernel while a connection isn't read count toward the memory of the VM, and weren't. Change: 8 KiB a request, 64 KiB a connection that isn't read; a client for whose further requests there is no room is disconnected after its answers.

--- a/waxwingford/http_server/_connection.py
+++ b/waxwingford/http_server/_connection.py
@@ -18,7 +18,9 @@
 from waxwingford.inbound import Account, Activity, Holder, Reservation
 
 #: Bytes that are parsed at a time, which bounds the requests that they hold.
-SLICE_BYTES = 8192
+SLICE_BYTES = 4096
+#: Memory of what has arrived on a connection that isn't read, in bytes.
+KERNEL_BUFFER_BYTES = 65_536
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -28,6 +30,7 @@
     def __init__(self, holder: Holder) -> None:
         self._parts = bytearray()
         self._reservation = Reservation(holder)
+        self._unread = Reservation(holder)
 
     def __bool__(self) -> bool:
         return bool(self._parts)
@@ -50,10 +53,22 @@
             self._reservation.release()
         return first
 
+    def reserve_unread(self) -> bool:
+        """Reserve what the kernel receives while the connection isn't read.
+
+        :returns: whether there is room for it.
+        """
+        return self._unread.resize(KERNEL_BUFFER_BYTES)
+
+    def release_unread(self) -> None:
+        """Give that back, as the connection is read again."""
+        self._unread.release()
+
     def drop(self) -> None:
         """Forget all bytes."""
         self._parts = bytearray()
         self._reservation.release()
+        self._unread.release()
 
 
 class ServerConnection(asyncio.Protocol):
@@ -180,12 +195,15 @@
             self._unparsed.drop()
         if self._answers.is_full():
             self._open.transport.pause_reading()
+            if not self._unparsed.reserve_unread():
+                self._reader.refuse(HTTPStatus.SERVICE_UNAVAILABLE)
 
     def _read_on(self) -> None:
         """Read the requests that were left until one was answered."""
         if not self._open.transport.is_closing():
             self._parse()
             if not self._answers.is_full():
+                self._unparsed.release_unread()
                 self._open.transport.resume_reading()
 
     def _on_begun(self) -> None:
--- a/waxwingford/http_server/_reader.py
+++ b/waxwingford/http_server/_reader.py
@@ -13,8 +13,8 @@
 from waxwingford.inbound import Holder, Reservation
 
 _KIB = 1024
-#: Memory of a request and of one of its headers beside their bytes.
-_REQUEST_BYTES = 1024
+#: Memory of a request that is handled, and of one of its headers, beside their bytes.
+_REQUEST_BYTES = 8192
 _HEADER_BYTES = 200
 _VERSIONS = frozenset(('1.0', '1.1'))
 _ENCODINGS = frozenset(('gzip', 'deflate'))
