Bound what accepted jobs make an owner keep

What callers saw: an owner was killed for its memory by submissions of 100 bytes, each for thousands of tasks, and so was each later owner. Cause: an owner keeps about 1 KB for each task of the jobs that haven't ended (measured: 20 MB for 20,000 tasks), with no bound on all of them. Change: a quarter of the memory is for jobs. The owner, and daemons that know its load from heartbeats, refuse what exceeds it with 503 and Retry-After, unless an earlier attempt may have stored the job; jobs of more than 64 KiB leave a quarter of it to others; what could never be kept gets 413. Heartbeats tell of it once a quarter is taken. Ruled out: refusing by the length of the request, which says nothing of its tasks.

--- a/waxwingford/inbound/__init__.py
+++ b/waxwingford/inbound/__init__.py
@@ -13,6 +13,7 @@
     BudgetReport,
     Listener,
     derive_entry_shares,
+    derive_job_bytes,
     derive_scheduler_shares,
 )
 
@@ -27,5 +28,6 @@
     'Reservation',
     'Share',
     'derive_entry_shares',
+    'derive_job_bytes',
     'derive_scheduler_shares',
 )
--- a/waxwingford/inbound/_budget.py
+++ b/waxwingford/inbound/_budget.py
@@ -7,6 +7,7 @@
 import collections
 import enum
 import importlib
+import types
 from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
@@ -88,6 +89,15 @@
     return _derive(_SCHEDULER_PARTS, memory_mb, max_fds)
 
 
+def derive_job_bytes(memory_mb: int) -> int:
+    """Compute the memory that an owner has for jobs that have not ended.
+
+    :param memory_mb: memory of the process in MB, 0 for that of the machine.
+    :returns: memory in bytes.
+    """
+    return int(_memory_bytes(memory_mb) * 2 * _PART)
+
+
 def derive_entry_shares(
     memory_mb: int, max_fds: int, max_connections: int
 ) -> dict[Listener, Share]:
@@ -111,19 +121,25 @@
 def _derive(
     parts_by_listener: Mapping[Listener, _Parts], memory_mb: int, max_fds: int
 ) -> dict[Listener, Share]:
-    if not (memory_mb and max_fds):
-        # Most daemons are told, and a start is to import little.
-        machine = importlib.import_module('waxwingford.inbound._machine')
-        memory_mb = memory_mb or machine.memory_mb()
-        max_fds = max_fds or machine.max_descriptors()
-    memory_bytes = min(memory_mb, MAX_MEMORY_MB) * _BYTES_PER_MB
-    files = min(FILE_DESCRIPTORS, int(max_fds * _FILE_PART))
+    memory_bytes = _memory_bytes(memory_mb)
+    descriptors = max_fds or _machine().max_descriptors()
+    files = min(FILE_DESCRIPTORS, int(descriptors * _FILE_PART))
     return {
-        listener: parts.share(memory_bytes, max_fds - files)
+        listener: parts.share(memory_bytes, descriptors - files)
         for listener, parts in parts_by_listener.items()
     }
 
 
+def _memory_bytes(memory_mb: int) -> int:
+    known_mb = memory_mb or _machine().memory_mb()
+    return min(known_mb, MAX_MEMORY_MB) * _BYTES_PER_MB
+
+
+def _machine() -> types.ModuleType:
+    # Most daemons are told, and a start is to import little.
+    return importlib.import_module('waxwingford.inbound._machine')
+
+
 class BudgetReport:
     """Counts refusals and evictions, and logs them at most once an interval."""
 
--- a/waxwingford/scheduler/_daemon.py
+++ b/waxwingford/scheduler/_daemon.py
@@ -16,6 +16,7 @@
     Budget,
     BudgetReport,
     Listener,
+    derive_job_bytes,
     derive_scheduler_shares,
 )
 from waxwingford.kernel import load_plugins
@@ -326,6 +327,7 @@
                 **msgspec.structs.asdict(settings.scheduling),
                 notice_ms=settings.bounds.notice_ms,
             ),
+            max_job_bytes=derive_job_bytes(settings.vm.memory_mb),
         )
         ports = shard.OwnerPorts(
             self._platform.log,
--- a/waxwingford/scheduling/_specs.py
+++ b/waxwingford/scheduling/_specs.py
@@ -105,6 +105,12 @@
 UNKNOWN_QUEUE = QueueTerms('', '', 0, 1)
 
 
+#: Memory in bytes that an owner keeps for a job, a step and a task.
+_JOB_BYTES = 4096
+_STEP_BYTES = 2048
+_TASK_BYTES = 1100
+
+
 class JobSpec(msgspec.Struct, frozen=True, omit_defaults=True):
     """A job as it was submitted.
 
@@ -134,6 +140,15 @@
         """Number of repetitions, at least 1."""
         return max(1, self.times)
 
+    @property
+    def kept_bytes(self) -> int:
+        """Memory in bytes that an owner keeps for it at most, until it has ended."""
+        tasks = sum([step.count for step in self.steps])
+        repetition = len(self.steps) * _STEP_BYTES + tasks * _TASK_BYTES
+        return (
+            _JOB_BYTES + 2 * len(self.payload) + self.occurrences * repetition
+        )
+
 
 class Terms(NamedTuple):
     """What operators have set: the queues, and evacuations.
--- a/waxwingford/scheduling/_state.py
+++ b/waxwingford/scheduling/_state.py
@@ -321,6 +321,7 @@
         unreadable, or placing a task has failed with an unexpected error.
     :ivar begun: whether a server has accepted or listed a run of any task.
     :ivar occurrences_left: number of repetitions that have not ended.
+    :ivar kept_bytes: memory that it may take, in bytes.
     :ivar noted_lateness: highest ``Lateness`` that was noted.
     """
 
@@ -336,6 +337,7 @@
     begun: bool = False
     occurrences_left: int = 1
     noted_lateness: int = 0
+    kept_bytes: int = 0
 
     def task(self, key: TaskKey) -> Task | None:
         """Find a task.
@@ -380,6 +382,7 @@
         now_ms,
         now_ms,
         occurrences_left=spec.occurrences,
+        kept_bytes=spec.kept_bytes,
     )
 
 
--- a/waxwingford/shard/_frontend.py
+++ b/waxwingford/shard/_frontend.py
@@ -23,6 +23,8 @@
     JobRow,
     MayBeStored,
     NotStored,
+    RefusedByOwner,
+    RowRejected,
     Stored,
     job_record,
 )
@@ -32,6 +34,7 @@
     JobNotKnown,
     NotAnswered,
 )
+from waxwingford.shard._load_report import JobMemory, Refusal, RefusalCause
 from waxwingford.shard._log_port import SharedLog
 from waxwingford.shard._member import IntakeRoute, ShardMember
 from waxwingford.shard._observer import Observer
@@ -88,6 +91,7 @@
         self._observer = observer
         self._view = StoreView(log)
         self._final_phase_by_job: dict[str, JobPhase] = {}
+        self._memory = JobMemory(member)
 
     async def submit(
         self, spec: JobSpec, deadline_s: float
@@ -104,7 +108,14 @@
             outcome = await self._submit(spec, deadline_s)
         else:
             outcome = JobInvalid(fault)
-        self._record_request('request.submit', spec.job_id, outcome, started_ms)
+        _record_request(
+            self._observer,
+            self._member,
+            'request.submit',
+            spec.job_id,
+            outcome,
+            started_ms,
+        )
         return outcome
 
     async def cancel(
@@ -118,7 +129,14 @@
         """
         started_ms = monotonic_ms()
         outcome = await self._cancel(job_id, deadline_s)
-        self._record_request('request.cancel', job_id, outcome, started_ms)
+        _record_request(
+            self._observer,
+            self._member,
+            'request.cancel',
+            job_id,
+            outcome,
+            started_ms,
+        )
         return outcome
 
     async def phase(self, job_id: str) -> JobAnswer:
@@ -176,11 +194,16 @@
 
         :param deadline_s: loop time at which the caller's request times out.
         """
-        stored = self._store_directly(row, deadline_s)
-        job_id = _job_id(row)
-        if job_id is None:
-            return await stored
-        return await self._attempts.track(job_id, stored)
+        spec = _decode_job(row)
+        if spec is None:
+            return await self._store_directly(row, deadline_s)
+        if self._memory.refusal_of_owner(spec) is not None:
+            known = await self.local_phase(spec.job_id)
+            if isinstance(known, JobNotKnown):
+                return RefusedByOwner('the owner has no memory for more jobs')
+        with self._memory.reserve(spec):
+            stored = self._store_directly(row, deadline_s)
+            return await self._attempts.track(spec.job_id, stored)
 
     async def _store_directly(
         self, row: IntakeRow, deadline_s: float
@@ -197,11 +220,30 @@
         if rejection is not None:
             return rejection
         queue = self._member.terms.queue_by_name.get(spec.queue, spec.terms)
-        refusal = self._member.load_report.refusal(spec, queue)
+        report = self._memory.load_report
+        if report.never_fits(spec):
+            return RowRejected(
+                f'{spec.kept_bytes} bytes of memory, '
+                f'expected at most {report.max_large_bytes}'
+            )
+        refusal = report.refusal(spec, queue)
         if refusal is None:
-            return await self._attempts.track(
-                spec.job_id, self._store(row, deadline_s)
+            with self._memory.reserve(spec):
+                outcome = await self._attempts.track(
+                    spec.job_id, self._store(row, deadline_s)
+                )
+            if not isinstance(outcome, RefusedByOwner):
+                return outcome
+            refusal = Refusal(
+                RefusalCause.memory, outcome.reason, outcome.retry_after_s
             )
+        return await self._refuse(spec, row, refusal, deadline_s)
+
+    async def _refuse(
+        self, spec: JobSpec, row: JobRow, refusal: Refusal, deadline_s: float
+    ) -> IntakeOutcome:
+        """Refuse a job, unless an earlier attempt has or may have stored it."""
+        queue = self._member.terms.queue_by_name.get(spec.queue, spec.terms)
         # If an earlier attempt has stored the job, a refusal would be untrue. The
         # store is asked, as the owner has no time for more questions.
         now_s = asyncio.get_running_loop().time()
@@ -254,7 +296,7 @@
                 owner_outcome = await self._store_via_owner(
                     row, deadline_s, OWNER_TIMEOUT_SHARE
                 )
-        if isinstance(owner_outcome, Stored):
+        if isinstance(owner_outcome, Stored | RefusedByOwner):
             return owner_outcome
         direct_outcome = await self._store_directly(row, deadline_s)
         owner_may_store = isinstance(owner_outcome, MayBeStored)
@@ -304,22 +346,28 @@
         if len(self._final_phase_by_job) > MAX_CACHED_PHASES:
             del self._final_phase_by_job[next(iter(self._final_phase_by_job))]
 
-    def _record_request(
-        self, event: str, job_id: str, outcome: object, started_ms: int
-    ) -> None:
-        took_ms = monotonic_ms() - started_ms
-        record = self._member.owner_record
-        self._observer.record_event(
-            event,
-            subject=job_id,
-            outcome=str(outcome),
-            owner='' if record is None else record.daemon_id,
-            terms=self._member.terms.version,
-            took_ms=took_ms,
-        )
-        self._observer.metrics.latency(
-            'request', took_ms, kind=event, outcome=type(outcome).__name__
-        )
+
+def _record_request(
+    observer: Observer,
+    member: ShardMember,
+    event: str,
+    job_id: str,
+    outcome: object,
+    started_ms: int,
+) -> None:
+    took_ms = monotonic_ms() - started_ms
+    record = member.owner_record
+    observer.record_event(
+        event,
+        subject=job_id,
+        outcome=str(outcome),
+        owner='' if record is None else record.daemon_id,
+        terms=member.terms.version,
+        took_ms=took_ms,
+    )
+    observer.metrics.latency(
+        'request', took_ms, kind=event, outcome=type(outcome).__name__
+    )
 
 
 def _record_state(observer: Observer, job_id: str, found: _PhaseFound) -> None:
@@ -333,14 +381,14 @@
     )
 
 
-def _job_id(row: IntakeRow) -> str | None:
-    """Return the job that a row stores.
+def _decode_job(row: IntakeRow) -> JobSpec | None:
+    """Decode the job that a row stores.
 
-    :returns: its id, ``None`` for a cancellation or an unreadable row.
+    :returns: the job, ``None`` for a cancellation or an unreadable row.
     """
     if isinstance(row, CancelRow):
         return None
     try:
-        return decode_spec(row.raw).job_id
+        return decode_spec(row.raw)
     except ValueError:
         return None
--- a/waxwingford/shard/_intake.py
+++ b/waxwingford/shard/_intake.py
@@ -45,6 +45,10 @@
     retry_after_s: int = 1
 
 
+class RefusedByOwner(NotStored, frozen=True):
+    """The owner has no memory for the job, which isn't stored without it then."""
+
+
 class JobInvalid(msgspec.Struct, frozen=True):
     """The job can't be scheduled, so it is not stored."""
 
--- a/waxwingford/shard/_journal.py
+++ b/waxwingford/shard/_journal.py
@@ -81,6 +81,9 @@
     :ivar room_retry_s: times in seconds after which best-effort jobs may be submitted
         again, by service without room for them; ``None`` if all are accepted, and in
         heartbeats of older versions.
+    :ivar kept_job_bytes: memory of the owner that jobs may take, in bytes.
+    :ivar max_job_bytes: memory that it has for jobs, in bytes; 0 for no bound, and in
+        heartbeats of older versions.
     :ivar relay_endpoint: IP address and port at which it accepts relays, empty if
         it accepts none.
     :ivar metrics_endpoint: IP address and port at which it explains placements, empty
@@ -104,6 +107,8 @@
     urgent_retry_s: int = 0
     best_effort_retry_s: int = 0
     room_retry_s: dict[str, int] | None = None
+    kept_job_bytes: int = 0
+    max_job_bytes: int = 0
     relay_endpoint: str = ''
     metrics_endpoint: str = ''
 
--- a/waxwingford/shard/_member.py
+++ b/waxwingford/shard/_member.py
@@ -122,6 +122,8 @@
             record.urgent_retry_s,
             record.best_effort_retry_s,
             record.room_retry_s,
+            record.kept_job_bytes,
+            record.max_job_bytes,
         )
 
     @property
--- a/waxwingford/shard/_owner.py
+++ b/waxwingford/shard/_owner.py
@@ -193,9 +193,18 @@
 
     def load_report(self) -> LoadReport:
         """Report the jobs that wait and the classes that are refused."""
-        pending = self._engine.state.pending_by_queue() if self.ready else None
         control = self.start_control
-        return LoadReport(pending, *control.retry_after, control.room_retry_s)
+        report = LoadReport(None, *control.retry_after, control.room_retry_s)
+        if not self.ready:
+            return report
+        state = self._engine.state
+        return report._replace(
+            pending_by_queue=state.pending_by_queue(),
+            kept_job_bytes=sum(
+                [job.kept_bytes for job in state.job_by_id.values()]
+            ),
+            max_job_bytes=self._settings.max_job_bytes,
+        )
 
     async def resign(
         self, reason: str = 'resigned', cut_off: bool = False
--- a/waxwingford/shard/_owner_ports.py
+++ b/waxwingford/shard/_owner_ports.py
@@ -33,6 +33,7 @@
     :ivar lease_ms: length of the leases that it grants, in ms.
     :ivar max_lease_ms: longest lease that servers accept, in ms.
     :ivar cores: processor of its VM, in reference cores.
+    :ivar max_job_bytes: memory for jobs that have not ended, in bytes; 0 for no bound.
     :ivar features: optional decisions of its engine.
     """
 
@@ -45,6 +46,7 @@
     relay_endpoint: str = ''
     metrics_endpoint: str = ''
     features: Features = NO_FEATURES
+    max_job_bytes: int = 0
 
 
 class OwnerView(NamedTuple):
--- a/waxwingford/shard/_peers.py
+++ b/waxwingford/shard/_peers.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from grpclib.client import Channel
+from grpclib.const import Status
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Server, Stream
 
@@ -19,6 +20,7 @@
     JobRow,
     MayBeStored,
     NotStored,
+    RefusedByOwner,
     RowRejected,
     Stored,
 )
@@ -115,6 +117,8 @@
         left_s = request.left_ms / MS_PER_S
         deadline_s = asyncio.get_running_loop().time() + left_s
         outcome = await self._handler.store_directly(row, deadline_s)
+        if isinstance(outcome, RefusedByOwner):
+            raise GRPCError(Status.RESOURCE_EXHAUSTED, outcome.reason)
         await stream.send_message(
             wire.StoreReply(outcome=_WIRE_BY_OUTCOME[type(outcome)])
         )
@@ -188,6 +192,8 @@
         try:
             reply = await self._stub(endpoint).Store(request, timeout=left_s)
         except _CALL_ERRORS as error:
+            if _is_refusal(error):
+                return RefusedByOwner(str(error.message))
             # The request may have been sent, and a partition may delay it until
             # it heals. The type of the error doesn't tell: a timeout is an
             # OSError, as is a failure to connect.
@@ -226,6 +232,13 @@
         return ShardQueriesStub(self._channel)
 
 
+def _is_refusal(error: Exception) -> bool:
+    return (
+        isinstance(error, GRPCError)
+        and error.status is Status.RESOURCE_EXHAUSTED
+    )
+
+
 async def serve_queries(
     handler: QueryHandler, host: str, port: int, account: Account
 ) -> Server:
