Show by tests what connections hold that are never encrypted

Test: a crowd of 250 connections at either listener of an entry daemon with TLS, that sends nothing.

--- a/waxwingford_standins/crowds/tests/crowds.feature
+++ b/waxwingford_standins/crowds/tests/crowds.feature
@@ -126,3 +126,17 @@
       | listener |
       | callers  |
       | peers    |
+
+  Scenario Outline: connections that are never encrypted
+    # Guards against a bound that begins with the end of a TLS handshake.
+    Given 128 MB of memory and 200 descriptors for each process
+    And an entry daemon with TLS as a process
+    When a crowd at the listener of <listener> does this: send nothing
+    Then the process lives within its memory and descriptors
+    And the entry daemon answers a health check
+    And it does so once the crowd has left
+
+    Examples:
+      | listener |
+      | callers  |
+      | peers    |
--- a/waxwingford_standins/crowds/tests/crowds_steps.py
+++ b/waxwingford_standins/crowds/tests/crowds_steps.py
@@ -5,6 +5,7 @@
 import itertools
 import pathlib
 import re
+import ssl
 import subprocess
 import sys
 import tempfile
@@ -13,6 +14,10 @@
 from behave import fixture, given, then, use_fixture, when
 
 from waxwingford_standins.crowds.tests import crowd
+from waxwingford_standins.run_certificates import (
+    client_ssl_context,
+    make_certificates,
+)
 from waxwingford_standins.tests import small_deployment as small
 from waxwingford_standins.tests.review_standins import http_standin, world
 
@@ -45,12 +50,14 @@
     """A process under test.
 
     :ivar endpoint_by_listener: where it listens.
+    :ivar tls: how its clients encrypt, None if they don't.
     """
 
     process: subprocess.Popen
     memory_mb: int
     max_fds: int
     endpoint_by_listener: dict[str, str]
+    tls: ssl.SSLContext | None = None
 
 
 class Daemon(small.Daemon):
@@ -99,21 +106,32 @@
         yield
 
 
+def make_tls(folder):
+    """Create certificates.
+
+    :returns: table of the settings, and how clients encrypt.
+    """
+    files = make_certificates(folder, ['entry-1'])['entry-1']
+    rows = [f'{name} = "{path}"\n' for name, path in files]
+    authority = pathlib.Path(files.authority_file)
+    return ''.join(('[tls]\n', *rows)), client_ssl_context([authority])
+
+
 @fixture
-def entry_daemon(context, memory_mb, max_fds):
+def entry_daemon(context, memory_mb, max_fds, *, encrypted=False):
     callers, peers = small.free_port(), small.free_port()
     with tempfile.TemporaryDirectory() as folder, asyncio.Runner() as runner:
         context.run = runner.run
         path = pathlib.Path(folder) / 'entry.toml'
-        path.write_text(
-            ENTRY_SETTINGS.format(
-                callers=callers,
-                peers=peers,
-                key=KEY,
-                memory_mb=memory_mb,
-                max_fds=max_fds,
-            )
+        tls_table, tls = make_tls(path.parent) if encrypted else ('', None)
+        text = ENTRY_SETTINGS.format(
+            callers=callers,
+            peers=peers,
+            key=KEY,
+            memory_mb=memory_mb,
+            max_fds=max_fds,
         )
+        path.write_text(f'{text}{tls_table}')
         command = ('-m', 'waxwingford.daemon.main', '--settings', str(path))
         with path.with_suffix('.log').open('wb') as log:
             process = subprocess.Popen(
@@ -130,6 +148,7 @@
                 'callers': f'{http_standin.LOOPBACK}:{callers}',
                 'peers': f'{http_standin.LOOPBACK}:{peers}',
             },
+            tls,
         )
         try:
             runner.run(wait_for_health(context.target))
@@ -147,8 +166,12 @@
 
 async def is_healthy(target):
     endpoint = target.endpoint_by_listener['callers']
-    reply = await http_standin.send(endpoint, 'GET', '/healthz', {'Host': 'x'})
-    return reply is not None and reply.status == 200
+    request = b'GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n'
+    try:
+        status, _ = await exchange(endpoint, [request], target.tls)
+    except (OSError, EOFError):
+        return False
+    return status == 200
 
 
 @given(
@@ -163,6 +186,11 @@
     use_fixture(scheduler_daemon, context, *context.limits)
 
 
+@given('an entry daemon with TLS as a process')
+def start_encrypted_daemon(context):
+    use_fixture(entry_daemon, context, *context.limits, encrypted=True)
+
+
 @given('an entry daemon as a process')
 def start_entry_daemon(context):
     use_fixture(entry_daemon, context, *context.limits)
@@ -190,14 +218,14 @@
     gather_crowd(context, 'callers', deed, f'/{path}')
 
 
-async def exchange(endpoint, parts):
+async def exchange(endpoint, parts, tls=None):
     """Send the parts of one request.
 
     :returns: status and headers of the response.
     """
     host, port = endpoint.rsplit(':', 1)
     async with asyncio.timeout(http_standin.CALL_TIMEOUT_S):
-        reader, writer = await asyncio.open_connection(host, int(port))
+        reader, writer = await asyncio.open_connection(host, int(port), ssl=tls)
         writer.writelines(parts)
         first, header_by_name, _ = await http_standin.read_message(reader)
     writer.close()
