Account for connections before they are encrypted

What callers saw: silent connections to a TLS port, of which each has a minute for its handshake, took all descriptors, and 0.3 MB of memory each. Cause: the library hands a connection over once its handshake is complete; before, nobody counted it. Change: listeners with TLS accept plain connections, account for them, and begin the handshake themselves, with 5 s for it. With TLS half of a share is for connections, 320 KiB each, as asyncio keeps a buffer of 256 KiB for each.

--- a/waxwingford/daemon/_assembly.py
+++ b/waxwingford/daemon/_assembly.py
@@ -122,6 +122,7 @@
                 settings.limits.memory_mb,
                 settings.limits.max_fds,
                 settings.limits.connections,
+                tls=settings.tls is not None,
             )
         ),
     )
--- a/waxwingford/daemon/_daemon.py
+++ b/waxwingford/daemon/_daemon.py
@@ -54,6 +54,7 @@
                 )
             ],
             components.budget.account_by_listener[Listener.peers],
+            server_context(components.settings, Alpn.rpc),
         )
 
     async def run(self) -> int:
@@ -80,11 +81,7 @@
         components = self._components
         listen = components.settings.listen
         components.timeline.note('daemon.started', self._event_subject())
-        await self._rpc.start(
-            listen.host,
-            listen.rpc_port,
-            ssl=server_context(components.settings, Alpn.rpc),
-        )
+        await self._rpc.start(listen.host, listen.rpc_port)
         await self._site.start(
             listen.host,
             listen.http_port,
--- a/waxwingford/entry/_site.py
+++ b/waxwingford/entry/_site.py
@@ -1,6 +1,7 @@
 """HTTP server with a limit on open connections."""
 
 import asyncio
+import functools
 import ssl
 from collections.abc import Awaitable, Callable
 
@@ -10,6 +11,7 @@
 from waxwingford.entry._limits import HttpLimits
 from waxwingford.entry._responses import write_response
 from waxwingford.inbound import UNLIMITED, Account
+from waxwingford.inbound.tls_gate import TlsGate
 
 _MS_IN_S = 1000
 #: Time for which the rest of a rejected body is still read, so that the caller
@@ -67,9 +69,12 @@
         """
         await self._runner.setup()
         loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(
-            self._create_protocol, host, port, ssl=tls
-        )
+        make_protocol = self._create_protocol
+        if tls is not None:
+            make_protocol = functools.partial(
+                TlsGate, self._account, tls, self._create_protocol
+            )
+        self._listener = await loop.create_server(make_protocol, host, port)
         self.port = self._listener.sockets[0].getsockname()[1]
 
     async def stop_listening(self) -> None:
--- a/waxwingford/inbound/_budget.py
+++ b/waxwingford/inbound/_budget.py
@@ -19,6 +19,8 @@
 #: Descriptors kept for files, and the part of a small number of them.
 FILE_DESCRIPTORS = 200
 _FILE_PART = 0.25
+#: Memory of an encrypted connection, most of it a buffer of ``asyncio``, in bytes.
+TLS_CONNECTION_BYTES = 327_680
 _BYTES_PER_MB = 1_000_000
 
 
@@ -99,15 +101,20 @@
 
 
 def derive_entry_shares(
-    memory_mb: int, max_fds: int, max_connections: int
+    memory_mb: int, max_fds: int, max_connections: int, *, tls: bool
 ) -> dict[Listener, Share]:
     """Divide the resources of an entry daemon.
 
     :param memory_mb: memory of the process in MB, 0 for that of the machine.
     :param max_fds: descriptors of the process, 0 for its limit.
     :param max_connections: limit on the connections of callers.
+    :param tls: whether connections are encrypted, which takes half of the memory.
     """
     shares = _derive(_ENTRY_PARTS, memory_mb, max_fds)
+    if tls:
+        shares = {
+            listener: _encrypted(share) for listener, share in shares.items()
+        }
     callers = shares[Listener.callers]
     return {
         **shares,
@@ -118,6 +125,16 @@
     }
 
 
+def _encrypted(share: Share) -> Share:
+    half = share.max_bytes // 2
+    return share._replace(
+        max_bytes=half,
+        max_connections=min(
+            share.max_connections, max(1, half // TLS_CONNECTION_BYTES)
+        ),
+    )
+
+
 def _derive(
     parts_by_listener: Mapping[Listener, _Parts], memory_mb: int, max_fds: int
 ) -> dict[Listener, Share]:
--- a/waxwingford/inbound/grpc_server.py
+++ b/waxwingford/inbound/grpc_server.py
@@ -3,6 +3,8 @@
 Not imported by the package itself, as a daemon starts without ``grpclib``.
 """
 
+import functools
+import importlib
 from collections.abc import Callable, Collection
 from typing import TYPE_CHECKING
 
@@ -21,6 +23,7 @@
 
 if TYPE_CHECKING:
     import asyncio
+    import ssl
 
     from grpclib._typing import IServable
 
@@ -36,18 +39,32 @@
     """Server of ``grpclib`` that bounds connections, calls and messages."""
 
     def __init__(
-        self, handlers: Collection['IServable'], account: Account
+        self,
+        handlers: Collection['IServable'],
+        account: Account,
+        tls: 'ssl.SSLContext | None' = None,
     ) -> None:
         """Create the server; it listens nowhere yet.
 
         :param handlers: services.
         :param account: budget of all connections.
+        :param tls: TLS context of the server, None for plain TCP. ``start`` gets
+            none, as connections are accounted for before they are encrypted.
         """
         super().__init__(handlers)
         self._account = account
-
-    def _protocol_factory(self) -> grpc_protocol.H2Protocol:
-        return _BoundedProtocol(super()._protocol_factory(), self._account)
+        self._tls = tls
+
+    def _protocol_factory(self) -> 'asyncio.Protocol':
+        created = super()._protocol_factory()
+        if self._tls is None:
+            return _BoundedProtocol(created, self._account)
+        gate = importlib.import_module('waxwingford.inbound.tls_gate')
+        return gate.TlsGate(
+            self._account,
+            self._tls,
+            functools.partial(_BoundedProtocol, created, self._account),
+        )
 
 
 class _BoundedProcessor(grpc_protocol.EventsProcessor):
--- a/waxwingford_standins/crowds/tests/crowds.feature
+++ b/waxwingford_standins/crowds/tests/crowds.feature
@@ -129,7 +129,7 @@
 
   Scenario Outline: connections that are never encrypted
     # Guards against a bound that begins with the end of a TLS handshake.
-    Given 128 MB of memory and 200 descriptors for each process
+    Given 128 MB of memory and <fds> descriptors for each process
     And an entry daemon with TLS as a process
     When a crowd at the listener of <listener> does this: send nothing
     Then the process lives within its memory and descriptors
@@ -137,6 +137,8 @@
     And it does so once the crowd has left
 
     Examples:
-      | listener |
-      | callers  |
-      | peers    |
+      | listener | fds  |
+      | callers  | 200  |
+      | peers    | 200  |
+      | callers  | 4100 |
+      | peers    | 4100 |
