Bound the copy of the intake that an owner keeps

What callers saw: an owner was ended by jobs with large specs that were submitted and cancelled at once: they left its memory for jobs, but not its memory. Cause: rows of ended jobs stay in the intake for a minute or more, and the owner's copy of it was counted nowhere. Jobs that had ended were kept by the steps that refer to them until the garbage collector searched all objects, which it does rarely here. Change: the copy counts toward the memory for jobs. The steps of a job that is removed are dropped with it.

--- a/waxwingford/scheduling/_shard_state.py
+++ b/waxwingford/scheduling/_shard_state.py
@@ -399,6 +399,9 @@
             for step in steps_of(job):
                 dropped.update(dict.fromkeys(stored_keys(step)))
                 self.tickets.forget(step)
+            # Steps refer to their job: without this it would stay in memory until
+            # all objects are searched for cycles.
+            job.steps_by_occurrence.clear()
         return dropped
 
     def phase(self, job_id: str) -> JobPhase | None:
--- a/waxwingford/shard/_intake_reader.py
+++ b/waxwingford/shard/_intake_reader.py
@@ -42,6 +42,11 @@
         """Copy of the intake, as far as it was followed."""
         return self._mirror.payload_by_key
 
+    @property
+    def copy_bytes(self) -> int:
+        """Size of that copy, in bytes."""
+        return self._mirror.payload_bytes
+
     def read_within(self, span_s: float) -> bool:
         """Tell whether the copy was complete not long ago.
 
--- a/waxwingford/shard/_mirror.py
+++ b/waxwingford/shard/_mirror.py
@@ -63,11 +63,13 @@
     load that failed at one page to resume there.
 
     :ivar payload_by_key: the copy.
+    :ivar payload_bytes: size of the copy without its keys, in bytes.
     :ivar behind: whether the topic extends beyond what the last read returned.
     """
 
     def __init__(self, log: SharedLog, topic: str) -> None:
         self.payload_by_key: dict[str, bytes] = {}
+        self.payload_bytes = 0
         self.next_offset = 0
         self.pages_read = 0
         self.behind = False
@@ -178,9 +180,11 @@
         for record in records:
             if record.offset < self._offset_by_key.get(record.key, -1):
                 continue
+            former = self.payload_by_key.pop(record.key, b'')
+            self.payload_bytes -= len(former)
             if record.payload is None:
                 self._offset_by_key.pop(record.key, None)
-                self.payload_by_key.pop(record.key, None)
             else:
                 self._offset_by_key[record.key] = record.offset
                 self.payload_by_key[record.key] = record.payload
+                self.payload_bytes += len(record.payload)
--- a/waxwingford/shard/_owner.py
+++ b/waxwingford/shard/_owner.py
@@ -200,9 +200,9 @@
         state = self._engine.state
         return report._replace(
             pending_by_queue=state.pending_by_queue(),
-            kept_job_bytes=sum(
-                [job.kept_bytes for job in state.job_by_id.values()]
-            ),
+            # Rows of ended jobs stay in the intake for a while.
+            kept_job_bytes=self._intake.copy_bytes
+            + sum([job.kept_bytes for job in state.job_by_id.values()]),
             max_job_bytes=self._settings.max_job_bytes,
         )
 
--- a/waxwingford_standins/crowds/tests/crowds.feature
+++ b/waxwingford_standins/crowds/tests/crowds.feature
@@ -60,6 +60,14 @@
     And an ordinary submission is accepted, and the daemon is ready
     And the process lives within its memory and descriptors
 
+  Scenario: jobs that are cancelled at once
+    # Guards against an owner whose copy of the intake has no bound.
+    Given a daemon of the scheduler as a process
+    When 300 jobs with specs of 240000 bytes are submitted and cancelled
+    Then each of them was accepted, or refused with 503 or 429 and Retry-After
+    And an ordinary submission is accepted, and the daemon is ready
+    And the process lives within its memory and descriptors
+
   Scenario Outline: a crowd at another listener
     # Guards against a bound that only the listener of callers keeps.
     Given a daemon of the scheduler as a process
--- a/waxwingford_standins/crowds/tests/crowds_steps.py
+++ b/waxwingford_standins/crowds/tests/crowds_steps.py
@@ -256,6 +256,17 @@
     context.run(asyncio.sleep(LEAVE_S))
 
 
+@when('{count:d} jobs with specs of {size:d} bytes are submitted and cancelled')
+def cancel_jobs(context, count, size):
+    body = crowd.submission(b'9' * size)
+    context.replies = []
+    for _ in range(count):
+        path = crowd.job_path()
+        send_parts(context, [crowd.announced(path, len(body)), body])
+        context.replies.append(context.reply)
+        send_parts(context, [crowd.head(path, method='DELETE')])
+
+
 @then('each of them was accepted, or refused with 503 or 429 and Retry-After')
 def check_replies(context):
     for reply in context.replies:
