--- a/docs/make_api.py
+++ b/docs/make_api.py
@@ -26,6 +26,7 @@
     'daemon': 'architecture.md',
     'entry': 'callers.md',
     'http_server': 'design/platform.md',
+    'inbound': 'design/inbound.md',
     'kernel': 'newcomers.md',
     'metrics': 'operators.md',
     'ownership': 'design/batch.md',
