Take a timeout that no number holds for none

What callers saw: 500 for a request whose X-Deadline-Ms has thousands of digits; each such request wrote a line with a traceback, and nothing bounds these lines. Cause: the header was converted whatever its length. Change: beyond nine digits, 11 days, the default applies. Result: the scenario on it passes, it failed with 500. A scenario on submissions of more than 1,000 steps, which are refused before their steps are decoded, is added.

--- a/waxwingford/platform/_client_api.py
+++ b/waxwingford/platform/_client_api.py
@@ -31,6 +31,8 @@
 
 #: Timeout of a request without a deadline header, in ms.
 DEFAULT_DEADLINE_MS = 3000
+#: Longest timeout that a request may name, in digits of ms.
+MAX_DEADLINE_DIGITS = 9
 #: Part of the timeout reserved for the transfer of the response, in ms.
 RESPONSE_MARGIN_MS = 150
 #: Value of the ``Retry-After`` header of a rejected request, in seconds.
@@ -171,7 +173,8 @@
 
 def _deadline_s(request: Request, path: QueuePath) -> float:
     requested = request.header_by_name.get('x-deadline-ms', '')
-    limit_ms = int(requested) if requested.isdecimal() else DEFAULT_DEADLINE_MS
+    known = requested.isdecimal() and len(requested) <= MAX_DEADLINE_DIGITS
+    limit_ms = int(requested) if known else DEFAULT_DEADLINE_MS
     if path.timeout_ms:
         limit_ms = min(limit_ms, path.timeout_ms)
     remaining_ms = max(0, limit_ms - RESPONSE_MARGIN_MS)
--- a/waxwingford/platform/tests/adapter.feature
+++ b/waxwingford/platform/tests/adapter.feature
@@ -170,6 +170,18 @@
       | GET    | /q/                      |                        | 200    |
       | PUT    | /q/00000000000000aa      |                        | 405    |
 
+  Scenario: a request names a timeout that no number holds
+    # Guards against clients that make the daemon fail, and log it, with each request.
+    Given a client API with one queue and no jobs
+    When a client submits a job with a timeout of 5000 digits
+    Then the client gets status 200
+
+  Scenario: a submission has more steps than any job may have
+    # Guards against a body whose decoded form takes far more memory than itself.
+    Given a client API with one queue and no jobs
+    When a client submits a job of 1001 steps
+    Then the client gets status 400
+
   Scenario: a request before a configuration was read
     Given a client API without a configuration
     When a client sends GET to /q/ with ""
--- a/waxwingford/platform/tests/client_api_steps.py
+++ b/waxwingford/platform/tests/client_api_steps.py
@@ -1,8 +1,10 @@
 """Steps for the HTTP API for clients."""
 
 import asyncio
+import itertools
 import json
 
+import msgspec
 from aiohttp import ClientSession
 from behave import given, then, when
 
@@ -18,6 +20,8 @@
     Stored,
 )
 
+LARGE_BODY_BYTES = 100_000
+
 
 class FakeDesk:
     """Stores all submissions and finds no job."""
@@ -49,14 +53,16 @@
 
 @when('a client sends {method} to {path} with "{body}"')
 @when('a client sends {method} to {path} with ""')
-def send_request(context, method, path, body=''):
+def send_request(context, method, path, body='', headers=None):
     async def _call():
         server = HttpServer(context.client_api.handle)
         await server.serve(f'{HOST}:0')
         url = f'http://{server.addresses[0]}{path}'
         async with (
             ClientSession() as session,
-            session.request(method, url, data=body) as response,
+            session.request(
+                method, url, data=body, headers=headers
+            ) as response,
         ):
             context.status = response.status
             context.headers = dict(response.headers)
@@ -65,6 +71,24 @@
     asyncio.run(_call())
 
 
+@when('a client submits a job with a timeout of {digits:d} digits')
+def submit_with_timeout(context, digits):
+    headers = {'X-Deadline-Ms': '9' * digits}
+    body = '{"spec":"","steps":[]}'
+    send_request(context, 'POST', '/q/00000000000000aa', body, headers)
+
+
+@when('a client submits a job of {count:d} steps')
+def submit_steps(context, count):
+    api = context.client_api
+    api.configuration = msgspec.structs.replace(
+        api.configuration, body_bytes=LARGE_BODY_BYTES
+    )
+    steps = ','.join(itertools.repeat('{}', count))
+    body = f'{{"spec":"","steps":[{steps}]}}'
+    send_request(context, 'POST', '/q/00000000000000aa', body)
+
+
 @then('the client gets status {status:d}')
 def check_status(context, status):
     assert context.status == status, context.status
