Give back what a request reserves after its connection was lost

What callers saw: an entry daemon that refuses more and more callers, as memory is counted that nobody holds. Cause: a request that ended after its connection reserved memory for those that waited behind it, and nothing gave that back. Change: nothing is reserved for a connection that is lost.

--- a/waxwingford/entry/_connections.py
+++ b/waxwingford/entry/_connections.py
@@ -107,6 +107,9 @@
         """
         self._partial = 0
         self._discards = has_body
+        if self.transport is None:
+            # Nothing would give back what is reserved after the connection.
+            return
         self._arrived.resize(len(self._messages) * _REQUEST_BYTES)
         self.holder.begin(Activity.idle)
 
--- a/waxwingford_standins/crowds/tests/crowds.feature
+++ b/waxwingford_standins/crowds/tests/crowds.feature
@@ -52,6 +52,23 @@
     And a client submits a job in a body of 262144 bytes
     Then it receives the status 200, or 503 or 429 with Retry-After
 
+  Scenario: crowds that come and go
+    # Guards against memory that is never given back, so that a daemon refuses all.
+    Given a daemon of the scheduler as a process
+    When a crowd does each of these things in turn, and leaves
+    Then an ordinary submission is accepted, and the daemon is ready
+    And its metrics tell that clients hold at most 8192 bytes
+    And the process lives within its memory and descriptors
+
+  Scenario: crowds that come and go at the former engine
+    # Guards against memory that is never given back, so that a daemon refuses all.
+    Given 128 MB of memory and 4100 descriptors for each process
+    And an entry daemon as a process
+    When a crowd does each of these things in turn, and leaves
+    Then the entry daemon answers a health check
+    And its metrics tell that clients hold at most 8192 bytes
+    And the process lives within its memory and descriptors
+
   Scenario: accepted jobs with thousands of tasks
     # Guards against small requests that fill the memory of each owner in turn.
     Given a daemon of the scheduler as a process
--- a/waxwingford_standins/crowds/tests/crowds_steps.py
+++ b/waxwingford_standins/crowds/tests/crowds_steps.py
@@ -26,6 +26,8 @@
 START_S = 10
 #: Time in seconds for a daemon to notice that a crowd has left.
 LEAVE_S = 1
+#: Time in seconds in which a daemon reports what is held.
+REPORT_S = 3
 KEY = 'AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA='
 ENTRY_SETTINGS = """
 [identity]
@@ -183,6 +185,7 @@
 
 @given('a daemon of the scheduler as a process')
 def start_scheduler_daemon(context):
+    context.path = ''
     use_fixture(scheduler_daemon, context, *context.limits)
 
 
@@ -193,6 +196,7 @@
 
 @given('an entry daemon as a process')
 def start_entry_daemon(context):
+    context.path = '/v1/jobs'
     use_fixture(entry_daemon, context, *context.limits)
 
 
@@ -218,6 +222,26 @@
     gather_crowd(context, 'callers', deed, f'/{path}')
 
 
+@when('a crowd does each of these things in turn, and leaves')
+def visit(context):
+    for deed in crowd.PARTS_BY_DEED:
+        gather_crowd(context, 'callers', deed, context.path)
+        context.crowd.close()
+
+
+@then('its metrics tell that clients hold at most {size:d} bytes')
+def check_given_back(context, size):
+    context.run(asyncio.sleep(REPORT_S))
+    endpoints = context.target.endpoint_by_listener
+    endpoint = endpoints.get('metrics', endpoints['callers'])
+    headers = {'Host': 'x'}
+    reply = context.run(http_standin.send(endpoint, 'GET', '/metrics', headers))
+    found = re.search(
+        r'inbound_bytes{listener="callers"} (\d+)', reply.body.decode()
+    )
+    assert int(found[1]) <= size, found
+
+
 async def exchange(endpoint, parts, tls=None):
     """Send the parts of one request.
 
