Leave no cycle of references when a connection of the HTTP server ends

What callers saw: none yet; a crowd that opens and closes connections raised the memory of a daemon by 24 MB, which no budget counts. Cause: reader, parser, timer and queue of a connection refer to each other, so a closed connection stayed until the garbage collector searched the older objects. Change: these references are dropped with the connection.

--- a/waxwingford/http_server/_answers.py
+++ b/waxwingford/http_server/_answers.py
@@ -34,6 +34,10 @@
 Handler = Callable[[Request], Awaitable[Response]]
 
 
+def _do_nothing() -> None:
+    """Take the place of a function of a connection that was closed."""
+
+
 class Timer:
     """Calls a function after a time without activity."""
 
@@ -52,6 +56,11 @@
         if self._pending is not None:
             self._pending.cancel()
 
+    def close(self) -> None:
+        """Don't call the function any more, and don't refer to it."""
+        self.stop()
+        self._expire = _do_nothing
+
 
 class OpenConnection:
     """State of a connection that reading and answering share.
@@ -139,6 +148,11 @@
             self._connection.holder.begin(Activity.busy)
             self.task = asyncio.create_task(self._answer_waiting())
 
+    def close(self) -> None:
+        """Forget what waits, and read nothing on once a request is handled."""
+        self.drop()
+        self._read_on = _do_nothing
+
     def drop(self) -> None:
         """Forget what waits; a request in progress is still handled."""
         for entry in self._waiting:
--- a/waxwingford/http_server/_connection.py
+++ b/waxwingford/http_server/_connection.py
@@ -130,8 +130,11 @@
         """Forget the connection; a request in progress is still handled."""
         if self._open is not None:
             self._open.closing = True
-            self._open.timer.stop()
             self._give_back()
+            # No cycle of references is left, so that memory is free at once.
+            self._open.timer.close()
+            self._reader.close()
+            self._answers.close()
 
     def pause_writing(self) -> None:
         """Answer no further request until the client has read."""
--- a/waxwingford/http_server/_reader.py
+++ b/waxwingford/http_server/_reader.py
@@ -125,6 +125,12 @@
         self._forget()
         self._reservation.release()
 
+    def close(self) -> None:
+        """Read nothing more, and refer to nothing that refers to this reader."""
+        self.ended = True
+        self._parser = None
+        self._events = None
+
     def on_message_begin(self) -> None:
         """Start a request."""
         self._url.clear()
@@ -199,7 +205,9 @@
         if self.ended:
             return
         try:
-            self._request.body = self._decode_body(encoding)
+            self._request.body = _decode_body(
+                self._body, encoding, self._limits.body_bytes()
+            )
         except zlib.error:
             self.refuse(HTTPStatus.BAD_REQUEST)
         self._check_body(len(self._request.body))
@@ -216,23 +224,6 @@
         self._header_by_name = {}
         self._body = bytearray()
 
-    def _decode_body(self, encoding: str) -> bytes:
-        if encoding not in _ENCODINGS or not self._body:
-            return bytes(self._body)
-        has_header = (
-            encoding == 'gzip'
-            or self._body[0] & _ZLIB_METHOD_MASK == _ZLIB_METHOD
-        )
-        decoder = zlib.decompressobj(
-            zlib.MAX_WBITS | _ANY_HEADER if has_header else -zlib.MAX_WBITS
-        )
-        # One byte more than permitted tells that the body is too large.
-        most = self._limits.body_bytes()
-        body = decoder.decompress(self._body, most + 1)
-        if not decoder.eof and len(body) <= most:
-            raise zlib.error('incomplete body')
-        return body
-
     def _check_head(self) -> None:
         if self._head_bytes > self._limits.head_bytes:
             self.refuse(HTTPStatus.BAD_REQUEST)
@@ -251,3 +242,23 @@
     def _reserve(self, size: int) -> None:
         if not self.ended and not self._reservation.grow(size):
             self.refuse(HTTPStatus.SERVICE_UNAVAILABLE)
+
+
+def _decode_body(body: bytearray, encoding: str, max_bytes: int) -> bytes:
+    """Expand a body.
+
+    :returns: body, with one byte more than permitted if it is too large.
+    :raises zlib.error: if it can't be expanded, or is incomplete.
+    """
+    if encoding not in _ENCODINGS or not body:
+        return bytes(body)
+    has_header = (
+        encoding == 'gzip' or body[0] & _ZLIB_METHOD_MASK == _ZLIB_METHOD
+    )
+    decoder = zlib.decompressobj(
+        zlib.MAX_WBITS | _ANY_HEADER if has_header else -zlib.MAX_WBITS
+    )
+    expanded = decoder.decompress(body, max_bytes + 1)
+    if not decoder.eof and len(expanded) <= max_bytes:
+        raise zlib.error('incomplete body')
+    return expanded
--- a/waxwingford/http_server/tests/http_server.feature
+++ b/waxwingford/http_server/tests/http_server.feature
@@ -96,6 +96,13 @@
     Then the waiting client receives "200 GET /slow" and is told to close
     And both connections are closed, and no new one is accepted
 
+  Scenario: connections that come and go
+    # Guards against closed connections that stay in memory until the garbage collector
+    # searches all objects, and are counted nowhere.
+    Given an HTTP server that echoes each request
+    When 20 clients send a request and leave while no garbage is collected
+    Then no connection is left in memory
+
   Scenario: a client that never reads its responses
     # Guards against responses that pile up in the daemon's memory.
     Given an HTTP server that echoes each request
--- a/waxwingford/http_server/tests/http_server_steps.py
+++ b/waxwingford/http_server/tests/http_server_steps.py
@@ -1,6 +1,7 @@
 """Steps for the HTTP server, against raw connections on loopback."""
 
 import asyncio
+import gc
 import itertools
 import zlib
 
@@ -8,6 +9,7 @@
 from behave import given, then, when
 
 from waxwingford.http_server import HttpServer, Response, ServerLimits
+from waxwingford.http_server._connection import ServerConnection
 
 HOST = '127.0.0.1'
 KIB = 1024
@@ -283,6 +285,40 @@
     assert context.refused
 
 
+@when(
+    '{count:d} clients send a request and leave while no garbage is collected'
+)
+def come_and_go(context, count):
+    async def _visit(address):
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(b'GET / HTTP/1.1\r\n\r\n')
+        await reader.read(1)
+        writer.transport.abort()
+
+    async def _visits():
+        server = HttpServer(EchoHandler().handle)
+        await server.serve(f'{HOST}:0')
+        address = server.addresses[0].split(':')
+        await asyncio.gather(*(_visit(address) for _ in range(count)))
+        await asyncio.sleep(OPEN_AFTER_S)
+        context.connections = [
+            one for one in gc.get_objects() if isinstance(one, ServerConnection)
+        ]
+        await server.close()
+
+    gc.collect()
+    gc.disable()
+    try:
+        asyncio.run(_visits())
+    finally:
+        gc.enable()
+
+
+@then('no connection is left in memory')
+def check_connections(context):
+    assert not context.connections, len(context.connections)
+
+
 @when(
     'a client sends requests for {size_mib:d} MiB of responses and reads none'
 )
--- a/waxwingford/inbound/_account.py
+++ b/waxwingford/inbound/_account.py
@@ -63,6 +63,10 @@
 UNLIMITED = Share(sys.maxsize, sys.maxsize)
 
 
+def _do_nothing() -> None:
+    """Take the place of the eviction of a connection that was closed."""
+
+
 class Holder:
     """A connection, and what it holds of a share.
 
@@ -226,6 +230,7 @@
         """Account for the end of a connection; a second call does nothing."""
         if holder in self._holders:
             self._holders.remove(holder)
+            holder.evict = _do_nothing
             holder.give_back(CONNECTION_BYTES)
 
     def take(self, holder: Holder, size: int) -> bool:
