--- a/waxwingford_standins/crowds/tests/crowds.feature
+++ b/waxwingford_standins/crowds/tests/crowds.feature
@@ -69,6 +69,21 @@
     And its metrics tell that clients hold at most 8192 bytes
     And the process lives within its memory and descriptors
 
+  Scenario Outline: random crowds at all listeners
+    # Guards against listeners that hold too much together, and against what only
+    # follows from crowds that overlap.
+    Given 80 MB of memory and <fds> descriptors for each process
+    And a daemon of the scheduler as a process
+    When 4 random crowds with seed <seed> come and go at all listeners
+    Then the process lives within its memory and descriptors
+    And an ordinary submission is accepted, and the daemon is ready
+    And its metrics tell that clients hold at most 8192 bytes
+
+    Examples:
+      | seed | fds  |
+      | 1    | 4100 |
+      | 2    | 200  |
+
   Scenario: accepted jobs with thousands of tasks
     # Guards against small requests that fill the memory of each owner in turn.
     Given a daemon of the scheduler as a process
--- a/waxwingford_standins/crowds/tests/crowds_steps.py
+++ b/waxwingford_standins/crowds/tests/crowds_steps.py
@@ -4,6 +4,7 @@
 import contextlib
 import itertools
 import pathlib
+import random
 import re
 import ssl
 import subprocess
@@ -229,6 +230,28 @@
         context.crowd.close()
 
 
+@when('{count:d} random crowds with seed {seed:d} come and go at all listeners')
+def visit_randomly(context, count, seed):
+    rng = random.Random(seed)
+    listeners = sorted(context.target.endpoint_by_listener.items())
+    deeds = sorted(crowd.PARTS_BY_DEED)
+    crowds = [
+        (crowd.Crowd(endpoint), rng.choice(deeds), name)
+        for name, endpoint in rng.choices(listeners, k=count)
+    ]
+
+    async def _visit(one, deed, name):
+        path = '' if name == 'callers' else '/where'
+        await one.act(deed, path)
+        await asyncio.sleep(rng.random())
+        one.close()
+
+    async def _visit_all():
+        await asyncio.gather(*itertools.starmap(_visit, crowds))
+
+    context.run(_visit_all())
+
+
 @then('its metrics tell that clients hold at most {size:d} bytes')
 def check_given_back(context, size):
     context.run(asyncio.sleep(REPORT_S))
