Reject no job for its size that an earlier attempt may have stored

What callers saw: 413 for a job that runs, if the owner's memory for jobs was too small for it when it was asked again. Cause: whether a job could ever be kept was looked at before whether it is stored. Change: the order is the other way round, as for all refusals.

--- a/waxwingford/shard/_frontend.py
+++ b/waxwingford/shard/_frontend.py
@@ -221,11 +221,6 @@
             return rejection
         queue = self._member.terms.queue_by_name.get(spec.queue, spec.terms)
         report = self._memory.load_report
-        if report.never_fits(spec):
-            return RowRejected(
-                f'{spec.kept_bytes} bytes of memory, '
-                f'expected at most {report.max_large_bytes}'
-            )
         refusal = report.refusal(spec, queue)
         if refusal is None:
             with self._memory.reserve(spec):
@@ -263,6 +258,12 @@
             service=queue.service,
             cause=refusal.cause.value,
         )
+        report = self._memory.load_report
+        if refusal.cause is RefusalCause.memory and report.never_fits(spec):
+            return RowRejected(
+                f'{spec.kept_bytes} bytes of memory, '
+                f'expected at most {report.max_large_bytes}'
+            )
         return NotStored(refusal.reason, refusal.retry_after_s)
 
     async def _cancel(
