--- a/waxwingford/entry/_bodies.py
+++ b/waxwingford/entry/_bodies.py
@@ -6,7 +6,7 @@
 
 from aiohttp import web
 
-from waxwingford.entry._connections import reserve
+from waxwingford.entry._connections import new_reservation
 from waxwingford.entry._limits import HttpLimits
 from waxwingford.inbound import Reservation
 
@@ -54,7 +54,7 @@
         :returns: reservation, to be passed to :meth:`release`, or the reason why
             the body is not accepted.
         """
-        reservation = reserve(request)
+        reservation = new_reservation(request)
         if reservation is None:
             return InvalidBody(
                 'the connection was lost', HTTPStatus.BAD_REQUEST
--- a/waxwingford/entry/_connections.py
+++ b/waxwingford/entry/_connections.py
@@ -140,7 +140,7 @@
         self.holder.close()
 
 
-def reserve(request: web.Request) -> Reservation | None:
+def new_reservation(request: web.Request) -> Reservation | None:
     """Create a reservation for the connection of a request.
 
     :returns: an empty one, None if the connection was lost.
--- a/waxwingford/entry/_responses.py
+++ b/waxwingford/entry/_responses.py
@@ -9,7 +9,7 @@
 import msgspec
 from aiohttp import web
 
-from waxwingford.entry._connections import reserve
+from waxwingford.entry._connections import new_reservation
 from waxwingford.routing import Answered, Outcome, Refused, Rejected, Unknown
 
 OUTCOME_HEADER = 'Waxwingford-Outcome'
@@ -106,7 +106,7 @@
     transport = request.transport
     if transport is None:
         return response
-    held = reserve(request)
+    held = new_reservation(request)
     if held is None or not held.grow(_size(response)):
         _reset_connection(transport)
         return response
--- a/waxwingford/http_server/_answers.py
+++ b/waxwingford/http_server/_answers.py
@@ -192,7 +192,7 @@
     async def _send(
         self, response: Response, request: Request | None, closing: bool
     ) -> None:
-        """Write a response, and wait until the client has read it."""
+        """Write a response, and wait until the kernel has taken all of it."""
         connection = self._connection
         if connection.transport.is_closing():
             return
--- a/waxwingford/inbound/_budget.py
+++ b/waxwingford/inbound/_budget.py
@@ -8,7 +8,7 @@
 import enum
 import importlib
 import types
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
 from waxwingford.inbound._account import Account, Share
@@ -225,5 +225,5 @@
                 },
             )
 
-    def _accounts(self):
+    def _accounts(self) -> Iterable[tuple[Listener, Account]]:
         return self._budget.account_by_listener.items()
