Bound what a client sends after a body in chunks

What callers saw: the same as for bodies: a daemon was ended by clients that never ended the headers after a body in chunks. Cause: the parser keeps an incomplete header, and only those of the head were counted. Change: bytes that complete nothing count toward the limit of a head; a head is refused where it exceeds the limit, not once it is complete.

--- a/waxwingford/http_server/_reader.py
+++ b/waxwingford/http_server/_reader.py
@@ -91,6 +91,7 @@
         self._body = bytearray()
         self._head_bytes = 0
         self._in_head = False
+        self._has_advanced = False
         self._request: Request | None = None
 
     def feed(self, data: bytes) -> None:
@@ -98,6 +99,7 @@
         if self.ended:
             return
         was_in_head = self._in_head
+        self._has_advanced = False
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -107,8 +109,9 @@
         except httptools.HttpParserError:
             self.refuse(HTTPStatus.BAD_REQUEST)
             return
-        if was_in_head and self._in_head:
-            # Callbacks are called for complete headers only.
+        if (was_in_head and self._in_head) or not self._has_advanced:
+            # Callbacks are called for complete headers only, and for those that
+            # follow a body in chunks.
             self._head_bytes += len(data)
             self._reserve(len(data))
             self._check_head()
@@ -133,6 +136,7 @@
 
     def on_message_begin(self) -> None:
         """Start a request."""
+        self._has_advanced = True
         self._url.clear()
         self._body.clear()
         self._header_by_name = {}
@@ -156,6 +160,7 @@
             return
         self._head_bytes += len(name) + len(text)
         self._reserve(len(name) + len(text) + _HEADER_BYTES)
+        self._check_head()
         key = name.decode('latin-1').lower()
         if key == 'host' and key in self._header_by_name:
             self.refuse(HTTPStatus.BAD_REQUEST)
@@ -164,6 +169,7 @@
     def on_headers_complete(self) -> None:
         """Check the head, and let a client send the body that waits for it."""
         self._in_head = False
+        self._has_advanced = True
         if self.ended:
             return
         self._head_bytes += len(self._url)
@@ -173,6 +179,8 @@
             self.refuse(HTTPStatus.BAD_REQUEST)
         length = self._header_by_name.get('content-length', '')
         self._reserve_body(int(length) if length.isdecimal() else 0)
+        if self.ended:
+            return
         path = httptools.parse_url(bytes(self._url)).path or b'/'
         self._request = Request(
             self._parser.get_method().decode(),
@@ -184,11 +192,12 @@
             reservation=self._reservation,
         )
         expected = self._header_by_name.get('expect', '').lower()
-        if expected == '100-continue' and not self.ended:
+        if expected == '100-continue':
             self._events.awaiting_body()
 
     def on_body(self, part: bytes) -> None:
         """Collect a part of the body."""
+        self._has_advanced = True
         if not self.ended:
             self._reserve_body(len(self._body) + len(part))
         if not self.ended:
@@ -196,6 +205,7 @@
 
     def on_message_complete(self) -> None:
         """Hand over the request."""
+        self._has_advanced = True
         if self.ended:
             return
         encoding = self._header_by_name.get('content-encoding', '').lower()
@@ -210,6 +220,7 @@
             )
         except zlib.error:
             self.refuse(HTTPStatus.BAD_REQUEST)
+            return
         self._check_body(len(self._request.body))
         if not self.ended:
             request = self._request
--- a/waxwingford_standins/crowds/tests/crowd.py
+++ b/waxwingford_standins/crowds/tests/crowd.py
@@ -99,6 +99,12 @@
     yield b'X-Last: '
 
 
+def endless_trailer(path):
+    yield head(path, 'Transfer-Encoding: chunked')
+    yield b'0\r\nX-Last: '
+    yield from itertools.repeat(b'x' * CHUNK_BYTES, 8)
+
+
 def many_headers(path):
     yield head(path)[:-2]
     yield b''.join(b'h%x:\r\n' % number for number in range(4000))
@@ -137,6 +143,7 @@
     'send a whole body': whole_body,
     'send twelve whole bodies and read nothing': bodies_in_succession,
     'stop in a head': endless_head,
+    'stop in a trailer': endless_trailer,
     'send thousands of headers': many_headers,
     'send thousands of requests and read nothing': tiny_requests,
     'send compressed bodies and read nothing': compressed,
--- a/waxwingford_standins/crowds/tests/crowds.feature
+++ b/waxwingford_standins/crowds/tests/crowds.feature
@@ -27,6 +27,7 @@
       | send thousands of requests and read nothing     |
       | send compressed bodies and read nothing         |
       | send a body of thousands of objects             |
+      | stop in a trailer                               |
 
   Scenario: a submission of legal size in calm
     # Guards against a budget that has no room for what is legal.
