Count the headers of calls of other daemons

Cause: a call was counted with 8 KiB, whatever its headers; the library takes 64 KiB of them for each of 100 calls on a connection. Change: headers count twice, as parts of messages do. Result: the scenario on it passes; without the change no call is refused.

--- a/waxwingford/inbound/grpc_server.py
+++ b/waxwingford/inbound/grpc_server.py
@@ -149,9 +149,10 @@
 
     def _process(self, event: h2_events.Event) -> None:
         match event:
-            case h2_events.RequestReceived(stream_id=stream_id):
+            case h2_events.RequestReceived(stream_id=stream_id, headers=head):
                 call = Reservation(self._holder)
-                if not call.grow(_CALL_BYTES):
+                size = sum([len(name) + len(text) for name, text in head])
+                if not call.grow(_CALL_BYTES + size * _MESSAGE_COPIES):
                     self._reset(
                         self.connection.create_stream(stream_id=stream_id)
                     )
--- a/waxwingford/inbound/tests/inbound.feature
+++ b/waxwingford/inbound/tests/inbound.feature
@@ -89,3 +89,10 @@
     And a server of calls with that share
     When a daemon begins 200 calls and resets each of them
     Then 4096 bytes were used after that
+
+  Scenario: calls with large headers
+    # Guards against headers that are counted nowhere, while their calls wait.
+    Given a share of 4000000 bytes and 4 connections
+    And a server of calls with that share
+    When a daemon begins 30 calls with headers of 30000 bytes
+    Then some of them were refused for memory
--- a/waxwingford/inbound/tests/inbound_steps.py
+++ b/waxwingford/inbound/tests/inbound_steps.py
@@ -231,18 +231,36 @@
     assert context.stores.sizes == [1000], context.stores.sizes
 
 
-@when('a daemon begins {count:d} calls and resets each of them')
-def reset_calls(context, count):
-    async def _reset(port):
+def begin_calls(context, count, headers, *, resets):
+    names = (':method', 'POST'), (':scheme', 'http'), (':authority', 'x')
+    service = ':path', '/waxwingford.shard.ShardQueries/Store'
+    kind = ('te', 'trailers'), ('content-type', 'application/grpc')
+
+    async def _begin(port):
         context.streams = await asyncio.open_connection(HOST, port)
         writer = context.streams[1]
         peer = H2Connection(H2Configuration(client_side=True))
         peer.initiate_connection()
-        names = (':method', 'POST'), (':scheme', 'http'), (':path', '/x')
         for stream_id in range(1, 2 * count, 2):
-            peer.send_headers(stream_id, (*names, (':authority', 'x')))
-            peer.reset_stream(stream_id)
+            peer.send_headers(stream_id, (*names, service, *kind, *headers))
+            if resets:
+                peer.reset_stream(stream_id)
         writer.write(peer.data_to_send())
         await writer.drain()
 
-    asyncio.run(run_server(context, _reset))
+    asyncio.run(run_server(context, _begin))
+
+
+@when('a daemon begins {count:d} calls and resets each of them')
+def reset_calls(context, count):
+    begin_calls(context, count, (), resets=True)
+
+
+@when('a daemon begins {count:d} calls with headers of {size:d} bytes')
+def begin_large_calls(context, count, size):
+    begin_calls(context, count, [('x-filler', 'x' * size)], resets=False)
+
+
+@then('some of them were refused for memory')
+def check_refused_calls(context):
+    assert context.account.count_by_event['memory']
