Bound what follows a body in chunks at the entry daemon, and halve its callers' memory

What callers saw: an entry daemon was ended by clients that never ended the headers after a body in chunks. Cause: what arrived was counted as a part of the body; the parser kept an error with the bytes for each read, and the rest of a refused body wasn't looked at. Change: bytes that neither add to a body nor complete a request count as a head; a connection with requests behind an incomplete body is closed. Callers have an eighth of the memory, as those of the scheduler daemon.

--- a/waxwingford/entry/_connections.py
+++ b/waxwingford/entry/_connections.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from aiohttp import web
+from aiohttp import StreamReader, web
 
 from waxwingford.inbound import Account, Activity, Holder, Reservation
 
@@ -11,6 +11,8 @@
 READ_BYTES = 16_384
 #: Memory of a request that waits for its turn, in bytes.
 _REQUEST_BYTES = 8192
+#: Memory of the part of a body that waits for its handler, in bytes.
+_BODY_BUFFER_BYTES = 3 * READ_BYTES
 #: Largest request head, in lines of the largest size.
 _HEAD_LINES = 4
 #: Times that a head is in memory.
@@ -34,7 +36,8 @@
     __slots__ = (
         '_account',
         '_arrived',
-        '_discards',
+        '_body_bytes',
+        '_content',
         '_head_bytes',
         '_partial',
         'holder',
@@ -59,7 +62,8 @@
         self._arrived: Reservation | None = None
         self._head_bytes = _HEAD_LINES * int(str(options['max_line_size']))
         self._partial = 0
-        self._discards = False
+        self._body_bytes = 0
+        self._content: StreamReader | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin to read, or close the connection if there is no room for it."""
@@ -87,26 +91,26 @@
         self._partial += len(data)
         if len(self._messages) > waiting:
             self._partial = 0
-            self._discards = False
-        if data and not self._discards:
+        if data:
             self.holder.progress()
             self._account_for_arrived()
 
-    def begin_request(self) -> None:
-        """Note that a request is handled; until its end the connection is kept."""
+    def begin_request(self, content: StreamReader) -> None:
+        """Note that a request is handled; until its end the connection is kept.
+
+        :param content: its body, of which the rest is read after the response.
+        """
+        self._content = content
+        self._body_bytes = 0
         self.holder.begin(Activity.busy)
 
     def begin_response(self) -> None:
         """Note that the peer is to read a response."""
         self.holder.begin(Activity.unread)
 
-    def end_request(self, *, has_body: bool) -> None:
-        """Note that the request is answered.
-
-        :param has_body: whether the rest of its body is read and discarded.
-        """
+    def end_request(self) -> None:
+        """Note that the request is answered."""
         self._partial = 0
-        self._discards = has_body
         if self.transport is None:
             # Nothing would give back what is reserved after the connection.
             return
@@ -114,16 +118,23 @@
         self.holder.begin(Activity.idle)
 
     def _account_for_arrived(self) -> None:
-        current = self._current_request
-        in_body = bool(self._messages) or (
-            current is not None and not current.content.is_eof()
-        )
-        waiting_bytes = len(self._messages) * _REQUEST_BYTES
-        partial = min(self._partial, self._head_bytes) * _HEAD_COPIES
-        too_long = self._partial > self._head_bytes and not in_body
-        if too_long or not self._arrived.resize(waiting_bytes + partial):
+        content = self._content
+        waiting = len(self._messages)
+        held = waiting * _REQUEST_BYTES
+        if content is not None and not content.is_eof():
+            held += _BODY_BUFFER_BYTES
+            if content.total_bytes != self._body_bytes:
+                self._body_bytes = content.total_bytes
+                self._partial = 0
+        # What neither completes a request nor adds to a body is part of a head, or of
+        # the headers that follow a body in chunks.
+        too_long = self._partial > self._head_bytes and not waiting
+        # Requests follow an incomplete body only if what arrives can't be parsed.
+        invalid = waiting and content is not None and not content.is_eof()
+        held += min(self._partial, self._head_bytes) * _HEAD_COPIES
+        if too_long or invalid or not self._arrived.resize(held):
             self.transport.abort()
-        elif current is None:
+        elif self._current_request is None:
             self._note_arrival()
 
     def _note_arrival(self) -> None:
--- a/waxwingford/entry/_site.py
+++ b/waxwingford/entry/_site.py
@@ -113,13 +113,13 @@
         request: web.Request, handler: RequestHandler
     ) -> web.StreamResponse:
         connection = request.protocol
-        connection.begin_request()
+        connection.begin_request(request.content)
         try:
             response = await handler(request)
             if not response.prepared:
                 response = await write_response(request, response, write_ms)
         finally:
-            connection.end_request(has_body=not request.content.is_eof())
+            connection.end_request()
         return response
 
     return account_for
--- a/waxwingford/inbound/_budget.py
+++ b/waxwingford/inbound/_budget.py
@@ -64,7 +64,7 @@
     Listener.relays: _Parts(_PART / 2, 3 * _PART / 2),
 }
 _ENTRY_PARTS = {
-    Listener.callers: _Parts(2 * _PART, 4 * _PART),
+    Listener.callers: _Parts(_PART, 4 * _PART),
     Listener.peers: _Parts(_PART, _PART),
 }
 
--- a/waxwingford_standins/crowds/tests/crowds.feature
+++ b/waxwingford_standins/crowds/tests/crowds.feature
@@ -153,6 +153,7 @@
       | /healthz  | send twelve whole bodies and read nothing       |
       | /metrics  | send thousands of requests and read nothing     |
       | /v1/jobs  | stop in a head                                  |
+      | /v1/jobs  | stop in a trailer                               |
 
   Scenario Outline: more connections than descriptors at the former engine
     # Guards against idle connections that keep ordinary callers out.
