--- a/review/third/tests/deployment.py
+++ b/review/third/tests/deployment.py
@@ -90,7 +90,9 @@
 class Daemon:
     """A process of the deployed program."""
 
-    def __init__(self, name: str, folder: pathlib.Path, store: str) -> None:
+    def __init__(
+        self, name: str, folder: pathlib.Path, store: str, advice: str
+    ) -> None:
         self.name = name
         ports = free_ports(5)
         self.front = f'{HOST}:{ports[0]}'
@@ -107,6 +109,7 @@
             'internal-ports.0': str(ports[2]),
             'internal-ports.1': str(ports[3]),
             'platform.address': store,
+            'advice': advice,
         }
         text = _render((ROOT / role['template']).read_text(), values)
         text = text.replace('metrics_port = 9464', f'metrics_port = {ports[4]}')
@@ -152,6 +155,8 @@
     def __init__(self, folder: pathlib.Path, record: Record) -> None:
         self.record = record
         self.store = StoreStandin()
+        #: Address of the advice service, empty for none.
+        self.advice_address = ''
         self.daemons: list[Daemon] = []
         self.workers: list[WorkerStandin] = []
         self._folder = folder
@@ -203,7 +208,8 @@
 
     async def add_daemon(self, name: str) -> Daemon:
         """Start a daemon."""
-        daemon = Daemon(name, self._folder, await self.store.open_port(name))
+        store = await self.store.open_port(name)
+        daemon = Daemon(name, self._folder, store, self.advice_address)
         await daemon.start()
         self.daemons.append(daemon)
         return daemon
--- a/review/third/tests/worker_standin.py
+++ b/review/third/tests/worker_standin.py
@@ -41,6 +41,7 @@
     """One life of a worker.
 
     :ivar on_start: called with each run that has begun, before the answer.
+    :ivar accepts_ticket: whether the ticket in a start order is valid here.
     :ivar failed_ends: number of runs that have ended ``failed``.
     :ivar starts_by_task: runs that have begun, by task.
     :ivar done_tasks: tasks with a run that has ended ``done``.
@@ -59,6 +60,7 @@
         self.run_s = 0.5
         self.run_s_by_job: dict[str, float] = {}
         self.run_by_task: dict[str, Run] = {}
+        self.accepts_ticket: Callable[[dict[str, object]], bool] = bool
         self.failed_ends = 0
         self.starts_by_task: collections.Counter[str] = collections.Counter()
         self.done_tasks: set[str] = set()
@@ -197,6 +199,8 @@
         task, number = content['task'], content['run-id']
         if content['deadline-ms'] <= self._clock_ms():
             return self._answer(409, reason='late')
+        if not self.accepts_ticket(content):
+            return self._answer(409, reason='ticket')
         self._extend(content['deadline-ms'])
         present = self.run_by_task.get(task)
         if present is not None and present.run == number:
