--- a/review/third/tests/case_flap.py
+++ b/review/third/tests/case_sick_worker.py
@@ -1,6 +1,6 @@
 """One worker of ten crashes whenever it has work, while the others are full.
 
-It goes down 0.2 s after the first start of each life, and is back 0.9 s later.
+It crashes 0.2 s after the first start of each life, and is back 0.9 s later.
 No run of any submission ends ``failed``, so none may be shown as ``failed``.
 """
 
@@ -10,9 +10,9 @@
 from worker_standin import Run, WorkerStandin
 
 WORKERS = 10
-#: Dose of the site file: a tenth of the workers for 6.5 s, 1.4 s from one time to
-#: the next.
-FLAPS_FOR_S = 6.5
+#: Time in which the worker crashes, in seconds. The site file allows 0.14 of the
+#: workers to be down, for 4.5 s at a time.
+CRASHES_FOR_S = 6.5
 WORKS_FOR_S = 0.2
 DOWN_FOR_S = 0.9
 LONG_JOB = '00000000000000f0'
@@ -35,25 +35,25 @@
     return {'spec': 'text', 'steps': [step]}
 
 
-class Flapping:
-    """Lets a worker go down and up by turns.
+class CrashLoop:
+    """Lets a worker crash and start again in place.
 
-    :ivar task: task of the latest time, ``None`` before the first.
+    :ivar task: task of the latest crash, ``None`` before the first.
     """
 
     def __init__(self, worker: WorkerStandin, deployment: Deployment) -> None:
         self.task: asyncio.Task[None] | None = None
         self._worker = worker
         self._now_s = deployment.record.now_s
-        self._until_s = self._now_s() + FLAPS_FOR_S
+        self._until_s = self._now_s() + CRASHES_FOR_S
         worker.on_start = self._on_start
 
     def _on_start(self, run: Run) -> None:
         idle = self.task is None or self.task.done()
         if idle and self._now_s() < self._until_s:
-            self.task = asyncio.create_task(self._go_down())
+            self.task = asyncio.create_task(self._crash())
 
-    async def _go_down(self) -> None:
+    async def _crash(self) -> None:
         await asyncio.sleep(WORKS_FOR_S)
         self._worker.crash()
         await asyncio.sleep(DOWN_FOR_S)
@@ -101,14 +101,14 @@
     await deployment.send(deployment.daemons[0], 'POST', LONG_JOB, content)
     await asyncio.sleep(1)
     idle = [one for one in deployment.workers if not one.run_by_task]
-    flapping = Flapping(idle[0], deployment) if has_trouble() else None
+    crashes = CrashLoop(idle[0], deployment) if has_trouble() else None
     accepted = await submit_all(deployment)
     states = await ask(deployment, accepted)
     record = deployment.record
     failed = [one for one in accepted if states[one] == 'failed']
     ends = [one for one in deployment.workers if one.failed_ends]
-    flapped = flapping is not None and flapping.task is not None
-    record.write('accepted', jobs=len(accepted), states=states, flapped=flapped)
+    crashed = crashes is not None and crashes.task is not None
+    record.write('accepted', jobs=len(accepted), states=states, crashed=crashed)
     record.write('shown as failed', jobs=failed, failed_ends=ends)
     return BROKEN if failed and not ends else HELD
 
