--- a/review/third/tests/case_held.py
+++ b/review/third/tests/case_held.py
@@ -8,7 +8,7 @@
 import asyncio
 
 from deployment import BROKEN, HELD, Deployment, has_trouble, main
-from worker_standin import Run, WorkerStandin
+from worker_standin import HEARTBEAT_S, Run, WorkerStandin
 
 WORKERS = 10
 #: Dose of the site file: a tenth of the workers, for 0.9 s a time.
@@ -57,9 +57,10 @@
         await asyncio.sleep(WORKS_FOR_S)
         worker.crash()
         await asyncio.sleep(DOWN_FOR_S)
-        # As the platform does after three intervals of silence.
-        self._deployment.store.write('servers', worker.worker_id, None)
         self._watch(await self._deployment.add_worker())
+        # The platform removes an entry after three heartbeats of silence.
+        await asyncio.sleep(3 * HEARTBEAT_S - DOWN_FOR_S)
+        self._deployment.store.write('servers', worker.worker_id, None)
 
 
 async def play(deployment: Deployment) -> int:
