Let a case exit with 2 if one of its stand-ins fails

Cause: an error in a task of a stand-in was only logged, so the play went on, and case 9 exited with 1 while its workers failed each poll. Change: errors that nothing has handled are noted, and give the status of a case that couldn't run. No check has changed.

--- a/review/third/tests/deployment.py
+++ b/review/third/tests/deployment.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import gc
 import os
 import pathlib
 import re
@@ -307,7 +308,32 @@
     return os.environ.get('TROUBLE', '1') != '0'
 
 
-async def _play(play, folder: pathlib.Path, record: Record) -> int:
+class Failures:
+    """Errors in tasks of the stand-ins, which would spoil a verdict unseen."""
+
+    def __init__(self) -> None:
+        self.errors: list[str] = []
+
+    def note(
+        self, loop: asyncio.AbstractEventLoop, context: dict[str, object]
+    ) -> None:
+        """Note an error that nothing has handled."""
+        self.errors.append(repr(context.get('exception', context['message'])))
+
+    def judge(self, status: int, record: Record) -> int:
+        """Return the status of a play, ``NOT_RUN`` if a stand-in has failed."""
+        # Errors of tasks are told when these are freed.
+        gc.collect()
+        if not self.errors:
+            return status
+        record.write('a stand-in failed', errors=self.errors[:3])
+        return NOT_RUN
+
+
+async def _play(
+    play, folder: pathlib.Path, record: Record, failures: Failures
+) -> int:
+    asyncio.get_running_loop().set_exception_handler(failures.note)
     deployment = Deployment(folder, record)
     try:
         return await asyncio.wait_for(play(deployment), PLAY_TIMEOUT_S)
@@ -322,11 +348,15 @@
     """
     record = Record(pathlib.Path(sys.argv[1]) / 'record.txt')
     status = NOT_RUN
+    failures = Failures()
     with tempfile.TemporaryDirectory() as name:
         try:
-            status = asyncio.run(_play(play, pathlib.Path(name), record))
+            status = asyncio.run(
+                _play(play, pathlib.Path(name), record, failures)
+            )
         except (Exception, KeyboardInterrupt) as error:
             record.write('could not run', error=repr(error))
+    status = failures.judge(status, record)
     record.write('exit', status=status)
     record.close()
     sys.exit(status)
