Store each cancellation before it is acknowledged

Cause: ShardFrontend._cancel answered 410 for a job that the intake didn't have and stored nothing, though an append of unknown outcome could still be carried out. Only the daemon of that append remembered it, in its process. Evidence: in the events of the new scenario on request.cancel has CancelNotKnown() after 7 ms, the intake gets no row cancel/ID, and job.known and run.planned follow as the late append is carried out; one owner all the time. Change: a cancellation is stored under the key of its job, whether or not the job is known, and an unknown job gets 410 only after that; if it can't be stored, 503 or 504. The engine already cancels a job that comes after its cancellation, in memory and after a restore. The age at which such a row is deleted counts from the latest cancellation. Why it works: whichever of the two rows comes first, an owner that reads the job reads the cancellation as well, for 600 s after it.

--- a/waxwingford/shard/_cleaner.py
+++ b/waxwingford/shard/_cleaner.py
@@ -1,8 +1,8 @@
 """Deletes what is stored of jobs that have ended, to bound its size."""
 
 import asyncio
-import itertools
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from waxwingford.scheduling import Engine
 from waxwingford.shard._intake import (
@@ -27,12 +27,19 @@
 MAX_DELETED = 1000
 
 
+class _Seen(NamedTuple):
+    # Loop time in seconds since which a job is seen as ended or unknown, and offset of
+    # its latest cancellation.
+    since_s: float
+    cancel_offset: int
+
+
 class Cleaner:
     """Deletes rows of ended jobs from the intake, and later their ends.
 
     The end of a job goes last, as a successor that reads its row in the intake
     without it would run the job again. Ages count from when this owner learned of
-    the end, so that no step of a clock shortens them.
+    the end, so that no step of a clock shortens them, and anew from each cancellation.
     """
 
     def __init__(
@@ -41,8 +48,7 @@
         self._log = log
         self._engine = engine
         self._intake = intake
-        # Loop times in seconds at which ended and unknown jobs were first seen.
-        self._seen_s_by_job: dict[str, float] = {}
+        self._seen_by_job: dict[str, _Seen] = {}
 
     async def run(self) -> None:
         """Delete rows until cancelled."""
@@ -73,13 +79,21 @@
 
     def _note_seen(self, stored: set[str], now_s: float) -> None:
         state = self._engine.state
-        jobs = itertools.chain(state.past.phase_by_job, stored)
+        past = state.past
+        jobs = {*past.phase_by_job, *past.cancelled_early, *stored}
         # A successor needs the spec of a job to stop runs that are left on servers.
         over = (job_id for job_id in jobs if job_id not in state.job_by_id)
-        self._seen_s_by_job = {
-            job_id: self._seen_s_by_job.get(job_id, now_s) for job_id in over
+        self._seen_by_job = {
+            job_id: self._see(job_id, now_s) for job_id in over
         }
 
+    def _see(self, job_id: str, now_s: float) -> _Seen:
+        cancel_offset = self._intake.offset_of(CANCEL_PREFIX + job_id)
+        seen = self._seen_by_job.get(job_id)
+        if seen is None or cancel_offset > seen.cancel_offset:
+            return _Seen(now_s, cancel_offset)
+        return seen
+
     async def _clean_intake(self, stored: set[str], now_s: float) -> None:
         old = self._seen_before(now_s - INTAKE_RETENTION_S)
         ended = old & self._engine.state.past.phase_by_job.keys()
@@ -105,6 +119,6 @@
     def _seen_before(self, time_s: float) -> set[str]:
         return {
             job_id
-            for job_id, seen_s in self._seen_s_by_job.items()
-            if seen_s <= time_s
+            for job_id, seen in self._seen_by_job.items()
+            if seen.since_s <= time_s
         }
--- a/waxwingford/shard/_frontend.py
+++ b/waxwingford/shard/_frontend.py
@@ -1,6 +1,7 @@
 """Serves callers on any daemon of a shard, whether or not it is the owner."""
 
 import asyncio
+import contextlib
 import enum
 from typing import NamedTuple
 
@@ -71,7 +72,7 @@
 
 
 class CancelNotKnown(msgspec.Struct, frozen=True):
-    """The job to cancel does not exist."""
+    """The job to cancel does not exist; it is cancelled if it is stored later."""
 
 
 class ShardFrontend:
@@ -121,11 +122,11 @@
     async def cancel(
         self, job_id: str, deadline_s: float
     ) -> IntakeOutcome | CancelNotKnown | NotAnswered:
-        """Store the cancellation of a job that exists.
+        """Store the cancellation of a job, whether or not it exists.
 
         :param deadline_s: loop time at which the caller's request times out.
-        :returns: whether the cancellation is stored, or that there is no such
-            job, or that this could not be determined.
+        :returns: whether the cancellation is stored, for a job that exists or for one
+            that doesn't, or that this could not be determined.
         """
         started_ms = monotonic_ms()
         outcome = await self._cancel(job_id, deadline_s)
@@ -208,10 +209,21 @@
     async def _store_directly(
         self, row: IntakeRow, deadline_s: float
     ) -> IntakeOutcome:
-        outcome = await self._intake.store(row, deadline_s)
         owner = self._member.owner
-        if isinstance(outcome, Stored) and owner is not None and owner.ready:
-            owner.apply_stored(row)
+        room = contextlib.nullcontext(enter_result=True)
+        if owner is not None and isinstance(row, CancelRow):
+            room = owner.early_cancels.reserve(row.job_id)
+        with room as has_room:
+            if not has_room:
+                return RefusedByOwner('no memory for more cancellations')
+            outcome = await self._intake.store(row, deadline_s)
+            owner = self._member.owner
+            if (
+                isinstance(outcome, Stored)
+                and owner is not None
+                and owner.ready
+            ):
+                owner.apply_stored(row)
         return outcome
 
     async def _submit(self, spec: JobSpec, deadline_s: float) -> IntakeOutcome:
@@ -269,15 +281,18 @@
     async def _cancel(
         self, job_id: str, deadline_s: float
     ) -> IntakeOutcome | CancelNotKnown | NotAnswered:
-        match await self.phase(job_id):
-            case JobKnown(phase):
-                if phase in _FINAL_PHASES:
-                    return Stored()
-                return await self._store(CancelRow(job_id), deadline_s)
-            case JobNotKnown():
-                return CancelNotKnown()
+        found = await self.phase(job_id)
+        match found:
+            case JobKnown(phase) if phase in _FINAL_PHASES:
+                return Stored()
             case NotAnswered() as unanswered:
                 return unanswered
+        # Also for a job that isn't known: an attempt to store it may be applied later,
+        # or be repeated by its caller.
+        outcome = await self._store(CancelRow(job_id), deadline_s)
+        if isinstance(found, JobNotKnown) and isinstance(outcome, Stored):
+            return CancelNotKnown()
+        return outcome
 
     async def _store(self, row: IntakeRow, deadline_s: float) -> IntakeOutcome:
         """Store through the owner, or directly if that fails.
--- a/waxwingford/shard/_intake.py
+++ b/waxwingford/shard/_intake.py
@@ -46,7 +46,7 @@
 
 
 class RefusedByOwner(NotStored, frozen=True):
-    """The owner has no memory for the job, which isn't stored without it then."""
+    """The owner has no memory for the row, which isn't stored without it then."""
 
 
 class JobInvalid(msgspec.Struct, frozen=True):
--- a/waxwingford/shard/_intake_reader.py
+++ b/waxwingford/shard/_intake_reader.py
@@ -47,6 +47,13 @@
         """Size of that copy, in bytes."""
         return self._mirror.payload_bytes
 
+    def offset_of(self, key: str) -> int:
+        """Find the newest row of a key in that copy.
+
+        :returns: offset of the row, -1 if there is none.
+        """
+        return self._mirror.offset_of(key)
+
     def read_within(self, span_s: float) -> bool:
         """Tell whether the copy was complete not long ago.
 
--- a/waxwingford/shard/_owner.py
+++ b/waxwingford/shard/_owner.py
@@ -13,6 +13,7 @@
 from waxwingford.shard._cleaner import Cleaner
 from waxwingford.shard._clocks import monotonic_ms
 from waxwingford.shard._commits import Committer
+from waxwingford.shard._early_cancels import ENDED_JOB_BYTES, EarlyCancels
 from waxwingford.shard._heartbeats import Heartbeats
 from waxwingford.shard._intake import CancelRow, IntakeRow, JobRow
 from waxwingford.shard._intake_reader import IntakeReader
@@ -60,8 +61,6 @@
 #: Time in ms before an owner may resign because it is cut off. Without it the
 #: shard would change owners continuously if no daemon reaches most servers.
 MIN_OWNERSHIP_MS = 3000
-#: Memory in bytes that an owner keeps for a job that has ended.
-ENDED_JOB_BYTES = 1024
 
 _clock = SystemClock()
 
@@ -77,6 +76,7 @@
     :ivar lateness: how late it learns what servers answer.
     :ivar start_control: limits starts, and refuses jobs under overload.
     :ivar view: what explanations of placements read, ``None`` before the takeover.
+    :ivar early_cancels: bounds the cancellations of unknown jobs.
     """
 
     def __init__(
@@ -97,6 +97,7 @@
         self._supervisor = Supervisor(self._errors, self._give_up)
         self._decision_due = asyncio.Event()
         self._heartbeats: Heartbeats | None = None
+        self.early_cancels = EarlyCancels(settings.max_job_bytes)
         self.lateness = Lateness()
         self.start_control = StartControl(
             settings.cores, self.lateness, ports.observer
@@ -202,6 +203,7 @@
         state = self._engine.state
         jobs_bytes = sum([job.kept_bytes for job in state.job_by_id.values()])
         ended_bytes = len(state.past.phase_by_job) * ENDED_JOB_BYTES
+        ended_bytes += self.early_cancels.kept_bytes
         return report._replace(
             pending_by_queue=state.pending_by_queue(),
             # Rows of ended jobs stay in the intake for a while.
@@ -284,6 +286,7 @@
         self._engine.restore(rows)
         self._intake.apply_to(self._engine)
         self._engine.inherit(now_ms, wall_ms)
+        self.early_cancels.follow(self._engine)
         self.view = OwnerView(self._engine.placement_view, self.load_report)
         driver_ports = DriverPorts(
             TimedClient(
--- a/waxwingford/shard/tests/job_memory_steps.py
+++ b/waxwingford/shard/tests/job_memory_steps.py
@@ -7,6 +7,7 @@
 from behave import then, when
 
 from waxwingford.shard import NotStored, Stored
+from waxwingford.shard._early_cancels import EarlyCancels
 from waxwingford.shard._intake import RowRejected
 from waxwingford.shard.tests.room_steps import submit_to
 from waxwingford.shard.tests.virtual_shard import step
@@ -24,6 +25,8 @@
     shard.run(2)
     owner = shard.owners[0].member.owner
     owner._settings = dataclasses.replace(owner._settings, max_job_bytes=size)
+    owner.early_cancels = EarlyCancels(size)
+    owner.early_cancels.follow(owner._engine)
     shard.run(1)
 
 
