Refuse no submission that an earlier attempt of this daemon may store

OpenAttempts was asked only for jobs that are refused for load. A repeated submission whose own append the store refused got 503, which promises that it never runs, while the append of the first attempt could still be carried out; at an owner the same for attempts that other daemons made through it. Change: OpenAttempts.track tells MayBeStored, 504, for an attempt that stores nothing while an earlier one is open. An owner without memory doesn't refuse such a job either.

--- a/waxwingford/shard/_frontend.py
+++ b/waxwingford/shard/_frontend.py
@@ -198,7 +198,9 @@
         spec = _decode_job(row)
         if spec is None:
             return await self._store_directly(row, deadline_s)
-        if self._memory.refusal_of_owner(spec) is not None:
+        refusal = self._memory.refusal_of_owner(spec)
+        open_before = self._attempts.may_be_stored(spec.job_id)
+        if refusal is not None and not open_before:
             known = await self.local_phase(spec.job_id)
             if isinstance(known, JobNotKnown):
                 return RefusedByOwner('the owner has no memory for more jobs')
--- a/waxwingford/shard/_open_attempts.py
+++ b/waxwingford/shard/_open_attempts.py
@@ -4,7 +4,13 @@
 import collections
 from collections.abc import Awaitable
 
-from waxwingford.shard._intake import IntakeOutcome, NotStored, RowRejected
+from waxwingford.shard._intake import (
+    IntakeOutcome,
+    MayBeStored,
+    NotStored,
+    RefusedByOwner,
+    RowRejected,
+)
 
 #: Time for which a job is remembered after an attempt, in seconds. The store may apply
 #: an append seconds after its answer was due.
@@ -29,14 +35,19 @@
         Stored jobs are remembered too, as a question to the store may have been
         answered before their append.
 
-        :returns: outcome of the attempt.
+        :returns: outcome of the attempt. If the job isn't stored by it, an earlier one
+            may still do so.
         """
+        earlier = self.may_be_stored(job_id)
         self._in_flight[job_id] += 1
         outcome: IntakeOutcome | None = None
         try:
             outcome = await attempt
         finally:
             self._finish(job_id, outcome)
+        refused = isinstance(outcome, RefusedByOwner)
+        if earlier and isinstance(outcome, NotStored) and not refused:
+            return MayBeStored('an earlier attempt may have stored the job')
         return outcome
 
     def may_be_stored(self, job_id: str) -> bool:
--- a/waxwingford/shard/tests/cancellations.feature
+++ b/waxwingford/shard/tests/cancellations.feature
@@ -65,6 +65,19 @@
       | the store loses all appends of cancellations        |
       | the store carries all appends of cancellations out late |
 
+  Scenario Outline: the store refuses a repeated submission
+    # Guards against a refusal of a job that an earlier attempt is to store.
+    Given a shard with 3 daemons and 4 servers
+    When the store is to carry out the appends of a job 9 s late, unanswered
+    And the job is submitted through a standby, and its caller leaves after 3 s
+    And the store refuses all appends
+    Then the job isn't refused by <daemon>
+
+    Examples:
+      | daemon       |
+      | that standby |
+      | the owner    |
+
   Scenario: many unknown jobs are cancelled at a time
     # Guards against a write to the store for each of them.
     Given a shard with 3 daemons and 4 servers
--- a/waxwingford/shard/tests/cancellations_steps.py
+++ b/waxwingford/shard/tests/cancellations_steps.py
@@ -5,7 +5,7 @@
 
 from behave import then, when
 
-from waxwingford.shard import CancelNotKnown, NotStored, Stored
+from waxwingford.shard import CancelNotKnown, MayBeStored, NotStored, Stored
 from waxwingford.shard._intake import CANCEL_PREFIX, INTAKE_TOPIC
 from waxwingford.shard.tests.cleaning_steps import owner_of
 from waxwingford.shard.tests.virtual_shard import step
@@ -65,6 +65,7 @@
         'the owner': owner,
     }
     spec = shard.new_spec((step(2), step(1, after=(0,))))
+    context.spec = spec
     context.jobs.append(spec.job_id)
 
     async def _submit():
@@ -205,3 +206,18 @@
 def check_remembered(context, most):
     past = owner_of(context.shard)._engine.state.past
     assert 0 < len(past.cancelled_early) <= most
+
+
+@when('the store refuses all appends')
+def refuse_appends(context):
+    shard = context.shard
+    shard.store.full_for |= {daemon.daemon_id for daemon in shard.daemons}
+
+
+@then("the job isn't refused by {name}")
+def check_not_refused(context, name):
+    shard = context.shard
+    daemon = context.daemon_by_name[name]
+    deadline_s = shard.loop.time() + DEADLINE_S
+    outcome = shard.run_until(daemon.frontend.submit(context.spec, deadline_s))
+    assert isinstance(outcome, MayBeStored), outcome
