--- a/waxwingford/scheduling/_engine.py
+++ b/waxwingford/scheduling/_engine.py
@@ -51,6 +51,7 @@
     """Makes the decisions of one owner of a shard.
 
     :ivar placement_view: what explanations of placements read.
+    :ivar round_work: work of the latest placement round.
     :ivar admission: which jobs are refused for lack of room.
     """
 
@@ -83,6 +84,7 @@
         budget = DisruptionBudget(self.state, features.notice_ms)
         self._placement = Placement(self.state, self._harm, budget, features)
         self._placer = self._placement.placer
+        self.round_work = self._placer.work
         self.placement_view = self._placement.view
         self.pacer = Pacer(self.state, self._harm)
         self._maintenance = Maintenance(
--- a/waxwingford/scheduling/_placement.py
+++ b/waxwingford/scheduling/_placement.py
@@ -11,6 +11,7 @@
 from waxwingford.scheduling._job_admission import JobAdmission
 from waxwingford.scheduling._placement_view import PlacementView
 from waxwingford.scheduling._placing import Placer
+from waxwingford.scheduling._preemption import Preemptor
 from waxwingford.scheduling._shard_state import ShardState
 
 
@@ -31,7 +32,8 @@
     ) -> None:
         self._state = state
         self._features = features
-        self.placer = Placer(state, model, budget, features)
+        preemptor = Preemptor(state, budget, features.preemption)
+        self.placer = Placer(state, model, preemptor, features.look_ahead)
         self.view = PlacementView(
             state,
             model,
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -10,15 +10,14 @@
 from waxwingford.scheduling._candidates import CandidateQueue
 from waxwingford.scheduling._containment import attempt, note_failure
 from waxwingford.scheduling._crashes import is_suspect
-from waxwingford.scheduling._disruption_budget import DisruptionBudget
 from waxwingford.scheduling._eligibility import eligible, usable_servers
-from waxwingford.scheduling._features import Features
 from waxwingford.scheduling._interference import InterferenceModel
 from waxwingford.scheduling._isolation import Isolation
 from waxwingford.scheduling._look_ahead import LookAhead, preview_room
 from waxwingford.scheduling._pending_report import PendingReport
 from waxwingford.scheduling._preemption import Preemptor, Round
 from waxwingford.scheduling._reservations import Reservations
+from waxwingford.scheduling._round_work import RoundWork
 from waxwingford.scheduling._server_costs import ServerCosts
 from waxwingford.scheduling._server_selection import ServerSelection
 from waxwingford.scheduling._servers import Server
@@ -42,6 +41,7 @@
 
     :ivar reservations: reservations of the latest round.
     :ivar isolation: servers that are kept for suspects.
+    :ivar work: work of the latest round.
     :ivar preview_room: copies what placement reads of reserved room.
     """
 
@@ -49,17 +49,23 @@
         self,
         state: ShardState,
         model: InterferenceModel,
-        budget: DisruptionBudget,
-        features: Features,
+        preemptor: Preemptor,
+        looks_ahead: bool,
     ) -> None:
+        """Create a placer.
+
+        :param preemptor: preempts for the tasks that a round leaves.
+        :param looks_ahead: whether room is reserved that tasks are to release.
+        """
         self._placed = 0
+        self.work = RoundWork()
         self._backlog = Backlog()
         self._state = state
         self._admission = BestEffortAdmission(model)
         self.reservations = Reservations()
         self._look_ahead: LookAhead | None = None
         self._costs = ServerCosts(self._admission, state.learned.run_times)
-        if features.look_ahead:
+        if looks_ahead:
             self._look_ahead = LookAhead(state, self.reservations)
         self.preview_room = functools.partial(
             preview_room, self.reservations, self._look_ahead
@@ -70,7 +76,7 @@
         self._report = PendingReport(state.notes)
         self._selection = ServerSelection()
         self.isolation = Isolation(state)
-        self._preemptor = Preemptor(state, budget, features.preemption)
+        self._preemptor = preemptor
         self._candidates_by_step: dict[str, CandidateQueue] = {}
         self._changed: list[Server] = []
 
@@ -99,6 +105,7 @@
         :param overloaded: whether the owner's processor limits the starts.
         """
         self._placed = 0
+        self.work.begin()
         if max_starts <= 0:
             return Decision(0, self._backlog)
         with_best_effort = now_ms >= self._best_effort_due_ms
@@ -109,6 +116,7 @@
             now_ms,
             with_best_effort,
             limited=overloaded and any(self._backlog),
+            work=self.work,
         )
         tried = self._place_ranked(ranked, now_ms, max_starts)
         self._backlog = count_backlog(
@@ -189,6 +197,9 @@
         full_steps: set[str],
         now_ms: int,
     ) -> bool:
+        gang = pending.step.spec.gang
+        members = len(pending.step.tasks) if gang else 1
+        self.work.add(pending.step.name, members)
         if is_suspect(pending.task, pending.step):
             return self._place_isolated(pending, usable, now_ms)
         name = pending.step.name
@@ -361,6 +372,7 @@
     def _fitting(
         self, pending: PendingTask, servers: list[Server], now_ms: int
     ) -> list[Server]:
+        self.work.add(pending.step.name, len(servers))
         with_room = self._with_room(pending, servers, now_ms)
         return self.isolation.admitting(with_room, pending.task, pending.step)
 
--- /dev/null
+++ b/waxwingford/scheduling/_round_work.py
@@ -0,0 +1,47 @@
+"""Work of a placement round, and the step that took most of it."""
+
+import collections
+from typing import NamedTuple
+
+
+class HeaviestStep(NamedTuple):
+    """Step that took most of the work of a round.
+
+    :ivar name: name of the step, empty for a round without any work.
+    :ivar work: its work, in looks at a task, a step or a server.
+    """
+
+    name: str = ''
+    work: int = 0
+
+
+class RoundWork:
+    """Counts the work of one round, in looks at a task, a step or a server.
+
+    :ivar total: work of all steps.
+    """
+
+    def __init__(self) -> None:
+        self.total = 0
+        self._work_by_step: collections.Counter[str] = collections.Counter()
+
+    def begin(self) -> None:
+        """Begin a round."""
+        self.total = 0
+        self._work_by_step.clear()
+
+    def add(self, step_name: str, work: int) -> None:
+        """Count work for a step."""
+        self.total += work
+        self._work_by_step[step_name] += work
+
+    @property
+    def heaviest(self) -> HeaviestStep:
+        """Step that took most of the work."""
+        if not self._work_by_step:
+            return HeaviestStep()
+        name = max(self._work_by_step, key=self._work_by_step.__getitem__)
+        return HeaviestStep(name, self._work_by_step[name])
+
+
+__all__ = ('HeaviestStep', 'RoundWork')
--- a/waxwingford/scheduling/_task_order.py
+++ b/waxwingford/scheduling/_task_order.py
@@ -10,6 +10,7 @@
     estimate_job,
     owed_since_ms,
 )
+from waxwingford.scheduling._round_work import RoundWork
 from waxwingford.scheduling._shard_state import ShardState, block_job, has_runs
 from waxwingford.scheduling._specs import QueueTerms
 from waxwingford.scheduling._state import Job, Step, Task
@@ -106,19 +107,28 @@
 
 
 def ranked_tasks(
-    state: ShardState, now_ms: int, with_best_effort: bool, limited: bool
+    state: ShardState,
+    now_ms: int,
+    with_best_effort: bool,
+    limited: bool,
+    work: RoundWork,
 ) -> list[PendingTask]:
     """List the pending tasks in the order in which they are placed.
 
     :param now_ms: current monotonic time, in ms.
     :param limited: whether an overloaded owner left tasks in the round before.
+    :param work: counts the work.
     """
-    ranked = _pending_tasks(state, now_ms, with_best_effort, limited)
+    ranked = _pending_tasks(state, now_ms, with_best_effort, limited, work)
     return sorted(ranked, key=_rank)
 
 
 def _pending_tasks(
-    state: ShardState, now_ms: int, with_best_effort: bool, limited: bool
+    state: ShardState,
+    now_ms: int,
+    with_best_effort: bool,
+    limited: bool,
+    work: RoundWork,
 ) -> Iterator[PendingTask]:
     # Thousands of tasks of some hundred steps may be pending, so the rank is
     # computed once per step where its tasks differ by index only.
@@ -136,7 +146,7 @@
         if first is not None:
             yield _rank_sibling(first, task)
             continue
-        first = _try_rank_first(state, full, task, now_ms, limited)
+        first = _try_rank_first(state, full, task, now_ms, limited, work)
         if first is None:
             continue
         if not first.step.spec.long_running:
@@ -150,9 +160,10 @@
     task: Task,
     now_ms: int,
     limited: bool,
+    work: RoundWork,
 ) -> PendingTask | None:
     try:
-        return _rank_first(state, full, task, now_ms, limited)
+        return _rank_first(state, full, task, now_ms, limited, work)
     except Exception as error:
         note_failure(state.notes, 'rank', task.key.job_id, error)
         block_job(state, task.key.job_id)
@@ -165,6 +176,7 @@
     task: Task,
     now_ms: int,
     limited: bool,
+    work: RoundWork,
 ) -> PendingTask | None:
     job = state.job_by_id.get(task.key.job_id)
     if job is None or job.ended is not None or job.blocked:
@@ -174,6 +186,7 @@
     step = steps[task.key.step]
     queue = state.queue_of(job)
     since_ms = owed_since_ms(job, step.occurrence, state.wall_offset_ms)
+    work.add(step.name, len(steps))
     estimate = estimate_job(steps, queue, state.learned.run_times)._replace(
         age_ms=now_ms - since_ms
     )
--- a/waxwingford/shard/_lateness.py
+++ b/waxwingford/shard/_lateness.py
@@ -8,7 +8,7 @@
 import asyncio
 import collections
 import statistics
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple, TypeVar
 
 from waxwingford.scheduling import (
@@ -144,8 +144,12 @@
     :ivar orders: delay of orders.
     """
 
-    def __init__(self) -> None:
-        self.loop_lag = LoopLag()
+    def __init__(self, note_lag_ms: Callable[[float], object] = float) -> None:
+        """Start without a sample.
+
+        :param note_lag_ms: told of each sample of the event loop's lag, in ms.
+        """
+        self.loop_lag = LoopLag(note_lag_ms)
         self.answers = PromptAnswers()
         self.orders = OrderDelay()
 
--- a/waxwingford/shard/_loop_lag.py
+++ b/waxwingford/shard/_loop_lag.py
@@ -5,6 +5,9 @@
 """
 
 import asyncio
+from collections.abc import Callable
+
+from waxwingford.shard._clocks import MS_PER_S
 
 SAMPLE_INTERVAL_S = 0.05
 #: Mean lag above which no tasks are started, in seconds. It is a fraction of the
@@ -17,8 +20,13 @@
 class LoopLag:
     """Moving average of the lag of the event loop."""
 
-    def __init__(self) -> None:
+    def __init__(self, note_lag_ms: Callable[[float], object] = float) -> None:
+        """Start without any lag.
+
+        :param note_lag_ms: told of each sample, in ms.
+        """
         self.mean_s: float = 0
+        self._note_lag_ms = note_lag_ms
 
     @property
     def acceptable(self) -> bool:
@@ -38,4 +46,5 @@
             due_s = loop.time() + SAMPLE_INTERVAL_S
             await asyncio.sleep(SAMPLE_INTERVAL_S)
             lag_s = max(0, loop.time() - due_s)
+            self._note_lag_ms(lag_s * MS_PER_S)
             self.mean_s += (lag_s - self.mean_s) * SMOOTHING_FACTOR
--- a/waxwingford/shard/_owner.py
+++ b/waxwingford/shard/_owner.py
@@ -93,12 +93,15 @@
         self._terms = terms
         self._observer = ports.observer
         self._intake = IntakeReader(ports.log)
-        self._errors = ErrorReport(ports.observer.metrics)
+        metrics = ports.observer.metrics
+        self._errors = ErrorReport(metrics)
         self._supervisor = Supervisor(self._errors, self._give_up)
         self._decision_due = asyncio.Event()
         self._heartbeats: Heartbeats | None = None
         self.early_cancels = EarlyCancels(settings.max_job_bytes)
-        self.lateness = Lateness()
+        self.lateness = Lateness(
+            functools.partial(metrics.latency, 'event_loop_lag')
+        )
         self.start_control = StartControl(
             settings.cores, self.lateness, ports.observer
         )
--- a/waxwingford/shard/_start_control.py
+++ b/waxwingford/shard/_start_control.py
@@ -1,7 +1,10 @@
 """Decides no more than the owner's VM carries out in time."""
 
+import time
+
 from waxwingford.scheduling import Engine
 from waxwingford.shard._admission_control import AdmissionControl, RetryAfter
+from waxwingford.shard._decision_log import DecisionLog
 from waxwingford.shard._lateness import Lateness
 from waxwingford.shard._observer import Observer
 from waxwingford.shard._overload_log import OverloadLog
@@ -25,6 +28,7 @@
         """
         self._lateness = lateness
         self._overload_log = OverloadLog(observer, cores)
+        self._decision_log = DecisionLog(observer, lateness)
         self._window = StartWindow(lateness)
         self._admission = AdmissionControl()
         self._room_metrics = RoomMetrics(observer.metrics)
@@ -49,6 +53,7 @@
         :param timely: whether servers that are well answer in time, so that silence
             of others counts.
         """
+        began_s = time.perf_counter()
         servers = engine.state.server_by_id.values()
         # A list, as each decision counts them and a generator takes longer.
         in_progress = sum([server.starts_in_progress for server in servers])
@@ -67,3 +72,4 @@
         self._overload_log.log_overload(
             engine.orders.token, self._lateness, self.retry_after
         )
+        self._decision_log.measured(engine, began_s)
--- a/waxwingford/shard/tests/overload.feature
+++ b/waxwingford/shard/tests/overload.feature
@@ -99,6 +99,16 @@
     Then the job is acknowledged by each daemon that stands by
     And a new job is refused by each of them without a call to the owner
 
+  Scenario: decisions are slow
+    # Guards against an owner whose slow answers can't be traced to a job, and against
+    # a line for each of them.
+    Given a shard with 3 daemons and 4 servers
+    And each decision takes 0.3 s
+    When a job of 2 steps that fits nowhere is submitted
+    And 3 s pass
+    Then 2 to 4 lines name the job and its heavier step as the cause of slow decisions
+    And the time of decisions and the lag of the event loop are measured
+
   Scenario: callers ask for the number of waiting jobs
     # Guards against a call to the owner for each of these questions.
     Given a shard with 4 daemons and 4 servers
--- a/waxwingford/shard/tests/overload_steps.py
+++ b/waxwingford/shard/tests/overload_steps.py
@@ -4,16 +4,19 @@
 import itertools
 import json
 import re
+from unittest import mock
 
 from behave import given, then, when
 
 from waxwingford.metrics import Metrics
+from waxwingford.ports import Resources
 from waxwingford.scheduling import (
     Backlog,
     Decision,
     EndKind,
     OrderRefused,
     RefusalReason,
+    StepSpec,
 )
 from waxwingford.scheduling.tests.engine_harness import JOB
 from waxwingford.shard import NotStored, ShardFrontend, Stored
@@ -337,3 +340,42 @@
 @then('a weak daemon owns the shard')
 def check_weak_owner(context):
     assert owner_cores(context.shard) == [WEAK_CORES]
+
+
+@given('each decision takes {span_s:g} s')
+def slow_decisions(context, span_s):
+    readings_s = itertools.count(0, span_s)
+    patch = mock.patch('time.perf_counter', side_effect=readings_s)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@when('a job of 2 steps that fits nowhere is submitted')
+def submit_too_large(context):
+    large = Resources(999_000, 1, 0)
+    steps = (StepSpec(1, large, 700), StepSpec(3, large, 700))
+    job_id, outcome = context.shard.submit(steps)
+    assert isinstance(outcome, Stored), outcome
+    context.jobs.append(job_id)
+
+
+@then(
+    '{least:d} to {most:d} lines name the job and its heavier step as the cause of'
+    ' slow decisions'
+)
+def check_slow_lines(context, least, most):
+    lines = [json.loads(line) for line in context.shard.lines]
+    told = [line for line in lines if line['event'] == 'decision.slow']
+    named = [line for line in told if line['subject'] == context.jobs[-1]]
+    assert named == told, told
+    assert least <= len(named) <= most, told
+    assert named[-1]['step'] == f'{context.jobs[-1]}.0.1', named
+    assert named[-1]['slow'] > 1, named
+
+
+@then('the time of decisions and the lag of the event loop are measured')
+def check_measured(context):
+    owner = context.shard.owners[0]
+    text = owner.observer.metrics.render()
+    for name in ('decision_seconds_count', 'event_loop_lag_seconds_count'):
+        assert f'waxwingford_{name}' in text, name
