Count a task's look only where it is one at each member of a gang

Change: only the looks at the members of a gang are counted by task. Result: large_fleet.feature passes.

--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -197,9 +197,9 @@
         full_steps: set[str],
         now_ms: int,
     ) -> bool:
-        gang = pending.step.spec.gang
-        members = len(pending.step.tasks) if gang else 1
-        self.work.add(pending.step.name, members)
+        if pending.step.spec.gang:
+            # Each member is looked at.
+            self.work.add(pending.step.name, len(pending.step.tasks))
         if is_suspect(pending.task, pending.step):
             return self._place_isolated(pending, usable, now_ms)
         name = pending.step.name
