Look at the members of a gang once, not once for each member

Cause: several things were done for all members at each member of a gang: whether one of them is suspected (at each pending member in each round, and as each is planned), the stop of the others, the shared checkpoint, the count of failed runs, the hold of suspects, and the rows to store. Members were also tried one by one on each server. Change: a step keeps its suspects, its runs by server and what was already done for a run; a job counts its runs. The members that fit on a server are computed. Members get a shared checkpoint together before the next placement or batch, and only rows that have changed are stored. Planning is a class of its own.

--- a/waxwingford/scheduling/_copies.py
+++ b/waxwingford/scheduling/_copies.py
@@ -200,7 +200,7 @@
         run = straggler.run
         keep_checkpoint(task, run, run.checkpoint or task.checkpoint)
         task.copied = True
-        self._placer.plan(task, step, server, now_ms)
+        self._placer.planner.plan(task, step, server, now_ms)
         task.run_by_number[task.last_run].copy = True
         finite = math.isfinite(straggler.left_ms)
         self._state.notes.add(
--- a/waxwingford/scheduling/_crashes.py
+++ b/waxwingford/scheduling/_crashes.py
@@ -156,6 +156,7 @@
     others = [one for one in task.suspected_crashes if one.run != run.key.run]
     latest = [*others, suspected][-MAX_SUSPECTED_CRASHES:]
     task.suspected_crashes = tuple(latest)
+    note_suspicion(task, step)
     state.crash_records.add_suspect(task, step)
     state.crash_records.unjudged.append(
         UnjudgedLoss(
@@ -199,8 +200,9 @@
     found = state.find(run.key)
     if found is None:
         return
-    task = found[0]
+    task, step = found
     task.lost_starts += 1
+    note_suspicion(task, step)
     repeated = task.lost_starts - SUSPECT_LOST_STARTS
     if repeated >= 0:
         delay_ms = LOST_START_DELAY_MS << repeated
@@ -349,11 +351,11 @@
 
     The members of a gang are held together.
     """
-    tasks = step.tasks if step.spec.gang else [task]
-    held = any(has_many_suspicions(one.suspected_crashes) for one in tasks)
+    index = task.key.index
+    held = bool(step.holding) if step.spec.gang else index in step.holding
     if held == task.held:
         return
-    for one in tasks:
+    for one in step.tasks if step.spec.gang else [task]:
         one.not_before_ms = NEVER_MS if held else 0
     state.notes.add(
         'task.held' if held else 'task.released',
@@ -364,9 +366,13 @@
 
 def clear_suspicion(state: ShardState, task: Task, step: Step) -> None:
     """Clear a task of suspected crashes, as a server has survived a run of it."""
+    if not task.may_crash:
+        return
+    crashes = task.suspected_crashes
     task.lost_starts = 0
-    if task.suspected_crashes:
-        task.suspected_crashes = ()
+    task.suspected_crashes = ()
+    note_suspicion(task, step)
+    if crashes:
         state.mark(step, task)
         hold_suspects(state, task, step)
 
@@ -377,6 +383,14 @@
     return len(crashes) >= MAX_SUSPECTED_CRASHES or evidence >= HOLD_EVIDENCE
 
 
+def note_suspicion(task: Task, step: Step) -> None:
+    """Note in a step whether one of its tasks is suspected, after a change."""
+    index = task.key.index
+    _include(step.suspects, index, _is_suspected(task))
+    many = has_many_suspicions(task.suspected_crashes)
+    _include(step.holding, index, many)
+
+
 def mark_outlived(state: ShardState) -> None:
     """Mark the tasks with newly outlived starts to be stored."""
     for task, step in state.crash_records.outlived_by_key.values():
@@ -390,7 +404,7 @@
     :returns: whether the task or another member of its gang is suspected.
     """
     if step.spec.gang:
-        return any(map(_is_suspected, step.tasks))
+        return bool(step.suspects)
     if not (task.suspected_crashes or task.lost_starts):
         # Each placement asks, and most tasks are suspected of nothing.
         return False
@@ -404,6 +418,13 @@
     )
 
 
+def _include(indices: set[int], index: int, included: bool) -> None:
+    if included:
+        indices.add(index)
+    else:
+        indices.discard(index)
+
+
 def suspect_key(key: TaskKey, step: Step) -> TaskKey:
     """Key under which a task is suspected; members of a gang share one.
 
--- a/waxwingford/scheduling/_eligibility.py
+++ b/waxwingford/scheduling/_eligibility.py
@@ -29,7 +29,7 @@
     :param service: service whose servers run the step.
     :returns: matching servers below the step's limit of tasks per server.
     """
-    counts = step.runs_per_server() if step.spec.max_per_server else {}
+    counts = step.runs_by_server if step.spec.max_per_server else {}
     limit = step.spec.max_per_server or len(step.tasks) + 1
     return [
         server
--- a/waxwingford/scheduling/_gang_preview.py
+++ b/waxwingford/scheduling/_gang_preview.py
@@ -52,7 +52,10 @@
         """
         count = step.spec.count
         searched = count <= self._members_left
-        counts = [self._count_fitting(step, server) for server in candidates]
+        counts = [
+            gangs.count_fitting(step, self._room_of(server))
+            for server in candidates
+        ]
         room_for = sum(counts)
         servers: list[Server] = []
         if searched and room_for >= count:
@@ -79,8 +82,7 @@
     ) -> list[Server]:
         """Assign the members of a gang for which there is room.
 
-        Only racks with room for all members are tried, as each attempt takes as long as
-        the members that it assigns.
+        Only racks with room for all members are tried.
         """
         if step.spec.one_rack:
             room_by_rack: dict[str, int] = {}
@@ -97,19 +99,4 @@
                 step = dataclasses.replace(step, spec=anywhere)
             candidates = on_racks or candidates
         assignments = gangs.assign_members(step, candidates, self._room_of)
-        by_id = {
-            assignment.server.entry.server_id: assignment.server
-            for assignment in assignments or ()
-        }
-        return list(by_id.values())
-
-    def _count_fitting(self, step: Step, server: Server) -> int:
-        """Count the members that fit on a server."""
-        limit = step.spec.max_per_server or step.spec.count
-        needs, room = step.spec.reserved_resources, self._room_of(server)
-        counts = [
-            free // needed
-            for needed, free in zip(needs, room, strict=True)
-            if needed
-        ]
-        return max(0, min([limit, *counts]))
+        return [assignment.server for assignment in assignments or ()]
--- a/waxwingford/scheduling/_gangs.py
+++ b/waxwingford/scheduling/_gangs.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from waxwingford.ports import Resources, fits_resources, subtract_resources
+from waxwingford.ports import Resources
 from waxwingford.scheduling._incarnations import Incarnation
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._state import Step, Task
@@ -20,10 +20,10 @@
 
 
 class Assignment(NamedTuple):
-    """Server assigned to a member of a gang."""
+    """Server assigned to members of a gang, and their number."""
 
-    task: Task
     server: Server
+    members: int
 
 
 def is_ready(step: Step) -> bool:
@@ -31,7 +31,22 @@
 
     :returns: whether no member has an unsettled run.
     """
-    return not any(task.run_by_number for task in step.tasks)
+    return not step.runs_by_server
+
+
+def count_fitting(step: Step, room: Resources) -> int:
+    """Count the members of a gang that fit on a server.
+
+    :param room: resources of the server that the gang may use.
+    """
+    needs = step.spec.reserved_resources
+    limit = step.spec.max_per_server or step.spec.count
+    counts = [
+        free // needed
+        for needed, free in zip(needs, room, strict=True)
+        if needed
+    ]
+    return max(0, min([limit, *counts]))
 
 
 def assign_members(
@@ -39,7 +54,9 @@
     servers: list[Server],
     room_of: Callable[[Server], Resources],
 ) -> list[Assignment] | None:
-    """Assign a server to each member, on one rack if the step prefers that.
+    """Assign servers to all members, on one rack if the step prefers that.
+
+    The members that fit on a server are counted, not tried one by one.
 
     Servers where a member has failed or made no progress are used only if the
     others don't suffice, as each failed run is an attempt of the whole gang.
@@ -47,16 +64,22 @@
     :param servers: servers that accept starts and suit the step.
     :param room_of: function that returns the resources of a server that the
         gang may use.
-    :returns: one assignment per member, ``None`` if the members don't all fit.
+    :returns: assignments of all members, ``None`` if they don't all fit.
     """
+    count_by_id = {
+        server.entry.server_id: count_fitting(step, room_of(server))
+        for server in servers
+    }
+    if sum(count_by_id.values()) < len(step.tasks):
+        return None
     avoided = {one for task in step.tasks for one in task.avoided}
     ranked = sorted(servers, key=functools.partial(_rank, avoided))
     others = [server for server in ranked if server.incarnation not in avoided]
     if len(others) < len(ranked):
-        assignments = _assign_near(step, others, room_of)
+        assignments = _assign_near(step, others, count_by_id)
         if assignments is not None:
             return assignments
-    return _assign_near(step, ranked, room_of)
+    return _assign_near(step, ranked, count_by_id)
 
 
 def next_run(step: Step) -> int:
@@ -67,17 +90,14 @@
     return 1 + max(task.last_run for task in step.tasks)
 
 
-def share_checkpoint(step: Step, checkpoint: str) -> None:
-    """Store the checkpoint of one member for all members."""
-    for task in step.tasks:
-        task.checkpoint = checkpoint
-
-
 def stop_other_members(step: Step, run_number: int) -> None:
-    """Stop the remaining members of a run that has lost one.
+    """Stop the remaining members of a run that has lost one, once for each run.
 
     :param run_number: run number shared by the members.
     """
+    if run_number == step.stopped_run:
+        return
+    step.stopped_run = run_number
     for task in step.tasks:
         run = task.run_by_number.get(run_number)
         if run is not None:
@@ -121,44 +141,37 @@
 
 
 def _assign_near(
-    step: Step,
-    ranked: list[Server],
-    room_of: Callable[[Server], Resources],
+    step: Step, ranked: list[Server], count_by_id: dict[str, int]
 ) -> list[Assignment] | None:
     """Assign servers of one rack if the step prefers that, or any servers.
 
     :param ranked: servers, the best one first.
+    :param count_by_id: members that fit on each server.
     """
     if step.spec.one_rack:
         by_rack: dict[str, list[Server]] = {}
         for server in ranked:
             by_rack.setdefault(server.entry.rack, []).append(server)
         for rack_servers in by_rack.values():
-            assignments = _assign_to(step, rack_servers, room_of)
+            assignments = _assign_to(step, rack_servers, count_by_id)
             if assignments is not None:
                 return assignments
-    return _assign_to(step, ranked, room_of)
+    return _assign_to(step, ranked, count_by_id)
 
 
 def _assign_to(
-    step: Step,
-    ranked: list[Server],
-    room_of: Callable[[Server], Resources],
+    step: Step, ranked: list[Server], count_by_id: dict[str, int]
 ) -> list[Assignment] | None:
-    needs = step.spec.reserved_resources
-    limit = step.spec.max_per_server or step.spec.count
+    left = len(step.tasks)
     assignments: list[Assignment] = []
-    unassigned = iter(step.tasks)
     for server in ranked:
-        room, count = room_of(server), 0
-        while fits_resources(needs, room) and count < limit:
-            task = next(unassigned, None)
-            if task is None:
-                return assignments
-            assignments.append(Assignment(task, server))
-            room = subtract_resources(room, needs)
-            count += 1
-    return assignments if next(unassigned, None) is None else None
+        members = min(left, count_by_id[server.entry.server_id])
+        if members:
+            assignments.append(Assignment(server, members))
+            left -= members
+        if not left:
+            return assignments
+    return None
 
 
 def _rank(avoided: set[Incarnation], server: Server) -> tuple[bool, int, int]:
--- a/waxwingford/scheduling/_isolation.py
+++ b/waxwingford/scheduling/_isolation.py
@@ -132,12 +132,7 @@
     """Choose the servers with the fewest runs that a crash would lose."""
     if step.spec.gang:
         assignments = gangs.assign_members(step, servers, room_of) or []
-        return list(
-            {
-                id(assignment.server): assignment.server
-                for assignment in assignments
-            }.values()
-        )
+        return [assignment.server for assignment in assignments]
     by_runs = sorted(servers, key=_count_runs)
     return by_runs[:1]
 
--- a/waxwingford/scheduling/_job_failures.py
+++ b/waxwingford/scheduling/_job_failures.py
@@ -13,6 +13,7 @@
     has_many_suspicions,
     hold_suspects,
     many_losses,
+    note_suspicion,
 )
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._shard_state import ShardState, UnjudgedLoss
@@ -88,6 +89,7 @@
     if len(left) == len(task.suspected_crashes):
         return
     task.suspected_crashes = left
+    note_suspicion(task, step)
     state.mark(step, task)
     state.notes.add(
         'task.suspicion_withdrawn',
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -5,7 +5,6 @@
 from waxwingford.ports import fits_resources
 from waxwingford.scheduling import _gangs as gangs
 from waxwingford.scheduling._admission import BestEffortAdmission
-from waxwingford.scheduling._backend_client import RunKey
 from waxwingford.scheduling._backlog import Backlog, Decision, count_backlog
 from waxwingford.scheduling._candidates import CandidateQueue
 from waxwingford.scheduling._containment import attempt, note_failure
@@ -18,11 +17,12 @@
 from waxwingford.scheduling._preemption import Preemptor, Round
 from waxwingford.scheduling._reservations import Reservations
 from waxwingford.scheduling._round_work import RoundWork
+from waxwingford.scheduling._run_planning import RunPlanner
 from waxwingford.scheduling._server_costs import ServerCosts
 from waxwingford.scheduling._server_selection import ServerSelection
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._shard_state import ShardState, block_job
-from waxwingford.scheduling._state import Job, Run, RunPhase, Step, Task
+from waxwingford.scheduling._state import Job, Step, Task
 from waxwingford.scheduling._task_order import (
     PendingTask,
     rank_alone,
@@ -40,6 +40,7 @@
     """Places pending tasks on the servers of a shard.
 
     :ivar reservations: reservations of the latest round.
+    :ivar planner: plans the runs.
     :ivar isolation: servers that are kept for suspects.
     :ivar work: work of the latest round.
     :ivar preview_room: copies what placement reads of reserved room.
@@ -57,7 +58,6 @@
         :param preemptor: preempts for the tasks that a round leaves.
         :param looks_ahead: whether room is reserved that tasks are to release.
         """
-        self._placed = 0
         self.work = RoundWork()
         self._backlog = Backlog()
         self._state = state
@@ -76,9 +76,11 @@
         self._report = PendingReport(state.notes)
         self._selection = ServerSelection()
         self.isolation = Isolation(state)
+        self.planner = RunPlanner(
+            state, self.isolation, self._report, self._look_ahead
+        )
         self._preemptor = preemptor
         self._candidates_by_step: dict[str, CandidateQueue] = {}
-        self._changed: list[Server] = []
 
     def release_tasks(self, job: Job, now_ms: int, wall_ms: int) -> None:
         """Make the tasks pending whose steps have no open dependency.
@@ -104,8 +106,9 @@
             as a whole.
         :param overloaded: whether the owner's processor limits the starts.
         """
-        self._placed = 0
+        self.planner.begin()
         self.work.begin()
+        self._state.learned.checkpoints.apply(self._state.mark)
         if max_starts <= 0:
             return Decision(0, self._backlog)
         with_best_effort = now_ms >= self._best_effort_due_ms
@@ -122,7 +125,7 @@
         self._backlog = count_backlog(
             ranked[tried:], self._backlog, with_best_effort
         )
-        return Decision(self._placed, self._backlog)
+        return Decision(self.planner.placed, self._backlog)
 
     def _place_ranked(
         self, ranked: list[PendingTask], now_ms: int, max_starts: float
@@ -147,12 +150,11 @@
         self._begin_look_ahead(usable, now_ms)
         self._evaluations = 0
         self._candidates_by_step.clear()
-        self._changed.clear()
         unplaced: list[PendingTask] = []
         full_steps: set[str] = set()
         tried = 0
         for pending in ranked:
-            if self._placed >= max_starts:
+            if self.planner.placed >= max_starts:
                 break
             tried += 1
             try:
@@ -223,7 +225,7 @@
         server = self._choose_server(pending, usable, now_ms)
         if server is None:
             return False
-        self.plan(pending.task, pending.step, server, now_ms)
+        self.planner.plan(pending.task, pending.step, server, now_ms)
         return True
 
     def _place_isolated(
@@ -233,7 +235,7 @@
             return True
         pool = self._pool(pending, usable, now_ms)
         candidates = self._with_room(pending, pool, now_ms)
-        self._changed += self.isolation.reserve(
+        self.planner.changed += self.isolation.reserve(
             pending.task,
             pending.step,
             candidates,
@@ -258,19 +260,26 @@
             return min(fit(pool), key=cost, default=None)
         candidates = self._candidates_by_step.get(step.name)
         if candidates is not None:
-            best = candidates.best(self._changed)
+            best = candidates.best(self.planner.changed)
             if best is not None or not step.spec.best_effort:
                 return best
         # The next selection of a best-effort step has other servers.
         pool = self._pool(pending, usable, now_ms)
-        candidates = CandidateQueue(pool, fit, cost, len(self._changed))
+        candidates = CandidateQueue(pool, fit, cost, len(self.planner.changed))
         self._candidates_by_step[step.name] = candidates
-        return candidates.best(self._changed)
+        return candidates.best(self.planner.changed)
 
     def _pool(
         self, pending: PendingTask, usable: list[Server], now_ms: int
     ) -> list[Server]:
         """Select the servers to evaluate for a task."""
+        pool = self._select_pool(pending, usable, now_ms)
+        self.work.add(pending.step.name, len(pool))
+        return pool
+
+    def _select_pool(
+        self, pending: PendingTask, usable: list[Server], now_ms: int
+    ) -> list[Server]:
         step = pending.step
         service = pending.queue.service
         if not step.spec.best_effort:
@@ -295,7 +304,7 @@
                 self._look_ahead.reserve,
                 pending,
                 usable,
-                self._changed,
+                self.planner.changed,
                 now_ms,
             )
             attempt(self._state.notes, 'look ahead', '', reserve)
@@ -310,7 +319,7 @@
             candidates = eligible(pending.step, pending.queue.service, usable)
             server = self.reservations.reserve(pending.step, candidates)
             if server is not None:
-                self._changed.append(server)
+                self.planner.changed.append(server)
 
     def _place_gang(
         self, pending: PendingTask, fitting: list[Server], now_ms: int
@@ -323,56 +332,12 @@
         )
         if assignments is None:
             return False
-        number = gangs.next_run(step)
-        for assignment in assignments:
-            assignment.task.last_run = number - 1
-            self.plan(assignment.task, step, assignment.server, now_ms)
+        self.planner.plan_gang(step, assignments, now_ms)
         return True
 
-    def plan(self, task: Task, step: Step, server: Server, now_ms: int) -> None:
-        """Plan a run.
-
-        :param now_ms: current monotonic time, in ms.
-        """
-        # A copy doesn't wait: another run of its task is present.
-        copied = bool(task.run_by_number)
-        waited_ms = None if copied else now_ms - task.pending_since_ms
-        task.last_run += 1
-        key = RunKey(task.key, task.last_run)
-        run = Run(
-            key,
-            server.incarnation,
-            RunPhase.planned,
-            now_ms,
-            now_ms,
-            checkpoint=task.checkpoint,
-            progress_changed_ms=now_ms,
-            resumed_from=task.checkpoint,
-        )
-        task.run_by_number[key.run] = run
-        if is_suspect(task, step):
-            self.isolation.isolate(server, task, step)
-        self._state.pending_by_key.pop(task.key, None)
-        self._state.plan(run, step)
-        if self._look_ahead is not None:
-            self._look_ahead.note_planned(task, step, server, now_ms)
-        self._changed.append(server)
-        self._report.count_placed(step)
-        self._placed += 1
-        self._state.notes.add(
-            'run.planned',
-            task.key,
-            run=key.run,
-            server=run.server_id,
-            waited_ms=waited_ms,
-            looked_ms_ago=now_ms - server.polled_ms,
-            terms=self._state.terms.version,
-        )
-
     def _fitting(
         self, pending: PendingTask, servers: list[Server], now_ms: int
     ) -> list[Server]:
-        self.work.add(pending.step.name, len(servers))
         with_room = self._with_room(pending, servers, now_ms)
         return self.isolation.admitting(with_room, pending.task, pending.step)
 
--- a/waxwingford/scheduling/_recovery.py
+++ b/waxwingford/scheduling/_recovery.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from waxwingford.scheduling import _gangs as gangs
-from waxwingford.scheduling._crashes import hold_suspects
+from waxwingford.scheduling._crashes import hold_suspects, note_suspicion
 from waxwingford.scheduling._rows import (
     ENDED_PREFIX,
     apply_step_row,
@@ -178,6 +178,7 @@
         for step in steps_of(job):
             for task in step.tasks:
                 if task.suspected_crashes:
+                    note_suspicion(task, step)
                     self._state.crash_records.add_suspect(task, step)
                     hold_suspects(self._state, task, step)
 
--- a/waxwingford/scheduling/_rows.py
+++ b/waxwingford/scheduling/_rows.py
@@ -289,7 +289,7 @@
     for row in rows:
         task = step.tasks[row.index]
         step.unfinished += task.done - row.done
-        _apply_task_row(task, row, now_ms, wall_ms)
+        _apply_task_row(step, task, row, now_ms, wall_ms)
         if not row.unbegun:
             job.note_begun(task)
     return bool(others)
@@ -301,7 +301,7 @@
 
 
 def _apply_task_row(
-    task: Task, row: _TaskRow, now_ms: int, wall_ms: int
+    step: Step, task: Task, row: _TaskRow, now_ms: int, wall_ms: int
 ) -> None:
     task.last_run = row.last_run
     task.failures = row.failures
@@ -313,10 +313,12 @@
         task.pending_since_ms = now_ms - min(waited_ms, MAX_INHERITED_WAIT_MS)
     task.done = row.done
     task.checkpoint = row.checkpoint
-    task.run_by_number = {
-        number: _inherited_run(task, number, parse_incarnation(text), now_ms)
-        for number, text in row.runs
-    }
+    for former in list(task.run_by_number):
+        step.remove_run(task, former)
+    for number, text in row.runs:
+        incarnation = parse_incarnation(text)
+        run = _inherited_run(task, number, incarnation, now_ms)
+        step.add_run(task, run)
     for run in task.run_by_number.values():
         run.outlived = row.outlived
         run.accepted = run.key.run in row.accepted_runs
--- /dev/null
+++ b/waxwingford/scheduling/_run_planning.py
@@ -0,0 +1,99 @@
+"""Plans runs of tasks on the servers that were chosen for them."""
+
+import itertools
+from collections.abc import Iterable
+
+from waxwingford.scheduling import _gangs as gangs
+from waxwingford.scheduling._backend_client import RunKey
+from waxwingford.scheduling._crashes import is_suspect
+from waxwingford.scheduling._isolation import Isolation
+from waxwingford.scheduling._look_ahead import LookAhead
+from waxwingford.scheduling._pending_report import PendingReport
+from waxwingford.scheduling._servers import Server
+from waxwingford.scheduling._shard_state import ShardState
+from waxwingford.scheduling._state import Run, RunPhase, Step, Task
+
+
+class RunPlanner:
+    """Plans runs.
+
+    :ivar placed: runs that were planned in this round.
+    :ivar changed: servers that got a run or a reservation in this round, in order.
+    """
+
+    def __init__(
+        self,
+        state: ShardState,
+        isolation: Isolation,
+        report: PendingReport,
+        look_ahead: LookAhead | None,
+    ) -> None:
+        self.placed = 0
+        self.changed: list[Server] = []
+        self._state = state
+        self._isolation = isolation
+        self._report = report
+        self._look_ahead = look_ahead
+
+    def begin(self) -> None:
+        """Begin a placement round."""
+        self.placed = 0
+        self.changed.clear()
+
+    def plan(self, task: Task, step: Step, server: Server, now_ms: int) -> None:
+        """Plan a run.
+
+        :param now_ms: current monotonic time, in ms.
+        """
+        # A copy doesn't wait: another run of its task is present.
+        copied = bool(task.run_by_number)
+        waited_ms = None if copied else now_ms - task.pending_since_ms
+        task.last_run += 1
+        key = RunKey(task.key, task.last_run)
+        run = Run(
+            key,
+            server.incarnation,
+            RunPhase.planned,
+            now_ms,
+            now_ms,
+            checkpoint=task.checkpoint,
+            progress_changed_ms=now_ms,
+            resumed_from=task.checkpoint,
+        )
+        step.add_run(task, run)
+        if is_suspect(task, step):
+            self._isolation.isolate(server, task, step)
+        self._state.pending_by_key.pop(task.key, None)
+        self._state.plan(run, step)
+        if self._look_ahead is not None:
+            self._look_ahead.note_planned(task, step, server, now_ms)
+        self.changed.append(server)
+        self._report.count_placed(step)
+        self.placed += 1
+        self._state.notes.add(
+            'run.planned',
+            task.key,
+            run=key.run,
+            server=run.server_id,
+            waited_ms=waited_ms,
+            looked_ms_ago=now_ms - server.polled_ms,
+            terms=self._state.terms.version,
+        )
+
+    def plan_gang(
+        self, step: Step, assignments: Iterable[gangs.Assignment], now_ms: int
+    ) -> None:
+        """Plan runs of all members of a gang.
+
+        :param assignments: servers of all members.
+        :param now_ms: current monotonic time, in ms.
+        """
+        number = gangs.next_run(step)
+        members = iter(step.tasks)
+        for server, count in assignments:
+            for task in itertools.islice(members, count):
+                task.last_run = number - 1
+                self.plan(task, step, server, now_ms)
+
+
+__all__ = ('RunPlanner',)
--- a/waxwingford/scheduling/_run_settlement.py
+++ b/waxwingford/scheduling/_run_settlement.py
@@ -73,7 +73,7 @@
         if found is None:
             return
         task, step = found
-        task.run_by_number.pop(run.key.run, None)
+        step.remove_run(task, run.key.run)
         note_left_work(run, task, kind, now_ms)
         began = kind is not None or run.accepted or run.outlived
         if began:
@@ -81,13 +81,10 @@
         if kind is not None:
             # The server has survived the run, so the task didn't crash it.
             clear_suspicion(self._state, task, step)
-        newest = self.newest_checkpoint(run, checkpoint, task.checkpoint)
-        keep_checkpoint(task, run, newest)
+        self._keep_checkpoint(task, step, run, checkpoint)
         note_copy_end(self._state, (task, step), run, kind, now_ms)
-        if step.spec.gang:
-            gangs.share_checkpoint(step, task.checkpoint)
-            if kind is not EndKind.done:
-                gangs.stop_other_members(step, run.key.run)
+        if step.spec.gang and kind is not EndKind.done:
+            gangs.stop_other_members(step, run.key.run)
         self._state.mark(step, task)
         self.apply_end_kind(server, run.key, kind, now_ms)
         if began or not task.pending_since_ms:
@@ -97,6 +94,17 @@
         self._returned += requeued and not began
         task.copied &= not requeued
 
+    def _keep_checkpoint(
+        self, task: Task, step: Step, run: Run, checkpoint: str
+    ) -> None:
+        if step.checkpoint_to_share is not None:
+            task.checkpoint = step.checkpoint_to_share
+        former = task.checkpoint
+        newest = self.newest_checkpoint(run, checkpoint, former)
+        keep_checkpoint(task, run, newest)
+        if step.spec.gang and task.checkpoint != former:
+            self._state.learned.checkpoints.share(step, task.checkpoint)
+
     def newest_checkpoint(self, run: Run, checkpoint: str, former: str) -> str:
         """Choose the checkpoint to resume from.
 
@@ -157,6 +165,8 @@
             one.done = True
             self._state.pending_by_key.pop(one.key, None)
         step.unfinished -= len(ended)
+        if step.spec.gang:
+            self._state.mark(step)
         for other in task.run_by_number.values():
             other.stopping = True
         if not step.unfinished:
@@ -191,6 +201,10 @@
         if server.incarnation not in task.failed_on:
             task.failed_on.append(server.incarnation)
             del task.failed_on[:-MAX_FAILED_ON]
+        if step.spec.gang:
+            if step.judged_run == run_number:
+                return
+            step.judged_run = run_number
         failures = (
             gangs.count_failed_runs(step) if step.spec.gang else task.failures
         )
--- a/waxwingford/scheduling/_shard_state.py
+++ b/waxwingford/scheduling/_shard_state.py
@@ -38,6 +38,7 @@
 )
 from waxwingford.scheduling._run_times import RunTimes
 from waxwingford.scheduling._servers import Server
+from waxwingford.scheduling._shared_checkpoints import SharedCheckpoints
 from waxwingford.scheduling._specs import JobSpec, QueueTerms, Terms
 from waxwingford.scheduling._state import (
     EndReason,
@@ -145,12 +146,14 @@
     :ivar sizes: sizes of ended jobs by queue.
     :ivar interference_row: learned interference of best-effort tasks, to be
         stored with the next batch; ``None`` for no change.
+    :ivar checkpoints: checkpoints that the members of gangs share.
     """
 
     def __init__(self) -> None:
         self.run_times = RunTimes()
         self.sizes = JobSizes()
         self.interference_row: bytes | None = None
+        self.checkpoints = SharedCheckpoints()
 
 
 class ShardState:
@@ -229,14 +232,13 @@
     def mark(self, step: Step, task: Task | None = None) -> None:
         """Mark rows of a step to be stored with the next batch.
 
-        :param task: task that has changed; by default any may have, as in a gang,
-            whose members end together.
+        :param task: task that has changed; by default any may have.
         """
         dirty = self._dirty_by_step.get(step.name)
         if dirty is None:
             dirty = _DirtyRows(step, set())
             self._dirty_by_step[step.name] = dirty
-        if task is None or step.spec.gang:
+        if task is None:
             dirty.parts.update(parts_of(step))
         else:
             dirty.parts.add(task.key.index // TASKS_PER_ROW)
@@ -316,6 +318,7 @@
 
     def take_batch(self) -> Batch:
         """Remove and return everything that has to be stored."""
+        self.learned.checkpoints.apply(self.mark)
         dirty_steps = [
             dirty
             for dirty in self._dirty_by_step.values()
@@ -391,7 +394,7 @@
             for job_id, job in self.job_by_id.items()
             if job.ended is not None
             and job_id in self.past.phase_by_job
-            and not any(runs_of(job))
+            and not has_runs(job)
         ]
         dropped: dict[str, bytes | None] = {}
         for job in ended_jobs:
@@ -457,8 +460,9 @@
     A run that has begun and isn't in a stored row is unknown to the next owner, which
     would report the job as queued again.
     """
-    reported = step.job.reported_phase is JobPhase.running
-    return reported or any(task.begun for task in step.tasks)
+    if step.job.reported_phase is JobPhase.running:
+        return True
+    return step.job.begun and any(task.begun for task in step.tasks)
 
 
 def _learn_outcome(state: ShardState, job: Job) -> dict[str, object]:
@@ -516,6 +520,4 @@
 
 def has_runs(job: Job) -> bool:
     """Tell whether a job has a run that may be present on a server."""
-    return any(
-        task.run_by_number for step in steps_of(job) for task in step.tasks
-    )
+    return job.run_count > 0
--- a/waxwingford/scheduling/_state.py
+++ b/waxwingford/scheduling/_state.py
@@ -264,6 +264,14 @@
     :ivar index: index of the step in the job.
     :ivar tasks: tasks in the order of their index.
     :ivar unfinished: number of tasks that are not done.
+    :ivar runs_by_server: number of runs by server id; servers without any are left
+        out.
+    :ivar suspects: indices of tasks that are suspected of crashes, or whose starts
+        were lost.
+    :ivar stopped_run: latest run of a gang whose remaining members were stopped.
+    :ivar judged_run: latest failed run of a gang that was counted as an attempt.
+    :ivar checkpoint_to_share: latest checkpoint of a gang, until all members have it.
+    :ivar holding: indices of tasks whose suspected crashes hold the task, or its gang.
     :ivar attained_ms: time that its runs have had between the polls that listed
         them, at full speed, in ms.
     :ivar progress: progress that they were listed to have made in that time, in
@@ -278,6 +286,12 @@
     index: int
     tasks: list[Task]
     unfinished: int
+    runs_by_server: dict[str, int] = dataclasses.field(default_factory=dict)
+    suspects: set[int] = dataclasses.field(default_factory=set)
+    holding: set[int] = dataclasses.field(default_factory=set)
+    stopped_run: int = 0
+    judged_run: int = 0
+    checkpoint_to_share: str | None = None
     attained_ms: float = 0
     progress: float = 0
     name: str = dataclasses.field(init=False)
@@ -292,17 +306,24 @@
             return None
         return self.attained_ms / self.progress
 
-    def runs_per_server(self) -> dict[str, int]:
-        """Count the runs of this step on each server.
-
-        :returns: number of runs by server id; servers without any are left
-            out.
-        """
-        counts: dict[str, int] = {}
-        for task in self.tasks:
-            for run in task.run_by_number.values():
-                counts[run.server_id] = counts.get(run.server_id, 0) + 1
-        return counts
+    def add_run(self, task: Task, run: Run) -> None:
+        """Add a run of a task that may be present on a server."""
+        task.run_by_number[run.key.run] = run
+        counts, server_id = self.runs_by_server, run.incarnation.server_id
+        counts[server_id] = counts.get(server_id, 0) + 1
+        self.job.run_count += 1
+
+    def remove_run(self, task: Task, number: int) -> None:
+        """Remove a run of a task, if it has it."""
+        run = task.run_by_number.pop(number, None)
+        if run is None:
+            return
+        self.job.run_count -= 1
+        left = self.runs_by_server[run.server_id] - 1
+        if left:
+            self.runs_by_server[run.server_id] = left
+        else:
+            del self.runs_by_server[run.server_id]
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -322,6 +343,7 @@
     :ivar begun: whether a server has accepted or listed a run of any task.
     :ivar occurrences_left: number of repetitions that have not ended.
     :ivar kept_bytes: memory that it may take, in bytes.
+    :ivar run_count: number of its runs that may be present on a server.
     :ivar noted_lateness: highest ``Lateness`` that was noted.
     """
 
@@ -338,6 +360,7 @@
     occurrences_left: int = 1
     noted_lateness: int = 0
     kept_bytes: int = 0
+    run_count: int = 0
 
     def task(self, key: TaskKey) -> Task | None:
         """Find a task.
