Count the unavailable tasks of a step once in a round

DisruptionBudget._has_room went over all tasks of a step for each run that was asked for, in one turn: a server that drains with many runs of one limited step, or preemption that lists them, took the square of them. Change: the unavailable tasks of a step are found once for each time and round; a run that is stopped after that was allowed is added.

--- a/waxwingford/scheduling/_disruption_budget.py
+++ b/waxwingford/scheduling/_disruption_budget.py
@@ -5,7 +5,7 @@
 at work for long enough that no stop of a previous owner can still take effect.
 """
 
-from waxwingford.scheduling._backend_client import EndKind
+from waxwingford.scheduling._backend_client import EndKind, TaskKey
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._shard_state import ShardState
 from waxwingford.scheduling._state import Run, RunPhase, Step, Task
@@ -32,6 +32,23 @@
         """
         self._state = state
         self._notice_ms = notice_ms
+        self._counted_ms = -1
+        self._unavailable_by_step: dict[str, set[TaskKey]] = {}
+        #: Run whose stop was allowed at last, and its step.
+        self._allowed: tuple[Run, Step] | None = None
+
+    def begin(self) -> None:
+        """Begin a round of decisions: count unavailable tasks anew."""
+        self._unavailable_by_step.clear()
+
+    def note_stopped(self, run: Run, step: Step) -> None:
+        """Count a run as unavailable for the rest of the round.
+
+        Not needed for a run that is stopped as soon as that was allowed.
+        """
+        unavailable = self._unavailable_by_step.get(step.name)
+        if unavailable is not None:
+            unavailable.add(run.key.task)
 
     def may_stop(self, run: Run, step: Step, now_ms: int) -> bool:
         """Tell whether an order may end a run now.
@@ -65,12 +82,28 @@
         return overdue or self._has_room(run, step, now_ms)
 
     def _has_room(self, run: Run, step: Step, now_ms: int) -> bool:
-        others = sum(
-            self._is_unavailable(task, now_ms)
-            for task in step.tasks
-            if task.key != run.key.task
-        )
-        return others < step.spec.max_unavailable
+        if self._allowed is not None and self._allowed[0].stopping:
+            self.note_stopped(*self._allowed)
+        unavailable = self._unavailable(step, now_ms)
+        others = len(unavailable) - (run.key.task in unavailable)
+        may_stop = others < step.spec.max_unavailable
+        self._allowed = (run, step) if may_stop else None
+        return may_stop
+
+    def _unavailable(self, step: Step, now_ms: int) -> set[TaskKey]:
+        """List the unavailable tasks of a step, once in a round."""
+        if now_ms != self._counted_ms:
+            self._counted_ms = now_ms
+            self._unavailable_by_step.clear()
+        unavailable = self._unavailable_by_step.get(step.name)
+        if unavailable is None:
+            unavailable = {
+                task.key
+                for task in step.tasks
+                if self._is_unavailable(task, now_ms)
+            }
+            self._unavailable_by_step[step.name] = unavailable
+        return unavailable
 
     def _is_unavailable(self, task: Task, now_ms: int) -> bool:
         runs = task.run_by_number.values()
--- a/waxwingford/scheduling/_maintenance.py
+++ b/waxwingford/scheduling/_maintenance.py
@@ -74,6 +74,7 @@
         if now_ms - self._checked_ms < MAINTENANCE_INTERVAL_MS:
             return
         self._checked_ms = now_ms
+        self._budget.begin()
         notes = self._state.notes
         for server in list(self._state.server_by_id.values()):
             check = functools.partial(self._check, server, now_ms, timely)
--- a/waxwingford/scheduling/_preemption.py
+++ b/waxwingford/scheduling/_preemption.py
@@ -68,6 +68,7 @@
         """
         self._state = state
         self._enabled = enabled
+        self._budget = budget
         self._finder = VictimFinder(state, budget)
         self._lowest_costs = LowestCosts(state)
         self._holds = PreemptionHolds(state)
@@ -95,13 +96,20 @@
         """Tell whether room is held for a task."""
         return task.key in self._holds
 
+    def is_due(self, now_ms: int) -> bool:
+        """Tell whether ``preempt`` looks at tasks in this round.
+
+        :param now_ms: current monotonic time, in ms.
+        """
+        return self._enabled and now_ms - self._round_ms >= ROUND_INTERVAL_MS
+
     def preempt(self, unplaced: Iterable[PendingTask], current: Round) -> None:
         """Stop runs for the tasks that a round left, the first ones first.
 
         :param unplaced: tasks that found no server, in order.
         """
         now_ms = current.now_ms
-        if not self._enabled or now_ms - self._round_ms < ROUND_INTERVAL_MS:
+        if not self.is_due(now_ms):
             return
         self._begin_round(current)
         stopped_on: set[Incarnation] = set()
@@ -120,6 +128,7 @@
     def _begin_round(self, current: Round) -> None:
         now_ms = current.now_ms
         self._round_ms = now_ms
+        self._budget.begin()
         self._holds.release_placed(current.reservations)
         self._finder.begin(now_ms)
         self._choices_by_step.clear()
@@ -227,6 +236,7 @@
         self._holds.add(preemption, current.reservations)
         for victim in choice.victims:
             victim.run.stopping = True
+            self._budget.note_stopped(victim.run, victim.step)
             self._note_preempted(pending, victim)
             victim.task.preemptions += 1
         self._finder.note_stopped(choice.server, choice.victims)
