Add up once what the runs of a server release to an overdue task

Cause: each of up to 16 searches of a round for room of an overdue long-running task went over all runs of all servers, so that thousands of small runs made each round long. Change: the totals of a server are kept until its runs change.

--- a/waxwingford/scheduling/_reservations.py
+++ b/waxwingford/scheduling/_reservations.py
@@ -6,6 +6,7 @@
 preempted runs free is held for the task that preempted them.
 """
 
+import functools
 from collections.abc import Callable
 from typing import TypeVar
 
@@ -27,6 +28,8 @@
 SEARCH_RETRY_MS = 400
 #: Estimated length up to which a running task is waited for, in ms.
 MAX_AWAITED_MS = 4000
+#: Totals of servers that are kept at most.
+MAX_KEPT_TOTALS = 40_000
 _NO_RESOURCES = Resources(0, 0, 0)
 _Key = TypeVar('_Key')
 
@@ -43,6 +46,11 @@
         self._now_ms = 0
         self._retry_ms_by_step: dict[str, int] = {}
         self._limit_by_server: dict[str, Resources] = {}
+        # With the number of changes of the server at that time.
+        self._releasable_by_server: dict[
+            tuple[str, Callable[[StepSpec], bool]],
+            tuple[Server, int, Resources],
+        ] = {}
 
     def begin(self, now_ms: int) -> None:
         """Begin a placement round.
@@ -193,13 +201,30 @@
     def _available_later(
         self, server: Server, stays: Callable[[StepSpec], bool]
     ) -> Resources:
-        resources = self.available(server)
-        for step in server.step_by_run.values():
-            if not stays(step.spec):
-                resources = add_resources(
-                    resources, step.spec.reserved_resources
-                )
-        return resources
+        return add_resources(
+            self.available(server), self._releasable(server, stays)
+        )
+
+    def _releasable(
+        self, server: Server, stays: Callable[[StepSpec], bool]
+    ) -> Resources:
+        """Add up what the runs of a server release, once for each change of them."""
+        key = server.entry.server_id, stays
+        known = self._releasable_by_server.get(key)
+        if known is not None:
+            known_server, changes, total = known
+            if known_server is server and changes == server.change_count:
+                return total
+        released = [
+            step.spec.reserved_resources
+            for step in server.step_by_run.values()
+            if not stays(step.spec)
+        ]
+        total = functools.reduce(add_resources, released, _NO_RESOURCES)
+        if len(self._releasable_by_server) >= MAX_KEPT_TOTALS:
+            self._releasable_by_server.clear()
+        self._releasable_by_server[key] = server, server.change_count, total
+        return total
 
 
 def common_resources(left: Resources, right: Resources) -> Resources:
