Bound the work of a placement round, and go on where it ended

Cause: a round had no bound on its own work. It ranked and sorted all waiting tasks, estimated a job of many steps anew for each of them, compared each step that fits nowhere with all servers again after each answer, and looked at all tasks and repetitions of a job whenever something of it was stored. What isn't placed isn't limited by the number of starts. Evidence: decision.slow named that job with 1,000,086 looks, shared by its steps, 1.1 to 2.6 s. Change: pending tasks are kept by step. A round ranks steps, at most 64 of a job in turn, with one estimate for a job; takes tasks from them one by one; and ends after 20,000 looks. A step that fits nowhere is compared with all servers again after a time that grows with the work of all such steps, and until then only with servers on which room has become free. Up to 8,000 tasks become pending in one decision, 6,000 of a job; a job is looked at only where a step has ended. Copies and exclusions go over steps or runs, not over all tasks. The servers of a task are selected by a class of its own. Why it works: what a round does is bounded in looks whatever a job is like, and full steps take a tenth of a core together, so others are reached in each round.

--- a/waxwingford/scheduling/_backlog.py
+++ b/waxwingford/scheduling/_backlog.py
@@ -1,11 +1,10 @@
 """Outcome of a decision: what was placed, and what its limit of starts left."""
 
 import collections
-from collections.abc import Sequence
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from waxwingford.scheduling._state import Step
-from waxwingford.scheduling._task_order import PendingTask
 
 
 class Backlog(NamedTuple):
@@ -34,20 +33,18 @@
 
 
 def count_backlog(
-    left: Sequence[PendingTask], before: Backlog, with_best_effort: bool
+    left: Iterable[tuple[Step, int]], before: Backlog, with_best_effort: bool
 ) -> Backlog:
     """Count the tasks that a round left.
 
+    :param left: steps, and how many of their tasks were left.
     :param before: backlog after the round before.
     :param with_best_effort: whether the round looked at best-effort tasks.
     """
-    if not left:
-        return Backlog(0, 0 if with_best_effort else before.best_effort)
     by_kind: collections.Counter[bool] = collections.Counter()
     last_steps: dict[tuple[str, int], Step] = {}
-    for pending in left:
-        step = pending.step
-        by_kind[step.spec.best_effort] += 1
+    for step, count in left:
+        by_kind[step.spec.best_effort] += count
         job = step.job.spec.job_id, step.occurrence
         last = last_steps.setdefault(job, step)
         if step.index > last.index:
--- a/waxwingford/scheduling/_copies.py
+++ b/waxwingford/scheduling/_copies.py
@@ -53,7 +53,7 @@
         self._copied_by_service = collections.Counter(
             state.queue_of(step.job).service
             for step in _steps_with_copies(state)
-            for task in step.tasks
+            for task in step.tasks_with_runs()
             if len(task.run_by_number) > 1
         )
 
@@ -174,7 +174,7 @@
         self._detector.begin_round()
         for step in _steps_with_copies(self._state):
             most_attempts = self._state.queue_of(step.job).most_attempts
-            for task in step.tasks:
+            for task in step.tasks_with_runs():
                 if not copyable(task, most_attempts, now_ms):
                     continue
                 run = next(iter(task.run_by_number.values()))
@@ -242,9 +242,9 @@
 def _waiting_priorities(state: ShardState, now_ms: int) -> dict[str, int]:
     """Find the highest priority of the tasks that wait for room, by service."""
     waiting: dict[str, int] = {}
-    for task in state.pending_by_key.values():
+    for task in state.pending_by_key.first_tasks(now_ms):
         job = state.job_by_id.get(task.key.job_id)
-        if job is None or task.not_before_ms > now_ms:
+        if job is None:
             continue
         queue = state.queue_of(job)
         long_running = job.spec.steps[task.key.step].long_running
--- a/waxwingford/scheduling/_eligibility.py
+++ b/waxwingford/scheduling/_eligibility.py
@@ -29,12 +29,12 @@
     :param service: service whose servers run the step.
     :returns: matching servers below the step's limit of tasks per server.
     """
-    counts = step.runs_by_server if step.spec.max_per_server else {}
+    runs_by_server = step.runs_by_server if step.spec.max_per_server else {}
     limit = step.spec.max_per_server or len(step.tasks) + 1
     return [
         server
         for server in servers
-        if counts.get(server.entry.server_id, 0) < limit
+        if len(runs_by_server.get(server.entry.server_id, ())) < limit
         and matches(step, service, server)
     ]
 
--- a/waxwingford/scheduling/_engine.py
+++ b/waxwingford/scheduling/_engine.py
@@ -35,9 +35,9 @@
 from waxwingford.scheduling._server_registry import ServerRegistry
 from waxwingford.scheduling._servers import Server, ServerEntry
 from waxwingford.scheduling._settle import Settler
-from waxwingford.scheduling._shard_state import ShardState, block_job
+from waxwingford.scheduling._shard_state import ShardState
 from waxwingford.scheduling._specs import JobSpec, Terms
-from waxwingford.scheduling._state import EndReason, Job, JobPhase, Run
+from waxwingford.scheduling._state import EndReason, JobPhase, Run
 
 #: Interval between updates of the stored interference of best-effort tasks, in
 #: ms. A new owner has to learn again what isn't stored, and each pair of images
@@ -93,8 +93,6 @@
         self.admission = self._placement.admission
         self.timely = True
         self._interference_stored_ms = 0
-        self._jobs_to_release: dict[str, Job] = {}
-        self._timed_job_by_id: dict[str, Job] = {}
         self._evacuations = Evacuations(self.state)
 
     def submit(self, spec: JobSpec, now_ms: int) -> bool:
@@ -105,10 +103,7 @@
         """
         if not self.state.submit(spec, now_ms):
             return False
-        job = self.state.job_by_id[spec.job_id]
-        self._jobs_to_release[spec.job_id] = job
-        if spec.times:
-            self._timed_job_by_id[spec.job_id] = job
+        self._placement.release.add(self.state.job_by_id[spec.job_id])
         if spec.job_id in self.state.past.cancelled_early:
             self.cancel(spec.job_id)
         return True
@@ -189,7 +184,8 @@
         """
         self.state.wall_offset_ms = wall_ms - now_ms
         self.recovery.apply(now_ms, wall_ms)
-        self._jobs_to_release.update(self.state.job_by_id)
+        for job in self.state.job_by_id.values():
+            self._placement.release.add(job)
 
     def register(self, entries: Iterable[ServerEntry], now_ms: int) -> None:
         """Apply the newest registrations of backend servers.
@@ -273,7 +269,7 @@
                 self._maintenance.judge_losses, now_ms, late
             )
             attempt(self.state.notes, 'judge losses', '', judge)
-        self._release_jobs(now_ms, wall_ms)
+        self._placement.release.release(now_ms, wall_ms)
         if not self.state.terms.version:
             # Neither the services of the queues nor evacuations are known yet.
             max_starts = 0
@@ -308,21 +304,9 @@
         :returns: starts to send now.
         """
         for job, _ in batch.shown:
-            self._jobs_to_release[job.spec.job_id] = job
+            self._placement.release.add(job)
         return self.state.stored(batch)
 
-    def _release_jobs(self, now_ms: int, wall_ms: int) -> None:
-        to_release = {**self._jobs_to_release, **self._timed_job_by_id}
-        self._jobs_to_release = {}
-        for job_id, job in to_release.items():
-            release = functools.partial(
-                self._placer.release_tasks, job, now_ms, wall_ms
-            )
-            if not attempt(self.state.notes, 'release', job_id, release):
-                block_job(self.state, job_id)
-            if job.ended is not None:
-                self._timed_job_by_id.pop(job_id, None)
-
 
 def _note_interruption(
     state: ShardState, epoch: int, now_ms: int, wall_ms: int
--- a/waxwingford/scheduling/_penalties.py
+++ b/waxwingford/scheduling/_penalties.py
@@ -87,7 +87,7 @@
 
 def _pending_steps(state: ShardState) -> list[Step]:
     step_by_name: dict[str, Step] = {}
-    for task in state.pending_by_key.values():
+    for task in state.pending_by_key.first_tasks():
         job = state.job_by_id.get(task.key.job_id)
         if job is not None and job.ended is None:
             step = job.steps_by_occurrence[task.key.occurrence][task.key.step]
--- a/waxwingford/scheduling/_placement.py
+++ b/waxwingford/scheduling/_placement.py
@@ -2,6 +2,7 @@
 
 import functools
 
+from waxwingford.scheduling._admission import BestEffortAdmission
 from waxwingford.scheduling._backlog import Decision
 from waxwingford.scheduling._containment import attempt
 from waxwingford.scheduling._copies import CopyPlacer
@@ -12,12 +13,14 @@
 from waxwingford.scheduling._placement_view import PlacementView
 from waxwingford.scheduling._placing import Placer
 from waxwingford.scheduling._preemption import Preemptor
+from waxwingford.scheduling._release import TaskRelease
 from waxwingford.scheduling._shard_state import ShardState
 
 
 class Placement:
     """Places pending tasks, and what the enabled features add.
 
+    :ivar release: makes tasks pending.
     :ivar placer: places the pending tasks.
     :ivar view: what explanations read.
     :ivar admission: which jobs are refused for lack of room.
@@ -31,9 +34,15 @@
         features: Features,
     ) -> None:
         self._state = state
+        self.release = TaskRelease(state)
         self._features = features
         preemptor = Preemptor(state, budget, features.preemption)
-        self.placer = Placer(state, model, preemptor, features.look_ahead)
+        self.placer = Placer(
+            state,
+            BestEffortAdmission(model),
+            preemptor,
+            features.look_ahead,
+        )
         self.view = PlacementView(
             state,
             model,
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -2,7 +2,6 @@
 
 import functools
 
-from waxwingford.ports import fits_resources
 from waxwingford.scheduling import _gangs as gangs
 from waxwingford.scheduling._admission import BestEffortAdmission
 from waxwingford.scheduling._backlog import Backlog, Decision, count_backlog
@@ -10,23 +9,23 @@
 from waxwingford.scheduling._containment import attempt, note_failure
 from waxwingford.scheduling._crashes import is_suspect
 from waxwingford.scheduling._eligibility import eligible, usable_servers
-from waxwingford.scheduling._interference import InterferenceModel
+from waxwingford.scheduling._full_steps import FullSteps
 from waxwingford.scheduling._isolation import Isolation
 from waxwingford.scheduling._look_ahead import LookAhead, preview_room
 from waxwingford.scheduling._pending_report import PendingReport
 from waxwingford.scheduling._preemption import Preemptor, Round
+from waxwingford.scheduling._ranked_tasks import Estimates, RankedTasks
 from waxwingford.scheduling._reservations import Reservations
-from waxwingford.scheduling._round_work import RoundWork
+from waxwingford.scheduling._round_work import MAX_ROUND_WORK, RoundWork
 from waxwingford.scheduling._run_planning import RunPlanner
 from waxwingford.scheduling._server_costs import ServerCosts
-from waxwingford.scheduling._server_selection import ServerSelection
+from waxwingford.scheduling._server_pools import ServerPools
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._shard_state import ShardState, block_job
-from waxwingford.scheduling._state import Job, Step, Task
+from waxwingford.scheduling._state import Step, Task
 from waxwingford.scheduling._task_order import (
     PendingTask,
     rank_alone,
-    ranked_tasks,
 )
 
 #: Shortest time between two rounds that place best-effort tasks, in ms.
@@ -49,19 +48,20 @@
     def __init__(
         self,
         state: ShardState,
-        model: InterferenceModel,
+        admission: BestEffortAdmission,
         preemptor: Preemptor,
         looks_ahead: bool,
     ) -> None:
         """Create a placer.
 
+        :param admission: decides where best-effort tasks may start.
         :param preemptor: preempts for the tasks that a round leaves.
         :param looks_ahead: whether room is reserved that tasks are to release.
         """
         self.work = RoundWork()
         self._backlog = Backlog()
         self._state = state
-        self._admission = BestEffortAdmission(model)
+        self._admission = admission
         self.reservations = Reservations()
         self._look_ahead: LookAhead | None = None
         self._costs = ServerCosts(self._admission, state.learned.run_times)
@@ -72,29 +72,23 @@
         )
         self._best_effort_ms = 0
         self._best_effort_due_ms = 0
-        self._evaluations = 0
         self._report = PendingReport(state.notes)
-        self._selection = ServerSelection()
         self.isolation = Isolation(state)
         self.planner = RunPlanner(
             state, self.isolation, self._report, self._look_ahead
         )
+        self._pools = ServerPools(
+            state,
+            admission,
+            self.reservations,
+            self.isolation,
+            self._look_ahead,
+            self.work,
+        )
         self._preemptor = preemptor
         self._candidates_by_step: dict[str, CandidateQueue] = {}
-
-    def release_tasks(self, job: Job, now_ms: int, wall_ms: int) -> None:
-        """Make the tasks pending whose steps have no open dependency.
-
-        :param now_ms: current monotonic time, in ms.
-        :param wall_ms: current Unix time, in ms, for timed jobs.
-        """
-        if job.ended is not None or job.blocked:
-            return
-        for occurrence in range(_count_due(job, wall_ms)):
-            steps = job.begin(occurrence)
-            for step in steps:
-                if step.unfinished and _is_unblocked(step, steps):
-                    _make_pending(self._state, step, now_ms)
+        self._full = FullSteps(self.reservations)
+        self._estimates = Estimates(state)
 
     def place(
         self, now_ms: int, max_starts: float, overloaded: bool
@@ -114,25 +108,26 @@
         with_best_effort = now_ms >= self._best_effort_due_ms
         if with_best_effort:
             self._best_effort_ms = now_ms
-        ranked = ranked_tasks(
+            self._estimates.forget_others()
+        ranked = RankedTasks(
             self._state,
+            self._estimates,
+            self.work,
             now_ms,
             with_best_effort,
             limited=overloaded and any(self._backlog),
-            work=self.work,
-        )
-        tried = self._place_ranked(ranked, now_ms, max_starts)
-        self._backlog = count_backlog(
-            ranked[tried:], self._backlog, with_best_effort
+            thorough=with_best_effort or self._preemptor.is_due(now_ms),
         )
+        left = self._place_ranked(ranked, now_ms, max_starts)
+        self._backlog = count_backlog(left, self._backlog, with_best_effort)
         return Decision(self.planner.placed, self._backlog)
 
     def _place_ranked(
-        self, ranked: list[PendingTask], now_ms: int, max_starts: float
-    ) -> int:
+        self, ranked: RankedTasks, now_ms: int, max_starts: float
+    ) -> list[tuple[Step, int]]:
         """Plan runs of tasks in the given order.
 
-        :returns: number of tasks that were tried.
+        :returns: steps, and their numbers of tasks, that the limit of starts left.
         """
         self.reservations.begin(now_ms)
         hold_room = functools.partial(
@@ -143,38 +138,59 @@
             # Most rounds have nothing to place, and scanning all servers with
             # each answer would take most of the owner's processor.
             self._begin_look_ahead([], now_ms)
-            return 0
+            return []
         usable = usable_servers(self._state, now_ms)
         self._admission.begin(usable)
         self.isolation.begin(usable)
         self._begin_look_ahead(usable, now_ms)
-        self._evaluations = 0
+        self._full.begin(usable, now_ms)
+        self._pools.evaluations = 0
         self._candidates_by_step.clear()
+        unplaced, left = self._try_all(ranked, usable, now_ms, max_starts)
+        ended = Round(usable, self.isolation, self.reservations, now_ms)
+        preempt = functools.partial(self._preemptor.preempt, unplaced, ended)
+        attempt(self._state.notes, 'preempt', '', preempt)
+        if self._best_effort_ms == now_ms:
+            interval_ms = max(
+                BEST_EFFORT_INTERVAL_MS,
+                self._pools.evaluations // MAX_EVALUATIONS_PER_MS,
+            )
+            self._best_effort_due_ms = now_ms + interval_ms
+            self._report.update(unplaced, usable, now_ms)
+        ranked.end()
+        self._full.end(usable)
+        return left
+
+    def _try_all(
+        self,
+        ranked: RankedTasks,
+        usable: list[Server],
+        now_ms: int,
+        max_starts: float,
+    ) -> tuple[list[PendingTask], list[tuple[Step, int]]]:
+        """Try tasks until enough runs are planned, or the work of the round is spent.
+
+        :returns: tasks that found no server, some of each step, and what the limit of
+            starts left.
+        """
         unplaced: list[PendingTask] = []
         full_steps: set[str] = set()
-        tried = 0
         for pending in ranked:
             if self.planner.placed >= max_starts:
+                return unplaced, list(ranked.left())
+            if self.work.total >= MAX_ROUND_WORK:
                 break
-            tried += 1
             try:
                 placed = self._place_one(pending, usable, full_steps, now_ms)
             except Exception as error:
                 placed = _block(self._state, pending, error)
             if not placed:
-                unplaced.append(pending)
-                self._reserve(pending, usable, now_ms)
-        ended = Round(usable, self.isolation, self.reservations, now_ms)
-        preempt = functools.partial(self._preemptor.preempt, unplaced, ended)
-        attempt(self._state.notes, 'preempt', '', preempt)
-        if self._best_effort_ms == now_ms:
-            interval_ms = max(
-                BEST_EFFORT_INTERVAL_MS,
-                self._evaluations // MAX_EVALUATIONS_PER_MS,
-            )
-            self._best_effort_due_ms = now_ms + interval_ms
-            self._report.update(unplaced, usable, now_ms)
-        return tried
+                self.work.add(pending.step.name, 1)
+                full = pending.step.name in full_steps
+                if ranked.note_unplaced(pending, full):
+                    unplaced.append(pending)
+                    self._reserve(pending, usable, now_ms)
+        return unplaced, []
 
     def _begin_look_ahead(self, usable: list[Server], now_ms: int) -> None:
         if self._look_ahead is not None:
@@ -189,8 +205,8 @@
         pending = rank_alone(self._state, task, step, now_ms)
         usable = usable_servers(self._state, now_ms)
         self._admission.begin(usable)
-        pool = self._pool(pending, usable, now_ms)
-        return self._fitting(pending, pool, now_ms)
+        pool = self._pools.pool(pending, usable, now_ms)
+        return self._pools.fitting(pending, pool, now_ms)
 
     def _place_one(
         self,
@@ -199,28 +215,41 @@
         full_steps: set[str],
         now_ms: int,
     ) -> bool:
-        if pending.step.spec.gang:
-            # Each member is looked at.
-            self.work.add(pending.step.name, len(pending.step.tasks))
-        if is_suspect(pending.task, pending.step):
+        task, step = pending.task, pending.step
+        name = step.name
+        # Attributes rather than calls, as this is done for each task.
+        suspected = task.suspected_crashes or task.lost_starts
+        if (suspected or step.spec.gang) and is_suspect(task, step):
             return self._place_isolated(pending, usable, now_ms)
-        name = pending.step.name
-        if name in full_steps and not pending.task.avoided:
+        if name in full_steps and not task.avoided:
             return False
-        if self._try_place(pending, usable, now_ms):
+        if name in self._candidates_by_step:
+            placed = self._try_place(pending, usable, now_ms)
+        else:
+            placed = self._try_first(pending, usable, now_ms)
+        if not (placed or name in full_steps):
+            full_steps.add(name)
+            self._full.add(step, self.work.of(name), now_ms)
+        return placed
+
+    def _try_first(
+        self, pending: PendingTask, usable: list[Server], now_ms: int
+    ) -> bool:
+        """Try the first task of a step, or one that is tried by itself."""
+        servers = self._full.servers_to_try(
+            pending.step, pending.queue.advised, usable, now_ms
+        )
+        if servers and self._try_place(pending, servers, now_ms):
+            self._full.discard(pending.step)
             return True
-        full_steps.add(name)
         return False
 
     def _try_place(
         self, pending: PendingTask, usable: list[Server], now_ms: int
     ) -> bool:
-        if pending.task.key not in self._state.pending_by_key:
-            # Placed in this round with the rest of its gang.
-            return True
         if pending.step.spec.gang:
-            pool = self._pool(pending, usable, now_ms)
-            fitting = self._fitting(pending, pool, now_ms)
+            pool = self._pools.pool(pending, usable, now_ms)
+            fitting = self._pools.fitting(pending, pool, now_ms)
             return self._place_gang(pending, fitting, now_ms)
         server = self._choose_server(pending, usable, now_ms)
         if server is None:
@@ -233,8 +262,8 @@
     ) -> bool:
         if self._try_place(pending, usable, now_ms):
             return True
-        pool = self._pool(pending, usable, now_ms)
-        candidates = self._with_room(pending, pool, now_ms)
+        pool = self._pools.pool(pending, usable, now_ms)
+        candidates = self._pools.with_room(pending, pool, now_ms)
         self.planner.changed += self.isolation.reserve(
             pending.task,
             pending.step,
@@ -249,14 +278,15 @@
         task, step = pending.task, pending.step
 
         def fit(servers: list[Server]) -> list[Server]:
-            return self._fitting(pending, servers, now_ms)
+            return self._pools.fitting(pending, servers, now_ms)
 
         cost = functools.partial(self._costs.cost, task, step, now_ms=now_ms)
-        task_specific = task.avoided or task.may_crash
+        suspected = task.suspected_crashes or task.lost_starts
+        task_specific = task.avoided or suspected
         if pending.queue.advised or task_specific:
             # The candidates of these tasks can't be shared within the step:
             # they depend on the task or its tickets.
-            pool = self._pool(pending, usable, now_ms)
+            pool = self._pools.pool(pending, usable, now_ms)
             return min(fit(pool), key=cost, default=None)
         candidates = self._candidates_by_step.get(step.name)
         if candidates is not None:
@@ -264,35 +294,11 @@
             if best is not None or not step.spec.best_effort:
                 return best
         # The next selection of a best-effort step has other servers.
-        pool = self._pool(pending, usable, now_ms)
+        pool = self._pools.pool(pending, usable, now_ms)
         candidates = CandidateQueue(pool, fit, cost, len(self.planner.changed))
         self._candidates_by_step[step.name] = candidates
         return candidates.best(self.planner.changed)
 
-    def _pool(
-        self, pending: PendingTask, usable: list[Server], now_ms: int
-    ) -> list[Server]:
-        """Select the servers to evaluate for a task."""
-        pool = self._select_pool(pending, usable, now_ms)
-        self.work.add(pending.step.name, len(pool))
-        return pool
-
-    def _select_pool(
-        self, pending: PendingTask, usable: list[Server], now_ms: int
-    ) -> list[Server]:
-        step = pending.step
-        service = pending.queue.service
-        if not step.spec.best_effort:
-            if step.spec.gang or pending.queue.advised:
-                return usable
-            pool = self._selection.with_room(step, service, usable)
-            if self._look_ahead is not None:
-                return self._look_ahead.with_reserved(step, pool)
-            return pool
-        pool = self._admission.open_servers(step, service, now_ms)
-        self._evaluations += len(pool)
-        return pool
-
     def _reserve(
         self, pending: PendingTask, usable: list[Server], now_ms: int
     ) -> None:
@@ -335,38 +341,6 @@
         self.planner.plan_gang(step, assignments, now_ms)
         return True
 
-    def _fitting(
-        self, pending: PendingTask, servers: list[Server], now_ms: int
-    ) -> list[Server]:
-        with_room = self._with_room(pending, servers, now_ms)
-        return self.isolation.admitting(with_room, pending.task, pending.step)
-
-    def _with_room(
-        self, pending: PendingTask, servers: list[Server], now_ms: int
-    ) -> list[Server]:
-        step = pending.step
-        service = pending.queue.service
-        takes = step.spec.reserved_resources
-        room_of = functools.partial(self.reservations.available, step=step)
-        if self._look_ahead is not None:
-            room_of = self._look_ahead.room_of(step, now_ms)
-            # Most servers are full while tasks wait.
-            servers = [
-                server
-                for server in servers
-                if fits_resources(takes, server.free_resources)
-            ]
-        fitting = [
-            server
-            for server in eligible(step, service, servers)
-            if fits_resources(takes, room_of(server))
-        ]
-        if step.spec.best_effort:
-            fitting = self._admission.admitting(step, service, fitting, now_ms)
-        if pending.queue.advised and fitting:
-            return self._state.tickets.allowed(step, fitting, now_ms)
-        return fitting
-
 
 def _block(state: ShardState, pending: PendingTask, error: Exception) -> bool:
     """Start no more tasks of a job for which placing has failed.
@@ -377,35 +351,3 @@
     note_failure(state.notes, 'place', job_id, error)
     block_job(state, job_id)
     return True
-
-
-def _count_due(job: Job, wall_ms: int) -> int:
-    """Count the repetitions of a job that are due.
-
-    :param wall_ms: current Unix time, in ms.
-    :returns: number of due repetitions; 1 for a job that isn't timed.
-    """
-    spec = job.spec
-    if not spec.times:
-        return 1
-    if wall_ms < spec.first_due_ms:
-        return 0
-    elapsed = (wall_ms - spec.first_due_ms) // max(1, spec.every_ms)
-    return min(spec.times, elapsed + 1)
-
-
-def _is_unblocked(step: Step, steps: list[Step]) -> bool:
-    return not any(
-        steps[index].unfinished
-        for index in step.spec.after
-        if index < len(steps)
-    )
-
-
-def _make_pending(state: ShardState, step: Step, now_ms: int) -> None:
-    for task in step.tasks:
-        pending = not (task.done or task.run_by_number)
-        if pending and task.key not in state.pending_by_key:
-            # A previous owner may have stored when the task became pending.
-            task.pending_since_ms = task.pending_since_ms or now_ms
-            state.pending_by_key[task.key] = task
--- a/waxwingford/scheduling/_round_work.py
+++ b/waxwingford/scheduling/_round_work.py
@@ -1,8 +1,12 @@
-"""Work of a placement round, and the step that took most of it."""
+"""Bounds the work of a placement round, and names the step that took most of it."""
 
 import collections
 from typing import NamedTuple
 
+#: Work after which a round ends; the next one goes on with other steps. A look takes
+#: about a microsecond, and callers wait for the round.
+MAX_ROUND_WORK = 20_000
+
 
 class HeaviestStep(NamedTuple):
     """Step that took most of the work of a round.
@@ -35,6 +39,10 @@
         self.total += work
         self._work_by_step[step_name] += work
 
+    def of(self, step_name: str) -> int:
+        """Return the work for a step in this round."""
+        return self._work_by_step[step_name]
+
     @property
     def heaviest(self) -> HeaviestStep:
         """Step that took most of the work."""
@@ -44,4 +52,4 @@
         return HeaviestStep(name, self._work_by_step[name])
 
 
-__all__ = ('HeaviestStep', 'RoundWork')
+__all__ = ('MAX_ROUND_WORK', 'HeaviestStep', 'RoundWork')
--- a/waxwingford/scheduling/_run_planning.py
+++ b/waxwingford/scheduling/_run_planning.py
@@ -61,9 +61,10 @@
             resumed_from=task.checkpoint,
         )
         step.add_run(task, run)
-        if is_suspect(task, step):
+        suspected = task.suspected_crashes or task.lost_starts
+        if (suspected or step.spec.gang) and is_suspect(task, step):
             self._isolation.isolate(server, task, step)
-        self._state.pending_by_key.pop(task.key, None)
+        self._state.pending_by_key.discard(task.key)
         self._state.plan(run, step)
         if self._look_ahead is not None:
             self._look_ahead.note_planned(task, step, server, now_ms)
@@ -74,7 +75,7 @@
             'run.planned',
             task.key,
             run=key.run,
-            server=run.server_id,
+            server=server.entry.server_id,
             waited_ms=waited_ms,
             looked_ms_ago=now_ms - server.polled_ms,
             terms=self._state.terms.version,
--- a/waxwingford/scheduling/_run_settlement.py
+++ b/waxwingford/scheduling/_run_settlement.py
@@ -163,13 +163,14 @@
         ended = step.tasks if step.spec.gang else [task]
         for one in ended:
             one.done = True
-            self._state.pending_by_key.pop(one.key, None)
+            self._state.pending_by_key.discard(one.key)
         step.unfinished -= len(ended)
         if step.spec.gang:
             self._state.mark(step)
         for other in task.run_by_number.values():
             other.stopping = True
         if not step.unfinished:
+            step.job.occurrences_to_release.add(step.occurrence)
             self._finish_occurrence(step)
 
     def _finish_occurrence(self, step: Step) -> None:
@@ -231,5 +232,5 @@
     job = step.job
     if task.done or task.run_by_number or job.ended is not None or job.blocked:
         return False
-    state.pending_by_key[task.key] = task
+    state.pending_by_key.add(task)
     return True
--- a/waxwingford/scheduling/_shard_state.py
+++ b/waxwingford/scheduling/_shard_state.py
@@ -25,6 +25,7 @@
     Start,
 )
 from waxwingford.scheduling._past_jobs import PastJobs
+from waxwingford.scheduling._pending_tasks import PendingTasks
 from waxwingford.scheduling._rows import (
     ENDED_PREFIX,
     INTERFERENCE_KEY,
@@ -180,7 +181,7 @@
         self.job_by_id: dict[str, Job] = {}
         self.past = PastJobs()
         self.server_by_id: dict[str, Server] = {}
-        self.pending_by_key: dict[object, Task] = {}
+        self.pending_by_key = PendingTasks()
         self.orders: list[Order] = []
         self.tickets = TicketBook()
         self.learned = Learned()
@@ -245,9 +246,10 @@
 
     def plan(self, run: Run, step: Step) -> None:
         """Place a run; it starts once it is stored."""
-        self.server_by_id[run.server_id].add(run, step)
+        server_id = run.incarnation.server_id
+        self.server_by_id[server_id].add(run, step)
         self.mark(step, step.tasks[run.key.task.index])
-        self._pending_starts.append(Start(run.server_id, run))
+        self._pending_starts.append(Start(server_id, run))
 
     def acknowledge_end(self, incarnation: Incarnation, number: int) -> None:
         """Acknowledge an end to its server once the next batch is stored.
@@ -279,9 +281,7 @@
             **rests_on,
             **_learn_outcome(self, job),
         )
-        for step in steps_of(job):
-            for task in step.tasks:
-                self.pending_by_key.pop(task.key, None)
+        self.pending_by_key.discard_job(job.spec.job_id)
         for run in runs_of(job):
             run.stopping = True
 
@@ -494,11 +494,7 @@
     job = state.job_by_id.get(job_id)
     if job is not None:
         job.blocked = True
-    state.pending_by_key = {
-        key: task
-        for key, task in state.pending_by_key.items()
-        if task.key.job_id != job_id
-    }
+    state.pending_by_key.discard_job(job_id)
 
 
 def steps_of(job: Job) -> list[Step]:
--- a/waxwingford/scheduling/_state.py
+++ b/waxwingford/scheduling/_state.py
@@ -203,6 +203,7 @@
     :ivar preemptions: number of times that this owner has preempted the task.
     :ivar best_effort: whether the task uses only CPU that other tasks leave
         idle.
+    :ivar long_running: whether the task runs until its job is cancelled.
     :ivar final_row: encoded row of a done task that can't change any more.
     :ivar latest_row: latest encoded row, and what it was encoded from.
     """
@@ -230,6 +231,7 @@
     left_work_ms: int = 0
     preemptions: int = 0
     best_effort: bool = False
+    long_running: bool = False
     final_row: msgspec.Raw | None = None
     latest_row: tuple[tuple[object, ...], msgspec.Raw] | None = None
 
@@ -264,10 +266,12 @@
     :ivar index: index of the step in the job.
     :ivar tasks: tasks in the order of their index.
     :ivar unfinished: number of tasks that are not done.
-    :ivar runs_by_server: number of runs by server id; servers without any are left
-        out.
+    :ivar runs_by_server: tasks by run for each server id; servers without any are
+        left out.
     :ivar suspects: indices of tasks that are suspected of crashes, or whose starts
         were lost.
+    :ivar released: number of its first tasks that were made pending, or weren't as
+        they had a run or were done.
     :ivar stopped_run: latest run of a gang whose remaining members were stopped.
     :ivar judged_run: latest failed run of a gang that was counted as an attempt.
     :ivar checkpoint_to_share: latest checkpoint of a gang, until all members have it.
@@ -286,9 +290,12 @@
     index: int
     tasks: list[Task]
     unfinished: int
-    runs_by_server: dict[str, int] = dataclasses.field(default_factory=dict)
+    runs_by_server: dict[str, dict[RunKey, 'Task']] = dataclasses.field(
+        default_factory=dict
+    )
     suspects: set[int] = dataclasses.field(default_factory=set)
     holding: set[int] = dataclasses.field(default_factory=set)
+    released: int = 0
     stopped_run: int = 0
     judged_run: int = 0
     checkpoint_to_share: str | None = None
@@ -309,8 +316,8 @@
     def add_run(self, task: Task, run: Run) -> None:
         """Add a run of a task that may be present on a server."""
         task.run_by_number[run.key.run] = run
-        counts, server_id = self.runs_by_server, run.incarnation.server_id
-        counts[server_id] = counts.get(server_id, 0) + 1
+        server_id = run.incarnation.server_id
+        self.runs_by_server.setdefault(server_id, {})[run.key] = task
         self.job.run_count += 1
 
     def remove_run(self, task: Task, number: int) -> None:
@@ -319,12 +326,20 @@
         if run is None:
             return
         self.job.run_count -= 1
-        left = self.runs_by_server[run.server_id] - 1
-        if left:
-            self.runs_by_server[run.server_id] = left
-        else:
+        task_by_run = self.runs_by_server[run.server_id]
+        del task_by_run[run.key]
+        if not task_by_run:
             del self.runs_by_server[run.server_id]
 
+    def tasks_with_runs(self) -> list[Task]:
+        """List the tasks that have a run, those with several runs once."""
+        task_by_key = {
+            task.key: task
+            for task_by_run in self.runs_by_server.values()
+            for task in task_by_run.values()
+        }
+        return list(task_by_key.values())
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Job:
@@ -343,6 +358,8 @@
     :ivar begun: whether a server has accepted or listed a run of any task.
     :ivar occurrences_left: number of repetitions that have not ended.
     :ivar kept_bytes: memory that it may take, in bytes.
+    :ivar next_occurrence: index of the next repetition to begin.
+    :ivar occurrences_to_release: repetitions of which tasks may be made pending.
     :ivar run_count: number of its runs that may be present on a server.
     :ivar noted_lateness: highest ``Lateness`` that was noted.
     """
@@ -361,6 +378,8 @@
     noted_lateness: int = 0
     kept_bytes: int = 0
     run_count: int = 0
+    next_occurrence: int = 0
+    occurrences_to_release: set[int] = dataclasses.field(default_factory=set)
 
     def task(self, key: TaskKey) -> Task | None:
         """Find a task.
@@ -415,6 +434,7 @@
         Task(
             TaskKey(job.spec.job_id, occurrence, index, number),
             best_effort=spec.best_effort,
+            long_running=spec.long_running,
         )
         for number in range(spec.count)
     ]
--- a/waxwingford/scheduling/_stragglers.py
+++ b/waxwingford/scheduling/_stragglers.py
@@ -134,7 +134,10 @@
         """
         advanced = self._advanced_by_step.get(step.name)
         if advanced is None:
-            advanced = sum(map(_is_advanced, step.tasks))
+            running = step.tasks_with_runs()
+            left = [task for task in running if not task.done]
+            advanced = len(step.tasks) - step.unfinished
+            advanced += sum(map(_is_advanced, left))
             self._advanced_by_step[step.name] = advanced
         others = advanced - (run.percent >= ADVANCED_PERCENT)
         return others >= MIN_COMPARED_TASKS
--- a/waxwingford/scheduling/_task_order.py
+++ b/waxwingford/scheduling/_task_order.py
@@ -1,17 +1,13 @@
 """Order in which pending tasks are placed."""
 
-from collections.abc import Iterator
 from typing import NamedTuple
 
-from waxwingford.scheduling._containment import note_failure
 from waxwingford.scheduling._job_estimates import (
     JobEstimate,
     Lateness,
     estimate_job,
-    owed_since_ms,
 )
-from waxwingford.scheduling._round_work import RoundWork
-from waxwingford.scheduling._shard_state import ShardState, block_job, has_runs
+from waxwingford.scheduling._shard_state import ShardState, has_runs
 from waxwingford.scheduling._specs import QueueTerms
 from waxwingford.scheduling._state import Job, Step, Task
 
@@ -106,116 +102,6 @@
     return rank_task(task, step, queue, estimate, now_ms)
 
 
-def ranked_tasks(
-    state: ShardState,
-    now_ms: int,
-    with_best_effort: bool,
-    limited: bool,
-    work: RoundWork,
-) -> list[PendingTask]:
-    """List the pending tasks in the order in which they are placed.
-
-    :param now_ms: current monotonic time, in ms.
-    :param limited: whether an overloaded owner left tasks in the round before.
-    :param work: counts the work.
-    """
-    ranked = _pending_tasks(state, now_ms, with_best_effort, limited, work)
-    return sorted(ranked, key=_rank)
-
-
-def _pending_tasks(
-    state: ShardState,
-    now_ms: int,
-    with_best_effort: bool,
-    limited: bool,
-    work: RoundWork,
-) -> Iterator[PendingTask]:
-    # Thousands of tasks of some hundred steps may be pending, so the rank is
-    # computed once per step where its tasks differ by index only.
-    first_by_step: dict[tuple[str, int, int], PendingTask] = {}
-    full = FullServices(state)
-    tasks = [
-        task
-        for task in state.pending_by_key.values()
-        if task.not_before_ms <= now_ms
-        and (with_best_effort or not task.best_effort)
-    ]
-    for task in tasks:
-        job_id, occurrence, index, _ = task.key
-        first = first_by_step.get((job_id, occurrence, index))
-        if first is not None:
-            yield _rank_sibling(first, task)
-            continue
-        first = _try_rank_first(state, full, task, now_ms, limited, work)
-        if first is None:
-            continue
-        if not first.step.spec.long_running:
-            first_by_step[job_id, occurrence, index] = first
-        yield first
-
-
-def _try_rank_first(
-    state: ShardState,
-    full: 'FullServices',
-    task: Task,
-    now_ms: int,
-    limited: bool,
-    work: RoundWork,
-) -> PendingTask | None:
-    try:
-        return _rank_first(state, full, task, now_ms, limited, work)
-    except Exception as error:
-        note_failure(state.notes, 'rank', task.key.job_id, error)
-        block_job(state, task.key.job_id)
-    return None
-
-
-def _rank_first(
-    state: ShardState,
-    full: 'FullServices',
-    task: Task,
-    now_ms: int,
-    limited: bool,
-    work: RoundWork,
-) -> PendingTask | None:
-    job = state.job_by_id.get(task.key.job_id)
-    if job is None or job.ended is not None or job.blocked:
-        state.pending_by_key.pop(task.key, None)
-        return None
-    steps = job.steps_by_occurrence[task.key.occurrence]
-    step = steps[task.key.step]
-    queue = state.queue_of(job)
-    since_ms = owed_since_ms(job, step.occurrence, state.wall_offset_ms)
-    work.add(step.name, len(steps))
-    estimate = estimate_job(steps, queue, state.learned.run_times)._replace(
-        age_ms=now_ms - since_ms
-    )
-    new = step.spec.long_running and not task.last_run
-    deferred = new and queue.service in full
-    if not step.spec.long_running:
-        _note_late(state, step, estimate)
-    return rank_task(task, step, queue, estimate, now_ms, deferred, limited)
-
-
-def _note_late(state: ShardState, step: Step, estimate: JobEstimate) -> None:
-    job = step.job
-    lateness = estimate.lateness
-    if lateness <= job.noted_lateness:
-        return
-    job.noted_lateness = lateness
-    steps = job.steps_by_occurrence[step.occurrence]
-    state.notes.add(
-        'job.late',
-        job.spec.job_id,
-        queue=job.spec.queue,
-        size=state.learned.sizes.classify(job.spec.queue, estimate.size),
-        expired=lateness is Lateness.expired,
-        begun=job.begun,
-        unfinished=sum(one.unfinished for one in steps),
-        **estimate.note_fields(),
-    )
-
-
 class FullServices:
     """Services at their limit of long-running tasks, computed on demand."""
 
@@ -245,19 +131,6 @@
         return long_running_milli > MAX_LONG_RUNNING_SHARE * capacity_milli
 
 
-def _rank_sibling(first: PendingTask, task: Task) -> PendingTask:
-    """Derive the rank of a task from another one of the same step.
-
-    :param first: ranked task of a step that isn't long-running.
-    """
-    rank = (*first.rank[:-1], task.key.index)
-    return PendingTask(rank, task, first.step, first.queue)
-
-
-def _rank(pending: PendingTask) -> tuple[float, ...]:
-    return pending.rank
-
-
 def _urgency_class(
     job: Job, estimate: JobEstimate, now_ms: int, limited: bool
 ) -> int:
--- a/waxwingford/scheduling/tests/engine_steps.py
+++ b/waxwingford/scheduling/tests/engine_steps.py
@@ -440,4 +440,5 @@
 
 @then('no decision looks at the job any more')
 def check_forgotten(context):
-    assert not context.harness.engine._timed_job_by_id
+    release = context.harness.engine._placement.release
+    assert not release._timed_job_by_id
--- a/waxwingford/scheduling/tests/odd_jobs_steps.py
+++ b/waxwingford/scheduling/tests/odd_jobs_steps.py
@@ -4,7 +4,7 @@
 from behave import then, when
 
 from waxwingford.ports import Resources
-from waxwingford.scheduling import EndKind, EndReport, JobSpec
+from waxwingford.scheduling import EndKind, EndReport, JobSpec, StepSpec
 from waxwingford.scheduling.tests.engine_harness import (
     JOB,
     QUEUE,
@@ -13,6 +13,8 @@
 )
 from waxwingford.scheduling.tests.large_fleet_steps import CallCounter
 
+#: Decisions that take in the tasks of the largest job.
+TAKING_IN = 4
 #: Needs of a task that is said to take no core.
 TINY = Resources(1, 1, 0)
 
@@ -51,8 +53,9 @@
 
 @then('each of {rounds:d} rounds takes at most {most:d} calls')
 def check_rounds(context, rounds, most):
-    # The first one also takes the job in.
-    context.harness.decide()
+    # The first ones also take the job in.
+    for _ in range(TAKING_IN):
+        context.harness.decide()
     for _ in range(rounds):
         calls = counted(context, context.harness.decide)
         assert calls <= most, calls
@@ -104,3 +107,152 @@
 @then('that took at most {most:d} calls for each of its {members:d} members')
 def check_calls_for_members(context, most, members):
     assert context.calls <= most * members, context.calls / members
+
+
+def odd_steps(steps, tasks, kind):
+    """Make steps whose tasks fit on no server, each of another size."""
+    more = {
+        'short': {},
+        'limited': {'max_per_server': 1},
+        'long-running': {'long_running': True},
+        'best-effort': {'best_effort': True, 'image': 'image'},
+    }[kind]
+    return tuple(
+        StepSpec(tasks, Resources(33_000, 200_000 + number, 0), 700, **more)
+        for number in range(steps)
+    )
+
+
+@when(
+    'a job of {steps:d} steps of {tasks:d} {kind} tasks that fit nowhere is'
+    ' submitted'
+)
+def submit_odd(context, steps, tasks, kind):
+    submit(context, odd_steps(steps, tasks, kind))
+
+
+@then(
+    '{rounds:d} rounds after that take at most {most:d} calls each in the mean'
+)
+def check_mean(context, rounds, most):
+    decide = context.harness.decide
+    calls = [counted(context, decide) for _ in range(rounds)]
+    assert sum(calls) <= most * rounds, calls
+
+
+@when('long tasks fill the servers, and a task of 1 core waits')
+def fill_servers(context):
+    harness = context.harness
+    submit(context, (step(6 * 32),))
+    harness.decide()
+    assert len(runs_of(context, JOB)) == 6 * 32
+    submit(context, (step(1),), SECOND)
+    harness.decide()
+    assert not runs_of(context, SECOND)
+
+
+@when('{jobs:d} jobs of {steps:d} steps that fit nowhere are submitted')
+def submit_many_odd(context, jobs, steps):
+    for number in range(jobs):
+        specs = odd_steps(steps, 1, 'short')
+        submit(context, specs, f'{0xDD00 + number:016x}')
+    for _ in range(20):
+        context.harness.decide()
+
+
+@when('a long task ends')
+@when('a task ends')
+def end_long_task(context):
+    run = context.harness.planned_runs[0]
+    ends = context.harness.ends[run.server_id]
+    ends.append(EndReport(len(ends) + 1, run.key, EndKind.done, ''))
+    context.harness.poll()
+
+
+@then('the task that waits is started within {span_s:d} s')
+def check_waiting_started(context, span_s):
+    harness = context.harness
+    until_ms = harness.now_ms + span_s * 1000
+    while not runs_of(context, SECOND) and harness.now_ms < until_ms:
+        harness.decide()
+    assert runs_of(context, SECOND)
+
+
+@when(
+    'a job of {times:d} repetitions of {tasks:d} tasks that fit nowhere is all'
+    ' due'
+)
+def submit_repeated(context, times, tasks):
+    due = {'times': times, 'every_ms': 1, 'first_due_ms': 1}
+    submit(context, odd_steps(1, tasks, 'short'), **due)
+
+
+@then('no decision makes more than {most:d} tasks pending')
+def check_released(context, most):
+    context.pending = [0]
+    for _ in range(30):
+        context.harness.decide()
+        pending = context.harness.engine.state.pending_by_key
+        context.pending.append(len(pending))
+    steps = zip(context.pending, context.pending[1:])
+    assert all(later - former <= most for former, later in steps)
+
+
+@then('all {tasks:d} tasks are pending after {decisions:d} decisions')
+def check_all_pending(context, tasks, decisions):
+    assert context.pending[decisions] == tasks, context.pending
+
+
+@when(
+    'a job of {times:d} repetitions of 2 dependent tasks of 1 core is all due'
+)
+def submit_dependent(context, times):
+    due = {'times': times, 'every_ms': 1, 'first_due_ms': 1}
+    submit(context, (step(1), step(1, after=(0,))), **due)
+
+
+@when('{rounds:d} rounds pass')
+def pass_rounds(context, rounds):
+    for _ in range(rounds):
+        context.harness.decide()
+
+
+@then('the decision after it takes at most {most:d} calls')
+def check_decision(context, most):
+    calls = counted(context, context.harness.decide)
+    assert calls <= most, calls
+
+
+@when(
+    'a long-running step of {tasks:d} tasks runs, of which {most:d} may be'
+    ' unavailable'
+)
+def run_limited(context, tasks, most):
+    harness = context.harness
+    harness.long_running = True
+    spec = StepSpec(tasks, TINY, 700, long_running=True, max_unavailable=most)
+    submit(context, (spec,))
+    harness.pass_ms(6000)
+    assert len(runs_of(context, JOB)) == tasks
+
+
+@when('a server drains')
+def drain_server(context):
+    context.server_id = runs_of(context, JOB)[0].server_id
+    context.harness.drain(context.server_id)
+
+
+@then('the next {decisions:d} decisions take at most {most:d} calls each')
+def check_decisions(context, decisions, most):
+    for number in range(decisions):
+        calls = counted(context, context.harness.decide)
+        assert calls <= most, (number, calls)
+        if not number:
+            server_by_id = context.harness.engine.state.server_by_id
+            runs = server_by_id[context.server_id].run_by_key.values()
+            context.stopping = sum(run.stopping for run in runs)
+
+
+@then('at most {most:d} of its runs are stopped at first')
+def check_stopping(context, most):
+    assert 0 < context.stopping <= most, context.stopping
--- a/waxwingford/scheduling/tests/placement_report_steps.py
+++ b/waxwingford/scheduling/tests/placement_report_steps.py
@@ -353,7 +353,7 @@
         for server, forecast in model._forecast_by_server.items()
     }
     steps = *model._filter_by_step, *placer._state.tickets._tickets_by_step
-    offsets = placer._admission._offset, placer._selection._offset
+    offsets = placer._admission._offset, placer._pools._selection._offset
     reserved = placer.reservations._reserved_by_server.copy()
     return forecasts, steps, offsets, reserved, look_ahead_caches(placer)
 
--- a/waxwingford_bench/odd_jobs.py
+++ b/waxwingford_bench/odd_jobs.py
@@ -9,6 +9,7 @@
 
 import argparse
 import collections
+import gc
 import sys
 import time
 from collections.abc import Callable, Iterator, Sequence
@@ -49,6 +50,8 @@
 _RUN_MS = 500
 _NS_IN_MS = 1_000_000
 _LEASE_MS = 5000
+#: As in the daemon.
+_GC_THRESHOLD = 20_000
 
 Outcome = TypeVar('Outcome')
 Steps = tuple[StepSpec, ...]
@@ -335,6 +338,9 @@
     parser.add_argument('--servers', type=int, default=6)
     parser.add_argument('--rounds', type=int, default=200)
     options = parser.parse_args(argv)
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(_GC_THRESHOLD)
     kinds = ('submit', 'decide', 'batch', 'stored', 'poll', 'restore')
     header = ' '.join(f'{kind:>8}' for kind in kinds)
     sys.stdout.write(
