Plan and send the members of a wide gang in portions

Cause: `RunPlanner.plan_gang` planned all members in one round, and `OrderSender` sent starts in the order in which they were planned; unsent members counted as starts in progress, which keeps others from a server.

Change: 500 members a round. None is started before all are planned; the room of the others is held, and what was planned is stopped, unstarted, if a planned member or that room is lost. Starts of jobs take turns at a server, and unsent members of gangs wider than 64 don't count as starts in progress.

--- a/waxwingford/scheduling/_engine.py
+++ b/waxwingford/scheduling/_engine.py
@@ -35,7 +35,7 @@
 from waxwingford.scheduling._server_registry import ServerRegistry
 from waxwingford.scheduling._servers import Server, ServerEntry
 from waxwingford.scheduling._settle import Settler
-from waxwingford.scheduling._shard_state import ShardState
+from waxwingford.scheduling._shard_state import ShardState, remove_ended_jobs
 from waxwingford.scheduling._specs import JobSpec, Terms
 from waxwingford.scheduling._state import EndReason, JobPhase, Run
 
@@ -279,7 +279,7 @@
     def take_batch(self) -> Batch:
         """Remove and return everything that has to be stored."""
         batch = self.state.take_batch()
-        batch.payload_by_key.update(self.state.remove_ended_jobs())
+        batch.payload_by_key.update(remove_ended_jobs(self.state))
         return batch
 
     def reject_rows(self, keys: Iterable[str]) -> None:
--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -134,7 +134,7 @@
             self._preemptor.begin, self.reservations, now_ms
         )
         attempt(self._state.notes, 'preempt', '', hold_room)
-        if not ranked:
+        if not (ranked or self.planner.plans_gangs):
             # Most rounds have nothing to place, and scanning all servers with
             # each answer would take most of the owner's processor.
             self._begin_look_ahead([], now_ms)
@@ -142,6 +142,7 @@
         usable = usable_servers(self._state, now_ms)
         self._admission.begin(usable)
         self.isolation.begin(usable)
+        self.planner.go_on(usable, self.reservations, now_ms)
         self._begin_look_ahead(usable, now_ms)
         self._full.begin(usable, now_ms)
         self._pools.evaluations = 0
--- a/waxwingford/scheduling/_run_planning.py
+++ b/waxwingford/scheduling/_run_planning.py
@@ -1,14 +1,19 @@
 """Plans runs of tasks on the servers that were chosen for them."""
 
-import itertools
+import functools
 from collections.abc import Iterable
 
 from waxwingford.scheduling import _gangs as gangs
 from waxwingford.scheduling._backend_client import RunKey
 from waxwingford.scheduling._crashes import is_suspect
+from waxwingford.scheduling._gangs_in_progress import (
+    MAX_MEMBERS_OF_ROUND,
+    GangInProgress,
+)
 from waxwingford.scheduling._isolation import Isolation
 from waxwingford.scheduling._look_ahead import LookAhead
 from waxwingford.scheduling._pending_report import PendingReport
+from waxwingford.scheduling._reservations import Reservations
 from waxwingford.scheduling._servers import Server
 from waxwingford.scheduling._shard_state import ShardState
 from waxwingford.scheduling._state import Run, RunPhase, Step, Task
@@ -34,12 +39,37 @@
         self._isolation = isolation
         self._report = report
         self._look_ahead = look_ahead
+        self._gang_by_step: dict[str, GangInProgress] = {}
+
+    @property
+    def plans_gangs(self) -> bool:
+        """Whether members of gangs are still to be planned."""
+        return bool(self._gang_by_step)
 
     def begin(self) -> None:
         """Begin a placement round."""
         self.placed = 0
         self.changed.clear()
 
+    def go_on(
+        self, usable: list[Server], reservations: Reservations, now_ms: int
+    ) -> None:
+        """Plan more members of gangs of which some are planned.
+
+        :param usable: servers that accept starts.
+        :param reservations: told of the room that is held for the others.
+        :param now_ms: current monotonic time, in ms.
+        """
+        usable_ids = {server.entry.server_id for server in usable}
+        for name, gang in list(self._gang_by_step.items()):
+            room_of = functools.partial(reservations.available, step=gang.step)
+            if gang.can_go_on(usable_ids, room_of):
+                self._plan_part(gang, now_ms)
+                gang.hold_room(reservations)
+            else:
+                gang.stop()
+                del self._gang_by_step[name]
+
     def plan(self, task: Task, step: Step, server: Server, now_ms: int) -> None:
         """Plan a run.
 
@@ -65,7 +95,10 @@
         if (suspected or step.spec.gang) and is_suspect(task, step):
             self._isolation.isolate(server, task, step)
         self._state.pending_by_key.discard(task.key)
-        self._state.plan(run, step)
+        gang = self._gang_by_step.get(step.name)
+        self._state.plan(run, step, starts=gang is None)
+        if gang is not None:
+            gang.note_planned(server, run)
         if self._look_ahead is not None:
             self._look_ahead.note_planned(task, step, server, now_ms)
         self.changed.append(server)
@@ -84,17 +117,22 @@
     def plan_gang(
         self, step: Step, assignments: Iterable[gangs.Assignment], now_ms: int
     ) -> None:
-        """Plan runs of all members of a gang.
+        """Plan runs of all members of a gang, those of a wide one in several rounds.
 
         :param assignments: servers of all members.
         :param now_ms: current monotonic time, in ms.
         """
-        number = gangs.next_run(step)
-        members = iter(step.tasks)
-        for server, count in assignments:
-            for task in itertools.islice(members, count):
-                task.last_run = number - 1
-                self.plan(task, step, server, now_ms)
+        gang = GangInProgress(step, list(assignments))
+        self._gang_by_step[step.name] = gang
+        self._plan_part(gang, now_ms)
+
+    def _plan_part(self, gang: GangInProgress, now_ms: int) -> None:
+        for task, server in gang.take(MAX_MEMBERS_OF_ROUND):
+            task.last_run = gang.number - 1
+            self.plan(task, gang.step, server, now_ms)
+        if gang.complete:
+            self._state.add_starts(gang.starts)
+            del self._gang_by_step[gang.step.name]
 
 
 __all__ = ('RunPlanner',)
--- a/waxwingford/scheduling/_servers.py
+++ b/waxwingford/scheduling/_servers.py
@@ -17,6 +17,9 @@
 #: Maximum relative drift between the clocks of a server and of the owner. The
 #: platform specifies 2 % for a server; the same is allowed for the owner.
 CLOCK_DRIFT = 0.04
+#: Members of a gang up to which those that wait for their start to be sent count as
+#: starts in progress. Those of a wider one would leave no start to others for seconds.
+MAX_COUNTED_MEMBERS = 64
 _UNANSWERED = (RunPhase.sent, RunPhase.unresolved)
 
 
@@ -102,7 +105,7 @@
     :ivar recent_starts: runs that the server isn't known to have outlived yet.
     :ivar reserved_for: task suspected of crashing servers that is to start
         alone here, ``None`` for none.
-    :ivar unsent: runs whose start was not sent yet.
+    :ivar unsent: runs whose start was not sent yet, without those of wide gangs.
     :ivar unanswered: runs whose start was sent and not confirmed.
     :ivar starts_in_progress: number of runs in ``unsent`` or ``unanswered``.
     :ivar used: resources reserved by runs, without the CPU of best-effort runs.
@@ -262,7 +265,8 @@
             self.best_effort[run.key] = run, step
         if not run.outlived:
             self.recent_starts.add(run.key)
-        if run.phase is RunPhase.planned:
+        wide = step.spec.gang and step.spec.count > MAX_COUNTED_MEMBERS
+        if run.phase is RunPhase.planned and not wide:
             self.unsent.add(run.key)
         self._count(step, 1)
 
--- a/waxwingford/scheduling/_shard_state.py
+++ b/waxwingford/scheduling/_shard_state.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from waxwingford.scheduling._backend_client import RunKey, TaskKey
@@ -244,12 +245,20 @@
         else:
             dirty.parts.add(task.key.index // TASKS_PER_ROW)
 
-    def plan(self, run: Run, step: Step) -> None:
-        """Place a run; it starts once it is stored."""
+    def plan(self, run: Run, step: Step, starts: bool = True) -> None:
+        """Place a run.
+
+        :param starts: whether it starts once it is stored, or is still to wait.
+        """
         server_id = run.incarnation.server_id
         self.server_by_id[server_id].add(run, step)
         self.mark(step, step.tasks[run.key.task.index])
-        self._pending_starts.append(Start(server_id, run))
+        if starts:
+            self._pending_starts.append(Start(server_id, run))
+
+    def add_starts(self, starts: Iterable[Start]) -> None:
+        """Start runs that were placed before, once all of them are stored."""
+        self._pending_starts.extend(starts)
 
     def acknowledge_end(self, incarnation: Incarnation, number: int) -> None:
         """Acknowledge an end to its server once the next batch is stored.
@@ -383,30 +392,6 @@
                 self.past.phase_by_job[job.spec.job_id] = phase
         return [start for start in batch.starts if not start.run.stopping]
 
-    def remove_ended_jobs(self) -> dict[str, bytes | None]:
-        """Remove ended jobs without runs on any server.
-
-        :returns: keys of their steps, each with ``None``, to be deleted from
-            the store.
-        """
-        ended_jobs = [
-            job
-            for job_id, job in self.job_by_id.items()
-            if job.ended is not None
-            and job_id in self.past.phase_by_job
-            and not has_runs(job)
-        ]
-        dropped: dict[str, bytes | None] = {}
-        for job in ended_jobs:
-            del self.job_by_id[job.spec.job_id]
-            for step in steps_of(job):
-                dropped.update(dict.fromkeys(stored_keys(step)))
-                self.tickets.forget(step)
-            # Steps refer to their job: without this it would stay in memory until
-            # all objects are searched for cycles.
-            job.steps_by_occurrence.clear()
-        return dropped
-
     def phase(self, job_id: str) -> JobPhase | None:
         """Phase of a job according to the store.
 
@@ -454,6 +439,31 @@
         return task, steps[key.task.step]
 
 
+def remove_ended_jobs(state: ShardState) -> dict[str, bytes | None]:
+    """Remove ended jobs without runs on any server.
+
+    :returns: keys of their steps, each with ``None``, to be deleted from
+        the store.
+    """
+    ended_jobs = [
+        job
+        for job_id, job in state.job_by_id.items()
+        if job.ended is not None
+        and job_id in state.past.phase_by_job
+        and not has_runs(job)
+    ]
+    dropped: dict[str, bytes | None] = {}
+    for job in ended_jobs:
+        del state.job_by_id[job.spec.job_id]
+        for step in steps_of(job):
+            dropped.update(dict.fromkeys(stored_keys(step)))
+            state.tickets.forget(step)
+        # Steps refer to their job: without this it would stay in memory until
+        # all objects are searched for cycles.
+        job.steps_by_occurrence.clear()
+    return dropped
+
+
 def _shows_running(step: Step) -> bool:
     """Whether the row of a step, once stored, shows that its job is running.
 
--- a/waxwingford/shard/_order_sender.py
+++ b/waxwingford/shard/_order_sender.py
@@ -1,6 +1,7 @@
 """Sends orders to one backend server."""
 
 import asyncio
+import collections
 import dataclasses
 from collections.abc import Awaitable, Callable, Coroutine
 
@@ -56,6 +57,9 @@
         self._errors = ports.errors
         self._slots = asyncio.Semaphore(MAX_CONCURRENT_ORDERS)
         self._tasks: set[asyncio.Task[None]] = set()
+        #: Starts that wait for a slot; jobs take turns.
+        self._starts_by_job: dict[str, collections.deque[Run]] = {}
+        self._senders = 0
 
     def close(self) -> None:
         """Cancel all orders."""
@@ -67,7 +71,12 @@
 
         :param run: run whose record is stored.
         """
-        self._spawn('start', self._start(run))
+        job_id = run.key.task.job_id
+        waiting = self._starts_by_job.setdefault(job_id, collections.deque())
+        waiting.append(run)
+        if self._senders < MAX_CONCURRENT_ORDERS:
+            self._senders += 1
+            self._spawn('start', self._send_starts())
 
     def stop(self, key: RunKey) -> None:
         """Send an order to stop a run."""
@@ -83,14 +92,32 @@
         task.add_done_callback(self._tasks.discard)
         task.add_done_callback(self._errors.add_failed_task)
 
+    async def _send_starts(self) -> None:
+        """Send starts until none waits."""
+        try:
+            while self._starts_by_job:
+                await self._start(self._next_start())
+        finally:
+            self._senders -= 1
+
+    def _next_start(self) -> Run:
+        """Take a start of the job that comes next.
+
+        Thousands of starts of a gang would keep those of others waiting for seconds.
+        """
+        job_id = next(iter(self._starts_by_job))
+        waiting = self._starts_by_job.pop(job_id)
+        run = waiting.popleft()
+        if waiting:
+            self._starts_by_job[job_id] = waiting
+        return run
+
     async def _start(self, run: Run) -> None:
         try:
             await self._start_once_proven(run)
         except Exception as error:
             self._errors.add('start', error, task=str(run.key.task))
-            # Otherwise the task would wait for this run for ever.
-            await asyncio.sleep(FAILED_START_DELAY_S)
-            run.stopping = True
+            self._spawn('failed start', _stop_later(run))
 
     async def _start_once_proven(self, run: Run) -> None:
         sent = False
@@ -143,3 +170,9 @@
                 self._engine.orders.token,
             )
         self._engine.pacer.answered(self._server, order, outcome)
+
+
+async def _stop_later(run: Run) -> None:
+    """Have a run stopped, or its task would wait for it for ever."""
+    await asyncio.sleep(FAILED_START_DELAY_S)
+    run.stopping = True
