Free the buffers of TLS connections that end during their handshake

Cause: an error that ends a handshake, and the frames and the future that it passed, refer to each other. The 256 KB buffers of the connection stay until the garbage collector searches all objects, long after their share was given back.

Change: the frames are cleared, and the gate drops its task. Eviction no longer ends that task as cancelled, which would keep its error.

Both listeners with TLS use this gate (`entry`, `inbound.grpc_server`).

--- a/waxwingford/inbound/tests/inbound.feature
+++ b/waxwingford/inbound/tests/inbound.feature
@@ -96,3 +96,15 @@
     And a server of calls with that share
     When a daemon begins 30 calls with headers of 30000 bytes
     Then some of them were refused for memory
+
+  Scenario Outline: connections that end before they are encrypted
+    # Guards against buffers that stay in memory after their connection gave back its share.
+    Given a share of 4000000 bytes and 4 connections
+    When 20 connections to a TLS listener <end> while no garbage is collected
+    Then none of their buffers is left in memory
+
+    Examples:
+      | end              |
+      | are evicted      |
+      | send no TLS      |
+      | are left at once |
--- a/waxwingford/inbound/tests/inbound_steps.py
+++ b/waxwingford/inbound/tests/inbound_steps.py
@@ -2,6 +2,10 @@
 
 import asyncio
 import contextlib
+import functools
+import gc
+import ssl
+from asyncio.sslproto import SSLProtocol
 from http import HTTPStatus
 
 import parse
@@ -23,6 +27,7 @@
     derive_scheduler_shares,
 )
 from waxwingford.inbound.grpc_server import BoundedServer
+from waxwingford.inbound.tls_gate import TlsGate
 from waxwingford.metrics import Metrics
 from waxwingford.shard import queries_pb2 as wire
 from waxwingford.shard._intake import Stored
@@ -32,6 +37,7 @@
 HOST = '127.0.0.1'
 BYTES_PER_MB = 1_000_000
 SETTLE_S = 0.2
+HANDSHAKE_BEGINS_S = 0.02
 
 
 @parse.with_pattern(r"can't|can")
@@ -264,3 +270,45 @@
 @then('some of them were refused for memory')
 def check_refused_calls(context):
     assert context.account.count_by_event['memory']
+
+
+@when(
+    '{count:d} connections to a TLS listener {end} while no garbage is collected'
+)
+def end_handshakes(context, count, end):
+    async def _end_all():
+        tls = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        gate = functools.partial(
+            TlsGate, context.account, tls, asyncio.Protocol
+        )
+        server = await asyncio.get_running_loop().create_server(gate, HOST, 0)
+        address = server.sockets[0].getsockname()
+        writers = []
+        for _ in range(count):
+            _, writer = await asyncio.open_connection(*address)
+            if end == 'send no TLS':
+                writer.write(b'GET / HTTP/1.1\r\n\r\n')
+            writers.append(writer)
+            await asyncio.sleep(HANDSHAKE_BEGINS_S)
+            if end == 'are left at once':
+                writer.transport.abort()
+        await asyncio.sleep(SETTLE_S)
+        context.left = sum(
+            isinstance(one, SSLProtocol) for one in gc.get_objects()
+        )
+        context.open = context.account.connections
+        for writer in writers:
+            writer.transport.abort()
+        server.close()
+
+    gc.collect()
+    gc.disable()
+    try:
+        asyncio.run(_end_all())
+    finally:
+        gc.enable()
+
+
+@then('none of their buffers is left in memory')
+def check_buffers(context):
+    assert context.left <= context.open <= 4, (context.left, context.open)
--- a/waxwingford/inbound/tls_gate.py
+++ b/waxwingford/inbound/tls_gate.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import ssl
+import traceback
 from collections.abc import Callable
 
 import logbook
@@ -83,13 +84,17 @@
                 server_side=True,
                 ssl_handshake_timeout=HANDSHAKE_S,
             )
-        except OSError as error:
-            # Also errors of TLS, and a peer that has left.
+        except (OSError, asyncio.CancelledError) as error:
+            # Also errors of TLS, a peer that has left, and eviction. The error and its
+            # frames refer to each other: without this the buffers of the connection
+            # would stay in memory until all objects are searched for cycles.
+            traceback.clear_frames(error.__traceback__)
             _log.debug('no handshake', extra={'reason': str(error)})
             self._transport.abort()
             return
         finally:
             self._holder.close()
+            self._handshake = None
         if early.lost or encrypted is None or encrypted.is_closing():
             self._transport.abort()
             return
