Let the rest of the process go on while an owner takes a shard over

Cause: `Owner._take_over` applied all jobs and all rows in one turn of the event loop.

Nobody uses the new engine before that is done.

--- a/waxwingford/scheduling/_engine.py
+++ b/waxwingford/scheduling/_engine.py
@@ -6,7 +6,7 @@
 
 import functools
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from waxwingford.scheduling._backend_client import (
     OrderAccepted,
@@ -177,13 +177,18 @@
         self.recovery.restore(rows)
 
     def inherit(self, now_ms: int, wall_ms: int) -> None:
+        """Apply the restored rows at once, see ``inherit_in_parts``."""
+        list(self.inherit_in_parts(now_ms, wall_ms))
+
+    def inherit_in_parts(self, now_ms: int, wall_ms: int) -> Iterator[int]:
         """Apply the restored rows, once all jobs are submitted.
 
         :param now_ms: current monotonic time, in ms.
         :param wall_ms: current Unix time, in ms.
+        :yields: the number of tasks that were gone over, after each part of the work.
         """
         self.state.wall_offset_ms = wall_ms - now_ms
-        self.recovery.apply(now_ms, wall_ms)
+        yield from self.recovery.apply(now_ms, wall_ms)
         for job in self.state.job_by_id.values():
             self._placement.release.add(job)
 
--- a/waxwingford/scheduling/_recovery.py
+++ b/waxwingford/scheduling/_recovery.py
@@ -1,12 +1,14 @@
 """Recovery of a new owner from the rows of previous owners."""
 
 import collections
+from collections.abc import Iterator
 from typing import NamedTuple
 
 from waxwingford.scheduling import _gangs as gangs
 from waxwingford.scheduling._crashes import hold_suspects, note_suspicion
 from waxwingford.scheduling._rows import (
     ENDED_PREFIX,
+    TASKS_PER_ROW,
     apply_step_row,
     decode_end,
     parse_step_key,
@@ -76,11 +78,12 @@
         """Whether restored rows of a job's steps are still to be applied."""
         return any(key.startswith(f'{job_id}.') for key in self._row_by_key)
 
-    def apply(self, now_ms: int, wall_ms: int) -> None:
+    def apply(self, now_ms: int, wall_ms: int) -> Iterator[int]:
         """Apply the rows of steps, once all jobs are submitted.
 
         :param now_ms: current monotonic time, in ms.
         :param wall_ms: current Unix time, in ms.
+        :yields: the number of tasks that were gone over, after each part of the work.
         """
         # The first rows come first: those of earlier versions may hold tasks of
         # later rows, which are newer.
@@ -89,6 +92,7 @@
                 self._apply_row(key, raw, now_ms, wall_ms)
             except Exception as error:
                 self._hold_job(key, error)
+            yield TASKS_PER_ROW
         self._row_by_key.clear()
         for job_id in self._held_job_ids & self._state.job_by_id.keys():
             # The row was written for a planned run, and most planned runs begin.
@@ -99,8 +103,11 @@
             if job.begun and job.ended is None:
                 job.reported_phase = JobPhase.running
             self._update_remaining(job)
-            self._find_orphans(job)
-            self._restore_suspects(job)
+            for step in steps_of(job):
+                self._find_orphans(job, step)
+                self._restore_suspects(step)
+                yield step.spec.count
+            yield 1
 
     def _restore_end(self, key: str, raw: bytes) -> None:
         job_id = key.removeprefix(ENDED_PREFIX)
@@ -157,30 +164,28 @@
         if not job.occurrences_left:
             self._state.finish(job, JobPhase.completed, EndReason.done)
 
-    def _find_orphans(self, job: Job) -> None:
-        for step in steps_of(job):
-            runs = (
-                (run, task)
-                for task in step.tasks
-                for run in task.run_by_number.values()
-            )
-            for run, task in runs:
-                # A cancellation is applied before the rows, so it could not
-                # stop these runs. Another run of a done task may be a copy, or
-                # have one, whose stop the previous owner hadn't seen carried out.
-                outdone = task.done and not step.spec.gang
-                run.stopping = job.ended is not None or outdone
-                self.orphans_by_server[run.server_id].append((run, step))
-            if step.spec.gang:
-                gangs.stop_incomplete(step)
-
-    def _restore_suspects(self, job: Job) -> None:
-        for step in steps_of(job):
-            for task in step.tasks:
-                if task.suspected_crashes:
-                    note_suspicion(task, step)
-                    self._state.crash_records.add_suspect(task, step)
-                    hold_suspects(self._state, task, step)
+    def _find_orphans(self, job: Job, step: Step) -> None:
+        runs = (
+            (run, task)
+            for task in step.tasks
+            for run in task.run_by_number.values()
+        )
+        for run, task in runs:
+            # A cancellation is applied before the rows, so it could not
+            # stop these runs. Another run of a done task may be a copy, or
+            # have one, whose stop the previous owner hadn't seen carried out.
+            outdone = task.done and not step.spec.gang
+            run.stopping = job.ended is not None or outdone
+            self.orphans_by_server[run.server_id].append((run, step))
+        if step.spec.gang:
+            gangs.stop_incomplete(step)
+
+    def _restore_suspects(self, step: Step) -> None:
+        for task in step.tasks:
+            if task.suspected_crashes:
+                note_suspicion(task, step)
+                self._state.crash_records.add_suspect(task, step)
+                hold_suspects(self._state, task, step)
 
 
 def _part_order(row: tuple[str, bytes]) -> int:
--- a/waxwingford/shard/_intake_reader.py
+++ b/waxwingford/shard/_intake_reader.py
@@ -1,10 +1,8 @@
 """Passes jobs and cancellations from the intake to the owner's engine."""
 
 import asyncio
-import functools
-import itertools
 import math
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 
 import logbook
 
@@ -17,11 +15,14 @@
 )
 from waxwingford.shard._log_port import SharedLog, StoredRecord
 from waxwingford.shard._mirror import CatchUpOutcome, CaughtUp, Mirror
+from waxwingford.shard._turns import run_in_turns
 
 #: Longest time that the store may hold a read, in ms. It bounds the time to
 #: detect a dead connection.
 INTAKE_WAIT_MS = 1000
 RETRY_DELAY_S = 0.1
+#: Tasks as which a record of the intake counts while a new owner reads it.
+TASKS_OF_RECORD = 32
 #: A new owner that reads no page of the intake within this time, in ms, resigns.
 #: It is as long as standbys wait for a silent owner, and allows for one lost page.
 PAGE_TIMEOUT_MS = 4000
@@ -89,16 +90,21 @@
             return False
         return isinstance(read, CaughtUp)
 
-    def apply_to(self, engine: Engine) -> None:
-        """Apply all rows that were read to an engine.
+    async def apply_to(self, engine: Engine, now_ms: int, wall_ms: int) -> None:
+        """Apply all rows that were read, and then those that the engine restored.
 
-        :param engine: new engine.
+        :param engine: new engine, which nobody uses meanwhile.
+        :param now_ms: monotonic time of the takeover, in ms.
+        :param wall_ms: its Unix time, in ms.
         """
-        records = itertools.starmap(
-            functools.partial(StoredRecord, 0),
-            self._mirror.payload_by_key.items(),
-        )
-        apply_records(engine, records, monotonic_ms())
+        await run_in_turns(self._apply_rows(engine))
+        await run_in_turns(engine.inherit_in_parts(now_ms, wall_ms))
+
+    def _apply_rows(self, engine: Engine) -> Iterator[int]:
+        for key, payload in list(self._mirror.payload_by_key.items()):
+            record = StoredRecord(0, key, payload)
+            apply_records(engine, [record], monotonic_ms())
+            yield TASKS_OF_RECORD
 
     async def follow(
         self, engine: Engine, on_change: Callable[[], None]
--- a/waxwingford/shard/_owner.py
+++ b/waxwingford/shard/_owner.py
@@ -278,17 +278,17 @@
         await ledger.wait_first_stored(self.stopped)
         if self.stopped.is_set():
             return
-        self._engine = Engine(
+        engine = Engine(
             self.epoch,
             self._settings.lease_ms,
             ledger.inherited,
             self._settings.max_lease_ms,
             features=self._settings.features,
         )
-        self._engine.configure(self._terms)
-        self._engine.restore(rows)
-        self._intake.apply_to(self._engine)
-        self._engine.inherit(now_ms, wall_ms)
+        engine.configure(self._terms)
+        engine.restore(rows)
+        await self._intake.apply_to(engine, now_ms, wall_ms)
+        self._engine = engine
         self.early_cancels.follow(self._engine)
         self.view = OwnerView(self._engine.placement_view, self.load_report)
         driver_ports = DriverPorts(
--- a/waxwingford/shard/tests/takeover.feature
+++ b/waxwingford/shard/tests/takeover.feature
@@ -46,6 +46,13 @@
     And nothing of the job runs
     And no invariant was violated
 
+  Scenario: a daemon takes over many running tasks
+    # Guards against a takeover in one turn, in which the new owner answers nobody.
+    Given a shard with 3 daemons and 4 servers
+    When 40 jobs of 100 small tasks run
+    And the owner is killed, and each turn of its successor is counted
+    Then that successor knows 4000 runs, and no turn took more than 20000 calls
+
   Scenario: a server registers during a takeover
     # Guards against a server that gets no tasks before the next takeover.
     Given a shard with 3 daemons and 4 servers
--- a/waxwingford/shard/tests/takeover_steps.py
+++ b/waxwingford/shard/tests/takeover_steps.py
@@ -3,9 +3,12 @@
 import asyncio
 from unittest import mock
 
+import msgspec
 from behave import then, when
 
+from waxwingford.ports import Resources
 from waxwingford.scheduling import Terms
+from waxwingford.scheduling.tests.large_fleet_steps import CallCounter
 from waxwingford.shard import NotAnswered
 from waxwingford.shard._journal import JOURNAL_TOPIC
 from waxwingford.shard.tests.owner_change_steps import wait_for_claim
@@ -18,6 +21,7 @@
 )
 
 SETTLE_S = 0.2
+START_S = 30
 TICK_S = 0.02
 
 
@@ -51,6 +55,42 @@
     assert not context.successor.owns
 
 
+@when('{jobs:d} jobs of {tasks:d} small tasks run')
+def run_small_tasks(context, jobs, tasks):
+    small = msgspec.structs.replace(
+        step(tasks, long_running=True), needs=Resources(1, 1, 0)
+    )
+    ids = [context.shard.submit((small,))[0] for _ in range(jobs)]
+    context.shard.run(START_S)
+    running = sum(len(context.shard.running(job_id)) for job_id in ids)
+    assert running == jobs * tasks, running
+
+
+@when('the owner is killed, and each turn of its successor is counted')
+def count_turns(context):
+    context.calls_of_turns = []
+    counter = CallCounter()
+    run_handle = asyncio.Handle._run
+
+    def _run(handle):
+        before = counter.calls
+        run_handle(handle)
+        context.calls_of_turns.append(counter.calls - before)
+
+    with mock.patch.object(asyncio.Handle, '_run', _run), counter:
+        hold_registrations(context)
+
+
+@then(
+    'that successor knows {runs:d} runs, and no turn took more than {most:d} calls'
+)
+def check_turns(context, runs, most):
+    recovery = context.successor.member.owner._engine.recovery
+    known = sum(map(len, recovery.orphans_by_server.values()))
+    assert known == runs, known
+    assert max(context.calls_of_turns) <= most, max(context.calls_of_turns)
+
+
 @when('the registrations arrive')
 def release_registrations(context):
     context.shard.call(context.released.set)
