Don't keep estimates of jobs of one step

Cause: estimates are kept for the tasks and steps of a repetition that are ranked at one time; a job of one step has no other step, so the kept estimate was only stored and forgotten. Change: it is computed where it is needed. Scheduling features pass but for one known red.

--- a/waxwingford/scheduling/_ranked_tasks.py
+++ b/waxwingford/scheduling/_ranked_tasks.py
@@ -74,17 +74,29 @@
         :param now_ms: current monotonic time, in ms.
         :param work: counts the work.
         """
+        steps = job.steps_by_occurrence[occurrence]
+        since_ms = owed_since_ms(job, occurrence, self._state.wall_offset_ms)
+        if len(steps) == 1:
+            estimate = self._estimate(job, steps)
+        else:
+            estimate = self._keep(job, occurrence, now_ms, work)
+        return estimate._replace(age_ms=now_ms - since_ms)
+
+    def _keep(
+        self, job: Job, occurrence: int, now_ms: int, work: RoundWork
+    ) -> JobEstimate:
         steps = job.steps_by_occurrence[occurrence]
         repetition = job.spec.job_id, occurrence
         kept = self._kept_by_repetition.get(repetition)
         if kept is None or now_ms - kept.at_ms > len(steps) // STEPS_PER_MS:
             work.add(steps[0].name, len(steps))
-            queue = self._state.queue_of(job)
-            run_times = self._state.learned.run_times
-            kept = _Kept(estimate_job(steps, queue, run_times), now_ms)
+            kept = _Kept(self._estimate(job, steps), now_ms)
             self._kept_by_repetition[repetition] = kept
-        since_ms = owed_since_ms(job, occurrence, self._state.wall_offset_ms)
-        return kept.estimate._replace(age_ms=now_ms - since_ms)
+        return kept.estimate
+
+    def _estimate(self, job: Job, steps: list[Step]) -> JobEstimate:
+        queue = self._state.queue_of(job)
+        return estimate_job(steps, queue, self._state.learned.run_times)
 
 
 class _Cursor:
