Reach the steps behind those at which a round has ended

What callers would see: a shard with over 20,000 waiting steps that fit nowhere, of many jobs, starts nothing any more.

A round ended after 20,000 looks, and the next one began with the same steps; and the work of ranking counted, so that from 20,000 steps on none was left for placing.

Change: steps that were tried in vain are left out until a round reaches its end, and the bound is one on placing.

--- a/waxwingford/scheduling/_placing.py
+++ b/waxwingford/scheduling/_placing.py
@@ -176,10 +176,13 @@
         """
         unplaced: list[PendingTask] = []
         full_steps: set[str] = set()
+        # Without the work of ranking, or there might be none left for placing.
+        max_work = self.work.total + MAX_ROUND_WORK
         for pending in ranked:
             if self.planner.placed >= max_starts:
                 return unplaced, list(ranked.left())
-            if self.work.total >= MAX_ROUND_WORK:
+            if self.work.total >= max_work:
+                self.work.interrupt(full_steps)
                 break
             try:
                 placed = self._place_one(pending, usable, full_steps, now_ms)
--- a/waxwingford/scheduling/_ranked_tasks.py
+++ b/waxwingford/scheduling/_ranked_tasks.py
@@ -223,6 +223,8 @@
             self._state.pending_by_key.discard_job(job_id)
             return
         step = job.steps_by_occurrence[queue.occurrence][queue.index]
+        if step.name in self._work.passed_steps:
+            return
         cursor = _Cursor(queue, step, queue.rotated())
         task = self._next_task(cursor)
         if task is None:
--- a/waxwingford/scheduling/_round_work.py
+++ b/waxwingford/scheduling/_round_work.py
@@ -23,16 +23,31 @@
     """Counts the work of one round, in looks at a task, a step or a server.
 
     :ivar total: work of all steps.
+    :ivar passed_steps: full steps that were tried since a round last reached its end.
+        Rounds leave them out until one does, or others would never be reached.
     """
 
     def __init__(self) -> None:
         self.total = 0
+        self.passed_steps: set[str] = set()
+        self._interrupted = False
         self._work_by_step: collections.Counter[str] = collections.Counter()
 
     def begin(self) -> None:
         """Begin a round."""
         self.total = 0
         self._work_by_step.clear()
+        if not self._interrupted:
+            self.passed_steps.clear()
+        self._interrupted = False
+
+    def interrupt(self, full_steps: set[str]) -> None:
+        """Note that a round ends before all tasks were tried.
+
+        :param full_steps: steps that were tried and fit nowhere.
+        """
+        self.passed_steps |= full_steps
+        self._interrupted = True
 
     def add(self, step_name: str, work: int) -> None:
         """Count work for a step."""
--- a/waxwingford/scheduling/tests/odd_jobs.feature
+++ b/waxwingford/scheduling/tests/odd_jobs.feature
@@ -40,6 +40,17 @@
     And a long task ends
     Then the task that waits is started within 1 s
 
+  Scenario Outline: a job behind more full steps than a round looks at
+    # Guards against rounds that end at the same steps again and again.
+    Given an engine with 6 servers of 32 cores
+    When <jobs> jobs of <steps> steps that fit nowhere are submitted
+    Then a job of a task of 1 core is started in at most <rounds> rounds
+
+    Examples:
+      | jobs | steps | rounds |
+      | 400  | 64    | 16     |
+      | 5000 | 5     | 16     |
+
   Scenario Outline: a job of which thousands of tasks become due at once
     # Guards against taking in all of them in one turn.
     Given an engine with 6 servers of 32 cores
--- a/waxwingford/scheduling/tests/odd_jobs_steps.py
+++ b/waxwingford/scheduling/tests/odd_jobs_steps.py
@@ -330,3 +330,11 @@
 @then('at most {most:d} of its runs are stopped at first')
 def check_stopping(context, most):
     assert 0 < context.stopping <= most, context.stopping
+
+
+@then('a job of a task of 1 core is started in at most {rounds:d} rounds')
+def check_started_within(context, rounds):
+    submit(context, (step(1),), SECOND)
+    for _ in range(rounds):
+        context.harness.decide()
+    assert len(runs_of(context, SECOND)) == 1
