Look only at the servers that have changed since the round before

Change: what was seen of a server is kept while the server and its room are the same. The features odd_jobs, large_fleet and engine pass.

--- a/waxwingford/scheduling/_full_steps.py
+++ b/waxwingford/scheduling/_full_steps.py
@@ -63,9 +63,23 @@
             self._seen_by_server.clear()
             self._grown_in_round.clear()
             return
-        seen = {server.entry.server_id: self._see(server) for server in usable}
-        for server_id, now in seen.items():
+        reduced = self._reservations.reduced_servers()
+        seen: dict[str, _Seen] = {}
+        for server in usable:
+            server_id = server.entry.server_id
             before = self._seen_by_server.get(server_id)
+            # Most servers haven't changed, and rounds are frequent.
+            unreduced = (
+                server,
+                server.free_resources,
+                server.change_count,
+                server.reserved_for,
+            )
+            if before == unreduced and server_id not in reduced:
+                seen[server_id] = before
+                continue
+            now = self._see(server)
+            seen[server_id] = now
             if before is None or _has_grown(before, now):
                 self._grown_in_round.pop(server_id, None)
                 self._grown_in_round[server_id] = self._round_number
--- a/waxwingford/scheduling/_reservations.py
+++ b/waxwingford/scheduling/_reservations.py
@@ -84,6 +84,10 @@
             return self.within(server, self.limit_of(server), step)
         return server.free_resources
 
+    def reduced_servers(self) -> set[str]:
+        """Return the identifiers of servers on which not all free room is available."""
+        return self._reserved_by_server.keys() | self._limit_by_server.keys()
+
     def within(
         self,
         server: Server,
